Start the workspace: settings, result codes, log events, values and the blackboard

Cause: everything else stands on shared types, and several packages are built side by side. Conclusion: packages can grow in parallel against these headers.

--- /dev/null
+++ b/packages/Support/lib/Ini.cpp
@@ -0,0 +1,113 @@
+// Feeds text to inih line by line, which is how the entries get their line numbers.
+#include "lentilbay/Support/Ini.h"
+
+#include <algorithm>
+#include <cstring>
+#include <fstream>
+#include <ini.h>
+#include <map>
+#include <sstream>
+#include <utility>
+
+namespace lentilbay {
+namespace {
+
+/// The state between inih's callbacks: the reader counts lines, the handler stores entries.
+struct ParseState {
+    std::string_view rest;
+    int line = 0;
+    IniDocument document;
+    Diagnostics* diagnostics = nullptr;
+    std::map<std::pair<std::string, std::string>, int> firstLines;
+
+    void report(ResultCode code, std::string key, std::string message)
+    {
+        diagnostics->push_back({ code, document.file, line, std::move(key), std::move(message) });
+    }
+};
+
+/// Hands inih the next line, or an empty one in place of a line that it cannot take.
+char* readLine(char* buf, int size, void* stream)
+{
+    auto& state = *static_cast<ParseState*>(stream);
+    if (state.rest.empty())
+        return nullptr;
+    const auto end = std::min(state.rest.find('\n'), state.rest.size());
+    auto text = state.rest.substr(0, end);
+    state.rest.remove_prefix(std::min(end + 1, state.rest.size()));
+    ++state.line;
+    const auto longest = static_cast<size_t>(size) - 2;
+    if (text.size() > longest) {
+        state.report(
+            ResultCode::SettingsSyntax, "", "the line is longer than " + std::to_string(longest) + " bytes");
+        text = {};
+    }
+    if (text.find('\0') != std::string_view::npos) {
+        state.report(ResultCode::SettingsSyntax, "", "the line holds a zero byte");
+        text = {};
+    }
+    const bool indented = !text.empty() && (text.front() == ' ' || text.front() == '\t');
+    if (indented && text.find_first_not_of(" \t\r") != std::string_view::npos) {
+        state.report(ResultCode::SettingsSyntax, "", "the line is indented; a value stands on one line");
+        text = {};
+    }
+    std::memcpy(buf, text.data(), text.size());
+    buf[text.size()] = '\n';
+    buf[text.size() + 1] = '\0';
+    return buf;
+}
+
+int storeEntry(void* user, const char* section, const char* name, const char* value)
+{
+    auto& state = *static_cast<ParseState*>(user);
+    const auto [it, isNew] = state.firstLines.try_emplace({ section, name }, state.line);
+    if (!isNew) {
+        state.report(ResultCode::DuplicateSettingKey, std::string(section) + "." + name,
+            "the key stands in line " + std::to_string(it->second) + " already");
+        return 1;
+    }
+    state.document.entries.push_back({ section, name, value == nullptr ? "" : value, state.line });
+    return 1;
+}
+
+} // namespace
+
+std::string printed(const Diagnostic& diagnostic)
+{
+    std::string out = diagnostic.file;
+    if (diagnostic.line > 0)
+        out += ":" + std::to_string(diagnostic.line);
+    out += ": " + printed(diagnostic.code);
+    if (!diagnostic.key.empty())
+        out += " " + diagnostic.key;
+    return out + ": " + diagnostic.message;
+}
+
+IniDocument parseIni(std::string_view text, std::string file, Diagnostics& diagnostics)
+{
+    ParseState state { .rest = text,
+        .document = { .file = std::move(file), .entries = {} },
+        .diagnostics = &diagnostics,
+        .firstLines = {} };
+    const int firstError = ini_parse_stream(readLine, &state, storeEntry, &state);
+    if (firstError > 0) {
+        state.line = firstError;
+        state.report(
+            ResultCode::SettingsSyntax, "", "the line is neither a [section], a key = value nor a comment");
+    }
+    return std::move(state.document);
+}
+
+IniDocument readIniFile(const std::string& path, Diagnostics& diagnostics)
+{
+    std::ifstream in(path, std::ios::binary);
+    if (!in) {
+        diagnostics.push_back({ ResultCode::SettingsUnreadable, path, 0, "", "the file cannot be opened" });
+        return { .file = path, .entries = {} };
+    }
+    std::ostringstream buf;
+    buf << in.rdbuf();
+    return parseIni(buf.str(), path, diagnostics);
+}
+
+} // namespace lentilbay
--- /dev/null
+++ b/packages/Support/lib/SectionReader.cpp
@@ -0,0 +1,194 @@
+// Typed reading of one INI section.
+#include "lentilbay/Support/SectionReader.h"
+
+#include "lentilbay/Support/Units.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace lentilbay {
+namespace {
+
+constexpr double bytesPerKiB = 1024;
+
+std::string printedBound(int64_t value) { return fmt::format("{}", value); }
+std::string printedBound(double value) { return fmt::format("{}", value); }
+std::string printedBound(Duration value) { return printDuration(value); }
+std::string printedBound(uint64_t value)
+{
+    return value < bytesPerKiB ? fmt::format("{}B", value)
+                               : fmt::format("{}KiB", static_cast<double>(value) / bytesPerKiB);
+}
+
+template <class T> std::string printedRange(const Range<T>& range)
+{
+    return fmt::format("allowed: {} to {}", printedBound(range.least), printedBound(range.most));
+}
+
+std::string trimmed(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return "";
+    return std::string(text.substr(first, text.find_last_not_of(" \t") - first + 1));
+}
+
+/// The checked value of an entry; the fallback where it is missing or wrong, which is then reported.
+template <class T, class Parse>
+T checked(SectionReader& reader, const IniEntry* entry, T fallback, const Range<T>& range, Parse parse,
+    std::string_view kind)
+{
+    if (entry == nullptr)
+        return fallback;
+    const std::optional<T> value = parse(entry->value);
+    if (!value) {
+        reader.report(ResultCode::WrongType, entry->key,
+            fmt::format("'{}' is not {}; {}", entry->value, kind, printedRange(range)));
+        return fallback;
+    }
+    if (*value < range.least || *value > range.most) {
+        reader.report(ResultCode::OutOfRange, entry->key,
+            fmt::format("'{}' is out of range; {}", entry->value, printedRange(range)));
+        return fallback;
+    }
+    return *value;
+}
+
+} // namespace
+
+SectionReader::SectionReader(const IniDocument& document, std::string section, Diagnostics& diagnostics)
+    : m_document(document)
+    , m_section(std::move(section))
+    , m_diagnostics(diagnostics)
+{
+}
+
+const IniEntry* SectionReader::find(const std::string& key) const
+{
+    for (const auto& entry : m_document.entries) {
+        if (entry.section == m_section && entry.key == key)
+            return &entry;
+    }
+    return nullptr;
+}
+
+const IniEntry* SectionReader::take(const std::string& key)
+{
+    m_known.insert(key);
+    return find(key);
+}
+
+std::string SectionReader::text(const std::string& key, std::string fallback)
+{
+    const auto* entry = take(key);
+    return entry == nullptr ? std::move(fallback) : entry->value;
+}
+
+std::string SectionReader::requiredText(const std::string& key)
+{
+    const auto* entry = take(key);
+    if (entry == nullptr || entry->value.empty()) {
+        report(ResultCode::MissingSetting, key, "the key is required and must not be empty");
+        return "";
+    }
+    return entry->value;
+}
+
+std::string SectionReader::word(
+    const std::string& key, std::string fallback, const std::vector<std::string>& allowed)
+{
+    const auto* entry = take(key);
+    if (entry == nullptr)
+        return fallback;
+    if (std::find(allowed.begin(), allowed.end(), entry->value) != allowed.end())
+        return entry->value;
+    report(ResultCode::WrongType, key,
+        fmt::format("'{}' is not allowed; allowed: {}", entry->value, fmt::join(allowed, ", ")));
+    return fallback;
+}
+
+int64_t SectionReader::integer(const std::string& key, int64_t fallback, Range<int64_t> range)
+{
+    return checked(*this, take(key), fallback, range, parseInteger, "a whole number");
+}
+
+double SectionReader::number(const std::string& key, double fallback, Range<double> range)
+{
+    return checked(*this, take(key), fallback, range, parseNumber, "a number");
+}
+
+Duration SectionReader::duration(const std::string& key, Duration fallback, Range<Duration> range)
+{
+    return checked(*this, take(key), fallback, range, parseDuration, "a duration such as 250ms");
+}
+
+std::optional<Duration> SectionReader::optionalDuration(const std::string& key, Range<Duration> range)
+{
+    if (take(key) == nullptr)
+        return std::nullopt;
+    return duration(key, range.least, range);
+}
+
+uint64_t SectionReader::size(const std::string& key, uint64_t fallback, Range<uint64_t> range)
+{
+    return checked(*this, take(key), fallback, range, parseSize, "a size such as 64KiB");
+}
+
+bool SectionReader::flag(const std::string& key, bool fallback)
+{
+    return word(key, fallback ? "yes" : "no", { "yes", "no" }) == "yes";
+}
+
+std::vector<std::string> SectionReader::list(const std::string& key)
+{
+    std::vector<std::string> out;
+    const auto* entry = take(key);
+    if (entry == nullptr)
+        return out;
+    std::string_view rest = entry->value;
+    while (!rest.empty()) {
+        const auto comma = std::min(rest.find(','), rest.size());
+        auto word = trimmed(rest.substr(0, comma));
+        rest.remove_prefix(std::min(comma + 1, rest.size()));
+        if (word.empty())
+            report(ResultCode::WrongType, key, "the list has an empty word");
+        else
+            out.push_back(std::move(word));
+    }
+    return out;
+}
+
+int SectionReader::lineOf(const std::string& key) const
+{
+    const auto* entry = find(key);
+    return entry == nullptr ? 0 : entry->line;
+}
+
+void SectionReader::report(ResultCode code, const std::string& key, std::string message)
+{
+    m_diagnostics.push_back(
+        { code, m_document.file, lineOf(key), m_section + "." + key, std::move(message) });
+}
+
+void SectionReader::reportUnknownKeys()
+{
+    for (const auto& entry : m_document.entries) {
+        if (entry.section != m_section || m_known.contains(entry.key))
+            continue;
+        report(ResultCode::UnknownSettingKey, entry.key,
+            fmt::format("the key is not known; allowed: {}", fmt::join(m_known, ", ")));
+    }
+}
+
+std::vector<std::string> sectionsOf(const IniDocument& document)
+{
+    std::vector<std::string> out;
+    for (const auto& entry : document.entries) {
+        if (std::find(out.begin(), out.end(), entry.section) == out.end())
+            out.push_back(entry.section);
+    }
+    return out;
+}
+
+} // namespace lentilbay
