--- a/packages/Control/include/lentilbay/Control/Blackboard.h
+++ b/packages/Control/include/lentilbay/Control/Blackboard.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "lentilbay/Control/PeerMessage.h"
+#include "lentilbay/Control/StoreMessages.h"
 #include "lentilbay/Model/Configuration.h"
 #include "lentilbay/Support/Identifier.h"
 #include "lentilbay/Support/Time.h"
@@ -133,6 +134,8 @@
 
     /// Messages to send, appended by any controller and emptied by the fleet's links.
     std::vector<OutgoingMessage> outbox;
+    /// Calls of the platform's services, appended by any controller and emptied by the platform's clients.
+    std::vector<StoreCommand> storeOutbox;
 
     EndpointState* findEndpointState(const EndpointId& id);
     PoolState* findPool(const ServiceId& service);
