--- a/packages/Support/lib/SectionReader.cpp
+++ b/packages/Support/lib/SectionReader.cpp
@@ -82,7 +82,9 @@
 std::string SectionReader::text(const std::string& key, std::string fallback)
 {
     const auto* entry = take(key);
-    return entry == nullptr ? std::move(fallback) : entry->value;
+    if (entry == nullptr)
+        return fallback;
+    return entry->value;
 }
 
 std::string SectionReader::requiredText(const std::string& key)
