Name in the blackboard which tiers a grant admits, who is urgent and what is recalled

Cause: a verdict on who holds a pool's slots is sound only if the grants that are out admit no lower tier while it lives, and preemption needs to know how many requests would lose their promise. Change: SlotGrant::lowestRank, PoolState::urgent and PoolState::recall; freeSlots() takes the rank. Conclusion: the slot controllers and the entry controller meet at these members.

--- a/packages/Control/include/lentilbay/Control/Blackboard.h
+++ b/packages/Control/include/lentilbay/Control/Blackboard.h
@@ -25,6 +25,8 @@
 /// Slots that the owner of an endpoint lent to this entry.
 struct SlotGrant {
     uint32_t slots = 0;
+    /// Only work of this rank or a higher tier (a lower number) may be dispatched under the grant.
+    int lowestRank = maxTiers - 1;
     /// From then on the grant gives no right to dispatch. Counted from when the grant was asked for.
     TimePoint lapses {};
 
@@ -62,10 +64,10 @@
         return total;
     }
 
-    /// The slots that may be used for a dispatch now.
-    uint32_t freeSlots(TimePoint now) const
+    /// The slots that may be used for a dispatch of work of this rank now.
+    uint32_t freeSlots(TimePoint now, int rank = 0) const
     {
-        if (leaving || now >= grant.lapses)
+        if (leaving || now >= grant.lapses || rank > grant.lowestRank)
             return 0;
         const auto used = inFlightTotal();
         return used >= grant.slots ? 0 : grant.slots - used;
@@ -74,7 +76,8 @@
 
 /// The answer of all owners of a pool to the question who holds its slots.
 struct Verdict {
-    /// The greatest rank (lowest tier) whose work runs on the pool, or -1 where nothing runs.
+    /// The greatest rank (lowest tier) whose work runs on the pool or may be dispatched there while the
+    /// verdict lives; -1 where there is none.
     int lowestServedRank = -1;
     /// Whether some slot of the pool is free.
     bool hasFreeSlot = true;
@@ -84,6 +87,15 @@
     auto operator<=>(const Verdict&) const = default;
 };
 
+/// Work of lower tiers that must give way to a higher tier that waits for the pool.
+struct SlotRecall {
+    /// Only work of a greater rank than this gives way.
+    int forRank = 0;
+    uint32_t slots = 0;
+
+    auto operator<=>(const SlotRecall&) const = default;
+};
+
 /// All endpoints that offer one service.
 struct PoolState {
     ServiceId service;
@@ -91,8 +103,12 @@
     std::vector<size_t> endpoints;
     /// Written by the slot holder.
     Verdict verdict;
+    /// Written by the slot holder; the entry controller preempts as many of its requests and sets it to none.
+    SlotRecall recall;
     /// Written by the entry controller: its requests that wait, by rank of their tier.
     std::array<uint32_t, maxTiers> waiting {};
+    /// Written by the entry controller: those that lose their promise unless they get a slot at once.
+    std::array<uint32_t, maxTiers> urgent {};
 };
 
 enum class MemberStatus : uint8_t { Alive, Suspect, Leaving, Dead };
