--- /dev/null
+++ b/packages/Policy/lib/Limits.cpp
@@ -0,0 +1,82 @@
+// Applies an organisation's limits to its requests.
+#include "lentilbay/Policy/Limits.h"
+
+#include <cmath>
+
+namespace lentilbay {
+namespace {
+
+/// A bucket holds what flows in within this time.
+constexpr double bucketSeconds = 1;
+
+TokenBucketOptions bucketOf(double limit, LimitShare share)
+{
+    const double rate = limit * share.fraction;
+    return { .rate = rate, .capacity = rate * bucketSeconds };
+}
+
+void configureBucket(
+    std::optional<TokenBucket>& bucket, std::optional<double> limit, LimitShare share, TimePoint now)
+{
+    if (!limit) {
+        bucket.reset();
+    } else if (bucket) {
+        bucket->configure(bucketOf(*limit, share), now);
+    } else {
+        bucket.emplace(bucketOf(*limit, share), now);
+    }
+}
+
+} // namespace
+
+OrganisationUse::OrganisationUse(const OrganisationLimits& limits, LimitShare share, TimePoint now)
+{
+    configure(limits, share, now);
+}
+
+void OrganisationUse::configure(const OrganisationLimits& limits, LimitShare share, TimePoint now)
+{
+    m_limits = limits;
+    m_share = share;
+    configureBucket(m_requests, limits.requestsPerSecond, share, now);
+    configureBucket(m_tokens, limits.tokensPerSecond, share, now);
+}
+
+bool OrganisationUse::roundedConcurrencyAllows() const
+{
+    if (!m_limits.concurrency)
+        return true;
+    const double allowed = static_cast<double>(*m_limits.concurrency) * m_share.fraction;
+    return m_concurrent < static_cast<int64_t>(std::floor(allowed + 1e-9));
+}
+
+std::optional<LimitRefusal> OrganisationUse::admit(double expectedTokens, TimePoint now)
+{
+    m_demand += 1;
+    if (!roundedConcurrencyAllows())
+        return LimitRefusal { .code = ResultCode::ConcurrencyLimit, .retryAfter = std::chrono::seconds(1) };
+    if (m_requests && m_requests->timeUntil(1, now) > Duration::zero())
+        return LimitRefusal { .code = ResultCode::RequestRateLimit,
+            .retryAfter = m_requests->timeUntil(1, now) };
+    if (m_tokens && !m_tokens->take(expectedTokens, now)) {
+        return LimitRefusal { .code = ResultCode::TokenRateLimit,
+            .retryAfter = m_tokens->timeUntil(expectedTokens, now) };
+    }
+    if (m_requests && !m_requests->take(1, now)) {
+        if (m_tokens)
+            m_tokens->settle(expectedTokens, now);
+        return LimitRefusal { .code = ResultCode::RequestRateLimit,
+            .retryAfter = m_requests->timeUntil(1, now) };
+    }
+    ++m_concurrent;
+    return std::nullopt;
+}
+
+void OrganisationUse::finished(double expectedTokens, double usedTokens, TimePoint now)
+{
+    --m_concurrent;
+    if (m_tokens)
+        m_tokens->settle(expectedTokens - usedTokens, now);
+}
+
+} // namespace lentilbay
--- /dev/null
+++ b/packages/Policy/lib/RequestQueue.cpp
@@ -0,0 +1,193 @@
+// Tiers in front of each other, organisations beside each other, deadlines in order.
+#include "lentilbay/Policy/RequestQueue.h"
+
+#include <algorithm>
+#include <cassert>
+#include <queue>
+
+namespace lentilbay {
+
+RequestQueue::Key RequestQueue::keyOf(const QueuedRequest& request)
+{
+    return { .deferred = request.deferred, .orderBy = request.orderBy, .sequence = request.sequence };
+}
+
+void RequestQueue::refreshBacklog(RankQueue& rank, uint32_t organisation)
+{
+    auto& queue = rank.organisations[organisation];
+    auto it = std::find_if(rank.backlogs.begin(), rank.backlogs.end(),
+        [&](const Backlog& backlog) { return backlog.organisation == organisation; });
+    if (queue.keys.empty()) {
+        if (it != rank.backlogs.end()) {
+            *it = rank.backlogs.back();
+            rank.backlogs.pop_back();
+        }
+        return;
+    }
+    if (it == rank.backlogs.end())
+        it = rank.backlogs.insert(it, Backlog { .organisation = organisation });
+    it->virtualTime = queue.virtualTime;
+    it->head = *queue.keys.begin();
+}
+
+void RequestQueue::push(const QueuedRequest& request)
+{
+    assert(request.rank >= 0 && request.rank < maxTiers && "ranks are 0 to maxTiers - 1");
+    assert(request.weight > 0 && "weights are positive");
+    auto& rank = m_ranks[request.rank];
+    auto& queue = rank.organisations[request.organisation];
+    if (queue.keys.empty())
+        queue.virtualTime = std::max(queue.virtualTime, rank.floor);
+    queue.keys.insert(keyOf(request));
+    ++rank.size;
+    rank.work += request.work;
+    const bool added = m_requests.emplace(request.sequence, request).second;
+    assert(added && "sequences are unique");
+    static_cast<void>(added);
+    refreshBacklog(rank, request.organisation);
+}
+
+void RequestQueue::erase(const QueuedRequest& request)
+{
+    auto& rank = m_ranks[request.rank];
+    rank.organisations[request.organisation].keys.erase(keyOf(request));
+    --rank.size;
+    rank.work = rank.size == 0 ? 0 : std::max(0.0, rank.work - request.work);
+}
+
+bool RequestQueue::remove(uint64_t sequence)
+{
+    auto it = m_requests.find(sequence);
+    if (it == m_requests.end())
+        return false;
+    const auto request = it->second;
+    m_requests.erase(it);
+    erase(request);
+    refreshBacklog(m_ranks[request.rank], request.organisation);
+    return true;
+}
+
+const QueuedRequest* RequestQueue::front() const
+{
+    for (const auto& rank : m_ranks) {
+        if (rank.size == 0)
+            continue;
+        double least = rank.backlogs.front().virtualTime;
+        for (const auto& it : rank.backlogs)
+            least = std::min(least, it.virtualTime);
+        const Backlog* best = nullptr;
+        for (const auto& it : rank.backlogs) {
+            if (it.virtualTime <= least + m_options.fairnessSlack && (!best || it.head < best->head))
+                best = &it;
+        }
+        return &m_requests.at(best->head.sequence);
+    }
+    return nullptr;
+}
+
+void RequestQueue::serve(uint64_t sequence)
+{
+    auto it = m_requests.find(sequence);
+    assert(it != m_requests.end() && "only a request that waits is served");
+    const auto request = it->second;
+    m_requests.erase(it);
+    auto& rank = m_ranks[request.rank];
+    double least = rank.backlogs.front().virtualTime;
+    for (const auto& backlog : rank.backlogs)
+        least = std::min(least, backlog.virtualTime);
+    rank.floor = std::max(rank.floor, least);
+    rank.organisations[request.organisation].virtualTime += request.work / request.weight;
+    erase(request);
+    refreshBacklog(rank, request.organisation);
+}
+
+const QueuedRequest* RequestQueue::last() const
+{
+    for (auto rank = m_ranks.rbegin(); rank != m_ranks.rend(); ++rank) {
+        const Key* greatest = nullptr;
+        for (const auto& it : rank->backlogs) {
+            const auto& key = *rank->organisations.at(it.organisation).keys.rbegin();
+            if (!greatest || *greatest < key)
+                greatest = &key;
+        }
+        if (greatest)
+            return &m_requests.at(greatest->sequence);
+    }
+    return nullptr;
+}
+
+double RequestQueue::work() const
+{
+    double sum = 0;
+    for (const auto& rank : m_ranks)
+        sum += rank.work;
+    return sum;
+}
+
+double RequestQueue::virtualTime(int rank, uint32_t organisation) const
+{
+    auto it = m_ranks[rank].organisations.find(organisation);
+    return it == m_ranks[rank].organisations.end() ? 0 : it->second.virtualTime;
+}
+
+void RequestQueue::plan(int rank, double slots, TimePoint now)
+{
+    auto& tier = m_ranks[rank];
+    if (tier.size == 0)
+        return;
+    std::vector<QueuedRequest*> requests;
+    requests.reserve(tier.size);
+    for (auto& [sequence, request] : m_requests) {
+        if (request.rank == rank)
+            requests.push_back(&request);
+    }
+    std::vector<std::pair<QueuedRequest*, Key>> before;
+    before.reserve(requests.size());
+    for (auto* it : requests)
+        before.emplace_back(it, keyOf(*it));
+    deferLate(requests, slots, now);
+    std::set<uint32_t> changed;
+    for (const auto& [request, key] : before) {
+        if (request->deferred == key.deferred)
+            continue;
+        auto& keys = tier.organisations[request->organisation].keys;
+        keys.erase(key);
+        keys.insert(keyOf(*request));
+        changed.insert(request->organisation);
+    }
+    for (const auto organisation : changed)
+        refreshBacklog(tier, organisation);
+}
+
+void deferLate(std::vector<QueuedRequest*>& requests, double slots, TimePoint now)
+{
+    std::sort(requests.begin(), requests.end(), [](const QueuedRequest* a, const QueuedRequest* b) {
+        return std::tie(a->orderBy, a->sequence) < std::tie(b->orderBy, b->sequence);
+    });
+    const auto shorter = [](const QueuedRequest* a, const QueuedRequest* b) {
+        return std::tie(a->work, a->sequence) < std::tie(b->work, b->sequence);
+    };
+    std::priority_queue<QueuedRequest*, std::vector<QueuedRequest*>, decltype(shorter)> kept(shorter);
+    const double rate = std::max(slots, 1e-3);
+    double work = 0;
+    for (auto* it : requests) {
+        it->deferred = false;
+        if (!it->deadline)
+            continue;
+        kept.push(it);
+        work += it->work;
+        // It starts once the work before it is spread over the slots, and then takes its own time.
+        const auto isLate = [&] {
+            const double start = std::max(0.0, work - it->work) / rate;
+            return now + fromSeconds(start + it->work) > *it->deadline;
+        };
+        while (isLate() && !it->deferred && !kept.empty()) {
+            auto* longest = kept.top();
+            kept.pop();
+            longest->deferred = true;
+            work -= longest->work;
+        }
+    }
+}
+
+} // namespace lentilbay
--- /dev/null
+++ b/packages/Policy/unittests/LimitsTest.cpp
@@ -0,0 +1,94 @@
+// Limits hold for the share that a daemon has, and what was not used is given back.
+#include "lentilbay/Policy/Limits.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lentilbay {
+namespace {
+
+using namespace std::chrono_literals;
+
+int admitted(OrganisationUse& use, int requests, double tokens, TimePoint now)
+{
+    int n = 0;
+    for (int i = 0; i < requests; ++i)
+        n += use.admit(tokens, now) ? 0 : 1;
+    return n;
+}
+
+TEST(Limits, NothingMeansUnlimited)
+{
+    OrganisationUse use({}, {}, TimePoint());
+    EXPECT_EQ(admitted(use, 1'000, 1e6, TimePoint()), 1'000);
+}
+
+TEST(Limits, RequestsASecond)
+{
+    OrganisationUse use({ .requestsPerSecond = 10 }, {}, TimePoint());
+    EXPECT_EQ(admitted(use, 50, 1, TimePoint()), 10);
+    const auto refusal = use.admit(1, TimePoint());
+    ASSERT_TRUE(refusal);
+    EXPECT_EQ(refusal->code, ResultCode::RequestRateLimit);
+    EXPECT_EQ(refusal->retryAfter, 100ms);
+    EXPECT_EQ(admitted(use, 50, 1, TimePoint(500ms)), 5);
+}
+
+TEST(Limits, TokensASecondAreSettledWithWhatWasUsed)
+{
+    OrganisationUse use({ .tokensPerSecond = 1'000 }, {}, TimePoint());
+    EXPECT_EQ(admitted(use, 5, 500, TimePoint()), 2);
+    EXPECT_EQ(use.admit(500, TimePoint())->code, ResultCode::TokenRateLimit);
+    use.finished(500, 0, TimePoint());
+    EXPECT_EQ(admitted(use, 5, 500, TimePoint()), 1);
+}
+
+TEST(Limits, ARequestLargerThanTheBucketIsLetThroughAndPaidForAfterwards)
+{
+    OrganisationUse use({ .tokensPerSecond = 100 }, {}, TimePoint());
+    EXPECT_FALSE(use.admit(1'000, TimePoint()));
+    EXPECT_TRUE(use.admit(1, TimePoint(8s)));
+    EXPECT_FALSE(use.admit(1, TimePoint(10s)));
+}
+
+TEST(Limits, ConcurrencyIsCountedUntilTheEnd)
+{
+    OrganisationUse use({ .concurrency = 2 }, {}, TimePoint());
+    EXPECT_EQ(admitted(use, 5, 1, TimePoint()), 2);
+    EXPECT_EQ(use.admit(1, TimePoint())->code, ResultCode::ConcurrencyLimit);
+    use.finished(1, 1, TimePoint());
+    EXPECT_EQ(admitted(use, 5, 1, TimePoint()), 1);
+}
+
+TEST(Limits, AShareOfNothingAdmitsNothing)
+{
+    OrganisationUse use({ .requestsPerSecond = 10 }, { .fraction = 0 }, TimePoint());
+    EXPECT_EQ(admitted(use, 10, 1, TimePoint(10s)), 0);
+}
+
+RC_GTEST_PROP(Limits, SharesThatAddUpToOneNeverExceedTheLimit, ())
+{
+    const auto daemons = *rc::gen::inRange(1, 6);
+    const auto weights
+        = *rc::gen::container<std::vector<int>>(static_cast<size_t>(daemons), rc::gen::inRange(1, 10));
+    int sum = 0;
+    for (const auto it : weights)
+        sum += it;
+    const OrganisationLimits limits { .requestsPerSecond = 100, .concurrency = 20 };
+    std::vector<OrganisationUse> uses;
+    for (const auto it : weights)
+        uses.emplace_back(limits, LimitShare { .fraction = static_cast<double>(it) / sum }, TimePoint());
+    int total = 0;
+    for (int second = 0; second < 5; ++second) {
+        for (auto& it : uses)
+            total += admitted(it, 200, 1, TimePoint(std::chrono::seconds(second)));
+        int64_t concurrent = 0;
+        for (const auto& it : uses)
+            concurrent += it.concurrent();
+        RC_ASSERT(concurrent <= 20);
+    }
+    RC_ASSERT(total <= 20);
+}
+
+} // namespace
+} // namespace lentilbay
--- /dev/null
+++ b/packages/Policy/unittests/PreemptionTest.cpp
@@ -0,0 +1,66 @@
+// The work that gives way is the one of the lowest tier that loses least prefill.
+#include "lentilbay/Policy/Preemption.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <vector>
+
+namespace lentilbay {
+namespace {
+
+RunningWork running(int rank, double prefilled, double remaining = 5, bool preemptible = true)
+{
+    return {
+        .rank = rank, .preemptible = preemptible, .prefilledTokens = prefilled, .remainingSeconds = remaining
+    };
+}
+
+TEST(Preemption, TakesTheLowestTierThenTheLeastPrefill)
+{
+    const std::vector<RunningWork> work { running(1, 0), running(2, 500), running(2, 100),
+        running(2, 100, 9) };
+    EXPECT_EQ(choosePreempted(work, 0), 3U);
+}
+
+TEST(Preemption, NeverTakesTheOwnOrAHigherTier)
+{
+    const std::vector<RunningWork> work { running(0, 0), running(1, 0) };
+    EXPECT_EQ(choosePreempted(work, 1), std::nullopt);
+    EXPECT_EQ(choosePreempted(work, 0), 1U);
+    EXPECT_EQ(choosePreempted({}, 0), std::nullopt);
+}
+
+TEST(Preemption, NeverTakesNonIdempotentWorkOrWorkWithinAStepOfItsEnd)
+{
+    const std::vector<RunningWork> work { running(2, 0, 5, false), running(2, 0, preemptionStepSeconds / 2) };
+    EXPECT_EQ(choosePreempted(work, 0), std::nullopt);
+}
+
+TEST(Preemption, LateWorkIsCancelledOnlyWhereMoreIsSavedThanLost)
+{
+    EXPECT_TRUE(cancelLate(running(0, 1'000, 10), 0.5, {}));
+    EXPECT_FALSE(cancelLate(running(0, 100'000, 1), 0.5, {}));
+    EXPECT_FALSE(cancelLate(running(0, 1'000, 10), 0, {}));
+    EXPECT_FALSE(cancelLate(running(0, 0, 10, false), 1, {}));
+    EXPECT_FALSE(cancelLate(running(0, 10'000, 10), 0.5, { .goodput = 1, .wastedPrefill = 10 }));
+}
+
+RC_GTEST_PROP(Preemption, TheChoiceIsAlwaysAllowedAndNothingOfALowerTierIsLeft, ())
+{
+    std::vector<RunningWork> work;
+    const auto n = *rc::gen::inRange(0, 30);
+    for (int i = 0; i < n; ++i) {
+        work.push_back(running(*rc::gen::inRange(0, 4), *rc::gen::inRange(0, 100),
+            *rc::gen::inRange(0, 20) * 0.1, *rc::gen::arbitrary<bool>()));
+    }
+    const auto rank = *rc::gen::inRange(0, 4);
+    const auto choice = choosePreempted(work, rank);
+    for (const auto& it : work) {
+        if (mayPreempt(it, rank))
+            RC_ASSERT(choice && mayPreempt(work[*choice], rank) && work[*choice].rank >= it.rank);
+    }
+}
+
+} // namespace
+} // namespace lentilbay
