Put the policies in force in the entry controller

Cause: it served by deadline and fewest in flight, and refused without asking who is served. Change: requests of services with equal sets of endpoints are ordered among each other by tier, deadline and weighted fairness; endpoints are chosen by predicted completion with learned speeds, cached prefixes, distance and billed bytes; a request whose last chance is near displaces the work of the lowest tier that loses least prefill, and a refusal for want of capacity needs a verdict younger than a second and no lower tier in service here. Limits of organisations, retry budgets, backoff, circuit breakers and probes of stragglers are in force.

--- a/packages/Control/include/lentilbay/Control/EntryController.h
+++ b/packages/Control/include/lentilbay/Control/EntryController.h
@@ -7,6 +7,7 @@
 #include "lentilbay/Control/Blackboard.h"
 #include "lentilbay/Control/Commands.h"
 #include "lentilbay/Model/Request.h"
+#include "lentilbay/Policy/Limits.h"
 #include "lentilbay/Support/Random.h"
 #include "lentilbay/Support/Time.h"
 
@@ -18,8 +19,29 @@
 
 struct EntryOptions {
     uint64_t seed = 1;
-    /// Requests that may wait at once in this daemon.
+    /// Requests that may wait at once for one set of endpoints.
     uint32_t maxWaiting = 10'000;
+    /// Seconds of work that may wait for each slot.
+    double maxWaitingSeconds = 120;
+    /// How long before its last chance a request may displace work of a lower tier.
+    Duration urgencyLead = std::chrono::milliseconds(150);
+    /// The last chance supposes an answer longer than the mean by this many standard deviations, ...
+    double urgencySigmas = 0.5;
+    /// ... and a refusal one that is shorter by this many.
+    double refusalSigmas = 0.5;
+};
+
+/// What happened since the start, for metrics.
+struct EntryCounters {
+    uint64_t preempted = 0;
+    /// Prompt tokens computed for work that was cancelled.
+    uint64_t prefillTokensLost = 0;
+    /// Refusals for want of capacity while work of a lower tier was served, which must not happen where that
+    /// work may be preempted.
+    uint64_t shedWhileLowerServed = 0;
+    uint64_t retries = 0;
+
+    auto operator<=>(const EntryCounters&) const = default;
 };
 
 class EntryController {
@@ -39,10 +61,24 @@
     /// The endpoint produced tokens (for a plain service: the answer began).
     void tokensArrived(const RequestId& id, uint32_t tokens, TimePoint now);
     void answerEnded(const RequestId& id, AnswerEnd end, TimePoint now);
+    /// What the endpoint said of the prompt at the end of its answer; comes before answerEnded().
+    void usageReported(const RequestId& id, uint32_t cachedTokens, TimePoint now);
     /// The caller closed its connection.
     void callerLeft(const RequestId& id, TimePoint now);
 
-    /// Decides what can be decided now; call it after events and at nextWake().
+    /// A cache event of an endpoint: it holds the prefix whose hash this is, or no longer.
+    void prefixStored(const EndpointId& endpoint, uint64_t prefixHash, TimePoint now);
+    void prefixEvicted(const EndpointId& endpoint, uint64_t prefixHash);
+    /// Some cache events of the endpoint did not arrive.
+    void cacheEventsMissed(const EndpointId& endpoint, TimePoint now);
+
+    /// An owner calls for slots: so many requests of the rank give way on the service's endpoints.
+    void recall(const ServiceId& service, int rank, uint32_t count, TimePoint now);
+    /// The part of the organisation's limits that this daemon may use; the whole until it is said.
+    void setLimitShare(const OrganisationId& organisation, LimitShare share, TimePoint now);
+
+    /// Decides what can be decided now; call it after grants, verdicts and configurations changed and at
+    /// nextWake(). The other calls decide at once what follows from them.
     void step(TimePoint now);
     /// When step() has something to do even without an event.
     std::optional<TimePoint> nextWake() const;
@@ -54,6 +90,7 @@
 
     /// Requests that wait or run.
     size_t openRequests() const;
+    const EntryCounters& counters() const;
 
 private:
     struct State;
--- /dev/null
+++ b/packages/Control/lib/Entry/Dispatcher.cpp
@@ -0,0 +1,207 @@
+// From the queue to an endpoint: which request is next, and where it goes.
+#include "EntryState.h"
+
+#include <algorithm>
+
+namespace lentilbay {
+namespace {
+
+/// Endpoints that are compared for one request; where more are open, a part of them drawn at random.
+constexpr size_t maxCandidates = 16;
+/// How long a request waits for a faster endpoint before it is offered the free ones again.
+constexpr Duration asideFor = std::chrono::milliseconds(10);
+constexpr Duration planInterval = std::chrono::milliseconds(100);
+constexpr Duration planIntervalPerRequest = std::chrono::microseconds(20);
+/// A probe of a straggler must have this many times the time that it needs at the usual speed.
+constexpr double probeSlack = 6;
+
+} // namespace
+
+void EntryController::State::setAside(OpenRequest& request, TimePoint until)
+{
+    if (request.phase == RequestPhase::Waiting)
+        dequeue(request, false);
+    countWaiting(request, true);
+    request.phase = RequestPhase::SetAside;
+    setTimer(request, request.deadline ? std::min(until, *request.deadline) : until);
+}
+
+bool EntryController::State::mayUse(const OpenRequest& request, EndpointRuntime& endpoint, TimePoint now)
+{
+    if (endpoint.position == noPosition || &endpoint == request.failedEndpoint)
+        return false;
+    const auto& state = runtime.stateOf(endpoint);
+    if (state.freeSlots(now) == 0 || state.inFlightTotal() >= std::max(1U, endpoint.knee))
+        return false;
+    return endpoint.breaker.allows(now) && !endpoint.isStraggler;
+}
+
+EndpointRuntime* EntryController::State::chooseEndpoint(const OpenRequest& request, TimePoint now)
+{
+    auto& pool = *request.pool;
+    const auto hits = runtime.prefixes.find(request.arrival.prefixHashes, now);
+    std::array<RouteCandidate, maxCandidates + 4> candidates;
+    std::array<EndpointRuntime*, maxCandidates + 4> endpoints {};
+    size_t n = 0;
+    const auto consider = [&](EndpointRuntime& endpoint) {
+        if (n >= candidates.size() || !mayUse(request, endpoint, now))
+            return;
+        double cached = 0;
+        for (const auto& hit : hits)
+            cached = hit.endpoint == endpoint.number ? hit.fraction : cached;
+        endpoints[n] = &endpoint;
+        candidates[n++] = candidateOf(endpoint, cached);
+    };
+    for (const auto& hit : hits) {
+        auto* endpoint = runtime.endpointOf(hit.endpoint);
+        if (pool.open.size() > maxCandidates && endpoint->position != noPosition
+            && std::find(endpoint->pools.begin(), endpoint->pools.end(), &pool) != endpoint->pools.end())
+            consider(*endpoint);
+    }
+    size_t at = pool.open.size() > maxCandidates ? random.below(pool.open.size()) : 0;
+    for (size_t left = pool.open.size(); left > 0 && n < maxCandidates; --left) {
+        at %= pool.open.size();
+        auto* endpoint = pool.open[at];
+        if (endpoint->position == noPosition || runtime.stateOf(*endpoint).freeSlots(now) == 0) {
+            if (endpoint->position != noPosition)
+                pool.isOpen[endpoint->position] = false;
+            pool.open[at] = pool.open.back();
+            pool.open.pop_back();
+            continue;
+        }
+        consider(*endpoint);
+        ++at;
+    }
+    const auto best = chooseRoute(request.expected, std::span(candidates.data(), n), runtime.weights);
+    return best < n ? endpoints[best] : nullptr;
+}
+
+void EntryController::State::dispatch(OpenRequest& request, EndpointRuntime& endpoint, TimePoint now)
+{
+    dequeue(request, true);
+    request.phase = RequestPhase::Connecting;
+    request.cachedFraction = 0;
+    for (const auto& hit : runtime.prefixes.find(request.arrival.prefixHashes, now)) {
+        if (hit.endpoint == endpoint.number)
+            request.cachedFraction = hit.fraction;
+    }
+    takeSlot(request, endpoint);
+    endpoint.breaker.sent(now);
+    setTimer(request, request.deadline.value_or(TimePoint::max()));
+    commands.emplace_back(DispatchCommand { .id = request.arrival.id, .endpoint = endpoint.name });
+}
+
+void EntryController::State::askForClaims(PoolRuntime& pool, TimePoint now)
+{
+    uint32_t slots = 0;
+    for (size_t i = 0; i < std::min(pool.open.size(), maxCandidates); ++i)
+        slots += runtime.stateOf(*pool.open[i]).freeSlots(now);
+    while (pool.claims < slots && !pool.unclaimed.empty()) {
+        auto& request = *bySequence.at(pool.unclaimed.front()->sequence);
+        dequeue(request, false);
+        request.phase = RequestPhase::Claiming;
+        ++pool.claims;
+        setTimer(request, request.deadline.value_or(TimePoint::max()));
+        commands.emplace_back(ClaimCommand { .id = request.arrival.id });
+    }
+}
+
+bool EntryController::State::dispatchFront(PoolRuntime& pool, TimePoint now)
+{
+    auto& request = *bySequence.at(pool.ready.front()->sequence);
+    const bool isHopeless
+        = request.sheddable && !isInTime(request, now, predictBest(request, -options.refusalSigmas));
+    if (isHopeless && mayShed(request, now)) {
+        refuse(request,
+            { .code = ResultCode::DeadlineInfeasible, .detail = "the deadline cannot be met any more" },
+            Ran::No, now);
+        return true;
+    }
+    auto* endpoint = chooseEndpoint(request, now);
+    if (!endpoint && request.failedEndpoint) {
+        // No other has a slot, so the one that failed may be tried again.
+        request.failedEndpoint = nullptr;
+        endpoint = chooseEndpoint(request, now);
+    }
+    if (!endpoint)
+        return false;
+    const auto latest = latestStart(request, 0);
+    const bool mayWait = latest && now + asideFor < *latest;
+    if (mayWait && !isInTime(request, now, predict(request, *endpoint, 0))) {
+        setAside(request, now + asideFor);
+        return true;
+    }
+    dispatch(request, *endpoint, now);
+    return true;
+}
+
+PoolRuntime* EntryController::State::nextPool(const std::set<const PoolRuntime*>& blocked) const
+{
+    PoolRuntime* best = nullptr;
+    const QueuedRequest* bestFront = nullptr;
+    for (auto* pool : const_cast<Runtime&>(runtime).pools()) {
+        if (pool->ready.empty() || pool->open.empty() || blocked.contains(pool))
+            continue;
+        const auto* front = pool->ready.front();
+        if (!bestFront
+            || std::tie(front->rank, front->orderBy) < std::tie(bestFront->rank, bestFront->orderBy)) {
+            best = pool;
+            bestFront = front;
+        }
+    }
+    return best;
+}
+
+void EntryController::State::dispatchWaiting(TimePoint now)
+{
+    if (blackboard.fenced)
+        return;
+    for (auto* pool : runtime.pools()) {
+        if (!pool->open.empty() && !pool->unclaimed.empty())
+            askForClaims(*pool, now);
+    }
+    std::set<const PoolRuntime*> blocked;
+    while (auto* pool = nextPool(blocked)) {
+        if (!dispatchFront(*pool, now))
+            blocked.insert(pool);
+    }
+}
+
+void EntryController::State::probeStragglers(PoolRuntime& pool, TimePoint now)
+{
+    for (auto* endpoint : pool.endpoints) {
+        if (!endpoint->isStraggler || !endpoint->held.empty() || !endpoint->estimate.mayProbe(now))
+            continue;
+        const auto& state = runtime.stateOf(*endpoint);
+        const auto* last = pool.ready.last();
+        if (!last || state.freeSlots(now) == 0 || !endpoint->breaker.allows(now))
+            continue;
+        auto& request = *bySequence.at(last->sequence);
+        const auto usual = predictTimes(request.expected, pool.typical, runtime.weights);
+        if (request.deadline && now + fromSeconds(usual.whole * probeSlack) > *request.deadline)
+            continue;
+        endpoint->estimate.probeSent(now);
+        dispatch(request, *endpoint, now);
+    }
+}
+
+void EntryController::State::planQueues(TimePoint now)
+{
+    for (auto* pool : runtime.pools()) {
+        if (now < pool->planAgainAt)
+            continue;
+        const auto n = static_cast<int64_t>(pool->ready.size());
+        pool->planAgainAt = now + planInterval + planIntervalPerRequest * n;
+        runtime.refreshSpeeds(*pool);
+        uint32_t higher = 0;
+        for (int rank = 0; rank < maxTiers; ++rank) {
+            const double slots = pool->grantedSlots > higher ? pool->grantedSlots - higher : 1;
+            pool->ready.plan(rank, slots, now);
+            higher += pool->served[rank];
+        }
+        if (!blackboard.fenced)
+            probeStragglers(*pool, now);
+    }
+}
+
+} // namespace lentilbay
--- /dev/null
+++ b/packages/Control/lib/Entry/Displacement.cpp
@@ -0,0 +1,192 @@
+// Deadlines that come near: what gives way to a higher tier, and what may be refused.
+#include "EntryState.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace lentilbay {
+namespace {
+
+/// A verdict is only good for so long, counted from when it was asked for.
+constexpr Duration verdictLife = std::chrono::seconds(1);
+/// How often a request whose last chance is near is looked at.
+constexpr Duration urgentInterval = std::chrono::milliseconds(25);
+/// A request displaces other work once in this time.
+constexpr Duration displacementInterval = std::chrono::milliseconds(200);
+constexpr Duration lateInterval = std::chrono::milliseconds(250);
+/// A first token that takes this many times its expected time says that the endpoint is slow.
+constexpr double overdueFactor = 3;
+constexpr double overdueSeconds = 0.25;
+
+bool isFresh(const Verdict& verdict, TimePoint now)
+{
+    return verdict.askedAt && now - *verdict.askedAt <= verdictLife;
+}
+
+} // namespace
+
+bool EntryController::State::mayShed(const OpenRequest& request, TimePoint now)
+{
+    const auto* state = blackboard.findPool(request.arrival.service);
+    if (!state)
+        return true;
+    if (!isFresh(state->verdict, now) || state->verdict.lowestServedRank > request.rank)
+        return false;
+    for (int rank = request.rank + 1; rank < maxTiers; ++rank) {
+        if (request.pool->served[rank] > 0)
+            return false;
+    }
+    return true;
+}
+
+OpenRequest* EntryController::State::findVictim(const OpenRequest& request, TimePoint now)
+{
+    std::vector<RunningWork> anywhere;
+    std::vector<RunningWork> useful;
+    for (auto* endpoint : request.pool->endpoints) {
+        const bool isUseful = !endpoint->isStraggler && endpoint->breaker.allows(now)
+            && now < runtime.stateOf(*endpoint).grant.lapses && !runtime.stateOf(*endpoint).leaving
+            && isInTime(request, now, predict(request, *endpoint, 0));
+        for (const auto* it : endpoint->held) {
+            if (it->rank <= request.rank || it->phase == RequestPhase::Cancelling)
+                continue;
+            anywhere.push_back(runningWork(*it, now));
+            if (isUseful)
+                useful.push_back(anywhere.back());
+        }
+    }
+    const auto any = choosePreempted(anywhere, request.rank);
+    if (!any)
+        return nullptr;
+    // Of the lowest tier that runs, one on an endpoint where the request can be in time is better.
+    const auto better = choosePreempted(useful, request.rank);
+    const auto& choice
+        = better && useful[*better].rank == anywhere[*any].rank ? useful[*better] : anywhere[*any];
+    return bySequence.at(choice.sequence);
+}
+
+void EntryController::State::preempt(OpenRequest& victim, TimePoint now)
+{
+    ++counters.preempted;
+    if (victim.phase == RequestPhase::Connecting) {
+        victim.isRevoked = true;
+        return;
+    }
+    counters.prefillTokensLost += static_cast<uint64_t>(runningWork(victim, now).prefilledTokens);
+    cancel(victim, { .code = ResultCode::Preempted, .detail = "a higher tier took its place" });
+}
+
+bool EntryController::State::displaceFor(OpenRequest& request, TimePoint now)
+{
+    if (request.displacedAt && now - *request.displacedAt < displacementInterval)
+        return true;
+    const auto* state = blackboard.findPool(request.arrival.service);
+    auto* victim = findVictim(request, now);
+    if (!victim || !state)
+        return false;
+    // While work of a still lower tier may be served elsewhere, the owner decides what gives way.
+    const bool isLowest = victim->rank == runtime.lowestRank()
+        || (isFresh(state->verdict, now) && state->verdict.lowestServedRank <= victim->rank);
+    if (!isLowest)
+        return false;
+    request.displacedAt = now;
+    preempt(*victim, now);
+    return true;
+}
+
+void EntryController::State::recall(const ServiceId& service, int rank, uint32_t count, TimePoint now)
+{
+    auto* pool = runtime.findPool(service);
+    if (!pool)
+        return;
+    for (uint32_t i = 0; i < count; ++i) {
+        std::vector<RunningWork> running;
+        for (const auto* endpoint : pool->endpoints) {
+            for (const auto* it : endpoint->held) {
+                if (it->rank == rank && it->phase != RequestPhase::Cancelling)
+                    running.push_back(runningWork(*it, now));
+            }
+        }
+        const auto victim = choosePreempted(running, rank - 1);
+        if (!victim)
+            return;
+        preempt(*bySequence.at(running[*victim].sequence), now);
+    }
+}
+
+void EntryController::State::checkWaiting(OpenRequest& request, TimePoint now)
+{
+    if (request.sheddable && !isInTime(request, now, predictBest(request, -options.refusalSigmas))
+        && mayShed(request, now)) {
+        refuse(request,
+            { .code = ResultCode::DeadlineInfeasible, .detail = "the deadline cannot be met any more" },
+            Ran::No, now);
+        return;
+    }
+    displaceFor(request, now);
+    const auto next = now + urgentInterval;
+    setTimer(request, request.deadline ? std::min(next, *request.deadline) : next);
+}
+
+void EntryController::State::checkRunning(OpenRequest& request, TimePoint now)
+{
+    auto& endpoint = *request.endpoint;
+    if (request.deadline && now >= *request.deadline) {
+        const auto& pool = *request.pool;
+        const bool isWanted = !pool.ready.empty();
+        const double rate = isWanted ? pool.answerWeight.mean() / std::max(1e-3, pool.slotSeconds.mean()) : 0;
+        const auto work = runningWork(request, now);
+        if (cancelLate(work, rate, blackboard.configuration->objective) && mayShed(request, now)) {
+            counters.prefillTokensLost += static_cast<uint64_t>(work.prefilledTokens);
+            cancel(request,
+                { .code = ResultCode::DeadlinePassedRunning, .detail = "the deadline passed while it ran" });
+            return;
+        }
+        setTimer(request, now + lateInterval);
+        return;
+    }
+    const double expected = predict(request, endpoint, 0).firstToken;
+    const double elapsed = toSeconds(now - request.dispatchedAt);
+    const auto last = request.deadline.value_or(TimePoint::max());
+    if (request.firstTokenAt || expected <= 0) {
+        setTimer(request, last);
+        return;
+    }
+    if (elapsed > overdueFactor * expected + overdueSeconds)
+        endpoint.estimate.observeRatio(elapsed / expected);
+    setTimer(request, std::min(last, now + fromSeconds(overdueFactor * expected + overdueSeconds)));
+}
+
+void EntryController::State::runTimers(TimePoint now)
+{
+    while (!timers.empty() && timers.begin()->first <= now) {
+        auto& request = *bySequence.at(timers.begin()->second);
+        setTimer(request, TimePoint::max());
+        const bool isPast = request.deadline && *request.deadline <= now;
+        if (isPast && request.phase < RequestPhase::Running) {
+            counters.shedWhileLowerServed += request.phase == RequestPhase::Waiting && !mayShed(request, now);
+            refuse(request,
+                { .code = ResultCode::DeadlinePassedWaiting, .detail = "the deadline passed in the queue" },
+                Ran::No, now);
+            continue;
+        }
+        switch (request.phase) {
+        case RequestPhase::Waiting:
+            checkWaiting(request, now);
+            break;
+        case RequestPhase::SetAside:
+            countWaiting(request, false);
+            enqueue(request, now);
+            break;
+        case RequestPhase::Running:
+            checkRunning(request, now);
+            break;
+        case RequestPhase::Claiming:
+        case RequestPhase::Connecting:
+        case RequestPhase::Cancelling:
+            break;
+        }
+    }
+}
+
+} // namespace lentilbay
--- /dev/null
+++ b/packages/Control/lib/Entry/Prediction.cpp
@@ -0,0 +1,145 @@
+// What is expected of a request at an endpoint, and what is learned from what it did.
+#include "EntryState.h"
+
+#include <algorithm>
+
+namespace lentilbay {
+namespace {
+
+/// Decode speed is observed over stretches of this many tokens.
+constexpr uint32_t observedStretch = 16;
+constexpr uint32_t shortestStretch = 4;
+/// A prefill is only observed where the cache is thought to have had no part in it.
+constexpr double negligibleFraction = 0.02;
+
+} // namespace
+
+RouteCandidate EntryController::State::candidateOf(
+    const EndpointRuntime& endpoint, double cachedFraction) const
+{
+    return { .speed = endpoint.speed,
+        .slowness = endpoint.isStraggler ? endpoint.estimate.slowness() : 1,
+        .cachedFraction = cachedFraction,
+        .inFlight = static_cast<uint32_t>(endpoint.held.size()),
+        .distance = endpoint.distance };
+}
+
+PredictedTimes EntryController::State::predict(
+    const OpenRequest& request, const EndpointRuntime& endpoint, double sigmas) const
+{
+    return predictTimes(
+        request.expected, candidateOf(endpoint, request.cachedFraction), runtime.weights, sigmas);
+}
+
+PredictedTimes EntryController::State::predictBest(const OpenRequest& request, double sigmas) const
+{
+    auto best = request.pool->fastest;
+    best.cachedFraction = request.cachedFraction;
+    return predictTimes(request.expected, best, runtime.weights, sigmas);
+}
+
+bool EntryController::State::isInTime(
+    const OpenRequest& request, TimePoint start, const PredictedTimes& times) const
+{
+    if (request.deadline && start + fromSeconds(times.whole) > *request.deadline)
+        return false;
+    return !request.firstTokenDeadline
+        || start + fromSeconds(times.firstToken) <= *request.firstTokenDeadline;
+}
+
+std::optional<TimePoint> EntryController::State::latestStart(const OpenRequest& request, double sigmas) const
+{
+    const auto times = predictBest(request, sigmas);
+    std::optional<TimePoint> out;
+    if (request.deadline)
+        out = *request.deadline - fromSeconds(times.whole);
+    if (request.firstTokenDeadline) {
+        const auto latest = *request.firstTokenDeadline - fromSeconds(times.firstToken);
+        out = out ? std::min(*out, latest) : latest;
+    }
+    return out;
+}
+
+double EntryController::State::remainingSeconds(const OpenRequest& request, TimePoint now) const
+{
+    const auto times = predict(request, *request.endpoint, 0);
+    const double elapsed = toSeconds(now - request.dispatchedAt);
+    if (!request.firstTokenAt)
+        return std::max(times.whole - elapsed, times.whole - times.firstToken);
+    const auto& size = request.expected.answerTokens;
+    const double left = std::max(size.mean - request.answerTokens, 0.1 * size.mean + 0.25 * size.spread);
+    return left * request.endpoint->speed.secondsPerAnswerToken;
+}
+
+RunningWork EntryController::State::runningWork(const OpenRequest& request, TimePoint now) const
+{
+    RunningWork out {
+        .sequence = request.sequence, .rank = request.rank, .preemptible = request.preemptible
+    };
+    if (request.phase == RequestPhase::Connecting) {
+        // Nothing was written yet, so nothing is lost and any request may be called back.
+        out.preemptible = !request.isRevoked;
+        out.remainingSeconds = predict(request, *request.endpoint, 0).whole;
+        return out;
+    }
+    out.remainingSeconds = remainingSeconds(request, now);
+    const double tokens = request.expected.promptTokens * (1 - request.cachedFraction);
+    const double seconds = std::max(1e-6, predict(request, *request.endpoint, 0).firstToken);
+    const double done
+        = request.firstTokenAt ? 1 : std::min(1.0, toSeconds(now - request.dispatchedAt) / seconds);
+    out.prefilledTokens = tokens * done;
+    return out;
+}
+
+void EntryController::State::observeTokens(OpenRequest& request, uint32_t tokens, TimePoint now)
+{
+    if (!request.firstTokenAt) {
+        request.firstTokenAt = now;
+        request.observedAt = now;
+        request.answerTokens += tokens;
+        request.observedTokens = request.answerTokens;
+        return;
+    }
+    request.answerTokens += tokens;
+    const auto stretch = request.answerTokens - request.observedTokens;
+    if (stretch < observedStretch || request.isPlain())
+        return;
+    auto& endpoint = *request.endpoint;
+    endpoint.estimate.observeDecode(stretch, toSeconds(now - request.observedAt),
+        static_cast<uint32_t>(endpoint.held.size()), *endpoint.generation);
+    request.observedTokens = request.answerTokens;
+    request.observedAt = now;
+}
+
+void EntryController::State::observeEnd(OpenRequest& request, TimePoint now)
+{
+    auto& endpoint = *request.endpoint;
+    auto& pool = *request.pool;
+    const double seconds = toSeconds(now - request.dispatchedAt);
+    const bool isLate = request.deadline && now > *request.deadline;
+    pool.answerWeight.observe(isLate ? 0 : request.goodputWeight);
+    pool.slotSeconds.observe(seconds);
+    if (request.isPlain()) {
+        endpoint.estimate.observeRatio(seconds / request.expected.plainSeconds.mean);
+        if (!endpoint.estimate.isStraggler())
+            runtime.plainSeconds.observe(request.arrival.organisation, request.arrival.service, seconds);
+        return;
+    }
+    runtime.answerTokens.observe(request.arrival.organisation, request.arrival.service, request.answerTokens);
+    if (!request.firstTokenAt)
+        return;
+    const auto stretch = request.answerTokens - request.observedTokens;
+    if (stretch >= shortestStretch) {
+        endpoint.estimate.observeDecode(stretch, toSeconds(now - request.observedAt),
+            static_cast<uint32_t>(endpoint.held.size()), *endpoint.generation);
+    }
+    const double prefill = toSeconds(*request.firstTokenAt - request.dispatchedAt);
+    if (request.reportedCachedTokens) {
+        endpoint.estimate.observePrefill(
+            request.expected.promptTokens - *request.reportedCachedTokens, prefill, *endpoint.generation);
+    } else if (request.cachedFraction < negligibleFraction) {
+        endpoint.estimate.observePrefill(request.expected.promptTokens, prefill, *endpoint.generation);
+    }
+}
+
+} // namespace lentilbay
--- /dev/null
+++ b/packages/Control/lib/Entry/Runtime.cpp
@@ -0,0 +1,218 @@
+// Keeps the entry controller's own state in step with the configuration.
+#include "Runtime.h"
+
+#include <algorithm>
+
+namespace lentilbay {
+namespace {
+
+/// Prompt tokens for each answer token where speeds are compared.
+constexpr double promptShare = 10;
+
+Distance distanceOf(const Blackboard& blackboard, const Endpoint& endpoint)
+{
+    if (endpoint.region != blackboard.region)
+        return Distance::OtherRegion;
+    return endpoint.dataCentre == blackboard.dataCentre ? Distance::SameDataCentre : Distance::SameRegion;
+}
+
+} // namespace
+
+Runtime::Runtime(Blackboard& blackboard)
+    : m_blackboard(blackboard)
+{
+}
+
+bool Runtime::refresh(TimePoint now)
+{
+    if (m_configuration == m_blackboard.configuration)
+        return false;
+    m_configuration = m_blackboard.configuration;
+    refreshNames(now);
+    refreshEndpoints(now);
+    refreshPools();
+    refreshOpen(now);
+    for (auto* pool : m_livePools)
+        refreshSpeeds(*pool);
+    return true;
+}
+
+void Runtime::refreshNames(TimePoint now)
+{
+    m_tiers.clear();
+    m_services.clear();
+    m_lowestRank = 0;
+    for (const auto& it : m_configuration->tiers) {
+        m_tiers.emplace(it.name, &it);
+        m_lowestRank = std::max(m_lowestRank, it.rank);
+    }
+    for (const auto& it : m_configuration->services)
+        m_services.emplace(it.name, &it);
+    for (const auto& it : m_configuration->organisations) {
+        auto& known = organisation(it.name, now);
+        known.weight = it.weight;
+        if (known.limits != it.limits) {
+            known.limits = it.limits;
+            known.use->configure(known.limits, known.share, now);
+        }
+    }
+}
+
+OrganisationRuntime& Runtime::organisation(const OrganisationId& name, TimePoint now)
+{
+    auto [it, isNew] = m_organisations.try_emplace(name);
+    auto& known = it->second;
+    if (isNew) {
+        known.number = static_cast<uint32_t>(m_organisations.size() - 1);
+        known.use.emplace(known.limits, known.share, now);
+        known.retries.emplace(RetryBudgetOptions {}, now);
+    }
+    return known;
+}
+
+void Runtime::refreshEndpoints(TimePoint now)
+{
+    for (auto& [name, endpoint] : m_endpoints)
+        endpoint.position = noPosition;
+    for (size_t i = 0; i < m_blackboard.endpoints.size(); ++i) {
+        const auto& configured = m_blackboard.endpoints[i].endpoint;
+        auto [it, isNew] = m_endpoints.try_emplace(configured.name);
+        auto& endpoint = it->second;
+        if (isNew) {
+            endpoint.name = configured.name;
+            endpoint.number = static_cast<uint32_t>(m_endpointNumbers.size());
+            endpoint.retries.emplace(RetryBudgetOptions {}, now);
+            m_endpointNumbers.push_back(&endpoint);
+        }
+        endpoint.position = i;
+        endpoint.distance = distanceOf(m_blackboard, configured);
+        endpoint.generation = &m_generations[configured.generation];
+    }
+}
+
+void Runtime::refreshPools()
+{
+    m_servicePools.clear();
+    m_livePools.clear();
+    for (auto& [name, endpoint] : m_endpoints)
+        endpoint.pools.clear();
+    for (const auto& pool : m_blackboard.pools) {
+        if (pool.endpoints.empty())
+            continue;
+        std::vector<std::string> key;
+        for (const auto position : pool.endpoints)
+            key.push_back(m_blackboard.endpoints[position].endpoint.name.text());
+        std::sort(key.begin(), key.end());
+        auto& runtime = m_pools[key];
+        m_servicePools[pool.service] = &runtime;
+        if (std::find(m_livePools.begin(), m_livePools.end(), &runtime) != m_livePools.end())
+            continue;
+        m_livePools.push_back(&runtime);
+        runtime.endpoints.clear();
+        runtime.configuredSlots = 0;
+        runtime.served = {};
+        for (const auto position : pool.endpoints) {
+            const auto& configured = m_blackboard.endpoints[position].endpoint;
+            auto& endpoint = m_endpoints.at(configured.name);
+            endpoint.pools.push_back(&runtime);
+            runtime.endpoints.push_back(&endpoint);
+            runtime.configuredSlots += configured.slots;
+            for (const auto* it : endpoint.held)
+                runtime.served[it->rank] += it->phase == RequestPhase::Cancelling ? 0 : 1;
+        }
+    }
+}
+
+void Runtime::refreshOpen(TimePoint now)
+{
+    for (auto* pool : m_livePools) {
+        pool->open.clear();
+        pool->isOpen.assign(m_blackboard.endpoints.size(), false);
+        pool->grantedSlots = 0;
+        for (auto* endpoint : pool->endpoints) {
+            const auto& state = stateOf(*endpoint);
+            if (!state.leaving && now < state.grant.lapses)
+                pool->grantedSlots += state.grant.slots;
+            if (state.freeSlots(now) == 0)
+                continue;
+            pool->open.push_back(endpoint);
+            pool->isOpen[endpoint->position] = true;
+        }
+    }
+}
+
+void Runtime::refreshSpeeds(PoolRuntime& pool)
+{
+    // Where many are slow at once, the pool is loaded and none of them is a straggler.
+    size_t stragglers = 0;
+    for (const auto* endpoint : pool.endpoints)
+        stragglers += endpoint->estimate.isStraggler() ? 1 : 0;
+    const bool isCommon = stragglers * 3 > pool.endpoints.size();
+    std::vector<EndpointSpeed> speeds;
+    for (auto* endpoint : pool.endpoints) {
+        auto& state = stateOf(*endpoint);
+        endpoint->speed = endpoint->estimate.speed(*endpoint->generation);
+        endpoint->knee = endpoint->estimate.knee(state.endpoint.slots);
+        state.learnedSlots = endpoint->knee;
+        endpoint->isStraggler = endpoint->estimate.isStraggler() && !isCommon;
+        if (!endpoint->isStraggler && !state.leaving)
+            speeds.push_back(endpoint->speed);
+    }
+    if (speeds.empty())
+        return;
+    const auto isFaster = [](const EndpointSpeed& a, const EndpointSpeed& b) {
+        return a.secondsPerPromptToken * promptShare + a.secondsPerAnswerToken
+            < b.secondsPerPromptToken * promptShare + b.secondsPerAnswerToken;
+    };
+    auto middle = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
+    std::nth_element(speeds.begin(), middle, speeds.end(), isFaster);
+    pool.typical.speed = *middle;
+    pool.fastest.speed = *std::min_element(speeds.begin(), speeds.end(), isFaster);
+}
+
+void Runtime::markOpen(EndpointRuntime& endpoint)
+{
+    if (endpoint.position == noPosition)
+        return;
+    for (auto* pool : endpoint.pools) {
+        if (pool->isOpen[endpoint.position])
+            continue;
+        pool->isOpen[endpoint.position] = true;
+        pool->open.push_back(&endpoint);
+    }
+}
+
+void Runtime::prunePools(const std::set<const PoolRuntime*>& referred)
+{
+    std::erase_if(m_pools, [&](const auto& it) {
+        const auto* pool = &it.second;
+        const bool isLive = std::find(m_livePools.begin(), m_livePools.end(), pool) != m_livePools.end();
+        return !isLive && !referred.contains(pool);
+    });
+}
+
+const Tier* Runtime::findTier(const TierId& name) const
+{
+    auto it = m_tiers.find(name);
+    return it == m_tiers.end() ? nullptr : it->second;
+}
+
+const Service* Runtime::findService(const ServiceId& name) const
+{
+    auto it = m_services.find(name);
+    return it == m_services.end() ? nullptr : it->second;
+}
+
+PoolRuntime* Runtime::findPool(const ServiceId& service)
+{
+    auto it = m_servicePools.find(service);
+    return it == m_servicePools.end() ? nullptr : it->second;
+}
+
+EndpointRuntime* Runtime::findEndpoint(const EndpointId& name)
+{
+    auto it = m_endpoints.find(name);
+    return it == m_endpoints.end() ? nullptr : &it->second;
+}
+
+} // namespace lentilbay
--- /dev/null
+++ b/packages/Control/unittests/DisplacementTest.cpp
@@ -0,0 +1,211 @@
+// A higher tier is never shed while work of a lower tier is served: that work gives way, or the request
+// waits.
+#include "EntryFixture.h"
+
+#include <gmock/gmock.h>
+
+namespace lentilbay {
+namespace {
+
+using namespace std::chrono_literals;
+using ::testing::ElementsAre;
+using ::testing::IsEmpty;
+
+constexpr TimePoint at(Duration duration) { return TimePoint(duration); }
+
+class DisplacementTest : public EntryFixture {
+protected:
+    /// The owners' answer, asked for at `asked`.
+    void setVerdict(int lowestServedRank, TimePoint asked)
+    {
+        m_blackboard.findPool(ServiceId("edit"))->verdict
+            = { .lowestServedRank = lowestServedRank, .hasFreeSlot = false, .askedAt = asked };
+    }
+
+    void fillWithBronze()
+    {
+        m_entry.arrive(arrival("b1", "bronze"), at(0s));
+        m_entry.arrive(arrival("b2", "bronze"), at(0s));
+        EXPECT_THAT(commands(), ElementsAre("b1@e1", "b2@e2"));
+        ASSERT_TRUE(dispatch("b1", at(0s)));
+        ASSERT_TRUE(dispatch("b2", at(0s)));
+        // b1 has had its prefill; b2 has not.
+        m_entry.tokensArrived(RequestId("b1"), 1, at(1ms));
+    }
+
+    /// Steps at each wake until `end`.
+    void run(TimePoint from, TimePoint end)
+    {
+        for (auto now = from; now <= end; now += 10ms)
+            m_entry.step(now);
+    }
+};
+
+TEST_F(DisplacementTest, ARequestWhoseLastChanceIsNearDisplacesTheLowerTierThatLosesLeastPrefill)
+{
+    fillWithBronze();
+    auto hurried = arrival("g1");
+    hurried.deadline = 2s;
+    m_entry.arrive(hurried, at(1ms));
+    EXPECT_THAT(commands(), IsEmpty());
+    run(at(1ms), at(1s));
+    EXPECT_THAT(commands(), ElementsAre("cancel b2 LB-3005"));
+    end("b2", AnswerEnd::Cancelled, at(1s));
+    EXPECT_THAT(commands(), ElementsAre("g1@e2"));
+    const auto outcomes = m_entry.takeOutcomes();
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_EQ(outcomes[0].ran, Ran::Partly);
+}
+
+TEST_F(DisplacementTest, WorkThatWasNotYetWrittenIsCalledBackAndWaitsAgain)
+{
+    m_entry.arrive(arrival("b1", "bronze"), at(0s));
+    m_entry.arrive(arrival("b2", "bronze"), at(0s));
+    commands();
+    ASSERT_TRUE(dispatch("b1", at(0s)));
+    auto hurried = arrival("g1");
+    hurried.deadline = 2s;
+    m_entry.arrive(hurried, at(1ms));
+    run(at(1ms), at(1s));
+    EXPECT_THAT(commands(), IsEmpty());
+    EXPECT_FALSE(dispatch("b2", at(1s)));
+    m_entry.step(at(1s));
+    EXPECT_THAT(commands(), ElementsAre("g1@e2"));
+    EXPECT_EQ(m_entry.openRequests(), 3U);
+}
+
+TEST_F(DisplacementTest, NoRefusalForWantOfCapacityWithoutAFreshVerdict)
+{
+    m_entry.arrive(arrival("g1"), at(0s));
+    m_entry.arrive(arrival("g2"), at(0s));
+    commands();
+    ASSERT_TRUE(dispatch("g1", at(0s)));
+    ASSERT_TRUE(dispatch("g2", at(0s)));
+    auto hurried = arrival("g3");
+    hurried.deadline = 1500ms;
+    m_entry.arrive(hurried, at(0s));
+    setVerdict(0, at(0s));
+    run(at(1010ms), at(1200ms));
+    EXPECT_THAT(commands(), IsEmpty()) << "the verdict is older than a second";
+    setVerdict(1, at(1200ms));
+    run(at(1200ms), at(1300ms));
+    EXPECT_THAT(commands(), IsEmpty()) << "lower work is served elsewhere";
+    setVerdict(0, at(1300ms));
+    run(at(1300ms), at(1400ms));
+    EXPECT_THAT(commands(), ElementsAre("refuse g3 LB-3002 no"));
+}
+
+TEST_F(DisplacementTest, NoRefusalForWantOfCapacityWhileThisEntryServesLowerWork)
+{
+    fillWithBronze();
+    // Neither may be cancelled: what is almost done is left to end.
+    m_entry.tokensArrived(RequestId("b1"), 500, at(2ms));
+    m_entry.tokensArrived(RequestId("b2"), 500, at(2ms));
+    auto hurried = arrival("g1");
+    hurried.deadline = 1200ms;
+    m_entry.arrive(hurried, at(1ms));
+    for (auto now = at(1ms); now < at(1190ms); now += 10ms) {
+        setVerdict(0, now);
+        m_entry.step(now);
+    }
+    EXPECT_THAT(commands(), IsEmpty());
+    end("b1", AnswerEnd::Whole, at(1190ms));
+    EXPECT_THAT(commands(), ElementsAre("g1@e1"));
+}
+
+TEST_F(DisplacementTest, WhatAnIdlePoolCouldNotDoIsRefusedAtOnce)
+{
+    auto impossible = arrival("g1");
+    impossible.deadline = 1ms;
+    m_entry.arrive(impossible, at(0s));
+    EXPECT_THAT(commands(), ElementsAre("refuse g1 LB-3002 no"));
+    EXPECT_EQ(m_entry.openRequests(), 0U);
+}
+
+TEST_F(DisplacementTest, NonIdempotentWorkIsNeverCancelled)
+{
+    m_entry.arrive(arrival("b1", "bronze", "book"), at(0s));
+    m_entry.claimed(RequestId("b1"), ClaimResult::Held, at(0s));
+    commands();
+    ASSERT_TRUE(dispatch("b1", at(0s)));
+    auto hurried = arrival("g1", "gold", "book");
+    hurried.deadline = 1s;
+    m_entry.arrive(hurried, at(0s));
+    run(at(0s), at(1s));
+    EXPECT_THAT(commands(), ElementsAre("refuse g1 LB-3003 no"));
+}
+
+TEST_F(DisplacementTest, AnOwnersRecallIsMet)
+{
+    fillWithBronze();
+    m_entry.recall(ServiceId("edit"), 1, 1, at(10ms));
+    EXPECT_THAT(commands(), ElementsAre("cancel b2 LB-3005"));
+    m_entry.recall(ServiceId("edit"), 0, 1, at(10ms));
+    EXPECT_THAT(commands(), IsEmpty());
+}
+
+TEST_F(DisplacementTest, AFullQueueDisplacesTheLowerTierFirst)
+{
+    EntryController entry(m_blackboard, { .maxWaiting = 2 });
+    for (auto& it : m_blackboard.endpoints)
+        it.grant.slots = 0;
+    setVerdict(-1, at(0s));
+    entry.arrive(arrival("b1", "bronze"), at(0s));
+    entry.arrive(arrival("g1"), at(0s));
+    entry.arrive(arrival("g2"), at(0s));
+    const auto outcomes = entry.takeOutcomes();
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_EQ(outcomes[0].id, RequestId("b1"));
+    EXPECT_EQ(outcomes[0].code, ResultCode::QueueFull);
+    // With work of its own tier in the queue only, the last of these goes.
+    entry.arrive(arrival("g3"), at(1ms));
+    EXPECT_EQ(entry.takeOutcomes().at(0).id, RequestId("g3"));
+}
+
+TEST_F(DisplacementTest, AnOrganisationsLimitRefusesAtOnce)
+{
+    auto next = configuration();
+    next.organisations[0].limits.concurrency = 1;
+    applyConfiguration(m_blackboard, std::make_shared<Configuration>(next));
+    m_entry.arrive(arrival("g1"), at(0s));
+    m_entry.arrive(arrival("g2"), at(0s));
+    EXPECT_THAT(commands(), ElementsAre("g1@e1", "refuse g2 LB-2003 no"));
+    ASSERT_TRUE(dispatch("g1", at(0s)));
+    end("g1", AnswerEnd::Whole, at(1s));
+    m_entry.arrive(arrival("g3"), at(1s));
+    EXPECT_THAT(commands(), ElementsAre("g3@e1"));
+}
+
+TEST_F(DisplacementTest, AnEndpointThatCannotBeReachedIsLeftAloneForAWhile)
+{
+    for (int i = 0; i < 3; ++i) {
+        const auto id = "r" + std::to_string(i);
+        m_entry.arrive(arrival(id), at(0s));
+        EXPECT_EQ(commands().at(0), id + "@e1");
+        m_entry.connectFailed(RequestId(id), at(0s));
+        EXPECT_EQ(commands().at(0), id + "@e2");
+        ASSERT_TRUE(dispatch(id, at(0s)));
+        end(id, AnswerEnd::Whole, at(0s));
+    }
+    m_entry.arrive(arrival("r9"), at(1ms));
+    EXPECT_THAT(commands(), ElementsAre("r9@e2"));
+}
+
+TEST_F(DisplacementTest, LateWorkIsCancelledOnlyForOthersThatWait)
+{
+    auto hurried = arrival("g1");
+    hurried.deadline = 3s;
+    m_entry.arrive(hurried, at(0s));
+    ASSERT_TRUE(dispatch("g1", at(0s)));
+    commands();
+    run(at(0s), at(4s));
+    EXPECT_THAT(commands(), IsEmpty());
+    end("g1", AnswerEnd::Whole, at(5s));
+    const auto outcomes = m_entry.takeOutcomes();
+    ASSERT_EQ(outcomes.size(), 1U);
+    EXPECT_EQ(outcomes[0].code, ResultCode::Ok);
+    EXPECT_FALSE(outcomes[0].inTime);
+}
+
+} // namespace
+} // namespace lentilbay
--- a/packages/Policy/unittests/LimitsTest.cpp
+++ b/packages/Policy/unittests/LimitsTest.cpp
@@ -76,6 +76,7 @@
         sum += it;
     const OrganisationLimits limits { .requestsPerSecond = 100, .concurrency = 20 };
     std::vector<OrganisationUse> uses;
+    uses.reserve(weights.size());
     for (const auto it : weights)
         uses.emplace_back(limits, LimitShare { .fraction = static_cast<double>(it) / sum }, TimePoint());
     int total = 0;
--- a/packages/Policy/unittests/PreemptionTest.cpp
+++ b/packages/Policy/unittests/PreemptionTest.cpp
@@ -50,6 +50,7 @@
 {
     std::vector<RunningWork> work;
     const auto n = *rc::gen::inRange(0, 30);
+    work.reserve(n);
     for (int i = 0; i < n; ++i) {
         work.push_back(running(*rc::gen::inRange(0, 4), *rc::gen::inRange(0, 100),
             *rc::gen::inRange(0, 20) * 0.1, *rc::gen::arbitrary<bool>()));
--- a/packages/Policy/unittests/RequestQueueTest.cpp
+++ b/packages/Policy/unittests/RequestQueueTest.cpp
@@ -145,11 +145,13 @@
 {
     std::vector<QueuedRequest> requests;
     const auto n = *rc::gen::inRange<uint64_t>(1, 40);
+    requests.reserve(n);
     for (uint64_t i = 0; i < n; ++i) {
         requests.push_back(waiting(
             i, 0, 0, std::chrono::seconds(*rc::gen::inRange(1, 60)), *rc::gen::inRange(1, 100) * 0.1));
     }
     std::vector<QueuedRequest*> pointers;
+    pointers.reserve(n);
     for (auto& it : requests)
         pointers.push_back(&it);
     deferLate(pointers, 1, TimePoint());
