--- a/packages/Model/include/lentilbay/Model/Configuration.h
+++ b/packages/Model/include/lentilbay/Model/Configuration.h
@@ -45,10 +45,20 @@
     auto operator<=>(const OrganisationLimits&) const = default;
 };
 
+/// A bearer key at rest. Several are valid at once, so that keys can be rotated.
+struct OrganisationKey {
+    /// What operators call the key, for example "2026-12".
+    std::string label;
+    /// "<salt>$<hash>".
+    std::string hash;
+
+    auto operator<=>(const OrganisationKey&) const = default;
+};
+
 struct Organisation {
     OrganisationId name;
-    /// Salted hashes of the bearer keys, "<salt>$<hash>".
-    std::vector<std::string> keyHashes;
+    /// In the order of their labels.
+    std::vector<OrganisationKey> keys;
     /// The tiers it may use; the first is the one of a request that names none. Never empty.
     std::vector<TierId> tiers;
     OrganisationLimits limits;
@@ -76,6 +86,9 @@
     IdempotencyKeyRule key = IdempotencyKeyRule::Required;
     /// The time from arrival to the whole answer where neither caller nor tier sets one.
     std::optional<Duration> deadline;
+    /// Further endpoints that are tried when a connection fails before the first byte; nothing leaves it to
+    /// the retry budget. Never above 0 where the service is non-idempotent.
+    std::optional<int64_t> retries;
 
     auto operator<=>(const Service&) const = default;
 };
@@ -102,6 +115,28 @@
     auto operator<=>(const Endpoint&) const = default;
 };
 
+/// How many replicas of a model should run in a region.
+struct RegionReplicas {
+    RegionId region;
+    int64_t replicas = 0;
+
+    auto operator<=>(const RegionReplicas&) const = default;
+};
+
+/// Which versions and adapters of a model should be loaded, and where.
+struct ModelPlacement {
+    /// Also the name of the service of kind Model that it serves, and of the weights in the weight store.
+    ModelId name;
+    /// The first is the one in use; others are loaded ahead of a change. Never empty.
+    std::vector<std::string> versions;
+    /// In the order of their names.
+    std::vector<std::string> adapters;
+    /// In the order of the regions' names.
+    std::vector<RegionReplicas> replicas;
+
+    auto operator<=>(const ModelPlacement&) const = default;
+};
+
 /// What an answer in time is worth against prompt processing lost.
 struct Objective {
     double goodput = 1;
@@ -116,9 +151,11 @@
     Objective objective;
     /// In the order of their ranks.
     std::vector<Tier> tiers;
+    /// These are in the order of their names.
     std::vector<Organisation> organisations;
     std::vector<Service> services;
     std::vector<Endpoint> endpoints;
+    std::vector<ModelPlacement> models;
 
     auto operator<=>(const Configuration&) const = default;
 };
--- a/packages/Support/include/lentilbay/Support/Ini.h
+++ b/packages/Support/include/lentilbay/Support/Ini.h
@@ -4,6 +4,7 @@
 #include "lentilbay/Support/ResultCode.h"
 
 #include <compare>
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,14 +37,24 @@
     int line = 0;
 };
 
-/// The entries of a file in their order. Sections without a key do not appear.
+/// A line "[name]". A section may be opened more than once.
+struct IniSection {
+    std::string name;
+    int line = 0;
+};
+
+/// The longest name of a section or a key, in bytes.
+constexpr size_t maxIniName = 49;
+
+/// The entries and the section lines of a file in their order.
 struct IniDocument {
     std::string file;
     std::vector<IniEntry> entries;
+    std::vector<IniSection> sections = {};
 };
 
-/// Parses the text. Lines that are not INI, lines that are too long, indented continuation lines and keys
-/// that stand twice in a section are added to the diagnostics.
+/// Parses the text. Lines that are not INI, lines and names that are too long, indented continuation lines
+/// and keys that stand twice in a section are added to the diagnostics.
 IniDocument parseIni(std::string_view text, std::string file, Diagnostics& diagnostics);
 
 /// Reads and parses a file; a file that cannot be read gives one diagnostic.
--- a/packages/Support/include/lentilbay/Support/SectionReader.h
+++ b/packages/Support/include/lentilbay/Support/SectionReader.h
@@ -24,6 +24,9 @@
 public:
     /// The document and the diagnostics must outlive the reader.
     SectionReader(const IniDocument& document, std::string section, Diagnostics& diagnostics);
+    /// The same from the section's entries alone, for files with thousands of sections.
+    SectionReader(std::string file, std::string section, std::vector<const IniEntry*> entries,
+        Diagnostics& diagnostics);
 
     bool has(const std::string& key) const { return find(key) != nullptr; }
 
@@ -40,6 +43,10 @@
     bool flag(const std::string& key, bool fallback);
     /// Words separated by commas; empty where the key is missing.
     std::vector<std::string> list(const std::string& key);
+    /// The same, continued in "key.2", "key.3" and so on where one line does not hold all words.
+    std::vector<std::string> longList(const std::string& key);
+    /// The keys "prefix.name" that stand in the section, as their names.
+    std::vector<std::string> namesUnder(const std::string& prefix);
 
     /// The line of a key, or 0.
     int lineOf(const std::string& key) const;
@@ -52,13 +59,15 @@
     const IniEntry* find(const std::string& key) const;
     const IniEntry* take(const std::string& key);
 
-    const IniDocument& m_document;
+    std::string m_file;
     std::string m_section;
+    std::vector<const IniEntry*> m_entries;
     Diagnostics& m_diagnostics;
     std::set<std::string> m_known;
+    std::set<std::string> m_knownPrefixes;
 };
 
-/// The names of the sections in the order in which they first appear.
+/// The names of the sections that hold a key, in the order in which they first appear.
 std::vector<std::string> sectionsOf(const IniDocument& document);
 
 } // namespace lentilbay
--- a/packages/Support/lib/Ini.cpp
+++ b/packages/Support/lib/Ini.cpp
@@ -24,6 +24,24 @@
     {
         diagnostics->push_back({ code, document.file, line, std::move(key), std::move(message) });
     }
+
+    /// Notes a section line; false where a name is longer than inih keeps, since inih cuts it off silently.
+    bool noteNames(std::string_view text)
+    {
+        if (text.empty() || text.front() == ';' || text.front() == '#')
+            return true;
+        const bool isSection = text.front() == '[';
+        auto name = isSection ? text.substr(1, text.find(']') - 1) : text.substr(0, text.find_first_of("=:"));
+        name = name.substr(0, name.find_last_not_of(" \t\r") + 1);
+        if (name.size() > maxIniName) {
+            report(ResultCode::SettingsSyntax, std::string(name),
+                "the name is longer than " + std::to_string(maxIniName) + " bytes");
+            return false;
+        }
+        if (isSection)
+            document.sections.push_back({ std::string(name), line });
+        return true;
+    }
 };
 
 /// Hands inih the next line, or an empty one in place of a line that it cannot take.
@@ -51,6 +69,8 @@
         state.report(ResultCode::SettingsSyntax, "", "the line is indented; a value stands on one line");
         text = {};
     }
+    if (!state.noteNames(text))
+        text = {};
     std::memcpy(buf, text.data(), text.size());
     buf[text.size()] = '\n';
     buf[text.size() + 1] = '\0';
--- a/packages/Support/lib/SectionReader.cpp
+++ b/packages/Support/lib/SectionReader.cpp
@@ -58,17 +58,30 @@
 } // namespace
 
 SectionReader::SectionReader(const IniDocument& document, std::string section, Diagnostics& diagnostics)
-    : m_document(document)
+    : m_file(document.file)
     , m_section(std::move(section))
     , m_diagnostics(diagnostics)
+{
+    for (const auto& entry : document.entries) {
+        if (entry.section == m_section)
+            m_entries.push_back(&entry);
+    }
+}
+
+SectionReader::SectionReader(
+    std::string file, std::string section, std::vector<const IniEntry*> entries, Diagnostics& diagnostics)
+    : m_file(std::move(file))
+    , m_section(std::move(section))
+    , m_entries(std::move(entries))
+    , m_diagnostics(diagnostics)
 {
 }
 
 const IniEntry* SectionReader::find(const std::string& key) const
 {
-    for (const auto& entry : m_document.entries) {
-        if (entry.section == m_section && entry.key == key)
-            return &entry;
+    for (const auto* entry : m_entries) {
+        if (entry->key == key)
+            return entry;
     }
     return nullptr;
 }
@@ -161,6 +174,27 @@
     return out;
 }
 
+std::vector<std::string> SectionReader::longList(const std::string& key)
+{
+    auto out = list(key);
+    for (int n = 2; has(fmt::format("{}.{}", key, n)); ++n) {
+        for (auto& word : list(fmt::format("{}.{}", key, n)))
+            out.push_back(std::move(word));
+    }
+    return out;
+}
+
+std::vector<std::string> SectionReader::namesUnder(const std::string& prefix)
+{
+    m_knownPrefixes.insert(prefix + ".");
+    std::vector<std::string> out;
+    for (const auto* entry : m_entries) {
+        if (entry->key.starts_with(prefix + "."))
+            out.push_back(entry->key.substr(prefix.size() + 1));
+    }
+    return out;
+}
+
 int SectionReader::lineOf(const std::string& key) const
 {
     const auto* entry = find(key);
@@ -169,17 +203,24 @@
 
 void SectionReader::report(ResultCode code, const std::string& key, std::string message)
 {
-    m_diagnostics.push_back(
-        { code, m_document.file, lineOf(key), m_section + "." + key, std::move(message) });
+    m_diagnostics.push_back({ code, m_file, lineOf(key), m_section + "." + key, std::move(message) });
 }
 
 void SectionReader::reportUnknownKeys()
 {
-    for (const auto& entry : m_document.entries) {
-        if (entry.section != m_section || m_known.contains(entry.key))
+    const auto isKnown = [this](const std::string& key) {
+        return m_known.contains(key)
+            || std::any_of(m_knownPrefixes.begin(), m_knownPrefixes.end(),
+                [&](const std::string& prefix) { return key.starts_with(prefix); });
+    };
+    auto allowed = m_known;
+    for (const auto& prefix : m_knownPrefixes)
+        allowed.insert(prefix + "<name>");
+    for (const auto* entry : m_entries) {
+        if (isKnown(entry->key))
             continue;
-        report(ResultCode::UnknownSettingKey, entry.key,
-            fmt::format("the key is not known; allowed: {}", fmt::join(m_known, ", ")));
+        report(ResultCode::UnknownSettingKey, entry->key,
+            fmt::format("the key is not known; allowed: {}", fmt::join(allowed, ", ")));
     }
 }
 
