--- a/packages/Model/lib/ConfigurationChecks.cpp
+++ b/packages/Model/lib/ConfigurationChecks.cpp
@@ -22,6 +22,7 @@
 template <class T> std::string namesOf(const std::vector<T>& elements)
 {
     std::vector<std::string> names;
+    names.reserve(elements.size());
     for (const auto& it : elements)
         names.push_back(it.name.text());
     return fmt::format("{}", fmt::join(names, ", "));
--- a/packages/Model/lib/ConfigurationParser.cpp
+++ b/packages/Model/lib/ConfigurationParser.cpp
@@ -68,6 +68,7 @@
 template <class Id> std::vector<Id> identifiers(const std::vector<std::string>& names)
 {
     std::vector<Id> out;
+    out.reserve(names.size());
     for (const auto& name : names)
         out.emplace_back(name);
     return out;
--- a/packages/Model/lib/ConfigurationPrinter.cpp
+++ b/packages/Model/lib/ConfigurationPrinter.cpp
@@ -54,6 +54,7 @@
     template <class Id> void list(const std::string& name, const std::vector<Id>& ids)
     {
         std::vector<std::string> words;
+        words.reserve(ids.size());
         for (const auto& id : ids)
             words.push_back(id.text());
         list(name, words);
--- a/packages/Model/unittests/ConfigurationTextTest.cpp
+++ b/packages/Model/unittests/ConfigurationTextTest.cpp
@@ -240,7 +240,8 @@
     { "UnknownService", "services = booking", "services = booking, lots",
         "c.ini:45: LB-6010 endpoint booking-1.services: no service is named 'lots'; allowed: booking, "
         "price-answers" },
-    { "DuplicateRank", "rank = 1", "rank = 0", "c.ini:6: LB-6011 tier window.rank: tier overnight has the rank 0 as well" },
+    { "DuplicateRank", "rank = 1", "rank = 0",
+        "c.ini:6: LB-6011 tier window.rank: tier overnight has the rank 0 as well" },
     { "LowerTierNotSheddable", "sheddable = yes\npreemptible = yes\nanswer_within = 9h",
         "sheddable = no\npreemptible = no\nanswer_within = 4s\n[tier late]\nrank = 2\n[tier last]\nrank = "
         "3\nsheddable = no",
