--- a/packages/Support/unittests/SecretTest.cpp
+++ b/packages/Support/unittests/SecretTest.cpp
@@ -47,5 +47,12 @@
     EXPECT_NE(randomNumber(), randomNumber());
 }
 
+TEST(Secret, TheOperatorsLibraryHashesAlike)
+{
+    // operator_library_test.py holds the same line.
+    EXPECT_EQ(
+        hashKey("key", "salt"), "salt$0ac0af829fd6774dcc992a7b2c806221d1c411d7a2af3dc1476d334fbe955736");
+}
+
 } // namespace
 } // namespace lentilbay
--- /dev/null
+++ b/tools/lentilbayctl/main.cpp
@@ -0,0 +1,47 @@
+// lentilbayctl: the operators' command line.
+#include "Command.h"
+
+#include <array>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <iterator>
+
+namespace lentilbay {
+namespace {
+
+constexpr std::array commands {
+    Command { "configuration", "check", "FILE", "List every fault of a document.", runConfigurationCheck },
+    Command { "configuration", "format", "FILE", "Print a document in its canonical form.",
+        runConfigurationFormat },
+    Command { "configuration", "diff", "OLD NEW", "Print what changes from one document to another.",
+        runConfigurationDiff },
+};
+
+std::string usageText()
+{
+    std::string out = "lentilbayctl GROUP COMMAND [ARGUMENTS] [FLAGS]\n\n";
+    for (const auto& it : commands)
+        fmt::format_to(
+            std::back_inserter(out), "  {} {} {}\n      {}\n", it.group, it.name, it.usage, it.meaning);
+    return out;
+}
+
+ExitCode runCommand(const std::vector<std::string>& words)
+{
+    for (const auto& it : commands) {
+        if (words.size() >= 2 && words[0] == it.group && words[1] == it.name)
+            return it.run({ words.begin() + 2, words.end() });
+    }
+    fmt::print(stderr, "{}", usageText());
+    return ExitCode::Usage;
+}
+
+} // namespace
+} // namespace lentilbay
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(lentilbay::usageText());
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    return static_cast<int>(lentilbay::runCommand({ argv + 1, argv + argc }));
+}
