--- /dev/null
+++ b/tools/standins/lib/EngineJson.cpp
@@ -0,0 +1,188 @@
+// The JSON that the fake engine writes: chunks, answers, its state and its records.
+#include "EngineService.h"
+#include "lentilbay/Fakes/AnswerText.h"
+#include "lentilbay/Support/SteadyClock.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace lentilbay {
+
+using nlohmann::json;
+
+namespace {
+
+std::string usageOf(const EngineRecord& record, uint32_t tokens)
+{
+    return fmt::format(
+        R"({{"prompt_tokens":{},"completion_tokens":{},"total_tokens":{},"cached_tokens":{}}})",
+        record.promptTokens, tokens, record.promptTokens + tokens, record.prefillCached);
+}
+
+json microseconds(std::optional<TimePoint> at)
+{
+    return at ? json(at->time_since_epoch().count()) : json(nullptr);
+}
+
+std::string_view printed(EngineEnd end)
+{
+    switch (end) {
+    case EngineEnd::Running:
+        return "running";
+    case EngineEnd::Whole:
+        return "whole";
+    case EngineEnd::Cancelled:
+        return "cancelled";
+    case EngineEnd::Refused:
+        return "refused";
+    }
+    return "";
+}
+
+json toJson(const EngineRecord& record)
+{
+    return { { "request_id", record.id.text() }, { "model", record.model },
+        { "arrived_us", microseconds(record.arrivedAt) },
+        { "first_token_us", microseconds(record.firstTokenAt) }, { "ended_us", microseconds(record.endedAt) },
+        { "prompt_tokens", record.promptTokens }, { "prefill_computed", record.prefillComputed },
+        { "prefill_cached", record.prefillCached }, { "answer_tokens", record.answerTokens },
+        { "tokens_produced", record.tokensProduced }, { "broken_streams", record.brokenStreams },
+        { "end", printed(record.end) } };
+}
+
+json toJson(const EngineOrderRecord& record)
+{
+    constexpr std::string_view actions[] = { "load", "unload", "role" };
+    const auto& order = record.order;
+    return { { "fencing", order.fencing }, { "action", actions[static_cast<size_t>(order.action)] },
+        { "model", order.model }, { "version", order.version }, { "adapter", order.adapter },
+        { "role", order.role }, { "at_us", microseconds(record.at) }, { "accepted", record.accepted } };
+}
+
+/// Sets a fault from the JSON where it is named, and removes it from there.
+template <class T> void take(json& body, const char* name, T& fault)
+{
+    const auto it = body.find(name);
+    if (it == body.end())
+        return;
+    fault = it->get<T>();
+    body.erase(it);
+}
+
+void takeMilliseconds(json& body, const char* name, Duration& fault)
+{
+    int64_t milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(fault).count();
+    take(body, name, milliseconds);
+    fault = std::chrono::milliseconds(milliseconds);
+}
+
+} // namespace
+
+std::string EngineService::chunkOf(const Reader& reader, const EngineOutput& output) const
+{
+    const auto& record = m_engine.records()[output.record];
+    const bool last = output.index + 1 == record.answerTokens;
+    // Written by hand for speed: nothing but the model's name needs to be escaped.
+    return fmt::format(
+        R"({{"id":"{}","object":"{}","model":{},"token_index":{},"choices":[{{"index":0,{}"{}"{},"finish_reason":{}}}]{}{}}})",
+        reader.requestId, reader.chat ? "chat.completion.chunk" : "text_completion",
+        json(reader.model).dump(), output.index, reader.chat ? R"("delta":{"content":)" : R"("text":)",
+        answerToken(reader.digest, output.index), reader.chat ? "}" : "", last ? R"("stop")" : "null",
+        last ? R"(,"usage":)" : "", last ? usageOf(record, record.answerTokens) : "");
+}
+
+std::string EngineService::usageChunkOf(const Reader& reader, const EngineOutput& output) const
+{
+    return fmt::format(R"({{"id":"{}","object":"{}","model":{},"choices":[],"usage":{}}})", reader.requestId,
+        reader.chat ? "chat.completion.chunk" : "text_completion", json(reader.model).dump(),
+        usageOf(m_engine.records()[output.record], output.index));
+}
+
+std::string EngineService::answerOf(const Reader& reader, const EngineOutput& output) const
+{
+    json choice { { "index", 0 }, { "finish_reason", "stop" } };
+    if (reader.chat)
+        choice["message"] = { { "role", "assistant" }, { "content", reader.text } };
+    else
+        choice["text"] = reader.text;
+    const json answer { { "id", reader.requestId },
+        { "object", reader.chat ? "chat.completion" : "text_completion" }, { "model", reader.model },
+        { "choices", { choice } },
+        { "usage", json::parse(usageOf(m_engine.records()[output.record], output.index)) } };
+    return answer.dump();
+}
+
+std::string EngineService::loadJson() const
+{
+    const auto now = steadyNow();
+    const auto load = m_engine.reportedLoad(now);
+    const json reply { { "running", load.running }, { "waiting", load.waiting },
+        { "kv_tokens_used", load.kvTokensUsed }, { "kv_tokens", m_engine.options().kvTokens },
+        { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - load.at).count() },
+        { "leaving", m_engine.faults().leaving } };
+    return reply.dump();
+}
+
+std::string EngineService::eventsJson(uint64_t after) const
+{
+    json events = json::array();
+    auto last = after;
+    for (const auto& it : m_engine.events(after, steadyNow())) {
+        events.push_back({ { "sequence", it.sequence },
+            { "kind", it.kind == CacheEvent::Kind::Stored ? "stored" : "evicted" },
+            { "prefix_hash", it.prefixHash } });
+        last = it.sequence;
+    }
+    return json { { "events", std::move(events) }, { "last", last } }.dump();
+}
+
+std::string EngineService::modelsJson() const
+{
+    json models = json::array();
+    for (const auto& [name, loaded] : m_engine.models())
+        models.push_back(
+            { { "model", name }, { "version", loaded.version }, { "adapters", loaded.adapters } });
+    return json { { "models", std::move(models) }, { "role", m_engine.role() } }.dump();
+}
+
+std::string EngineService::recordsJson() const
+{
+    json records = json::array();
+    for (const auto& it : m_engine.records())
+        records.push_back(toJson(it));
+    json orders = json::array();
+    for (const auto& it : m_engine.orderRecords())
+        orders.push_back(toJson(it));
+    return json {
+        { "kind", "engine" }, { "leaving_since_us", microseconds(m_engine.leavingSince()) },
+        { "records", std::move(records) }, { "orders", std::move(orders) }
+    }.dump();
+}
+
+void EngineService::control(const HttpRequest& request, HttpExchangePtr exchange)
+{
+    auto body = json::parse(request.body);
+    auto faults = m_engine.faults();
+    int64_t resetAfter = faults.resetAfterTokens ? int64_t { *faults.resetAfterTokens } : -1;
+    take(body, "slow_factor", faults.slowFactor);
+    take(body, "stall", faults.stalled);
+    take(body, "reset_after_tokens", resetAfter);
+    take(body, "drop_answers", faults.dropAnswers);
+    take(body, "refuse", faults.refuse);
+    take(body, "leaving", faults.leaving);
+    take(body, "event_gap", faults.eventGap);
+    takeMilliseconds(body, "event_delay_ms", faults.eventDelay);
+    takeMilliseconds(body, "load_lag_ms", faults.loadLag);
+    bool outage = m_outage;
+    take(body, "outage", outage);
+    if (!body.empty())
+        return exchange->replyJson(400, json { { "error", "unknown fault: " + body.begin().key() } }.dump());
+    faults.resetAfterTokens
+        = resetAfter < 0 ? std::nullopt : std::optional(static_cast<uint32_t>(resetAfter));
+    m_outage = outage;
+    m_engine.setFaults(faults, steadyNow());
+    pump();
+    exchange->replyJson(200, "{}");
+}
+
+} // namespace lentilbay
--- /dev/null
+++ b/tools/standins/lib/EngineService.cpp
@@ -0,0 +1,221 @@
+// Answers and streams of the fake engine: JSON in, OpenAI-compatible JSON or SSE out.
+#include "EngineService.h"
+
+#include "PromptText.h"
+#include "lentilbay/Fakes/AnswerText.h"
+#include "lentilbay/Model/PromptPrefix.h"
+#include "lentilbay/Support/SteadyClock.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace lentilbay {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr uint32_t defaultAnswerTokens = 64;
+
+json errorBody(std::string message) { return { { "error", { { "message", std::move(message) } } } }; }
+
+} // namespace
+
+void EngineService::handle(const HttpRequest& request, HttpExchangePtr exchange)
+{
+    try {
+        if (request.path == "/control")
+            return control(request, exchange);
+        if (request.path == "/records")
+            return exchange->replyJson(200, recordsJson());
+        if (m_outage)
+            return exchange->breakConnection();
+        if (request.path == "/v1/chat/completions")
+            return complete(request, exchange, true);
+        if (request.path == "/v1/completions")
+            return complete(request, exchange, false);
+        if (request.path == "/v1/resume")
+            return resume(request, exchange);
+        if (request.path == "/v1/cancel")
+            return cancel(request, exchange);
+        if (request.path == "/load")
+            return exchange->replyJson(200, loadJson());
+        if (request.path == "/cache/events") {
+            const auto after = request.parameter("after");
+            return exchange->replyJson(200, eventsJson(after.empty() ? 0 : std::stoull(after)));
+        }
+        if (request.path == "/kv/export")
+            return exportPrefix(request, exchange);
+        if (request.path == "/kv/import")
+            return importPrefix(request, exchange);
+        if (request.path == "/models")
+            return exchange->replyJson(200, modelsJson());
+        if (request.path == "/orders")
+            return order(request, exchange);
+        exchange->replyJson(404, errorBody("unknown path").dump());
+    } catch (const std::exception& error) {
+        exchange->replyJson(400, errorBody(error.what()).dump());
+    }
+}
+
+void EngineService::complete(const HttpRequest& request, HttpExchangePtr exchange, bool chat)
+{
+    const auto body = json::parse(request.body);
+    const auto prompt = promptTextOf(body);
+    const auto digest = promptDigest(prompt);
+    const auto model = body.value("model", "");
+    const auto id = request.header("X-Request-Id");
+    const auto stream = m_engine.submit(
+        { .id = RequestId(id),
+            .model = model,
+            .digest = digest,
+            .promptTokens = std::max<uint32_t>(1, estimateTokens(prompt)),
+            .prefixHashes = prefixHashesOf(prompt),
+            .answerTokens = answerLength(digest, body.value("max_tokens", defaultAnswerTokens)) },
+        steadyNow());
+    if (!stream)
+        return exchange->replyJson(503, errorBody("the engine refuses new work").dump());
+    m_known[id] = { .model = model, .digest = digest, .chat = chat };
+    const bool streams = body.value("stream", false);
+    if (streams)
+        exchange->beginStream("text/event-stream");
+    m_readers.emplace(*stream,
+        Reader { .exchange = std::move(exchange),
+            .requestId = id,
+            .model = model,
+            .digest = digest,
+            .chat = chat,
+            .streams = streams });
+    pump();
+}
+
+void EngineService::resume(const HttpRequest& request, HttpExchangePtr exchange)
+{
+    const auto body = json::parse(request.body);
+    const auto id = body.at("request_id").get<std::string>();
+    const auto known = m_known.find(id);
+    const auto stream = known == m_known.end()
+        ? std::nullopt
+        : m_engine.resume(RequestId(id), body.at("from").get<uint32_t>(), steadyNow());
+    if (!stream)
+        return exchange->replyJson(404, errorBody("the request is not held").dump());
+    exchange->beginStream("text/event-stream");
+    m_readers.emplace(*stream,
+        Reader { .exchange = std::move(exchange),
+            .requestId = id,
+            .model = known->second.model,
+            .digest = known->second.digest,
+            .chat = known->second.chat,
+            .streams = true });
+    pump();
+}
+
+void EngineService::cancel(const HttpRequest& request, HttpExchangePtr exchange)
+{
+    m_engine.cancel(RequestId(json::parse(request.body).at("request_id").get<std::string>()), steadyNow());
+    pump();
+    exchange->replyJson(200, "{}");
+}
+
+void EngineService::exportPrefix(const HttpRequest& request, HttpExchangePtr exchange)
+{
+    const auto hash = json::parse(request.body).at("prefix_hash").get<uint64_t>();
+    const auto chain = m_engine.exportPrefix(hash);
+    if (!chain)
+        return exchange->replyJson(404, errorBody("the prefix is not cached").dump());
+    const json reply { { "prefix_hash", hash }, { "tokens", chain->size() * prefixBlockTokens },
+        { "data", json(*chain).dump() } };
+    exchange->replyJson(200, reply.dump());
+}
+
+void EngineService::importPrefix(const HttpRequest& request, HttpExchangePtr exchange)
+{
+    const auto body = json::parse(request.body);
+    const auto chain = json::parse(body.at("data").get<std::string>()).get<std::vector<uint64_t>>();
+    m_engine.importPrefix(chain, steadyNow());
+    exchange->replyJson(200, "{}");
+}
+
+void EngineService::order(const HttpRequest& request, HttpExchangePtr exchange)
+{
+    const auto body = json::parse(request.body);
+    const auto action = body.at("action").get<std::string>();
+    if (action != "load" && action != "unload" && action != "role")
+        return exchange->replyJson(400, errorBody("unknown action").dump());
+    const EngineOrder order { .fencing = body.at("fencing").get<uint64_t>(),
+        .action = action == "load" ? EngineOrder::Action::Load
+            : action == "unload"   ? EngineOrder::Action::Unload
+                                   : EngineOrder::Action::Role,
+        .model = body.value("model", ""),
+        .version = body.value("version", ""),
+        .adapter = body.value("adapter", ""),
+        .role = body.value("role", "") };
+    if (m_engine.order(order, steadyNow()))
+        return exchange->replyJson(200, "{}");
+    exchange->replyJson(409, json { { "fencing", m_engine.newestFencing() } }.dump());
+}
+
+void EngineService::pump()
+{
+    m_engine.advance(steadyNow());
+    for (auto outputs = m_engine.takeOutputs(); const auto& it : outputs)
+        deliver(it);
+    for (auto& [stream, reader] : m_readers) {
+        if (reader.streams && !reader.text.empty())
+            reader.exchange->writeChunk(std::exchange(reader.text, {}));
+    }
+    schedule();
+}
+
+void EngineService::schedule()
+{
+    const auto wake = m_engine.nextWake();
+    const auto now = steadyNow();
+    if (!wake || (m_scheduled && *m_scheduled <= *wake && *m_scheduled > now))
+        return;
+    m_scheduled = *wake;
+    m_callAfter(std::max(Duration {}, *wake - now), [this, at = *wake] {
+        if (m_scheduled == at)
+            m_scheduled.reset();
+        pump();
+    });
+}
+
+void EngineService::deliver(const EngineOutput& output)
+{
+    const auto it = m_readers.find(output.stream);
+    if (it == m_readers.end())
+        return;
+    if (output.kind == EngineOutput::Kind::Token)
+        return addToken(it->second, output);
+    finish(it->second, output);
+    m_readers.erase(it);
+}
+
+void EngineService::addToken(Reader& reader, const EngineOutput& output)
+{
+    if (!reader.streams) {
+        reader.text += answerToken(reader.digest, output.index);
+        return;
+    }
+    reader.text += "data: " + chunkOf(reader, output) + "\n\n";
+    reader.sentUsage = output.index + 1 == m_engine.records()[output.record].answerTokens;
+}
+
+void EngineService::finish(Reader& reader, const EngineOutput& output)
+{
+    if (output.kind == EngineOutput::Kind::Break) {
+        if (reader.streams)
+            reader.exchange->writeChunk(std::exchange(reader.text, {}));
+        return reader.exchange->breakConnection();
+    }
+    if (!reader.streams)
+        return reader.exchange->replyJson(200, answerOf(reader, output));
+    if (!reader.sentUsage)
+        reader.text += "data: " + usageChunkOf(reader, output) + "\n\n";
+    reader.exchange->writeChunk(std::exchange(reader.text, {}) + "data: [DONE]\n\n");
+    reader.exchange->endStream();
+}
+
+} // namespace lentilbay
