--- a/packages/Fakes/include/lentilbay/Fakes/EngineModel.h
+++ b/packages/Fakes/include/lentilbay/Fakes/EngineModel.h
@@ -139,7 +139,7 @@
 class EngineModel {
 public:
     explicit EngineModel(EngineOptions options)
-        : m_options(std::move(options))
+        : m_options(options)
     {
     }
 
--- a/packages/Fakes/unittests/EngineModelTest.cpp
+++ b/packages/Fakes/unittests/EngineModelTest.cpp
@@ -128,7 +128,7 @@
 
 TEST(EngineModel, evictsPrefixesWhenItsMemoryIsFull)
 {
-    EngineModel engine({ .kvTokens = 4 * 256 });
+    EngineModel engine({ .kvTokens = 1'024 });
     for (uint64_t n = 0; n < 3; ++n) {
         auto request = requestOf("r" + std::to_string(n), 600, 1);
         request.prefixHashes = blocksFrom(100 * (n + 1), 2);
--- a/tools/standins/lib/EngineService.h
+++ b/tools/standins/lib/EngineService.h
@@ -15,7 +15,7 @@
 class EngineService {
 public:
     explicit EngineService(EngineOptions options)
-        : m_engine(std::move(options))
+        : m_engine(options)
     {
     }
 
