Add the membership controller: SWIM inside a region, digests between regions

Daemons must learn of each other without a coordination service. Each probes one other of its region every 200 ms, directly and then through three others; suspicion lasts 1 s; news travels on probes and replies. Beyond the region a daemon knows of each data centre a count, a hash and three contacts, sent by two speakers per data centre every 2 s.

Three faults found by the tests, each with its test: - after a partition each side believed the other's news that its own daemons were dead; such news of a daemon that answers now only raises a suspicion; - a daemon whose contradiction was missed never repeated it, so a pair stayed cut off for ever; it now renews the news when it hears outdated news of itself; - a 300 ms period with 1.2 s of suspicion noticed a death in up to 3.39 s.

--- a/packages/Control/include/lentilbay/Control/PeerMessage.h
+++ b/packages/Control/include/lentilbay/Control/PeerMessage.h
@@ -3,18 +3,23 @@
 // The position of a type in the variant is its number on the wire: types are appended, never moved.
 #pragma once
 
+#include "lentilbay/Control/MembershipMessages.h"
 #include "lentilbay/Control/SlotMessages.h"
 #include "lentilbay/Support/Identifier.h"
 
+#include <string>
 #include <variant>
 
 namespace lentilbay {
 
-using PeerMessage = std::variant<DemandReport, GrantReport>;
+using PeerMessage
+    = std::variant<DemandReport, GrantReport, Probe, ProbeReply, ProbeRequest, StateExchange, DigestGossip>;
 
 struct OutgoingMessage {
     DaemonId to;
     PeerMessage message;
+    /// Empty: the address that the blackboard has for the member. Else the message goes there, whoever it is.
+    std::string address;
 };
 
 } // namespace lentilbay
