--- /dev/null
+++ b/tools/lentilbayctl/AdminClient.cpp
@@ -0,0 +1,127 @@
+// Admin calls by libcurl.
+#include "AdminClient.h"
+
+#include <cstdlib>
+#include <curl/curl.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <memory>
+#include <sstream>
+#include <utility>
+
+DEFINE_string(admin, "http://127.0.0.1:7070", "admin listeners of daemons, separated by commas");
+DEFINE_string(token_file, "", "file that holds the admin token; otherwise LENTILBAY_TOKEN");
+DEFINE_uint32(timeout, 10'000, "longest wait for one answer, in milliseconds");
+
+namespace lentilbay {
+namespace {
+
+struct CurlDelete {
+    void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
+    void operator()(curl_slist* list) const { curl_slist_free_all(list); }
+};
+
+size_t appendBody(const char* data, size_t size, size_t count, void* user)
+{
+    static_cast<std::string*>(user)->append(data, size * count);
+    return size * count;
+}
+
+std::vector<std::string> split(const std::string& text)
+{
+    std::vector<std::string> out;
+    std::istringstream in(text);
+    for (std::string word; std::getline(in, word, ',');)
+        out.push_back(word);
+    return out;
+}
+
+std::string tokenFromFlags()
+{
+    if (!FLAGS_token_file.empty()) {
+        std::string token;
+        std::ifstream(FLAGS_token_file) >> token;
+        return token;
+    }
+    const char* token = std::getenv("LENTILBAY_TOKEN");
+    return token == nullptr ? "" : token;
+}
+
+std::optional<AdminAnswer> callOne(
+    const std::string& url, const AdminClientOptions& options, const std::optional<std::string>& body)
+{
+    const std::unique_ptr<CURL, CurlDelete> handle(curl_easy_init());
+    if (!handle)
+        return std::nullopt;
+    std::unique_ptr<curl_slist, CurlDelete> headers(
+        curl_slist_append(nullptr, ("Authorization: Bearer " + options.token).c_str()));
+    curl_slist_append(headers.get(), "Content-Type: application/json");
+    std::string text;
+    curl_easy_setopt(handle.get(), CURLOPT_URL, url.c_str());
+    curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers.get());
+    curl_easy_setopt(handle.get(), CURLOPT_PROXY, "");
+    curl_easy_setopt(handle.get(), CURLOPT_TIMEOUT_MS, options.timeoutMilliseconds);
+    curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, appendBody);
+    curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &text);
+    if (body) {
+        curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDS, body->c_str());
+        curl_easy_setopt(handle.get(), CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(body->size()));
+    }
+    if (curl_easy_perform(handle.get()) != CURLE_OK)
+        return std::nullopt;
+    AdminAnswer answer;
+    curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &answer.status);
+    answer.body = nlohmann::json::parse(text, nullptr, false);
+    if (!answer.body.is_object())
+        return std::nullopt;
+    return answer;
+}
+
+} // namespace
+
+AdminClient::AdminClient(AdminClientOptions options)
+    : m_options(std::move(options))
+{
+}
+
+std::optional<AdminAnswer> AdminClient::get(const std::string& path) const
+{
+    return call(path, std::nullopt);
+}
+
+std::optional<AdminAnswer> AdminClient::post(const std::string& path, const nlohmann::json& body) const
+{
+    return call(path, body.dump());
+}
+
+std::optional<AdminAnswer> AdminClient::call(
+    const std::string& path, const std::optional<std::string>& body) const
+{
+    for (const auto& daemon : m_options.daemons) {
+        if (auto answer = callOne(daemon + path, m_options, body))
+            return answer;
+    }
+    return std::nullopt;
+}
+
+AdminClient adminClientFromFlags()
+{
+    return AdminClient({ .daemons = split(FLAGS_admin),
+        .token = tokenFromFlags(),
+        .timeoutMilliseconds = static_cast<long>(FLAGS_timeout) });
+}
+
+void printRefusal(const std::optional<AdminAnswer>& answer)
+{
+    if (!answer) {
+        fmt::print(stderr, "no daemon answered at {}\n", FLAGS_admin);
+        return;
+    }
+    fmt::print(stderr, "{} {}\n", answer->body.value("code", "HTTP " + std::to_string(answer->status)),
+        answer->body.value("message", "the daemon refused the call"));
+    for (const auto& fault : answer->body.value("faults", nlohmann::json::array()))
+        fmt::print(stderr, "{}\n", fault.get<std::string>());
+}
+
+} // namespace lentilbay
--- a/tools/lentilbayctl/Command.h
+++ b/tools/lentilbayctl/Command.h
@@ -39,5 +39,9 @@
 ExitCode runConfigurationCheck(const CommandArguments& arguments);
 ExitCode runConfigurationFormat(const CommandArguments& arguments);
 ExitCode runConfigurationDiff(const CommandArguments& arguments);
+ExitCode runConfigurationApply(const CommandArguments& arguments);
+ExitCode runConfigurationRollback(const CommandArguments& arguments);
+ExitCode runConfigurationShow(const CommandArguments& arguments);
+ExitCode runConfigurationHistory(const CommandArguments& arguments);
 
 } // namespace lentilbay
--- a/tools/lentilbayctl/main.cpp
+++ b/tools/lentilbayctl/main.cpp
@@ -15,6 +15,14 @@
         runConfigurationFormat },
     Command { "configuration", "diff", "OLD NEW", "Print what changes from one document to another.",
         runConfigurationDiff },
+    Command {
+        "configuration", "apply", "FILE", "Submit a document as the next version.", runConfigurationApply },
+    Command { "configuration", "rollback", "VERSION",
+        "Submit the document of an older version as the next one.", runConfigurationRollback },
+    Command { "configuration", "show", "[VERSION]", "Print the document in force, or that of a version.",
+        runConfigurationShow },
+    Command {
+        "configuration", "history", "", "List the versions, the newest first.", runConfigurationHistory },
 };
 
 std::string usageText()
