Share slots between daemons: owners, grants, verdicts and recalls

Cause: engines know no priorities, so the waiting happens in front of them, and a higher tier may be shed only when no lower one is served anywhere in the pool. Change: Ownership (rendezvous over the live daemons of a data centre), SlotPlan (strict by rank, recalls for urgent demand, idle slots lent nearby), SlotOwner and SlotHolder. A grant counts until a smaller one is acknowledged or it lapses; a verdict names the lowest tier that runs or is admitted, and no wider grant is given while it lives.

--- /dev/null
+++ b/packages/Control/lib/Ownership.cpp
@@ -0,0 +1,106 @@
+// Works out the owners of all endpoints when members or configuration change.
+#include "lentilbay/Control/Ownership.h"
+
+#include "lentilbay/Control/Blackboard.h"
+#include "lentilbay/Support/Hash.h"
+
+#include <string_view>
+
+namespace lentilbay {
+namespace {
+
+using Names = std::vector<std::string_view>;
+
+/// The live daemons, by the places in which they can own endpoints.
+struct Candidates {
+    std::map<std::string_view, Names> byDataCentre;
+    std::map<std::string_view, Names> byRegion;
+    Names all;
+};
+
+bool mayOwn(const MemberState& member)
+{
+    return member.status == MemberStatus::Alive || member.status == MemberStatus::Suspect;
+}
+
+Candidates candidatesOf(const Blackboard& blackboard)
+{
+    Candidates out;
+    for (const auto& [id, member] : blackboard.members) {
+        if (!mayOwn(member))
+            continue;
+        out.byDataCentre[member.dataCentre.text()].push_back(id.text());
+        out.byRegion[member.region.text()].push_back(id.text());
+        out.all.push_back(id.text());
+    }
+    return out;
+}
+
+const Names& namesFor(const Candidates& candidates, const Endpoint& endpoint)
+{
+    if (auto it = candidates.byDataCentre.find(endpoint.dataCentre.text());
+        it != candidates.byDataCentre.end())
+        return it->second;
+    if (auto it = candidates.byRegion.find(endpoint.region.text()); it != candidates.byRegion.end())
+        return it->second;
+    return candidates.all;
+}
+
+Distance distanceBetween(const Blackboard& blackboard, const Endpoint& endpoint)
+{
+    if (endpoint.dataCentre == blackboard.dataCentre)
+        return Distance::SameDataCentre;
+    return endpoint.region == blackboard.region ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+uint64_t hashOfNames(const Names& names, uint64_t seed)
+{
+    for (const auto& name : names)
+        seed = hashOf(name, seed + 1);
+    return seed;
+}
+
+} // namespace
+
+bool Ownership::refresh(const Blackboard& blackboard)
+{
+    const auto candidates = candidatesOf(blackboard);
+    uint64_t membersHash = 1;
+    for (const auto& [dataCentre, names] : candidates.byDataCentre)
+        membersHash = hashOfNames(names, hashOf(dataCentre, membersHash));
+    if (membersHash == m_membersHash && m_configuration == blackboard.configuration)
+        return false;
+    m_membersHash = membersHash;
+    m_configuration = blackboard.configuration;
+    m_viewHashes.clear();
+    for (const auto& [dataCentre, names] : candidates.byDataCentre)
+        m_viewHashes[DataCentreId(std::string(dataCentre))] = hashOfNames(names, 0);
+    m_owners.clear();
+    m_distances.clear();
+    m_byOwner.clear();
+    for (size_t i = 0; i < blackboard.endpoints.size(); ++i) {
+        const auto& endpoint = blackboard.endpoints[i].endpoint;
+        const auto& names = namesFor(candidates, endpoint);
+        const auto owner = rendezvousOwner(endpoint.name.text(), names);
+        m_owners.push_back(owner < names.size() ? DaemonId(std::string(names[owner])) : DaemonId());
+        m_distances.push_back(distanceBetween(blackboard, endpoint));
+        if (!m_owners.back().empty())
+            m_byOwner[m_owners.back()].push_back(i);
+    }
+    return true;
+}
+
+const std::vector<size_t>& Ownership::endpointsOf(const DaemonId& owner) const
+{
+    static const std::vector<size_t> none;
+    auto it = m_byOwner.find(owner);
+    return it == m_byOwner.end() ? none : it->second;
+}
+
+uint64_t Ownership::viewHash(const DataCentreId& dataCentre) const
+{
+    auto it = m_viewHashes.find(dataCentre);
+    return it == m_viewHashes.end() ? 0 : it->second;
+}
+
+} // namespace lentilbay
--- /dev/null
+++ b/packages/Control/lib/SlotController.cpp
@@ -0,0 +1,64 @@
+// Keeps ownership fresh and hands messages to the owner's and the entry's side.
+#include "lentilbay/Control/SlotController.h"
+
+#include <algorithm>
+
+namespace lentilbay {
+
+SlotController::SlotController(Blackboard& blackboard, SlotOptions options)
+    : m_blackboard(blackboard)
+    , m_options(options)
+    , m_owner(blackboard, m_ownership, options)
+    , m_holder(blackboard, m_ownership, options)
+{
+}
+
+void SlotController::refresh(TimePoint now)
+{
+    m_refreshedAt = now;
+    if (m_ownership.refresh(m_blackboard))
+        m_owner.ownershipChanged(now);
+}
+
+void SlotController::received(const DaemonId& from, const DemandReport& report, TimePoint now)
+{
+    refresh(now);
+    m_owner.demandReported(from, report, now);
+}
+
+void SlotController::received(const DaemonId& from, const GrantReport& report, TimePoint now)
+{
+    refresh(now);
+    m_holder.granted(from, report, now);
+}
+
+void SlotController::loadReported(const EndpointId& endpoint, const LoadReport& load, bool leaving)
+{
+    m_owner.loadReported(endpoint, load, leaving);
+}
+
+void SlotController::step(TimePoint now)
+{
+    refresh(now);
+    m_holder.step(now);
+    m_owner.step(now);
+}
+
+std::optional<TimePoint> SlotController::nextWake() const
+{
+    const auto a = m_owner.nextWake();
+    const auto b = m_holder.nextWake();
+    if (a && b)
+        return std::min(*a, *b);
+    return a ? a : b;
+}
+
+std::vector<EndpointId> SlotController::ownedEndpoints() const
+{
+    std::vector<EndpointId> out;
+    for (const auto position : m_ownership.endpointsOf(m_blackboard.self))
+        out.push_back(m_blackboard.endpoints[position].endpoint.name);
+    return out;
+}
+
+} // namespace lentilbay
