--- /dev/null
+++ b/packages/Control/unittests/SlotFleet.cpp
@@ -0,0 +1,249 @@
+// Runs daemons that share slots in virtual time.
+#include "SlotFleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilbay::test {
+
+using namespace std::chrono_literals;
+
+const ServiceId SlotFleet::service("line-edit");
+
+SlotFleet::SlotFleet(FleetOptions options)
+    : m_options(options)
+    , m_random(options.seed)
+    , m_leaving(options.endpoints)
+    , m_cut(options.daemons, std::vector<bool>(options.daemons))
+{
+    for (size_t i = 0; i < options.daemons; ++i) {
+        m_daemons.push_back(std::make_unique<Daemon>());
+        m_daemons.back()->id = DaemonId("daemon-" + std::to_string(i));
+    }
+    for (size_t i = 0; i < options.daemons; ++i)
+        addDaemon(i);
+}
+
+std::shared_ptr<const Configuration> SlotFleet::configuration() const
+{
+    auto out = std::make_shared<Configuration>();
+    out->services = { { .name = service } };
+    for (size_t k = 0; k < m_options.endpoints; ++k) {
+        out->endpoints.push_back({ .name = EndpointId("engine-" + std::to_string(k)),
+            .region = RegionId("Yeongnam"),
+            .dataCentre = DataCentreId("Busan"),
+            .services = { service },
+            .slots = m_options.slotsEach });
+    }
+    return out;
+}
+
+void SlotFleet::addDaemon(size_t i)
+{
+    auto& daemon = *m_daemons[i];
+    const auto before = daemon.blackboard.members.find(daemon.id);
+    const uint64_t incarnation = before == daemon.blackboard.members.end() ? 1 : before->second.incarnation + 1;
+    daemon.blackboard = Blackboard {};
+    daemon.blackboard.self = daemon.id;
+    daemon.blackboard.region = RegionId("Yeongnam");
+    daemon.blackboard.dataCentre = DataCentreId("Busan");
+    for (const auto& it : m_daemons) {
+        daemon.blackboard.members[it->id] = { .id = it->id,
+            .region = RegionId("Yeongnam"),
+            .dataCentre = DataCentreId("Busan"),
+            .incarnation = 1 };
+    }
+    daemon.blackboard.members[daemon.id].incarnation = incarnation;
+    applyConfiguration(daemon.blackboard, configuration());
+    daemon.slots = std::make_unique<SlotController>(daemon.blackboard);
+}
+
+void SlotFleet::run(Duration duration, const std::function<void()>& check)
+{
+    const auto end = m_now + duration;
+    while (m_now < end) {
+        m_now += 1ms;
+        deliver();
+        for (size_t i = 0; i < m_daemons.size(); ++i) {
+            if (m_daemons[i]->isUp && !m_daemons[i]->isPaused)
+                stepDaemon(i);
+        }
+        check();
+    }
+}
+
+void SlotFleet::stepDaemon(size_t i)
+{
+    auto& daemon = *m_daemons[i];
+    reportLoads(i);
+    giveWay(daemon);
+    dispatch(daemon);
+    const auto wake = daemon.slots->nextWake();
+    const bool hasDemand = daemon.blackboard.findPool(service)->waiting != std::array<uint32_t, maxTiers> {};
+    if (!wake || *wake <= m_now || hasDemand)
+        daemon.slots->step(m_now);
+    post(i);
+}
+
+void SlotFleet::reportLoads(size_t i)
+{
+    auto& daemon = *m_daemons[i];
+    for (size_t k = 0; k < m_leaving.size(); ++k) {
+        const EndpointId name("engine-" + std::to_string(k));
+        const auto owned = daemon.slots->ownedEndpoints();
+        if (m_leaving[k] && std::find(owned.begin(), owned.end(), name) != owned.end())
+            daemon.slots->loadReported(name, { .measuredAt = m_now }, true);
+    }
+}
+
+void SlotFleet::dispatch(Daemon& daemon)
+{
+    auto& pool = *daemon.blackboard.findPool(service);
+    for (size_t rank = 0; rank < maxTiers; ++rank) {
+        for (auto& state : daemon.blackboard.endpoints) {
+            while (pool.waiting[rank] > 0 && state.freeSlots(m_now, static_cast<int>(rank)) > 0) {
+                --pool.waiting[rank];
+                pool.urgent[rank] -= std::min(pool.urgent[rank], 1U);
+                ++state.inFlight[rank];
+            }
+        }
+    }
+}
+
+void SlotFleet::giveWay(Daemon& daemon)
+{
+    auto& pool = *daemon.blackboard.findPool(service);
+    for (auto rank = static_cast<size_t>(maxTiers) - 1; rank > static_cast<size_t>(pool.recall.forRank); --rank) {
+        for (auto& state : daemon.blackboard.endpoints) {
+            while (pool.recall.slots > 0 && state.inFlight[rank] > 0) {
+                --pool.recall.slots;
+                --state.inFlight[rank];
+            }
+        }
+    }
+    pool.recall = {};
+}
+
+void SlotFleet::post(size_t from)
+{
+    auto& daemon = *m_daemons[from];
+    for (auto& outgoing : std::exchange(daemon.blackboard.outbox, {})) {
+        const auto to = numberOf(outgoing.to);
+        const bool isLocal = to == from;
+        const auto& faults = m_options.faults;
+        m_messagesSent += isLocal ? 0 : 1;
+        const int copies = !isLocal && m_random.chance(faults.duplication) ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            if (!isLocal && (m_cut[from][to] || m_random.chance(faults.loss)))
+                continue;
+            const auto spread = static_cast<uint64_t>((faults.mostDelay - faults.leastDelay).count()) + 1;
+            const auto delay = faults.leastDelay + Duration(static_cast<int64_t>(m_random.below(spread)));
+            m_inTransit.push_back({ m_now + (isLocal ? Duration(0) : delay), from, to, outgoing.message,
+                m_daemons[to]->blackboard.members[m_daemons[to]->id].incarnation });
+        }
+    }
+}
+
+void SlotFleet::deliver()
+{
+    std::vector<InTransit> later;
+    for (auto& it : std::exchange(m_inTransit, {})) {
+        auto& daemon = *m_daemons[it.to];
+        if (it.at > m_now || daemon.isPaused) {
+            later.push_back(std::move(it));
+            continue;
+        }
+        const bool isLost = !daemon.isUp || daemon.blackboard.members[daemon.id].incarnation != it.incarnation;
+        if (isLost)
+            continue;
+        const auto& from = m_daemons[it.from]->id;
+        if (const auto* demand = std::get_if<DemandReport>(&it.message))
+            daemon.slots->received(from, *demand, m_now);
+        if (const auto* grant = std::get_if<GrantReport>(&it.message))
+            daemon.slots->received(from, *grant, m_now);
+    }
+    m_inTransit.insert(m_inTransit.end(), std::make_move_iterator(later.begin()), std::make_move_iterator(later.end()));
+}
+
+void SlotFleet::wait(size_t daemon, int rank, uint32_t requests, bool urgent)
+{
+    auto& pool = *m_daemons[daemon]->blackboard.findPool(service);
+    pool.waiting[static_cast<size_t>(rank)] += requests;
+    pool.urgent[static_cast<size_t>(rank)] += urgent ? requests : 0;
+}
+
+void SlotFleet::giveUp(size_t daemon, int rank)
+{
+    auto& pool = *m_daemons[daemon]->blackboard.findPool(service);
+    pool.waiting[static_cast<size_t>(rank)] = 0;
+    pool.urgent[static_cast<size_t>(rank)] = 0;
+}
+
+void SlotFleet::endOne(size_t daemon)
+{
+    for (size_t rank = maxTiers; rank-- > 0;) {
+        for (auto& state : m_daemons[daemon]->blackboard.endpoints) {
+            if (state.inFlight[rank] == 0)
+                continue;
+            --state.inFlight[rank];
+            return;
+        }
+    }
+}
+
+void SlotFleet::setPaused(size_t daemon, bool isPaused)
+{
+    m_daemons[daemon]->isPaused = isPaused;
+}
+
+void SlotFleet::restart(size_t daemon)
+{
+    addDaemon(daemon);
+    m_daemons[daemon]->isUp = true;
+    m_daemons[daemon]->isPaused = false;
+}
+
+void SlotFleet::stop(size_t daemon)
+{
+    for (auto& state : m_daemons[daemon]->blackboard.endpoints)
+        state.inFlight = {};
+    m_daemons[daemon]->isUp = false;
+}
+
+void SlotFleet::setView(size_t observer, size_t observed, MemberStatus status)
+{
+    m_daemons[observer]->blackboard.members[m_daemons[observed]->id].status = status;
+}
+
+void SlotFleet::setCut(size_t a, size_t b, bool isCut)
+{
+    m_cut[a][b] = isCut;
+    m_cut[b][a] = isCut;
+}
+
+uint32_t SlotFleet::inFlight(size_t daemon, int rank) const
+{
+    uint32_t total = 0;
+    for (const auto& state : m_daemons[daemon]->blackboard.endpoints)
+        total += state.inFlight[static_cast<size_t>(rank)];
+    return total;
+}
+
+uint32_t SlotFleet::inFlightAt(size_t endpoint) const
+{
+    uint32_t total = 0;
+    for (const auto& daemon : m_daemons)
+        total += daemon->blackboard.endpoints[endpoint].inFlightTotal();
+    return total;
+}
+
+size_t SlotFleet::numberOf(const DaemonId& id) const
+{
+    for (size_t i = 0; i < m_daemons.size(); ++i) {
+        if (m_daemons[i]->id == id)
+            return i;
+    }
+    return 0;
+}
+
+} // namespace lentilbay::test
