Test sharing of slots over faulty links, and let a new owner hear everybody before it lends

Change: an owner lends only what every live daemon nearby has said it does not use; schedules keep the pool full of three tiers over links with loss, duplication and delay, and must meet at least 10,000 verdicts that allow a refusal.

--- a/packages/Control/include/lentilbay/Control/SlotOwner.h
+++ b/packages/Control/include/lentilbay/Control/SlotOwner.h
@@ -80,6 +80,7 @@
     SlotProblem problemOf(
         const Domain& domain, const std::vector<std::vector<Commitment>>& commitments) const;
     void noteRecalls(const Domain& domain, const SlotPlan& plan, TimePoint now);
+    bool hasHeardAll(TimePoint now) const;
     bool verdictsAreSound(TimePoint now) const;
     uint32_t capacityOf(const EndpointState& state) const;
     int admittedRankOf(
@@ -97,6 +98,7 @@
     const Ownership& m_ownership;
     SlotOptions m_options;
     std::map<DaemonId, Entry> m_entries;
+    TimePoint m_ownsSince {};
     /// Until then another owner's grants may be out that this one does not know.
     TimePoint m_strangersUntil {};
     /// By pool: no grant admits a greater rank than this until then, because a live verdict says so.
--- a/packages/Control/lib/SlotOwner.cpp
+++ b/packages/Control/lib/SlotOwner.cpp
@@ -79,6 +79,7 @@
 
 void SlotOwner::ownershipChanged(TimePoint now)
 {
+    m_ownsSince = now;
     m_strangersUntil = now + m_options.grantLifetime;
     m_dirty = true;
     planNextWake(now);
@@ -95,8 +96,9 @@
     const auto domain = this->domain();
     std::vector<std::vector<Commitment>> commitments;
     std::vector<uint32_t> spare;
+    const bool maySpare = hasHeardAll(now);
     for (const auto position : domain.positions)
-        spare.push_back(capacityOf(m_blackboard.endpoints[position]));
+        spare.push_back(maySpare ? capacityOf(m_blackboard.endpoints[position]) : 0);
     for (const auto& [id, entry] : m_entries) {
         commitments.emplace_back();
         for (size_t k = 0; k < domain.positions.size(); ++k) {
@@ -228,6 +230,21 @@
     return state.leaving ? 0 : state.endpoint.slots;
 }
 
+/// Whether all live daemons nearby have said what they use since this one became owner. Before that it would
+/// lend slots that are in use.
+bool SlotOwner::hasHeardAll(TimePoint now) const
+{
+    if (now >= m_strangersUntil)
+        return true;
+    return std::all_of(m_blackboard.members.begin(), m_blackboard.members.end(), [&](const auto& it) {
+        const auto& member = it.second;
+        if (member.status != MemberStatus::Alive || member.dataCentre != m_blackboard.dataCentre)
+            return true;
+        auto entry = m_entries.find(it.first);
+        return entry != m_entries.end() && entry->second.heardAt >= m_ownsSince;
+    });
+}
+
 bool SlotOwner::verdictsAreSound(TimePoint now) const
 {
     if (now < m_strangersUntil)
--- a/packages/Control/unittests/SlotFleet.cpp
+++ b/packages/Control/unittests/SlotFleet.cpp
@@ -42,7 +42,8 @@
 {
     auto& daemon = *m_daemons[i];
     const auto before = daemon.blackboard.members.find(daemon.id);
-    const uint64_t incarnation = before == daemon.blackboard.members.end() ? 1 : before->second.incarnation + 1;
+    const uint64_t incarnation
+        = before == daemon.blackboard.members.end() ? 1 : before->second.incarnation + 1;
     daemon.blackboard = Blackboard {};
     daemon.blackboard.self = daemon.id;
     daemon.blackboard.region = RegionId("Yeongnam");
@@ -76,6 +77,8 @@
 {
     auto& daemon = *m_daemons[i];
     reportLoads(i);
+    if (m_random.chance(m_options.endChance))
+        endOne(i);
     giveWay(daemon);
     dispatch(daemon);
     const auto wake = daemon.slots->nextWake();
@@ -113,7 +116,8 @@
 void SlotFleet::giveWay(Daemon& daemon)
 {
     auto& pool = *daemon.blackboard.findPool(service);
-    for (auto rank = static_cast<size_t>(maxTiers) - 1; rank > static_cast<size_t>(pool.recall.forRank); --rank) {
+    for (auto rank = static_cast<size_t>(maxTiers) - 1; rank > static_cast<size_t>(pool.recall.forRank);
+         --rank) {
         for (auto& state : daemon.blackboard.endpoints) {
             while (pool.recall.slots > 0 && state.inFlight[rank] > 0) {
                 --pool.recall.slots;
@@ -153,7 +157,8 @@
             later.push_back(std::move(it));
             continue;
         }
-        const bool isLost = !daemon.isUp || daemon.blackboard.members[daemon.id].incarnation != it.incarnation;
+        const bool isLost
+            = !daemon.isUp || daemon.blackboard.members[daemon.id].incarnation != it.incarnation;
         if (isLost)
             continue;
         const auto& from = m_daemons[it.from]->id;
@@ -162,7 +167,8 @@
         if (const auto* grant = std::get_if<GrantReport>(&it.message))
             daemon.slots->received(from, *grant, m_now);
     }
-    m_inTransit.insert(m_inTransit.end(), std::make_move_iterator(later.begin()), std::make_move_iterator(later.end()));
+    m_inTransit.insert(
+        m_inTransit.end(), std::make_move_iterator(later.begin()), std::make_move_iterator(later.end()));
 }
 
 void SlotFleet::wait(size_t daemon, int rank, uint32_t requests, bool urgent)
@@ -181,20 +187,16 @@
 
 void SlotFleet::endOne(size_t daemon)
 {
-    for (size_t rank = maxTiers; rank-- > 0;) {
-        for (auto& state : m_daemons[daemon]->blackboard.endpoints) {
-            if (state.inFlight[rank] == 0)
-                continue;
-            --state.inFlight[rank];
-            return;
-        }
+    std::vector<uint32_t*> running;
+    for (auto& state : m_daemons[daemon]->blackboard.endpoints) {
+        for (auto& n : state.inFlight)
+            running.insert(running.end(), n, &n);
     }
+    if (!running.empty())
+        --*running[m_random.below(running.size())];
 }
 
-void SlotFleet::setPaused(size_t daemon, bool isPaused)
-{
-    m_daemons[daemon]->isPaused = isPaused;
-}
+void SlotFleet::setPaused(size_t daemon, bool isPaused) { m_daemons[daemon]->isPaused = isPaused; }
 
 void SlotFleet::restart(size_t daemon)
 {
--- a/packages/Control/unittests/SlotFleet.h
+++ b/packages/Control/unittests/SlotFleet.h
@@ -1,7 +1,8 @@
 // Several daemons that share slots, over links and clocks of the test's own.
 //
-// Each daemon has its blackboard and slot controller. In place of the entry controller stands the simplest one
-// that keeps the rules: it dispatches what waits, by rank, while a grant admits it, and gives way when recalled.
+// Each daemon has its blackboard and slot controller. In place of the entry controller stands the simplest
+// one that keeps the rules: it dispatches what waits, by rank, while a grant admits it, and gives way when
+// recalled.
 #pragma once
 
 #include "lentilbay/Control/Blackboard.h"
@@ -28,6 +29,8 @@
     size_t endpoints = 2;
     uint32_t slotsEach = 4;
     uint64_t seed = 1;
+    /// The chance that one of a daemon's requests ends in a millisecond.
+    double endChance = 0;
     LinkFaults faults;
 };
 
@@ -45,12 +48,13 @@
 
     /// Advances all clocks, delivering messages and stepping daemons every millisecond. Calls the check after
     /// each millisecond.
-    void run(Duration duration, const std::function<void()>& check = [] {});
+    void run(
+        Duration duration, const std::function<void()>& check = [] {});
 
     void wait(size_t daemon, int rank, uint32_t requests, bool urgent = false);
     /// The caller gives up on what waits.
     void giveUp(size_t daemon, int rank);
-    /// One request in flight ends, the one of the lowest rank at the first endpoint that has any.
+    /// One of the daemon's requests in flight ends, any of them.
     void endOne(size_t daemon);
     void setPaused(size_t daemon, bool isPaused);
     /// The process dies with all it had in flight, and comes back with a higher incarnation.
--- a/packages/Control/unittests/SlotFleetTest.cpp
+++ b/packages/Control/unittests/SlotFleetTest.cpp
@@ -1,4 +1,5 @@
-// Slots between daemons: who gets them, when a refusal is allowed, and what happens when daemons or links fail.
+// Slots between daemons: who gets them, when a refusal is allowed, and what happens when daemons or links
+// fail.
 #include "SlotFleet.h"
 
 #include <gtest/gtest.h>
@@ -16,6 +17,14 @@
     return total;
 }
 
+/// Whether an entry may refuse work of this rank for want of capacity now.
+bool allowsRefusal(SlotFleet& fleet, size_t daemon, int rank)
+{
+    const auto& verdict = fleet.daemon(daemon).blackboard.findPool(SlotFleet::service)->verdict;
+    const bool isFresh = verdict.askedAt && fleet.now() < *verdict.askedAt + 1s;
+    return isFresh && !verdict.hasFreeSlot && verdict.lowestServedRank <= rank;
+}
+
 TEST(SlotFleet, IdleSlotsLieReadyAtEachEntry)
 {
     SlotFleet fleet({ .daemons = 2, .endpoints = 1, .slotsEach = 4 });
@@ -90,10 +99,7 @@
     fleet.run(1s);
     fleet.wait(1, 0, 1, true);
     fleet.run(2s);
-    const auto& verdict = fleet.daemon(1).blackboard.findPool(SlotFleet::service)->verdict;
-    ASSERT_TRUE(verdict.askedAt.has_value());
-    EXPECT_FALSE(verdict.hasFreeSlot);
-    EXPECT_EQ(verdict.lowestServedRank, 0);
+    EXPECT_TRUE(allowsRefusal(fleet, 1, 0));
 }
 
 TEST(SlotFleet, UrgentWorkTakesTheSlotsOfALowerTierElsewhere)
@@ -119,15 +125,48 @@
     fleet.wait(0, 0, 2);
     fleet.wait(1, 0, 5, true);
     fleet.run(2s);
+    ASSERT_TRUE(allowsRefusal(fleet, 1, 0));
     fleet.setCut(0, 1, true);
     fleet.run(2s);
-    const auto now = fleet.now();
-    size_t fresh = 0;
-    for (size_t i = 0; i < 2; ++i) {
-        const auto& askedAt = fleet.daemon(i).blackboard.findPool(SlotFleet::service)->verdict.askedAt;
-        fresh += askedAt && now < *askedAt + 1s ? 1 : 0;
+    for (size_t i = 0; i < 2; ++i)
+        EXPECT_FALSE(allowsRefusal(fleet, i, 0))
+            << "an entry that is cut off, or an owner that misses an entry";
+}
+
+TEST(SlotFleet, TwoOwnersAtOnceGiveNoVerdictAgainstEachOther)
+{
+    for (size_t observer = 0; observer < 3; ++observer) {
+        for (size_t believedDead = 0; believedDead < 3; ++believedDead) {
+            if (observer == believedDead)
+                continue;
+            const size_t third = 3 - observer - believedDead;
+            SlotFleet fleet({ .daemons = 3, .endpoints = 4, .slotsEach = 2 });
+            fleet.run(4s);
+            fleet.wait(third, 3, 20);
+            fleet.run(1s);
+            fleet.setView(observer, believedDead, MemberStatus::Dead);
+            fleet.wait(observer, 0, 20, true);
+            fleet.run(6s, [&] {
+                const bool lowerTierRuns = fleet.inFlight(third, 3) + fleet.inFlight(believedDead, 3) > 0;
+                EXPECT_FALSE(lowerTierRuns && allowsRefusal(fleet, observer, 0));
+            });
+        }
     }
-    EXPECT_EQ(fresh, 0U) << "neither an entry that is cut off nor an owner that misses an entry has a verdict";
+}
+
+TEST(SlotFleet, ANewOwnerGivesNoVerdictWhileOldGrantsAreOut)
+{
+    SlotFleet fleet({ .daemons = 2, .endpoints = 8, .slotsEach = 1 });
+    fleet.run(4s);
+    fleet.wait(0, 0, 8);
+    fleet.run(1s);
+    fleet.restart(1);
+    fleet.wait(1, 0, 1, true);
+    bool early = false;
+    fleet.run(2900ms, [&] { early = early || allowsRefusal(fleet, 1, 0); });
+    EXPECT_FALSE(early);
+    fleet.run(1s);
+    EXPECT_TRUE(allowsRefusal(fleet, 1, 0));
 }
 
 TEST(SlotFleet, IdleDaemonsSaySeldomAnything)
--- a/packages/Control/unittests/SlotPlanTest.cpp
+++ b/packages/Control/unittests/SlotPlanTest.cpp
@@ -72,7 +72,9 @@
     problem.entries[2].uses[0][3] = 2;
     const auto plan = planSlots(problem);
     EXPECT_EQ(plan.admittedRank[0], 0);
-    EXPECT_EQ(plan.recalls, (std::vector<PlannedRecall> { { .entry = 1, .pool = 0, .forRank = 0, .slots = 1 }, { .entry = 2, .pool = 0, .forRank = 0, .slots = 1 } }));
+    EXPECT_EQ(plan.recalls,
+        (std::vector<PlannedRecall> { { .entry = 1, .pool = 0, .forRank = 0, .slots = 1 },
+            { .entry = 2, .pool = 0, .forRank = 0, .slots = 1 } }));
 }
 
 TEST(SlotPlan, WhatIsRecalledAlreadyIsNotRecalledTwice)
--- a/packages/Control/unittests/SlotStateMachineTest.cpp
+++ b/packages/Control/unittests/SlotStateMachineTest.cpp
@@ -12,7 +12,21 @@
 
 constexpr auto verdictLifetime = 1s;
 
-enum class Act : uint8_t { Wait, WaitUrgent, End, GiveUp, Pause, Resume, Stop, Restart, DeclareDead, DeclareAlive, Cut, Heal, Leave };
+enum class Act : uint8_t {
+    Wait,
+    WaitUrgent,
+    End,
+    GiveUp,
+    Pause,
+    Resume,
+    Stop,
+    Restart,
+    DeclareDead,
+    DeclareAlive,
+    Cut,
+    Heal,
+    Leave
+};
 
 struct Step {
     Act act;
@@ -24,22 +38,24 @@
 
 std::ostream& operator<<(std::ostream& out, const Step& step)
 {
-    static const char* const names[] = { "Wait", "WaitUrgent", "End", "GiveUp", "Pause", "Resume", "Stop", "Restart", "DeclareDead", "DeclareAlive", "Cut", "Heal", "Leave" };
-    return out << names[static_cast<size_t>(step.act)] << "(daemon " << step.daemon << ", other " << step.other << ", rank "
-               << step.rank << ", then " << step.milliseconds << " ms)";
+    static const char* const names[] = { "Wait", "WaitUrgent", "End", "GiveUp", "Pause", "Resume", "Stop",
+        "Restart", "DeclareDead", "DeclareAlive", "Cut", "Heal", "Leave" };
+    return out << names[static_cast<size_t>(step.act)] << "(daemon " << step.daemon << ", other "
+               << step.other << ", rank " << step.rank << ", then " << step.milliseconds << " ms)";
 }
 
 rc::Gen<Step> anyStep(Act last)
 {
     return rc::gen::construct<Step>(rc::gen::cast<Act>(rc::gen::inRange<int>(0, static_cast<int>(last) + 1)),
-        rc::gen::inRange<size_t>(0, 3), rc::gen::inRange<size_t>(0, 3), rc::gen::inRange(0, 4), rc::gen::inRange(1, 900));
+        rc::gen::inRange<size_t>(0, 3), rc::gen::inRange<size_t>(0, 3), rc::gen::inRange(0, 4),
+        rc::gen::inRange(1, 900));
 }
 
 void apply(SlotFleet& fleet, const Step& step)
 {
     switch (step.act) {
     case Act::Wait:
-        return fleet.wait(step.daemon, step.rank, 3);
+        return fleet.wait(step.daemon, step.rank, 8);
     case Act::WaitUrgent:
         return fleet.wait(step.daemon, step.rank, 2, true);
     case Act::End:
@@ -55,7 +71,8 @@
     case Act::Restart:
         return fleet.restart(step.daemon);
     case Act::DeclareDead:
-        return step.daemon == step.other ? void() : fleet.setView(step.daemon, step.other, MemberStatus::Dead);
+        return step.daemon == step.other ? void()
+                                         : fleet.setView(step.daemon, step.other, MemberStatus::Dead);
     case Act::DeclareAlive:
         return fleet.setView(step.daemon, step.other, MemberStatus::Alive);
     case Act::Cut:
@@ -82,6 +99,9 @@
     return lowest;
 }
 
+/// How often a verdict allowed a refusal while the schedules ran; without any the property says nothing.
+uint64_t verdictsActedOn = 0;
+
 /// A verdict that an entry may act on now never calls a tier the lowest while a lower one runs.
 void checkVerdicts(SlotFleet& fleet)
 {
@@ -91,8 +111,10 @@
         const auto& verdict = daemon.blackboard.findPool(SlotFleet::service)->verdict;
         const bool mayAct = daemon.isUp && !daemon.isPaused && verdict.askedAt
             && fleet.now() < *verdict.askedAt + verdictLifetime && !verdict.hasFreeSlot;
-        if (mayAct)
-            RC_ASSERT(verdict.lowestServedRank >= lowest);
+        if (!mayAct)
+            continue;
+        RC_ASSERT(verdict.lowestServedRank >= lowest);
+        verdictsActedOn += verdict.lowestServedRank < 3 ? 1 : 0;
     }
 }
 
@@ -104,19 +126,28 @@
 
 SlotFleet faultyFleet(uint64_t seed)
 {
+    Random random(seed);
+    const double losses[] = { 0, 0.02, 0.15 };
     return SlotFleet({ .daemons = 3,
         .endpoints = 2,
         .slotsEach = 3,
         .seed = seed,
-        .faults = { .loss = 0.1, .duplication = 0.05, .leastDelay = 1ms, .mostDelay = 120ms } });
+        .endChance = random.chance(0.5) ? 0.002 : 0.01,
+        .faults = { .loss = losses[random.below(3)],
+            .duplication = 0.05,
+            .leastDelay = 1ms,
+            .mostDelay = random.chance(0.5) ? 5ms : 120ms } });
 }
 
 /// Runs a property over fixed seeds, so that the verdict is the same each time. RapidCheck prints the shrunk
 /// steps; LENTILBAY_SCHEDULES asks for a longer run.
-void checkSchedules(const char* name, const std::function<void(uint64_t, const std::vector<Step>&)>& property, Act last)
+void checkSchedules(
+    const char* name, const std::function<void(uint64_t, const std::vector<Step>&)>& property, Act last)
 {
     const char* asked = std::getenv("LENTILBAY_SCHEDULES");
-    rc::detail::TestParams params { .seed = 20261203, .maxSuccess = asked ? std::atoi(asked) : 400, .maxSize = 40 };
+    rc::detail::TestParams params {
+        .seed = 20261203, .maxSuccess = asked ? std::atoi(asked) : 400, .maxSize = 40
+    };
     const auto result = rc::detail::checkTestable(
         [&] {
             const auto seed = *rc::gen::arbitrary<uint64_t>();
@@ -150,12 +181,15 @@
         [](uint64_t seed, const std::vector<Step>& steps) {
             auto fleet = faultyFleet(seed);
             fleet.run(4s);
+            for (size_t i = 0; i < fleet.size(); ++i)
+                fleet.wait(i, static_cast<int>(i), 6, i == 0);
             for (const auto& step : steps) {
                 apply(fleet, step);
                 fleet.run(std::chrono::milliseconds(step.milliseconds), [&] { checkVerdicts(fleet); });
             }
         },
         Act::Leave);
+    EXPECT_GT(verdictsActedOn, 10'000U);
 }
 
 } // namespace
