--- a/packages/Invariants/lib/DispatchChecks.cpp
+++ b/packages/Invariants/lib/DispatchChecks.cpp
@@ -26,6 +26,12 @@
     return ids;
 }
 
+bool haveOneId(const DispatchList& dispatches)
+{
+    return std::ranges::all_of(
+        dispatches, [&](const DispatchRecord* it) { return it->id == dispatches.front()->id; });
+}
+
 std::string endpointsOf(const DispatchList& dispatches)
 {
     std::string text;
