Count requests that nobody reported, reach owners of other regions, and drive all controllers by one class

Cause: a paused daemon's work still runs at an engine while its entry is silent, so that an owner lent its slots and gave verdicts without it; demand could not leave its region, since membership knows other regions by digests only. Change: EndpointOccupancy compares an engine's load report with what entries reported; such requests take up capacity and no verdict is given while there are any. Ownership reads digests that name all daemons of a data centre. The owner's records move to SlotLedger. ControlPlane drives membership, slots and entry for the daemon and for tests. Conclusion: what a data centre of more than three daemons lends to other regions is still open; docs/design/Slots.md will say so.

--- a/packages/Control/include/lentilbay/Control/Blackboard.h
+++ b/packages/Control/include/lentilbay/Control/Blackboard.h
@@ -148,6 +148,9 @@
     /// Written by the membership controller; holds this daemon too.
     std::map<DaemonId, MemberState> members;
 
+    /// What is known of the data centres of other regions, written by the control plane.
+    std::vector<DataCentreDigest> distant;
+
     /// Messages to send, appended by any controller and emptied by the fleet's links.
     std::vector<OutgoingMessage> outbox;
     /// Calls of the platform's services, appended by any controller and emptied by the platform's clients.
@@ -155,6 +158,8 @@
 
     EndpointState* findEndpointState(const EndpointId& id);
     PoolState* findPool(const ServiceId& service);
+    /// Of a member; 0 where it is not known.
+    uint64_t incarnationOf(const DaemonId& id) const;
 };
 
 /// Puts a configuration in force: endpoints that stay keep their state, others appear or go.
--- /dev/null
+++ b/packages/Control/include/lentilbay/Control/ControlPlane.h
@@ -0,0 +1,54 @@
+// All controllers of one daemon over one blackboard, with the way of messages between them.
+//
+// The daemon and the tests drive the same class: they hand in events with the present time, and carry out
+// what the controllers leave in the blackboard's outboxes and in their lists of commands.
+#pragma once
+
+#include "lentilbay/Control/Blackboard.h"
+#include "lentilbay/Control/EntryController.h"
+#include "lentilbay/Control/MembershipController.h"
+#include "lentilbay/Control/SlotController.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lentilbay {
+
+struct ControlPlaneOptions {
+    EntryOptions entry;
+    MembershipOptions membership;
+    SlotOptions slots;
+};
+
+class ControlPlane {
+public:
+    /// The blackboard must outlive the control plane; its self, region and dataCentre must be set.
+    ControlPlane(Blackboard& blackboard, ControlPlaneOptions options, TimePoint now);
+    ControlPlane(const ControlPlane&) = delete;
+    ControlPlane& operator=(const ControlPlane&) = delete;
+
+    /// A message of another daemon; `address` is where it came from.
+    void receive(const DaemonId& from, const std::string& address, const PeerMessage& message, TimePoint now);
+    /// Lets every controller decide what it can; messages to this daemon itself are delivered on the way.
+    void step(TimePoint now);
+    /// When step() has something to do even without an event.
+    std::optional<TimePoint> nextWake() const;
+    /// The messages for other daemons since the last call.
+    std::vector<OutgoingMessage> takeMessages();
+
+    EntryController& entry() { return m_entry; }
+    MembershipController& membership() { return m_membership; }
+    SlotController& slots() { return m_slots; }
+
+private:
+    bool deliverToSelf(TimePoint now);
+
+    Blackboard& m_blackboard;
+    MembershipController m_membership;
+    SlotController m_slots;
+    EntryController m_entry;
+    TimePoint m_nextDigests {};
+};
+
+} // namespace lentilbay
--- a/packages/Control/include/lentilbay/Control/Ownership.h
+++ b/packages/Control/include/lentilbay/Control/Ownership.h
@@ -34,16 +34,25 @@
     Distance distanceOf(size_t position) const { return m_distances[position]; }
     /// All daemons that own an endpoint.
     const std::map<DaemonId, std::vector<size_t>>& all() const { return m_byOwner; }
+    /// Where to reach an owner of another region; empty for a member.
+    std::string addressOf(const DaemonId& owner) const;
+    /// The data centre that a live daemon runs in; empty where it is not known.
+    DataCentreId dataCentreOf(const DaemonId& daemon) const;
     /// A hash of the live daemons of one data centre, the same wherever the same daemons are seen.
     uint64_t viewHash(const DataCentreId& dataCentre) const;
 
 private:
+    void notePlaces(const Blackboard& blackboard);
+
     uint64_t m_membersHash = 0;
     std::shared_ptr<const Configuration> m_configuration;
     std::vector<DaemonId> m_owners;
     std::vector<Distance> m_distances;
     std::map<DaemonId, std::vector<size_t>> m_byOwner;
     std::map<DataCentreId, uint64_t> m_viewHashes;
+    std::map<DaemonId, DataCentreId> m_dataCentres;
+    /// Of daemons of other regions.
+    std::map<DaemonId, std::string> m_addresses;
 };
 
 } // namespace lentilbay
--- a/packages/Control/include/lentilbay/Control/SlotController.h
+++ b/packages/Control/include/lentilbay/Control/SlotController.h
@@ -8,6 +8,7 @@
 #include "lentilbay/Control/SlotOwner.h"
 
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace lentilbay {
@@ -19,8 +20,10 @@
     SlotController(const SlotController&) = delete;
     SlotController& operator=(const SlotController&) = delete;
 
-    void received(const DaemonId& from, const DemandReport& report, TimePoint now);
-    void received(const DaemonId& from, const GrantReport& report, TimePoint now);
+    /// The address is where the report came from; it is used for daemons of other regions.
+    void received(
+        const DaemonId& from, const std::string& address, const DemandReport& report, TimePoint now);
+    void received(const DaemonId& from, const std::string& address, const GrantReport& report, TimePoint now);
     /// An endpoint that this daemon owns answered a question for its load.
     void loadReported(const EndpointId& endpoint, const LoadReport& load, bool leaving);
     /// Messages go to Blackboard::outbox, those to this daemon itself too.
@@ -35,11 +38,9 @@
     void refresh(TimePoint now);
 
     Blackboard& m_blackboard;
-    SlotOptions m_options;
     Ownership m_ownership;
     SlotOwner m_owner;
     SlotHolder m_holder;
-    std::optional<TimePoint> m_refreshedAt;
 };
 
 } // namespace lentilbay
--- a/packages/Control/include/lentilbay/Control/SlotHolder.h
+++ b/packages/Control/include/lentilbay/Control/SlotHolder.h
@@ -9,10 +9,12 @@
 #include "lentilbay/Control/Ownership.h"
 #include "lentilbay/Control/SlotMessages.h"
 #include "lentilbay/Control/SlotOptions.h"
+#include "lentilbay/Control/SlotPlan.h"
 
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace lentilbay {
@@ -36,7 +38,6 @@
     struct Owner {
         uint64_t incarnation = 0;
         uint64_t grantSeen = 0;
-        uint64_t sequence = 0;
         std::optional<TimePoint> sentAt;
         /// A report took something away; the owner waits for the acknowledgement.
         bool owesAcknowledgement = false;
@@ -50,7 +51,9 @@
     Distance reachOf(const PoolState& pool, TimePoint now) const;
     bool hasNoFreeSlot(const PoolState& pool, Distance within, TimePoint now) const;
     const KnownVerdict* freshVerdict(const DaemonId& owner, const ServiceId& service, TimePoint now) const;
-    bool isDue(const Owner& owner, const DemandReport& report, TimePoint now) const;
+    TimePoint dueAt(const Owner& owner, const DemandReport& report, TimePoint now) const;
+    bool demandHasChanged();
+    void send(const DaemonId& to, Owner& owner, const DemandReport& report, TimePoint now);
     DemandReport reportTo(const DaemonId& to, const Owner& owner, TimePoint now) const;
     EndpointUse useOf(const EndpointState& state, TimePoint now) const;
     void refreshVerdicts(TimePoint now);
@@ -59,6 +62,11 @@
     const Ownership& m_ownership;
     SlotOptions m_options;
     std::map<DaemonId, Owner> m_owners;
+    /// One count for all owners, so that an owner that was forgotten still sees it rise.
+    uint64_t m_lastSequence = 0;
+    /// Waiting and urgent requests of a pool, by rank.
+    using PoolCounts = std::pair<UseByRank, UseByRank>;
+    std::vector<PoolCounts> m_lastDemand;
     std::optional<TimePoint> m_nextWake;
 };
 
--- a/packages/Control/lib/Blackboard.cpp
+++ b/packages/Control/lib/Blackboard.cpp
@@ -17,6 +17,12 @@
     return it == poolPositions.end() ? nullptr : &pools[it->second];
 }
 
+uint64_t Blackboard::incarnationOf(const DaemonId& id) const
+{
+    auto it = members.find(id);
+    return it == members.end() ? 0 : it->second.incarnation;
+}
+
 void applyConfiguration(Blackboard& blackboard, std::shared_ptr<const Configuration> configuration)
 {
     std::vector<EndpointState> endpoints;
--- /dev/null
+++ b/packages/Control/lib/ControlPlane.cpp
@@ -0,0 +1,82 @@
+// Drives all controllers of one daemon.
+#include "lentilbay/Control/ControlPlane.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace lentilbay {
+namespace {
+
+/// Rounds in which controllers of one daemon answer each other; what is left waits for the next step.
+constexpr int maxLocalRounds = 4;
+/// Between looks at what membership knows of other regions.
+constexpr Duration digestInterval = std::chrono::milliseconds(500);
+
+} // namespace
+
+ControlPlane::ControlPlane(Blackboard& blackboard, ControlPlaneOptions options, TimePoint now)
+    : m_blackboard(blackboard)
+    , m_membership(blackboard, std::move(options.membership), now)
+    , m_slots(blackboard, options.slots)
+    , m_entry(blackboard, options.entry)
+{
+}
+
+void ControlPlane::receive(
+    const DaemonId& from, const std::string& address, const PeerMessage& message, TimePoint now)
+{
+    std::visit(
+        [&](const auto& it) {
+            using Message = std::decay_t<decltype(it)>;
+            constexpr bool isSlotMessage
+                = std::is_same_v<Message, DemandReport> || std::is_same_v<Message, GrantReport>;
+            if constexpr (isSlotMessage)
+                m_slots.received(from, address, it, now);
+            else
+                m_membership.receive(from, address, it, now);
+        },
+        message);
+}
+
+void ControlPlane::step(TimePoint now)
+{
+    m_membership.step(now);
+    if (now >= m_nextDigests) {
+        m_blackboard.distant = m_membership.digests(now);
+        m_nextDigests = now + digestInterval;
+    }
+    m_entry.step(now);
+    m_slots.step(now);
+    for (int round = 0; round < maxLocalRounds && deliverToSelf(now); ++round) {
+        m_slots.step(now);
+        m_entry.step(now);
+    }
+}
+
+bool ControlPlane::deliverToSelf(TimePoint now)
+{
+    auto& outbox = m_blackboard.outbox;
+    const auto isLocal
+        = [&](const OutgoingMessage& it) { return it.to == m_blackboard.self && it.address.empty(); };
+    std::vector<OutgoingMessage> local;
+    std::copy_if(outbox.begin(), outbox.end(), std::back_inserter(local), isLocal);
+    std::erase_if(outbox, isLocal);
+    for (const auto& it : local)
+        receive(m_blackboard.self, "", it.message, now);
+    return !local.empty();
+}
+
+std::optional<TimePoint> ControlPlane::nextWake() const
+{
+    std::optional<TimePoint> out = m_membership.nextWake();
+    for (const auto& wake : { m_slots.nextWake(), m_entry.nextWake() }) {
+        if (wake)
+            out = std::min(*out, *wake);
+    }
+    return out;
+}
+
+std::vector<OutgoingMessage> ControlPlane::takeMessages() { return std::exchange(m_blackboard.outbox, {}); }
+
+} // namespace lentilbay
--- a/packages/Control/lib/Ownership.cpp
+++ b/packages/Control/lib/Ownership.cpp
@@ -4,6 +4,8 @@
 #include "lentilbay/Control/Blackboard.h"
 #include "lentilbay/Support/Hash.h"
 
+#include <algorithm>
+#include <set>
 #include <string_view>
 
 namespace lentilbay {
@@ -16,6 +18,8 @@
     std::map<std::string_view, Names> byDataCentre;
     std::map<std::string_view, Names> byRegion;
     Names all;
+    /// Data centres of other regions of which not all live daemons are known.
+    std::set<std::string_view> partlyKnown;
 };
 
 bool mayOwn(const MemberState& member)
@@ -33,6 +37,20 @@
         out.byRegion[member.region.text()].push_back(id.text());
         out.all.push_back(id.text());
     }
+    for (const auto& digest : blackboard.distant) {
+        if (digest.liveDaemons == 0)
+            continue;
+        if (digest.contacts.size() < digest.liveDaemons) {
+            out.partlyKnown.insert(digest.dataCentre.text());
+            continue;
+        }
+        auto& names = out.byDataCentre[digest.dataCentre.text()];
+        for (const auto& contact : digest.contacts)
+            names.push_back(contact.id.text());
+        std::sort(names.begin(), names.end());
+        auto& inRegion = out.byRegion[digest.region.text()];
+        inRegion.insert(inRegion.end(), names.begin(), names.end());
+    }
     return out;
 }
 
@@ -41,6 +59,9 @@
     if (auto it = candidates.byDataCentre.find(endpoint.dataCentre.text());
         it != candidates.byDataCentre.end())
         return it->second;
+    static const Names none;
+    if (candidates.partlyKnown.contains(endpoint.dataCentre.text()))
+        return none;
     if (auto it = candidates.byRegion.find(endpoint.region.text()); it != candidates.byRegion.end())
         return it->second;
     return candidates.all;
@@ -68,10 +89,17 @@
     uint64_t membersHash = 1;
     for (const auto& [dataCentre, names] : candidates.byDataCentre)
         membersHash = hashOfNames(names, hashOf(dataCentre, membersHash));
+    for (const auto& dataCentre : candidates.partlyKnown)
+        membersHash = hashOf(dataCentre, membersHash);
+    for (const auto& digest : blackboard.distant) {
+        for (const auto& contact : digest.contacts)
+            membersHash = hashOf(contact.address, membersHash);
+    }
     if (membersHash == m_membersHash && m_configuration == blackboard.configuration)
         return false;
     m_membersHash = membersHash;
     m_configuration = blackboard.configuration;
+    notePlaces(blackboard);
     m_viewHashes.clear();
     for (const auto& [dataCentre, names] : candidates.byDataCentre)
         m_viewHashes[DataCentreId(std::string(dataCentre))] = hashOfNames(names, 0);
@@ -90,6 +118,32 @@
     return true;
 }
 
+void Ownership::notePlaces(const Blackboard& blackboard)
+{
+    m_dataCentres.clear();
+    m_addresses.clear();
+    for (const auto& [id, member] : blackboard.members)
+        m_dataCentres[id] = member.dataCentre;
+    for (const auto& digest : blackboard.distant) {
+        for (const auto& contact : digest.contacts) {
+            m_dataCentres[contact.id] = digest.dataCentre;
+            m_addresses[contact.id] = contact.address;
+        }
+    }
+}
+
+std::string Ownership::addressOf(const DaemonId& owner) const
+{
+    auto it = m_addresses.find(owner);
+    return it == m_addresses.end() ? std::string() : it->second;
+}
+
+DataCentreId Ownership::dataCentreOf(const DaemonId& daemon) const
+{
+    auto it = m_dataCentres.find(daemon);
+    return it == m_dataCentres.end() ? DataCentreId() : it->second;
+}
+
 const std::vector<size_t>& Ownership::endpointsOf(const DaemonId& owner) const
 {
     static const std::vector<size_t> none;
--- a/packages/Control/lib/SlotController.cpp
+++ b/packages/Control/lib/SlotController.cpp
@@ -7,7 +7,6 @@
 
 SlotController::SlotController(Blackboard& blackboard, SlotOptions options)
     : m_blackboard(blackboard)
-    , m_options(options)
     , m_owner(blackboard, m_ownership, options)
     , m_holder(blackboard, m_ownership, options)
 {
@@ -15,18 +14,19 @@
 
 void SlotController::refresh(TimePoint now)
 {
-    m_refreshedAt = now;
     if (m_ownership.refresh(m_blackboard))
         m_owner.ownershipChanged(now);
 }
 
-void SlotController::received(const DaemonId& from, const DemandReport& report, TimePoint now)
+void SlotController::received(
+    const DaemonId& from, const std::string& address, const DemandReport& report, TimePoint now)
 {
     refresh(now);
-    m_owner.demandReported(from, report, now);
+    m_owner.demandReported(from, address, report, now);
 }
 
-void SlotController::received(const DaemonId& from, const GrantReport& report, TimePoint now)
+void SlotController::received(
+    const DaemonId& from, const std::string&, const GrantReport& report, TimePoint now)
 {
     refresh(now);
     m_holder.granted(from, report, now);
--- a/packages/Control/lib/SlotHolder.cpp
+++ b/packages/Control/lib/SlotHolder.cpp
@@ -9,12 +9,6 @@
 
 TimePoint fromEcho(int64_t sentAt) { return TimePoint { Duration { sentAt } }; }
 
-uint64_t incarnationOf(const Blackboard& blackboard, const DaemonId& id)
-{
-    auto it = blackboard.members.find(id);
-    return it == blackboard.members.end() ? 0 : it->second.incarnation;
-}
-
 /// Whether the owner must hear of the demand before the next interval: it has grown, or has become urgent.
 bool hasGrown(const std::vector<PoolDemand>& before, const std::vector<PoolDemand>& after)
 {
@@ -99,37 +93,46 @@
 
 void SlotHolder::step(TimePoint now)
 {
+    const bool isQuiet = m_nextWake && now < *m_nextWake && !demandHasChanged();
+    if (isQuiet)
+        return;
     refreshVerdicts(now);
-    const auto inReach = ownersInReach(now);
-    std::erase_if(m_owners, [&](const auto& it) { return !m_blackboard.members.contains(it.first); });
+    std::erase_if(m_owners, [&](const auto& it) { return !m_ownership.all().contains(it.first); });
     std::optional<TimePoint> wake;
-    for (const auto& id : inReach) {
+    for (const auto& id : ownersInReach(now)) {
         auto& owner = m_owners[id];
         auto report = reportTo(id, owner, now);
-        if (isDue(owner, report, now)) {
-            owner.sequence = report.sequence;
-            owner.sentAt = now;
-            owner.owesAcknowledgement = false;
-            owner.lastDemands = report.demands;
-            m_blackboard.outbox.push_back({ id, std::move(report) });
-        }
-        const bool isBusy = !owner.lastDemands.empty() || owner.owesAcknowledgement;
-        const auto due = *owner.sentAt
-            + (owner.owesAcknowledgement ? m_options.acknowledgementGap
-                    : isBusy             ? m_options.busyInterval
-                                         : m_options.idleInterval);
-        wake = wake ? std::min(*wake, due) : due;
+        if (dueAt(owner, report, now) <= now)
+            send(id, owner, report, now);
+        const auto next = dueAt(owner, report, now);
+        wake = wake ? std::min(*wake, next) : next;
     }
-    m_nextWake = wake;
+    m_nextWake = wake.value_or(now + m_options.idleInterval);
+}
+
+/// Notes the demand of all pools, and returns whether it is another than the last time.
+bool SlotHolder::demandHasChanged()
+{
+    std::vector<PoolCounts> demand;
+    for (const auto& pool : m_blackboard.pools)
+        demand.push_back({ pool.waiting, pool.urgent });
+    return std::exchange(m_lastDemand, demand) != demand;
+}
+
+void SlotHolder::send(const DaemonId& to, Owner& owner, const DemandReport& report, TimePoint now)
+{
+    m_lastSequence = report.sequence;
+    owner.sentAt = now;
+    owner.owesAcknowledgement = false;
+    owner.lastDemands = report.demands;
+    m_blackboard.outbox.push_back({ to, report, m_ownership.addressOf(to) });
 }
 
 std::set<DaemonId> SlotHolder::ownersInReach(TimePoint now) const
 {
     std::set<DaemonId> out;
-    for (const auto& [id, member] : m_blackboard.members) {
-        const bool isNear
-            = member.dataCentre == m_blackboard.dataCentre && !m_ownership.endpointsOf(id).empty();
-        if (isNear)
+    for (const auto& [id, endpoints] : m_ownership.all()) {
+        if (m_ownership.dataCentreOf(id) == m_blackboard.dataCentre)
             out.insert(id);
     }
     for (const auto& pool : m_blackboard.pools) {
@@ -188,29 +191,25 @@
     return isFresh ? &verdict->second : nullptr;
 }
 
-bool SlotHolder::isDue(const Owner& owner, const DemandReport& report, TimePoint now) const
+TimePoint SlotHolder::dueAt(const Owner& owner, const DemandReport& report, TimePoint now) const
 {
     if (!owner.sentAt)
-        return true;
-    const auto age = now - *owner.sentAt;
-    if (age < m_options.leastGap)
-        return false;
+        return now;
     if (hasGrown(owner.lastDemands, report.demands))
-        return true;
+        return *owner.sentAt + m_options.leastGap;
     if (owner.owesAcknowledgement)
-        return age >= m_options.acknowledgementGap;
+        return *owner.sentAt + m_options.acknowledgementGap;
     const bool isBusy = !report.demands.empty() || !owner.lastDemands.empty();
-    return age >= (isBusy ? m_options.busyInterval : m_options.idleInterval);
+    return *owner.sentAt + (isBusy ? m_options.busyInterval : m_options.idleInterval);
 }
 
 DemandReport SlotHolder::reportTo(const DaemonId& to, const Owner& owner, TimePoint now) const
 {
-    DemandReport out { .incarnation = incarnationOf(m_blackboard, m_blackboard.self),
-        .sequence = owner.sequence + 1,
+    DemandReport out { .incarnation = m_blackboard.incarnationOf(m_blackboard.self),
+        .sequence = m_lastSequence + 1,
         .grantSeen = owner.grantSeen,
         .sentAt = now.time_since_epoch().count() };
-    if (auto it = m_blackboard.members.find(to); it != m_blackboard.members.end())
-        out.viewHash = m_ownership.viewHash(it->second.dataCentre);
+    out.viewHash = m_ownership.viewHash(m_ownership.dataCentreOf(to));
     std::set<ServiceId> services;
     for (const auto position : m_ownership.endpointsOf(to)) {
         const auto& state = m_blackboard.endpoints[position];
--- /dev/null
+++ b/packages/Control/lib/SlotLedger.cpp
@@ -0,0 +1,110 @@
+// Keeps what entries report and what they were granted.
+#include "lentilbay/Control/SlotLedger.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace lentilbay {
+
+uint32_t totalUse(const UseByRank& uses) { return std::accumulate(uses.begin(), uses.end(), 0U); }
+
+int Commitment::lowestServedRank() const
+{
+    for (int rank = maxTiers - 1; rank > admittedRank; --rank) {
+        if (uses[static_cast<size_t>(rank)] > 0)
+            return rank;
+    }
+    return admittedRank;
+}
+
+bool SlotLedger::hear(
+    const DaemonId& from, const std::string& address, const DemandReport& report, TimePoint now)
+{
+    auto& entry = m_entries[from];
+    const bool restarted = report.incarnation > entry.report.incarnation;
+    const bool isOld = report.incarnation < entry.report.incarnation
+        || (!restarted && report.sequence <= entry.report.sequence);
+    if (isOld)
+        return false;
+    if (restarted)
+        entry = LedgerEntry {};
+    entry.report = report;
+    entry.address = address;
+    entry.heardAt = now;
+    std::erase_if(entry.unacknowledged, [&](const auto& sent) { return sent.sequence <= report.grantSeen; });
+    entry.owesAnswer = true;
+    return true;
+}
+
+void SlotLedger::forgetSilent(TimePoint now)
+{
+    std::erase_if(
+        m_entries, [&](const auto& it) { return now >= it.second.heardAt + m_options.entryForgottenAfter; });
+    for (auto& [id, entry] : m_entries) {
+        std::erase_if(entry.unacknowledged, [&](const auto& sent) { return now >= sent.lapses; });
+        std::erase_if(entry.recalled, [&](const auto& recalled) { return now >= recalled.until; });
+    }
+}
+
+void SlotLedger::noteSent(LedgerEntry& entry, const GrantReport& report, TimePoint now)
+{
+    entry.sentAt = now;
+    entry.owesAnswer = false;
+    entry.unacknowledged.push_back(
+        { report.sequence, entry.heardAt + m_options.grantLifetime, report.grants });
+    entry.last = report;
+}
+
+Commitment SlotLedger::commitmentOf(const LedgerEntry& entry, const EndpointId& endpoint, TimePoint now) const
+{
+    Commitment out;
+    const auto note = [&](uint32_t slots, int rank) {
+        if (slots == 0)
+            return;
+        out.slots = std::max(out.slots, slots);
+        out.admittedRank = std::max(out.admittedRank, std::min(rank, maxTiers - 1));
+    };
+    for (const auto& use : entry.report.uses) {
+        if (use.endpoint != endpoint)
+            continue;
+        for (const auto& it : use.uses) {
+            if (it.rank < maxTiers)
+                out.uses[it.rank] += it.inFlight;
+        }
+        if (now < entry.heardAt + m_options.grantLifetime)
+            note(use.slotsHeld, use.lowestRank);
+    }
+    for (const auto& sent : entry.unacknowledged) {
+        for (const auto& grant : sent.grants) {
+            if (grant.endpoint == endpoint)
+                note(grant.slots, grant.lowestRank);
+        }
+    }
+    out.slots = std::max(out.slots, totalUse(out.uses));
+    return out;
+}
+
+bool SlotLedger::hasHeardAll(const Blackboard& blackboard, TimePoint since) const
+{
+    return std::all_of(blackboard.members.begin(), blackboard.members.end(), [&](const auto& it) {
+        const auto& member = it.second;
+        if (member.status != MemberStatus::Alive || member.dataCentre != blackboard.dataCentre)
+            return true;
+        auto entry = m_entries.find(it.first);
+        return entry != m_entries.end() && entry->second.heardAt >= since;
+    });
+}
+
+bool SlotLedger::viewsAgree(const Blackboard& blackboard, uint64_t view, TimePoint now) const
+{
+    return std::all_of(blackboard.members.begin(), blackboard.members.end(), [&](const auto& it) {
+        const auto& member = it.second;
+        if (member.status == MemberStatus::Dead || member.dataCentre != blackboard.dataCentre)
+            return true;
+        auto entry = m_entries.find(it.first);
+        return entry != m_entries.end() && entry->second.report.viewHash == view
+            && now < entry->second.heardAt + m_options.verdictLifetime;
+    });
+}
+
+} // namespace lentilbay
--- a/packages/Control/lib/SlotOwner.cpp
+++ b/packages/Control/lib/SlotOwner.cpp
@@ -2,67 +2,46 @@
 #include "lentilbay/Control/SlotOwner.h"
 
 #include <algorithm>
-#include <numeric>
 #include <utility>
 
 namespace lentilbay {
 namespace {
 
-uint32_t total(const UseByRank& uses) { return std::accumulate(uses.begin(), uses.end(), 0U); }
-
-int lowestRankInUse(const UseByRank& uses)
-{
-    for (int rank = maxTiers - 1; rank >= 0; --rank) {
-        if (uses[static_cast<size_t>(rank)] > 0)
-            return rank;
-    }
-    return -1;
-}
-
-uint64_t incarnationOf(const Blackboard& blackboard, const DaemonId& id)
-{
-    auto it = blackboard.members.find(id);
-    return it == blackboard.members.end() ? 0 : it->second.incarnation;
-}
-
 /// Whether the entry must hear of the change now rather than with its next report.
 bool differs(const GrantReport& before, const GrantReport& after)
 {
-    if (before.grants.size() != after.grants.size())
+    const auto sameGrant = [](const EndpointGrant& a, const EndpointGrant& b) {
+        return a.endpoint == b.endpoint && a.slots == b.slots && a.lowestRank == b.lowestRank
+            && a.leaving == b.leaving;
+    };
+    if (!std::equal(
+            before.grants.begin(), before.grants.end(), after.grants.begin(), after.grants.end(), sameGrant))
         return true;
-    for (size_t i = 0; i < before.grants.size(); ++i) {
-        const auto& a = before.grants[i];
-        const auto& b = after.grants[i];
-        if (a.endpoint != b.endpoint || a.slots != b.slots || a.lowestRank != b.lowestRank
-            || a.leaving != b.leaving)
-            return true;
-    }
     return std::any_of(
         after.verdicts.begin(), after.verdicts.end(), [](const auto& it) { return it.recall > 0; });
 }
 
+bool offers(const EndpointState& state, const ServiceId& service)
+{
+    const auto& services = state.endpoint.services;
+    return std::find(services.begin(), services.end(), service) != services.end();
+}
+
 } // namespace
 
 SlotOwner::SlotOwner(Blackboard& blackboard, const Ownership& ownership, SlotOptions options)
     : m_blackboard(blackboard)
     , m_ownership(ownership)
     , m_options(options)
+    , m_ledger(options)
 {
 }
 
-void SlotOwner::demandReported(const DaemonId& from, const DemandReport& report, TimePoint now)
+void SlotOwner::demandReported(
+    const DaemonId& from, const std::string& address, const DemandReport& report, TimePoint now)
 {
-    auto& entry = m_entries[from];
-    const bool restarted = report.incarnation > entry.report.incarnation;
-    if (report.incarnation < entry.report.incarnation
-        || (!restarted && report.sequence <= entry.report.sequence))
+    if (!m_ledger.hear(from, address, report, now))
         return;
-    if (restarted)
-        entry = Entry {};
-    entry.report = report;
-    entry.heardAt = now;
-    std::erase_if(entry.unacknowledged, [&](const auto& sent) { return sent.sequence <= report.grantSeen; });
-    entry.owesAnswer = true;
     m_dirty = true;
     m_nextWake = now;
 }
@@ -92,27 +71,16 @@
         return;
     m_dirty = false;
     m_plannedAt = now;
-    forgetSilentEntries(now);
-    const auto domain = this->domain();
-    std::vector<std::vector<Commitment>> commitments;
-    std::vector<uint32_t> spare;
-    const bool maySpare = hasHeardAll(now);
-    for (const auto position : domain.positions)
-        spare.push_back(maySpare ? capacityOf(m_blackboard.endpoints[position]) : 0);
-    for (const auto& [id, entry] : m_entries) {
-        commitments.emplace_back();
-        for (size_t k = 0; k < domain.positions.size(); ++k) {
-            const auto& name = m_blackboard.endpoints[domain.positions[k]].endpoint.name;
-            commitments.back().push_back(commitmentOf(entry, name, now));
-            spare[k] -= std::min(spare[k], commitments.back().back().slots);
-        }
-    }
-    const auto plan = planSlots(problemOf(domain, commitments));
+    m_ledger.forgetSilent(now);
+    std::erase_if(m_holds, [&](const auto& it) { return now >= it.second.until; });
+    const auto domain = domainAt(now);
+    const auto plan = planSlots(problemOf(domain));
     ++m_turn;
     noteRecalls(domain, plan, now);
+    auto spare = spareSlots(domain, now);
     size_t number = 0;
-    for (auto& [id, entry] : m_entries) {
-        auto report = reportFor(number, entry, domain, plan, commitments, spare, now);
+    for (auto& [id, entry] : m_ledger.entries()) {
+        auto report = reportFor(number, entry, domain, plan, spare, now);
         ++number;
         const bool isNews = differs(entry.last, report);
         if (entry.owesAnswer || (isNews && now >= entry.sentAt + m_options.leastGap))
@@ -123,145 +91,103 @@
     planNextWake(now);
 }
 
-SlotOwner::Domain SlotOwner::domain() const
+SlotOwner::Domain SlotOwner::domainAt(TimePoint now)
 {
     Domain out;
-    out.positions = m_ownership.endpointsOf(m_blackboard.self);
-    for (size_t k = 0; k < out.positions.size(); ++k) {
-        const auto& endpoint = m_blackboard.endpoints[out.positions[k]].endpoint;
-        out.endpointNumbers.emplace(endpoint.name, k);
-        for (const auto& service : endpoint.services) {
+    for (const auto position : m_ownership.endpointsOf(m_blackboard.self)) {
+        const auto& state = m_blackboard.endpoints[position];
+        out.endpoints.push_back(&state);
+        out.capacities.push_back(state.leaving ? 0 : state.endpoint.slots);
+        for (const auto& service : state.endpoint.services) {
             if (out.poolNumbers.emplace(service, out.pools.size()).second)
                 out.pools.push_back(service);
         }
     }
+    for (const auto& [id, entry] : m_ledger.entries()) {
+        out.commitments.emplace_back();
+        for (const auto* state : out.endpoints)
+            out.commitments.back().push_back(m_ledger.commitmentOf(entry, state->endpoint.name, now));
+    }
+    noteOccupancy(out, now);
     return out;
 }
 
-void SlotOwner::forgetSilentEntries(TimePoint now)
+/// Requests that nobody has reported take up capacity as well.
+void SlotOwner::noteOccupancy(Domain& domain, TimePoint now)
 {
-    std::erase_if(
-        m_entries, [&](const auto& it) { return now >= it.second.heardAt + m_options.entryForgottenAfter; });
-    for (auto& [id, entry] : m_entries) {
-        std::erase_if(entry.unacknowledged, [&](const auto& sent) { return now >= sent.lapses; });
-        std::erase_if(entry.recalled, [&](const auto& recalled) { return now >= recalled.until; });
+    std::map<EndpointId, EndpointOccupancy> known;
+    for (size_t k = 0; k < domain.endpoints.size(); ++k) {
+        const auto& state = *domain.endpoints[k];
+        auto& occupancy = known[state.endpoint.name] = m_occupancy[state.endpoint.name];
+        uint32_t reported = 0;
+        for (const auto& commitment : domain.commitments)
+            reported += totalUse(commitment[k].uses);
+        occupancy.noteReported(reported, now);
+        occupancy.judge(state.load, now);
+        domain.capacities[k] -= std::min(domain.capacities[k], occupancy.strangers());
     }
-    std::erase_if(m_holds, [&](const auto& it) { return now >= it.second.until; });
+    m_occupancy = std::move(known);
 }
 
-SlotOwner::Commitment SlotOwner::commitmentOf(
-    const Entry& entry, const EndpointId& endpoint, TimePoint now) const
+SlotProblem SlotOwner::problemOf(const Domain& domain) const
 {
-    Commitment out;
-    const auto note = [&](uint32_t slots, int rank) {
-        if (slots == 0)
-            return;
-        out.slots = std::max(out.slots, slots);
-        out.admittedRank = std::max(out.admittedRank, rank);
-    };
-    for (const auto& use : entry.report.uses) {
-        if (use.endpoint != endpoint)
-            continue;
-        for (const auto& it : use.uses) {
-            if (it.rank < maxTiers)
-                out.uses[it.rank] += it.inFlight;
-        }
-        if (now < entry.heardAt + m_options.grantLifetime)
-            note(use.slotsHeld, use.lowestRank);
-    }
-    for (const auto& sent : entry.unacknowledged) {
-        for (const auto& grant : sent.grants) {
-            if (grant.endpoint == endpoint)
-                note(grant.slots, grant.lowestRank);
-        }
+    SlotProblem problem { .pools = domain.pools.size(), .firstTurn = m_turn };
+    for (size_t k = 0; k < domain.endpoints.size(); ++k) {
+        SlotProblem::EndpointCapacity endpoint { .slots = domain.capacities[k] };
+        for (const auto& service : domain.endpoints[k]->endpoint.services)
+            endpoint.pools.push_back(domain.poolNumbers.at(service));
+        problem.endpoints.push_back(std::move(endpoint));
     }
-    out.slots = std::max(out.slots, total(out.uses));
-    return out;
+    for (const auto& [id, entry] : m_ledger.entries())
+        problem.entries.push_back(problemEntryOf(id, entry, domain, problem.entries.size()));
+    return problem;
 }
 
-SlotProblem SlotOwner::problemOf(
-    const Domain& domain, const std::vector<std::vector<Commitment>>& commitments) const
+SlotProblem::Entry SlotOwner::problemEntryOf(
+    const DaemonId& id, const LedgerEntry& entry, const Domain& domain, size_t number) const
 {
-    SlotProblem problem { .pools = domain.pools.size(), .firstTurn = m_turn };
-    for (const auto position : domain.positions) {
-        const auto& state = m_blackboard.endpoints[position];
-        SlotProblem::EndpointCapacity endpoint { .slots = capacityOf(state) };
-        for (const auto& service : state.endpoint.services)
-            endpoint.pools.push_back(domain.poolNumbers.at(service));
-        problem.endpoints.push_back(std::move(endpoint));
+    SlotProblem::Entry out;
+    auto it = m_blackboard.members.find(id);
+    out.takesIdleSlots = it != m_blackboard.members.end() && it->second.status == MemberStatus::Alive
+        && it->second.dataCentre == m_blackboard.dataCentre;
+    for (const auto& demand : entry.report.demands) {
+        auto pool = domain.poolNumbers.find(demand.service);
+        if (pool != domain.poolNumbers.end() && demand.rank < maxTiers)
+            out.demands.push_back({ pool->second, demand.rank, demand.waiting, demand.urgent });
     }
-    size_t number = 0;
-    for (const auto& [id, entry] : m_entries) {
-        SlotProblem::Entry out;
-        auto it = m_blackboard.members.find(id);
-        const bool lives = it != m_blackboard.members.end() && it->second.status == MemberStatus::Alive;
-        out.takesIdleSlots = lives && it->second.dataCentre == m_blackboard.dataCentre;
-        for (const auto& demand : entry.report.demands) {
-            auto pool = domain.poolNumbers.find(demand.service);
-            if (pool != domain.poolNumbers.end() && demand.rank < maxTiers)
-                out.demands.push_back({ pool->second, demand.rank, demand.waiting, demand.urgent });
-        }
-        for (const auto& commitment : commitments[number]) {
-            out.uses.push_back(commitment.uses);
-            out.held.push_back(commitment.slots);
-        }
-        out.recalled.assign(domain.pools.size(), 0);
-        for (const auto& recalled : entry.recalled) {
-            if (auto pool = domain.poolNumbers.find(recalled.service); pool != domain.poolNumbers.end())
-                out.recalled[pool->second] += recalled.slots;
-        }
-        problem.entries.push_back(std::move(out));
-        ++number;
+    for (const auto& commitment : domain.commitments[number]) {
+        out.uses.push_back(commitment.uses);
+        out.held.push_back(commitment.slots);
     }
-    return problem;
+    out.recalled.assign(domain.pools.size(), 0);
+    for (const auto& recalled : entry.recalled) {
+        if (auto pool = domain.poolNumbers.find(recalled.service); pool != domain.poolNumbers.end())
+            out.recalled[pool->second] += recalled.slots;
+    }
+    return out;
 }
 
 void SlotOwner::noteRecalls(const Domain& domain, const SlotPlan& plan, TimePoint now)
 {
     for (const auto& recall : plan.recalls) {
-        auto it = std::next(m_entries.begin(), static_cast<std::ptrdiff_t>(recall.entry));
+        auto it = std::next(m_ledger.entries().begin(), static_cast<std::ptrdiff_t>(recall.entry));
         it->second.recalled.push_back(
             { domain.pools[recall.pool], recall.slots, now + m_options.recallPatience });
     }
 }
 
-uint32_t SlotOwner::capacityOf(const EndpointState& state) const
-{
-    return state.leaving ? 0 : state.endpoint.slots;
-}
-
-/// Whether all live daemons nearby have said what they use since this one became owner. Before that it would
-/// lend slots that are in use.
-bool SlotOwner::hasHeardAll(TimePoint now) const
-{
-    if (now >= m_strangersUntil)
-        return true;
-    return std::all_of(m_blackboard.members.begin(), m_blackboard.members.end(), [&](const auto& it) {
-        const auto& member = it.second;
-        if (member.status != MemberStatus::Alive || member.dataCentre != m_blackboard.dataCentre)
-            return true;
-        auto entry = m_entries.find(it.first);
-        return entry != m_entries.end() && entry->second.heardAt >= m_ownsSince;
-    });
-}
-
-bool SlotOwner::verdictsAreSound(TimePoint now) const
+/// By endpoint: slots that nobody can be holding. A new owner lends nothing before all live daemons nearby
+/// have said what they use.
+std::vector<uint32_t> SlotOwner::spareSlots(const Domain& domain, TimePoint now) const
 {
-    if (now < m_strangersUntil)
-        return false;
-    const auto view = m_ownership.viewHash(m_blackboard.dataCentre);
-    for (const auto& [id, member] : m_blackboard.members) {
-        const bool mayHold
-            = member.status != MemberStatus::Dead && member.dataCentre == m_blackboard.dataCentre;
-        if (!mayHold)
-            continue;
-        auto it = m_entries.find(id);
-        const bool agrees = it != m_entries.end() && it->second.report.viewHash == view
-            && now < it->second.heardAt + m_options.verdictLifetime;
-        if (!agrees)
-            return false;
+    if (now < m_strangersUntil && !m_ledger.hasHeardAll(m_blackboard, m_ownsSince))
+        return std::vector<uint32_t>(domain.endpoints.size(), 0);
+    auto spare = domain.capacities;
+    for (const auto& commitments : domain.commitments) {
+        for (size_t k = 0; k < spare.size(); ++k)
+            spare[k] -= std::min(spare[k], commitments[k].slots);
     }
-    return true;
+    return spare;
 }
 
 int SlotOwner::admittedRankOf(
@@ -276,72 +202,52 @@
     return rank;
 }
 
-GrantReport SlotOwner::reportFor(size_t number, const Entry& entry, const Domain& domain,
-    const SlotPlan& plan, const std::vector<std::vector<Commitment>>& commitments,
-    std::vector<uint32_t>& spare, TimePoint now) const
+GrantReport SlotOwner::reportFor(size_t number, const LedgerEntry& entry, const Domain& domain,
+    const SlotPlan& plan, std::vector<uint32_t>& spare, TimePoint now) const
 {
-    GrantReport report { .incarnation = incarnationOf(m_blackboard, m_blackboard.self),
+    GrantReport report { .incarnation = m_blackboard.incarnationOf(m_blackboard.self),
         .sequence = m_lastSequence + 1,
         .sentAt = entry.report.sentAt };
-    for (size_t k = 0; k < domain.positions.size(); ++k) {
-        const auto& state = m_blackboard.endpoints[domain.positions[k]];
+    for (size_t k = 0; k < domain.endpoints.size(); ++k) {
+        const auto& state = *domain.endpoints[k];
         const auto target = plan.targets[number][k];
-        const auto committed = commitments[number][k].slots;
+        const auto committed = domain.commitments[number][k].slots;
         const auto added = target > committed ? std::min(target - committed, spare[k]) : 0;
         spare[k] -= added;
-        EndpointGrant grant { .endpoint = state.endpoint.name,
-            .slots = state.leaving ? 0 : std::min(target, committed + added),
-            .lowestRank = static_cast<uint8_t>(admittedRankOf(state, domain, plan, now)),
-            .leaving = state.leaving,
-            .loadAgeMilliseconds = EndpointGrant::unknownLoadAge };
-        if (state.load && now - state.load->measuredAt < m_options.loadLifetime) {
-            grant.running = state.load->running;
-            grant.waiting = state.load->waiting;
-            grant.kvTokensUsed = state.load->kvTokensUsed;
-            grant.loadAgeMilliseconds = static_cast<uint32_t>(toMilliseconds(now - state.load->measuredAt));
-        }
-        if (grant.slots > 0 || grant.leaving)
-            report.grants.push_back(std::move(grant));
+        const auto slots = state.leaving ? 0 : std::min(target, committed + added);
+        if (slots > 0 || state.leaving)
+            report.grants.push_back(grantOf(state, slots, admittedRankOf(state, domain, plan, now), now));
     }
-    report.verdicts = verdictsFor(number, entry, domain, plan, commitments, now);
+    report.verdicts = verdictsFor(number, entry, domain, plan, now);
     return report;
 }
 
-std::vector<PoolVerdict> SlotOwner::verdictsFor(size_t number, const Entry& entry, const Domain& domain,
-    const SlotPlan& plan, const std::vector<std::vector<Commitment>>& commitments, TimePoint now) const
+EndpointGrant SlotOwner::grantOf(
+    const EndpointState& state, uint32_t slots, int lowestRank, TimePoint now) const
+{
+    EndpointGrant grant { .endpoint = state.endpoint.name,
+        .slots = slots,
+        .lowestRank = static_cast<uint8_t>(lowestRank),
+        .leaving = state.leaving,
+        .loadAgeMilliseconds = EndpointGrant::unknownLoadAge };
+    if (!state.load || now - state.load->measuredAt >= m_options.loadLifetime)
+        return grant;
+    grant.running = state.load->running;
+    grant.waiting = state.load->waiting;
+    grant.kvTokensUsed = state.load->kvTokensUsed;
+    grant.loadAgeMilliseconds = static_cast<uint32_t>(toMilliseconds(now - state.load->measuredAt));
+    return grant;
+}
+
+std::vector<PoolVerdict> SlotOwner::verdictsFor(
+    size_t number, const LedgerEntry& entry, const Domain& domain, const SlotPlan& plan, TimePoint now) const
 {
     std::vector<PoolVerdict> out;
-    const bool sound = verdictsAreSound(now);
     for (size_t pool = 0; pool < domain.pools.size(); ++pool) {
-        PoolVerdict verdict { .service = domain.pools[pool], .lowestServedRank = -1 };
-        verdict.hasFreeSlot = plan.freeSlots[pool] > 0;
-        for (size_t k = 0; k < domain.positions.size(); ++k) {
-            const auto& services = m_blackboard.endpoints[domain.positions[k]].endpoint.services;
-            if (std::find(services.begin(), services.end(), verdict.service) == services.end())
-                continue;
-            // Grants that leave with this verdict count as well as those that are out.
-            const int admittedNow
-                = admittedRankOf(m_blackboard.endpoints[domain.positions[k]], domain, plan, now);
-            verdict.lowestServedRank
-                = static_cast<int8_t>(std::max<int>(verdict.lowestServedRank, admittedNow));
-            for (const auto& commitment : commitments) {
-                const int lowest = std::max(commitment[k].admittedRank, lowestRankInUse(commitment[k].uses));
-                verdict.lowestServedRank
-                    = static_cast<int8_t>(std::max<int>(verdict.lowestServedRank, lowest));
-            }
-            const auto used = total(commitments[number][k].uses);
-            verdict.hasFreeSlot = verdict.hasFreeSlot || plan.targets[number][k] > used;
-        }
-        if (!sound)
-            verdict.lowestServedRank = maxTiers - 1;
-        for (const auto& recall : plan.recalls) {
-            if (recall.entry != number || recall.pool != pool)
-                continue;
-            verdict.recall += recall.slots;
-            verdict.recallForRank = std::max(verdict.recallForRank, static_cast<uint8_t>(recall.forRank));
-        }
+        auto verdict = verdictOf(pool, number, domain, plan, now);
+        const auto& demands = entry.report.demands;
         const bool concerns = verdict.recall > 0
-            || std::any_of(entry.report.demands.begin(), entry.report.demands.end(),
+            || std::any_of(demands.begin(), demands.end(),
                 [&](const auto& demand) { return demand.service == verdict.service; });
         if (concerns)
             out.push_back(std::move(verdict));
@@ -349,6 +255,44 @@
     return out;
 }
 
+PoolVerdict SlotOwner::verdictOf(
+    size_t pool, size_t number, const Domain& domain, const SlotPlan& plan, TimePoint now) const
+{
+    PoolVerdict verdict { .service = domain.pools[pool], .hasFreeSlot = plan.freeSlots[pool] > 0 };
+    int lowest = -1;
+    for (size_t k = 0; k < domain.endpoints.size(); ++k) {
+        const auto& state = *domain.endpoints[k];
+        if (!offers(state, verdict.service))
+            continue;
+        // Grants that leave with this verdict count as well as those that are out.
+        lowest = std::max(lowest, admittedRankOf(state, domain, plan, now));
+        for (const auto& commitments : domain.commitments)
+            lowest = std::max(lowest, commitments[k].lowestServedRank());
+        const auto used = totalUse(domain.commitments[number][k].uses);
+        verdict.hasFreeSlot = verdict.hasFreeSlot || plan.targets[number][k] > used;
+    }
+    verdict.lowestServedRank
+        = static_cast<int8_t>(isSound(verdict.service, domain, now) ? lowest : maxTiers - 1);
+    for (const auto& recall : plan.recalls) {
+        if (recall.entry != number || recall.pool != pool)
+            continue;
+        verdict.recall += recall.slots;
+        verdict.recallForRank = std::max(verdict.recallForRank, static_cast<uint8_t>(recall.forRank));
+    }
+    return verdict;
+}
+
+/// Whether this owner can know all that the pool's endpoints serve.
+bool SlotOwner::isSound(const ServiceId& service, const Domain& domain, TimePoint now) const
+{
+    const auto view = m_ownership.viewHash(m_blackboard.dataCentre);
+    if (now < m_strangersUntil || !m_ledger.viewsAgree(m_blackboard, view, now))
+        return false;
+    return std::none_of(domain.endpoints.begin(), domain.endpoints.end(), [&](const auto* state) {
+        return offers(*state, service) && m_occupancy.at(state->endpoint.name).strangers() > 0;
+    });
+}
+
 void SlotOwner::holdRanks(const GrantReport& report, TimePoint now)
 {
     for (const auto& verdict : report.verdicts) {
@@ -362,21 +306,18 @@
     }
 }
 
-void SlotOwner::send(const DaemonId& to, Entry& entry, GrantReport report, TimePoint now)
+void SlotOwner::send(const DaemonId& to, LedgerEntry& entry, GrantReport report, TimePoint now)
 {
     holdRanks(report, now);
     m_lastSequence = report.sequence;
-    entry.sentAt = now;
-    entry.owesAnswer = false;
-    entry.unacknowledged.push_back(
-        { report.sequence, entry.heardAt + m_options.grantLifetime, report.grants });
-    entry.last = report;
-    m_blackboard.outbox.push_back({ to, std::move(report) });
+    m_ledger.noteSent(entry, report, now);
+    const bool isMember = m_blackboard.members.contains(to);
+    m_blackboard.outbox.push_back({ to, std::move(report), isMember ? std::string() : entry.address });
 }
 
 void SlotOwner::planNextWake(TimePoint now)
 {
-    if (m_entries.empty())
+    if (m_ledger.entries().empty())
         m_nextWake = std::nullopt;
     else
         m_nextWake = now + (m_dirty ? m_options.leastGap : m_options.busyInterval);
--- a/packages/Control/unittests/SlotFleet.cpp
+++ b/packages/Control/unittests/SlotFleet.cpp
@@ -163,9 +163,9 @@
             continue;
         const auto& from = m_daemons[it.from]->id;
         if (const auto* demand = std::get_if<DemandReport>(&it.message))
-            daemon.slots->received(from, *demand, m_now);
+            daemon.slots->received(from, "", *demand, m_now);
         if (const auto* grant = std::get_if<GrantReport>(&it.message))
-            daemon.slots->received(from, *grant, m_now);
+            daemon.slots->received(from, "", *grant, m_now);
     }
     m_inTransit.insert(
         m_inTransit.end(), std::make_move_iterator(later.begin()), std::make_move_iterator(later.end()));
