Add the whole path: caller, daemon, engine and back, plain and streamed

lentilbayd reads callers with RESTinio, hands the facts of each request to the entry controller and carries out its commands with libcurl on the same Asio thread. libcurl repeats a request silently when a kept connection resets, so the HTTP client asks once before the first byte is written and refuses any second attempt; a raw scripted server in the tests resets, truncates, stalls, redirects and answers 408, 421, 500 and 503, and sees one write for each call. Token streams are relayed by their token index: a stream that breaks is resumed at the same engine, and property tests split and break it anywhere without losing or doubling a token. Until daemons share slots, each daemon grants itself the endpoints' slots and gives no verdict, so that nothing is shed.

--- /dev/null
+++ b/packages/Gateway/lib/CallerServer.cpp
@@ -0,0 +1,239 @@
+// RESTinio behind CallerServer; the only translation unit of the package that includes it.
+#include "lentilbay/Gateway/CallerServer.h"
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <restinio/all.hpp>
+
+namespace lentilbay {
+namespace {
+
+/// How far beyond a limit RESTinio reads, so that the caller hears the code of its fault.
+constexpr uint64_t readBeyondLimit = 4;
+/// RESTinio notices that a caller has left only while it may read the next request.
+constexpr size_t pipelinedRequests = 8;
+constexpr size_t acceptsAtOnce = 4;
+constexpr size_t readBufferBytes = 16'384;
+constexpr auto longestAnswer = std::chrono::hours { 24 };
+
+/// Counters that outlive the server, since write notifications may come after it.
+struct Counters {
+    size_t connections = 0;
+    size_t unwrittenAnswers = 0;
+    bool closeAfterAnswers = false;
+};
+
+struct StateListener {
+    std::shared_ptr<Counters> counters;
+    CallerServer::LeftHandler onLeft;
+
+    void state_changed(const restinio::connection_state::notice_t& notice) noexcept // NOLINT: RESTinio's name
+    {
+        const auto cause = notice.cause();
+        if (restinio::holds_alternative<restinio::connection_state::accepted_t>(cause)) {
+            ++counters->connections;
+            return;
+        }
+        if (!restinio::holds_alternative<restinio::connection_state::closed_t>(cause))
+            return;
+        --counters->connections;
+        onLeft(notice.connection_id());
+    }
+};
+
+struct ServerTraits : restinio::default_single_thread_traits_t {
+    using connection_state_listener_t = StateListener; // NOLINT: RESTinio's name
+    static constexpr bool use_connection_count_limiter = true; // NOLINT: RESTinio's name
+};
+
+using Server = restinio::http_server_t<ServerTraits>;
+using Stream = restinio::response_builder_t<restinio::chunked_output_t>;
+
+restinio::http_status_line_t statusLine(int status)
+{
+    return { restinio::http_status_code_t(static_cast<uint16_t>(status)),
+        http_status_str(static_cast<http_status>(status)) };
+}
+
+template <class Response> void appendFields(Response& response, std::vector<HttpField>& fields)
+{
+    for (auto& [name, value] : fields)
+        response.append_header(std::move(name), std::move(value));
+}
+
+/// Writes one chunk at a time and gathers what comes meanwhile into the next one.
+class RestinioChannel final : public CallerChannel, public std::enable_shared_from_this<RestinioChannel> {
+public:
+    RestinioChannel(restinio::request_handle_t request, std::shared_ptr<Counters> counters)
+        : m_request(std::move(request))
+        , m_counters(std::move(counters))
+    {
+    }
+
+    ~RestinioChannel() override
+    {
+        if (m_stream)
+            --m_counters->unwrittenAnswers;
+    }
+
+    void answer(CallerAnswer answer) override
+    {
+        auto response = m_request->create_response(statusLine(answer.status));
+        if (m_counters->closeAfterAnswers)
+            response.connection_close();
+        appendFields(response, answer.fields);
+        response.set_body(std::move(answer.body));
+        ++m_counters->unwrittenAnswers;
+        response.done([counters = m_counters](const auto&) { --counters->unwrittenAnswers; });
+    }
+
+    void beginStream(std::vector<HttpField> fields) override
+    {
+        m_stream = std::make_unique<Stream>(
+            m_request->create_response<restinio::chunked_output_t>(statusLine(HTTP_STATUS_OK)));
+        if (m_counters->closeAfterAnswers)
+            m_stream->connection_close();
+        appendFields(*m_stream, fields);
+        m_stream->flush();
+        ++m_counters->unwrittenAnswers;
+    }
+
+    void write(std::string_view bytes) override
+    {
+        m_gathered += bytes;
+        if (m_inFlight == 0)
+            flush();
+    }
+
+    void endStream() override
+    {
+        if (!m_gathered.empty())
+            m_stream->append_chunk(std::move(m_gathered));
+        m_gathered.clear();
+        m_stream->done([counters = m_counters](const auto&) { --counters->unwrittenAnswers; });
+        m_stream.reset();
+    }
+
+    size_t backlog() const override { return m_inFlight + m_gathered.size(); }
+
+    void onDrained(std::function<void()> function) override { m_onDrained = std::move(function); }
+
+private:
+    void flush()
+    {
+        m_inFlight = m_gathered.size();
+        m_stream->append_chunk(std::move(m_gathered));
+        m_gathered.clear();
+        m_stream->flush([weak = weak_from_this()](const auto& ec) {
+            if (const auto self = weak.lock(); self && !ec)
+                self->written();
+        });
+    }
+
+    void written()
+    {
+        m_inFlight = 0;
+        if (m_stream && !m_gathered.empty())
+            return flush();
+        if (m_onDrained)
+            m_onDrained();
+    }
+
+    restinio::request_handle_t m_request;
+    std::shared_ptr<Counters> m_counters;
+    std::unique_ptr<Stream> m_stream;
+    std::function<void()> m_onDrained;
+    /// Bytes of the chunk that RESTinio writes now.
+    size_t m_inFlight = 0;
+    std::string m_gathered;
+};
+
+std::string lowerCase(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+    return text;
+}
+
+CallerRequest toRequest(const restinio::request_t& request)
+{
+    const auto& header = request.header();
+    CallerRequest out { .method = header.method().c_str(),
+        .path = std::string(header.path()),
+        .query = std::string(header.query()),
+        .body = request.body(),
+        .connection = request.connection_id() };
+    header.for_each_field([&](const restinio::http_header_field_t& field) {
+        out.fields.emplace_back(lowerCase(field.name()), field.value());
+    });
+    return out;
+}
+
+} // namespace
+
+const std::string* CallerRequest::find(std::string_view name) const
+{
+    const auto it
+        = std::find_if(fields.begin(), fields.end(), [&](const auto& it) { return it.first == name; });
+    return it == fields.end() ? nullptr : &it->second;
+}
+
+struct CallerServer::State {
+    CallerServerOptions options;
+    std::shared_ptr<Counters> counters = std::make_shared<Counters>();
+    uint16_t port = 0;
+    std::unique_ptr<Server> server;
+};
+
+CallerServer::CallerServer(
+    asio::io_context& context, CallerServerOptions options, RequestHandler onRequest, LeftHandler onLeft)
+    : m_state(std::make_shared<State>(State { .options = options }))
+{
+    auto counters = m_state->counters;
+    auto handler = [counters, onRequest = std::move(onRequest)](restinio::request_handle_t request) {
+        auto read = toRequest(*request);
+        onRequest(std::move(read), std::make_shared<RestinioChannel>(std::move(request), counters));
+        return restinio::request_accepted();
+    };
+    auto listener = std::make_shared<StateListener>(StateListener { counters, std::move(onLeft) });
+    m_state->server = std::make_unique<Server>(restinio::external_io_context(context), [&](auto& settings) {
+        settings.address(options.address)
+            .port(options.port)
+            .request_handler(std::move(handler))
+            .connection_state_listener(std::move(listener))
+            .max_parallel_connections(options.maxConnections)
+            .read_next_http_message_timelimit(options.idleTimeout)
+            .write_http_response_timelimit(options.idleTimeout)
+            .handle_request_timeout(longestAnswer)
+            .max_pipelined_requests(pipelinedRequests)
+            .concurrent_accepts_count(acceptsAtOnce)
+            .buffer_size(readBufferBytes)
+            .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t {}
+                                          .max_body_size(options.maxBodyBytes * readBeyondLimit)
+                                          .max_url_size(options.maxFieldBytes * readBeyondLimit)
+                                          .max_field_name_size(options.maxFieldBytes)
+                                          .max_field_value_size(options.maxFieldBytes * readBeyondLimit)
+                                          .max_field_count(options.maxFields * readBeyondLimit))
+            .acceptor_options_setter(
+                [](auto& it) { it.set_option(asio::ip::tcp::acceptor::reuse_address(true)); })
+            .socket_options_setter([](auto& it) { it.set_option(asio::ip::tcp::no_delay(true)); })
+            .acceptor_post_bind_hook([state = m_state.get()](asio::ip::tcp::acceptor& acceptor) {
+                state->port = acceptor.local_endpoint().port();
+            });
+    });
+}
+
+CallerServer::~CallerServer() = default;
+
+void CallerServer::open() { m_state->server->open_sync(); }
+
+void CallerServer::close() { m_state->server->close_sync(); }
+
+void CallerServer::closeAfterAnswers() { m_state->counters->closeAfterAnswers = true; }
+
+uint16_t CallerServer::port() const { return m_state->port; }
+
+size_t CallerServer::connections() const { return m_state->counters->connections; }
+
+size_t CallerServer::unwrittenAnswers() const { return m_state->counters->unwrittenAnswers; }
+
+} // namespace lentilbay
--- /dev/null
+++ b/packages/Platform/unittests/RawServer.cpp
@@ -0,0 +1,120 @@
+#include "RawServer.h"
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+namespace lentilbay {
+
+struct RawServer::Connection : std::enable_shared_from_this<RawServer::Connection> {
+    Connection(RawServer& server, asio::ip::tcp::socket socket)
+        : server(server)
+        , requests(server.m_requests)
+        , socket(std::move(socket))
+    {
+    }
+
+    void read()
+    {
+        socket.async_read_some(
+            asio::buffer(buf), [self = shared_from_this()](const asio::error_code& ec, size_t n) {
+                if (!ec)
+                    self->received(n);
+            });
+    }
+
+    void received(size_t n)
+    {
+        if (!begun) {
+            begun = true;
+            requests->emplace_back();
+            index = requests->size() - 1;
+            if (closeOnNext)
+                return reset();
+        }
+        (*requests)[index].append(buf.data(), n);
+        if (isWhole((*requests)[index]))
+            return answer();
+        read();
+    }
+
+    static bool isWhole(const std::string& request)
+    {
+        const auto end = request.find("\r\n\r\n");
+        if (end == std::string::npos)
+            return false;
+        const auto at = request.find("Content-Length: ");
+        const size_t length = at == std::string::npos ? 0 : std::stoul(request.substr(at + 16));
+        return request.size() >= end + 4 + length;
+    }
+
+    void answer()
+    {
+        begun = false;
+        if (server.m_script.empty())
+            return read(); // a server that stalls
+        current = server.m_script.front();
+        server.m_script.pop_front();
+        closeOnNext = current.closeWhenNextRequestBegins;
+        asio::async_write(socket, asio::buffer(current.bytes),
+            [self = shared_from_this()](const asio::error_code& ec, size_t) {
+                if (!ec)
+                    self->answered();
+            });
+    }
+
+    void answered()
+    {
+        if (current.then == ScriptedAnswer::Then::Reset)
+            return reset();
+        if (current.then == ScriptedAnswer::Then::Close)
+            return socket.close();
+        read();
+    }
+
+    void reset()
+    {
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+    }
+
+    RawServer& server;
+    std::shared_ptr<std::vector<std::string>> requests;
+    asio::ip::tcp::socket socket;
+    std::array<char, 16384> buf {};
+    ScriptedAnswer current;
+    bool begun = false;
+    bool closeOnNext = false;
+    size_t index = 0;
+};
+
+RawServer::RawServer(asio::io_context& context)
+    : m_acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+{
+    accept();
+}
+
+std::string RawServer::url(const std::string& path) const
+{
+    return "http://127.0.0.1:" + std::to_string(port()) + path;
+}
+
+void RawServer::accept()
+{
+    m_acceptor.async_accept([this](const asio::error_code& ec, asio::ip::tcp::socket socket) {
+        if (ec)
+            return;
+        ++m_connections;
+        std::make_shared<Connection>(*this, std::move(socket))->read();
+        accept();
+    });
+}
+
+std::string httpAnswer(int status, const std::string& body, const std::string& fields)
+{
+    return "HTTP/1.1 " + std::to_string(status)
+        + " Scripted\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + fields + "\r\n" + body;
+}
+
+} // namespace lentilbay
--- /dev/null
+++ b/tools/lentilbayd/lib/Daemon.cpp
@@ -0,0 +1,212 @@
+#include "Daemon.h"
+
+#include "lentilbay/Support/Log.h"
+#include "lentilbay/Support/Secret.h"
+#include "lentilbay/Support/SteadyClock.h"
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+#include <vector>
+
+namespace lentilbay {
+namespace {
+
+constexpr Duration longestSleep = std::chrono::seconds { 1 };
+/// How often a leaving daemon looks whether all its answers are written.
+constexpr Duration leavingCheck = std::chrono::milliseconds { 20 };
+
+std::chrono::steady_clock::time_point steadyTime(TimePoint at)
+{
+    return std::chrono::steady_clock::time_point { at.time_since_epoch() };
+}
+
+} // namespace
+
+struct Daemon::State {
+    explicit State(const Settings& settings)
+        : settings(settings)
+        , timer(context)
+        , signals(context, SIGTERM, SIGINT)
+        , client(context, settings.endpoints)
+        , entry(blackboard, { .seed = randomNumber(), .maxWaiting = settings.daemon.maxWaiting })
+    {
+    }
+
+    void wake();
+    void step();
+    void schedule(TimePoint now);
+    void drain();
+    void listenForSignals();
+    bool isFinished(TimePoint now) const;
+    void stop();
+
+    Settings settings;
+    asio::io_context context { 1 };
+    asio::steady_timer timer;
+    asio::signal_set signals;
+    Blackboard blackboard;
+    HttpClient client;
+    EntryController entry;
+    std::vector<std::unique_ptr<DaemonPart>> parts;
+    std::unique_ptr<Gateway> gateway;
+    std::unique_ptr<CallerServer> callers;
+    std::function<void(const KeyedRequest&)> claim;
+    std::vector<std::function<void(const RequestOutcome&)>> finished;
+    bool stepPosted = false;
+    /// When a leaving daemon may stop at the earliest.
+    std::optional<TimePoint> leavesAt;
+};
+
+void Daemon::State::wake()
+{
+    if (std::exchange(stepPosted, true))
+        return;
+    asio::post(context, [this] { step(); });
+}
+
+void Daemon::State::step()
+{
+    stepPosted = false;
+    const auto now = steadyNow();
+    for (const auto& it : parts)
+        it->step(now);
+    entry.step(now);
+    gateway->carryOut();
+    if (isFinished(now))
+        return stop();
+    schedule(now);
+}
+
+void Daemon::State::schedule(TimePoint now)
+{
+    auto wakeAt = now + (leavesAt ? leavingCheck : longestSleep);
+    const auto consider
+        = [&](const std::optional<TimePoint>& at) { wakeAt = std::min(wakeAt, at.value_or(wakeAt)); };
+    for (const auto& it : parts)
+        consider(it->nextWake());
+    consider(entry.nextWake());
+    timer.expires_at(steadyTime(wakeAt));
+    timer.async_wait([this](const asio::error_code& ec) {
+        if (!ec)
+            wake();
+    });
+}
+
+void Daemon::State::drain()
+{
+    if (leavesAt)
+        return;
+    logEvent(Event::DrainStarted, { { "open", static_cast<int64_t>(entry.openRequests()) } });
+    blackboard.draining = true;
+    leavesAt = steadyNow() + settings.daemon.leavingNotice;
+    callers->closeAfterAnswers();
+    wake();
+}
+
+void Daemon::State::listenForSignals()
+{
+    signals.async_wait([this](const asio::error_code& ec, int) {
+        if (ec)
+            return;
+        drain();
+        listenForSignals(); // a second signal cuts nothing off
+    });
+}
+
+bool Daemon::State::isFinished(TimePoint now) const
+{
+    const auto isQuiet = [](const auto& it) { return it->isQuiet(); };
+    return leavesAt && now >= *leavesAt && entry.openRequests() == 0 && gateway->openExchanges() == 0
+        && callers->unwrittenAnswers() == 0 && std::all_of(parts.begin(), parts.end(), isQuiet);
+}
+
+void Daemon::State::stop()
+{
+    logEvent(Event::DaemonStopped);
+    callers->close();
+    context.stop();
+}
+
+Daemon::Daemon(const Settings& settings)
+    : m_state(std::make_unique<State>(settings))
+{
+    auto& state = *m_state;
+    state.blackboard.self = DaemonId(settings.daemon.name);
+    state.blackboard.region = RegionId(settings.daemon.region);
+    state.blackboard.dataCentre = DataCentreId(settings.daemon.dataCentre);
+    state.claim = [this](const KeyedRequest& request) {
+        m_state->entry.claimed(request.id, ClaimResult::Unavailable, steadyNow());
+        wake();
+    };
+    GatewayHooks hooks { .wake = [this] { wake(); },
+        .claim = [this](const KeyedRequest& request) { m_state->claim(request); },
+        .finished =
+            [this](const RequestOutcome& outcome) {
+                for (const auto& it : m_state->finished)
+                    it(outcome);
+            },
+        .callAfter
+        = [this](Duration delay, std::function<void()> function) { callAfter(delay, std::move(function)); } };
+    state.gateway = std::make_unique<Gateway>(
+        state.blackboard, state.entry, state.client, settings.gateway, std::move(hooks));
+    state.callers = std::make_unique<CallerServer>(
+        state.context, settings.callers,
+        [this](CallerRequest request, std::shared_ptr<CallerChannel> channel) {
+            m_state->gateway->arrive(std::move(request), std::move(channel));
+        },
+        [this](ConnectionId connection) { m_state->gateway->callerLeft(connection); });
+}
+
+Daemon::~Daemon() = default;
+
+asio::io_context& Daemon::context() { return m_state->context; }
+Blackboard& Daemon::blackboard() { return m_state->blackboard; }
+EntryController& Daemon::entry() { return m_state->entry; }
+Gateway& Daemon::gateway() { return *m_state->gateway; }
+HttpClient& Daemon::client() { return m_state->client; }
+
+void Daemon::add(std::unique_ptr<DaemonPart> part) { m_state->parts.push_back(std::move(part)); }
+
+void Daemon::setClaim(std::function<void(const KeyedRequest&)> claim) { m_state->claim = std::move(claim); }
+
+void Daemon::onFinished(std::function<void(const RequestOutcome&)> function)
+{
+    m_state->finished.push_back(std::move(function));
+}
+
+void Daemon::wake() { m_state->wake(); }
+
+void Daemon::callAfter(Duration delay, std::function<void()> function)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_state->context, delay);
+    timer->async_wait([timer, function = std::move(function)](const asio::error_code& ec) {
+        if (!ec)
+            function();
+    });
+}
+
+void Daemon::run()
+{
+    m_state->callers->open();
+    m_state->listenForSignals();
+    logEvent(Event::DaemonStarted,
+        { { "daemon", m_state->settings.daemon.name }, { "callers_port", int64_t { callersPort() } } });
+    wake();
+    m_state->context.run();
+}
+
+void Daemon::drain() { m_state->drain(); }
+
+bool Daemon::isReady() const
+{
+    const auto& blackboard = m_state->blackboard;
+    return !blackboard.draining && !blackboard.fenced && blackboard.configuration->version > 0;
+}
+
+uint16_t Daemon::callersPort() const { return m_state->callers->port(); }
+
+} // namespace lentilbay
--- /dev/null
+++ b/tools/lentilbayd/lib/Daemon.h
@@ -0,0 +1,56 @@
+// The daemon: one thread that owns the blackboard, the controllers and all input and output.
+#pragma once
+
+#include "DaemonPart.h"
+#include "Settings.h"
+#include "lentilbay/Control/EntryController.h"
+#include "lentilbay/Gateway/Gateway.h"
+
+#include <functional>
+#include <memory>
+
+namespace asio {
+class io_context;
+}
+
+namespace lentilbay {
+
+class Daemon {
+public:
+    explicit Daemon(const Settings& settings);
+    Daemon(const Daemon&) = delete;
+    Daemon& operator=(const Daemon&) = delete;
+    ~Daemon();
+
+    asio::io_context& context();
+    Blackboard& blackboard();
+    EntryController& entry();
+    Gateway& gateway();
+    HttpClient& client();
+
+    /// Parts step in the order in which they were added, before the entry controller.
+    void add(std::unique_ptr<DaemonPart> part);
+    /// Who claims keyed requests. Without it they are refused as not run.
+    void setClaim(std::function<void(const KeyedRequest&)> claim);
+    /// Calls the function with each request's outcome.
+    void onFinished(std::function<void(const RequestOutcome&)> function);
+
+    /// Something was reported to a part: all parts step after the events that are ready now.
+    void wake();
+    /// Calls the function once after the delay.
+    void callAfter(Duration delay, std::function<void()> function);
+
+    /// Begins to listen and serves until the daemon has left.
+    void run();
+    /// Begins a graceful stop; a second call changes nothing.
+    void drain();
+
+    bool isReady() const;
+    uint16_t callersPort() const;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace lentilbay
--- /dev/null
+++ b/tools/lentilbayd/main/Main.cpp
@@ -0,0 +1,86 @@
+// lentilbayd: reads its settings, checks them and runs the daemon.
+#include "Daemon.h"
+#include "LocalSlots.h"
+#include "lentilbay/Model/ConfigurationText.h"
+#include "lentilbay/Support/Log.h"
+
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+
+DEFINE_string(settings, "", "the settings file (INI)");
+DEFINE_bool(check, false, "check the settings, print what is in force and exit");
+
+namespace {
+
+using namespace lentilbay;
+
+constexpr int exitInvalidSettings = 2;
+constexpr int exitCannotRun = 1;
+
+/// Prints every fault; false where there is one.
+bool report(const Diagnostics& diagnostics)
+{
+    for (const auto& it : diagnostics)
+        std::cerr << printed(it) << '\n';
+    return diagnostics.empty();
+}
+
+/// The configuration of the file named in the settings, as version 1.
+std::shared_ptr<const Configuration> readConfiguration(const std::string& path, Diagnostics& diagnostics)
+{
+    std::ifstream in(path);
+    if (!in) {
+        diagnostics.push_back(
+            { .code = ResultCode::SettingsUnreadable, .file = path, .message = "the file cannot be read" });
+        return nullptr;
+    }
+    std::stringstream text;
+    text << in.rdbuf();
+    auto configuration = std::make_shared<Configuration>(parseConfiguration(text.str(), path, diagnostics));
+    configuration->version = 1;
+    return configuration;
+}
+
+int run(const std::string& path)
+{
+    Diagnostics diagnostics;
+    const auto document = readIniFile(path, diagnostics);
+    const auto settings = parseSettings(document, diagnostics);
+    std::shared_ptr<const Configuration> configuration;
+    if (!settings.configurationFile.empty())
+        configuration = readConfiguration(settings.configurationFile, diagnostics);
+    if (!report(diagnostics))
+        return exitInvalidSettings;
+    if (FLAGS_check) {
+        std::cout << printSettings(settings);
+        return 0;
+    }
+    configureLog(settings.log);
+    Daemon daemon(settings);
+    if (configuration)
+        applyConfiguration(daemon.blackboard(), std::move(configuration));
+    daemon.add(std::make_unique<LocalSlots>(daemon.blackboard()));
+    daemon.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("runs a lentilbay daemon: lentilbayd --settings FILE [--check]");
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_settings.empty()) {
+        std::cerr << "lentilbayd: --settings FILE is required\n";
+        return exitInvalidSettings;
+    }
+    try {
+        return run(FLAGS_settings);
+    } catch (const std::exception& error) {
+        std::cerr << "lentilbayd: " << error.what() << '\n';
+        return exitCannotRun;
+    }
+}
