--- a/cmake/LentilbayPackage.cmake
+++ b/cmake/LentilbayPackage.cmake
@@ -31,4 +31,6 @@
   target_link_libraries(${name}Tests PRIVATE ${ARG_LIBRARIES} GTest::gmock GTest::gtest_main Threads::Threads)
   target_compile_definitions(${name}Tests PRIVATE LENTILBAY_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
   add_test(NAME ${name} COMMAND ${name}Tests)
+  # Properties draw the same cases in each run.
+  set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=1")
 endfunction()
