--- a/packages/Fakes/include/lentilbay/Fakes/EngineModel.h
+++ b/packages/Fakes/include/lentilbay/Fakes/EngineModel.h
@@ -63,7 +63,6 @@
 struct EngineRequest {
     RequestId id;
     std::string model;
-    /// Names the prompt.
     uint64_t digest = 0;
     uint32_t promptTokens = 0;
     std::vector<uint64_t> prefixHashes;
@@ -77,7 +76,6 @@
 struct EngineRecord {
     RequestId id;
     std::string model;
-    uint64_t digest = 0;
     TimePoint arrivedAt {};
     std::optional<TimePoint> firstTokenAt;
     std::optional<TimePoint> endedAt;
--- a/packages/Policy/lib/Routing.cpp
+++ b/packages/Policy/lib/Routing.cpp
@@ -36,8 +36,7 @@
         * candidate.speed.secondsPerPromptToken * slowness;
     const double decode = size(work.answerTokens) * candidate.speed.secondsPerAnswerToken * slowness;
     const double plain = size(work.plainSeconds) * slowness;
-    const double firstToken = way + candidate.prefillAhead + prefill + plain;
-    return { .firstToken = firstToken, .whole = firstToken + decode };
+    return { .firstToken = way + prefill + plain, .whole = way + prefill + plain + decode };
 }
 
 double routeCost(const ExpectedWork& work, const RouteCandidate& candidate, const RouteWeights& weights,
--- a/tools/standins/lib/EngineService.h
+++ b/tools/standins/lib/EngineService.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "HttpServer.h"
-#include "WakeTimer.h"
 #include "lentilbay/Fakes/EngineModel.h"
 
 #include <cstdint>
@@ -20,9 +19,10 @@
     {
     }
 
-    void start(CallAfter callAfter)
+    /// How the service has itself called at a later time; set once before the first request.
+    void setScheduler(std::function<void(Duration, std::function<void()>)> callAfter)
     {
-        m_timer.start(std::move(callAfter), [this] { pump(); });
+        m_callAfter = std::move(callAfter);
     }
 
     void handle(const HttpRequest& request, HttpExchangePtr exchange);
@@ -54,6 +54,7 @@
     std::string recordsJson() const;
 
     void pump();
+    void schedule();
     void deliver(const EngineOutput& output);
     void addToken(Reader& reader, const EngineOutput& output);
     void finish(Reader& reader, const EngineOutput& output);
@@ -62,7 +63,7 @@
     std::string answerOf(const Reader& reader, const EngineOutput& output) const;
 
     EngineModel m_engine;
-    WakeTimer m_timer;
+    std::function<void(Duration, std::function<void()>)> m_callAfter;
     /// By number of the stream.
     std::unordered_map<uint64_t, Reader> m_readers;
     /// Chat or not and digest of each request, for resume.
@@ -72,6 +73,8 @@
         bool chat = false;
     };
     std::unordered_map<std::string, Known> m_known;
+    /// The time of the earliest call that is still to come.
+    std::optional<TimePoint> m_scheduled;
     /// Connections break without an answer while this holds.
     bool m_outage = false;
 };
--- a/tools/standins/lib/HttpServer.cpp
+++ b/tools/standins/lib/HttpServer.cpp
@@ -139,9 +139,7 @@
 
 } // namespace
 
-std::string HttpRequest::header(const std::string& name) const { return findHeader(headers, name); }
-
-std::string findHeader(const std::vector<HttpHeader>& headers, const std::string& name)
+std::string HttpRequest::header(const std::string& name) const
 {
     for (const auto& it : headers) {
         if (sameIgnoringCase(it.name, name))
