--- a/packages/Control/include/lentilbay/Control/EntryController.h
+++ b/packages/Control/include/lentilbay/Control/EntryController.h
@@ -72,8 +72,6 @@
     /// Some cache events of the endpoint did not arrive.
     void cacheEventsMissed(const EndpointId& endpoint, TimePoint now);
 
-    /// An owner calls for slots: so many requests of the rank give way on the service's endpoints.
-    void recall(const ServiceId& service, int rank, uint32_t count, TimePoint now);
     /// The part of the organisation's limits that this daemon may use; the whole until it is said.
     void setLimitShare(const OrganisationId& organisation, LimitShare share, TimePoint now);
 
--- a/packages/Control/include/lentilbay/Control/Ownership.h
+++ b/packages/Control/include/lentilbay/Control/Ownership.h
@@ -4,6 +4,7 @@
 // is none, over those of its region, and then over all. Ownership is a matter of capacity, never of safety.
 #pragma once
 
+#include "lentilbay/Policy/Routing.h"
 #include "lentilbay/Support/Identifier.h"
 
 #include <cstdint>
@@ -17,9 +18,6 @@
 struct Blackboard;
 struct Configuration;
 
-/// How far an endpoint is from this daemon; billed links lie between regions.
-enum class Distance : uint8_t { SameDataCentre, SameRegion, OtherRegion };
-
 class Ownership {
 public:
     /// Looks at the members and the configuration, and works all owners out again if they have changed.
--- a/packages/Control/lib/Entry/Dispatcher.cpp
+++ b/packages/Control/lib/Entry/Dispatcher.cpp
@@ -31,7 +31,7 @@
     if (endpoint.position == noPosition || &endpoint == request.failedEndpoint)
         return false;
     const auto& state = runtime.stateOf(endpoint);
-    if (state.freeSlots(now) == 0 || state.inFlightTotal() >= std::max(1U, endpoint.knee))
+    if (state.freeSlots(now, request.rank) == 0 || state.inFlightTotal() >= std::max(1U, endpoint.knee))
         return false;
     return endpoint.breaker.allows(now) && !endpoint.isStraggler;
 }
@@ -50,7 +50,7 @@
         for (const auto& hit : hits)
             cached = hit.endpoint == endpoint.number ? hit.fraction : cached;
         endpoints[n] = &endpoint;
-        candidates[n++] = candidateOf(endpoint, cached);
+        candidates[n++] = candidateOf(endpoint, cached, now);
     };
     for (const auto& hit : hits) {
         auto* endpoint = runtime.endpointOf(hit.endpoint);
@@ -87,6 +87,10 @@
     }
     takeSlot(request, endpoint);
     endpoint.breaker.sent(now);
+    request.prefillAhead = toSeconds(std::max(endpoint.prefillEndsAt - now, Duration::zero()));
+    const double prefill = request.expected.promptTokens * (1 - request.cachedFraction);
+    endpoint.prefillEndsAt
+        = std::max(now, endpoint.prefillEndsAt) + fromSeconds(prefill * endpoint.speed.secondsPerPromptToken);
     setTimer(request, request.deadline.value_or(TimePoint::max()));
     commands.emplace_back(DispatchCommand { .id = request.arrival.id, .endpoint = endpoint.name });
 }
@@ -127,7 +131,7 @@
         return false;
     const auto latest = latestStart(request, 0);
     const bool mayWait = latest && now + asideFor < *latest;
-    if (mayWait && !isInTime(request, now, predict(request, *endpoint, 0))) {
+    if (mayWait && !isInTime(request, now, predict(request, *endpoint, 0, now))) {
         setAside(request, now + asideFor);
         return true;
     }
@@ -174,7 +178,7 @@
             continue;
         const auto& state = runtime.stateOf(*endpoint);
         const auto* last = pool.ready.last();
-        if (!last || state.freeSlots(now) == 0 || !endpoint->breaker.allows(now))
+        if (!last || state.freeSlots(now, last->rank) == 0 || !endpoint->breaker.allows(now))
             continue;
         auto& request = *bySequence.at(last->sequence);
         const auto usual = predictTimes(request.expected, pool.typical, runtime.weights);
--- a/packages/Control/lib/Entry/Displacement.cpp
+++ b/packages/Control/lib/Entry/Displacement.cpp
@@ -46,7 +46,7 @@
     for (auto* endpoint : request.pool->endpoints) {
         const bool isUseful = !endpoint->isStraggler && endpoint->breaker.allows(now)
             && now < runtime.stateOf(*endpoint).grant.lapses && !runtime.stateOf(*endpoint).leaving
-            && isInTime(request, now, predict(request, *endpoint, 0));
+            && isInTime(request, now, predict(request, *endpoint, 0, now));
         for (const auto* it : endpoint->held) {
             if (it->rank <= request.rank || it->phase == RequestPhase::Cancelling)
                 continue;
@@ -94,23 +94,37 @@
     return true;
 }
 
-void EntryController::State::recall(const ServiceId& service, int rank, uint32_t count, TimePoint now)
+void EntryController::State::setUrgent(OpenRequest& request, bool isUrgent)
 {
-    auto* pool = runtime.findPool(service);
-    if (!pool)
+    auto* pool = blackboard.findPool(request.arrival.service);
+    if (request.isUrgent == isUrgent || !pool)
         return;
-    for (uint32_t i = 0; i < count; ++i) {
-        std::vector<RunningWork> running;
-        for (const auto* endpoint : pool->endpoints) {
-            for (const auto* it : endpoint->held) {
-                if (it->rank == rank && it->phase != RequestPhase::Cancelling)
-                    running.push_back(runningWork(*it, now));
+    request.isUrgent = isUrgent;
+    auto& n = pool->urgent[request.rank];
+    if (isUrgent)
+        ++n;
+    else if (n > 0)
+        --n;
+}
+
+void EntryController::State::meetRecalls(TimePoint now)
+{
+    for (auto& state : blackboard.pools) {
+        const auto recall = std::exchange(state.recall, {});
+        auto* pool = recall.slots > 0 ? runtime.findPool(state.service) : nullptr;
+        for (uint32_t i = 0; pool && i < recall.slots; ++i) {
+            std::vector<RunningWork> running;
+            for (const auto* endpoint : pool->endpoints) {
+                for (const auto* it : endpoint->held) {
+                    if (it->rank > recall.forRank && it->phase != RequestPhase::Cancelling)
+                        running.push_back(runningWork(*it, now));
+                }
             }
+            const auto victim = choosePreempted(running, recall.forRank);
+            if (!victim)
+                break;
+            preempt(*bySequence.at(running[*victim].sequence), now);
         }
-        const auto victim = choosePreempted(running, rank - 1);
-        if (!victim)
-            return;
-        preempt(*bySequence.at(running[*victim].sequence), now);
     }
 }
 
@@ -123,7 +137,7 @@
             Ran::No, now);
         return;
     }
-    displaceFor(request, now);
+    setUrgent(request, !displaceFor(request, now));
     const auto next = now + urgentInterval;
     setTimer(request, request.deadline ? std::min(next, *request.deadline) : next);
 }
@@ -145,7 +159,7 @@
         setTimer(request, now + lateInterval);
         return;
     }
-    const double expected = predict(request, endpoint, 0).firstToken;
+    const double expected = predictRunning(request).firstToken;
     const double elapsed = toSeconds(now - request.dispatchedAt);
     const auto last = request.deadline.value_or(TimePoint::max());
     if (request.firstTokenAt || expected <= 0) {
--- a/packages/Control/lib/Entry/EntryState.h
+++ b/packages/Control/lib/Entry/EntryState.h
@@ -57,8 +57,12 @@
     void boundQueue(PoolRuntime& pool, OpenRequest& arrived, TimePoint now);
 
     // Prediction.cpp: what is expected of a request at an endpoint, and what is learned from it.
-    RouteCandidate candidateOf(const EndpointRuntime& endpoint, double cachedFraction) const;
-    PredictedTimes predict(const OpenRequest& request, const EndpointRuntime& endpoint, double sigmas) const;
+    RouteCandidate candidateOf(const EndpointRuntime& endpoint, double cachedFraction, TimePoint now) const;
+    /// If it is sent there now.
+    PredictedTimes predict(
+        const OpenRequest& request, const EndpointRuntime& endpoint, double sigmas, TimePoint now) const;
+    /// As it was predicted when it was sent to its endpoint.
+    PredictedTimes predictRunning(const OpenRequest& request) const;
     /// The best that any endpoint of its pool could do if it were idle.
     PredictedTimes predictBest(const OpenRequest& request, double sigmas) const;
     bool isInTime(const OpenRequest& request, TimePoint start, const PredictedTimes& times) const;
@@ -92,7 +96,9 @@
     bool displaceFor(OpenRequest& request, TimePoint now);
     OpenRequest* findVictim(const OpenRequest& request, TimePoint now);
     void preempt(OpenRequest& victim, TimePoint now);
-    void recall(const ServiceId& service, int rank, uint32_t count, TimePoint now);
+    void setUrgent(OpenRequest& request, bool isUrgent);
+    /// Preempts what owners call back.
+    void meetRecalls(TimePoint now);
 
     void step(TimePoint now);
 };
--- a/packages/Control/lib/Entry/Lifecycle.cpp
+++ b/packages/Control/lib/Entry/Lifecycle.cpp
@@ -82,6 +82,7 @@
         return;
     }
     countWaiting(request, false);
+    setUrgent(request, false);
 }
 
 void EntryController::State::takeSlot(OpenRequest& request, EndpointRuntime& endpoint)
--- a/packages/Control/lib/Entry/Prediction.cpp
+++ b/packages/Control/lib/Entry/Prediction.cpp
@@ -15,20 +15,29 @@
 } // namespace
 
 RouteCandidate EntryController::State::candidateOf(
-    const EndpointRuntime& endpoint, double cachedFraction) const
+    const EndpointRuntime& endpoint, double cachedFraction, TimePoint now) const
 {
+    const auto ahead = std::max(endpoint.prefillEndsAt - now, Duration::zero());
     return { .speed = endpoint.speed,
         .slowness = endpoint.isStraggler ? endpoint.estimate.slowness() : 1,
         .cachedFraction = cachedFraction,
+        .prefillAhead = toSeconds(ahead),
         .inFlight = static_cast<uint32_t>(endpoint.held.size()),
         .distance = endpoint.distance };
 }
 
 PredictedTimes EntryController::State::predict(
-    const OpenRequest& request, const EndpointRuntime& endpoint, double sigmas) const
+    const OpenRequest& request, const EndpointRuntime& endpoint, double sigmas, TimePoint now) const
 {
-    return predictTimes(
-        request.expected, candidateOf(endpoint, request.cachedFraction), runtime.weights, sigmas);
+    const auto candidate = candidateOf(endpoint, request.cachedFraction, now);
+    return predictTimes(request.expected, candidate, runtime.weights, sigmas);
+}
+
+PredictedTimes EntryController::State::predictRunning(const OpenRequest& request) const
+{
+    auto candidate = candidateOf(*request.endpoint, request.cachedFraction, request.endpoint->prefillEndsAt);
+    candidate.prefillAhead = request.prefillAhead;
+    return predictTimes(request.expected, candidate, runtime.weights);
 }
 
 PredictedTimes EntryController::State::predictBest(const OpenRequest& request, double sigmas) const
@@ -62,7 +71,7 @@
 
 double EntryController::State::remainingSeconds(const OpenRequest& request, TimePoint now) const
 {
-    const auto times = predict(request, *request.endpoint, 0);
+    const auto times = predictRunning(request);
     const double elapsed = toSeconds(now - request.dispatchedAt);
     if (!request.firstTokenAt)
         return std::max(times.whole - elapsed, times.whole - times.firstToken);
@@ -79,14 +88,14 @@
     if (request.phase == RequestPhase::Connecting) {
         // Nothing was written yet, so nothing is lost and any request may be called back.
         out.preemptible = !request.isRevoked;
-        out.remainingSeconds = predict(request, *request.endpoint, 0).whole;
+        out.remainingSeconds = predictRunning(request).whole;
         return out;
     }
     out.remainingSeconds = remainingSeconds(request, now);
     const double tokens = request.expected.promptTokens * (1 - request.cachedFraction);
-    const double seconds = std::max(1e-6, predict(request, *request.endpoint, 0).firstToken);
-    const double done
-        = request.firstTokenAt ? 1 : std::min(1.0, toSeconds(now - request.dispatchedAt) / seconds);
+    const double seconds = std::max(1e-6, predictRunning(request).firstToken - request.prefillAhead);
+    const double elapsed = toSeconds(now - request.dispatchedAt) - request.prefillAhead;
+    const double done = request.firstTokenAt ? 1 : std::clamp(elapsed / seconds, 0.0, 1.0);
     out.prefilledTokens = tokens * done;
     return out;
 }
@@ -94,7 +103,14 @@
 void EntryController::State::observeTokens(OpenRequest& request, uint32_t tokens, TimePoint now)
 {
     if (!request.firstTokenAt) {
+        auto& endpoint = *request.endpoint;
         request.firstTokenAt = now;
+        request.prefillBeganAt = std::max(request.dispatchedAt, endpoint.lastFirstTokenAt);
+        endpoint.lastFirstTokenAt = now;
+        const bool isLast = std::all_of(endpoint.held.begin(), endpoint.held.end(),
+            [](const OpenRequest* it) { return it->firstTokenAt.has_value(); });
+        if (isLast)
+            endpoint.prefillEndsAt = now;
         request.observedAt = now;
         request.answerTokens += tokens;
         request.observedTokens = request.answerTokens;
@@ -133,7 +149,7 @@
         endpoint.estimate.observeDecode(stretch, toSeconds(now - request.observedAt),
             static_cast<uint32_t>(endpoint.held.size()), *endpoint.generation);
     }
-    const double prefill = toSeconds(*request.firstTokenAt - request.dispatchedAt);
+    const double prefill = toSeconds(*request.firstTokenAt - request.prefillBeganAt);
     if (request.reportedCachedTokens) {
         endpoint.estimate.observePrefill(
             request.expected.promptTokens - *request.reportedCachedTokens, prefill, *endpoint.generation);
--- a/packages/Control/lib/Entry/RequestTable.h
+++ b/packages/Control/lib/Entry/RequestTable.h
@@ -67,16 +67,22 @@
     uint32_t failedConnections = 0;
     /// The next look at it, which is also its key in the timers.
     TimePoint timerAt = TimePoint::max();
+    /// Counted in PoolState::urgent: its last chance is near, and nothing here could give way.
+    bool isUrgent = false;
     /// When work of a lower tier was last cancelled on its behalf.
     std::optional<TimePoint> displacedAt;
 
     // How it ran.
     /// The part of the prompt that its endpoint was thought to hold; before the dispatch, the best of all.
     double cachedFraction = 0;
+    /// Seconds of prefill that were ahead of it at its endpoint.
+    double prefillAhead = 0;
     /// What the endpoint said of it in the end.
     std::optional<uint32_t> reportedCachedTokens;
     TimePoint dispatchedAt {};
     std::optional<TimePoint> firstTokenAt;
+    /// When the endpoint is taken to have begun with its prompt.
+    TimePoint prefillBeganAt {};
     uint32_t answerTokens = 0;
     /// The start of the stretch of tokens whose speed is observed next.
     TimePoint observedAt {};
--- a/packages/Control/lib/Entry/Runtime.h
+++ b/packages/Control/lib/Entry/Runtime.h
@@ -38,6 +38,10 @@
     EndpointSpeed speed;
     uint32_t knee = 1;
     bool isStraggler = false;
+    /// When it is expected to have read all prompts that were sent to it.
+    TimePoint prefillEndsAt {};
+    /// When the last of its requests got its first token.
+    TimePoint lastFirstTokenAt {};
     CircuitBreaker breaker;
     std::optional<RetryBudget> retries;
     /// The pools that it belongs to.
--- a/packages/Control/lib/EntryController.cpp
+++ b/packages/Control/lib/EntryController.cpp
@@ -27,6 +27,7 @@
 {
     if (runtime.refresh(now))
         rehome(now);
+    meetRecalls(now);
     runTimers(now);
     planQueues(now);
     dispatchWaiting(now);
@@ -80,7 +81,8 @@
     }
     auto& endpoint = *request->endpoint;
     const auto* state = m_state->blackboard.findEndpointState(endpoint.name);
-    const bool isGranted = state && !state->leaving && now < state->grant.lapses;
+    const bool isGranted
+        = state && !state->leaving && now < state->grant.lapses && request->rank <= state->grant.lowestRank;
     if (!isGranted || request->isRevoked || m_state->blackboard.fenced) {
         m_state->releaseSlot(*request);
         endpoint.breaker.abandoned();
@@ -200,11 +202,6 @@
         m_state->runtime.prefixes.eventsMissed(known->number, now);
 }
 
-void EntryController::recall(const ServiceId& service, int rank, uint32_t count, TimePoint now)
-{
-    m_state->recall(service, rank, count, now);
-}
-
 void EntryController::setLimitShare(const OrganisationId& organisation, LimitShare share, TimePoint now)
 {
     auto& known = m_state->runtime.organisation(organisation, now);
--- a/packages/Control/unittests/DisplacementTest.cpp
+++ b/packages/Control/unittests/DisplacementTest.cpp
@@ -138,12 +138,45 @@
 TEST_F(DisplacementTest, AnOwnersRecallIsMet)
 {
     fillWithBronze();
-    m_entry.recall(ServiceId("edit"), 1, 1, at(10ms));
+    auto& pool = *m_blackboard.findPool(ServiceId("edit"));
+    pool.recall = { .forRank = 0, .slots = 1 };
+    m_entry.step(at(10ms));
     EXPECT_THAT(commands(), ElementsAre("cancel b2 LB-3005"));
-    m_entry.recall(ServiceId("edit"), 0, 1, at(10ms));
+    EXPECT_EQ(pool.recall, SlotRecall {});
+    pool.recall = { .forRank = 1, .slots = 1 };
+    m_entry.step(at(20ms));
     EXPECT_THAT(commands(), IsEmpty());
 }
 
+TEST_F(DisplacementTest, ALowerTierIsNotDispatchedUnderAGrantForHigherTiers)
+{
+    for (auto& it : m_blackboard.endpoints)
+        it.grant.lowestRank = 0;
+    m_entry.step(at(0s));
+    m_entry.arrive(arrival("b1", "bronze"), at(0s));
+    EXPECT_THAT(commands(), IsEmpty());
+    m_entry.arrive(arrival("g1"), at(0s));
+    EXPECT_THAT(commands(), ElementsAre("g1@e1"));
+    m_blackboard.endpoints[0].grant.lowestRank = -1;
+    EXPECT_FALSE(dispatch("g1", at(1ms)));
+}
+
+TEST_F(DisplacementTest, TheOwnersHearOfRequestsForWhichNothingHereCanGiveWay)
+{
+    for (auto& it : m_blackboard.endpoints)
+        it.grant.slots = 0;
+    m_entry.step(at(0s));
+    auto hurried = arrival("g1");
+    hurried.deadline = 2s;
+    m_entry.arrive(hurried, at(0s));
+    const auto& urgent = m_blackboard.findPool(ServiceId("edit"))->urgent;
+    EXPECT_EQ(urgent[0], 0U);
+    run(at(1ms), at(1s));
+    EXPECT_EQ(urgent[0], 1U);
+    run(at(1s), at(2s));
+    EXPECT_EQ(urgent[0], 0U);
+}
+
 TEST_F(DisplacementTest, AFullQueueDisplacesTheLowerTierFirst)
 {
     EntryController entry(m_blackboard, { .maxWaiting = 2 });
--- a/packages/Fakes/include/lentilbay/Fakes/EngineModel.h
+++ b/packages/Fakes/include/lentilbay/Fakes/EngineModel.h
@@ -63,6 +63,7 @@
 struct EngineRequest {
     RequestId id;
     std::string model;
+    /// Names the prompt.
     uint64_t digest = 0;
     uint32_t promptTokens = 0;
     std::vector<uint64_t> prefixHashes;
@@ -76,6 +77,7 @@
 struct EngineRecord {
     RequestId id;
     std::string model;
+    uint64_t digest = 0;
     TimePoint arrivedAt {};
     std::optional<TimePoint> firstTokenAt;
     std::optional<TimePoint> endedAt;
--- a/packages/Fakes/lib/EngineModel.cpp
+++ b/packages/Fakes/lib/EngineModel.cpp
@@ -14,6 +14,7 @@
     advance(now);
     m_records.push_back({ .id = request.id,
         .model = request.model,
+        .digest = request.digest,
         .arrivedAt = now,
         .promptTokens = request.promptTokens,
         .answerTokens = request.answerTokens });
--- a/packages/Platform/unittests/RawServer.cpp
+++ b/packages/Platform/unittests/RawServer.cpp
@@ -1,8 +1,11 @@
 #include "RawServer.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <charconv>
 #include <utility>
 
 namespace lentilbay {
@@ -52,11 +55,24 @@
     void answer()
     {
         begun = false;
-        if (server.m_script.empty())
+        if (server.m_responder) {
+            current = server.m_responder((*requests)[index]);
+        } else if (server.m_script.empty()) {
             return read(); // a server that stalls
-        current = server.m_script.front();
-        server.m_script.pop_front();
+        } else {
+            current = server.m_script.front();
+            server.m_script.pop_front();
+        }
         closeOnNext = current.closeWhenNextRequestBegins;
+        timer.expires_after(current.delay);
+        timer.async_wait([self = shared_from_this()](const asio::error_code& ec) {
+            if (!ec)
+                self->write();
+        });
+    }
+
+    void write()
+    {
         asio::async_write(socket, asio::buffer(current.bytes),
             [self = shared_from_this()](const asio::error_code& ec, size_t) {
                 if (!ec)
@@ -82,6 +98,7 @@
     RawServer& server;
     std::shared_ptr<std::vector<std::string>> requests;
     asio::ip::tcp::socket socket;
+    asio::steady_timer timer { socket.get_executor() };
     std::array<char, 16384> buf {};
     ScriptedAnswer current;
     bool begun = false;
@@ -111,6 +128,25 @@
     });
 }
 
+size_t RawServer::requestsTo(const std::string& begin) const
+{
+    return static_cast<size_t>(std::count_if(
+        m_requests->begin(), m_requests->end(), [&](const auto& it) { return it.starts_with(begin); }));
+}
+
+std::string chunkedAnswer(const std::vector<std::string>& chunks, bool whole)
+{
+    std::string out
+        = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto& it : chunks) {
+        std::array<char, 16> size {};
+        const auto end = std::to_chars(size.data(), size.data() + size.size(), it.size(), 16).ptr;
+        out.append(size.data(), end);
+        out += "\r\n" + it + "\r\n";
+    }
+    return whole ? out + "0\r\n\r\n" : out;
+}
+
 std::string httpAnswer(int status, const std::string& body, const std::string& fields)
 {
     return "HTTP/1.1 " + std::to_string(status)
--- a/packages/Policy/include/lentilbay/Policy/Routing.h
+++ b/packages/Policy/include/lentilbay/Policy/Routing.h
@@ -9,7 +9,7 @@
 
 namespace lentilbay {
 
-/// How far an endpoint is from the entry.
+/// How far an endpoint is from this daemon; billed links lie between regions.
 enum class Distance : uint8_t { SameDataCentre, SameRegion, OtherRegion };
 
 struct RouteWeights {
@@ -41,6 +41,8 @@
     double slowness = 1;
     /// The part of the prompt that it is thought to hold in its cache.
     double cachedFraction = 0;
+    /// Seconds until it has read the prompts that were sent to it before.
+    double prefillAhead = 0;
     uint32_t inFlight = 0;
     Distance distance = Distance::SameDataCentre;
 
--- a/packages/Policy/lib/Routing.cpp
+++ b/packages/Policy/lib/Routing.cpp
@@ -36,7 +36,8 @@
         * candidate.speed.secondsPerPromptToken * slowness;
     const double decode = size(work.answerTokens) * candidate.speed.secondsPerAnswerToken * slowness;
     const double plain = size(work.plainSeconds) * slowness;
-    return { .firstToken = way + prefill + plain, .whole = way + prefill + plain + decode };
+    const double firstToken = way + candidate.prefillAhead + prefill + plain;
+    return { .firstToken = firstToken, .whole = firstToken + decode };
 }
 
 double routeCost(const ExpectedWork& work, const RouteCandidate& candidate, const RouteWeights& weights,
--- /dev/null
+++ b/tools/standins/lib/ApplicationService.cpp
@@ -0,0 +1,107 @@
+// Answers with the call's digest; a call that was refused says so with 503.
+#include "ApplicationService.h"
+
+#include "ControlJson.h"
+#include "lentilbay/Fakes/AnswerText.h"
+
+namespace lentilbay {
+
+using nlohmann::json;
+
+uint64_t callDigest(const std::string& method, const std::string& pathAndQuery, const std::string& body)
+{
+    return promptDigest(method + "\n" + pathAndQuery + "\n" + body);
+}
+
+void ApplicationService::handle(const HttpRequest& request, HttpExchangePtr exchange)
+{
+    try {
+        if (request.path == "/control")
+            return control(request, exchange);
+        if (request.path == "/records")
+            return exchange->replyJson(200, recordsJson());
+        if (m_outage)
+            return exchange->breakConnection();
+        if (request.path == "/load")
+            return exchange->replyJson(200, loadJson());
+        call(request, exchange);
+    } catch (const std::exception& error) {
+        exchange->replyJson(400, errorBody(error.what()));
+    }
+}
+
+void ApplicationService::call(const HttpRequest& request, HttpExchangePtr exchange)
+{
+    const auto target = request.query.empty() ? request.path : request.path + "?" + request.query;
+    const auto record = m_service.submit({ .id = RequestId(request.header("X-Request-Id")),
+                                             .key = request.header("Idempotency-Key"),
+                                             .digest = callDigest(request.method, target, request.body) },
+        steadyNow());
+    if (!record)
+        return exchange->replyJson(503, errorBody("the service refuses new calls"));
+    m_callers.emplace(*record, std::move(exchange));
+    pump();
+}
+
+void ApplicationService::pump()
+{
+    m_service.advance(steadyNow());
+    for (const auto& it : m_service.takeOutputs()) {
+        const auto caller = m_callers.extract(it.record);
+        if (caller.empty())
+            continue;
+        const auto& record = m_service.records()[it.record];
+        if (it.broken)
+            caller.mapped()->breakConnection();
+        else
+            caller.mapped()->replyJson(
+                200, json { { "digest", record.digest }, { "key", record.key } }.dump());
+    }
+    m_timer.wakeAt(m_service.nextWake());
+}
+
+void ApplicationService::control(const HttpRequest& request, HttpExchangePtr exchange)
+{
+    auto body = json::parse(request.body);
+    auto faults = m_service.faults();
+    auto outage = m_outage;
+    takeFault(body, "slow_factor", faults.slowFactor);
+    takeFault(body, "stall", faults.stalled);
+    takeFault(body, "drop_answers", faults.dropAnswers);
+    takeFault(body, "refuse", faults.refuse);
+    takeFault(body, "leaving", faults.leaving);
+    takeMilliseconds(body, "load_lag_ms", faults.loadLag);
+    takeFault(body, "outage", outage);
+    refuseUnknownFaults(body);
+    m_outage = outage;
+    m_service.setFaults(faults, steadyNow());
+    pump();
+    exchange->replyJson(200, "{}");
+}
+
+std::string ApplicationService::loadJson() const
+{
+    const auto now = steadyNow();
+    const auto load = m_service.reportedLoad(now);
+    return json {
+        { "running", load.running }, { "waiting", load.waiting }, { "kv_tokens_used", 0 }, { "kv_tokens", 0 },
+        { "age_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - load.at).count() },
+        { "leaving", m_service.faults().leaving }
+    }.dump();
+}
+
+std::string ApplicationService::recordsJson() const
+{
+    json records = json::array();
+    for (const auto& it : m_service.records())
+        records.push_back({ { "request_id", it.id.text() }, { "key", it.key }, { "digest", it.digest },
+            { "arrived_us", toMicroseconds(it.arrivedAt) }, { "ended_us", toMicroseconds(it.endedAt) },
+            { "executed", it.executed }, { "refused", it.refused }, { "answer_dropped", it.answerDropped } });
+    return json {
+        { "kind", "service" }, { "leaving_since_us", toMicroseconds(m_service.leavingSince()) },
+        { "records", std::move(records) }, { "executions_by_key", m_service.executionsByKey() },
+        { "executions_by_id", m_service.executionsById() }
+    }.dump();
+}
+
+} // namespace lentilbay
--- a/tools/standins/lib/EngineJson.cpp
+++ b/tools/standins/lib/EngineJson.cpp
@@ -1,4 +1,5 @@
 // The JSON that the fake engine writes: chunks, answers, its state and its records.
+#include "ControlJson.h"
 #include "EngineService.h"
 #include "lentilbay/Fakes/AnswerText.h"
 #include "lentilbay/Support/SteadyClock.h"
@@ -19,11 +20,6 @@
         record.promptTokens, tokens, record.promptTokens + tokens, record.prefillCached);
 }
 
-json microseconds(std::optional<TimePoint> at)
-{
-    return at ? json(at->time_since_epoch().count()) : json(nullptr);
-}
-
 std::string_view printed(EngineEnd end)
 {
     switch (end) {
@@ -41,13 +37,13 @@
 
 json toJson(const EngineRecord& record)
 {
-    return { { "request_id", record.id.text() }, { "model", record.model },
-        { "arrived_us", microseconds(record.arrivedAt) },
-        { "first_token_us", microseconds(record.firstTokenAt) }, { "ended_us", microseconds(record.endedAt) },
-        { "prompt_tokens", record.promptTokens }, { "prefill_computed", record.prefillComputed },
-        { "prefill_cached", record.prefillCached }, { "answer_tokens", record.answerTokens },
-        { "tokens_produced", record.tokensProduced }, { "broken_streams", record.brokenStreams },
-        { "end", printed(record.end) } };
+    return { { "request_id", record.id.text() }, { "model", record.model }, { "digest", record.digest },
+        { "arrived_us", toMicroseconds(record.arrivedAt) },
+        { "first_token_us", toMicroseconds(record.firstTokenAt) },
+        { "ended_us", toMicroseconds(record.endedAt) }, { "prompt_tokens", record.promptTokens },
+        { "prefill_computed", record.prefillComputed }, { "prefill_cached", record.prefillCached },
+        { "answer_tokens", record.answerTokens }, { "tokens_produced", record.tokensProduced },
+        { "broken_streams", record.brokenStreams }, { "end", printed(record.end) } };
 }
 
 json toJson(const EngineOrderRecord& record)
@@ -56,24 +52,7 @@
     const auto& order = record.order;
     return { { "fencing", order.fencing }, { "action", actions[static_cast<size_t>(order.action)] },
         { "model", order.model }, { "version", order.version }, { "adapter", order.adapter },
-        { "role", order.role }, { "at_us", microseconds(record.at) }, { "accepted", record.accepted } };
-}
-
-/// Sets a fault from the JSON where it is named, and removes it from there.
-template <class T> void take(json& body, const char* name, T& fault)
-{
-    const auto it = body.find(name);
-    if (it == body.end())
-        return;
-    fault = it->get<T>();
-    body.erase(it);
-}
-
-void takeMilliseconds(json& body, const char* name, Duration& fault)
-{
-    int64_t milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(fault).count();
-    take(body, name, milliseconds);
-    fault = std::chrono::milliseconds(milliseconds);
+        { "role", order.role }, { "at_us", toMicroseconds(record.at) }, { "accepted", record.accepted } };
 }
 
 } // namespace
@@ -154,7 +133,7 @@
     for (const auto& it : m_engine.orderRecords())
         orders.push_back(toJson(it));
     return json {
-        { "kind", "engine" }, { "leaving_since_us", microseconds(m_engine.leavingSince()) },
+        { "kind", "engine" }, { "leaving_since_us", toMicroseconds(m_engine.leavingSince()) },
         { "records", std::move(records) }, { "orders", std::move(orders) }
     }.dump();
 }
@@ -164,19 +143,18 @@
     auto body = json::parse(request.body);
     auto faults = m_engine.faults();
     int64_t resetAfter = faults.resetAfterTokens ? int64_t { *faults.resetAfterTokens } : -1;
-    take(body, "slow_factor", faults.slowFactor);
-    take(body, "stall", faults.stalled);
-    take(body, "reset_after_tokens", resetAfter);
-    take(body, "drop_answers", faults.dropAnswers);
-    take(body, "refuse", faults.refuse);
-    take(body, "leaving", faults.leaving);
-    take(body, "event_gap", faults.eventGap);
+    takeFault(body, "slow_factor", faults.slowFactor);
+    takeFault(body, "stall", faults.stalled);
+    takeFault(body, "reset_after_tokens", resetAfter);
+    takeFault(body, "drop_answers", faults.dropAnswers);
+    takeFault(body, "refuse", faults.refuse);
+    takeFault(body, "leaving", faults.leaving);
+    takeFault(body, "event_gap", faults.eventGap);
     takeMilliseconds(body, "event_delay_ms", faults.eventDelay);
     takeMilliseconds(body, "load_lag_ms", faults.loadLag);
     bool outage = m_outage;
-    take(body, "outage", outage);
-    if (!body.empty())
-        return exchange->replyJson(400, json { { "error", "unknown fault: " + body.begin().key() } }.dump());
+    takeFault(body, "outage", outage);
+    refuseUnknownFaults(body);
     faults.resetAfterTokens
         = resetAfter < 0 ? std::nullopt : std::optional(static_cast<uint32_t>(resetAfter));
     m_outage = outage;
--- a/tools/standins/lib/EngineService.cpp
+++ b/tools/standins/lib/EngineService.cpp
@@ -1,6 +1,7 @@
 // Answers and streams of the fake engine: JSON in, OpenAI-compatible JSON or SSE out.
 #include "EngineService.h"
 
+#include "ControlJson.h"
 #include "PromptText.h"
 #include "lentilbay/Fakes/AnswerText.h"
 #include "lentilbay/Model/PromptPrefix.h"
@@ -18,8 +19,6 @@
 
 constexpr uint32_t defaultAnswerTokens = 64;
 
-json errorBody(std::string message) { return { { "error", { { "message", std::move(message) } } } }; }
-
 } // namespace
 
 void EngineService::handle(const HttpRequest& request, HttpExchangePtr exchange)
@@ -53,9 +52,9 @@
             return exchange->replyJson(200, modelsJson());
         if (request.path == "/orders")
             return order(request, exchange);
-        exchange->replyJson(404, errorBody("unknown path").dump());
+        exchange->replyJson(404, errorBody("unknown path"));
     } catch (const std::exception& error) {
-        exchange->replyJson(400, errorBody(error.what()).dump());
+        exchange->replyJson(400, errorBody(error.what()));
     }
 }
 
@@ -75,7 +74,7 @@
             .answerTokens = answerLength(digest, body.value("max_tokens", defaultAnswerTokens)) },
         steadyNow());
     if (!stream)
-        return exchange->replyJson(503, errorBody("the engine refuses new work").dump());
+        return exchange->replyJson(503, errorBody("the engine refuses new work"));
     m_known[id] = { .model = model, .digest = digest, .chat = chat };
     const bool streams = body.value("stream", false);
     if (streams)
@@ -99,7 +98,7 @@
         ? std::nullopt
         : m_engine.resume(RequestId(id), body.at("from").get<uint32_t>(), steadyNow());
     if (!stream)
-        return exchange->replyJson(404, errorBody("the request is not held").dump());
+        return exchange->replyJson(404, errorBody("the request is not held"));
     exchange->beginStream("text/event-stream");
     m_readers.emplace(*stream,
         Reader { .exchange = std::move(exchange),
@@ -123,7 +122,7 @@
     const auto hash = json::parse(request.body).at("prefix_hash").get<uint64_t>();
     const auto chain = m_engine.exportPrefix(hash);
     if (!chain)
-        return exchange->replyJson(404, errorBody("the prefix is not cached").dump());
+        return exchange->replyJson(404, errorBody("the prefix is not cached"));
     const json reply { { "prefix_hash", hash }, { "tokens", chain->size() * prefixBlockTokens },
         { "data", json(*chain).dump() } };
     exchange->replyJson(200, reply.dump());
@@ -142,7 +141,7 @@
     const auto body = json::parse(request.body);
     const auto action = body.at("action").get<std::string>();
     if (action != "load" && action != "unload" && action != "role")
-        return exchange->replyJson(400, errorBody("unknown action").dump());
+        return exchange->replyJson(400, errorBody("unknown action"));
     const EngineOrder order { .fencing = body.at("fencing").get<uint64_t>(),
         .action = action == "load" ? EngineOrder::Action::Load
             : action == "unload"   ? EngineOrder::Action::Unload
@@ -165,21 +164,7 @@
         if (reader.streams && !reader.text.empty())
             reader.exchange->writeChunk(std::exchange(reader.text, {}));
     }
-    schedule();
-}
-
-void EngineService::schedule()
-{
-    const auto wake = m_engine.nextWake();
-    const auto now = steadyNow();
-    if (!wake || (m_scheduled && *m_scheduled <= *wake && *m_scheduled > now))
-        return;
-    m_scheduled = *wake;
-    m_callAfter(std::max(Duration {}, *wake - now), [this, at = *wake] {
-        if (m_scheduled == at)
-            m_scheduled.reset();
-        pump();
-    });
+    m_timer.wakeAt(m_engine.nextWake());
 }
 
 void EngineService::deliver(const EngineOutput& output)
--- a/tools/standins/lib/EngineService.h
+++ b/tools/standins/lib/EngineService.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "HttpServer.h"
+#include "WakeTimer.h"
 #include "lentilbay/Fakes/EngineModel.h"
 
 #include <cstdint>
@@ -19,10 +20,9 @@
     {
     }
 
-    /// How the service has itself called at a later time; set once before the first request.
-    void setScheduler(std::function<void(Duration, std::function<void()>)> callAfter)
+    void start(CallAfter callAfter)
     {
-        m_callAfter = std::move(callAfter);
+        m_timer.start(std::move(callAfter), [this] { pump(); });
     }
 
     void handle(const HttpRequest& request, HttpExchangePtr exchange);
@@ -54,7 +54,6 @@
     std::string recordsJson() const;
 
     void pump();
-    void schedule();
     void deliver(const EngineOutput& output);
     void addToken(Reader& reader, const EngineOutput& output);
     void finish(Reader& reader, const EngineOutput& output);
@@ -63,7 +62,7 @@
     std::string answerOf(const Reader& reader, const EngineOutput& output) const;
 
     EngineModel m_engine;
-    std::function<void(Duration, std::function<void()>)> m_callAfter;
+    WakeTimer m_timer;
     /// By number of the stream.
     std::unordered_map<uint64_t, Reader> m_readers;
     /// Chat or not and digest of each request, for resume.
@@ -73,8 +72,6 @@
         bool chat = false;
     };
     std::unordered_map<std::string, Known> m_known;
-    /// The time of the earliest call that is still to come.
-    std::optional<TimePoint> m_scheduled;
     /// Connections break without an answer while this holds.
     bool m_outage = false;
 };
--- a/tools/standins/lib/HttpServer.cpp
+++ b/tools/standins/lib/HttpServer.cpp
@@ -139,7 +139,9 @@
 
 } // namespace
 
-std::string HttpRequest::header(const std::string& name) const
+std::string HttpRequest::header(const std::string& name) const { return findHeader(headers, name); }
+
+std::string findHeader(const std::vector<HttpHeader>& headers, const std::string& name)
 {
     for (const auto& it : headers) {
         if (sameIgnoringCase(it.name, name))
--- a/tools/standins/lib/HttpServer.h
+++ b/tools/standins/lib/HttpServer.h
@@ -19,6 +19,9 @@
     std::string value;
 };
 
+/// The value of the header whatever the case of its name, or empty.
+std::string findHeader(const std::vector<HttpHeader>& headers, const std::string& name);
+
 struct HttpRequest {
     /// "GET", "POST", ...
     std::string method;
@@ -29,7 +32,6 @@
     std::vector<HttpHeader> headers;
     std::string body;
 
-    /// The value of the header whatever the case of its name, or empty.
     std::string header(const std::string& name) const;
     /// The value of a query parameter, or empty.
     std::string parameter(const std::string& name) const;
--- a/tools/standins/main/EngineMain.cpp
+++ b/tools/standins/main/EngineMain.cpp
@@ -1,9 +1,8 @@
 // engine-standin: a model engine's HTTP interface over a fake engine, for tests and the quickstart.
 #include "EngineService.h"
+#include "RunStandIn.h"
 
-#include <cstdio>
 #include <gflags/gflags.h>
-#include <iostream>
 
 DEFINE_int32(port, 0, "port on 127.0.0.1; 0 takes a free one and prints it");
 DEFINE_double(prefill_tokens_per_second, 20'000, "prompt tokens read in a second");
@@ -18,26 +17,12 @@
 {
     gflags::SetUsageMessage("a model engine for tests: engine-standin --port N");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    try {
-        lentilbay::EngineService service({ .prefillTokensPerSecond = FLAGS_prefill_tokens_per_second,
-            .decodeStep = std::chrono::microseconds(FLAGS_decode_step_us),
-            .knee = static_cast<uint32_t>(FLAGS_knee),
-            .slowdownPastKnee = FLAGS_slowdown_past_knee,
-            .maxRunning = static_cast<uint32_t>(FLAGS_max_running),
-            .kvTokens = static_cast<uint64_t>(FLAGS_kv_tokens),
-            .checksFencing = FLAGS_checks_fencing });
-        lentilbay::HttpServer server(static_cast<uint16_t>(FLAGS_port),
-            [&](const lentilbay::HttpRequest& request, lentilbay::HttpExchangePtr exchange) {
-                service.handle(request, std::move(exchange));
-            });
-        service.setScheduler([&](lentilbay::Duration delay, std::function<void()> function) {
-            server.callAfter(delay, std::move(function));
-        });
-        std::cout << "listening on 127.0.0.1:" << server.port() << std::endl;
-        server.run();
-    } catch (const std::exception& error) {
-        std::cerr << "engine-standin: " << error.what() << '\n';
-        return 1;
-    }
-    return 0;
+    lentilbay::EngineService service({ .prefillTokensPerSecond = FLAGS_prefill_tokens_per_second,
+        .decodeStep = std::chrono::microseconds(FLAGS_decode_step_us),
+        .knee = static_cast<uint32_t>(FLAGS_knee),
+        .slowdownPastKnee = FLAGS_slowdown_past_knee,
+        .maxRunning = static_cast<uint32_t>(FLAGS_max_running),
+        .kvTokens = static_cast<uint64_t>(FLAGS_kv_tokens),
+        .checksFencing = FLAGS_checks_fencing });
+    return lentilbay::runStandIn("engine-standin", FLAGS_port, service);
 }
