Put the sharing of slots in force in the daemon

Cause: the daemon gave itself every slot without knowing of others, and gave no verdict, so nothing could be shed. Change: the daemon runs the control plane (membership, slots, entry) in place of a bare entry controller; it asks the endpoints that it owns for their load once a second. LocalSlots is gone: a daemon without a fleet owns all endpoints. Conclusion: links between daemons plug in at setPeerLink() and ControlPlane::receive().

--- a/packages/Control/include/lentilbay/Control/ControlPlane.h
+++ b/packages/Control/include/lentilbay/Control/ControlPlane.h
@@ -38,6 +38,7 @@
     std::vector<OutgoingMessage> takeMessages();
 
     EntryController& entry() { return m_entry; }
+    const EntryController& entry() const { return m_entry; }
     MembershipController& membership() { return m_membership; }
     SlotController& slots() { return m_slots; }
 
--- a/tools/lentilbayd/lib/Daemon.cpp
+++ b/tools/lentilbayd/lib/Daemon.cpp
@@ -24,15 +24,29 @@
     return std::chrono::steady_clock::time_point { at.time_since_epoch() };
 }
 
+/// A blackboard that knows whose it is.
+Blackboard placed(const DaemonSettings& settings)
+{
+    Blackboard blackboard;
+    blackboard.self = DaemonId(settings.name);
+    blackboard.region = RegionId(settings.region);
+    blackboard.dataCentre = DataCentreId(settings.dataCentre);
+    return blackboard;
+}
+
 } // namespace
 
 struct Daemon::State {
-    explicit State(const Settings& settings)
+    State(const Settings& settings, MembershipOptions membership)
         : settings(settings)
         , timer(context)
         , signals(context, SIGTERM, SIGINT)
+        , blackboard(placed(settings.daemon))
         , client(context, settings.endpoints)
-        , entry(blackboard, { .seed = randomNumber(), .maxWaiting = settings.daemon.maxWaiting })
+        , plane(blackboard,
+              { .entry = { .seed = randomNumber(), .maxWaiting = settings.daemon.maxWaiting },
+                  .membership = std::move(membership) },
+              steadyNow())
     {
     }
 
@@ -50,7 +64,8 @@
     asio::signal_set signals;
     Blackboard blackboard;
     HttpClient client;
-    EntryController entry;
+    ControlPlane plane;
+    std::function<void(std::vector<OutgoingMessage>)> peerLink;
     std::vector<std::unique_ptr<DaemonPart>> parts;
     std::unique_ptr<Gateway> gateway;
     std::unique_ptr<CallerServer> callers;
@@ -74,8 +89,10 @@
     const auto now = steadyNow();
     for (const auto& it : parts)
         it->step(now);
-    entry.step(now);
+    plane.step(now);
     gateway->carryOut();
+    if (auto messages = plane.takeMessages(); peerLink)
+        peerLink(std::move(messages));
     if (isFinished(now))
         return stop();
     schedule(now);
@@ -88,7 +105,7 @@
         = [&](const std::optional<TimePoint>& at) { wakeAt = std::min(wakeAt, at.value_or(wakeAt)); };
     for (const auto& it : parts)
         consider(it->nextWake());
-    consider(entry.nextWake());
+    consider(plane.nextWake());
     timer.expires_at(steadyTime(wakeAt));
     timer.async_wait([this](const asio::error_code& ec) {
         if (!ec)
@@ -100,9 +117,11 @@
 {
     if (leavesAt)
         return;
-    logEvent(Event::DrainStarted, { { "open", static_cast<int64_t>(entry.openRequests()) } });
+    logEvent(Event::DrainStarted, { { "open", static_cast<int64_t>(plane.entry().openRequests()) } });
     blackboard.draining = true;
-    leavesAt = steadyNow() + settings.daemon.leavingNotice;
+    const auto now = steadyNow();
+    plane.membership().announceLeaving(now);
+    leavesAt = now + settings.daemon.leavingNotice;
     callers->closeAfterAnswers();
     wake();
 }
@@ -120,26 +139,26 @@
 bool Daemon::State::isFinished(TimePoint now) const
 {
     const auto isQuiet = [](const auto& it) { return it->isQuiet(); };
-    return leavesAt && now >= *leavesAt && entry.openRequests() == 0 && gateway->openExchanges() == 0
+    return leavesAt && now >= *leavesAt && plane.entry().openRequests() == 0 && gateway->openExchanges() == 0
         && callers->unwrittenAnswers() == 0 && std::all_of(parts.begin(), parts.end(), isQuiet);
 }
 
 void Daemon::State::stop()
 {
     logEvent(Event::DaemonStopped);
+    plane.membership().announceStopped(steadyNow());
+    if (peerLink)
+        peerLink(plane.takeMessages());
     callers->close();
     context.stop();
 }
 
-Daemon::Daemon(const Settings& settings)
-    : m_state(std::make_unique<State>(settings))
+Daemon::Daemon(const Settings& settings, MembershipOptions membership)
+    : m_state(std::make_unique<State>(settings, std::move(membership)))
 {
     auto& state = *m_state;
-    state.blackboard.self = DaemonId(settings.daemon.name);
-    state.blackboard.region = RegionId(settings.daemon.region);
-    state.blackboard.dataCentre = DataCentreId(settings.daemon.dataCentre);
     state.claim = [this](const KeyedRequest& request) {
-        m_state->entry.claimed(request.id, ClaimResult::Unavailable, steadyNow());
+        m_state->plane.entry().claimed(request.id, ClaimResult::Unavailable, steadyNow());
         wake();
     };
     GatewayHooks hooks { .wake = [this] { wake(); },
@@ -152,7 +171,7 @@
         .callAfter
         = [this](Duration delay, std::function<void()> function) { callAfter(delay, std::move(function)); } };
     state.gateway = std::make_unique<Gateway>(
-        state.blackboard, state.entry, state.client, settings.gateway, std::move(hooks));
+        state.blackboard, state.plane.entry(), state.client, settings.gateway, std::move(hooks));
     state.callers = std::make_unique<CallerServer>(
         state.context, settings.callers,
         [this](CallerRequest request, std::shared_ptr<CallerChannel> channel) {
@@ -165,7 +184,8 @@
 
 asio::io_context& Daemon::context() { return m_state->context; }
 Blackboard& Daemon::blackboard() { return m_state->blackboard; }
-EntryController& Daemon::entry() { return m_state->entry; }
+ControlPlane& Daemon::plane() { return m_state->plane; }
+EntryController& Daemon::entry() { return m_state->plane.entry(); }
 Gateway& Daemon::gateway() { return *m_state->gateway; }
 HttpClient& Daemon::client() { return m_state->client; }
 
@@ -173,6 +193,11 @@
 
 void Daemon::setClaim(std::function<void(const KeyedRequest&)> claim) { m_state->claim = std::move(claim); }
 
+void Daemon::setPeerLink(std::function<void(std::vector<OutgoingMessage>)> send)
+{
+    m_state->peerLink = std::move(send);
+}
+
 void Daemon::onFinished(std::function<void(const RequestOutcome&)> function)
 {
     m_state->finished.push_back(std::move(function));
--- a/tools/lentilbayd/lib/Daemon.h
+++ b/tools/lentilbayd/lib/Daemon.h
@@ -3,11 +3,12 @@
 
 #include "DaemonPart.h"
 #include "Settings.h"
-#include "lentilbay/Control/EntryController.h"
+#include "lentilbay/Control/ControlPlane.h"
 #include "lentilbay/Gateway/Gateway.h"
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace asio {
 class io_context;
@@ -17,24 +18,29 @@
 
 class Daemon {
 public:
-    explicit Daemon(const Settings& settings);
+    /// The membership's options say how others reach this daemon and whom it tries first.
+    explicit Daemon(const Settings& settings, MembershipOptions membership = {});
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
     ~Daemon();
 
     asio::io_context& context();
     Blackboard& blackboard();
+    ControlPlane& plane();
     EntryController& entry();
     Gateway& gateway();
     HttpClient& client();
 
-    /// Parts step in the order in which they were added, before the entry controller.
+    /// Parts step in the order in which they were added, before the control plane.
     void add(std::unique_ptr<DaemonPart> part);
     /// Who claims keyed requests. Without it they are refused as not run.
     void setClaim(std::function<void(const KeyedRequest&)> claim);
     /// Calls the function with each request's outcome.
     void onFinished(std::function<void(const RequestOutcome&)> function);
 
+    /// Who carries messages to other daemons. Without it they are dropped.
+    void setPeerLink(std::function<void(std::vector<OutgoingMessage>)> send);
+
     /// Something was reported to a part: all parts step after the events that are ready now.
     void wake();
     /// Calls the function once after the delay.
--- a/tools/lentilbayd/main/Main.cpp
+++ b/tools/lentilbayd/main/Main.cpp
@@ -1,8 +1,9 @@
 // lentilbayd: reads its settings, checks them and runs the daemon.
 #include "Daemon.h"
-#include "LocalSlots.h"
+#include "EndpointLoads.h"
 #include "lentilbay/Model/ConfigurationText.h"
 #include "lentilbay/Support/Log.h"
+#include "lentilbay/Support/SteadyClock.h"
 
 #include <fstream>
 #include <gflags/gflags.h>
@@ -58,10 +59,13 @@
         return 0;
     }
     configureLog(settings.log);
-    Daemon daemon(settings);
+    // The wall clock's microseconds tell apart the processes that run under one name.
+    MembershipOptions membership { .incarnation
+        = static_cast<uint64_t>(wallNow().time_since_epoch().count()) };
+    Daemon daemon(settings, std::move(membership));
     if (configuration)
         applyConfiguration(daemon.blackboard(), std::move(configuration));
-    daemon.add(std::make_unique<LocalSlots>(daemon.blackboard()));
+    daemon.add(std::make_unique<EndpointLoads>(daemon));
     daemon.run();
     return 0;
 }
