Put membership and links in force in lentilbayd

The daemon had no peers: its outbox went nowhere. With a [peers] section it now binds its address for UDP and TCP, hands packets to the control plane and logs what membership concludes; without one it stands alone. The incarnation is the wall clock's microseconds at the start.

--- a/packages/Fleet/include/lentilbay/Fleet/PeerSettings.h
+++ b/packages/Fleet/include/lentilbay/Fleet/PeerSettings.h
@@ -26,6 +26,9 @@
 /// Reads the section; every fault is added to the diagnostics. Without the section the daemon stands alone.
 PeerSettings readPeerSettings(const IniDocument& document, Diagnostics& diagnostics);
 
+/// What is in force, as INI text; of the keys only their ids, in a comment.
+std::string printPeerSettings(const PeerSettings& settings);
+
 /// Whether the text is an IP number and a port, such as "127.0.0.1:7000" or "[::1]:7000".
 bool isPeerAddress(const std::string& text);
 
--- a/packages/Fleet/lib/PeerSettings.cpp
+++ b/packages/Fleet/lib/PeerSettings.cpp
@@ -108,11 +108,26 @@
     settings.cluster = reader.text("cluster", settings.cluster);
     settings.keys = readKeys(reader);
     const Range<uint64_t> allowed { 0, maxBytesPerSecond };
-    settings.bytesPerSecond = { reader.size("data-centre-bytes-per-second", 0, allowed),
-        reader.size("region-bytes-per-second", 0, allowed),
-        reader.size("inter-region-bytes-per-second", 0, allowed) };
+    settings.bytesPerSecond = { reader.size("data_centre_bytes_per_second", 0, allowed),
+        reader.size("region_bytes_per_second", 0, allowed),
+        reader.size("inter_region_bytes_per_second", 0, allowed) };
     reader.reportUnknownKeys();
     return settings;
 }
 
+std::string printPeerSettings(const PeerSettings& settings)
+{
+    if (settings.address.empty())
+        return "";
+    auto out = fmt::format("\n[peers]\naddress = {}\nseeds = {}\ncluster = {}\n", settings.address,
+        fmt::join(settings.seeds, ", "), settings.cluster);
+    const auto& rates = settings.bytesPerSecond;
+    out += fmt::format("data_centre_bytes_per_second = {}B\nregion_bytes_per_second = {}B\n"
+                       "inter_region_bytes_per_second = {}B\n",
+        rates[0], rates[1], rates[2]);
+    for (const auto& it : settings.keys)
+        out += fmt::format("; key {} is set\n", it.id);
+    return out;
+}
+
 } // namespace lentilbay
--- a/packages/Fleet/unittests/PeerSettingsTest.cpp
+++ b/packages/Fleet/unittests/PeerSettingsTest.cpp
@@ -13,7 +13,7 @@
     Diagnostics diagnostics;
     const auto document = parseIni("[peers]\naddress = 127.0.0.1:7000\nseeds = 127.0.0.1:7001, [::1]:7002\n"
                                    "cluster = north\nkeys = 2:"
-            + secret + ", 1:" + secret + "\ninter-region-bytes-per-second = 4KiB\n",
+            + secret + ", 1:" + secret + "\ninter_region_bytes_per_second = 4KiB\n",
         "x.ini", diagnostics);
     const auto settings = readPeerSettings(document, diagnostics);
     EXPECT_TRUE(diagnostics.empty());
@@ -24,6 +24,9 @@
     EXPECT_EQ(settings.keys[0].id, 2);
     EXPECT_EQ(settings.keys[0].secret, std::string(32, '\xaa'));
     EXPECT_EQ(settings.bytesPerSecond[2], 4096U);
+    const auto printed = printPeerSettings(settings);
+    EXPECT_NE(printed.find("inter_region_bytes_per_second = 4096B"), std::string::npos);
+    EXPECT_EQ(printed.find(secret), std::string::npos);
 }
 
 TEST(PeerSettings, WithoutTheSectionTheDaemonStandsAlone)
--- a/tools/lentilbayd/lib/Settings.cpp
+++ b/tools/lentilbayd/lib/Settings.cpp
@@ -21,8 +21,8 @@
 constexpr Range<Duration> timeoutRange { milliseconds { 10 }, hours { 1 } };
 constexpr int64_t maxPort = 65'535;
 
-const std::array<std::string_view, 7> knownSections { "daemon", "callers", "endpoints", "answers", "admin",
-    "log", "configuration" };
+const std::array<std::string_view, 8> knownSections { "daemon", "callers", "endpoints", "answers", "admin",
+    "log", "configuration", "peers" };
 
 /// A name that may stand in identifiers, paths and headers.
 std::string readName(SectionReader& reader, const std::string& key)
--- a/tools/lentilbayd/main/Main.cpp
+++ b/tools/lentilbayd/main/Main.cpp
@@ -1,8 +1,10 @@
 // lentilbayd: reads its settings, checks them and runs the daemon.
 #include "Daemon.h"
 #include "EndpointLoads.h"
+#include "Peers.h"
 #include "lentilbay/Model/ConfigurationText.h"
 #include "lentilbay/Support/Log.h"
+#include "lentilbay/Support/Secret.h"
 #include "lentilbay/Support/SteadyClock.h"
 
 #include <fstream>
@@ -49,23 +51,25 @@
     Diagnostics diagnostics;
     const auto document = readIniFile(path, diagnostics);
     const auto settings = parseSettings(document, diagnostics);
+    const auto peers = readPeerSettings(document, diagnostics);
     std::shared_ptr<const Configuration> configuration;
     if (!settings.configurationFile.empty())
         configuration = readConfiguration(settings.configurationFile, diagnostics);
     if (!report(diagnostics))
         return exitInvalidSettings;
     if (FLAGS_check) {
-        std::cout << printSettings(settings);
+        std::cout << printSettings(settings) << printPeerSettings(peers);
         return 0;
     }
     configureLog(settings.log);
     // The wall clock's microseconds tell apart the processes that run under one name.
-    MembershipOptions membership { .incarnation
-        = static_cast<uint64_t>(wallNow().time_since_epoch().count()) };
-    Daemon daemon(settings, std::move(membership));
+    const auto incarnation = static_cast<uint64_t>(wallNow().time_since_epoch().count());
+    Daemon daemon(settings, membershipOptionsOf(peers, randomNumber(), incarnation));
     if (configuration)
         applyConfiguration(daemon.blackboard(), std::move(configuration));
     daemon.add(std::make_unique<EndpointLoads>(daemon));
+    if (!peers.address.empty())
+        daemon.add(std::make_unique<Peers>(daemon, peers));
     daemon.run();
     return 0;
 }
