Give the test of a passing deadline one that can be met at first

The test asks for two tokens within 300 ms, which is dispatched and then passes while the engine stalls; what it requires is unchanged.

--- a/packages/Gateway/unittests/GatewayTest.cpp
+++ b/packages/Gateway/unittests/GatewayTest.cpp
@@ -446,8 +446,9 @@
 
 TEST_F(GatewayTest, ADeadlineThatPassesIsToldAtOnceAndTheWorkIsCancelled)
 {
-    const auto channel
-        = send(testRequest("POST", "/v1/chat/completions", streamedChat, { { "lentilbay-deadline", "20" } }));
+    const auto channel = send(testRequest("POST", "/v1/chat/completions",
+        R"({"model":"m1","stream":true,"max_tokens":2,"messages":[{"role":"user","content":"hi"}]})",
+        { { "lentilbay-deadline", "300" } }));
     engine.script({ .bytes = chunkedAnswer(chunks(0, 2, 8), false) });
     runUntil([&] { return channel->answers == 1; });
     EXPECT_EQ(gateway.openExchanges(), 1U) << "the caller is told while the engine has not answered yet";
