--- a/packages/Control/include/lentilbay/Control/Blackboard.h
+++ b/packages/Control/include/lentilbay/Control/Blackboard.h
@@ -136,6 +136,9 @@
     std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
     /// Whether this daemon must take no new work, written by the configuration controller.
     bool fenced = false;
+    /// From then on this daemon must take no new work unless the configuration controller says otherwise, so
+    /// that a process that was paused does not go on with what was right before.
+    TimePoint workUntil = TimePoint::max();
     /// Whether this daemon is leaving, written by the daemon.
     bool draining = false;
 
--- /dev/null
+++ b/packages/Control/lib/ConfigurationFence.cpp
@@ -0,0 +1,102 @@
+// The decision whether work may be started.
+#include "ConfigurationFence.h"
+
+#include <set>
+#include <utility>
+
+namespace lentilbay {
+
+ConfigurationFence::ConfigurationFence(ConfigurationContext& context)
+    : m_context(context)
+{
+    m_context.blackboard.fenced = true;
+    m_context.blackboard.workUntil = TimePoint();
+}
+
+void ConfigurationFence::noteFresh(TimePoint at)
+{
+    if (!m_freshAt || at > *m_freshAt)
+        m_freshAt = at;
+}
+
+void ConfigurationFence::noteSeen(const DaemonId& id, TimePoint sentAt)
+{
+    auto& seen = m_seen[id];
+    seen = std::max(seen, sentAt);
+}
+
+void ConfigurationFence::noteRecorded(uint64_t rosterSequence, TimePoint now)
+{
+    if (!m_recordedAt)
+        m_recordedAt = now;
+    while (m_rosters.size() > 1 && m_rosters.front().sequence < rosterSequence)
+        m_rosters.erase(m_rosters.begin());
+}
+
+void ConfigurationFence::noteSponsored(TimePoint sentAt)
+{
+    if (!m_sponsoredAt || sentAt > *m_sponsoredAt)
+        m_sponsoredAt = sentAt;
+}
+
+void ConfigurationFence::noteRoster(Roster roster)
+{
+    if (m_rosters.empty() || roster.sequence > m_rosters.back().sequence)
+        m_rosters.push_back(std::move(roster));
+    else if (roster.sequence == m_rosters.back().sequence)
+        m_rosters.back() = std::move(roster);
+}
+
+TimePoint ConfigurationFence::quorumUntil() const
+{
+    std::vector<std::pair<TimePoint, DaemonId>> latestFirst;
+    for (const auto& [id, at] : m_seen)
+        latestFirst.emplace_back(at, id);
+    std::sort(latestFirst.rbegin(), latestFirst.rend());
+    std::set<DaemonId> seen { m_context.blackboard.self };
+    const auto isQuorum = [&] {
+        return !m_rosters.empty()
+            && std::all_of(m_rosters.begin(), m_rosters.end(),
+                [&](const Roster& roster) { return seesQuorum(roster, m_context.blackboard.region, seen); });
+    };
+    if (isQuorum())
+        return TimePoint::max();
+    for (const auto& [at, id] : latestFirst) {
+        seen.insert(id);
+        if (isQuorum())
+            return at + m_context.options.freshness;
+    }
+    return TimePoint();
+}
+
+TimePoint ConfigurationFence::supportedUntil() const
+{
+    TimePoint until;
+    if (m_sponsoredAt)
+        until = *m_sponsoredAt + m_context.options.freshness;
+    if (!m_admitted)
+        return until;
+    if (m_freshAt)
+        until = std::max(until, *m_freshAt + m_context.options.freshness);
+    return std::max(until, quorumUntil());
+}
+
+void ConfigurationFence::refresh(bool hasConfiguration, std::optional<TimePoint> behindSince, TimePoint now)
+{
+    const bool isConfirmed = m_recordedAt && m_freshAt && *m_freshAt >= *m_recordedAt;
+    m_admitted = m_admitted || (isConfirmed && !behindSince);
+    // What was right until now decides first: support that has lapsed is not made good by a later one.
+    if (now >= m_workUntil)
+        m_fenced = true;
+    auto until = supportedUntil();
+    if (m_fenced && (!hasConfiguration || behindSince))
+        until = TimePoint();
+    if (behindSince)
+        until = std::min(until, *behindSince + m_context.options.applyGrace);
+    m_workUntil = until;
+    m_fenced = now >= until;
+    m_context.blackboard.fenced = m_fenced;
+    m_context.blackboard.workUntil = m_workUntil;
+}
+
+} // namespace lentilbay
--- a/packages/Control/lib/EntryController.cpp
+++ b/packages/Control/lib/EntryController.cpp
@@ -318,7 +318,7 @@
     }
     const auto* endpoint = m_state->blackboard.findEndpointState(request->endpoint);
     const bool granted = endpoint && !endpoint->leaving && now < endpoint->grant.lapses;
-    if (!granted || m_state->blackboard.fenced) {
+    if (!granted || m_state->blackboard.fenced || now >= m_state->blackboard.workUntil) {
         m_state->releaseSlot(*request);
         request->endpoint = EndpointId();
         m_state->enqueue(*request);
--- /dev/null
+++ b/packages/Control/lib/RosterScan.h
@@ -0,0 +1,35 @@
+// Reads the whole roster as one consistent snapshot. Private to Control.
+#pragma once
+
+#include "ConfigurationContext.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace lentilbay {
+
+class RosterScan {
+public:
+    /// Nothing where the table did not answer or the roster changed during the scan.
+    using Callback = std::function<void(std::optional<Roster>, TimePoint)>;
+
+    explicit RosterScan(ConfigurationContext& context)
+        : m_context(context)
+    {
+    }
+
+    /// Must not be called while a scan runs.
+    void begin(Callback callback);
+
+private:
+    void readPage(std::string after);
+    void confirm();
+    void finish(std::optional<Roster> roster, TimePoint now);
+
+    ConfigurationContext& m_context;
+    Callback m_callback;
+    Roster m_roster;
+};
+
+} // namespace lentilbay
