--- /dev/null
+++ b/packages/Control/lib/SlotHolder.cpp
@@ -0,0 +1,269 @@
+// Asks owners for slots and writes their grants and verdicts to the blackboard.
+#include "lentilbay/Control/SlotHolder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilbay {
+namespace {
+
+TimePoint fromEcho(int64_t sentAt) { return TimePoint { Duration { sentAt } }; }
+
+/// Whether the owner must hear of the demand before the next interval: it has grown, or has become urgent.
+bool hasGrown(const std::vector<PoolDemand>& before, const std::vector<PoolDemand>& after)
+{
+    return std::any_of(after.begin(), after.end(), [&](const PoolDemand& demand) {
+        auto it = std::find_if(before.begin(), before.end(),
+            [&](const PoolDemand& old) { return old.service == demand.service && old.rank == demand.rank; });
+        return it == before.end() || demand.urgent > it->urgent || demand.waiting > 2 * it->waiting;
+    });
+}
+
+} // namespace
+
+SlotHolder::SlotHolder(Blackboard& blackboard, const Ownership& ownership, SlotOptions options)
+    : m_blackboard(blackboard)
+    , m_ownership(ownership)
+    , m_options(options)
+{
+}
+
+void SlotHolder::granted(const DaemonId& from, const GrantReport& report, TimePoint now)
+{
+    auto& owner = m_owners[from];
+    if (report.incarnation < owner.incarnation)
+        return;
+    if (report.incarnation > owner.incarnation) {
+        owner.incarnation = report.incarnation;
+        owner.grantSeen = 0;
+        owner.verdicts.clear();
+    }
+    if (report.sequence <= owner.grantSeen)
+        return;
+    owner.grantSeen = report.sequence;
+    const auto askedAt = fromEcho(report.sentAt);
+    if (takeGrants(from, report, askedAt + m_options.grantLifetime, now))
+        owner.owesAcknowledgement = true;
+    takeVerdicts(owner, report, askedAt);
+    refreshVerdicts(now);
+    m_nextWake = now;
+}
+
+/// Returns whether the report took a slot or a rank away.
+bool SlotHolder::takeGrants(const DaemonId& from, const GrantReport& report, TimePoint lapses, TimePoint now)
+{
+    bool tookAway = false;
+    for (const auto position : m_ownership.endpointsOf(from)) {
+        auto& state = m_blackboard.endpoints[position];
+        auto it = std::find_if(report.grants.begin(), report.grants.end(),
+            [&](const auto& grant) { return grant.endpoint == state.endpoint.name; });
+        const auto before = state.grant;
+        if (it == report.grants.end()) {
+            state.grant = {};
+            tookAway = tookAway || before.slots > 0;
+            continue;
+        }
+        state.grant = {
+            .slots = it->slots, .lowestRank = std::min<int>(it->lowestRank, maxTiers - 1), .lapses = lapses
+        };
+        state.leaving = it->leaving;
+        tookAway = tookAway || state.grant.slots < before.slots || state.grant.lowestRank < before.lowestRank;
+        if (it->loadAgeMilliseconds == EndpointGrant::unknownLoadAge || from == m_blackboard.self)
+            continue;
+        state.load = LoadReport { .running = it->running,
+            .waiting = it->waiting,
+            .kvTokensUsed = it->kvTokensUsed,
+            .measuredAt = now - std::chrono::milliseconds(it->loadAgeMilliseconds) };
+    }
+    return tookAway;
+}
+
+void SlotHolder::takeVerdicts(Owner& owner, const GrantReport& report, TimePoint askedAt)
+{
+    owner.verdicts.clear();
+    for (const auto& verdict : report.verdicts) {
+        owner.verdicts[verdict.service] = { verdict, askedAt };
+        auto* pool = m_blackboard.findPool(verdict.service);
+        if (pool == nullptr || verdict.recall == 0)
+            continue;
+        pool->recall.forRank = verdict.recallForRank;
+        pool->recall.slots += verdict.recall;
+    }
+}
+
+void SlotHolder::step(TimePoint now)
+{
+    const bool isQuiet = m_nextWake && now < *m_nextWake && !demandHasChanged();
+    if (isQuiet)
+        return;
+    refreshVerdicts(now);
+    std::erase_if(m_owners, [&](const auto& it) { return !m_ownership.all().contains(it.first); });
+    std::optional<TimePoint> wake;
+    for (const auto& id : ownersInReach(now)) {
+        auto& owner = m_owners[id];
+        auto report = reportTo(id, owner, now);
+        if (dueAt(owner, report, now) <= now)
+            send(id, owner, report, now);
+        const auto next = dueAt(owner, report, now);
+        wake = wake ? std::min(*wake, next) : next;
+    }
+    m_nextWake = wake.value_or(now + m_options.idleInterval);
+}
+
+/// Notes the demand of all pools, and returns whether it is another than the last time.
+bool SlotHolder::demandHasChanged()
+{
+    std::vector<PoolCounts> demand;
+    for (const auto& pool : m_blackboard.pools)
+        demand.push_back({ pool.waiting, pool.urgent });
+    return std::exchange(m_lastDemand, demand) != demand;
+}
+
+void SlotHolder::send(const DaemonId& to, Owner& owner, const DemandReport& report, TimePoint now)
+{
+    m_lastSequence = report.sequence;
+    owner.sentAt = now;
+    owner.owesAcknowledgement = false;
+    owner.lastDemands = report.demands;
+    m_blackboard.outbox.push_back({ to, report, m_ownership.addressOf(to) });
+}
+
+std::set<DaemonId> SlotHolder::ownersInReach(TimePoint now) const
+{
+    std::set<DaemonId> out;
+    for (const auto& [id, endpoints] : m_ownership.all()) {
+        if (m_ownership.dataCentreOf(id) == m_blackboard.dataCentre)
+            out.insert(id);
+    }
+    for (const auto& pool : m_blackboard.pools) {
+        const auto reach = reachOf(pool, now);
+        for (const auto position : pool.endpoints) {
+            const auto& state = m_blackboard.endpoints[position];
+            const bool uses
+                = state.inFlightTotal() > 0 || (state.grant.slots > 0 && now < state.grant.lapses);
+            const auto& owner = m_ownership.ownerOf(position);
+            if (!owner.empty() && (uses || m_ownership.distanceOf(position) <= reach))
+                out.insert(owner);
+        }
+    }
+    return out;
+}
+
+/// How far the pool's demand goes: beyond a distance only where no slot is free within it.
+Distance SlotHolder::reachOf(const PoolState& pool, TimePoint now) const
+{
+    const auto sum = [](const auto& counts) {
+        uint32_t n = 0;
+        for (const auto it : counts)
+            n += it;
+        return n;
+    };
+    if (sum(pool.waiting) == 0)
+        return Distance::SameDataCentre;
+    if (sum(pool.urgent) > 0)
+        return Distance::OtherRegion;
+    if (!hasNoFreeSlot(pool, Distance::SameDataCentre, now))
+        return Distance::SameDataCentre;
+    return hasNoFreeSlot(pool, Distance::SameRegion, now) ? Distance::OtherRegion : Distance::SameRegion;
+}
+
+bool SlotHolder::hasNoFreeSlot(const PoolState& pool, Distance within, TimePoint now) const
+{
+    for (const auto position : pool.endpoints) {
+        if (m_ownership.distanceOf(position) > within || m_ownership.ownerOf(position).empty())
+            continue;
+        const auto* known = freshVerdict(m_ownership.ownerOf(position), pool.service, now);
+        if (known == nullptr || known->verdict.hasFreeSlot)
+            return false;
+    }
+    return true;
+}
+
+const SlotHolder::KnownVerdict* SlotHolder::freshVerdict(
+    const DaemonId& owner, const ServiceId& service, TimePoint now) const
+{
+    auto it = m_owners.find(owner);
+    if (it == m_owners.end())
+        return nullptr;
+    auto verdict = it->second.verdicts.find(service);
+    const bool isFresh
+        = verdict != it->second.verdicts.end() && now < verdict->second.askedAt + m_options.verdictLifetime;
+    return isFresh ? &verdict->second : nullptr;
+}
+
+TimePoint SlotHolder::dueAt(const Owner& owner, const DemandReport& report, TimePoint now) const
+{
+    if (!owner.sentAt)
+        return now;
+    if (hasGrown(owner.lastDemands, report.demands))
+        return *owner.sentAt + m_options.leastGap;
+    if (owner.owesAcknowledgement)
+        return *owner.sentAt + m_options.acknowledgementGap;
+    const bool isBusy = !report.demands.empty() || !owner.lastDemands.empty();
+    return *owner.sentAt + (isBusy ? m_options.busyInterval : m_options.idleInterval);
+}
+
+DemandReport SlotHolder::reportTo(const DaemonId& to, const Owner& owner, TimePoint now) const
+{
+    DemandReport out { .incarnation = m_blackboard.incarnationOf(m_blackboard.self),
+        .sequence = m_lastSequence + 1,
+        .grantSeen = owner.grantSeen,
+        .sentAt = now.time_since_epoch().count() };
+    out.viewHash = m_ownership.viewHash(m_ownership.dataCentreOf(to));
+    std::set<ServiceId> services;
+    for (const auto position : m_ownership.endpointsOf(to)) {
+        const auto& state = m_blackboard.endpoints[position];
+        services.insert(state.endpoint.services.begin(), state.endpoint.services.end());
+        auto use = useOf(state, now);
+        if (use.slotsHeld > 0 || !use.uses.empty())
+            out.uses.push_back(std::move(use));
+    }
+    for (const auto& service : services) {
+        const auto position = m_blackboard.poolPositions.find(service);
+        if (position == m_blackboard.poolPositions.end())
+            continue;
+        const auto& pool = m_blackboard.pools[position->second];
+        for (size_t rank = 0; rank < maxTiers; ++rank) {
+            if (pool.waiting[rank] > 0)
+                out.demands.push_back(
+                    { service, static_cast<uint8_t>(rank), pool.waiting[rank], pool.urgent[rank] });
+        }
+    }
+    return out;
+}
+
+EndpointUse SlotHolder::useOf(const EndpointState& state, TimePoint now) const
+{
+    EndpointUse out { .endpoint = state.endpoint.name };
+    if (now < state.grant.lapses) {
+        out.slotsHeld = state.grant.slots;
+        out.lowestRank = static_cast<uint8_t>(state.grant.lowestRank);
+    }
+    for (size_t rank = 0; rank < maxTiers; ++rank) {
+        if (state.inFlight[rank] > 0)
+            out.uses.push_back({ static_cast<uint8_t>(rank), state.inFlight[rank] });
+    }
+    return out;
+}
+
+/// A pool's verdict is the one of all its owners together; without one of them there is none.
+void SlotHolder::refreshVerdicts(TimePoint now)
+{
+    for (auto& pool : m_blackboard.pools) {
+        Verdict out { .lowestServedRank = -1, .hasFreeSlot = false, .askedAt = now };
+        for (const auto position : pool.endpoints) {
+            const auto& owner = m_ownership.ownerOf(position);
+            const auto* known = freshVerdict(owner, pool.service, now);
+            if (known == nullptr) {
+                out = Verdict {};
+                break;
+            }
+            out.lowestServedRank = std::max<int>(out.lowestServedRank, known->verdict.lowestServedRank);
+            out.hasFreeSlot = out.hasFreeSlot || known->verdict.hasFreeSlot;
+            out.askedAt = std::min(*out.askedAt, known->askedAt);
+        }
+        pool.verdict = out;
+    }
+}
+
+} // namespace lentilbay
--- /dev/null
+++ b/packages/Control/lib/SlotOwner.cpp
@@ -0,0 +1,326 @@
+// Leases the slots of the endpoints that this daemon owns.
+#include "lentilbay/Control/SlotOwner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lentilbay {
+namespace {
+
+/// Whether the entry must hear of the change now rather than with its next report.
+bool differs(const GrantReport& before, const GrantReport& after)
+{
+    const auto sameGrant = [](const EndpointGrant& a, const EndpointGrant& b) {
+        return a.endpoint == b.endpoint && a.slots == b.slots && a.lowestRank == b.lowestRank
+            && a.leaving == b.leaving;
+    };
+    if (!std::equal(
+            before.grants.begin(), before.grants.end(), after.grants.begin(), after.grants.end(), sameGrant))
+        return true;
+    return std::any_of(
+        after.verdicts.begin(), after.verdicts.end(), [](const auto& it) { return it.recall > 0; });
+}
+
+bool offers(const EndpointState& state, const ServiceId& service)
+{
+    const auto& services = state.endpoint.services;
+    return std::find(services.begin(), services.end(), service) != services.end();
+}
+
+} // namespace
+
+SlotOwner::SlotOwner(Blackboard& blackboard, const Ownership& ownership, SlotOptions options)
+    : m_blackboard(blackboard)
+    , m_ownership(ownership)
+    , m_options(options)
+    , m_ledger(options)
+{
+}
+
+void SlotOwner::demandReported(
+    const DaemonId& from, const std::string& address, const DemandReport& report, TimePoint now)
+{
+    if (!m_ledger.hear(from, address, report, now))
+        return;
+    m_dirty = true;
+    m_nextWake = now;
+}
+
+void SlotOwner::loadReported(const EndpointId& endpoint, const LoadReport& load, bool leaving)
+{
+    auto* state = m_blackboard.findEndpointState(endpoint);
+    if (state == nullptr)
+        return;
+    m_dirty = m_dirty || state->leaving != leaving;
+    state->load = load;
+    state->leaving = leaving;
+}
+
+void SlotOwner::ownershipChanged(TimePoint now)
+{
+    m_ownsSince = now;
+    m_strangersUntil = now + m_options.grantLifetime;
+    m_dirty = true;
+    planNextWake(now);
+}
+
+void SlotOwner::step(TimePoint now)
+{
+    const bool due = m_dirty || now >= m_plannedAt + m_options.busyInterval;
+    if (!due)
+        return;
+    m_dirty = false;
+    m_plannedAt = now;
+    m_ledger.forgetSilent(now);
+    std::erase_if(m_holds, [&](const auto& it) { return now >= it.second.until; });
+    const auto domain = domainAt(now);
+    const auto plan = planSlots(problemOf(domain));
+    ++m_turn;
+    noteRecalls(domain, plan, now);
+    auto spare = spareSlots(domain, now);
+    size_t number = 0;
+    for (auto& [id, entry] : m_ledger.entries()) {
+        auto report = reportFor(number, entry, domain, plan, spare, now);
+        ++number;
+        const bool isNews = differs(entry.last, report);
+        if (entry.owesAnswer || (isNews && now >= entry.sentAt + m_options.leastGap))
+            send(id, entry, std::move(report), now);
+        else if (isNews)
+            m_dirty = true;
+    }
+    planNextWake(now);
+}
+
+SlotOwner::Domain SlotOwner::domainAt(TimePoint now)
+{
+    Domain out;
+    for (const auto position : m_ownership.endpointsOf(m_blackboard.self)) {
+        const auto& state = m_blackboard.endpoints[position];
+        out.endpoints.push_back(&state);
+        out.capacities.push_back(state.leaving ? 0 : state.endpoint.slots);
+        for (const auto& service : state.endpoint.services) {
+            if (out.poolNumbers.emplace(service, out.pools.size()).second)
+                out.pools.push_back(service);
+        }
+    }
+    for (const auto& [id, entry] : m_ledger.entries()) {
+        out.commitments.emplace_back();
+        for (const auto* state : out.endpoints)
+            out.commitments.back().push_back(m_ledger.commitmentOf(entry, state->endpoint.name, now));
+    }
+    noteOccupancy(out, now);
+    return out;
+}
+
+/// Requests that nobody has reported take up capacity as well.
+void SlotOwner::noteOccupancy(Domain& domain, TimePoint now)
+{
+    std::map<EndpointId, EndpointOccupancy> known;
+    for (size_t k = 0; k < domain.endpoints.size(); ++k) {
+        const auto& state = *domain.endpoints[k];
+        auto& occupancy = known[state.endpoint.name] = m_occupancy[state.endpoint.name];
+        uint32_t reported = 0;
+        for (const auto& commitment : domain.commitments)
+            reported += totalUse(commitment[k].uses);
+        occupancy.noteReported(reported, now);
+        occupancy.judge(state.load, now);
+        domain.capacities[k] -= std::min(domain.capacities[k], occupancy.strangers());
+    }
+    m_occupancy = std::move(known);
+}
+
+SlotProblem SlotOwner::problemOf(const Domain& domain) const
+{
+    SlotProblem problem { .pools = domain.pools.size(), .firstTurn = m_turn };
+    for (size_t k = 0; k < domain.endpoints.size(); ++k) {
+        SlotProblem::EndpointCapacity endpoint { .slots = domain.capacities[k] };
+        for (const auto& service : domain.endpoints[k]->endpoint.services)
+            endpoint.pools.push_back(domain.poolNumbers.at(service));
+        problem.endpoints.push_back(std::move(endpoint));
+    }
+    for (const auto& [id, entry] : m_ledger.entries())
+        problem.entries.push_back(problemEntryOf(id, entry, domain, problem.entries.size()));
+    return problem;
+}
+
+SlotProblem::Entry SlotOwner::problemEntryOf(
+    const DaemonId& id, const LedgerEntry& entry, const Domain& domain, size_t number) const
+{
+    SlotProblem::Entry out;
+    auto it = m_blackboard.members.find(id);
+    out.takesIdleSlots = it != m_blackboard.members.end() && it->second.status == MemberStatus::Alive
+        && it->second.dataCentre == m_blackboard.dataCentre;
+    for (const auto& demand : entry.report.demands) {
+        auto pool = domain.poolNumbers.find(demand.service);
+        if (pool != domain.poolNumbers.end() && demand.rank < maxTiers)
+            out.demands.push_back({ pool->second, demand.rank, demand.waiting, demand.urgent });
+    }
+    for (const auto& commitment : domain.commitments[number]) {
+        out.uses.push_back(commitment.uses);
+        out.held.push_back(commitment.slots);
+    }
+    out.recalled.assign(domain.pools.size(), 0);
+    for (const auto& recalled : entry.recalled) {
+        if (auto pool = domain.poolNumbers.find(recalled.service); pool != domain.poolNumbers.end())
+            out.recalled[pool->second] += recalled.slots;
+    }
+    return out;
+}
+
+void SlotOwner::noteRecalls(const Domain& domain, const SlotPlan& plan, TimePoint now)
+{
+    for (const auto& recall : plan.recalls) {
+        auto it = std::next(m_ledger.entries().begin(), static_cast<std::ptrdiff_t>(recall.entry));
+        it->second.recalled.push_back(
+            { domain.pools[recall.pool], recall.slots, now + m_options.recallPatience });
+    }
+}
+
+/// By endpoint: slots that nobody can be holding. A new owner lends nothing before all live daemons nearby
+/// have said what they use.
+std::vector<uint32_t> SlotOwner::spareSlots(const Domain& domain, TimePoint now) const
+{
+    if (now < m_strangersUntil && !m_ledger.hasHeardAll(m_blackboard, m_ownsSince))
+        return std::vector<uint32_t>(domain.endpoints.size(), 0);
+    auto spare = domain.capacities;
+    for (const auto& commitments : domain.commitments) {
+        for (size_t k = 0; k < spare.size(); ++k)
+            spare[k] -= std::min(spare[k], commitments[k].slots);
+    }
+    return spare;
+}
+
+int SlotOwner::admittedRankOf(
+    const EndpointState& state, const Domain& domain, const SlotPlan& plan, TimePoint now) const
+{
+    int rank = maxTiers - 1;
+    for (const auto& service : state.endpoint.services) {
+        rank = std::min(rank, plan.admittedRank[domain.poolNumbers.at(service)]);
+        if (auto it = m_holds.find(service); it != m_holds.end() && now < it->second.until)
+            rank = std::min(rank, it->second.rank);
+    }
+    return rank;
+}
+
+GrantReport SlotOwner::reportFor(size_t number, const LedgerEntry& entry, const Domain& domain,
+    const SlotPlan& plan, std::vector<uint32_t>& spare, TimePoint now) const
+{
+    GrantReport report { .incarnation = m_blackboard.incarnationOf(m_blackboard.self),
+        .sequence = m_lastSequence + 1,
+        .sentAt = entry.report.sentAt };
+    for (size_t k = 0; k < domain.endpoints.size(); ++k) {
+        const auto& state = *domain.endpoints[k];
+        const auto target = plan.targets[number][k];
+        const auto committed = domain.commitments[number][k].slots;
+        const auto added = target > committed ? std::min(target - committed, spare[k]) : 0;
+        spare[k] -= added;
+        const auto slots = state.leaving ? 0 : std::min(target, committed + added);
+        if (slots > 0 || state.leaving)
+            report.grants.push_back(grantOf(state, slots, admittedRankOf(state, domain, plan, now), now));
+    }
+    report.verdicts = verdictsFor(number, entry, domain, plan, now);
+    return report;
+}
+
+EndpointGrant SlotOwner::grantOf(
+    const EndpointState& state, uint32_t slots, int lowestRank, TimePoint now) const
+{
+    EndpointGrant grant { .endpoint = state.endpoint.name,
+        .slots = slots,
+        .lowestRank = static_cast<uint8_t>(lowestRank),
+        .leaving = state.leaving,
+        .loadAgeMilliseconds = EndpointGrant::unknownLoadAge };
+    if (!state.load || now - state.load->measuredAt >= m_options.loadLifetime)
+        return grant;
+    grant.running = state.load->running;
+    grant.waiting = state.load->waiting;
+    grant.kvTokensUsed = state.load->kvTokensUsed;
+    grant.loadAgeMilliseconds = static_cast<uint32_t>(toMilliseconds(now - state.load->measuredAt));
+    return grant;
+}
+
+std::vector<PoolVerdict> SlotOwner::verdictsFor(
+    size_t number, const LedgerEntry& entry, const Domain& domain, const SlotPlan& plan, TimePoint now) const
+{
+    std::vector<PoolVerdict> out;
+    for (size_t pool = 0; pool < domain.pools.size(); ++pool) {
+        auto verdict = verdictOf(pool, number, domain, plan, now);
+        const auto& demands = entry.report.demands;
+        const bool concerns = verdict.recall > 0
+            || std::any_of(demands.begin(), demands.end(),
+                [&](const auto& demand) { return demand.service == verdict.service; });
+        if (concerns)
+            out.push_back(std::move(verdict));
+    }
+    return out;
+}
+
+PoolVerdict SlotOwner::verdictOf(
+    size_t pool, size_t number, const Domain& domain, const SlotPlan& plan, TimePoint now) const
+{
+    PoolVerdict verdict { .service = domain.pools[pool], .hasFreeSlot = plan.freeSlots[pool] > 0 };
+    int lowest = -1;
+    for (size_t k = 0; k < domain.endpoints.size(); ++k) {
+        const auto& state = *domain.endpoints[k];
+        if (!offers(state, verdict.service))
+            continue;
+        // Grants that leave with this verdict count as well as those that are out.
+        lowest = std::max(lowest, admittedRankOf(state, domain, plan, now));
+        for (const auto& commitments : domain.commitments)
+            lowest = std::max(lowest, commitments[k].lowestServedRank());
+        const auto used = totalUse(domain.commitments[number][k].uses);
+        verdict.hasFreeSlot = verdict.hasFreeSlot || plan.targets[number][k] > used;
+    }
+    verdict.lowestServedRank
+        = static_cast<int8_t>(isSound(verdict.service, domain, now) ? lowest : maxTiers - 1);
+    for (const auto& recall : plan.recalls) {
+        if (recall.entry != number || recall.pool != pool)
+            continue;
+        verdict.recall += recall.slots;
+        verdict.recallForRank = std::max(verdict.recallForRank, static_cast<uint8_t>(recall.forRank));
+    }
+    return verdict;
+}
+
+/// Whether this owner can know all that the pool's endpoints serve.
+bool SlotOwner::isSound(const ServiceId& service, const Domain& domain, TimePoint now) const
+{
+    const auto view = m_ownership.viewHash(m_blackboard.dataCentre);
+    if (now < m_strangersUntil || !m_ledger.viewsAgree(m_blackboard, view, now))
+        return false;
+    return std::none_of(domain.endpoints.begin(), domain.endpoints.end(), [&](const auto* state) {
+        return offers(*state, service) && m_occupancy.at(state->endpoint.name).strangers() > 0;
+    });
+}
+
+void SlotOwner::holdRanks(const GrantReport& report, TimePoint now)
+{
+    for (const auto& verdict : report.verdicts) {
+        if (verdict.hasFreeSlot || verdict.lowestServedRank >= maxTiers - 1)
+            continue;
+        const int rank = std::max<int>(verdict.lowestServedRank, 0);
+        auto& hold = m_holds[verdict.service];
+        const bool isLive = now < hold.until;
+        hold.rank = isLive ? std::min(hold.rank, rank) : rank;
+        hold.until = now + m_options.verdictLifetime;
+    }
+}
+
+void SlotOwner::send(const DaemonId& to, LedgerEntry& entry, GrantReport report, TimePoint now)
+{
+    holdRanks(report, now);
+    m_lastSequence = report.sequence;
+    m_ledger.noteSent(entry, report, now);
+    const bool isMember = m_blackboard.members.contains(to);
+    m_blackboard.outbox.push_back({ to, std::move(report), isMember ? std::string() : entry.address });
+}
+
+void SlotOwner::planNextWake(TimePoint now)
+{
+    if (m_ledger.entries().empty())
+        m_nextWake = std::nullopt;
+    else
+        m_nextWake = now + (m_dirty ? m_options.leastGap : m_options.busyInterval);
+}
+
+} // namespace lentilbay
--- a/packages/Control/unittests/ConfigurationControllerTest.cpp
+++ b/packages/Control/unittests/ConfigurationControllerTest.cpp
@@ -46,7 +46,8 @@
     fleet.run(2s);
     EXPECT_NE(fleet.outcome(left), fleet.outcome(right));
     for (const auto& id : { left, right })
-        EXPECT_TRUE(fleet.outcome(id) == ChangeOutcome::Committed || fleet.outcome(id) == ChangeOutcome::Conflict);
+        EXPECT_TRUE(
+            fleet.outcome(id) == ChangeOutcome::Committed || fleet.outcome(id) == ChangeOutcome::Conflict);
     EXPECT_EQ(fleet.newestVersion(), 2U);
 }
 
--- a/packages/Control/unittests/ConfigurationFleet.h
+++ b/packages/Control/unittests/ConfigurationFleet.h
@@ -1,7 +1,7 @@
 // Daemons with their configuration controllers in virtual time, over links and a store that fail as asked.
 //
-// After each tick it checks what must always hold: no daemon that may start work does so under a version older
-// than one that was reported accepted, no daemon goes back, and a version is the same everywhere.
+// After each tick it checks what must always hold: no daemon that may start work does so under a version
+// older than one that was reported accepted, no daemon goes back, and a version is the same everywhere.
 #pragma once
 
 #include "FakeStore.h"
@@ -162,7 +162,8 @@
         std::set<std::string> out;
         for (const auto& [id, by] : m_proposed) {
             for (const auto& [key, row] : store.rows) {
-                if (key.second.starts_with("version/") && row.value.find("\"" + id + "\"") != std::string::npos)
+                if (key.second.starts_with("version/")
+                    && row.value.find("\"" + id + "\"") != std::string::npos)
                     out.insert(id);
             }
         }
@@ -319,11 +320,12 @@
         auto& node = *nodes[i];
         const auto version = inForce(i);
         if (version < node.highestInForce)
-            breaches.push_back(fmt::format("{} went back from version {} to {}", node.name, node.highestInForce, version));
+            breaches.push_back(
+                fmt::format("{} went back from version {} to {}", node.name, node.highestInForce, version));
         node.highestInForce = std::max(node.highestInForce, version);
         if (mayWork(i) && version < accepted)
-            breaches.push_back(
-                fmt::format("{} may start work under version {} and {} was accepted", node.name, version, accepted));
+            breaches.push_back(fmt::format(
+                "{} may start work under version {} and {} was accepted", node.name, version, accepted));
         if (version == 0)
             return;
         const auto [it, isNew] = m_hashes.try_emplace(version, node.controller->inForce().hash);
--- a/packages/Control/unittests/ConfigurationPropertyTest.cpp
+++ b/packages/Control/unittests/ConfigurationPropertyTest.cpp
@@ -1,5 +1,5 @@
-// Two to five daemons under any order of faults: an accepted configuration is in force or fenced everywhere and
-// never reverts, every reported outcome is the truth, and after the faults the fleet agrees again.
+// Two to five daemons under any order of faults: an accepted configuration is in force or fenced everywhere
+// and never reverts, every reported outcome is the truth, and after the faults the fleet agrees again.
 //
 // A failure prints RapidCheck's seed and the shrunk list of steps; RC_PARAMS repeats it.
 #include "ConfigurationFleet.h"
@@ -37,18 +37,19 @@
 
 void showValue(const Step& step, std::ostream& os)
 {
-    static constexpr std::array names { "Run", "Propose", "ProposeOld", "Partition", "Heal", "CutStore", "Crash",
-        "Start", "Pause", "TableOutage", "ObjectOutage", "LoseAnswers", "OldHead", "Loss", "SlowStore", "Stop" };
+    static constexpr std::array names { "Run", "Propose", "ProposeOld", "Partition", "Heal", "CutStore",
+        "Crash", "Start", "Pause", "TableOutage", "ObjectOutage", "LoseAnswers", "OldHead", "Loss",
+        "SlowStore", "Stop" };
     os << names.at(static_cast<size_t>(step.kind)) << "(" << step.argument << ")";
 }
 
 rc::Gen<Step> anyStep()
 {
     const auto kind = rc::gen::weightedElement<StepKind>({ { 10, StepKind::Run }, { 8, StepKind::Propose },
-        { 2, StepKind::ProposeOld }, { 4, StepKind::Partition }, { 2, StepKind::Heal }, { 4, StepKind::CutStore },
-        { 2, StepKind::Crash }, { 3, StepKind::Start }, { 2, StepKind::Pause }, { 2, StepKind::TableOutage },
-        { 1, StepKind::ObjectOutage }, { 2, StepKind::LoseAnswers }, { 1, StepKind::OldHead }, { 1, StepKind::Loss },
-        { 1, StepKind::SlowStore }, { 1, StepKind::Stop } });
+        { 2, StepKind::ProposeOld }, { 4, StepKind::Partition }, { 2, StepKind::Heal },
+        { 4, StepKind::CutStore }, { 2, StepKind::Crash }, { 3, StepKind::Start }, { 2, StepKind::Pause },
+        { 2, StepKind::TableOutage }, { 1, StepKind::ObjectOutage }, { 2, StepKind::LoseAnswers },
+        { 1, StepKind::OldHead }, { 1, StepKind::Loss }, { 1, StepKind::SlowStore }, { 1, StepKind::Stop } });
     return rc::gen::construct<Step>(kind, rc::gen::inRange<uint32_t>(0, 1000));
 }
 
--- a/packages/Control/unittests/ConfigurationRosterTest.cpp
+++ b/packages/Control/unittests/ConfigurationRosterTest.cpp
@@ -65,7 +65,8 @@
     for (size_t i = 0; i < *rc::gen::inRange<size_t>(0, 5); ++i)
         after.members.push_back(memberOf(size + i, i % regions, 7));
     const auto seen = *rc::gen::container<std::set<size_t>>(rc::gen::inRange<size_t>(0, size));
-    const auto votes = *rc::gen::container<std::set<size_t>>(rc::gen::inRange<size_t>(0, after.members.size()));
+    const auto votes
+        = *rc::gen::container<std::set<size_t>>(rc::gen::inRange<size_t>(0, after.members.size()));
     std::set<DaemonId> seenIds { before.members[0].id };
     for (const auto i : seen)
         seenIds.insert(before.members[i].id);
@@ -76,8 +77,8 @@
     const bool goesOn = seesQuorum(before, before.members[0].region, seenIds);
     const bool isCountedOut = mayCountOut(after, before.members[0], lastSaid, voters);
     voters.erase(before.members[0].id);
-    const bool meet = std::any_of(
-        voters.begin(), voters.end(), [&](const DaemonId& id) { return seenIds.contains(id); });
+    const bool meet
+        = std::any_of(voters.begin(), voters.end(), [&](const DaemonId& id) { return seenIds.contains(id); });
     RC_CLASSIFY(goesOn && isCountedOut, "both");
     RC_ASSERT(!goesOn || !isCountedOut || meet);
 }
--- a/packages/Control/unittests/FakeStore.h
+++ b/packages/Control/unittests/FakeStore.h
@@ -42,9 +42,11 @@
             return answer(answersAt, std::move(reply), { .status = StoreStatus::Unavailable }, command);
         const bool isWrite = std::holds_alternative<TableTransaction>(command.operation);
         if (isWrite && losesAnswers) {
-            const auto effect = now + Duration(m_random.below(static_cast<uint64_t>(2 * command.timeout.count())));
+            const auto effect
+                = now + Duration(m_random.below(static_cast<uint64_t>(2 * command.timeout.count())));
             at(effect, [this, command] { execute(command, 0); });
-            return answer(now + command.timeout, std::move(reply), { .status = StoreStatus::Ambiguous }, command);
+            return answer(
+                now + command.timeout, std::move(reply), { .status = StoreStatus::Ambiguous }, command);
         }
         // The effect comes at once and the answer after it, so answers may be old when they arrive.
         answer(answersAt, std::move(reply), execute(command, knownVersion), command);
@@ -77,7 +79,10 @@
 
     Duration delay() { return Duration(m_random.below(static_cast<uint64_t>(mostDelay.count()) + 1)); }
 
-    void at(TimePoint time, std::function<void()> action) { m_events.push({ time, m_order++, std::move(action) }); }
+    void at(TimePoint time, std::function<void()> action)
+    {
+        m_events.push({ time, m_order++, std::move(action) });
+    }
 
     void answer(TimePoint time, Reply reply, StoreReply content, const StoreCommand& command)
     {
@@ -94,14 +99,16 @@
 
     StoreReply execute(const StoreCommand& command, uint64_t knownVersion)
     {
-        return std::visit([&](const auto& operation) { return run(operation, knownVersion); }, command.operation);
+        return std::visit(
+            [&](const auto& operation) { return run(operation, knownVersion); }, command.operation);
     }
 
     StoreReply run(const TableRead& read, uint64_t knownVersion)
     {
         StoreReply reply { .status = StoreStatus::Done };
         for (const auto& key : read.keys) {
-            const bool isOld = readsOldHead && key.key == "head" && m_oldHead && knownVersion > m_oldHeadVersion;
+            const bool isOld
+                = readsOldHead && key.key == "head" && m_oldHead && knownVersion > m_oldHeadVersion;
             reply.rows.push_back(isOld ? m_oldHead : find(key));
         }
         return reply;
