Spread the configuration, accept it only where it is in force or fenced, and never revert

A state-machine property runs 2 to 5 daemons in 1 to 3 regions through loss, delay, duplication, partitions, pauses, crashes, restarts, stops, outages, lost and late answers and older reads of the head. It found that a daemon that had announced its stop went on working off the roster; it is fenced first now.

--- a/packages/Control/include/lentilbay/Control/ConfigurationController.h
+++ b/packages/Control/include/lentilbay/Control/ConfigurationController.h
@@ -116,7 +116,7 @@
     const ConfigurationHead& head() const;
     const ConfigurationHead& inForce() const;
 
-    /// Takes this daemon off the roster; it must take no new work any more.
+    /// Fences this daemon for good and takes it off the roster.
     void announceStopped(TimePoint now);
     bool isOffRoster() const;
 
--- a/packages/Control/include/lentilbay/Control/ControlPlane.h
+++ b/packages/Control/include/lentilbay/Control/ControlPlane.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "lentilbay/Control/Blackboard.h"
+#include "lentilbay/Control/ConfigurationController.h"
 #include "lentilbay/Control/EntryController.h"
 #include "lentilbay/Control/MembershipController.h"
 #include "lentilbay/Control/SlotController.h"
@@ -19,6 +20,8 @@
     EntryOptions entry;
     MembershipOptions membership;
     SlotOptions slots;
+    /// Nothing: the configuration comes from elsewhere, such as a file, and stays.
+    std::optional<ConfigurationOptions> configuration;
 };
 
 class ControlPlane {
@@ -30,6 +33,8 @@
 
     /// A message of another daemon; `address` is where it came from.
     void receive(const DaemonId& from, const std::string& address, const PeerMessage& message, TimePoint now);
+    /// An answer of the platform to a command of the blackboard's storeOutbox.
+    void receive(const StoreReply& reply, TimePoint now);
     /// Lets every controller decide what it can; messages to this daemon itself are delivered on the way.
     void step(TimePoint now);
     /// When step() has something to do even without an event.
@@ -40,6 +45,8 @@
     EntryController& entry() { return m_entry; }
     MembershipController& membership() { return m_membership; }
     SlotController& slots() { return m_slots; }
+    /// nullptr where the options hold none.
+    ConfigurationController* configuration() { return m_configuration ? &*m_configuration : nullptr; }
 
 private:
     bool deliverToSelf(TimePoint now);
@@ -48,6 +55,7 @@
     MembershipController m_membership;
     SlotController m_slots;
     EntryController m_entry;
+    std::optional<ConfigurationController> m_configuration;
     TimePoint m_nextDigests {};
 };
 
--- a/packages/Control/lib/ConfigurationController.cpp
+++ b/packages/Control/lib/ConfigurationController.cpp
@@ -479,6 +479,8 @@
 
 void ConfigurationController::announceStopped(TimePoint now)
 {
+    m_state->fence.retire();
+    m_state->refresh(now);
     m_state->rosterKeeper.leave();
     m_state->rosterKeeper.step(now);
 }
--- a/packages/Control/lib/ConfigurationFence.cpp
+++ b/packages/Control/lib/ConfigurationFence.cpp
@@ -89,7 +89,7 @@
     if (now >= m_workUntil)
         m_fenced = true;
     auto until = supportedUntil();
-    if (m_fenced && (!hasConfiguration || behindSince))
+    if (m_retired || (m_fenced && (!hasConfiguration || behindSince)))
         until = TimePoint();
     if (behindSince)
         until = std::min(until, *behindSince + m_context.options.applyGrace);
--- a/packages/Control/lib/ConfigurationFence.h
+++ b/packages/Control/lib/ConfigurationFence.h
@@ -28,6 +28,9 @@
     /// A consistent snapshot of the roster.
     void noteRoster(Roster roster);
 
+    /// This daemon takes no new work any more, whatever is known later.
+    void retire() { m_retired = true; }
+
     /// Decides anew; call it before and after each event. `behindSince`: see ConfigurationReplica.
     void refresh(bool hasConfiguration, std::optional<TimePoint> behindSince, TimePoint now);
 
@@ -53,6 +56,7 @@
     TimePoint m_workUntil {};
     bool m_fenced = true;
     bool m_admitted = false;
+    bool m_retired = false;
 };
 
 } // namespace lentilbay
--- a/packages/Control/lib/ControlPlane.cpp
+++ b/packages/Control/lib/ControlPlane.cpp
@@ -21,6 +21,8 @@
     , m_slots(blackboard, options.slots)
     , m_entry(blackboard, options.entry)
 {
+    if (options.configuration)
+        m_configuration.emplace(blackboard, std::move(*options.configuration), now);
 }
 
 void ControlPlane::receive(
@@ -31,16 +33,33 @@
             using Message = std::decay_t<decltype(it)>;
             constexpr bool isSlotMessage
                 = std::is_same_v<Message, DemandReport> || std::is_same_v<Message, GrantReport>;
-            if constexpr (isSlotMessage)
+            constexpr bool isConfigurationMessage = requires
+            {
+                m_configuration->receive(from, address, it, now);
+            };
+            if constexpr (isSlotMessage) {
                 m_slots.received(from, address, it, now);
-            else
+            } else if constexpr (isConfigurationMessage) {
+                if (m_configuration)
+                    m_configuration->receive(from, address, it, now);
+            } else {
                 m_membership.receive(from, address, it, now);
+            }
         },
         message);
 }
 
+void ControlPlane::receive(const StoreReply& reply, TimePoint now)
+{
+    if (m_configuration && reply.user == StoreUser::Configuration)
+        m_configuration->receive(reply, now);
+}
+
 void ControlPlane::step(TimePoint now)
 {
+    // First, since it says whether the others may start work.
+    if (m_configuration)
+        m_configuration->step(now);
     m_membership.step(now);
     if (now >= m_nextDigests) {
         m_blackboard.distant = m_membership.digests(now);
@@ -74,6 +93,8 @@
         if (wake)
             out = std::min(*out, *wake);
     }
+    if (m_configuration)
+        out = std::min(*out, m_configuration->nextWake());
     return out;
 }
 
--- a/packages/Control/unittests/ConfigurationFleet.h
+++ b/packages/Control/unittests/ConfigurationFleet.h
@@ -37,6 +37,7 @@
         Blackboard blackboard;
         std::unique_ptr<ConfigurationController> controller;
         bool running = false;
+        bool stopping = false;
         TimePoint pausedUntil;
         bool reachesStore = true;
         uint64_t highestInForce = 0;
@@ -73,6 +74,7 @@
         node.inbox.clear();
         node.highestInForce = 0;
         node.running = true;
+        node.stopping = false;
         node.pausedUntil = TimePoint();
         node.controller = std::make_unique<ConfigurationController>(node.blackboard,
             ConfigurationOptions {
@@ -80,6 +82,16 @@
             now);
     }
 
+    /// Announces the stop; the daemon runs on until it is crashed.
+    void stop(size_t i)
+    {
+        auto& node = *nodes[i];
+        if (!node.running || isPaused(i))
+            return;
+        node.stopping = true;
+        node.controller->announceStopped(now);
+    }
+
     void crash(size_t i) { nodes[i]->running = false; }
     void pause(size_t i, Duration duration) { nodes[i]->pausedUntil = now + duration; }
     bool isPaused(size_t i) const { return now < nodes[i]->pausedUntil; }
--- a/packages/Control/unittests/ConfigurationPropertyTest.cpp
+++ b/packages/Control/unittests/ConfigurationPropertyTest.cpp
@@ -106,9 +106,7 @@
         fleet.store.mostDelay = std::chrono::milliseconds(5 + 2 * step.argument);
         return;
     case StepKind::Stop:
-        if (fleet.nodes[i]->running && !fleet.isPaused(i))
-            fleet.nodes[i]->controller->announceStopped(fleet.now);
-        return;
+        return fleet.stop(i);
     }
 }
 
@@ -125,7 +123,7 @@
         fleet.nodes[i]->reachesStore = true;
         fleet.nodes[i]->pausedUntil = fleet.now;
         // A daemon that announced its stop ends; all names are started again.
-        if (fleet.nodes[i]->running && fleet.nodes[i]->controller->isOffRoster())
+        if (fleet.nodes[i]->stopping)
             fleet.crash(i);
         fleet.start(i);
     }
--- a/packages/Control/unittests/ConfigurationRosterTest.cpp
+++ b/packages/Control/unittests/ConfigurationRosterTest.cpp
@@ -64,9 +64,9 @@
     }
     for (size_t i = 0; i < *rc::gen::inRange<size_t>(0, 5); ++i)
         after.members.push_back(memberOf(size + i, i % regions, 7));
-    const auto seen = *rc::gen::container<std::set<size_t>>(rc::gen::inRange<size_t>(0, size));
+    const auto seen = *rc::gen::container<std::vector<size_t>>(rc::gen::inRange<size_t>(0, size));
     const auto votes
-        = *rc::gen::container<std::set<size_t>>(rc::gen::inRange<size_t>(0, after.members.size()));
+        = *rc::gen::container<std::vector<size_t>>(rc::gen::inRange<size_t>(0, after.members.size()));
     std::set<DaemonId> seenIds { before.members[0].id };
     for (const auto i : seen)
         seenIds.insert(before.members[i].id);
