--- a/packages/Control/lib/ConfigurationReplica.cpp
+++ b/packages/Control/lib/ConfigurationReplica.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr size_t maxStepsKept = 64;
-constexpr size_t maxStepBytes = 32 * 1024;
+constexpr size_t maxStepBytes = 32'768;
 /// Versions read from the table at once.
 constexpr uint64_t versionsPerRead = 32;
 /// A daemon that lacks more versions starts from a snapshot.
--- a/packages/Control/lib/ConfigurationRows.h
+++ b/packages/Control/lib/ConfigurationRows.h
@@ -21,7 +21,7 @@
 constexpr auto floorTable = "configuration-floors";
 
 /// Rows with a longer difference name an object instead.
-constexpr size_t maxRowDifference = 48 * 1024;
+constexpr size_t maxRowDifference = 49'152;
 
 struct VersionRow {
     ConfigurationHead head;
--- a/packages/Control/unittests/ConfigurationFleet.h
+++ b/packages/Control/unittests/ConfigurationFleet.h
@@ -105,7 +105,7 @@
         auto& node = *nodes[i];
         if (!node.running || isPaused(i))
             return "";
-        const auto id = fmt::format("change-{}", ++m_changes);
+        auto id = fmt::format("change-{}", ++m_changes);
         node.controller->propose({ .id = id,
                                      .document = documentOf(value),
                                      .expectedVersion = expected.value_or(node.controller->head().version),
@@ -311,7 +311,8 @@
             m_packets.pop();
             if (!nodes[packet.to]->running || !reaches(packet.from, packet.to))
                 continue;
-            nodes[packet.to]->inbox.push_back([this, packet = std::move(packet)] { deliver(packet); });
+            auto& inbox = nodes[packet.to]->inbox;
+            inbox.push_back([this, packet = std::move(packet)] { deliver(packet); });
         }
     }
 
