--- a/packages/Control/include/lentilbay/Control/Blackboard.h
+++ b/packages/Control/include/lentilbay/Control/Blackboard.h
@@ -80,10 +80,14 @@
 /// The answer of all owners of a pool to the question who holds its slots.
 struct Verdict {
     /// The greatest rank (lowest tier) whose work runs on the pool or may be dispatched there while the
-    /// verdict lives; -1 where there is none.
+    /// verdict lives; -1 where there is none, maxTiers where some owner cannot know.
     int lowestServedRank = -1;
+    /// The greatest rank that is known to run there, or -1.
+    int lowestRunningRank = -1;
     /// Whether some slot of the pool is free.
     bool hasFreeSlot = true;
+    /// Whether all owners know what their endpoints serve.
+    bool isKnown() const { return lowestServedRank < maxTiers; }
     /// When the oldest of the answers was asked for. Nothing where an owner has not answered.
     std::optional<TimePoint> askedAt;
 
--- a/packages/Control/include/lentilbay/Control/SlotController.h
+++ b/packages/Control/include/lentilbay/Control/SlotController.h
@@ -25,7 +25,7 @@
         const DaemonId& from, const std::string& address, const DemandReport& report, TimePoint now);
     void received(const DaemonId& from, const std::string& address, const GrantReport& report, TimePoint now);
     /// An endpoint that this daemon owns answered a question for its load.
-    void loadReported(const EndpointId& endpoint, const LoadReport& load, bool leaving);
+    void loadReported(const EndpointId& endpoint, const LoadReport& load, bool leaving, TimePoint now);
     /// Messages go to Blackboard::outbox, those to this daemon itself too.
     void step(TimePoint now);
     std::optional<TimePoint> nextWake() const;
--- a/packages/Control/include/lentilbay/Control/SlotLedger.h
+++ b/packages/Control/include/lentilbay/Control/SlotLedger.h
@@ -25,8 +25,8 @@
     int admittedRank = -1;
     UseByRank uses {};
 
-    /// The greatest rank that runs or may be dispatched, or -1.
-    int lowestServedRank() const;
+    /// The greatest rank that runs, or -1.
+    int lowestRunningRank() const;
 };
 
 struct LedgerEntry {
--- a/packages/Control/include/lentilbay/Control/SlotMessages.h
+++ b/packages/Control/include/lentilbay/Control/SlotMessages.h
@@ -92,8 +92,11 @@
 /// Who holds the owner's slots of one pool.
 struct PoolVerdict {
     ServiceId service;
-    /// The greatest rank whose work runs there or is admitted by a grant that is out, or -1.
+    /// The greatest rank whose work runs there or is admitted by a grant that is out; -1 where there is none,
+    /// maxTiers where the owner cannot know.
     int8_t lowestServedRank = -1;
+    /// The greatest rank that is known to run there, or -1.
+    int8_t lowestRunningRank = -1;
     bool hasFreeSlot = false;
     /// The entry must preempt this many of its requests of a greater rank than recallForRank.
     uint32_t recall = 0;
@@ -102,7 +105,7 @@
     bool operator==(const PoolVerdict&) const = default;
     template <class Archive> void serialize(Archive& archive)
     {
-        archive(service, lowestServedRank, hasFreeSlot, recall, recallForRank);
+        archive(service, lowestServedRank, lowestRunningRank, hasFreeSlot, recall, recallForRank);
     }
 };
 
--- a/packages/Control/include/lentilbay/Control/SlotOptions.h
+++ b/packages/Control/include/lentilbay/Control/SlotOptions.h
@@ -7,7 +7,10 @@
 
 struct SlotOptions {
     /// From asking for a grant until it gives no right to dispatch any more.
-    Duration grantLifetime = std::chrono::seconds(3);
+    Duration grantLifetime = std::chrono::milliseconds(2500);
+    /// An endpoint that has not answered its owner's question for its load for this long is lent no more: it
+    /// may be leaving. With the grant's lifetime it bounds how long a leaving endpoint can get new work.
+    Duration endpointHeardWithin = std::chrono::seconds(2);
     /// From asking for a verdict until it allows no refusal any more.
     Duration verdictLifetime = std::chrono::seconds(1);
     /// Between reports to an owner while there is demand or work in flight.
--- a/packages/Control/include/lentilbay/Control/SlotOwner.h
+++ b/packages/Control/include/lentilbay/Control/SlotOwner.h
@@ -27,7 +27,7 @@
     void demandReported(
         const DaemonId& from, const std::string& address, const DemandReport& report, TimePoint now);
     /// What an endpoint that this daemon owns said of itself.
-    void loadReported(const EndpointId& endpoint, const LoadReport& load, bool leaving);
+    void loadReported(const EndpointId& endpoint, const LoadReport& load, bool leaving, TimePoint now);
     /// Call it after Ownership::refresh() returned true, and once at the start.
     void ownershipChanged(TimePoint now);
     /// Plans and appends grant reports to the outbox.
@@ -46,6 +46,7 @@
     };
 
     Domain domainAt(TimePoint now);
+    bool wasHeard(const EndpointId& endpoint, TimePoint now) const;
     void noteOccupancy(Domain& domain, TimePoint now);
     SlotProblem problemOf(const Domain& domain) const;
     SlotProblem::Entry problemEntryOf(
@@ -77,6 +78,8 @@
     SlotOptions m_options;
     SlotLedger m_ledger;
     std::map<EndpointId, EndpointOccupancy> m_occupancy;
+    /// When each endpoint last answered this daemon.
+    std::map<EndpointId, TimePoint> m_heardAt;
     TimePoint m_ownsSince {};
     /// Until then another owner's grants may be out that this one does not know.
     TimePoint m_strangersUntil {};
--- a/packages/Control/lib/Entry/Admission.cpp
+++ b/packages/Control/lib/Entry/Admission.cpp
@@ -115,7 +115,8 @@
     auto& stored = requests.emplace(id, std::move(request)).first->second;
     bySequence.emplace(stored.sequence, &stored);
     enqueue(stored, now);
-    if (stored.sheddable && !isInTime(stored, now, predictBest(stored, -options.refusalSigmas))) {
+    const bool isLate = !isInTime(stored, now, predictBest(stored, -options.refusalSigmas));
+    if (stored.sheddable && isLate && (isHopeless(stored) || mayShed(stored, now))) {
         refuse(stored,
             { .code = ResultCode::DeadlineInfeasible, .detail = "no endpoint is fast enough, even idle" },
             Ran::No, now);
--- a/packages/Control/lib/Entry/Displacement.cpp
+++ b/packages/Control/lib/Entry/Displacement.cpp
@@ -171,6 +171,27 @@
     setTimer(request, std::min(last, now + fromSeconds(overdueFactor * expected + overdueSeconds)));
 }
 
+void EntryController::State::expire(OpenRequest& request, TimePoint now)
+{
+    const auto* pool = blackboard.findPool(request.arrival.service);
+    // Grants that admit a lower tier may be out to daemons that have not acknowledged narrower ones.
+    const bool isKnown = pool && isFresh(pool->verdict, now) && pool->verdict.isKnown()
+        && (pool->verdict.lowestServedRank <= request.rank || pool->verdict.lowestRunningRank > request.rank);
+    // A slot that came too late to connect is no better than none.
+    const bool lackedSlot
+        = request.phase == RequestPhase::Waiting || request.phase == RequestPhase::Connecting;
+    if (pool && !isKnown && lackedSlot) {
+        refuse(request,
+            { .code = ResultCode::OwnerUnreachable, .detail = "not all daemons could be asked in time" },
+            Ran::No, now);
+        return;
+    }
+    counters.shedWhileLowerServed += request.phase == RequestPhase::Waiting && !mayShed(request, now);
+    refuse(request,
+        { .code = ResultCode::DeadlinePassedWaiting, .detail = "the deadline passed in the queue" }, Ran::No,
+        now);
+}
+
 void EntryController::State::runTimers(TimePoint now)
 {
     while (!timers.empty() && timers.begin()->first <= now) {
@@ -178,10 +199,7 @@
         setTimer(request, TimePoint::max());
         const bool isPast = request.deadline && *request.deadline <= now;
         if (isPast && request.phase < RequestPhase::Running) {
-            counters.shedWhileLowerServed += request.phase == RequestPhase::Waiting && !mayShed(request, now);
-            refuse(request,
-                { .code = ResultCode::DeadlinePassedWaiting, .detail = "the deadline passed in the queue" },
-                Ran::No, now);
+            expire(request, now);
             continue;
         }
         switch (request.phase) {
--- a/packages/Control/lib/Entry/EntryState.h
+++ b/packages/Control/lib/Entry/EntryState.h
@@ -66,6 +66,9 @@
     /// The best that any endpoint of its pool could do if it were idle.
     PredictedTimes predictBest(const OpenRequest& request, double sigmas) const;
     bool isInTime(const OpenRequest& request, TimePoint start, const PredictedTimes& times) const;
+    /// Whether the request could not be in time even on an idle pool, by a bound that allows for all that is
+    /// not known of it: a short answer, and endpoints that are faster while they are idle.
+    bool isHopeless(const OpenRequest& request) const;
     /// The last moment to start at the best endpoint.
     std::optional<TimePoint> latestStart(const OpenRequest& request, double sigmas) const;
     double remainingSeconds(const OpenRequest& request, TimePoint now) const;
@@ -87,6 +90,8 @@
     void planQueues(TimePoint now);
 
     // Displacement.cpp: deadlines that come near, what gives way, and what may be refused.
+    /// Refuses a request whose deadline passed before its dispatch.
+    void expire(OpenRequest& request, TimePoint now);
     void runTimers(TimePoint now);
     void checkWaiting(OpenRequest& request, TimePoint now);
     void checkRunning(OpenRequest& request, TimePoint now);
--- a/packages/Control/lib/Entry/Prediction.cpp
+++ b/packages/Control/lib/Entry/Prediction.cpp
@@ -11,6 +11,12 @@
 constexpr uint32_t shortestStretch = 4;
 /// A prefill is only observed where the cache is thought to have had no part in it.
 constexpr double negligibleFraction = 0.02;
+/// An idle endpoint may need as little as this part of the time that was learned under load, ...
+constexpr double idleSpeedPart = 0.5;
+/// ... or that was taken for granted before anything was learned, ...
+constexpr double unknownSpeedPart = 0.05;
+/// ... and an answer may be as short as this part of what is expected.
+constexpr double shortestAnswerPart = 0.1;
 
 } // namespace
 
@@ -56,6 +62,20 @@
         || start + fromSeconds(times.firstToken) <= *request.firstTokenDeadline;
 }
 
+bool EntryController::State::isHopeless(const OpenRequest& request) const
+{
+    if (request.isPlain())
+        return false;
+    auto work = request.expected;
+    work.answerTokens = { .mean = shortestAnswerPart * work.answerTokens.mean, .spread = 0 };
+    auto idle = request.pool->fastest;
+    idle.cachedFraction = request.cachedFraction;
+    const double part = request.pool->isSpeedKnown ? idleSpeedPart : unknownSpeedPart;
+    idle.speed.secondsPerPromptToken *= part;
+    idle.speed.secondsPerAnswerToken *= part;
+    return !isInTime(request, request.arrivedAt, predictTimes(work, idle, runtime.weights));
+}
+
 std::optional<TimePoint> EntryController::State::latestStart(const OpenRequest& request, double sigmas) const
 {
     const auto times = predictBest(request, sigmas);
@@ -77,7 +97,9 @@
         return std::max(times.whole - elapsed, times.whole - times.firstToken);
     const auto& size = request.expected.answerTokens;
     const double left = std::max(size.mean - request.answerTokens, 0.1 * size.mean + 0.25 * size.spread);
-    return left * request.endpoint->speed.secondsPerAnswerToken;
+    // What has taken longer than expected may well take as long again.
+    const double overdue = elapsed - times.whole;
+    return std::max(left * request.endpoint->speed.secondsPerAnswerToken, overdue);
 }
 
 RunningWork EntryController::State::runningWork(const OpenRequest& request, TimePoint now) const
--- a/packages/Control/lib/Entry/Runtime.cpp
+++ b/packages/Control/lib/Entry/Runtime.cpp
@@ -149,8 +149,10 @@
         stragglers += endpoint->estimate.isStraggler() ? 1 : 0;
     const bool isCommon = stragglers * 3 > pool.endpoints.size();
     std::vector<EndpointSpeed> speeds;
+    pool.isSpeedKnown = true;
     for (auto* endpoint : pool.endpoints) {
         auto& state = stateOf(*endpoint);
+        pool.isSpeedKnown = pool.isSpeedKnown && endpoint->generation->isKnown();
         endpoint->speed = endpoint->estimate.speed(*endpoint->generation);
         endpoint->knee = endpoint->estimate.knee(state.endpoint.slots);
         state.learnedSlots = endpoint->knee;
--- a/packages/Control/lib/Entry/Runtime.h
+++ b/packages/Control/lib/Entry/Runtime.h
@@ -81,6 +81,8 @@
     TimePoint planAgainAt = TimePoint::min();
     /// The fastest of its endpoints, and one in the middle.
     RouteCandidate fastest;
+    /// Whether enough was observed of every endpoint's speed to call a deadline hopeless.
+    bool isSpeedKnown = false;
     RouteCandidate typical;
     /// The weight of an answer in time, and the seconds that it held a slot.
     Estimate answerWeight { 0, 0.02 };
--- a/packages/Control/lib/EntryController.cpp
+++ b/packages/Control/lib/EntryController.cpp
@@ -74,9 +74,7 @@
     if (!request || request->phase != RequestPhase::Connecting)
         return false;
     if (request->deadline && *request->deadline <= now) {
-        m_state->refuse(*request,
-            { .code = ResultCode::DeadlinePassedWaiting, .detail = "the deadline passed in the queue" },
-            Ran::No, now);
+        m_state->expire(*request, now);
         return false;
     }
     auto& endpoint = *request->endpoint;
--- a/packages/Control/lib/SlotController.cpp
+++ b/packages/Control/lib/SlotController.cpp
@@ -32,9 +32,10 @@
     m_holder.granted(from, report, now);
 }
 
-void SlotController::loadReported(const EndpointId& endpoint, const LoadReport& load, bool leaving)
+void SlotController::loadReported(
+    const EndpointId& endpoint, const LoadReport& load, bool leaving, TimePoint now)
 {
-    m_owner.loadReported(endpoint, load, leaving);
+    m_owner.loadReported(endpoint, load, leaving, now);
 }
 
 void SlotController::step(TimePoint now)
--- a/packages/Control/lib/SlotHolder.cpp
+++ b/packages/Control/lib/SlotHolder.cpp
@@ -259,6 +259,7 @@
                 break;
             }
             out.lowestServedRank = std::max<int>(out.lowestServedRank, known->verdict.lowestServedRank);
+            out.lowestRunningRank = std::max<int>(out.lowestRunningRank, known->verdict.lowestRunningRank);
             out.hasFreeSlot = out.hasFreeSlot || known->verdict.hasFreeSlot;
             out.askedAt = std::min(*out.askedAt, known->askedAt);
         }
--- a/packages/Control/lib/SlotLedger.cpp
+++ b/packages/Control/lib/SlotLedger.cpp
@@ -8,13 +8,13 @@
 
 uint32_t totalUse(const UseByRank& uses) { return std::accumulate(uses.begin(), uses.end(), 0U); }
 
-int Commitment::lowestServedRank() const
+int Commitment::lowestRunningRank() const
 {
-    for (int rank = maxTiers - 1; rank > admittedRank; --rank) {
+    for (int rank = maxTiers - 1; rank >= 0; --rank) {
         if (uses[static_cast<size_t>(rank)] > 0)
             return rank;
     }
-    return admittedRank;
+    return -1;
 }
 
 bool SlotLedger::hear(
--- a/packages/Control/lib/SlotOwner.cpp
+++ b/packages/Control/lib/SlotOwner.cpp
@@ -46,12 +46,15 @@
     m_nextWake = now;
 }
 
-void SlotOwner::loadReported(const EndpointId& endpoint, const LoadReport& load, bool leaving)
+void SlotOwner::loadReported(const EndpointId& endpoint, const LoadReport& load, bool leaving, TimePoint now)
 {
     auto* state = m_blackboard.findEndpointState(endpoint);
     if (state == nullptr)
         return;
-    m_dirty = m_dirty || state->leaving != leaving;
+    m_dirty = m_dirty || state->leaving != leaving || !wasHeard(endpoint, now);
+    if (m_dirty)
+        m_nextWake = now;
+    m_heardAt[endpoint] = now;
     state->load = load;
     state->leaving = leaving;
 }
@@ -72,6 +75,7 @@
     m_dirty = false;
     m_plannedAt = now;
     m_ledger.forgetSilent(now);
+    std::erase_if(m_heardAt, [&](const auto& it) { return !wasHeard(it.first, now); });
     std::erase_if(m_holds, [&](const auto& it) { return now >= it.second.until; });
     const auto domain = domainAt(now);
     const auto plan = planSlots(problemOf(domain));
@@ -97,7 +101,8 @@
     for (const auto position : m_ownership.endpointsOf(m_blackboard.self)) {
         const auto& state = m_blackboard.endpoints[position];
         out.endpoints.push_back(&state);
-        out.capacities.push_back(state.leaving ? 0 : state.endpoint.slots);
+        const bool mayLend = !state.leaving && wasHeard(state.endpoint.name, now);
+        out.capacities.push_back(mayLend ? state.endpoint.slots : 0);
         for (const auto& service : state.endpoint.services) {
             if (out.poolNumbers.emplace(service, out.pools.size()).second)
                 out.pools.push_back(service);
@@ -112,6 +117,13 @@
     return out;
 }
 
+/// Whether the endpoint has lately told this daemon that it is not leaving.
+bool SlotOwner::wasHeard(const EndpointId& endpoint, TimePoint now) const
+{
+    auto it = m_heardAt.find(endpoint);
+    return it != m_heardAt.end() && now < it->second + m_options.endpointHeardWithin;
+}
+
 /// Requests that nobody has reported take up capacity as well.
 void SlotOwner::noteOccupancy(Domain& domain, TimePoint now)
 {
@@ -214,7 +226,7 @@
         const auto committed = domain.commitments[number][k].slots;
         const auto added = target > committed ? std::min(target - committed, spare[k]) : 0;
         spare[k] -= added;
-        const auto slots = state.leaving ? 0 : std::min(target, committed + added);
+        const auto slots = domain.capacities[k] == 0 ? 0 : std::min(target, committed + added);
         if (slots > 0 || state.leaving)
             report.grants.push_back(grantOf(state, slots, admittedRankOf(state, domain, plan, now), now));
     }
@@ -260,19 +272,23 @@
 {
     PoolVerdict verdict { .service = domain.pools[pool], .hasFreeSlot = plan.freeSlots[pool] > 0 };
     int lowest = -1;
+    int running = -1;
     for (size_t k = 0; k < domain.endpoints.size(); ++k) {
         const auto& state = *domain.endpoints[k];
         if (!offers(state, verdict.service))
             continue;
         // Grants that leave with this verdict count as well as those that are out.
         lowest = std::max(lowest, admittedRankOf(state, domain, plan, now));
-        for (const auto& commitments : domain.commitments)
-            lowest = std::max(lowest, commitments[k].lowestServedRank());
+        for (const auto& commitments : domain.commitments) {
+            lowest = std::max(lowest, commitments[k].admittedRank);
+            running = std::max(running, commitments[k].lowestRunningRank());
+        }
         const auto used = totalUse(domain.commitments[number][k].uses);
         verdict.hasFreeSlot = verdict.hasFreeSlot || plan.targets[number][k] > used;
     }
-    verdict.lowestServedRank
-        = static_cast<int8_t>(isSound(verdict.service, domain, now) ? lowest : maxTiers - 1);
+    lowest = std::max(lowest, running);
+    verdict.lowestRunningRank = static_cast<int8_t>(running);
+    verdict.lowestServedRank = static_cast<int8_t>(isSound(verdict.service, domain, now) ? lowest : maxTiers);
     for (const auto& recall : plan.recalls) {
         if (recall.entry != number || recall.pool != pool)
             continue;
--- a/packages/Control/lib/SlotPlan.cpp
+++ b/packages/Control/lib/SlotPlan.cpp
@@ -134,33 +134,44 @@
         return m_problem.entries[entry].held[k] > m_plan.targets[entry][k];
     }
 
-    /// Finds lower-tier work of other entries that gives way to urgent demand, the lowest tier first. An
-    /// entry preempts its own lower-tier work without being told.
+    /// Finds lower-tier work that gives way to urgent demand: of the lowest tier first, wherever it runs.
+    /// Demand is urgent here only where the entry found nothing of its own that it may preempt by itself.
     void recallFor(const OpenDemand& demand, int rank)
     {
         uint32_t needed = demand.urgent;
-        needed -= std::min(needed, takePreemptible(demand.entry, demand.pool, rank, needed));
         for (const auto& entry : m_problem.entries)
             needed -= std::min(needed, entry.recalled[demand.pool]);
-        for (size_t entry = 0; entry < m_problem.entries.size() && needed > 0; ++entry) {
-            const auto taken = takePreemptible(entry, demand.pool, rank, needed);
-            needed -= taken;
-            if (taken > 0)
-                m_plan.recalls.push_back({ entry, demand.pool, rank, taken });
+        for (int victim = maxTiers - 1; victim > rank && needed > 0; --victim) {
+            for (size_t entry = 0; entry < m_problem.entries.size(); ++entry) {
+                const auto taken = takePreemptible(entry, demand.pool, victim, needed);
+                needed -= taken;
+                noteRecall({ .entry = entry, .pool = demand.pool, .forRank = rank, .slots = taken });
+            }
         }
     }
 
-    /// Takes up to `most` requests of a greater rank off the entry's preemptible work; returns how many.
+    void noteRecall(const PlannedRecall& recall)
+    {
+        if (recall.slots == 0)
+            return;
+        for (auto& it : m_plan.recalls) {
+            if (it.entry != recall.entry || it.pool != recall.pool || it.forRank != recall.forRank)
+                continue;
+            it.slots += recall.slots;
+            return;
+        }
+        m_plan.recalls.push_back(recall);
+    }
+
+    /// Takes up to `most` requests of a rank off the entry's preemptible work; returns how many.
     uint32_t takePreemptible(size_t entry, size_t pool, int rank, uint32_t most)
     {
         uint32_t taken = 0;
-        for (int victim = maxTiers - 1; victim > rank; --victim) {
-            for (const auto k : m_endpointsOf[pool]) {
-                auto& left = m_preemptible[entry][k][static_cast<size_t>(victim)];
-                const auto n = std::min(left, most - taken);
-                left -= n;
-                taken += n;
-            }
+        for (const auto k : m_endpointsOf[pool]) {
+            auto& left = m_preemptible[entry][k][static_cast<size_t>(rank)];
+            const auto n = std::min(left, most - taken);
+            left -= n;
+            taken += n;
         }
         return taken;
     }
--- a/packages/Control/unittests/DisplacementTest.cpp
+++ b/packages/Control/unittests/DisplacementTest.cpp
@@ -98,13 +98,14 @@
 TEST_F(DisplacementTest, NoRefusalForWantOfCapacityWhileThisEntryServesLowerWork)
 {
     fillWithBronze();
+    m_entry.tokensArrived(RequestId("b2"), 1, at(2ms));
     // Neither may be cancelled: what is almost done is left to end.
-    m_entry.tokensArrived(RequestId("b1"), 500, at(2ms));
-    m_entry.tokensArrived(RequestId("b2"), 500, at(2ms));
+    m_entry.tokensArrived(RequestId("b1"), 47, at(941ms));
+    m_entry.tokensArrived(RequestId("b2"), 47, at(942ms));
     auto hurried = arrival("g1");
-    hurried.deadline = 1200ms;
-    m_entry.arrive(hurried, at(1ms));
-    for (auto now = at(1ms); now < at(1190ms); now += 10ms) {
+    hurried.deadline = 250ms;
+    m_entry.arrive(hurried, at(950ms));
+    for (auto now = at(950ms); now < at(1190ms); now += 10ms) {
         setVerdict(0, now);
         m_entry.step(now);
     }
@@ -113,6 +114,24 @@
     EXPECT_THAT(commands(), ElementsAre("g1@e1"));
 }
 
+TEST_F(DisplacementTest, WorkThatHasLongOutrunItsExpectedEndGivesWay)
+{
+    fillWithBronze();
+    m_entry.tokensArrived(RequestId("b2"), 1, at(2ms));
+    m_entry.tokensArrived(RequestId("b1"), 47, at(941ms));
+    m_entry.tokensArrived(RequestId("b2"), 47, at(942ms));
+    auto hurried = arrival("g1");
+    hurried.deadline = 3s;
+    m_entry.arrive(hurried, at(950ms));
+    for (auto now = at(950ms); now < at(3900ms); now += 10ms) {
+        setVerdict(1, now);
+        m_entry.step(now);
+    }
+    const auto given = commands();
+    ASSERT_FALSE(given.empty());
+    EXPECT_THAT(given[0], testing::StartsWith("cancel b"));
+}
+
 TEST_F(DisplacementTest, WhatAnIdlePoolCouldNotDoIsRefusedAtOnce)
 {
     auto impossible = arrival("g1");
@@ -131,6 +150,8 @@
     auto hurried = arrival("g1", "gold", "book");
     hurried.deadline = 1s;
     m_entry.arrive(hurried, at(0s));
+    m_blackboard.findPool(ServiceId("book"))->verdict
+        = { .lowestServedRank = 1, .lowestRunningRank = 1, .askedAt = at(500ms) };
     run(at(0s), at(1s));
     EXPECT_THAT(commands(), ElementsAre("refuse g1 LB-3003 no"));
 }
--- a/packages/Control/unittests/EntryControllerTest.cpp
+++ b/packages/Control/unittests/EntryControllerTest.cpp
@@ -94,6 +94,8 @@
     hurried.deadline = 2s;
     m_entry.arrive(hurried, at(0s));
     EXPECT_LE(m_entry.nextWake(), at(2s));
+    m_blackboard.findPool(ServiceId("edit"))->verdict
+        = { .lowestServedRank = 1, .lowestRunningRank = 1, .askedAt = at(1900ms) };
     m_entry.step(at(2s));
     EXPECT_THAT(commands(), ElementsAre("refuse r1 LB-3003 no"));
     const auto outcomes = m_entry.takeOutcomes();
@@ -102,6 +104,17 @@
     EXPECT_FALSE(dispatch("r1", at(2s)));
 }
 
+TEST_F(EntryControllerTest, ADeadlineThatPassesWithoutAnOwnersAnswerSaysSo)
+{
+    grantAll(0, at(1h));
+    auto hurried = arrival("r1");
+    hurried.deadline = 2s;
+    m_entry.arrive(hurried, at(0s));
+    m_blackboard.findPool(ServiceId("edit"))->verdict = { .lowestServedRank = 0, .askedAt = at(900ms) };
+    m_entry.step(at(2s));
+    EXPECT_THAT(commands(), ElementsAre("refuse r1 LB-3011 no"));
+}
+
 TEST_F(EntryControllerTest, ADeadlineThatPassesBeforeTheFirstByteStopsTheDispatch)
 {
     m_entry.arrive(arrival("r1"), at(0s));
--- a/packages/Control/unittests/SlotFleet.cpp
+++ b/packages/Control/unittests/SlotFleet.cpp
@@ -91,11 +91,13 @@
 void SlotFleet::reportLoads(size_t i)
 {
     auto& daemon = *m_daemons[i];
-    for (size_t k = 0; k < m_leaving.size(); ++k) {
-        const EndpointId name("engine-" + std::to_string(k));
-        const auto owned = daemon.slots->ownedEndpoints();
-        if (m_leaving[k] && std::find(owned.begin(), owned.end(), name) != owned.end())
-            daemon.slots->loadReported(name, { .measuredAt = m_now }, true);
+    if (m_now < daemon.asksLoadsAt)
+        return;
+    daemon.asksLoadsAt = m_now + 250ms;
+    for (const auto& id : daemon.slots->ownedEndpoints()) {
+        const auto k = daemon.blackboard.endpointPositions.at(id);
+        daemon.slots->loadReported(
+            id, { .running = inFlightAt(k), .measuredAt = m_now }, m_leaving[k], m_now);
     }
 }
 
--- a/packages/Control/unittests/SlotFleet.h
+++ b/packages/Control/unittests/SlotFleet.h
@@ -42,6 +42,7 @@
         std::unique_ptr<SlotController> slots;
         bool isUp = true;
         bool isPaused = false;
+        TimePoint asksLoadsAt {};
     };
 
     explicit SlotFleet(FleetOptions options);
--- a/packages/Control/unittests/SlotFleetTest.cpp
+++ b/packages/Control/unittests/SlotFleetTest.cpp
@@ -163,7 +163,7 @@
     fleet.restart(1);
     fleet.wait(1, 0, 1, true);
     bool early = false;
-    fleet.run(2900ms, [&] { early = early || allowsRefusal(fleet, 1, 0); });
+    fleet.run(SlotOptions {}.grantLifetime - 100ms, [&] { early = early || allowsRefusal(fleet, 1, 0); });
     EXPECT_FALSE(early);
     fleet.run(1s);
     EXPECT_TRUE(allowsRefusal(fleet, 1, 0));
--- a/packages/Invariants/lib/ShedCheck.cpp
+++ b/packages/Invariants/lib/ShedCheck.cpp
@@ -86,11 +86,17 @@
         return index.hadFault(kind, subject, caller.sentAt, caller.endedAt, options.faultAftermath);
     };
     switch (caller.code) {
+    case ResultCode::DeadlinePassedWaiting:
+        // A process that stood still would have let it pass on an idle pool as well.
+        return index.hadFault(
+            Kind::DaemonPaused, caller.daemon.text(), caller.sentAt, caller.endedAt, Duration {});
     case ResultCode::Draining:
         return daemonWasStopping(index, caller);
     case ResultCode::Fenced:
         return had(Kind::Partition, "") || had(Kind::PlatformFault, "")
             || had(Kind::DaemonPaused, caller.daemon.text());
+    case ResultCode::OwnerUnreachable:
+        return had(Kind::Partition, "") || had(Kind::DaemonKilled, "") || had(Kind::DaemonPaused, "");
     case ResultCode::ClaimUnavailable:
     case ResultCode::PlatformUnavailable:
     case ResultCode::PlatformAmbiguous:
--- a/packages/Invariants/unittests/ShedCheckTest.cpp
+++ b/packages/Invariants/unittests/ShedCheckTest.cpp
@@ -127,6 +127,33 @@
     EXPECT_EQ(breachesOf(run, shed), 1U);
 }
 
+TEST(ShedCheck, anOwnerThatCouldNotBeAskedNeedsAFaultBetweenDaemons)
+{
+    auto run = runWithRefusal(ResultCode::OwnerUnreachable);
+    EXPECT_EQ(breachesOf(run, shed), 1U);
+    run.faults = { { .kind = FaultRecord::Kind::EndpointFault, .subject = "e1", .from = after(0) } };
+    EXPECT_EQ(breachesOf(run, shed), 1U);
+    for (const auto kind :
+        { FaultRecord::Kind::Partition, FaultRecord::Kind::DaemonKilled, FaultRecord::Kind::DaemonPaused }) {
+        run.faults = { { .kind = kind, .subject = "d2", .from = after(0) } };
+        EXPECT_EQ(breachesOf(run, shed), 0U);
+        run.faults[0].from = after(101);
+        EXPECT_EQ(breachesOf(run, shed), 1U);
+    }
+}
+
+TEST(ShedCheck, aDeadlineThatPassedInTheQueueNeedsAPauseOfItsOwnDaemon)
+{
+    auto run = runWithRefusal(ResultCode::DeadlinePassedWaiting);
+    EXPECT_EQ(breachesOf(run, shed), 1U);
+    run.faults = { { .kind = FaultRecord::Kind::DaemonPaused, .subject = "d2", .from = after(0) } };
+    EXPECT_EQ(breachesOf(run, shed), 1U);
+    run.faults[0].subject = run.callers.back().daemon.text();
+    EXPECT_EQ(breachesOf(run, shed), 0U);
+    run.faults[0].until = after(1);
+    EXPECT_EQ(breachesOf(run, shed), 1U);
+}
+
 TEST(ShedCheck, anUnreachablePoolMustBeAwayAsAWhole)
 {
     auto run = runWithRefusal(ResultCode::EndpointUnreachable);
--- a/tools/lentilbayd/lib/EndpointLoads.cpp
+++ b/tools/lentilbayd/lib/EndpointLoads.cpp
@@ -14,7 +14,7 @@
 constexpr Duration askInterval = std::chrono::seconds { 1 };
 constexpr Duration lookInterval = std::chrono::milliseconds { 200 };
 constexpr Duration answerTimeout = std::chrono::seconds { 2 };
-constexpr size_t longestAnswer = 64 * 1024;
+constexpr size_t longestAnswer = 65'536;
 
 } // namespace
 
@@ -85,10 +85,11 @@
 
 void EndpointLoads::answered(const EndpointId& endpoint, const std::string& body)
 {
-    const auto answer = parseLoadAnswer(body, steadyNow());
+    const auto now = steadyNow();
+    const auto answer = parseLoadAnswer(body, now);
     if (!answer)
         return;
-    m_daemon.plane().slots().loadReported(endpoint, answer->load, answer->leaving);
+    m_daemon.plane().slots().loadReported(endpoint, answer->load, answer->leaving, now);
     m_daemon.wake();
 }
 
