Add the claim controller: keyed requests run at most once across daemons

One conditional write names the one process that may dispatch a request, with a nonce, never leased. After a lost answer the row is read and the nonce tells; a request that ends before its dispatch makes its nonce dead, and only its own daemon can say so; a row of another daemon is asked for (ClaimQuery) and never run here; a holder that is gone means unknown. Claims of one turn share one transaction, with a bound on rows a second and one organisation after the other. Rows count for 24 h, are written over after that, and one daemon of each region removes them a page at a time.

--- a/packages/Control/include/lentilbay/Control/ControlPlane.h
+++ b/packages/Control/include/lentilbay/Control/ControlPlane.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "lentilbay/Control/Blackboard.h"
+#include "lentilbay/Control/ClaimController.h"
 #include "lentilbay/Control/EntryController.h"
 #include "lentilbay/Control/MembershipController.h"
 #include "lentilbay/Control/SlotController.h"
@@ -37,6 +38,10 @@
     /// The messages for other daemons since the last call.
     std::vector<OutgoingMessage> takeMessages();
 
+    /// Where messages about claims go; without it they are dropped. The claims step by themselves, since
+    /// they need the wall clock.
+    void attachClaims(ClaimController& claims) { m_claims = &claims; }
+
     EntryController& entry() { return m_entry; }
     const EntryController& entry() const { return m_entry; }
     MembershipController& membership() { return m_membership; }
@@ -49,6 +54,7 @@
     MembershipController m_membership;
     SlotController m_slots;
     EntryController m_entry;
+    ClaimController* m_claims = nullptr;
     TimePoint m_nextDigests {};
 };
 
--- a/packages/Control/include/lentilbay/Control/PeerMessage.h
+++ b/packages/Control/include/lentilbay/Control/PeerMessage.h
@@ -3,6 +3,7 @@
 // The position of a type in the variant is its number on the wire: types are appended, never moved.
 #pragma once
 
+#include "lentilbay/Control/ClaimMessages.h"
 #include "lentilbay/Control/MembershipMessages.h"
 #include "lentilbay/Control/SlotMessages.h"
 #include "lentilbay/Support/Identifier.h"
@@ -12,8 +13,8 @@
 
 namespace lentilbay {
 
-using PeerMessage
-    = std::variant<DemandReport, GrantReport, Probe, ProbeReply, ProbeRequest, StateExchange, DigestGossip>;
+using PeerMessage = std::variant<DemandReport, GrantReport, Probe, ProbeReply, ProbeRequest, StateExchange,
+    DigestGossip, ClaimQuery, ClaimAnswer>;
 
 struct OutgoingMessage {
     DaemonId to;
--- a/packages/Control/lib/ControlPlane.cpp
+++ b/packages/Control/lib/ControlPlane.cpp
@@ -31,10 +31,16 @@
             using Message = std::decay_t<decltype(it)>;
             constexpr bool isSlotMessage
                 = std::is_same_v<Message, DemandReport> || std::is_same_v<Message, GrantReport>;
-            if constexpr (isSlotMessage)
+            constexpr bool isClaimMessage
+                = std::is_same_v<Message, ClaimQuery> || std::is_same_v<Message, ClaimAnswer>;
+            if constexpr (isSlotMessage) {
                 m_slots.received(from, address, it, now);
-            else
+            } else if constexpr (isClaimMessage) {
+                if (m_claims != nullptr)
+                    m_claims->receive(from, address, it, now);
+            } else {
                 m_membership.receive(from, address, it, now);
+            }
         },
         message);
 }
