--- a/packages/Fakes/include/lentilbay/Fakes/AnswerText.h
+++ b/packages/Fakes/include/lentilbay/Fakes/AnswerText.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 /// Names the prompt in the answer.
 uint64_t promptDigest(std::string_view prompt);
@@ -21,4 +21,4 @@
 /// All tokens of the answer.
 std::string wholeAnswer(uint64_t digest, uint32_t tokens);
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/include/lentilbay/Fakes/EngineModel.h
+++ b/packages/Fakes/include/lentilbay/Fakes/EngineModel.h
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 struct EngineOptions {
     /// Prompt tokens that one second of prefill reads.
@@ -235,4 +235,4 @@
     std::vector<EngineOrderRecord> m_orderRecords;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/include/lentilbay/Fakes/PlatformModels.h
+++ b/packages/Fakes/include/lentilbay/Fakes/PlatformModels.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 struct ObjectOptions {
     double callsPerSecond = 2'000;
@@ -50,9 +50,9 @@
 };
 
 struct WeightOptions {
-    double bytesPerSecond = 64.0 * 1024 * 1024;
+    double bytesPerSecond = 64.0 * 1'048'576;
     /// The size of each model's weights.
-    uint64_t weightBytes = 1024 * 1024;
+    uint64_t weightBytes = 1'048'576;
 };
 
 class WeightModel {
@@ -110,4 +110,4 @@
     std::deque<State> m_states;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/include/lentilbay/Fakes/PrefixCache.h
+++ b/packages/Fakes/include/lentilbay/Fakes/PrefixCache.h
@@ -11,7 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 struct CacheEvent {
     enum class Kind : uint8_t { Stored, Evicted };
@@ -56,4 +56,4 @@
     uint64_t m_lastSequence = 0;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/include/lentilbay/Fakes/RateLimiter.h
+++ b/packages/Fakes/include/lentilbay/Fakes/RateLimiter.h
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <optional>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 class RateLimiter {
 public:
@@ -42,4 +42,4 @@
     std::optional<TimePoint> m_filledAt;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/include/lentilbay/Fakes/ServiceModel.h
+++ b/packages/Fakes/include/lentilbay/Fakes/ServiceModel.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 struct ServiceOptions {
     Duration callTime = std::chrono::milliseconds(5);
@@ -121,4 +121,4 @@
     std::map<std::string, uint32_t> m_executionsById;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/include/lentilbay/Fakes/StoreFaults.h
+++ b/packages/Fakes/include/lentilbay/Fakes/StoreFaults.h
@@ -6,7 +6,7 @@
 #include <compare>
 #include <cstdint>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 struct StoreFaults {
     /// Each call is refused and nothing is done.
@@ -56,4 +56,4 @@
     return StoreAnswer::Lost;
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/include/lentilbay/Fakes/TableModel.h
+++ b/packages/Fakes/include/lentilbay/Fakes/TableModel.h
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 struct TableOptions {
     double writesPerSecond = 500;
@@ -109,4 +109,4 @@
     TableCounts m_counts;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/lib/AnswerText.cpp
+++ b/packages/Fakes/lib/AnswerText.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 uint64_t promptDigest(std::string_view prompt)
 {
@@ -36,4 +36,4 @@
     return text;
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/lib/EngineModel.cpp
+++ b/packages/Fakes/lib/EngineModel.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <cassert>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 std::optional<uint64_t> EngineModel::submit(const EngineRequest& request, TimePoint now)
 {
@@ -220,4 +220,4 @@
     return std::nullopt;
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/lib/EngineState.cpp
+++ b/packages/Fakes/lib/EngineState.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 namespace {
 
@@ -111,4 +111,4 @@
         m_loads.pop_front();
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/lib/PlatformModels.cpp
+++ b/packages/Fakes/lib/PlatformModels.cpp
@@ -3,7 +3,7 @@
 
 #include <utility>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 namespace {
 
@@ -56,4 +56,4 @@
     return {};
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/lib/PrefixCache.cpp
+++ b/packages/Fakes/lib/PrefixCache.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 namespace {
 
@@ -73,4 +73,4 @@
         m_events.pop_front();
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/lib/ServiceModel.cpp
+++ b/packages/Fakes/lib/ServiceModel.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 namespace {
 
@@ -110,4 +110,4 @@
     return load;
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/lib/TableModel.cpp
+++ b/packages/Fakes/lib/TableModel.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 TableModel::TableModel(TableOptions options)
     : m_options(options)
@@ -107,4 +107,4 @@
     return TableAnswer { .status = StoreAnswer::Limited, .retryAfter = *wait };
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/unittests/EngineModelTest.cpp
+++ b/packages/Fakes/unittests/EngineModelTest.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 using namespace lentilbay;
+using namespace lentilbay::fakes;
 using namespace std::chrono_literals;
 
 namespace {
--- a/tools/standins/lib/ApplicationService.cpp
+++ b/tools/standins/lib/ApplicationService.cpp
@@ -4,7 +4,7 @@
 #include "ControlJson.h"
 #include "lentilbay/Fakes/AnswerText.h"
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 using nlohmann::json;
 
@@ -104,4 +104,4 @@
     }.dump();
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/ApplicationService.h
+++ b/tools/standins/lib/ApplicationService.h
@@ -7,7 +7,9 @@
 
 #include <unordered_map>
 
-namespace lentilbay {
+namespace lentilbay::standins {
+
+using namespace fakes;
 
 /// Names a call by what the caller sent, so that an answer can be told from another's.
 uint64_t callDigest(const std::string& method, const std::string& pathAndQuery, const std::string& body);
@@ -41,4 +43,4 @@
     bool m_outage = false;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/ControlJson.h
+++ b/tools/standins/lib/ControlJson.h
@@ -8,7 +8,7 @@
 #include <stdexcept>
 #include <string>
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 inline std::string errorBody(const std::string& message)
 {
@@ -45,4 +45,4 @@
         throw std::invalid_argument("unknown fault: " + body.begin().key());
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/EngineJson.cpp
+++ b/tools/standins/lib/EngineJson.cpp
@@ -7,7 +7,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 using nlohmann::json;
 
@@ -163,4 +163,4 @@
     exchange->replyJson(200, "{}");
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/EngineService.cpp
+++ b/tools/standins/lib/EngineService.cpp
@@ -11,7 +11,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 using nlohmann::json;
 
@@ -203,4 +203,4 @@
     reader.exchange->endStream();
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/EngineService.h
+++ b/tools/standins/lib/EngineService.h
@@ -11,7 +11,9 @@
 #include <string>
 #include <unordered_map>
 
-namespace lentilbay {
+namespace lentilbay::standins {
+
+using namespace fakes;
 
 class EngineService {
 public:
@@ -76,4 +78,4 @@
     bool m_outage = false;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/HttpClient.cpp
+++ b/tools/standins/lib/HttpClient.cpp
@@ -6,7 +6,7 @@
 #include <mutex>
 #include <stdexcept>
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 struct HttpClient::State {
     CURL* curl = nullptr;
@@ -111,4 +111,4 @@
 
 std::string HttpReply::header(const std::string& name) const { return findHeader(headers, name); }
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/HttpClient.h
+++ b/tools/standins/lib/HttpClient.h
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 struct HttpCall {
     std::string method = "GET";
@@ -51,4 +51,4 @@
     std::unique_ptr<State> m_state;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/HttpServer.cpp
+++ b/tools/standins/lib/HttpServer.cpp
@@ -7,7 +7,7 @@
 #include <restinio/all.hpp>
 #include <unordered_set>
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 namespace {
 
@@ -213,4 +213,4 @@
     });
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/HttpServer.h
+++ b/tools/standins/lib/HttpServer.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 struct HttpHeader {
     std::string name;
@@ -81,4 +81,4 @@
     std::unique_ptr<State> m_state;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/PlatformService.cpp
+++ b/tools/standins/lib/PlatformService.cpp
@@ -5,7 +5,7 @@
 
 #include <cmath>
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 using nlohmann::json;
 
@@ -216,4 +216,4 @@
     exchange->replyJson(200, "{}");
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/PlatformService.h
+++ b/tools/standins/lib/PlatformService.h
@@ -6,7 +6,9 @@
 #include "lentilbay/Fakes/PlatformModels.h"
 #include "lentilbay/Fakes/TableModel.h"
 
-namespace lentilbay {
+namespace lentilbay::standins {
+
+using namespace fakes;
 
 struct PlatformOptions {
     TableOptions table;
@@ -49,4 +51,4 @@
     CallAfter m_callAfter;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/PromptText.cpp
+++ b/tools/standins/lib/PromptText.cpp
@@ -3,7 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 std::string promptTextOf(const nlohmann::json& body)
 {
@@ -19,4 +19,4 @@
     return text;
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/RunStandIn.h
+++ b/tools/standins/lib/RunStandIn.h
@@ -5,7 +5,7 @@
 
 #include <iostream>
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 /// Serves on 127.0.0.1 until SIGTERM and returns the exit code. The port is printed once it listens.
 template <class Service> int runStandIn(const char* name, int port, Service& service)
@@ -27,4 +27,4 @@
     return 0;
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/lib/WakeTimer.h
+++ b/tools/standins/lib/WakeTimer.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <utility>
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 /// How a stand-in has a function called after a delay on its own thread.
 using CallAfter = std::function<void(Duration, std::function<void()>)>;
@@ -43,4 +43,4 @@
     std::optional<TimePoint> m_pending;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- a/tools/standins/main/EngineMain.cpp
+++ b/tools/standins/main/EngineMain.cpp
@@ -17,12 +17,12 @@
 {
     gflags::SetUsageMessage("a model engine for tests: engine-standin --port N");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    lentilbay::EngineService service({ .prefillTokensPerSecond = FLAGS_prefill_tokens_per_second,
+    lentilbay::standins::EngineService service({ .prefillTokensPerSecond = FLAGS_prefill_tokens_per_second,
         .decodeStep = std::chrono::microseconds(FLAGS_decode_step_us),
         .knee = static_cast<uint32_t>(FLAGS_knee),
         .slowdownPastKnee = FLAGS_slowdown_past_knee,
         .maxRunning = static_cast<uint32_t>(FLAGS_max_running),
         .kvTokens = static_cast<uint64_t>(FLAGS_kv_tokens),
         .checksFencing = FLAGS_checks_fencing });
-    return lentilbay::runStandIn("engine-standin", FLAGS_port, service);
+    return lentilbay::standins::runStandIn("engine-standin", FLAGS_port, service);
 }
--- a/tools/standins/main/PlatformMain.cpp
+++ b/tools/standins/main/PlatformMain.cpp
@@ -8,17 +8,17 @@
 DEFINE_double(writes_per_second, 500, "rows that the table writes in a second");
 DEFINE_double(reads_per_second, 2'000, "rows that the table reads in a second");
 DEFINE_double(object_calls_per_second, 2'000, "calls of the object store in a second");
-DEFINE_double(weight_bytes_per_second, 64.0 * 1024 * 1024, "rate limit of the weight store");
-DEFINE_int64(weight_bytes, 1024 * 1024, "size of each model's weights");
+DEFINE_double(weight_bytes_per_second, 64.0 * 1'048'576, "rate limit of the weight store");
+DEFINE_int64(weight_bytes, 1'048'576, "size of each model's weights");
 
 int main(int argc, char** argv)
 {
     gflags::SetUsageMessage("the platform's services for tests: platform-standin --port N");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    lentilbay::PlatformService service(
+    lentilbay::standins::PlatformService service(
         { .table = { .writesPerSecond = FLAGS_writes_per_second, .readsPerSecond = FLAGS_reads_per_second },
             .objects = { .callsPerSecond = FLAGS_object_calls_per_second },
             .weights = { .bytesPerSecond = FLAGS_weight_bytes_per_second,
                 .weightBytes = static_cast<uint64_t>(FLAGS_weight_bytes) } });
-    return lentilbay::runStandIn("platform-standin", FLAGS_port, service);
+    return lentilbay::standins::runStandIn("platform-standin", FLAGS_port, service);
 }
--- a/tools/standins/main/ServiceMain.cpp
+++ b/tools/standins/main/ServiceMain.cpp
@@ -12,7 +12,8 @@
 {
     gflags::SetUsageMessage("an application endpoint for tests: service-standin --port N");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    lentilbay::ApplicationService service({ .callTime = std::chrono::microseconds(FLAGS_call_time_us),
-        .maxRunning = static_cast<uint32_t>(FLAGS_max_running) });
-    return lentilbay::runStandIn("service-standin", FLAGS_port, service);
+    lentilbay::standins::ApplicationService service(
+        { .callTime = std::chrono::microseconds(FLAGS_call_time_us),
+            .maxRunning = static_cast<uint32_t>(FLAGS_max_running) });
+    return lentilbay::standins::runStandIn("service-standin", FLAGS_port, service);
 }
--- a/tools/standins/unittests/ApplicationServiceTest.cpp
+++ b/tools/standins/unittests/ApplicationServiceTest.cpp
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 
 using namespace lentilbay;
+using namespace lentilbay::fakes;
+using namespace lentilbay::standins;
 using nlohmann::json;
 
 namespace {
--- a/tools/standins/unittests/RunningStandIn.h
+++ b/tools/standins/unittests/RunningStandIn.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <thread>
 
-namespace lentilbay {
+namespace lentilbay::standins {
 
 template <class Service> class RunningStandIn {
 public:
@@ -53,4 +53,4 @@
     std::thread m_thread;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::standins
--- /dev/null
+++ b/tools/verify/main/VerifyMain.cpp
@@ -0,0 +1,68 @@
+// lentilbay-verify: prints what a run gave its callers and decides whether the eight invariants held.
+#include "lentilbay/Invariants/RecordsJson.h"
+#include "lentilbay/Invariants/Summary.h"
+
+#include <fmt/format.h>
+#include <fstream>
+#include <gflags/gflags.h>
+#include <iostream>
+#include <sstream>
+#include <stdexcept>
+
+DEFINE_string(run, "", "folder with run.json, callers.jsonl and <endpoint>.records.json for each endpoint");
+
+namespace {
+
+using namespace lentilbay;
+
+constexpr int exitBreach = 1;
+constexpr int exitUnreadable = 2;
+
+std::string readFile(const std::string& path)
+{
+    std::ifstream in(path);
+    if (!in)
+        throw std::runtime_error(path + " cannot be read");
+    std::stringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+RunDescription readRun(const std::string& folder)
+{
+    auto run = readRunDescription(readFile(folder + "/run.json"));
+    const auto endpoints = std::exchange(run.records.endpoints, {});
+    for (const auto& it : endpoints)
+        readEndpointRecords(readFile(folder + "/" + it.id.text() + ".records.json"), it, run.records);
+    std::istringstream callers(readFile(folder + "/callers.jsonl"));
+    run.records.callers = readCallerRecords(callers);
+    if (run.records.callers.empty())
+        throw std::runtime_error("the run has no caller's record, so nothing could be judged");
+    return run;
+}
+
+int verify(const std::string& folder)
+{
+    const auto run = readRun(folder);
+    std::cout << printed(summarise(run.records));
+    const auto breaches = checkInvariants(run.records, run.options);
+    for (const auto& it : breaches)
+        std::cout << printed(it, run.records.callers.front().sentAt) << '\n';
+    std::cout << fmt::format("invariants: {} breaches in {} requests and {} dispatches\n", breaches.size(),
+        run.records.callers.size(), run.records.dispatches.size());
+    return breaches.empty() ? 0 : exitBreach;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("judges a run: lentilbay-verify --run FOLDER");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    try {
+        return verify(FLAGS_run);
+    } catch (const std::exception& error) {
+        std::cerr << "lentilbay-verify: " << error.what() << '\n';
+        return exitUnreadable;
+    }
+}
