--- a/packages/Control/include/lentilbay/Control/PeerMessage.h
+++ b/packages/Control/include/lentilbay/Control/PeerMessage.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "lentilbay/Control/ClaimMessages.h"
+#include "lentilbay/Control/ConfigurationMessages.h"
 #include "lentilbay/Control/MembershipMessages.h"
 #include "lentilbay/Control/SlotMessages.h"
 #include "lentilbay/Support/Identifier.h"
@@ -14,7 +15,7 @@
 namespace lentilbay {
 
 using PeerMessage = std::variant<DemandReport, GrantReport, Probe, ProbeReply, ProbeRequest, StateExchange,
-    DigestGossip, ClaimQuery, ClaimAnswer>;
+    DigestGossip, ConfigurationReport, HeadNotice, DocumentRequest, DocumentReply, ClaimQuery, ClaimAnswer>;
 
 struct OutgoingMessage {
     DaemonId to;
--- a/packages/Control/unittests/ClaimControllerTest.cpp
+++ b/packages/Control/unittests/ClaimControllerTest.cpp
@@ -190,6 +190,7 @@
     world.send(0, "k3");
     world.run(1s);
     std::vector<RequestId> ids;
+    ids.reserve(10);
     for (int i = 0; i < 10; ++i)
         ids.push_back(world.send(1, "k" + std::to_string(i)));
     world.run(3s);
@@ -203,6 +204,7 @@
 {
     ClaimWorld world(1, 1, { .writesPerSecond = 10, .storeTimeout = 10s });
     std::vector<RequestId> many;
+    many.reserve(200);
     for (int i = 0; i < 200; ++i)
         many.push_back(world.send(0, "k" + std::to_string(i), 1, "large"));
     const auto few = world.send(0, "k", 1, "small");
--- a/packages/Control/unittests/ClaimWorld.cpp
+++ b/packages/Control/unittests/ClaimWorld.cpp
@@ -123,7 +123,7 @@
 RequestId ClaimWorld::send(
     int daemon, const std::string& key, uint64_t bodyHash, const std::string& organisation)
 {
-    const RequestId id(fmt::format("q{}", ++m_lastId));
+    RequestId id(fmt::format("q{}", ++m_lastId));
     m_sent[id] = { .daemon = daemon, .key = organisation + "/" + key, .bodyHash = bodyHash };
     afterAt(daemon, node(daemon).incarnation, Duration {}, [=, this](Node& it) {
         it.waiting.push_back(id);
