Take ports for process tests outside the range of outgoing connections

Cause: a port that was free for UDP was at times taken for TCP by a connection of another test, and the test ended with an error. 2 of 7 runs failed beside the other tests; the port is now drawn below the ephemeral range, and again where it is taken.

--- a/tools/lentilbayd/tests/processes.py
+++ b/tools/lentilbayd/tests/processes.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -13,15 +14,22 @@
 from collections.abc import Callable
 
 PATIENCE_SECONDS = 20
+# Below the ports that Linux gives to outgoing connections.
+OWN_PORTS = (10_000, 32_000)
 CLUSTER_KEY = "1:" + "5a" * 32
 
 
 def free_port() -> int:
-    """A port that was free for TCP and UDP a moment ago."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, socket.socket() as tcp:
-        udp.bind(("127.0.0.1", 0))
-        tcp.bind(("127.0.0.1", udp.getsockname()[1]))
-        return udp.getsockname()[1]
+    """A port that was free for TCP and UDP a moment ago, and that the system gives to nobody by itself."""
+    while True:
+        port = random.randrange(*OWN_PORTS)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, socket.socket() as tcp:
+            try:
+                udp.bind(("127.0.0.1", port))
+                tcp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def wait_until(condition: Callable[[], bool], what: str, patience: float = PATIENCE_SECONDS) -> None:
