--- a/tools/lentilbayd/tests/processes.py
+++ b/tools/lentilbayd/tests/processes.py
@@ -13,15 +13,21 @@
 from collections.abc import Callable
 
 PATIENCE_SECONDS = 20
+PORT_TRIALS = 100
 CLUSTER_KEY = "1:" + "5a" * 32
 
 
 def free_port() -> int:
     """A port that was free for TCP and UDP a moment ago."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, socket.socket() as tcp:
-        udp.bind(("127.0.0.1", 0))
-        tcp.bind(("127.0.0.1", udp.getsockname()[1]))
-        return udp.getsockname()[1]
+    for _ in range(PORT_TRIALS):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, socket.socket() as tcp:
+            udp.bind(("127.0.0.1", 0))
+            try:
+                tcp.bind(("127.0.0.1", udp.getsockname()[1]))
+            except OSError:
+                continue  # A connection uses the number, which is only free for UDP.
+            return udp.getsockname()[1]
+    raise AssertionError("no port is free for both TCP and UDP")
 
 
 def wait_until(condition: Callable[[], bool], what: str, patience: float = PATIENCE_SECONDS) -> None:
