Add the admin listener, metrics and lentilbayctl status, endpoints, requests and drain

/healthz, /readyz and /metrics are open; everything under /admin needs the token whose salted hash stands in the settings. Parts of the daemon add pages of their own. Times by tier are kept by Boost.Histogram. The entry controller now hears how much of a prompt an engine had cached.

--- a/packages/Gateway/include/lentilbay/Gateway/Dispatcher.h
+++ b/packages/Gateway/include/lentilbay/Gateway/Dispatcher.h
@@ -30,6 +30,8 @@
     virtual bool mayDispatch(Exchange& exchange) = 0;
     virtual void connectFailed(Exchange& exchange) = 0;
     virtual void tokensArrived(Exchange& exchange, uint32_t tokens) = 0;
+    /// How much of the prompt the engine had cached; comes before answerEnded().
+    virtual void usageArrived(Exchange& exchange, uint32_t cachedTokens) = 0;
     /// A whole answer came; answerEnded(Whole) follows.
     virtual void answerArrived(Exchange& exchange, CallerAnswer answer) = 0;
     /// Events of a token stream.
--- a/packages/Gateway/include/lentilbay/Gateway/Gateway.h
+++ b/packages/Gateway/include/lentilbay/Gateway/Gateway.h
@@ -63,6 +63,7 @@
     bool mayDispatch(Exchange& exchange) override;
     void connectFailed(Exchange& exchange) override;
     void tokensArrived(Exchange& exchange, uint32_t tokens) override;
+    void usageArrived(Exchange& exchange, uint32_t cachedTokens) override;
     void answerArrived(Exchange& exchange, CallerAnswer answer) override;
     void streamArrived(Exchange& exchange, std::string_view events) override;
     void answerEnded(Exchange& exchange, AnswerEnd end) override;
--- /dev/null
+++ b/packages/Gateway/include/lentilbay/Gateway/Metrics.h
@@ -0,0 +1,34 @@
+// Counts outcomes and their times by tier, and prints them in Prometheus' text format.
+#pragma once
+
+#include "lentilbay/Model/Request.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace lentilbay {
+
+class Metrics {
+public:
+    Metrics();
+    Metrics(const Metrics&) = delete;
+    Metrics& operator=(const Metrics&) = delete;
+    ~Metrics();
+
+    void observe(const RequestOutcome& outcome);
+
+    /// All counters and histograms.
+    std::string text() const;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+/// Appends one sample with its help and type; labels are printed as given, for example pool="m1".
+void appendGauge(std::string& out, std::string_view name, std::string_view help, double value);
+void appendSample(std::string& out, std::string_view name, std::string_view labels, double value);
+void appendHead(std::string& out, std::string_view name, std::string_view type, std::string_view help);
+
+} // namespace lentilbay
--- a/packages/Gateway/lib/CompletionCall.cpp
+++ b/packages/Gateway/lib/CompletionCall.cpp
@@ -52,6 +52,8 @@
         if (!facts || facts->hasError)
             return report(AnswerEnd::Broken);
         tokens(facts->usage ? facts->usage->completionTokens : 1);
+        if (facts->usage)
+            listener().usageArrived(exchange(), facts->usage->cachedTokens);
         whole(takeAnswer());
     }
 
@@ -66,6 +68,7 @@
     void resumedEnded()
     {
         if (auto answer = m_assembler->answer(exchange().chat)) {
+            listener().usageArrived(exchange(), m_assembler->usage()->cachedTokens);
             return whole({ .status = statusOk,
                 .fields = { { "Content-Type", "application/json" } },
                 .body = std::make_shared<std::string>(std::move(*answer)) });
--- a/packages/Gateway/lib/GatewayAnswers.cpp
+++ b/packages/Gateway/lib/GatewayAnswers.cpp
@@ -26,6 +26,11 @@
     m_entry.tokensArrived(exchange.id(), tokens, steadyNow());
 }
 
+void Gateway::usageArrived(Exchange& exchange, uint32_t cachedTokens)
+{
+    m_entry.usageReported(exchange.id(), cachedTokens, steadyNow());
+}
+
 void Gateway::answerArrived(Exchange& exchange, CallerAnswer answer)
 {
     answer.fields.emplace_back("Lentilbay-Request-Id", exchange.id().text());
--- a/packages/Gateway/lib/StreamCall.cpp
+++ b/packages/Gateway/lib/StreamCall.cpp
@@ -46,6 +46,7 @@
     {
         if (m_relay.isWhole()) {
             listener().streamArrived(exchange(), StreamRelay::doneEvent);
+            listener().usageArrived(exchange(), m_relay.usage()->cachedTokens);
             return report(AnswerEnd::Whole);
         }
         if (head().status >= firstErrorStatus)
--- a/tools/lentilbayctl/Command.h
+++ b/tools/lentilbayctl/Command.h
@@ -24,11 +24,12 @@
     Different = 6,
 };
 
-/// The words after the command's own two.
+/// The words after the command's own.
 using CommandArguments = std::vector<std::string>;
 
 struct Command {
     std::string_view group;
+    /// Empty where the command is one word.
     std::string_view name;
     /// What follows the two words, for example "FILE".
     std::string_view usage;
@@ -36,6 +37,10 @@
     ExitCode (*run)(const CommandArguments& arguments);
 };
 
+ExitCode runStatus(const CommandArguments& arguments);
+ExitCode runEndpoints(const CommandArguments& arguments);
+ExitCode runRequests(const CommandArguments& arguments);
+ExitCode runDrain(const CommandArguments& arguments);
 ExitCode runConfigurationCheck(const CommandArguments& arguments);
 ExitCode runConfigurationFormat(const CommandArguments& arguments);
 ExitCode runConfigurationDiff(const CommandArguments& arguments);
--- a/tools/lentilbayctl/main.cpp
+++ b/tools/lentilbayctl/main.cpp
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr std::array commands {
+    Command { "status", "", "", "Show the daemon and the members that it knows.", runStatus },
+    Command { "endpoints", "", "", "List the endpoints, their slots and their load.", runEndpoints },
+    Command { "requests", "", "", "List the requests that are open.", runRequests },
+    Command { "drain", "", "", "Begin a graceful stop of the daemon named by --admin.", runDrain },
     Command { "configuration", "check", "FILE", "List every fault of a document.", runConfigurationCheck },
     Command { "configuration", "format", "FILE", "Print a document in its canonical form.",
         runConfigurationFormat },
@@ -27,7 +31,7 @@
 
 std::string usageText()
 {
-    std::string out = "lentilbayctl GROUP COMMAND [ARGUMENTS] [FLAGS]\n\n";
+    std::string out = "lentilbayctl COMMAND [ARGUMENTS] [FLAGS]\n\n";
     for (const auto& it : commands)
         fmt::format_to(
             std::back_inserter(out), "  {} {} {}\n      {}\n", it.group, it.name, it.usage, it.meaning);
@@ -37,8 +41,9 @@
 ExitCode runCommand(const std::vector<std::string>& words)
 {
     for (const auto& it : commands) {
-        if (words.size() >= 2 && words[0] == it.group && words[1] == it.name)
-            return it.run({ words.begin() + 2, words.end() });
+        const size_t own = it.name.empty() ? 1 : 2;
+        if (words.size() >= own && words[0] == it.group && (own == 1 || words[1] == it.name))
+            return it.run({ words.begin() + static_cast<ptrdiff_t>(own), words.end() });
     }
     fmt::print(stderr, "{}", usageText());
     return ExitCode::Usage;
--- a/tools/lentilbayd/lib/Daemon.cpp
+++ b/tools/lentilbayd/lib/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "Daemon.h"
 
+#include "AdminPages.h"
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/Secret.h"
 #include "lentilbay/Support/SteadyClock.h"
@@ -42,6 +43,7 @@
         , timer(context)
         , signals(context, SIGTERM, SIGINT)
         , blackboard(placed(settings.daemon))
+        , admin(context, settings.admin)
         , client(context, settings.endpoints)
         , plane(blackboard,
               { .entry = { .seed = randomNumber(), .maxWaiting = settings.daemon.maxWaiting },
@@ -63,8 +65,10 @@
     asio::steady_timer timer;
     asio::signal_set signals;
     Blackboard blackboard;
+    AdminServer admin;
     HttpClient client;
     ControlPlane plane;
+    Metrics metrics;
     std::function<void(std::vector<OutgoingMessage>)> peerLink;
     std::vector<std::unique_ptr<DaemonPart>> parts;
     std::unique_ptr<Gateway> gateway;
@@ -91,6 +95,7 @@
         it->step(now);
     plane.step(now);
     gateway->carryOut();
+    gateway->expire(now);
     if (auto messages = plane.takeMessages(); peerLink)
         peerLink(std::move(messages));
     if (isFinished(now))
@@ -140,7 +145,8 @@
 {
     const auto isQuiet = [](const auto& it) { return it->isQuiet(); };
     return leavesAt && now >= *leavesAt && plane.entry().openRequests() == 0 && gateway->openExchanges() == 0
-        && callers->unwrittenAnswers() == 0 && std::all_of(parts.begin(), parts.end(), isQuiet);
+        && callers->unwrittenAnswers() == 0 && admin.unwrittenAnswers() == 0
+        && std::all_of(parts.begin(), parts.end(), isQuiet);
 }
 
 void Daemon::State::stop()
@@ -150,6 +156,7 @@
     if (peerLink)
         peerLink(plane.takeMessages());
     callers->close();
+    admin.close();
     context.stop();
 }
 
@@ -165,6 +172,7 @@
         .claim = [this](const KeyedRequest& request) { m_state->claim(request); },
         .finished =
             [this](const RequestOutcome& outcome) {
+                m_state->metrics.observe(outcome);
                 for (const auto& it : m_state->finished)
                     it(outcome);
             },
@@ -178,6 +186,7 @@
             m_state->gateway->arrive(std::move(request), std::move(channel));
         },
         [this](ConnectionId connection) { m_state->gateway->callerLeft(connection); });
+    addAdminPages(state.admin, *this, state.metrics);
 }
 
 Daemon::~Daemon() = default;
@@ -187,6 +196,7 @@
 ControlPlane& Daemon::plane() { return m_state->plane; }
 EntryController& Daemon::entry() { return m_state->plane.entry(); }
 Gateway& Daemon::gateway() { return *m_state->gateway; }
+AdminServer& Daemon::admin() { return m_state->admin; }
 HttpClient& Daemon::client() { return m_state->client; }
 
 void Daemon::add(std::unique_ptr<DaemonPart> part) { m_state->parts.push_back(std::move(part)); }
@@ -217,9 +227,11 @@
 void Daemon::run()
 {
     m_state->callers->open();
+    m_state->admin.open();
     m_state->listenForSignals();
     logEvent(Event::DaemonStarted,
-        { { "daemon", m_state->settings.daemon.name }, { "callers_port", int64_t { callersPort() } } });
+        { { "daemon", m_state->settings.daemon.name }, { "callers_port", int64_t { callersPort() } },
+            { "admin_port", int64_t { m_state->admin.port() } } });
     wake();
     m_state->context.run();
 }
--- a/tools/lentilbayd/lib/Daemon.h
+++ b/tools/lentilbayd/lib/Daemon.h
@@ -4,6 +4,7 @@
 #include "DaemonPart.h"
 #include "Settings.h"
 #include "lentilbay/Control/ControlPlane.h"
+#include "lentilbay/Gateway/AdminServer.h"
 #include "lentilbay/Gateway/Gateway.h"
 
 #include <functional>
@@ -30,6 +31,8 @@
     EntryController& entry();
     Gateway& gateway();
     HttpClient& client();
+    /// Parts add their own pages before run().
+    AdminServer& admin();
 
     /// Parts step in the order in which they were added, before the control plane.
     void add(std::unique_ptr<DaemonPart> part);
--- a/tools/lentilbayd/lib/Settings.cpp
+++ b/tools/lentilbayd/lib/Settings.cpp
@@ -98,11 +98,11 @@
     reader.reportUnknownKeys();
 }
 
-void readAdmin(const IniDocument& document, Diagnostics& diagnostics, AdminSettings& out)
+void readAdmin(const IniDocument& document, Diagnostics& diagnostics, AdminOptions& out)
 {
     SectionReader reader(document, "admin", diagnostics);
-    out.address = reader.text("address", out.address);
-    out.port = readPort(reader, out.port);
+    out.server.address = reader.text("address", out.server.address);
+    out.server.port = readPort(reader, out.server.port);
     out.tokenHash = reader.text("token_hash", out.tokenHash);
     reader.reportUnknownKeys();
 }
@@ -174,7 +174,7 @@
         printDuration(gateway.dispatcher.cancelTimeout));
     out += fmt::format("\n[answers]\nkeep_for = {}\nmax_bytes = {}B\nmax_requests = {}\n",
         printDuration(gateway.answers.keepFor), gateway.answers.maxAnswerBytes, gateway.answers.maxRequests);
-    out += fmt::format("\n[admin]\naddress = {}\nport = {}\n", admin.address, admin.port);
+    out += fmt::format("\n[admin]\naddress = {}\nport = {}\n", admin.server.address, admin.server.port);
     if (!admin.tokenHash.empty())
         out += fmt::format("token_hash = {}\n", admin.tokenHash);
     out += fmt::format(
--- a/tools/lentilbayd/lib/Settings.h
+++ b/tools/lentilbayd/lib/Settings.h
@@ -1,6 +1,7 @@
 // The daemon's settings: where it is, what it listens on and its limits. Promises stand in the configuration.
 #pragma once
 
+#include "lentilbay/Gateway/AdminServer.h"
 #include "lentilbay/Gateway/CallerServer.h"
 #include "lentilbay/Gateway/Gateway.h"
 #include "lentilbay/Support/Ini.h"
@@ -23,20 +24,12 @@
     Duration leavingNotice = std::chrono::seconds { 1 };
 };
 
-/// [admin]
-struct AdminSettings {
-    std::string address = "127.0.0.1";
-    uint16_t port = 0;
-    /// "<salt>$<hash>" of the token; empty allows no call that needs one.
-    std::string tokenHash;
-};
-
 struct Settings {
     DaemonSettings daemon;
     CallerServerOptions callers;
     GatewayOptions gateway;
     HttpClientOptions endpoints;
-    AdminSettings admin;
+    AdminOptions admin;
     LogOptions log;
     /// [configuration] file: read at the start where the platform's services are not used.
     std::string configurationFile;
