--- a/packages/Control/include/lentilbay/Control/ClaimController.h
+++ b/packages/Control/include/lentilbay/Control/ClaimController.h
@@ -116,10 +116,12 @@
     /// A request of this daemon reached its outcome. `Ran::No` means that it will never be dispatched.
     void finished(const RequestId& id, ResultCode code, Ran ran, TimePoint now);
 
-    void receive(const StoreReply& reply, TimePoint now, WallTimePoint wallNow);
+    /// A reply to a command of the storeOutbox whose user is Claims.
+    void receive(const StoreReply& reply, TimePoint now);
     void receive(const DaemonId& from, const std::string& address, const ClaimQuery& query, TimePoint now);
     void receive(const DaemonId& from, const std::string& address, const ClaimAnswer& answer, TimePoint now);
 
+    /// The wall clock only dates rows; what it says now also counts until the next step.
     void step(TimePoint now, WallTimePoint wallNow);
     TimePoint nextWake() const;
 
--- a/packages/Control/lib/ClaimCleanup.cpp
+++ b/packages/Control/lib/ClaimCleanup.cpp
@@ -36,7 +36,7 @@
         TableScan { .table = claimsTable, .after = scanAfter, .limit = options.cleanupPage }, now);
 }
 
-void ClaimController::State::removeExpired(const StoreReply& page, TimePoint now, WallTimePoint wallNow)
+void ClaimController::State::removeExpired(const StoreReply& page, TimePoint now)
 {
     TableTransaction removal;
     for (const auto& it : page.rows) {
@@ -44,7 +44,7 @@
             continue;
         scanAfter = it->key;
         const auto row = parseClaimRow(it->value);
-        if (row && isExpired(*row, wallNow) && removal.writes.size() < options.maxBatch)
+        if (row && isExpired(*row) && removal.writes.size() < options.maxBatch)
             removal.writes.push_back(
                 { .key = { .table = claimsTable, .key = it->key }, .expectedVersion = it->version });
     }
--- a/packages/Control/lib/ClaimController.cpp
+++ b/packages/Control/lib/ClaimController.cpp
@@ -176,14 +176,14 @@
     state.enter(record, State::Phase::Ended, now);
 }
 
-void ClaimController::receive(const StoreReply& reply, TimePoint now, WallTimePoint wallNow)
+void ClaimController::receive(const StoreReply& reply, TimePoint now)
 {
     const auto it = m_state->calls.find(reply.id);
     if (it == m_state->calls.end() || reply.user != StoreUser::Claims)
         return;
     const auto call = std::move(it->second);
     m_state->calls.erase(it);
-    m_state->answered(call, reply, now, wallNow);
+    m_state->answered(call, reply, now);
 }
 
 void ClaimController::receive(
@@ -211,9 +211,10 @@
 
 void ClaimController::step(TimePoint now, WallTimePoint wallNow)
 {
-    m_state->expireCalls(now, wallNow);
+    m_state->wallNow = wallNow;
+    m_state->expireCalls(now);
     m_state->readUnclear(now);
-    m_state->writeNext(now, wallNow);
+    m_state->writeNext(now);
     m_state->askHolders(now);
     m_state->scanForExpired(now);
     m_state->forgetOld(now);
--- a/packages/Control/lib/ClaimState.h
+++ b/packages/Control/lib/ClaimState.h
@@ -77,18 +77,15 @@
 
     // Writes and reads of rows (ClaimWrites.cpp).
     void requeue(const std::string& rowKey, Record& record, uint64_t expected, TimePoint now);
-    void writeNext(TimePoint now, WallTimePoint wallNow);
+    void writeNext(TimePoint now);
     void readUnclear(TimePoint now);
-    void expireCalls(TimePoint now, WallTimePoint wallNow);
-    void answered(const Call& call, const StoreReply& reply, TimePoint now, WallTimePoint wallNow);
-    void judgeRow(const std::string& rowKey, Record& record, const std::optional<TableRow>& row,
-        TimePoint now, WallTimePoint wallNow);
+    void expireCalls(TimePoint now);
+    void answered(const Call& call, const StoreReply& reply, TimePoint now);
+    void judgeRow(
+        const std::string& rowKey, Record& record, const std::optional<TableRow>& row, TimePoint now);
     Record* awaiting(const std::pair<std::string, uint64_t>& claim, Phase phase);
     void submit(Call call, StoreOperation operation, TimePoint now);
-    bool isExpired(const ClaimRow& row, WallTimePoint wallNow) const
-    {
-        return wallNow - row.claimedAt >= options.retention;
-    }
+    bool isExpired(const ClaimRow& row) const { return wallNow - row.claimedAt >= options.retention; }
 
     // Claims held elsewhere (ClaimFollowing.cpp).
     void follow(
@@ -99,7 +96,7 @@
 
     // Removal of expired rows (ClaimCleanup.cpp).
     void scanForExpired(TimePoint now);
-    void removeExpired(const StoreReply& page, TimePoint now, WallTimePoint wallNow);
+    void removeExpired(const StoreReply& page, TimePoint now);
     bool isCleaner() const;
 
     Blackboard& blackboard;
@@ -122,6 +119,8 @@
     uint32_t writesInFlight = 0;
     /// After a failed call nothing is sent until then.
     TimePoint storeRestsUntil {};
+    /// As of the last step.
+    WallTimePoint wallNow {};
     TimePoint nextForget {};
     TimePoint nextScan {};
     std::string scanAfter;
--- a/packages/Control/lib/ClaimWrites.cpp
+++ b/packages/Control/lib/ClaimWrites.cpp
@@ -34,7 +34,7 @@
         .timeout = options.storeTimeout });
 }
 
-void ClaimController::State::writeNext(TimePoint now, WallTimePoint wallNow)
+void ClaimController::State::writeNext(TimePoint now)
 {
     while (!queue.empty() && now >= storeRestsUntil && writesInFlight < options.maxWritesInFlight) {
         const auto room = std::min<size_t>(options.maxBatch, budget.available(now));
@@ -90,7 +90,7 @@
     submit(std::move(call), std::move(read), now);
 }
 
-void ClaimController::State::expireCalls(TimePoint now, WallTimePoint wallNow)
+void ClaimController::State::expireCalls(TimePoint now)
 {
     std::vector<std::pair<uint64_t, Call>> lost;
     for (const auto& [id, call] : calls) {
@@ -99,7 +99,7 @@
     }
     for (const auto& [id, call] : lost) {
         calls.erase(id);
-        answered(call, { .id = id, .status = StoreStatus::Ambiguous }, now, wallNow);
+        answered(call, { .id = id, .status = StoreStatus::Ambiguous }, now);
     }
 }
 
@@ -111,8 +111,7 @@
     return awaits ? &it->second : nullptr;
 }
 
-void ClaimController::State::answered(
-    const Call& call, const StoreReply& reply, TimePoint now, WallTimePoint wallNow)
+void ClaimController::State::answered(const Call& call, const StoreReply& reply, TimePoint now)
 {
     const bool failed = reply.status == StoreStatus::Unavailable || reply.status == StoreStatus::Ambiguous;
     if (failed)
@@ -120,7 +119,7 @@
     if (call.kind == CallKind::Scan) {
         scanning = false;
         if (!failed)
-            removeExpired(reply, now, wallNow);
+            removeExpired(reply, now);
         return;
     }
     if (call.kind == CallKind::Remove)
@@ -143,13 +142,13 @@
             enter(*record, Phase::Unclear, now);
             unclear.insert(rowKey);
         } else {
-            judgeRow(rowKey, *record, reply.rows[i], now, wallNow);
+            judgeRow(rowKey, *record, reply.rows[i], now);
         }
     }
 }
 
-void ClaimController::State::judgeRow(const std::string& rowKey, Record& record,
-    const std::optional<TableRow>& row, TimePoint now, WallTimePoint wallNow)
+void ClaimController::State::judgeRow(
+    const std::string& rowKey, Record& record, const std::optional<TableRow>& row, TimePoint now)
 {
     // Written again with the same nonce: should an earlier write still land, it is this claim all the same.
     if (!row)
@@ -159,7 +158,7 @@
         return refuseElsewhere(rowKey, ResultCode::ClaimHolderGone, Ran::Unknown);
     if (found->nonce == record.nonce)
         return hold(record, now);
-    if (record.deadNonces.contains(found->nonce) || isExpired(*found, wallNow))
+    if (record.deadNonces.contains(found->nonce) || isExpired(*found))
         return requeue(rowKey, record, row->version, now);
     if (found->bodyHash != record.request.bodyHash)
         return refuseElsewhere(rowKey, ResultCode::IdempotencyKeyReused, Ran::No);
--- a/packages/Control/lib/ControlPlane.cpp
+++ b/packages/Control/lib/ControlPlane.cpp
@@ -58,6 +58,8 @@
 {
     if (m_configuration && reply.user == StoreUser::Configuration)
         m_configuration->receive(reply, now);
+    if (m_claims != nullptr && reply.user == StoreUser::Claims)
+        m_claims->receive(reply, now);
 }
 
 void ControlPlane::step(TimePoint now)
--- a/packages/Control/unittests/ClaimWorld.cpp
+++ b/packages/Control/unittests/ClaimWorld.cpp
@@ -169,8 +169,7 @@
 {
     const auto incarnation = node(daemon).incarnation;
     const auto answer = [this, daemon, incarnation](Duration delay, const StoreReply& reply) {
-        afterAt(
-            daemon, incarnation, delay, [this, reply](Node& it) { it.claims->receive(reply, now, wallNow); });
+        afterAt(daemon, incarnation, delay, [this, reply](Node& it) { it.claims->receive(reply, now); });
     };
     StoreReply failure { .id = command.id, .user = command.user, .status = StoreStatus::Ambiguous };
     if (outage) {
