--- a/packages/Control/lib/ControlPlane.cpp
+++ b/packages/Control/lib/ControlPlane.cpp
@@ -33,12 +33,17 @@
             using Message = std::decay_t<decltype(it)>;
             constexpr bool isSlotMessage
                 = std::is_same_v<Message, DemandReport> || std::is_same_v<Message, GrantReport>;
+            constexpr bool isClaimMessage
+                = std::is_same_v<Message, ClaimQuery> || std::is_same_v<Message, ClaimAnswer>;
             constexpr bool isConfigurationMessage = requires
             {
                 m_configuration->receive(from, address, it, now);
             };
             if constexpr (isSlotMessage) {
                 m_slots.received(from, address, it, now);
+            } else if constexpr (isClaimMessage) {
+                if (m_claims != nullptr)
+                    m_claims->receive(from, address, it, now);
             } else if constexpr (isConfigurationMessage) {
                 if (m_configuration)
                     m_configuration->receive(from, address, it, now);
@@ -53,6 +58,8 @@
 {
     if (m_configuration && reply.user == StoreUser::Configuration)
         m_configuration->receive(reply, now);
+    if (m_claims != nullptr && reply.user == StoreUser::Claims)
+        m_claims->receive(reply, now);
 }
 
 void ControlPlane::step(TimePoint now)
--- a/tools/lentilbayd/tests/processes.py
+++ b/tools/lentilbayd/tests/processes.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -13,21 +14,22 @@
 from collections.abc import Callable
 
 PATIENCE_SECONDS = 20
-PORT_TRIALS = 100
+# Below the ports that Linux gives to outgoing connections.
+OWN_PORTS = (10_000, 32_000)
 CLUSTER_KEY = "1:" + "5a" * 32
 
 
 def free_port() -> int:
-    """A port that was free for TCP and UDP a moment ago."""
-    for _ in range(PORT_TRIALS):
+    """A port that was free for TCP and UDP a moment ago, and that the system gives to nobody by itself."""
+    while True:
+        port = random.randrange(*OWN_PORTS)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, socket.socket() as tcp:
-            udp.bind(("127.0.0.1", 0))
             try:
-                tcp.bind(("127.0.0.1", udp.getsockname()[1]))
+                udp.bind(("127.0.0.1", port))
+                tcp.bind(("127.0.0.1", port))
             except OSError:
-                continue  # A connection uses the number, which is only free for UDP.
-            return udp.getsockname()[1]
-    raise AssertionError("no port is free for both TCP and UDP")
+                continue
+            return port
 
 
 def wait_until(condition: Callable[[], bool], what: str, patience: float = PATIENCE_SECONDS) -> None:
