--- a/packages/Gateway/lib/CallerServer.cpp
+++ b/packages/Gateway/lib/CallerServer.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <asio/io_context.hpp>
 #include <restinio/all.hpp>
+#include <unordered_set>
 
 namespace lentilbay {
 namespace {
@@ -18,7 +19,8 @@
 
 /// Counters that outlive the server, since write notifications may come after it.
 struct Counters {
-    size_t connections = 0;
+    /// RESTinio may tell twice that a connection is closed.
+    std::unordered_set<ConnectionId> connections;
     size_t unwrittenAnswers = 0;
     bool closeAfterAnswers = false;
 };
@@ -31,13 +33,12 @@
     {
         const auto cause = notice.cause();
         if (restinio::holds_alternative<restinio::connection_state::accepted_t>(cause)) {
-            ++counters->connections;
+            counters->connections.insert(notice.connection_id());
             return;
         }
-        if (!restinio::holds_alternative<restinio::connection_state::closed_t>(cause))
-            return;
-        --counters->connections;
-        onLeft(notice.connection_id());
+        const bool closed = restinio::holds_alternative<restinio::connection_state::closed_t>(cause);
+        if (closed && counters->connections.erase(notice.connection_id()) > 0)
+            onLeft(notice.connection_id());
     }
 };
 
@@ -67,6 +68,8 @@
     RestinioChannel(restinio::request_handle_t request, std::shared_ptr<Counters> counters)
         : m_request(std::move(request))
         , m_counters(std::move(counters))
+        , m_asksForUpgrade(m_request->header().has_field(restinio::http_field::upgrade)
+              || m_request->header().method() == restinio::http_method_connect())
     {
     }
 
@@ -79,7 +82,7 @@
     void answer(CallerAnswer answer) override
     {
         auto response = m_request->create_response(statusLine(answer.status));
-        if (m_counters->closeAfterAnswers)
+        if (mustClose())
             response.connection_close();
         appendFields(response, answer.fields);
         response.set_body(std::move(answer.body));
@@ -91,7 +94,7 @@
     {
         m_stream = std::make_unique<Stream>(
             m_request->create_response<restinio::chunked_output_t>(statusLine(HTTP_STATUS_OK)));
-        if (m_counters->closeAfterAnswers)
+        if (mustClose())
             m_stream->connection_close();
         appendFields(*m_stream, fields);
         m_stream->flush();
@@ -119,6 +122,9 @@
     void onDrained(std::function<void()> function) override { m_onDrained = std::move(function); }
 
 private:
+    /// RESTinio reads no further request from a connection that asked for an upgrade.
+    bool mustClose() const { return m_counters->closeAfterAnswers || m_asksForUpgrade; }
+
     void flush()
     {
         m_inFlight = m_gathered.size();
@@ -141,6 +147,7 @@
 
     restinio::request_handle_t m_request;
     std::shared_ptr<Counters> m_counters;
+    bool m_asksForUpgrade = false;
     std::unique_ptr<Stream> m_stream;
     std::function<void()> m_onDrained;
     /// Bytes of the chunk that RESTinio writes now.
@@ -232,7 +239,7 @@
 
 uint16_t CallerServer::port() const { return m_state->port; }
 
-size_t CallerServer::connections() const { return m_state->counters->connections; }
+size_t CallerServer::connections() const { return m_state->counters->connections.size(); }
 
 size_t CallerServer::unwrittenAnswers() const { return m_state->counters->unwrittenAnswers; }
 
