--- a/packages/Control/lib/EntryController.cpp
+++ b/packages/Control/lib/EntryController.cpp
@@ -83,7 +83,7 @@
     const auto* state = m_state->blackboard.findEndpointState(endpoint.name);
     const bool isGranted
         = state && !state->leaving && now < state->grant.lapses && request->rank <= state->grant.lowestRank;
-    if (!isGranted || request->isRevoked || m_state->blackboard.fenced) {
+    if (!isGranted || request->isRevoked || m_state->blackboard.mustNotStartWork(now)) {
         m_state->releaseSlot(*request);
         endpoint.breaker.abandoned();
         m_state->enqueue(*request, now);
--- a/packages/Fakes/include/lentilbay/Fakes/EngineModel.h
+++ b/packages/Fakes/include/lentilbay/Fakes/EngineModel.h
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 struct EngineOptions {
     /// Prompt tokens that one second of prefill reads.
@@ -63,6 +63,7 @@
 struct EngineRequest {
     RequestId id;
     std::string model;
+    /// Names the prompt.
     uint64_t digest = 0;
     uint32_t promptTokens = 0;
     std::vector<uint64_t> prefixHashes;
@@ -76,6 +77,7 @@
 struct EngineRecord {
     RequestId id;
     std::string model;
+    uint64_t digest = 0;
     TimePoint arrivedAt {};
     std::optional<TimePoint> firstTokenAt;
     std::optional<TimePoint> endedAt;
@@ -233,4 +235,4 @@
     std::vector<EngineOrderRecord> m_orderRecords;
 };
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/packages/Fakes/lib/EngineModel.cpp
+++ b/packages/Fakes/lib/EngineModel.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <cassert>
 
-namespace lentilbay {
+namespace lentilbay::fakes {
 
 std::optional<uint64_t> EngineModel::submit(const EngineRequest& request, TimePoint now)
 {
@@ -14,6 +14,7 @@
     advance(now);
     m_records.push_back({ .id = request.id,
         .model = request.model,
+        .digest = request.digest,
         .arrivedAt = now,
         .promptTokens = request.promptTokens,
         .answerTokens = request.answerTokens });
@@ -219,4 +220,4 @@
     return std::nullopt;
 }
 
-} // namespace lentilbay
+} // namespace lentilbay::fakes
--- a/tools/lentilbayd/lib/Daemon.cpp
+++ b/tools/lentilbayd/lib/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "Daemon.h"
 
+#include "AdminPages.h"
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/Secret.h"
 #include "lentilbay/Support/SteadyClock.h"
@@ -24,15 +25,30 @@
     return std::chrono::steady_clock::time_point { at.time_since_epoch() };
 }
 
+/// A blackboard that knows whose it is.
+Blackboard placed(const DaemonSettings& settings)
+{
+    Blackboard blackboard;
+    blackboard.self = DaemonId(settings.name);
+    blackboard.region = RegionId(settings.region);
+    blackboard.dataCentre = DataCentreId(settings.dataCentre);
+    return blackboard;
+}
+
 } // namespace
 
 struct Daemon::State {
-    explicit State(const Settings& settings)
+    State(const Settings& settings, MembershipOptions membership)
         : settings(settings)
         , timer(context)
         , signals(context, SIGTERM, SIGINT)
+        , blackboard(placed(settings.daemon))
+        , admin(context, settings.admin)
         , client(context, settings.endpoints)
-        , entry(blackboard, { .seed = randomNumber(), .maxWaiting = settings.daemon.maxWaiting })
+        , plane(blackboard,
+              { .entry = { .seed = randomNumber(), .maxWaiting = settings.daemon.maxWaiting },
+                  .membership = std::move(membership) },
+              steadyNow())
     {
     }
 
@@ -49,8 +65,11 @@
     asio::steady_timer timer;
     asio::signal_set signals;
     Blackboard blackboard;
+    AdminServer admin;
     HttpClient client;
-    EntryController entry;
+    ControlPlane plane;
+    Metrics metrics;
+    std::function<void(std::vector<OutgoingMessage>)> peerLink;
     std::vector<std::unique_ptr<DaemonPart>> parts;
     std::unique_ptr<Gateway> gateway;
     std::unique_ptr<CallerServer> callers;
@@ -74,8 +93,11 @@
     const auto now = steadyNow();
     for (const auto& it : parts)
         it->step(now);
-    entry.step(now);
+    plane.step(now);
     gateway->carryOut();
+    gateway->expire(now);
+    if (auto messages = plane.takeMessages(); peerLink)
+        peerLink(std::move(messages));
     if (isFinished(now))
         return stop();
     schedule(now);
@@ -88,7 +110,7 @@
         = [&](const std::optional<TimePoint>& at) { wakeAt = std::min(wakeAt, at.value_or(wakeAt)); };
     for (const auto& it : parts)
         consider(it->nextWake());
-    consider(entry.nextWake());
+    consider(plane.nextWake());
     timer.expires_at(steadyTime(wakeAt));
     timer.async_wait([this](const asio::error_code& ec) {
         if (!ec)
@@ -100,9 +122,11 @@
 {
     if (leavesAt)
         return;
-    logEvent(Event::DrainStarted, { { "open", static_cast<int64_t>(entry.openRequests()) } });
+    logEvent(Event::DrainStarted, { { "open", static_cast<int64_t>(plane.entry().openRequests()) } });
     blackboard.draining = true;
-    leavesAt = steadyNow() + settings.daemon.leavingNotice;
+    const auto now = steadyNow();
+    plane.membership().announceLeaving(now);
+    leavesAt = now + settings.daemon.leavingNotice;
     callers->closeAfterAnswers();
     wake();
 }
@@ -120,59 +144,70 @@
 bool Daemon::State::isFinished(TimePoint now) const
 {
     const auto isQuiet = [](const auto& it) { return it->isQuiet(); };
-    return leavesAt && now >= *leavesAt && entry.openRequests() == 0 && gateway->openExchanges() == 0
-        && callers->unwrittenAnswers() == 0 && std::all_of(parts.begin(), parts.end(), isQuiet);
+    return leavesAt && now >= *leavesAt && plane.entry().openRequests() == 0 && gateway->openExchanges() == 0
+        && callers->unwrittenAnswers() == 0 && admin.unwrittenAnswers() == 0
+        && std::all_of(parts.begin(), parts.end(), isQuiet);
 }
 
 void Daemon::State::stop()
 {
     logEvent(Event::DaemonStopped);
+    plane.membership().announceStopped(steadyNow());
+    if (peerLink)
+        peerLink(plane.takeMessages());
     callers->close();
+    admin.close();
     context.stop();
 }
 
-Daemon::Daemon(const Settings& settings)
-    : m_state(std::make_unique<State>(settings))
+Daemon::Daemon(const Settings& settings, MembershipOptions membership)
+    : m_state(std::make_unique<State>(settings, std::move(membership)))
 {
     auto& state = *m_state;
-    state.blackboard.self = DaemonId(settings.daemon.name);
-    state.blackboard.region = RegionId(settings.daemon.region);
-    state.blackboard.dataCentre = DataCentreId(settings.daemon.dataCentre);
     state.claim = [this](const KeyedRequest& request) {
-        m_state->entry.claimed(request.id, ClaimResult::Unavailable, steadyNow());
+        m_state->plane.entry().claimed(request.id, ClaimResult::Unavailable, steadyNow());
         wake();
     };
     GatewayHooks hooks { .wake = [this] { wake(); },
         .claim = [this](const KeyedRequest& request) { m_state->claim(request); },
         .finished =
             [this](const RequestOutcome& outcome) {
+                m_state->metrics.observe(outcome);
                 for (const auto& it : m_state->finished)
                     it(outcome);
             },
         .callAfter
         = [this](Duration delay, std::function<void()> function) { callAfter(delay, std::move(function)); } };
     state.gateway = std::make_unique<Gateway>(
-        state.blackboard, state.entry, state.client, settings.gateway, std::move(hooks));
+        state.blackboard, state.plane.entry(), state.client, settings.gateway, std::move(hooks));
     state.callers = std::make_unique<CallerServer>(
         state.context, settings.callers,
         [this](CallerRequest request, std::shared_ptr<CallerChannel> channel) {
             m_state->gateway->arrive(std::move(request), std::move(channel));
         },
         [this](ConnectionId connection) { m_state->gateway->callerLeft(connection); });
+    addAdminPages(state.admin, *this, state.metrics);
 }
 
 Daemon::~Daemon() = default;
 
 asio::io_context& Daemon::context() { return m_state->context; }
 Blackboard& Daemon::blackboard() { return m_state->blackboard; }
-EntryController& Daemon::entry() { return m_state->entry; }
+ControlPlane& Daemon::plane() { return m_state->plane; }
+EntryController& Daemon::entry() { return m_state->plane.entry(); }
 Gateway& Daemon::gateway() { return *m_state->gateway; }
+AdminServer& Daemon::admin() { return m_state->admin; }
 HttpClient& Daemon::client() { return m_state->client; }
 
 void Daemon::add(std::unique_ptr<DaemonPart> part) { m_state->parts.push_back(std::move(part)); }
 
 void Daemon::setClaim(std::function<void(const KeyedRequest&)> claim) { m_state->claim = std::move(claim); }
 
+void Daemon::setPeerLink(std::function<void(std::vector<OutgoingMessage>)> send)
+{
+    m_state->peerLink = std::move(send);
+}
+
 void Daemon::onFinished(std::function<void(const RequestOutcome&)> function)
 {
     m_state->finished.push_back(std::move(function));
@@ -192,9 +227,11 @@
 void Daemon::run()
 {
     m_state->callers->open();
+    m_state->admin.open();
     m_state->listenForSignals();
     logEvent(Event::DaemonStarted,
-        { { "daemon", m_state->settings.daemon.name }, { "callers_port", int64_t { callersPort() } } });
+        { { "daemon", m_state->settings.daemon.name }, { "callers_port", int64_t { callersPort() } },
+            { "admin_port", int64_t { m_state->admin.port() } } });
     wake();
     m_state->context.run();
 }
