--- a/bench/policy/Comparison.cpp
+++ b/bench/policy/Comparison.cpp
@@ -115,7 +115,9 @@
         for (const auto& breach : it.entry().breaches)
             out.push_back(it.workload + " seed " + std::to_string(it.seed) + ": " + breach);
     }
-    for (const auto& [key, group] : groups) {
+    for (const auto& it : groups) {
+        const auto& key = it.first;
+        const auto& group = it.second;
         const auto judge = [&](const char* what, double value, double bound, bool isLeast) {
             if (isLeast ? value >= bound : value <= bound)
                 return;
--- a/bench/policy/Simulation.cpp
+++ b/bench/policy/Simulation.cpp
@@ -7,8 +7,7 @@
 namespace lentilbay::bench {
 
 EngineFleet::EngineFleet(const Workload& workload, const Scenario& scenario)
-    : m_workload(workload)
-    , m_scenario(scenario)
+    : m_scenario(scenario)
     , m_fates(scenario.requests.size())
 {
     for (const auto& it : workload.engines)
--- a/bench/policy/Simulation.h
+++ b/bench/policy/Simulation.h
@@ -69,7 +69,6 @@
 
     void straggle(TimePoint now);
 
-    const Workload& m_workload;
     const Scenario& m_scenario;
     std::vector<EngineModel> m_engines;
     std::vector<Fate> m_fates;
--- a/bench/policy/Workload.cpp
+++ b/bench/policy/Workload.cpp
@@ -24,7 +24,6 @@
 /// The organisations' parts of the requests, and their sizes against the class's.
 constexpr std::array<double, 5> organisationParts { 0.4, 0.3, 0.15, 0.1, 0.05 };
 constexpr std::array<double, 5> organisationSizes { 1.0, 0.7, 1.4, 0.5, 1.8 };
-constexpr double meanBurstInterval = 8;
 constexpr double meanStraggleInterval = 12;
 
 EngineOptions engineOf(double speed)
--- a/bench/policy/Workload.h
+++ b/bench/policy/Workload.h
@@ -10,6 +10,12 @@
 
 namespace lentilbay::bench {
 
+using fakes::EngineEnd;
+using fakes::EngineLoad;
+using fakes::EngineModel;
+using fakes::EngineOptions;
+using fakes::EngineOutput;
+
 /// Requests of one kind: sizes are log-normal, a part of them comes in bursts.
 struct RequestClass {
     ServiceId service;
