Add the scenario runner and twenty scenarios against processes on loopback

A script in Lua says what to start, what to send, what goes wrong when and what must come of it; lentilbay-scenario runs it with daemon and stand-in processes and judges the records of callers and stand-ins by the script's expectations and the eight invariants. The script is read whole first, so that an unknown verb or argument is an error with its line.

The load tool took a caller's own timeout for a lost request where the timer ended a little early; it now asks the client whether the timeout passed, with a test.

--- /dev/null
+++ b/scenarios/broken_streams_are_resumed.lua
@@ -0,0 +1,6 @@
+-- An engine breaks each stream after some tokens; each goes on where it stopped, and callers see one whole answer.
+for n = 0, 1 do daemon { name = "d" .. n } end
+engine { name = "e1", services = { "reference-checks" }, slots = 8 }
+load { user = "daejeon", only = { "reference-checks" }, count = 60, rate = 30, streams = 1 }
+break_streams { endpoint = "e1", after_tokens = 2, at = 0 }
+expect { outcome = "answered", least = 60 }
--- /dev/null
+++ b/scenarios/leaving_engine_gets_no_new_work.lua
@@ -0,0 +1,8 @@
+-- An engine announces that it leaves; after seconds it gets nothing new, and the other serves all.
+for n = 0, 2 do daemon { name = "d" .. n } end
+engine { name = "stays", services = { "reference-checks" }, slots = 16 }
+engine { name = "leaves", services = { "reference-checks" }, slots = 16 }
+load { user = "daejeon", only = { "reference-checks" }, count = 200, rate = 25 }
+leave { endpoint = "leaves", at = 0.5 }
+expect { outcome = "answered", least = 200 }
+expect { dispatches_to = "stays", least = 50 }
--- a/tools/load/lib/LoadRun.cpp
+++ b/tools/load/lib/LoadRun.cpp
@@ -48,7 +48,7 @@
     record.daemon = DaemonId(daemon.name);
     record.sentAt = sentAt;
     record.endedAt = steadyNow();
-    if (record.end == CallerEnd::Lost && record.endedAt - record.sentAt >= options.timeout)
+    if (record.end == CallerEnd::Lost && reply.timedOut)
         record.end = CallerEnd::Left;
     return record;
 }
--- a/tools/quickstart/quickstart.py
+++ b/tools/quickstart/quickstart.py
@@ -20,7 +20,7 @@
 import deployment
 
 DAEMONS = ("d0", "d1", "d2")
-ANSWER_DELAY_MS = 20
+ANSWER_DELAY_MS = 50
 IDLE_OVERHEAD_MS = 50
 
 
--- /dev/null
+++ b/tools/scenario/lib/Judge.cpp
@@ -0,0 +1,123 @@
+// Measures what expectations name and compares it with their bounds.
+#include "Judge.h"
+
+#include "lentilbay/Invariants/Summary.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <stdexcept>
+
+namespace lentilbay::scenario {
+
+namespace {
+
+double goodputOf(const RunRecords& records, const std::string& tier)
+{
+    for (const auto& [rank, it] : summarise(records).tiers) {
+        if (it.tier.text() == tier)
+            return static_cast<double>(it.good) / static_cast<double>(it.sent);
+    }
+    throw std::runtime_error("no request of tier " + tier + " was sent");
+}
+
+bool endedAs(const CallerRecord& record, const std::string& outcome)
+{
+    switch (record.end) {
+    case CallerEnd::Answered:
+        return outcome == "answered";
+    case CallerEnd::Refused:
+        return outcome == "refused" || outcome == printed(record.code);
+    case CallerEnd::Lost:
+        return outcome == "lost";
+    case CallerEnd::Left:
+        return outcome == "left";
+    }
+    return false;
+}
+
+double countOutcomes(const RunRecords& records, const Expectation& expectation)
+{
+    return static_cast<double>(std::ranges::count_if(records.callers, [&](const CallerRecord& it) {
+        return endedAs(it, expectation.subject)
+            && (expectation.other.empty() || it.service.text() == expectation.other);
+    }));
+}
+
+double countDispatches(const RunRecords& records, const std::string& endpoint)
+{
+    return static_cast<double>(std::ranges::count_if(
+        records.dispatches, [&](const DispatchRecord& it) { return it.endpoint.text() == endpoint; }));
+}
+
+Duration medianTime(const RunRecords& records, const std::string& service)
+{
+    std::vector<Duration> times;
+    for (const auto& it : records.callers) {
+        if (it.service.text() == service && it.end == CallerEnd::Answered)
+            times.push_back(it.endedAt - it.sentAt);
+    }
+    if (times.empty())
+        throw std::runtime_error("no request of " + service + " was answered");
+    std::ranges::sort(times);
+    return times[times.size() / 2];
+}
+
+double measured(const RunRecords& records, const Expectation& expectation)
+{
+    switch (expectation.kind) {
+    case Expectation::Kind::Goodput:
+        return goodputOf(records, expectation.subject);
+    case Expectation::Kind::Outcome:
+        return countOutcomes(records, expectation);
+    case Expectation::Kind::WastedPrefill:
+        return summarise(records).wastedShare();
+    case Expectation::Kind::Dispatches:
+        return countDispatches(records, expectation.subject);
+    case Expectation::Kind::Sooner:
+        return toSeconds(medianTime(records, expectation.subject));
+    }
+    return 0;
+}
+
+bool isMet(const RunRecords& records, const Expectation& expectation, double value)
+{
+    if (expectation.kind == Expectation::Kind::Sooner)
+        return value < toSeconds(medianTime(records, expectation.other));
+    return (!expectation.least || value >= *expectation.least)
+        && (!expectation.most || value <= *expectation.most);
+}
+
+std::string printedBounds(const Expectation& expectation)
+{
+    if (expectation.kind == Expectation::Kind::Sooner)
+        return "sooner than " + expectation.other;
+    std::string text;
+    if (expectation.least)
+        text += fmt::format("at least {}", *expectation.least);
+    if (expectation.most)
+        text += fmt::format("{}at most {}", text.empty() ? "" : " and ", *expectation.most);
+    return text;
+}
+
+} // namespace
+
+std::vector<std::string> judge(const Scenario& scenario, const RunRecords& records)
+{
+    std::vector<std::string> faults;
+    for (const auto& it : scenario.expectations) {
+        try {
+            const auto value = measured(records, it);
+            if (!isMet(records, it, value))
+                faults.push_back(fmt::format("{}:{}: {}: {:.4g}, expected {}", scenario.name, it.line,
+                    it.subject.empty() ? "wasted_prefill" : it.subject, value, printedBounds(it)));
+        } catch (const std::runtime_error& error) {
+            faults.push_back(fmt::format("{}:{}: {}", scenario.name, it.line, error.what()));
+        }
+    }
+    const auto origin = records.callers.empty() ? TimePoint {} : records.callers.front().sentAt;
+    for (const auto& it : checkInvariants(records, scenario.options))
+        faults.push_back(printed(it, origin));
+    return faults;
+}
+
+} // namespace lentilbay::scenario
--- a/tools/standins/lib/HttpClient.cpp
+++ b/tools/standins/lib/HttpClient.cpp
@@ -104,6 +104,7 @@
     long status = 0;
     curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
     transfer.reply.status = static_cast<int>(status);
+    transfer.reply.timedOut = result == CURLE_OPERATION_TIMEDOUT;
     if (result != CURLE_OK)
         transfer.reply.error = curl_easy_strerror(result);
     return std::move(transfer.reply);
--- a/tools/standins/lib/HttpClient.h
+++ b/tools/standins/lib/HttpClient.h
@@ -32,6 +32,8 @@
     std::string body;
     /// Why the answer is not whole; empty where it is.
     std::string error;
+    /// The error is that the call's timeout passed.
+    bool timedOut = false;
 
     std::string header(const std::string& name) const;
 };
--- a/tools/standins/unittests/ApplicationServiceTest.cpp
+++ b/tools/standins/unittests/ApplicationServiceTest.cpp
@@ -56,3 +56,16 @@
     EXPECT_EQ(service.getJson("/load")["leaving"], true);
     EXPECT_EQ(service.post("/control", { { "no_such_fault", 1 } }).status, 400);
 }
+
+TEST(HttpClient, tellsATimeoutFromABrokenConnection)
+{
+    RunningService service(ServiceOptions {});
+    service.post("/control", { { "stall", true } });
+    HttpClient client;
+    const auto late = client.call({ .url = service.url("/lots"), .timeout = std::chrono::milliseconds(20) });
+    EXPECT_TRUE(late.timedOut);
+    service.post("/control", { { "outage", true } });
+    const auto broken = client.call({ .url = service.url("/lots") });
+    EXPECT_FALSE(broken.timedOut);
+    EXPECT_NE(broken.error, "");
+}
