--- a/packages/Gateway/include/lentilbay/Gateway/Gateway.h
+++ b/packages/Gateway/include/lentilbay/Gateway/Gateway.h
@@ -57,6 +57,11 @@
     /// Gives a request whose claim is held here the answer of the earlier one, now or when it comes.
     void followAnswer(const RequestId& id, const RequestId& earlier);
 
+    /// Gives a request whose claim is held by another daemon that daemon's answer.
+    void giveAnswer(const RequestId& id, CallerAnswer answer);
+    /// A request that has ended, or nullptr where it is open, unknown or forgotten.
+    const FinishedRequest* finishedRequest(const RequestId& id) const { return m_answers.find(id); }
+
     size_t openExchanges() const { return m_exchanges.size(); }
     const std::unordered_map<RequestId, std::shared_ptr<Exchange>>& exchanges() const { return m_exchanges; }
 
--- a/packages/Gateway/lib/ErrorBody.cpp
+++ b/packages/Gateway/lib/ErrorBody.cpp
@@ -24,6 +24,7 @@
     case ResultCode::Preempted:
     case ResultCode::ClaimUnavailable:
     case ResultCode::ClaimInProgress:
+    case ResultCode::ClaimReleased:
     case ResultCode::EndpointUnreachable:
         return true;
     default:
--- a/packages/Gateway/lib/Gateway.cpp
+++ b/packages/Gateway/lib/Gateway.cpp
@@ -193,6 +193,19 @@
     channel->endStream();
 }
 
+void Gateway::giveAnswer(const RequestId& id, CallerAnswer answer)
+{
+    const auto exchange = find(id);
+    if (!exchange)
+        return;
+    exchange->answer = answer;
+    const auto channel = std::exchange(exchange->channel, nullptr);
+    forgetConnection(*exchange);
+    if (channel)
+        channel->answer(std::move(answer));
+    closeIfDone(exchange);
+}
+
 void Gateway::followAnswer(const RequestId& id, const RequestId& earlier)
 {
     const auto exchange = find(id);
--- a/tools/lentilbayd/lib/AdminPages.cpp
+++ b/tools/lentilbayd/lib/AdminPages.cpp
@@ -111,7 +111,7 @@
         appendSample(out, "lentilbay_pool_waiting", fmt::format("service=\"{}\"", it.service.text()),
             static_cast<double>(waiting));
     }
-    return out;
+    return out + daemon.metricsOfParts();
 }
 
 AdminReply jsonReply(const Json& body) { return { .body = body.dump() }; }
--- a/tools/lentilbayd/lib/Daemon.cpp
+++ b/tools/lentilbayd/lib/Daemon.cpp
@@ -71,6 +71,7 @@
     Metrics metrics;
     std::function<void(std::vector<OutgoingMessage>)> peerLink;
     std::vector<std::unique_ptr<DaemonPart>> parts;
+    std::vector<std::function<void(std::string&)>> partMetrics;
     std::unique_ptr<Gateway> gateway;
     std::unique_ptr<CallerServer> callers;
     std::function<void(const KeyedRequest&)> claim;
@@ -199,6 +200,19 @@
 AdminServer& Daemon::admin() { return m_state->admin; }
 HttpClient& Daemon::client() { return m_state->client; }
 
+void Daemon::addMetrics(std::function<void(std::string&)> append)
+{
+    m_state->partMetrics.push_back(std::move(append));
+}
+
+std::string Daemon::metricsOfParts() const
+{
+    std::string out;
+    for (const auto& it : m_state->partMetrics)
+        it(out);
+    return out;
+}
+
 void Daemon::add(std::unique_ptr<DaemonPart> part) { m_state->parts.push_back(std::move(part)); }
 
 void Daemon::setClaim(std::function<void(const KeyedRequest&)> claim) { m_state->claim = std::move(claim); }
--- a/tools/lentilbayd/lib/Daemon.h
+++ b/tools/lentilbayd/lib/Daemon.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace asio {
@@ -34,6 +35,10 @@
     /// Parts add their own pages before run().
     AdminServer& admin();
 
+    /// Parts append their own metrics in Prometheus' text format.
+    void addMetrics(std::function<void(std::string&)> append);
+    std::string metricsOfParts() const;
+
     /// Parts step in the order in which they were added, before the control plane.
     void add(std::unique_ptr<DaemonPart> part);
     /// Who claims keyed requests. Without it they are refused as not run.
--- a/tools/lentilbayd/lib/Peers.h
+++ b/tools/lentilbayd/lib/Peers.h
@@ -6,6 +6,8 @@
 #include "lentilbay/Fleet/PeerLinks.h"
 #include "lentilbay/Fleet/PeerSettings.h"
 
+#include <string>
+
 namespace lentilbay {
 
 class Daemon;
@@ -17,9 +19,9 @@
     Peers(Daemon& daemon, const PeerSettings& settings);
 
     void step(TimePoint now) override;
-    PeerLinkCounters counters() const { return m_links.counters(); }
 
 private:
+    void appendMetrics(std::string& out) const;
     void received(const Packet& packet, const std::string& address);
 
     Daemon& m_daemon;
--- a/tools/lentilbayd/tests/processes.py
+++ b/tools/lentilbayd/tests/processes.py
@@ -16,6 +16,8 @@
 PATIENCE_SECONDS = 20
 # Below the ports that Linux gives to outgoing connections.
 OWN_PORTS = (10_000, 32_000)
+# A port that was given out is not listened on until its process has started.
+GIVEN_PORTS: set[int] = set()
 CLUSTER_KEY = "1:" + "5a" * 32
 
 
@@ -23,13 +25,16 @@
     """A port that was free for TCP and UDP a moment ago, and that the system gives to nobody by itself."""
     while True:
         port = random.randrange(*OWN_PORTS)
+        if port in GIVEN_PORTS:
+            continue
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, socket.socket() as tcp:
             try:
                 udp.bind(("127.0.0.1", port))
                 tcp.bind(("127.0.0.1", port))
             except OSError:
                 continue
-            return port
+        GIVEN_PORTS.add(port)
+        return port
 
 
 def wait_until(condition: Callable[[], bool], what: str, patience: float = PATIENCE_SECONDS) -> None:
