--- a/packages/Control/include/lentilbay/Control/ClaimController.h
+++ b/packages/Control/include/lentilbay/Control/ClaimController.h
@@ -89,8 +89,8 @@
     AnswerSource(const AnswerSource&) = delete;
     AnswerSource& operator=(const AnswerSource&) = delete;
     virtual ~AnswerSource() = default;
-    /// A report with the state Finished, or Running where the answer is not whole yet; nothing where it is not
-    /// held any more.
+    /// A report with the state Finished, or Running where the answer is not whole yet; nothing where it is
+    /// not held any more.
     virtual std::optional<ClaimReport> finishedReport(const RequestId& id) const = 0;
 };
 
