Let daemons that leave own their endpoints while no other daemon is left

A single daemon that was told to stop announced that it leaves, so that nobody owned its endpoints: its grants lapsed after 3 s and the requests that waited in it hung for ever.

--- a/packages/Control/lib/Ownership.cpp
+++ b/packages/Control/lib/Ownership.cpp
@@ -27,15 +27,19 @@
     return member.status == MemberStatus::Alive || member.status == MemberStatus::Suspect;
 }
 
+void addCandidate(Candidates& out, const MemberState& member)
+{
+    out.byDataCentre[member.dataCentre.text()].push_back(member.id.text());
+    out.byRegion[member.region.text()].push_back(member.id.text());
+    out.all.push_back(member.id.text());
+}
+
 Candidates candidatesOf(const Blackboard& blackboard)
 {
     Candidates out;
     for (const auto& [id, member] : blackboard.members) {
-        if (!mayOwn(member))
-            continue;
-        out.byDataCentre[member.dataCentre.text()].push_back(id.text());
-        out.byRegion[member.region.text()].push_back(id.text());
-        out.all.push_back(id.text());
+        if (mayOwn(member))
+            addCandidate(out, member);
     }
     for (const auto& digest : blackboard.distant) {
         if (digest.liveDaemons == 0)
@@ -51,6 +55,13 @@
         auto& inRegion = out.byRegion[digest.region.text()];
         inRegion.insert(inRegion.end(), names.begin(), names.end());
     }
+    if (!out.byDataCentre.empty() || !out.partlyKnown.empty())
+        return out;
+    // With no other daemon left, those that are leaving still finish what waits in them.
+    for (const auto& [id, member] : blackboard.members) {
+        if (member.status == MemberStatus::Leaving)
+            addCandidate(out, member);
+    }
     return out;
 }
 
--- a/packages/Control/unittests/OwnershipTest.cpp
+++ b/packages/Control/unittests/OwnershipTest.cpp
@@ -79,6 +79,18 @@
     EXPECT_EQ(ownership.all().size(), 1U);
 }
 
+TEST(Ownership, WithNoOtherDaemonLeftThoseThatLeaveStillOwn)
+{
+    auto board = boardWith({ member("a", "Seoul", MemberStatus::Leaving),
+        member("b", "Seoul", MemberStatus::Leaving), member("c", "Seoul", MemberStatus::Dead) });
+    Ownership ownership;
+    ownership.refresh(board);
+    for (size_t i = 0; i < board.endpoints.size(); i += 2) {
+        EXPECT_FALSE(ownership.ownerOf(i).empty()) << "what waits in them needs slots";
+        EXPECT_NE(ownership.ownerOf(i), DaemonId("c"));
+    }
+}
+
 TEST(Ownership, ADigestThatNamesAllDaemonsGivesTheOwnersOfAnotherRegion)
 {
     auto board = boardWith({ member("a", "Seoul") });
