--- a/packages/Control/lib/Entry/Dispatcher.cpp
+++ b/packages/Control/lib/Entry/Dispatcher.cpp
@@ -83,6 +83,7 @@
 {
     dequeue(request, true);
     request.phase = RequestPhase::Connecting;
+    request.offeredAt = now;
     request.cachedFraction = 0;
     for (const auto& hit : runtime.prefixes.find(request.arrival.prefixHashes, now)) {
         if (hit.endpoint == endpoint.number)
--- a/packages/Control/lib/Entry/Displacement.cpp
+++ b/packages/Control/lib/Entry/Displacement.cpp
@@ -13,6 +13,8 @@
 constexpr Duration urgentInterval = std::chrono::milliseconds(25);
 /// A request displaces other work once in this time.
 constexpr Duration displacementInterval = std::chrono::milliseconds(200);
+/// A connection within a region needs less.
+constexpr Duration connectTime = std::chrono::milliseconds(20);
 constexpr Duration lateInterval = std::chrono::milliseconds(250);
 /// A first token that takes this many times its expected time says that the endpoint is slow.
 constexpr double overdueFactor = 3;
@@ -181,8 +183,8 @@
     const bool isKnown = pool && isFresh(pool->verdict, now) && pool->verdict.isKnown()
         && (pool->verdict.lowestServedRank <= request.rank || pool->verdict.lowestRunningRank > request.rank);
     // A slot that came too late to connect is no better than none.
-    const bool lackedSlot
-        = request.phase == RequestPhase::Waiting || request.phase == RequestPhase::Connecting;
+    const bool lackedSlot = request.phase == RequestPhase::Waiting
+        || (request.phase == RequestPhase::Connecting && now - request.offeredAt < connectTime);
     if (pool && !isKnown && lackedSlot) {
         refuse(request,
             { .code = ResultCode::OwnerUnreachable, .detail = "not all daemons could be asked in time" },
--- a/packages/Control/lib/Entry/Prediction.cpp
+++ b/packages/Control/lib/Entry/Prediction.cpp
@@ -93,12 +93,12 @@
 {
     const auto times = predictRunning(request);
     const double elapsed = toSeconds(now - request.dispatchedAt);
+    // What has taken longer than expected may well take as long again.
+    const double overdue = elapsed - times.whole;
     if (!request.firstTokenAt)
-        return std::max(times.whole - elapsed, times.whole - times.firstToken);
+        return std::max(times.whole - elapsed, times.whole - times.firstToken + std::max(overdue, 0.0));
     const auto& size = request.expected.answerTokens;
     const double left = std::max(size.mean - request.answerTokens, 0.1 * size.mean + 0.25 * size.spread);
-    // What has taken longer than expected may well take as long again.
-    const double overdue = elapsed - times.whole;
     return std::max(left * request.endpoint->speed.secondsPerAnswerToken, overdue);
 }
 
--- a/packages/Control/lib/Entry/RequestTable.h
+++ b/packages/Control/lib/Entry/RequestTable.h
@@ -79,6 +79,8 @@
     double prefillAhead = 0;
     /// What the endpoint said of it in the end.
     std::optional<uint32_t> reportedCachedTokens;
+    /// When it was given a slot, before its connection stood.
+    TimePoint offeredAt {};
     TimePoint dispatchedAt {};
     std::optional<TimePoint> firstTokenAt;
     /// When the endpoint is taken to have begun with its prompt.
--- a/packages/Control/unittests/DisplacementTest.cpp
+++ b/packages/Control/unittests/DisplacementTest.cpp
@@ -100,17 +100,17 @@
     fillWithBronze();
     m_entry.tokensArrived(RequestId("b2"), 1, at(2ms));
     // Neither may be cancelled: what is almost done is left to end.
-    m_entry.tokensArrived(RequestId("b1"), 47, at(941ms));
-    m_entry.tokensArrived(RequestId("b2"), 47, at(942ms));
+    m_entry.tokensArrived(RequestId("b1"), 22, at(461ms));
+    m_entry.tokensArrived(RequestId("b2"), 22, at(462ms));
     auto hurried = arrival("g1");
     hurried.deadline = 250ms;
-    m_entry.arrive(hurried, at(950ms));
-    for (auto now = at(950ms); now < at(1190ms); now += 10ms) {
+    m_entry.arrive(hurried, at(470ms));
+    for (auto now = at(470ms); now < at(710ms); now += 10ms) {
         setVerdict(0, now);
         m_entry.step(now);
     }
     EXPECT_THAT(commands(), IsEmpty());
-    end("b1", AnswerEnd::Whole, at(1190ms));
+    end("b1", AnswerEnd::Whole, at(710ms));
     EXPECT_THAT(commands(), ElementsAre("g1@e1"));
 }
 
--- a/packages/VirtualFleet/include/lentilbay/VirtualFleet/VirtualEndpoint.h
+++ b/packages/VirtualFleet/include/lentilbay/VirtualFleet/VirtualEndpoint.h
@@ -71,8 +71,8 @@
     bool m_isPlain;
     bool m_isUp = true;
     std::optional<TimePoint> m_leavingSince;
-    EngineModel m_engine;
-    ServiceModel m_service;
+    fakes::EngineModel m_engine;
+    fakes::ServiceModel m_service;
     std::unordered_map<RequestId, Running> m_running;
     std::unordered_map<uint64_t, RequestId> m_byStream;
     std::vector<DispatchRecord> m_dispatches;
--- a/packages/VirtualFleet/lib/VirtualEndpoint.cpp
+++ b/packages/VirtualFleet/lib/VirtualEndpoint.cpp
@@ -6,12 +6,12 @@
 namespace lentilbay {
 namespace {
 
-EngineOptions engineOptions(const Endpoint& endpoint)
+fakes::EngineOptions engineOptions(const Endpoint& endpoint)
 {
     return { .knee = endpoint.slots, .maxRunning = endpoint.slots * 2, .kvTokens = endpoint.kvTokens };
 }
 
-ServiceOptions serviceOptions(const Endpoint& endpoint)
+fakes::ServiceOptions serviceOptions(const Endpoint& endpoint)
 {
     return { .callTime = std::chrono::milliseconds(20), .maxRunning = endpoint.slots };
 }
@@ -102,9 +102,9 @@
             finish(id, now);
     };
     for (const auto& it : m_engine.takeOutputs()) {
-        const auto kind = it.kind == EngineOutput::Kind::Token ? VirtualOutput::Kind::Token
-            : it.kind == EngineOutput::Kind::End               ? VirtualOutput::Kind::Whole
-                                                               : VirtualOutput::Kind::Broken;
+        const auto kind = it.kind == fakes::EngineOutput::Kind::Token ? VirtualOutput::Kind::Token
+            : it.kind == fakes::EngineOutput::Kind::End               ? VirtualOutput::Kind::Whole
+                                                                      : VirtualOutput::Kind::Broken;
         add(it.stream, kind);
         if (kind == VirtualOutput::Kind::Whole && !out.empty())
             out.back().cachedTokens = m_engine.records()[it.record].prefillCached;
@@ -153,8 +153,8 @@
 void VirtualEndpoint::restart()
 {
     m_isUp = true;
-    m_engine = EngineModel(engineOptions(m_endpoint));
-    m_service = ServiceModel(serviceOptions(m_endpoint));
+    m_engine = fakes::EngineModel(engineOptions(m_endpoint));
+    m_service = fakes::ServiceModel(serviceOptions(m_endpoint));
 }
 
 void VirtualEndpoint::setLeaving(TimePoint now)
