--- a/packages/Control/include/lentilbay/Control/ControlPlane.h
+++ b/packages/Control/include/lentilbay/Control/ControlPlane.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "lentilbay/Control/Blackboard.h"
+#include "lentilbay/Control/ClaimController.h"
 #include "lentilbay/Control/ConfigurationController.h"
 #include "lentilbay/Control/EntryController.h"
 #include "lentilbay/Control/MembershipController.h"
@@ -42,6 +43,10 @@
     /// The messages for other daemons since the last call.
     std::vector<OutgoingMessage> takeMessages();
 
+    /// Where messages about claims go; without it they are dropped. The claims step by themselves, since
+    /// they need the wall clock.
+    void attachClaims(ClaimController& claims) { m_claims = &claims; }
+
     EntryController& entry() { return m_entry; }
     const EntryController& entry() const { return m_entry; }
     MembershipController& membership() { return m_membership; }
@@ -56,6 +61,7 @@
     MembershipController m_membership;
     SlotController m_slots;
     EntryController m_entry;
+    ClaimController* m_claims = nullptr;
     std::optional<ConfigurationController> m_configuration;
     TimePoint m_nextDigests {};
 };
--- a/packages/Control/include/lentilbay/Control/PeerMessage.h
+++ b/packages/Control/include/lentilbay/Control/PeerMessage.h
@@ -3,6 +3,7 @@
 // The position of a type in the variant is its number on the wire: types are appended, never moved.
 #pragma once
 
+#include "lentilbay/Control/ClaimMessages.h"
 #include "lentilbay/Control/ConfigurationMessages.h"
 #include "lentilbay/Control/MembershipMessages.h"
 #include "lentilbay/Control/SlotMessages.h"
@@ -14,7 +15,7 @@
 namespace lentilbay {
 
 using PeerMessage = std::variant<DemandReport, GrantReport, Probe, ProbeReply, ProbeRequest, StateExchange,
-    DigestGossip, ConfigurationReport, HeadNotice, DocumentRequest, DocumentReply>;
+    DigestGossip, ConfigurationReport, HeadNotice, DocumentRequest, DocumentReply, ClaimQuery, ClaimAnswer>;
 
 struct OutgoingMessage {
     DaemonId to;
