Put the configuration controller in force in lentilbayd

[platform] in the settings names the table and object services; the daemon then serves nothing until a version is in force, carries the controllers' commands to the platform, and offers the admin pages that lentilbayctl configuration calls.

--- a/tools/lentilbayd/main/Main.cpp
+++ b/tools/lentilbayd/main/Main.cpp
@@ -1,7 +1,9 @@
 // lentilbayd: reads its settings, checks them and runs the daemon.
+#include "ConfigurationPages.h"
 #include "Daemon.h"
 #include "EndpointLoads.h"
 #include "Peers.h"
+#include "PlatformCalls.h"
 #include "lentilbay/Model/ConfigurationText.h"
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/Secret.h"
@@ -70,6 +72,10 @@
     daemon.add(std::make_unique<EndpointLoads>(daemon));
     if (!peers.address.empty())
         daemon.add(std::make_unique<Peers>(daemon, peers));
+    if (!settings.platform.table.empty()) {
+        daemon.add(std::make_unique<PlatformCalls>(daemon, settings.platform));
+        addConfigurationPages(daemon.admin(), daemon);
+    }
     daemon.run();
     return 0;
 }
