--- a/packages/Fleet/lib/PeerStreams.cpp
+++ b/packages/Fleet/lib/PeerStreams.cpp
@@ -66,8 +66,6 @@
     /// Memory grows with the bytes that came, not with the length that was announced.
     void readBody(size_t left)
     {
-        if (m_owner->m_closed)
-            return; // the handler may be gone
         if (left == 0) {
             m_owner->m_handler(m_frame);
             return readFrame();
--- a/packages/Platform/lib/HttpClient.cpp
+++ b/packages/Platform/lib/HttpClient.cpp
@@ -3,9 +3,9 @@
 
 #include "HttpTransfer.h"
 #include "SocketWatches.h"
+#include "lentilbay/Platform/WakeTimer.h"
+#include "lentilbay/Support/SteadyClock.h"
 
-#include <asio/post.hpp>
-#include <asio/steady_timer.hpp>
 #include <cassert>
 #include <functional>
 #include <unordered_map>
@@ -16,7 +16,7 @@
     State(asio::io_context& context, HttpClientOptions options)
         : options(options)
         , watches(context, [this](int socket, SocketReady ready) { socketReady(socket, ready); })
-        , timer(context)
+        , timer(context, [this] { act(CURL_SOCKET_TIMEOUT, 0); })
         , multi(curl_multi_init())
     {
         curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, onSocket);
@@ -56,15 +56,11 @@
     static int onTimer(CURLM*, long milliseconds, void* data)
     {
         auto& state = *static_cast<State*>(data);
-        if (milliseconds < 0) {
-            state.timer.cancel();
-            return 0;
-        }
-        state.timer.expires_after(std::chrono::milliseconds { milliseconds });
-        state.timer.async_wait([&state](const asio::error_code& ec) {
-            if (!ec)
-                state.act(CURL_SOCKET_TIMEOUT, 0);
-        });
+        const auto now = steadyNow();
+        if (milliseconds < 0)
+            state.timer.clear();
+        else
+            state.timer.set(now + std::chrono::milliseconds { milliseconds }, now);
         return 0;
     }
 
@@ -182,7 +178,7 @@
 
     HttpClientOptions options;
     SocketWatches watches;
-    asio::steady_timer timer;
+    WakeTimer timer;
     CURLM* multi;
     std::unordered_map<HttpCallId, std::unique_ptr<HttpTransfer>> transfers;
     std::vector<CURL*> idle;
--- a/tools/lentilbayd/lib/Daemon.cpp
+++ b/tools/lentilbayd/lib/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "Daemon.h"
 
 #include "AdminPages.h"
+#include "lentilbay/Platform/WakeTimer.h"
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/Secret.h"
 #include "lentilbay/Support/SteadyClock.h"
@@ -19,13 +20,6 @@
 constexpr Duration longestSleep = std::chrono::seconds { 1 };
 /// How often a leaving daemon looks whether all its answers are written.
 constexpr Duration leavingCheck = std::chrono::milliseconds { 20 };
-/// How long a daemon with nothing left to do waits for the platform to take it off the roster.
-constexpr Duration longestRosterWait = std::chrono::seconds { 3 };
-
-std::chrono::steady_clock::time_point steadyTime(TimePoint at)
-{
-    return std::chrono::steady_clock::time_point { at.time_since_epoch() };
-}
 
 /// A blackboard that knows whose it is.
 Blackboard placed(const DaemonSettings& settings)
@@ -37,31 +31,19 @@
     return blackboard;
 }
 
-/// Nothing where the daemon runs without the platform.
-std::optional<ConfigurationOptions> configurationOptionsOf(
-    const Settings& settings, const MembershipOptions& membership)
-{
-    if (settings.platform.table.empty())
-        return std::nullopt;
-    return ConfigurationOptions {
-        .seed = randomNumber(), .address = membership.address, .incarnation = membership.incarnation
-    };
-}
-
 } // namespace
 
 struct Daemon::State {
-    State(const Settings& settings, const MembershipOptions& membership)
+    State(const Settings& settings, MembershipOptions membership)
         : settings(settings)
-        , timer(context)
+        , timer(context, [this] { wake(); })
         , signals(context, SIGTERM, SIGINT)
         , blackboard(placed(settings.daemon))
         , admin(context, settings.admin)
         , client(context, settings.endpoints)
         , plane(blackboard,
               { .entry = { .seed = randomNumber(), .maxWaiting = settings.daemon.maxWaiting },
-                  .membership = membership,
-                  .configuration = configurationOptionsOf(settings, membership) },
+                  .membership = std::move(membership) },
               steadyNow())
     {
     }
@@ -72,12 +54,11 @@
     void drain();
     void listenForSignals();
     bool isFinished(TimePoint now) const;
-    bool isOffRoster(TimePoint now);
     void stop();
 
     Settings settings;
     asio::io_context context { 1 };
-    asio::steady_timer timer;
+    WakeTimer timer;
     asio::signal_set signals;
     Blackboard blackboard;
     AdminServer admin;
@@ -85,7 +66,6 @@
     ControlPlane plane;
     Metrics metrics;
     std::function<void(std::vector<OutgoingMessage>)> peerLink;
-    std::function<void(std::vector<StoreCommand>)> storeLink;
     std::vector<std::unique_ptr<DaemonPart>> parts;
     std::vector<std::function<void(std::string&)>> partMetrics;
     std::unique_ptr<Gateway> gateway;
@@ -95,7 +75,6 @@
     bool stepPosted = false;
     /// When a leaving daemon may stop at the earliest.
     std::optional<TimePoint> leavesAt;
-    std::optional<TimePoint> rosterDeadline;
 };
 
 void Daemon::State::wake()
@@ -116,9 +95,7 @@
     gateway->expire(now);
     if (auto messages = plane.takeMessages(); peerLink)
         peerLink(std::move(messages));
-    if (auto commands = std::exchange(blackboard.storeOutbox, {}); storeLink)
-        storeLink(std::move(commands));
-    if (isFinished(now) && isOffRoster(now))
+    if (isFinished(now))
         return stop();
     schedule(now);
 }
@@ -131,11 +108,7 @@
     for (const auto& it : parts)
         consider(it->nextWake());
     consider(plane.nextWake());
-    timer.expires_at(steadyTime(wakeAt));
-    timer.async_wait([this](const asio::error_code& ec) {
-        if (!ec)
-            wake();
-    });
+    timer.set(wakeAt, now);
 }
 
 void Daemon::State::drain()
@@ -169,20 +142,6 @@
         && std::all_of(parts.begin(), parts.end(), isQuiet);
 }
 
-/// Takes the daemon off the roster, so that no change waits for it; gives up where the platform is away.
-bool Daemon::State::isOffRoster(TimePoint now)
-{
-    auto* configuration = plane.configuration();
-    if (configuration == nullptr)
-        return true;
-    if (!rosterDeadline) {
-        rosterDeadline = now + longestRosterWait;
-        configuration->announceStopped(now);
-        wake();
-    }
-    return configuration->isOffRoster() || now >= *rosterDeadline;
-}
-
 void Daemon::State::stop()
 {
     logEvent(Event::DaemonStopped);
@@ -194,8 +153,8 @@
     context.stop();
 }
 
-Daemon::Daemon(const Settings& settings, const MembershipOptions& membership)
-    : m_state(std::make_unique<State>(settings, membership))
+Daemon::Daemon(const Settings& settings, MembershipOptions membership)
+    : m_state(std::make_unique<State>(settings, std::move(membership)))
 {
     auto& state = *m_state;
     state.claim = [this](const KeyedRequest& request) {
@@ -250,11 +209,6 @@
 
 void Daemon::setClaim(std::function<void(const KeyedRequest&)> claim) { m_state->claim = std::move(claim); }
 
-void Daemon::setStoreLink(std::function<void(std::vector<StoreCommand>)> submit)
-{
-    m_state->storeLink = std::move(submit);
-}
-
 void Daemon::setPeerLink(std::function<void(std::vector<OutgoingMessage>)> send)
 {
     m_state->peerLink = std::move(send);
