--- a/bench/fleet/measure.py
+++ b/bench/fleet/measure.py
@@ -4,6 +4,8 @@
 """
 
 import argparse
+import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -12,13 +14,14 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from dataclasses import asdict, dataclass
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "tools/lentilbayd/tests"))
 sys.path.insert(0, str(ROOT / "tools/quickstart"))
-from processes import DaemonProcess, Fleet, call, wait_until
+from processes import DaemonProcess, Fleet, answers, call, free_port, wait_until
 
 import deployment
 
@@ -61,12 +64,37 @@
 
 
 def endpoint_section(name: str, address: str) -> str:
-    host, port = address.split(":")
-    return (f"\n[endpoint {name}]\nhost = {host}\nport = {port}\nregion = {deployment.REGION}\n"
+    return (f"\n[endpoint {name}]\naddress = {address}\nregion = {deployment.REGION}\n"
             f"data_centre = {deployment.DATA_CENTRE}\nservices = grade-summaries\ngeneration = g1\nslots = 4\n"
             f"kv_tokens = 100000\n")
 
 
+async def answer_load(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """An idle engine as far as its load is asked for; any other request ends the connection."""
+    body = b'{"running": 0, "waiting": 0, "kv_tokens_used": 0, "kv_tokens": 100000, "age_ms": 0, "leaving": false}'
+    head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        while (await reader.readuntil(b"\r\n\r\n")).startswith(b"GET /load "):
+            writer.write(head + body)
+            await writer.drain()
+    writer.close()
+
+
+def start_idle_engines(count: int) -> list[str]:
+    """Listens for that many engines in one thread, which ends with the process; gives their addresses."""
+    ports = [free_port() for _ in range(count)]
+
+    async def serve() -> None:
+        for port in ports:
+            await asyncio.start_server(answer_load, "127.0.0.1", port)
+        await asyncio.Event().wait()
+
+    threading.Thread(target=lambda: asyncio.run(serve()), daemon=True).start()
+    for port in ports:
+        wait_until(lambda port=port: answers(port), "an idle engine answers")
+    return [f"127.0.0.1:{it}" for it in ports]
+
+
 def start(fleet: Fleet, configuration: pathlib.Path, daemons: int, extra_endpoints: int) -> int:
     """Starts stand-ins and daemons; gives the number of endpoints."""
     addresses = {}
@@ -75,9 +103,8 @@
     for name in deployment.APPLICATIONS:
         addresses[name] = f"127.0.0.1:{fleet.add_standin('service-standin')}"
     document = deployment.configuration(addresses)
-    # Many names of one stand-in: the daemons ask and grant each by itself.
-    for i in range(extra_endpoints):
-        document += endpoint_section(f"extra-{i}", addresses["trade-engine-1"])
+    for i, address in enumerate(start_idle_engines(extra_endpoints)):
+        document += endpoint_section(f"idle-{i}", address)
     configuration.write_text(document)
     for i in range(daemons):
         fleet.add(f"d{i}", deployment.REGION, deployment.DATA_CENTRE)
--- a/packages/Control/include/lentilbay/Control/ConfigurationController.h
+++ b/packages/Control/include/lentilbay/Control/ConfigurationController.h
@@ -84,6 +84,17 @@
     std::vector<RosterMember> waiting;
 };
 
+/// A version in the history.
+struct VersionEntry {
+    ConfigurationHead head;
+    std::string operatorName;
+    std::string time;
+};
+
+/// Nothing where the platform does not answer.
+using HistoryCallback = std::function<void(std::optional<std::vector<VersionEntry>>)>;
+using DocumentCallback = std::function<void(std::optional<std::string>)>;
+
 class ConfigurationController {
 public:
     /// The blackboard must outlive the controller. This daemon takes no new work until a version is in force.
@@ -110,6 +121,11 @@
     void watchAcceptance(TimePoint until, TimePoint now);
     const AcceptanceProgress& progress() const;
 
+    /// The versions from the newest downwards.
+    void readHistory(uint64_t limit, HistoryCallback callback);
+    /// The document of a version.
+    void readVersion(uint64_t version, DocumentCallback callback);
+
     /// The document in force, in canonical form.
     const std::string& document() const;
     /// The newest version that this daemon knows of.
--- a/packages/Control/lib/ConfigurationController.cpp
+++ b/packages/Control/lib/ConfigurationController.cpp
@@ -9,6 +9,7 @@
 #include "FloorRecorder.h"
 #include "RosterKeeper.h"
 #include "SilenceJudge.h"
+#include "VersionReader.h"
 #include "lentilbay/Support/Hash.h"
 
 #include <map>
@@ -80,6 +81,7 @@
     SilenceJudge judge;
     ChangeProposer proposer;
     AcceptanceWatcher watcher;
+    VersionReader versions;
 
     Backoff pollBackoff;
     bool polling = false;
@@ -108,6 +110,7 @@
     , judge(context, recorder)
     , proposer(context, replica)
     , watcher(context)
+    , versions(context)
     , pollBackoff(options.pollPeriod, options.longestPause)
     , nextReport(now)
     , nextJudgement(now)
@@ -473,6 +476,16 @@
 }
 
 const AcceptanceProgress& ConfigurationController::progress() const { return m_state->watcher.progress(); }
+void ConfigurationController::readHistory(uint64_t limit, HistoryCallback callback)
+{
+    m_state->versions.readHistory(m_state->replica.head().version, limit, std::move(callback));
+}
+
+void ConfigurationController::readVersion(uint64_t version, DocumentCallback callback)
+{
+    m_state->versions.readDocument(version, std::move(callback));
+}
+
 const std::string& ConfigurationController::document() const { return m_state->replica.document(); }
 const ConfigurationHead& ConfigurationController::head() const { return m_state->replica.head(); }
 const ConfigurationHead& ConfigurationController::inForce() const { return m_state->replica.inForce(); }
--- a/packages/Control/unittests/ClaimControllerTest.cpp
+++ b/packages/Control/unittests/ClaimControllerTest.cpp
@@ -214,6 +214,18 @@
     EXPECT_GE(world.table.rowsWritten, 95U);
 }
 
+TEST(Claims, MoreKeysThanRecordsAreRefusedAsNotRun)
+{
+    ClaimWorld world(1, 1, { .maxRecords = 2 });
+    world.send(0, "k1");
+    world.send(0, "k2");
+    const auto refused = world.send(0, "k3");
+    world.run(1s);
+    EXPECT_EQ(world.sent(refused).told, Told::RefusedNotRun);
+    EXPECT_EQ(world.sent(refused).code, ResultCode::ClaimUnavailable);
+    EXPECT_EQ(world.executionsOf("o/k3"), 0);
+}
+
 TEST(Claims, ExpiredRowsAreWrittenOverAndRemoved)
 {
     ClaimWorld world(1, 1, { .retention = 1min, .recordLifetime = 10s, .cleanupPeriod = 5s });
--- a/packages/Fleet/lib/PeerStreams.cpp
+++ b/packages/Fleet/lib/PeerStreams.cpp
@@ -66,6 +66,8 @@
     /// Memory grows with the bytes that came, not with the length that was announced.
     void readBody(size_t left)
     {
+        if (m_owner->m_closed)
+            return; // the handler may be gone
         if (left == 0) {
             m_owner->m_handler(m_frame);
             return readFrame();
--- a/packages/Fleet/unittests/PeerLinksTest.cpp
+++ b/packages/Fleet/unittests/PeerLinksTest.cpp
@@ -2,10 +2,13 @@
 #include "lentilbay/Fleet/PeerLinks.h"
 
 #include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <asio/ip/udp.hpp>
+#include <asio/write.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <optional>
+#include <random>
 
 namespace lentilbay {
 namespace {
@@ -15,11 +18,22 @@
 /// Bounds a loop whose end is an event, so that a fault ends the test and does not hang it.
 constexpr auto patience = 10s;
 
-/// A port that was free a moment ago.
+/// A port that is free for UDP and TCP, below the numbers that the system gives to outgoing connections.
 uint16_t freePort(asio::io_context& context)
 {
-    asio::ip::udp::socket socket(context, { asio::ip::address_v4::loopback(), 0 });
-    return socket.local_endpoint().port();
+    static std::mt19937 generator(std::random_device {}());
+    const auto loopback = asio::ip::address_v4::loopback();
+    while (true) {
+        const auto port = std::uniform_int_distribution<uint16_t>(10'000, 32'000)(generator);
+        asio::error_code ec;
+        asio::ip::udp::socket udp(context, asio::ip::udp::v4());
+        asio::ip::tcp::acceptor tcp(context, asio::ip::tcp::v4());
+        udp.bind({ loopback, port }, ec);
+        if (!ec)
+            tcp.bind({ loopback, port }, ec);
+        if (!ec)
+            return port;
+    }
 }
 
 struct Side {
@@ -107,6 +121,39 @@
     EXPECT_EQ(b.source, "");
 }
 
+TEST_F(PeerLinksTest, NothingIsHandedOverAfterTheClose)
+{
+    PeerCodec codec({ .cluster = "test",
+        .self = DaemonId("x"),
+        .address = "127.0.0.1:1",
+        .keys = { { .id = 1, .secret = std::string(32, 'k') } } });
+    const std::vector<PeerMessage> messages { largeState() };
+    // Two packets, since the same one again would count as replayed.
+    const auto nextFrame = [&] {
+        const auto packet = codec.encode(b.address, 1, currentPeerVersion, messages).front().bytes;
+        std::string frame;
+        for (size_t i = 0; i < 4; ++i)
+            frame.push_back(static_cast<char>(static_cast<uint8_t>(packet.size() >> (8 * i))));
+        return frame + packet;
+    };
+    const auto first = nextFrame();
+    const auto second = nextFrame();
+    asio::ip::tcp::socket socket(context);
+    const auto port = static_cast<uint16_t>(std::stoi(b.address.substr(b.address.rfind(':') + 1)));
+    socket.connect({ asio::ip::address_v4::loopback(), port });
+    asio::write(socket, asio::buffer(first));
+    asio::write(socket, asio::buffer(second.data(), second.size() - 1));
+    ASSERT_TRUE(runUntil([&] { return b.received.size() == 1; }));
+    // Lets the second frame be read up to its last byte.
+    for (int i = 0; i < 20; ++i)
+        context.run_one_for(5ms);
+    b.links->close();
+    asio::write(socket, asio::buffer(second.data() + second.size() - 1, 1));
+    for (int i = 0; i < 20; ++i)
+        context.run_one_for(5ms);
+    EXPECT_EQ(b.received.size(), 1U);
+}
+
 TEST_F(PeerLinksTest, AnUnreachablePeerCostsOnlyTheMessage)
 {
     a.links->send({ { .message = largeState(), .address = "127.0.0.1:1" },
--- a/tools/lentilbayctl/AdminClient.cpp
+++ b/tools/lentilbayctl/AdminClient.cpp
@@ -118,8 +118,9 @@
         fmt::print(stderr, "no daemon answered at {}\n", FLAGS_admin);
         return;
     }
-    fmt::print(stderr, "{} {}\n", answer->body.value("code", "HTTP " + std::to_string(answer->status)),
-        answer->body.value("message", "the daemon refused the call"));
+    const auto error = answer->body.value("error", nlohmann::json::object());
+    fmt::print(stderr, "{} {}\n", error.value("code", "HTTP " + std::to_string(answer->status)),
+        error.value("message", "the daemon refused the call"));
     for (const auto& fault : answer->body.value("faults", nlohmann::json::array()))
         fmt::print(stderr, "{}\n", fault.get<std::string>());
 }
--- a/tools/lentilbayd/lib/Daemon.cpp
+++ b/tools/lentilbayd/lib/Daemon.cpp
@@ -20,6 +20,8 @@
 constexpr Duration longestSleep = std::chrono::seconds { 1 };
 /// How often a leaving daemon looks whether all its answers are written.
 constexpr Duration leavingCheck = std::chrono::milliseconds { 20 };
+/// How long a daemon with nothing left to do waits for the platform to take it off the roster.
+constexpr Duration longestRosterWait = std::chrono::seconds { 3 };
 
 /// A blackboard that knows whose it is.
 Blackboard placed(const DaemonSettings& settings)
@@ -31,10 +33,21 @@
     return blackboard;
 }
 
+/// Nothing where the daemon runs without the platform.
+std::optional<ConfigurationOptions> configurationOptionsOf(
+    const Settings& settings, const MembershipOptions& membership)
+{
+    if (settings.platform.table.empty())
+        return std::nullopt;
+    return ConfigurationOptions {
+        .seed = randomNumber(), .address = membership.address, .incarnation = membership.incarnation
+    };
+}
+
 } // namespace
 
 struct Daemon::State {
-    State(const Settings& settings, MembershipOptions membership)
+    State(const Settings& settings, const MembershipOptions& membership)
         : settings(settings)
         , timer(context, [this] { wake(); })
         , signals(context, SIGTERM, SIGINT)
@@ -43,7 +56,8 @@
         , client(context, settings.endpoints)
         , plane(blackboard,
               { .entry = { .seed = randomNumber(), .maxWaiting = settings.daemon.maxWaiting },
-                  .membership = std::move(membership) },
+                  .membership = membership,
+                  .configuration = configurationOptionsOf(settings, membership) },
               steadyNow())
     {
     }
@@ -54,6 +68,7 @@
     void drain();
     void listenForSignals();
     bool isFinished(TimePoint now) const;
+    bool isOffRoster(TimePoint now);
     void stop();
 
     Settings settings;
@@ -66,6 +81,7 @@
     ControlPlane plane;
     Metrics metrics;
     std::function<void(std::vector<OutgoingMessage>)> peerLink;
+    std::function<void(std::vector<StoreCommand>)> storeLink;
     std::vector<std::unique_ptr<DaemonPart>> parts;
     std::vector<std::function<void(std::string&)>> partMetrics;
     std::unique_ptr<Gateway> gateway;
@@ -75,6 +91,7 @@
     bool stepPosted = false;
     /// When a leaving daemon may stop at the earliest.
     std::optional<TimePoint> leavesAt;
+    std::optional<TimePoint> rosterDeadline;
 };
 
 void Daemon::State::wake()
@@ -95,7 +112,9 @@
     gateway->expire(now);
     if (auto messages = plane.takeMessages(); peerLink)
         peerLink(std::move(messages));
-    if (isFinished(now))
+    if (auto commands = std::exchange(blackboard.storeOutbox, {}); storeLink)
+        storeLink(std::move(commands));
+    if (isFinished(now) && isOffRoster(now))
         return stop();
     schedule(now);
 }
@@ -142,6 +161,20 @@
         && std::all_of(parts.begin(), parts.end(), isQuiet);
 }
 
+/// Takes the daemon off the roster, so that no change waits for it; gives up where the platform is away.
+bool Daemon::State::isOffRoster(TimePoint now)
+{
+    auto* configuration = plane.configuration();
+    if (configuration == nullptr)
+        return true;
+    if (!rosterDeadline) {
+        rosterDeadline = now + longestRosterWait;
+        configuration->announceStopped(now);
+        wake();
+    }
+    return configuration->isOffRoster() || now >= *rosterDeadline;
+}
+
 void Daemon::State::stop()
 {
     logEvent(Event::DaemonStopped);
@@ -153,8 +186,8 @@
     context.stop();
 }
 
-Daemon::Daemon(const Settings& settings, MembershipOptions membership)
-    : m_state(std::make_unique<State>(settings, std::move(membership)))
+Daemon::Daemon(const Settings& settings, const MembershipOptions& membership)
+    : m_state(std::make_unique<State>(settings, membership))
 {
     auto& state = *m_state;
     state.claim = [this](const KeyedRequest& request) {
@@ -209,6 +242,11 @@
 
 void Daemon::setClaim(std::function<void(const KeyedRequest&)> claim) { m_state->claim = std::move(claim); }
 
+void Daemon::setStoreLink(std::function<void(std::vector<StoreCommand>)> submit)
+{
+    m_state->storeLink = std::move(submit);
+}
+
 void Daemon::setPeerLink(std::function<void(std::vector<OutgoingMessage>)> send)
 {
     m_state->peerLink = std::move(send);
--- a/tools/lentilbayd/lib/Daemon.h
+++ b/tools/lentilbayd/lib/Daemon.h
@@ -21,7 +21,7 @@
 class Daemon {
 public:
     /// The membership's options say how others reach this daemon and whom it tries first.
-    explicit Daemon(const Settings& settings, MembershipOptions membership = {});
+    explicit Daemon(const Settings& settings, const MembershipOptions& membership = {});
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
     ~Daemon();
@@ -49,6 +49,9 @@
     /// Who carries messages to other daemons. Without it they are dropped.
     void setPeerLink(std::function<void(std::vector<OutgoingMessage>)> send);
 
+    /// Who carries commands to the platform's services. Without it they are dropped.
+    void setStoreLink(std::function<void(std::vector<StoreCommand>)> submit);
+
     /// Something was reported to a part: all parts step after the events that are ready now.
     void wake();
     /// Calls the function once after the delay.
--- a/tools/lentilbayd/lib/Settings.cpp
+++ b/tools/lentilbayd/lib/Settings.cpp
@@ -21,8 +21,8 @@
 constexpr Range<Duration> timeoutRange { milliseconds { 10 }, hours { 1 } };
 constexpr int64_t maxPort = 65'535;
 
-const std::array<std::string_view, 8> knownSections { "daemon", "callers", "endpoints", "answers", "admin",
-    "log", "configuration", "peers" };
+const std::array<std::string_view, 10> knownSections { "daemon", "callers", "endpoints", "answers", "admin",
+    "log", "configuration", "peers", "platform", "claims" };
 
 /// A name that may stand in identifiers, paths and headers.
 std::string readName(SectionReader& reader, const std::string& key)
@@ -123,6 +123,28 @@
     reader.reportUnknownKeys();
 }
 
+void readPlatform(const IniDocument& document, Diagnostics& diagnostics, Settings& out)
+{
+    SectionReader reader(document, "platform", diagnostics);
+    const auto readUrl = [&](const std::string& key) {
+        auto url = reader.text(key, "");
+        while (url.ends_with('/'))
+            url.pop_back();
+        if (!url.empty() && !url.starts_with("http://") && !url.starts_with("https://"))
+            reader.report(ResultCode::WrongType, key, "allowed: http://ADDRESS:PORT or https://ADDRESS:PORT");
+        return url;
+    };
+    out.platform.table = readUrl("table");
+    out.platform.objects = readUrl("objects");
+    if (out.platform.table.empty() != out.platform.objects.empty())
+        reader.report(ResultCode::MissingSetting, out.platform.table.empty() ? "table" : "objects",
+            "table and objects are set together");
+    if (!out.platform.table.empty() && !out.configurationFile.empty())
+        reader.report(
+            ResultCode::OutOfRange, "table", "[configuration] file is allowed only without the platform");
+    reader.reportUnknownKeys();
+}
+
 void reportUnknownSections(const IniDocument& document, Diagnostics& diagnostics)
 {
     for (const auto& section : sectionsOf(document)) {
@@ -151,13 +173,14 @@
     readAdmin(document, diagnostics, out.admin);
     readLog(document, diagnostics, out.log);
     readConfiguration(document, diagnostics, out.configurationFile);
+    readPlatform(document, diagnostics, out);
     reportUnknownSections(document, diagnostics);
     return out;
 }
 
 std::string printSettings(const Settings& settings)
 {
-    const auto& [daemon, callers, gateway, endpoints, admin, log, file] = settings;
+    const auto& [daemon, callers, gateway, endpoints, admin, log, file, platform] = settings;
     auto out = fmt::format(
         "[daemon]\nname = {}\nregion = {}\ndata_centre = {}\nmax_waiting = {}\nleaving_notice = {}\n",
         daemon.name, daemon.region, daemon.dataCentre, daemon.maxWaiting,
@@ -181,6 +204,8 @@
         "\n[log]\nformat = {}\nlevel = {}\n", log.format == LogFormat::Text ? "text" : "json", log.level);
     if (!file.empty())
         out += fmt::format("\n[configuration]\nfile = {}\n", file);
+    if (!platform.table.empty())
+        out += fmt::format("\n[platform]\ntable = {}\nobjects = {}\n", platform.table, platform.objects);
     return out;
 }
 
--- a/tools/lentilbayd/lib/Settings.h
+++ b/tools/lentilbayd/lib/Settings.h
@@ -24,6 +24,13 @@
     Duration leavingNotice = std::chrono::seconds { 1 };
 };
 
+/// [platform]
+struct PlatformSettings {
+    /// "http://127.0.0.1:9000"; empty runs the daemon without the platform.
+    std::string table;
+    std::string objects;
+};
+
 struct Settings {
     DaemonSettings daemon;
     CallerServerOptions callers;
@@ -33,6 +40,7 @@
     LogOptions log;
     /// [configuration] file: read at the start where the platform's services are not used.
     std::string configurationFile;
+    PlatformSettings platform;
 };
 
 /// Reads settings and reports all that is wrong with them.
--- a/tools/lentilbayd/main/Main.cpp
+++ b/tools/lentilbayd/main/Main.cpp
@@ -1,7 +1,10 @@
 // lentilbayd: reads its settings, checks them and runs the daemon.
+#include "Claims.h"
+#include "ConfigurationPages.h"
 #include "Daemon.h"
 #include "EndpointLoads.h"
 #include "Peers.h"
+#include "PlatformCalls.h"
 #include "lentilbay/Model/ConfigurationText.h"
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/Secret.h"
@@ -52,13 +55,14 @@
     const auto document = readIniFile(path, diagnostics);
     const auto settings = parseSettings(document, diagnostics);
     const auto peers = readPeerSettings(document, diagnostics);
+    auto claims = readClaimOptions(document, diagnostics);
     std::shared_ptr<const Configuration> configuration;
     if (!settings.configurationFile.empty())
         configuration = readConfiguration(settings.configurationFile, diagnostics);
     if (!report(diagnostics))
         return exitInvalidSettings;
     if (FLAGS_check) {
-        std::cout << printSettings(settings) << printPeerSettings(peers);
+        std::cout << printSettings(settings) << printPeerSettings(peers) << printClaimOptions(claims);
         return 0;
     }
     configureLog(settings.log);
@@ -70,6 +74,13 @@
     daemon.add(std::make_unique<EndpointLoads>(daemon));
     if (!peers.address.empty())
         daemon.add(std::make_unique<Peers>(daemon, peers));
+    if (!settings.platform.table.empty()) {
+        daemon.add(std::make_unique<PlatformCalls>(daemon, settings.platform));
+        addConfigurationPages(daemon.admin(), daemon);
+        claims.seed = randomNumber();
+        claims.address = peers.address;
+        daemon.add(std::make_unique<Claims>(daemon, std::move(claims)));
+    }
     daemon.run();
     return 0;
 }
--- a/tools/lentilbayd/tests/processes.py
+++ b/tools/lentilbayd/tests/processes.py
@@ -104,7 +104,7 @@
         seeds = fleet.seeds() or [f"127.0.0.1:{self.peers_port}"]
         self.settings.write_text(
             f"[daemon]\nname = {name}\nregion = {region}\ndata_centre = {data_centre}\nleaving_notice = 200ms\n"
-            f"[callers]\nport = {self.callers_port}\n[admin]\nport = {self.admin_port}\n"
+            f"[callers]\nport = {self.callers_port}\n[admin]\nport = {self.admin_port}\n{fleet.admin_settings}"
             f"[peers]\naddress = 127.0.0.1:{self.peers_port}\nseeds = {', '.join(seeds)}\nkeys = {CLUSTER_KEY}\n"
             f"[log]\nformat = json\n" + fleet.extra_settings)
         self.command = [str(fleet.binaries / "lentilbayd"), f"--settings={self.settings}"]
@@ -129,6 +129,7 @@
     def __init__(self, binaries: pathlib.Path, extra_settings: str = "") -> None:
         self.binaries = binaries
         self.extra_settings = extra_settings
+        self.admin_settings = ""
         self.daemons: list[DaemonProcess] = []
         self.others: list[Process] = []
         self._directory = tempfile.TemporaryDirectory()
