--- a/bench/fleet/measure.py
+++ b/bench/fleet/measure.py
@@ -28,8 +28,8 @@
 SETTLE_SECONDS = 8
 MEASURE_SECONDS = 15
 DAEMON_COUNTS = (3, 6, 12, 24)
-ENDPOINT_COUNTS = (100, 400)
-DAEMONS_WITH_MANY_ENDPOINTS = 6
+# Daemons and idle engines; 16 and 458 with the others make a data centre of the aim's size.
+MANY_ENDPOINTS = ((6, 100), (6, 400), (6, 1500), (16, 458))
 REQUESTS_PER_SECOND_AND_DAEMON = 5
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 
@@ -150,7 +150,7 @@
     parser.add_argument("--out", type=pathlib.Path, default=ROOT / "bench/fleet/samples.json")
     arguments = parser.parse_args()
     runs = [(it, 0, 0.0) for it in DAEMON_COUNTS]
-    runs += [(DAEMONS_WITH_MANY_ENDPOINTS, it, 0.0) for it in ENDPOINT_COUNTS]
+    runs += [(*it, 0.0) for it in MANY_ENDPOINTS]
     runs += [(it, 0, float(REQUESTS_PER_SECOND_AND_DAEMON)) for it in DAEMON_COUNTS]
     samples = []
     for daemons, extra_endpoints, rate in runs:
