--- a/tools/lentilbayd/lib/Daemon.cpp
+++ b/tools/lentilbayd/lib/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "Daemon.h"
 
 #include "AdminPages.h"
+#include "lentilbay/Platform/WakeTimer.h"
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/Secret.h"
 #include "lentilbay/Support/SteadyClock.h"
@@ -22,11 +23,6 @@
 /// How long a daemon with nothing left to do waits for the platform to take it off the roster.
 constexpr Duration longestRosterWait = std::chrono::seconds { 3 };
 
-std::chrono::steady_clock::time_point steadyTime(TimePoint at)
-{
-    return std::chrono::steady_clock::time_point { at.time_since_epoch() };
-}
-
 /// A blackboard that knows whose it is.
 Blackboard placed(const DaemonSettings& settings)
 {
@@ -53,7 +49,7 @@
 struct Daemon::State {
     State(const Settings& settings, const MembershipOptions& membership)
         : settings(settings)
-        , timer(context)
+        , timer(context, [this] { wake(); })
         , signals(context, SIGTERM, SIGINT)
         , blackboard(placed(settings.daemon))
         , admin(context, settings.admin)
@@ -77,7 +73,7 @@
 
     Settings settings;
     asio::io_context context { 1 };
-    asio::steady_timer timer;
+    WakeTimer timer;
     asio::signal_set signals;
     Blackboard blackboard;
     AdminServer admin;
@@ -131,11 +127,7 @@
     for (const auto& it : parts)
         consider(it->nextWake());
     consider(plane.nextWake());
-    timer.expires_at(steadyTime(wakeAt));
-    timer.async_wait([this](const asio::error_code& ec) {
-        if (!ec)
-            wake();
-    });
+    timer.set(wakeAt, now);
 }
 
 void Daemon::State::drain()
