--- /dev/null
+++ b/packages/Control/unittests/ConfigurationScaleTest.cpp
@@ -0,0 +1,60 @@
+// Time from a change to its acceptance, and what it costs, in virtual time at growing sizes.
+#include "ConfigurationFleet.h"
+
+#include <gtest/gtest.h>
+#include <iostream>
+
+namespace lentilbay {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration inForceWithin = 18s;
+constexpr Duration measuredTime = 20s;
+
+class ConfigurationScale : public testing::TestWithParam<size_t> { };
+
+/// Commits one change and gives the time until all work under it and it is accepted.
+Duration changeTime(ConfigurationFleet& fleet, uint64_t value)
+{
+    const auto begin = fleet.now;
+    const auto id = fleet.propose(0, value);
+    while (fleet.outcome(id) == ChangeOutcome::Unresolved && fleet.now - begin < inForceWithin)
+        fleet.run(10ms);
+    EXPECT_EQ(fleet.outcome(id), ChangeOutcome::Committed);
+    EXPECT_TRUE(fleet.settles(inForceWithin));
+    return fleet.now - begin;
+}
+
+TEST_P(ConfigurationScale, AChangeIsInForceEverywhereInTime)
+{
+    ConfigurationFleet fleet(GetParam(), 3, 7);
+    fleet.store.objectsAreAway = true;
+    fleet.run(5s);
+    changeTime(fleet, 1);
+    Duration worst {};
+    for (uint64_t n = 2; n < 12; ++n)
+        worst = std::max(worst, changeTime(fleet, n));
+    EXPECT_LT(worst, inForceWithin);
+    fleet.crash(GetParam() - 1);
+    const auto withDeath = changeTime(fleet, 20);
+    EXPECT_LT(withDeath, inForceWithin);
+    ASSERT_TRUE(fleet.breaches.empty()) << fleet.breaches.front();
+    fleet.watches = false;
+    const auto operations = fleet.store.operations;
+    const auto messages = fleet.nodes[0]->messagesSent;
+    fleet.run(measuredTime);
+    RecordProperty("worst_ms", static_cast<int>(toMilliseconds(worst)));
+    RecordProperty("with_a_dead_daemon_ms", static_cast<int>(toMilliseconds(withDeath)));
+    std::cout << fmt::format(
+        "{} daemons: accepted within {:.2f} s, with a dead daemon {:.2f} s; idle: {:.1f} store "
+        "calls/s in all, {:.1f} messages/s of one daemon\n",
+        GetParam(), toSeconds(worst), toSeconds(withDeath),
+        static_cast<double>(fleet.store.operations - operations) / toSeconds(measuredTime),
+        static_cast<double>(fleet.nodes[0]->messagesSent - messages) / toSeconds(measuredTime));
+}
+
+INSTANTIATE_TEST_SUITE_P(Sizes, ConfigurationScale, testing::Values(6, 12, 24));
+
+} // namespace
+} // namespace lentilbay
