--- a/tools/lentilbayctl/ConfigurationApply.cpp
+++ b/tools/lentilbayctl/ConfigurationApply.cpp
@@ -8,6 +8,7 @@
 #include "lentilbay/Support/SteadyClock.h"
 #include "lentilbay/Support/Units.h"
 
+#include <cstdlib>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 #include <thread>
@@ -15,6 +16,7 @@
 DECLARE_bool(json);
 DEFINE_int64(expect_version, -1, "apply only if this is the present version; -1: the one read at the start");
 DEFINE_bool(wait, false, "wait until the change is accepted: in force or fenced on every daemon");
+DEFINE_string(operator_name, "", "who makes the change, for the history; otherwise the environment's USER");
 DEFINE_string(wait_for, "60s", "longest wait of --wait");
 
 namespace lentilbay {
@@ -30,6 +32,14 @@
     fmt::print("{}\n", FLAGS_json ? result.dump(2) : sentence);
 }
 
+std::string operatorName()
+{
+    if (!FLAGS_operator_name.empty())
+        return FLAGS_operator_name;
+    const char* user = std::getenv("USER");
+    return user == nullptr ? "" : user;
+}
+
 ExitCode refused(const std::optional<AdminAnswer>& answer)
 {
     printRefusal(answer);
@@ -103,7 +113,7 @@
         expected = present->body.value("version", int64_t { 0 });
     }
     const nlohmann::json change { { "document", document }, { "expect_version", expected },
-        { "change", randomHex(changeIdBytes) } };
+        { "operator", operatorName() }, { "change", randomHex(changeIdBytes) } };
     const auto end = steadyNow() + parseDuration(FLAGS_wait_for).value_or(Duration(60s));
     auto answer = client.post("/admin/configuration", change);
     // The same change may be sent again: its identifier tells whether it took effect.
