--- a/packages/Control/lib/Entry/Dispatcher.cpp
+++ b/packages/Control/lib/Entry/Dispatcher.cpp
@@ -89,6 +89,8 @@
             request.cachedFraction = hit.fraction;
     }
     takeSlot(request, endpoint);
+    if (request.failedConnections == 0)
+        endpoint.retries->firstAttempt(now);
     endpoint.breaker.sent(now);
     request.prefillAhead = toSeconds(std::max(endpoint.prefillEndsAt - now, Duration::zero()));
     const double prefill = request.expected.promptTokens * (1 - request.cachedFraction);
--- a/packages/Control/lib/Entry/Prediction.cpp
+++ b/packages/Control/lib/Entry/Prediction.cpp
@@ -18,11 +18,17 @@
     const EndpointRuntime& endpoint, double cachedFraction, TimePoint now) const
 {
     const auto ahead = std::max(endpoint.prefillEndsAt - now, Duration::zero());
+    double inFlight = static_cast<double>(endpoint.held.size());
+    if (endpoint.position != noPosition) {
+        const auto& load = blackboard.endpoints[endpoint.position].load;
+        if (load)
+            inFlight = expectedLoad(load->running + load->waiting, now - load->measuredAt, inFlight);
+    }
     return { .speed = endpoint.speed,
         .slowness = endpoint.isStraggler ? endpoint.estimate.slowness() : 1,
         .cachedFraction = cachedFraction,
         .prefillAhead = toSeconds(ahead),
-        .inFlight = static_cast<uint32_t>(endpoint.held.size()),
+        .inFlight = inFlight,
         .distance = endpoint.distance };
 }
 
--- a/packages/Control/unittests/DisplacementTest.cpp
+++ b/packages/Control/unittests/DisplacementTest.cpp
@@ -260,6 +260,17 @@
     EXPECT_FALSE(outcomes[0].inTime);
 }
 
+TEST_F(DisplacementTest, AFreshLoadReportMovesWorkAwayAndAnOldOneDoesNot)
+{
+    grantAll(4, at(1h));
+    m_entry.step(at(0s));
+    m_blackboard.endpoints[0].load = LoadReport { .running = 8, .measuredAt = at(1s) };
+    m_entry.arrive(arrival("r1"), at(1s));
+    EXPECT_THAT(commands(), ElementsAre("r1@e2"));
+    m_entry.arrive(arrival("r2"), at(8s));
+    EXPECT_THAT(commands(), ElementsAre("r2@e1"));
+}
+
 // Found by the policy bench, daejeon at load 2, seed 1: late work of a tier was cancelled and its slot given
 // to a lower tier.
 TEST_F(DisplacementTest, LateWorkIsNotCancelledForALowerTier)
--- a/packages/Policy/include/lentilbay/Policy/EndpointEstimate.h
+++ b/packages/Policy/include/lentilbay/Policy/EndpointEstimate.h
@@ -89,6 +89,6 @@
 
 /// How many requests an endpoint that reported its load some time ago is taken to hold now: the report fades
 /// with its age, and what this entry itself sent counts in full.
-double expectedLoad(uint32_t reported, Duration age, uint32_t ownInFlight);
+double expectedLoad(uint32_t reported, Duration age, double ownInFlight);
 
 } // namespace lentilbay
--- a/packages/Policy/include/lentilbay/Policy/Routing.h
+++ b/packages/Policy/include/lentilbay/Policy/Routing.h
@@ -43,7 +43,8 @@
     double cachedFraction = 0;
     /// Seconds until it has read the prompts that were sent to it before.
     double prefillAhead = 0;
-    uint32_t inFlight = 0;
+    /// Requests that it is thought to hold now.
+    double inFlight = 0;
     Distance distance = Distance::SameDataCentre;
 
     auto operator<=>(const RouteCandidate&) const = default;
--- a/packages/Policy/lib/EndpointEstimate.cpp
+++ b/packages/Policy/lib/EndpointEstimate.cpp
@@ -136,7 +136,7 @@
     return static_cast<uint32_t>(std::ceil(decoding * std::min(mostAboveKnee, 1 / (1 - reading)) - 1e-9));
 }
 
-double expectedLoad(uint32_t reported, Duration age, uint32_t ownInFlight)
+double expectedLoad(uint32_t reported, Duration age, double ownInFlight)
 {
     const double fading = std::exp2(-toSeconds(std::max(age, Duration::zero())) / loadHalfLife);
     return std::max<double>(ownInFlight, reported * fading + ownInFlight * (1 - fading));
