Count slots right while the configuration changes

Cause: an answer that ended between a change of configuration and the next step gave back a slot by a stale position, and an endpoint that came back had lost count of what it runs. Change: every event follows the configuration first; counts are taken anew from the requests that hold slots.

--- a/packages/Control/lib/Entry/EntryState.h
+++ b/packages/Control/lib/Entry/EntryState.h
@@ -103,6 +103,9 @@
     /// Preempts what owners call back.
     void meetRecalls(TimePoint now);
 
+    /// Follows the configuration; called before each event, so that positions of endpoints are the present
+    /// ones.
+    bool follow(TimePoint now);
     void step(TimePoint now);
 };
 
--- a/packages/Control/lib/Entry/Runtime.cpp
+++ b/packages/Control/lib/Entry/Runtime.cpp
@@ -83,6 +83,11 @@
             m_endpointNumbers.push_back(&endpoint);
         }
         endpoint.position = i;
+        // An endpoint that was away still runs what it was sent.
+        auto& inFlight = m_blackboard.endpoints[i].inFlight;
+        inFlight = {};
+        for (const auto* request : endpoint.held)
+            ++inFlight[request->rank];
         endpoint.distance = distanceOf(m_blackboard, configured);
         endpoint.generation = &m_generations[configured.generation];
     }
--- a/packages/Control/lib/EntryController.cpp
+++ b/packages/Control/lib/EntryController.cpp
@@ -23,10 +23,17 @@
 
 EntryController::~EntryController() = default;
 
+bool EntryController::State::follow(TimePoint now)
+{
+    if (!runtime.refresh(now))
+        return false;
+    rehome(now);
+    return true;
+}
+
 void EntryController::State::step(TimePoint now)
 {
-    if (runtime.refresh(now))
-        rehome(now);
+    follow(now);
     meetRecalls(now);
     runTimers(now);
     planQueues(now);
@@ -36,14 +43,14 @@
 
 void EntryController::arrive(Arrival arrival, TimePoint now)
 {
-    if (m_state->runtime.refresh(now))
-        m_state->rehome(now);
+    m_state->follow(now);
     m_state->arrive(std::move(arrival), now);
     m_state->step(now);
 }
 
 void EntryController::claimed(const RequestId& id, ClaimResult result, TimePoint now)
 {
+    m_state->follow(now);
     auto* request = m_state->find(id);
     if (!request || request->phase != RequestPhase::Claiming)
         return;
@@ -68,8 +75,7 @@
 
 bool EntryController::mayDispatch(const RequestId& id, TimePoint now)
 {
-    if (m_state->runtime.refresh(now))
-        m_state->rehome(now);
+    m_state->follow(now);
     auto* request = m_state->find(id);
     if (!request || request->phase != RequestPhase::Connecting)
         return false;
@@ -99,6 +105,7 @@
 
 void EntryController::connectFailed(const RequestId& id, TimePoint now)
 {
+    m_state->follow(now);
     auto* request = m_state->find(id);
     if (!request || request->phase != RequestPhase::Connecting)
         return;
@@ -126,6 +133,7 @@
 
 void EntryController::tokensArrived(const RequestId& id, uint32_t tokens, TimePoint now)
 {
+    m_state->follow(now);
     auto* request = m_state->find(id);
     if (request && request->phase >= RequestPhase::Running)
         m_state->observeTokens(*request, tokens, now);
@@ -140,6 +148,7 @@
 
 void EntryController::answerEnded(const RequestId& id, AnswerEnd end, TimePoint now)
 {
+    m_state->follow(now);
     auto* request = m_state->find(id);
     if (!request || request->phase < RequestPhase::Running)
         return;
@@ -169,6 +178,7 @@
 
 void EntryController::callerLeft(const RequestId& id, TimePoint now)
 {
+    m_state->follow(now);
     auto* request = m_state->find(id);
     if (!request || request->callerGone)
         return;
@@ -209,9 +219,7 @@
 
 void EntryController::step(TimePoint now)
 {
-    if (m_state->runtime.refresh(now))
-        m_state->rehome(now);
-    else
+    if (!m_state->follow(now))
         m_state->runtime.refreshOpen(now);
     m_state->runtime.refreshShares(now);
     m_state->step(now);
--- a/packages/Control/unittests/EntryControllerTest.cpp
+++ b/packages/Control/unittests/EntryControllerTest.cpp
@@ -206,5 +206,25 @@
     EXPECT_THAT(commands(), ElementsAre("r2@e1"));
 }
 
+// Found by EntryProperty, seed 7: an answer that ended right after a change of configuration gave back the
+// slot of another endpoint, and an endpoint that came back had forgotten what it runs.
+TEST_F(EntryControllerTest, SlotsAreCountedRightWhileEndpointsGoAndComeBack)
+{
+    m_entry.arrive(arrival("r1"), at(0s));
+    m_entry.arrive(arrival("r2"), at(0s));
+    ASSERT_TRUE(dispatch("r1", at(0s)));
+    ASSERT_TRUE(dispatch("r2", at(0s)));
+    auto next = configuration();
+    next.endpoints.erase(next.endpoints.begin());
+    applyConfiguration(m_blackboard, std::make_shared<Configuration>(next));
+    end("r2", AnswerEnd::Whole, at(1s));
+    EXPECT_EQ(m_blackboard.findEndpointState(EndpointId("e2"))->inFlightTotal(), 0U);
+    applyConfiguration(m_blackboard, std::make_shared<Configuration>(configuration()));
+    m_entry.step(at(2s));
+    EXPECT_EQ(m_blackboard.findEndpointState(EndpointId("e1"))->inFlightTotal(), 1U);
+    end("r1", AnswerEnd::Whole, at(3s));
+    EXPECT_EQ(m_blackboard.findEndpointState(EndpointId("e1"))->inFlightTotal(), 0U);
+}
+
 } // namespace
 } // namespace lentilbay
