--- a/packages/Model/lib/ConfigurationChecks.cpp
+++ b/packages/Model/lib/ConfigurationChecks.cpp
@@ -248,24 +248,30 @@
 } // namespace
 
 FaultReporter::FaultReporter(const IniDocument& document, Diagnostics& diagnostics)
-    : m_file(document.file)
+    : m_document(document)
     , m_diagnostics(diagnostics)
 {
-    for (const auto& section : document.sections)
+}
+
+void FaultReporter::indexLines()
+{
+    for (const auto& section : m_document.sections)
         m_lines.try_emplace(section.name, section.line);
-    for (const auto& entry : document.entries)
+    for (const auto& entry : m_document.entries)
         m_lines.try_emplace(entry.section + "\n" + entry.key, entry.line);
 }
 
 void FaultReporter::report(
     ResultCode code, const std::string& section, const std::string& key, std::string message)
 {
+    if (m_lines.empty())
+        indexLines();
     auto it = m_lines.find(section + "\n" + key);
     if (it == m_lines.end())
         it = m_lines.find(section);
     const int line = it == m_lines.end() ? 0 : it->second;
     m_diagnostics.push_back(
-        { code, m_file, line, key.empty() ? section : section + "." + key, std::move(message) });
+        { code, m_document.file, line, key.empty() ? section : section + "." + key, std::move(message) });
 }
 
 void checkConfiguration(const Configuration& configuration, FaultReporter& faults)
--- a/packages/Model/lib/ConfigurationChecks.h
+++ b/packages/Model/lib/ConfigurationChecks.h
@@ -19,9 +19,12 @@
     void report(ResultCode code, const std::string& section, const std::string& key, std::string message);
 
 private:
-    std::string m_file;
+    void indexLines();
+
+    const IniDocument& m_document;
     Diagnostics& m_diagnostics;
-    /// By "section\nkey", and by the section alone.
+    /// By "section\nkey", and by the section alone; filled with the first fault, since most documents have
+    /// none.
     std::map<std::string, int> m_lines;
 };
 
--- a/packages/Model/lib/ConfigurationDifference.cpp
+++ b/packages/Model/lib/ConfigurationDifference.cpp
@@ -1,14 +1,16 @@
 // Differences of canonical documents.
 #include "lentilbay/Model/ConfigurationDifference.h"
 
-#include "lentilbay/Model/ConfigurationText.h"
 #include "lentilbay/Support/Secret.h"
 
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
 #include <iterator>
 #include <map>
 #include <set>
+#include <tuple>
+#include <utility>
 
 namespace lentilbay {
 namespace {
@@ -45,6 +47,33 @@
     return fmt::format("{}", fmt::join(sections, "\n"));
 }
 
+/// The place of a section in the canonical form: its kind, for tiers the line of the rank, and its header.
+std::tuple<size_t, std::string_view, std::string_view> placeOf(std::string_view header, std::string_view text)
+{
+    constexpr std::array<std::string_view, 6> kinds { "objective", "tier", "organisation", "service",
+        "endpoint", "model" };
+    const auto kind = header.substr(0, header.find(' '));
+    const auto index = static_cast<size_t>(std::find(kinds.begin(), kinds.end(), kind) - kinds.begin());
+    // Ranks have one digit, so their lines sort as they do.
+    const auto body = text.substr(std::min(text.size(), header.size() + 3));
+    return { index, kind == "tier" ? body.substr(0, body.find('\n')) : "", header };
+}
+
+std::vector<std::string_view> inCanonicalOrder(const std::map<std::string_view, std::string_view>& sections)
+{
+    using Place = std::tuple<size_t, std::string_view, std::string_view>;
+    std::vector<std::pair<Place, std::string_view>> placed;
+    placed.reserve(sections.size());
+    for (const auto& [header, text] : sections)
+        placed.emplace_back(placeOf(header, text), text);
+    std::sort(placed.begin(), placed.end());
+    std::vector<std::string_view> out;
+    out.reserve(placed.size());
+    for (const auto& [place, text] : placed)
+        out.push_back(text);
+    return out;
+}
+
 std::set<std::string_view> linesOf(std::string_view section)
 {
     std::set<std::string_view> out;
@@ -98,15 +127,9 @@
         sections.erase(header);
     for (const auto& it : sectionsIn(difference.changed))
         sections[it.header] = it.text;
-    std::vector<std::string_view> texts;
-    texts.reserve(sections.size());
-    for (const auto& [header, text] : sections)
-        texts.push_back(text);
-    // Parsing sorts the sections and checks them again; the hash then proves the result.
-    Diagnostics diagnostics;
-    const auto configuration = parseConfiguration(joined(texts), "difference", diagnostics);
-    auto text = printConfiguration(configuration);
-    if (!diagnostics.empty() || sha256Hex(text) != difference.toHash)
+    auto text = joined(inCanonicalOrder(sections));
+    // The hash proves the result, so it need not be parsed and checked again.
+    if (sha256Hex(text) != difference.toHash)
         return fail(ResultCode::WrongBase, "the difference does not lead to the document that it names");
     return text;
 }
--- a/packages/Model/unittests/ConfigurationDifferenceTest.cpp
+++ b/packages/Model/unittests/ConfigurationDifferenceTest.cpp
@@ -56,6 +56,20 @@
     EXPECT_EQ(std::get<std::string>(result), to);
 }
 
+TEST(ConfigurationDifference, KeepsTheCanonicalOrderWhereRanksAndNamesDisagree)
+{
+    auto configuration = parsedExample("daejeon.ini");
+    const auto from = printConfiguration(configuration);
+    std::swap(configuration.tiers[2].rank, configuration.tiers[3].rank);
+    configuration.tiers[0].name = TierId("zinc");
+    configuration.services.push_back({ .name = ServiceId("a") });
+    configuration.endpoints[5].name = EndpointId("Z");
+    const auto to = printConfiguration(configuration);
+    const auto result = outcomeOf<std::string>([&] { return applyDifference(from, differenceOf(from, to)); });
+    ASSERT_TRUE(std::holds_alternative<std::string>(result));
+    EXPECT_EQ(std::get<std::string>(result), to);
+}
+
 TEST(ConfigurationDifference, RefusesAnotherBaseAndAWrongResult)
 {
     const auto from = exampleText("cooperative.ini");
