--- a/tools/scenario/lib/Deployment.cpp
+++ b/tools/scenario/lib/Deployment.cpp
@@ -86,9 +86,32 @@
     return endpoint;
 }
 
+std::string printed(const ConfigurationSource& source)
+{
+    if (source.platformPort == 0)
+        return fmt::format("[configuration]\nfile = {}\n", source.file);
+    return fmt::format(
+        "[platform]\ntable = http://127.0.0.1:{0}\nobjects = http://127.0.0.1:{0}\n", source.platformPort);
+}
+
+/// A model that the first engine offers beside its own.
+void addMarker(Configuration& configuration, const std::string& marker)
+{
+    const ServiceId service(marker);
+    configuration.services.push_back({ .name = service });
+    std::ranges::sort(configuration.services, {}, &Service::name);
+    const auto engine
+        = std::ranges::find_if(configuration.endpoints, [](const Endpoint& it) { return it.kvTokens > 0; });
+    if (engine == configuration.endpoints.end())
+        return;
+    engine->services.push_back(service);
+    std::ranges::sort(engine->services);
+}
+
 } // namespace
 
-Configuration configurationOf(const Scenario& scenario, const std::map<std::string, uint16_t>& endpointPorts)
+Configuration configurationOf(
+    const Scenario& scenario, const std::map<std::string, uint16_t>& endpointPorts, const std::string& marker)
 {
     const auto kinds = allKinds();
     Configuration configuration { .version = 1,
@@ -98,21 +121,23 @@
     for (const auto& it : scenario.endpoints)
         configuration.endpoints.push_back(endpointOf(it, endpointPorts.at(it.name)));
     std::ranges::sort(configuration.endpoints, {}, &Endpoint::name);
+    if (!marker.empty())
+        addMarker(configuration, marker);
     return configuration;
 }
 
 std::string settingsOf(const DaemonSpec& daemon, const DaemonPorts& ports, const std::vector<uint16_t>& seeds,
-    const std::string& configurationFile)
+    const ConfigurationSource& source)
 {
     std::string seedList;
     for (const auto it : seeds)
         seedList += fmt::format("{}127.0.0.1:{}", seedList.empty() ? "" : ", ", it);
     return fmt::format("[daemon]\nname = {}\nregion = {}\ndata_centre = {}\nleaving_notice = 200ms\n"
-                       "[callers]\nport = {}\n[admin]\nport = {}\n"
+                       "[callers]\nport = {}\n[admin]\nport = {}\ntoken_hash = {}\n"
                        "[peers]\naddress = 127.0.0.1:{}\nseeds = {}\nkeys = {}\n"
-                       "[log]\nformat = json\n[configuration]\nfile = {}\n",
-        daemon.name, daemon.region, daemon.dataCentre, ports.callers, ports.admin, ports.peers, seedList,
-        clusterKey, configurationFile);
+                       "[log]\nformat = json\n{}",
+        daemon.name, daemon.region, daemon.dataCentre, ports.callers, ports.admin, hashKey(adminToken, salt),
+        ports.peers, seedList, clusterKey, printed(source));
 }
 
 } // namespace lentilbay::scenario
--- a/tools/scenario/lib/Judge.cpp
+++ b/tools/scenario/lib/Judge.cpp
@@ -75,6 +75,8 @@
         return countDispatches(records, expectation.subject);
     case Expectation::Kind::Sooner:
         return toSeconds(medianTime(records, expectation.subject));
+    case Expectation::Kind::Accepted:
+        return static_cast<double>(records.accepted.size());
     }
     return 0;
 }
@@ -87,6 +89,13 @@
         && (!expectation.most || value <= *expectation.most);
 }
 
+std::string nameOf(const Expectation& expectation)
+{
+    if (expectation.kind == Expectation::Kind::WastedPrefill)
+        return "wasted_prefill";
+    return expectation.kind == Expectation::Kind::Accepted ? "accepted" : expectation.subject;
+}
+
 std::string printedBounds(const Expectation& expectation)
 {
     if (expectation.kind == Expectation::Kind::Sooner)
@@ -109,7 +118,7 @@
             const auto value = measured(records, it);
             if (!isMet(records, it, value))
                 faults.push_back(fmt::format("{}:{}: {}: {:.4g}, expected {}", scenario.name, it.line,
-                    it.subject.empty() ? "wasted_prefill" : it.subject, value, printedBounds(it)));
+                    nameOf(it), value, printedBounds(it)));
         } catch (const std::runtime_error& error) {
             faults.push_back(fmt::format("{}:{}: {}", scenario.name, it.line, error.what()));
         }
--- a/tools/scenario/lib/ProcessRun.cpp
+++ b/tools/scenario/lib/ProcessRun.cpp
@@ -67,44 +67,64 @@
 RunRecords ProcessRun::run()
 {
     startEndpoints();
+    startPlatform();
     startDaemons();
     sendLoads();
+    awaitSubmissions();
     stopAll();
     for (const auto& it : m_scenario.endpoints)
         collect(it);
     return std::move(m_records);
 }
 
-void ProcessRun::startEndpoints()
+uint16_t ProcessRun::startStandIn(const std::string& name, const std::vector<std::string>& command)
 {
     constexpr std::string_view listening = "listening on 127.0.0.1:";
-    for (const auto& it : m_scenario.endpoints) {
-        const auto log = m_options.folder + "/" + it.name + ".log";
-        m_endpoints.emplace(it.name, Child(standInCommand(it, m_options.binaries), log));
-        const bool started = waitUntil(m_options.patience, [&] {
-            const auto text = textOf(log);
-            const auto at = text.find(listening);
-            if (at == std::string::npos || text.back() != '\n')
-                return false;
-            m_endpointPorts[it.name] = static_cast<uint16_t>(std::stoi(text.substr(at + listening.size())));
-            return true;
-        });
-        if (!started)
-            throw std::runtime_error(it.name + " did not start: " + textOf(log));
-    }
+    const auto log = m_options.folder + "/" + name + ".log";
+    m_standIns.emplace(name, Child(command, log));
+    uint16_t port = 0;
+    const bool started = waitUntil(m_options.patience, [&] {
+        const auto text = textOf(log);
+        const auto at = text.find(listening);
+        if (at == std::string::npos || text.back() != '\n')
+            return false;
+        port = static_cast<uint16_t>(std::stoi(text.substr(at + listening.size())));
+        return true;
+    });
+    if (!started)
+        throw std::runtime_error(name + " did not start: " + textOf(log));
+    return port;
+}
+
+void ProcessRun::startEndpoints()
+{
+    for (const auto& it : m_scenario.endpoints)
+        m_endpointPorts[it.name] = startStandIn(it.name, standInCommand(it, m_options.binaries));
+}
+
+void ProcessRun::startPlatform()
+{
+    writeFile(m_options.folder + "/token", adminToken);
+    if (!m_scenario.platform)
+        return;
+    m_platformPort = startStandIn("platform",
+        { m_options.binaries + "/platform-standin",
+            "--writes_per_second=" + std::to_string(m_scenario.platform->writesPerSecond),
+            "--reads_per_second=" + std::to_string(m_scenario.platform->readsPerSecond) });
 }
 
 void ProcessRun::startDaemons()
 {
     const auto configuration = m_options.folder + "/configuration.ini";
     writeFile(configuration, printConfiguration(configurationOf(m_scenario, m_endpointPorts)));
+    const ConfigurationSource source { .platformPort = m_platformPort, .file = configuration };
     std::vector<uint16_t> seeds;
     for (const auto& it : m_scenario.daemons) {
         const DaemonPorts ports { .callers = freePort(), .admin = freePort(), .peers = freePort() };
         if (seeds.empty())
             seeds.push_back(ports.peers);
         const auto settings = m_options.folder + "/" + it.name + ".ini";
-        writeFile(settings, settingsOf(it, ports, seeds, configuration));
+        writeFile(settings, settingsOf(it, ports, seeds, source));
         std::vector<std::string> command { m_options.binaries + "/lentilbayd", "--settings=" + settings };
         auto log = m_options.folder + "/" + it.name + ".log";
         Child process(command, log);
@@ -115,6 +135,8 @@
             .process = std::move(process),
             .pausedAt = {} });
     }
+    if (m_scenario.platform)
+        submit(m_daemons.front());
     for (auto& it : m_daemons)
         awaitService(it);
 }
@@ -177,19 +199,21 @@
 void ProcessRun::act(const Action& action, TimePoint start)
 {
     const auto now = steadyNow();
-    if (action.kind == Action::Kind::Control) {
+    const bool onPlatform = action.kind == Action::Kind::Platform;
+    if (onPlatform || action.kind == Action::Kind::Control) {
         standins::HttpClient client;
         const auto reply = client.call({ .method = "POST",
-            .url = portUrl(m_endpointPorts.at(action.subject), "/control"),
+            .url = portUrl(onPlatform ? m_platformPort : m_endpointPorts.at(action.subject), "/control"),
             .body = action.faults });
         if (reply.status != 200)
             throw std::runtime_error(action.subject + " took no fault: " + reply.body);
         const auto until = action.lasts ? std::optional(start + action.at + *action.lasts) : std::nullopt;
         if (action.isFault)
-            m_records.faults.push_back({ .kind = FaultRecord::Kind::EndpointFault,
-                .subject = action.subject,
-                .from = now,
-                .until = until });
+            m_records.faults.push_back(
+                { .kind = onPlatform ? FaultRecord::Kind::PlatformFault : FaultRecord::Kind::EndpointFault,
+                    .subject = action.subject,
+                    .from = now,
+                    .until = until });
         return;
     }
     auto& daemon = daemonOf(action.subject);
@@ -206,7 +230,10 @@
     case Action::Kind::Restart:
         daemon.process = Child(daemon.command, daemon.log);
         return;
+    case Action::Kind::Apply:
+        return submit(daemon);
     case Action::Kind::Control:
+    case Action::Kind::Platform:
         return;
     }
 }
--- a/tools/scenario/lib/ProcessRun.h
+++ b/tools/scenario/lib/ProcessRun.h
@@ -6,7 +6,9 @@
 #include "HttpClient.h"
 #include "Scenario.h"
 
+#include <future>
 #include <map>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -32,6 +34,10 @@
     RunRecords run();
 
 private:
+    struct Submission {
+        std::string marker;
+        std::future<std::optional<TimePoint>> acceptedAt;
+    };
     struct Daemon {
         DaemonSpec spec;
         DaemonPorts ports;
@@ -41,7 +47,15 @@
         std::optional<TimePoint> pausedAt;
     };
 
+    /// Starts a stand-in and returns its port.
+    uint16_t startStandIn(const std::string& name, const std::vector<std::string>& command);
     void startEndpoints();
+    void startPlatform();
+    /// Submits a document with a marker of its own through this daemon, on a thread of its own.
+    void submit(const Daemon& daemon);
+    /// Notes what was accepted and by which document each daemon acts.
+    void awaitSubmissions();
+    void observe(Daemon& daemon);
     void startDaemons();
     void awaitService(Daemon& daemon);
     void sendLoads();
@@ -57,7 +71,12 @@
     const Scenario& m_scenario;
     ProcessRunOptions m_options;
     RunRecords m_records;
-    std::map<std::string, Child> m_endpoints;
+    std::map<std::string, Child> m_standIns;
+    uint16_t m_platformPort = 0;
+    /// The documents that were submitted, and when each was accepted.
+    std::vector<Submission> m_submissions;
+    /// Versions by marker, in the order of their acceptance from 1; other markers have none.
+    std::map<std::string, uint64_t> m_versions;
     std::map<std::string, uint16_t> m_endpointPorts;
     std::vector<Daemon> m_daemons;
 };
--- a/tools/scenario/lib/Scenario.h
+++ b/tools/scenario/lib/Scenario.h
@@ -33,6 +33,15 @@
     Duration callTime = std::chrono::milliseconds(5);
 };
 
+/// The platform's services in one process. Daemons of a scenario without them take their configuration from a
+/// file and claim no keys.
+struct PlatformSpec {
+    double writesPerSecond = 500;
+    double readsPerSecond = 2'000;
+
+    bool operator==(const PlatformSpec&) const = default;
+};
+
 struct LoadSpec {
     /// From the start of the run.
     Duration from {};
@@ -44,13 +53,25 @@
 
 /// Something that is done to a process or a stand-in at a time of the run.
 struct Action {
-    enum class Kind : uint8_t { Kill, Pause, Resume, Stop, Restart, Control };
+    enum class Kind : uint8_t {
+        Kill,
+        Pause,
+        Resume,
+        Stop,
+        Restart,
+        /// Sets faults at an endpoint's stand-in.
+        Control,
+        /// Sets faults at the platform's stand-in.
+        Platform,
+        /// An operator submits the next version.
+        Apply,
+    };
 
     Kind kind = Kind::Kill;
     Duration at {};
-    /// A daemon, or for Control an endpoint.
+    /// A daemon; for Control an endpoint; for Apply the daemon that the operator calls.
     std::string subject;
-    /// Of Control: the JSON for /control.
+    /// Of Control and Platform: the JSON for /control.
     std::string faults;
     /// Whether the action is a fault that the checker may take as an excuse, and how long it lasts.
     bool isFault = false;
@@ -73,6 +94,8 @@
         Dispatches,
         /// The median time of one service is below that of another.
         Sooner,
+        /// Changes of the configuration that were reported as accepted, the first one included.
+        Accepted,
     };
 
     Kind kind = Kind::Outcome;
@@ -91,6 +114,7 @@
 struct Scenario {
     std::string name;
     std::vector<DaemonSpec> daemons;
+    std::optional<PlatformSpec> platform;
     std::vector<EndpointSpec> endpoints;
     std::vector<LoadSpec> loads;
     std::vector<Action> actions;
--- a/tools/scenario/lib/ScriptReader.cpp
+++ b/tools/scenario/lib/ScriptReader.cpp
@@ -171,6 +171,61 @@
     setFaults(arguments, scenario, { { "leaving", true } }, { { "leaving", false } }, false);
 }
 
+void startPlatform(Arguments& arguments, Scenario& scenario)
+{
+    PlatformSpec spec;
+    spec.writesPerSecond = arguments.number("writes_per_second", spec.writesPerSecond);
+    spec.readsPerSecond = arguments.number("reads_per_second", spec.readsPerSecond);
+    scenario.platform = spec;
+}
+
+/// Sets faults of one of the platform's stores, and their opposite once they are over.
+void setStoreFaults(Arguments& arguments, Scenario& scenario, const json& faults, const json& over)
+{
+    const auto store = arguments.text("store", "table");
+    if (!scenario.platform)
+        throw ScriptError { "no platform was started" };
+    if (store != "table" && store != "objects")
+        throw ScriptError { "store must be table or objects" };
+    const auto at = arguments.seconds("at", {});
+    const auto lasts = arguments.optionalSeconds("lasts");
+    scenario.actions.push_back({ .kind = Action::Kind::Platform,
+        .at = at,
+        .subject = store,
+        .faults = json { { store, faults } }.dump(),
+        .isFault = true,
+        .lasts = lasts });
+    if (lasts)
+        scenario.actions.push_back({ .kind = Action::Kind::Platform,
+            .at = at + *lasts,
+            .subject = store,
+            .faults = json { { store, over } }.dump() });
+}
+
+void storeOutage(Arguments& arguments, Scenario& scenario)
+{
+    setStoreFaults(arguments, scenario, { { "outage", true } }, { { "outage", false } });
+}
+
+void slowStore(Arguments& arguments, Scenario& scenario)
+{
+    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(arguments.seconds("delay", {}));
+    setStoreFaults(arguments, scenario, { { "delay_ms", delay.count() } }, { { "delay_ms", 0 } });
+}
+
+void loseStoreAnswers(Arguments& arguments, Scenario& scenario)
+{
+    const auto count = static_cast<uint32_t>(arguments.number("count"));
+    setStoreFaults(arguments, scenario, { { "lose_answers", count } }, { { "lose_answers", 0 } });
+}
+
+void apply(Arguments& arguments, Scenario& scenario)
+{
+    if (!scenario.platform)
+        throw ScriptError { "apply: needs a platform" };
+    actOnDaemon<Action::Kind::Apply>(arguments, scenario);
+}
+
 struct ExpectationName {
     const char* argument;
     Expectation::Kind kind;
@@ -196,11 +251,11 @@
             expectation.other = arguments.text(it.other, "");
         return expectation;
     }
-    if (!arguments.flag("wasted_prefill", false))
-        throw ScriptError {
-            "expect: names none of goodput_of, outcome, dispatches_to, sooner, wasted_prefill"
-        };
-    expectation.kind = Expectation::Kind::WastedPrefill;
+    const bool wasted = arguments.flag("wasted_prefill", false);
+    if (!wasted && !arguments.flag("accepted", false))
+        throw ScriptError { "expect: names none of goodput_of, outcome, dispatches_to, sooner, "
+                            "wasted_prefill, accepted" };
+    expectation.kind = wasted ? Expectation::Kind::WastedPrefill : Expectation::Kind::Accepted;
     return expectation;
 }
 
@@ -226,6 +281,7 @@
     VerbRow { "daemon", startDaemon },
     VerbRow { "engine", startEngine },
     VerbRow { "service", startService },
+    VerbRow { "platform", startPlatform },
     VerbRow { "load", sendLoad },
     VerbRow { "kill", actOnDaemon<Action::Kind::Kill> },
     VerbRow { "pause", actOnDaemon<Action::Kind::Pause> },
@@ -239,6 +295,10 @@
     VerbRow { "outage", outage },
     VerbRow { "refuse", refuse },
     VerbRow { "leave", leave },
+    VerbRow { "store_outage", storeOutage },
+    VerbRow { "slow_store", slowStore },
+    VerbRow { "lose_store_answers", loseStoreAnswers },
+    VerbRow { "apply", apply },
     VerbRow { "expect", expect },
 };
 
--- a/tools/scenario/unittests/ScriptReaderTest.cpp
+++ b/tools/scenario/unittests/ScriptReaderTest.cpp
@@ -112,3 +112,25 @@
     EXPECT_THAT(errorOf("daemon { name = 'd0' }"), HasSubstr("needs a daemon, an endpoint and a load"));
     EXPECT_THROW(readScriptFile("/no/such/file.lua"), std::runtime_error);
 }
+
+TEST(ScriptReader, readsThePlatformAndItsFaults)
+{
+    const auto scenario = readScript(std::string(minimal) + R"(platform { writes_per_second = 5 }
+store_outage { at = 1, lasts = 2 }
+lose_store_answers { count = 3, at = 5, store = "objects" }
+apply { daemon = "d0", at = 6 }
+expect { accepted = true, least = 2 })",
+        "test.lua");
+    EXPECT_EQ(scenario.platform, (PlatformSpec { .writesPerSecond = 5 }));
+    ASSERT_EQ(scenario.actions.size(), 4U);
+    EXPECT_EQ(scenario.actions[0].faults, R"({"table":{"outage":true}})");
+    EXPECT_EQ(scenario.actions[1].faults, R"({"table":{"outage":false}})");
+    EXPECT_EQ(scenario.actions[1].at, 3s);
+    EXPECT_EQ(scenario.actions[2].faults, R"({"objects":{"lose_answers":3}})");
+    EXPECT_EQ(scenario.actions[3].kind, Action::Kind::Apply);
+    const std::string start = minimal;
+    EXPECT_EQ(errorOf(start + "apply { daemon = 'd0' }"), "test.lua:4: apply: needs a platform");
+    EXPECT_EQ(errorOf(start + "store_outage {}"), "test.lua:4: no platform was started");
+    EXPECT_EQ(errorOf(start + "platform {}\nslow_store { store = 'x' }"),
+        "test.lua:5: store must be table or objects");
+}
