--- a/packages/Support/lib/Ini.cpp
+++ b/packages/Support/lib/Ini.cpp
@@ -71,7 +71,8 @@
     }
     if (!state.noteNames(text))
         text = {};
-    std::memcpy(buf, text.data(), text.size());
+    // A refused line is an empty view of null, which memcpy() must not be given.
+    std::ranges::copy(text, buf);
     buf[text.size()] = '\n';
     buf[text.size() + 1] = '\0';
     return buf;
--- a/scenarios/reservations_survive_dropped_answers.lua
+++ b/scenarios/reservations_survive_dropped_answers.lua
@@ -1,5 +1,6 @@
 -- The booking application reserves lots but loses its answers; no reservation is made twice.
 for n = 0, 1 do daemon { name = "d" .. n } end
+platform {}
 service { name = "booking", services = { "lot-booking", "lot-checks" } }
 load { user = "cooperative", only = { "lot-booking", "lot-checks" }, count = 100, rate = 50, resend = 0.5 }
 drop_answers { endpoint = "booking", at = 0.5, lasts = 0.5 }
--- a/tools/scenario/lib/Deployment.cpp
+++ b/tools/scenario/lib/Deployment.cpp
@@ -94,16 +94,16 @@
         "[platform]\ntable = http://127.0.0.1:{0}\nobjects = http://127.0.0.1:{0}\n", source.platformPort);
 }
 
-/// A model that the first engine offers beside its own.
+/// A model that the first engine offers beside its own; nothing where there is no engine.
 void addMarker(Configuration& configuration, const std::string& marker)
 {
-    const ServiceId service(marker);
-    configuration.services.push_back({ .name = service });
-    std::ranges::sort(configuration.services, {}, &Service::name);
     const auto engine
         = std::ranges::find_if(configuration.endpoints, [](const Endpoint& it) { return it.kvTokens > 0; });
     if (engine == configuration.endpoints.end())
         return;
+    const ServiceId service(marker);
+    configuration.services.push_back({ .name = service });
+    std::ranges::sort(configuration.services, {}, &Service::name);
     engine->services.push_back(service);
     std::ranges::sort(engine->services);
 }
--- a/tools/scenario/lib/ProcessRun.cpp
+++ b/tools/scenario/lib/ProcessRun.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <future>
@@ -81,6 +82,8 @@
 {
     constexpr std::string_view listening = "listening on 127.0.0.1:";
     const auto log = m_options.folder + "/" + name + ".log";
+    // A folder that is used again holds the log of an earlier run with another port.
+    std::filesystem::remove(log);
     m_standIns.emplace(name, Child(command, log));
     uint16_t port = 0;
     const bool started = waitUntil(m_options.patience, [&] {
@@ -135,12 +138,23 @@
             .process = std::move(process),
             .pausedAt = {} });
     }
-    if (m_scenario.platform)
+    if (m_scenario.platform) {
+        awaitAdmin(m_daemons.front());
         submit(m_daemons.front());
+    }
     for (auto& it : m_daemons)
         awaitService(it);
 }
 
+void ProcessRun::awaitAdmin(const Daemon& daemon)
+{
+    standins::HttpClient client;
+    const bool listens = waitUntil(m_options.patience,
+        [&] { return client.call({ .url = portUrl(daemon.ports.admin, "/healthz") }).status == 200; });
+    if (!listens)
+        throw std::runtime_error(daemon.spec.name + " did not listen: " + textOf(daemon.log));
+}
+
 void ProcessRun::awaitService(Daemon& daemon)
 {
     // A request of the lowest tier that is answered shows that slots are shared out.
--- a/tools/scenario/lib/ProcessRun.h
+++ b/tools/scenario/lib/ProcessRun.h
@@ -57,6 +57,8 @@
     void awaitSubmissions();
     void observe(Daemon& daemon);
     void startDaemons();
+    /// Waits until the admin listener answers.
+    void awaitAdmin(const Daemon& daemon);
     void awaitService(Daemon& daemon);
     void sendLoads();
     void act(const Action& action, TimePoint start);
--- a/tools/scenario/lib/ScriptReader.cpp
+++ b/tools/scenario/lib/ScriptReader.cpp
@@ -223,6 +223,8 @@
 {
     if (!scenario.platform)
         throw ScriptError { "apply: needs a platform" };
+    if (std::ranges::none_of(scenario.endpoints, &EndpointSpec::engine))
+        throw ScriptError { "apply: needs an engine, whose models show the version" };
     actOnDaemon<Action::Kind::Apply>(arguments, scenario);
 }
 
--- a/tools/scenario/lib/Submissions.cpp
+++ b/tools/scenario/lib/Submissions.cpp
@@ -49,7 +49,8 @@
                 m_versions[submission.marker] = it.version;
         }
     }
-    if (m_submissions.empty())
+    // Without an engine no model shows the version.
+    if (m_submissions.empty() || std::ranges::none_of(m_scenario.endpoints, &EndpointSpec::engine))
         return;
     for (auto& it : m_daemons) {
         if (it.process.isRunning() && !it.pausedAt)
