--- a/packages/Control/lib/Entry/Displacement.cpp
+++ b/packages/Control/lib/Entry/Displacement.cpp
@@ -13,6 +13,8 @@
 constexpr Duration urgentInterval = std::chrono::milliseconds(25);
 /// A request displaces other work once in this time.
 constexpr Duration displacementInterval = std::chrono::milliseconds(200);
+/// A connection within a region needs less.
+constexpr Duration connectTime = std::chrono::milliseconds(20);
 constexpr Duration lateInterval = std::chrono::milliseconds(250);
 /// A first token that takes this many times its expected time says that the endpoint is slow.
 constexpr double overdueFactor = 3;
@@ -179,6 +181,27 @@
     setTimer(request, last);
 }
 
+void EntryController::State::expire(OpenRequest& request, TimePoint now)
+{
+    const auto* pool = blackboard.findPool(request.arrival.service);
+    // Grants that admit a lower tier may be out to daemons that have not acknowledged narrower ones.
+    const bool isKnown = pool && isFresh(pool->verdict, now) && pool->verdict.isKnown()
+        && (pool->verdict.lowestServedRank <= request.rank || pool->verdict.lowestRunningRank > request.rank);
+    // A slot that came too late to connect is no better than none.
+    const bool lackedSlot = request.phase == RequestPhase::Waiting
+        || (request.phase == RequestPhase::Connecting && now - request.offeredAt < connectTime);
+    if (pool && !isKnown && lackedSlot) {
+        refuse(request,
+            { .code = ResultCode::OwnerUnreachable, .detail = "not all daemons could be asked in time" },
+            Ran::No, now);
+        return;
+    }
+    counters.shedWhileLowerServed += request.phase == RequestPhase::Waiting && !mayShed(request, now);
+    refuse(request,
+        { .code = ResultCode::DeadlinePassedWaiting, .detail = "the deadline passed in the queue" }, Ran::No,
+        now);
+}
+
 void EntryController::State::runTimers(TimePoint now)
 {
     while (!timers.empty() && timers.begin()->first <= now) {
@@ -186,10 +209,7 @@
         setTimer(request, TimePoint::max());
         const bool isPast = request.deadline && *request.deadline <= now;
         if (isPast && request.phase < RequestPhase::Running) {
-            counters.shedWhileLowerServed += request.phase == RequestPhase::Waiting && !mayShed(request, now);
-            refuse(request,
-                { .code = ResultCode::DeadlinePassedWaiting, .detail = "the deadline passed in the queue" },
-                Ran::No, now);
+            expire(request, now);
             continue;
         }
         switch (request.phase) {
--- a/packages/Control/lib/Entry/Runtime.cpp
+++ b/packages/Control/lib/Entry/Runtime.cpp
@@ -183,8 +183,10 @@
         stragglers += endpoint->estimate.isStraggler() ? 1 : 0;
     const bool isCommon = stragglers * 2 > pool.endpoints.size();
     std::vector<EndpointSpeed> speeds;
+    pool.isSpeedKnown = true;
     for (auto* endpoint : pool.endpoints) {
         auto& state = stateOf(*endpoint);
+        pool.isSpeedKnown = pool.isSpeedKnown && endpoint->generation->isKnown();
         endpoint->speed = endpoint->estimate.speed(*endpoint->generation);
         endpoint->slots = endpoint->estimate.slots(state.endpoint.slots);
         state.learnedSlots = endpoint->slots;
