Apply the quickstart's configuration with lentilbayctl, with the platform's stand-in

Daemons take the document from the platform and claim keys there, so that corrections and reservations are served too.

--- a/tools/quickstart/quickstart.py
+++ b/tools/quickstart/quickstart.py
@@ -20,6 +20,8 @@
 import deployment
 
 DAEMONS = ("d0", "d1", "d2")
+TOKEN = "quickstart-admin"
+STARTED_EVENT = 100
 ANSWER_DELAY_MS = 50
 IDLE_OVERHEAD_MS = 50
 
@@ -35,7 +37,9 @@
         self.folder = folder
         self.binaries: pathlib.Path = arguments.bin.resolve()
         self.configuration = folder / "configuration.ini"
-        self.fleet = Fleet(self.binaries, f"[configuration]\nfile = {self.configuration}\n")
+        self.token = folder / "token"
+        self.token.write_text(TOKEN)
+        self.fleet = Fleet(self.binaries)
         self.ports: dict[str, int] = {}
         self.endpoints: list[dict] = []
         self.stops: list[dict] = []
@@ -51,11 +55,24 @@
             self.endpoints.append({"name": name, "services": services, "call_time_us": call_time})
         addresses = {name: f"127.0.0.1:{port}" for name, port in self.ports.items()}
         self.configuration.write_text(deployment.configuration(addresses))
+        platform = f"http://127.0.0.1:{self.fleet.add_standin('platform-standin')}"
+        self.fleet.extra_settings = f"[platform]\ntable = {platform}\nobjects = {platform}\n"
+        self.fleet.admin_settings = f"token_hash = {deployment.hash_key(TOKEN, '00')}\n"
         for name in DAEMONS:
             self.fleet.add(name, deployment.REGION, deployment.DATA_CENTRE)
+        for it in self.fleet.daemons:
+            wait_until(lambda it=it: bool(it.events(STARTED_EVENT)), f"{it.name} listens: {it.text()}")
+        self.ctl("configuration", "apply", str(self.configuration), "--wait")
         for it in self.fleet.daemons:
             wait_until(lambda it=it: self.serves(it), f"{it.name} serves: {it.text()}")
 
+    def ctl_flags(self) -> list[str]:
+        admin = ",".join(f"http://127.0.0.1:{it.admin_port}" for it in self.fleet.daemons)
+        return [f"--admin={admin}", f"--token_file={self.token}"]
+
+    def ctl(self, *words: str) -> None:
+        subprocess.run([str(self.binaries / "lentilbayctl"), *words, *self.ctl_flags()], check=True)
+
     def serves(self, daemon: DaemonProcess) -> bool:
         """Whether one request of the lowest tier gets its answer, so that slots are shared out."""
         if not daemon.is_running():
@@ -105,7 +122,7 @@
 
   curl -H 'Authorization: Bearer {deployment.KEY_PREFIX}brokers' http://127.0.0.1:{first.callers_port}/v1/chat/completions \\
     -d '{{"model": "price-answers", "max_tokens": 20, "messages": [{{"role": "user", "content": "cathode, 5 t"}}]}}'
-  {self.binaries}/lentilbayctl configuration check {self.configuration}
+  {self.binaries}/lentilbayctl status {' '.join(self.ctl_flags())}
 
 Ctrl-C stops everything.""", flush=True)
         left = threading.Event()
