--- a/packages/Control/lib/SlotOwner.cpp
+++ b/packages/Control/lib/SlotOwner.cpp
@@ -98,21 +98,19 @@
 SlotOwner::Domain SlotOwner::domainAt(TimePoint now)
 {
     Domain out;
-    for (const auto position : m_ownership.endpointsOf(m_blackboard.self)) {
+    const auto& positions = m_ownership.endpointsOf(m_blackboard.self);
+    for (const auto position : positions) {
         const auto& state = m_blackboard.endpoints[position];
         out.endpoints.push_back(&state);
         const bool mayLend = !state.leaving && wasHeard(state.endpoint.name, now);
-        out.capacities.push_back(mayLend ? state.endpoint.slots : 0);
+        out.capacities.push_back(mayLend ? state.usableSlots() : 0);
         for (const auto& service : state.endpoint.services) {
             if (out.poolNumbers.emplace(service, out.pools.size()).second)
                 out.pools.push_back(service);
         }
     }
-    for (const auto& [id, entry] : m_ledger.entries()) {
-        out.commitments.emplace_back();
-        for (const auto* state : out.endpoints)
-            out.commitments.back().push_back(m_ledger.commitmentOf(entry, state->endpoint.name, now));
-    }
+    for (const auto& [id, entry] : m_ledger.entries())
+        out.commitments.push_back(m_ledger.commitmentsOf(entry, m_blackboard, positions, now));
     noteOccupancy(out, now);
     return out;
 }
