Give each run beside others ports of its own

Cause: of 58 tests run ten at a time one scenario failed with 'Address already in use': a port that was given out at random was given out again before its process listened on it, to the same run or to another beside it. Change: each process takes its ports in turn from a block of 100 that its process number chooses. Conclusion: the verdict no longer depends on which ports are drawn.

--- a/tools/lentilbayd/tests/processes.py
+++ b/tools/lentilbayd/tests/processes.py
@@ -1,9 +1,9 @@
 """Starts daemons and stand-ins as processes on loopback for tests and measurements."""
 
+import itertools
 import json
 import os
 import pathlib
-import random
 import signal
 import socket
 import subprocess
@@ -14,27 +14,28 @@
 from collections.abc import Callable
 
 PATIENCE_SECONDS = 20
-# Below the ports that Linux gives to outgoing connections.
-OWN_PORTS = (10_000, 32_000)
-# A port that was given out is not listened on until its process has started.
-GIVEN_PORTS: set[int] = set()
+# Below the ports that Linux gives to outgoing connections. Runs beside each other take ports from blocks of their own,
+# by process number, since a port that was given out is not listened on until its process has started.
+FIRST_OWN_PORT = 10_000
+PORTS_IN_BLOCK = 100
+PORT_BLOCKS = 220
+OWN_PORTS = itertools.cycle(
+    range(FIRST_OWN_PORT + os.getpid() % PORT_BLOCKS * PORTS_IN_BLOCK,
+          FIRST_OWN_PORT + (os.getpid() % PORT_BLOCKS + 1) * PORTS_IN_BLOCK))
 CLUSTER_KEY = "1:" + "5a" * 32
 
 
 def free_port() -> int:
     """A port that was free for TCP and UDP a moment ago, and that the system gives to nobody by itself."""
-    while True:
-        port = random.randrange(*OWN_PORTS)
-        if port in GIVEN_PORTS:
-            continue
+    for port in itertools.islice(OWN_PORTS, PORTS_IN_BLOCK):
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp, socket.socket() as tcp:
             try:
                 udp.bind(("127.0.0.1", port))
                 tcp.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        GIVEN_PORTS.add(port)
         return port
+    raise AssertionError("no port is free for both TCP and UDP")
 
 
 def wait_until(condition: Callable[[], bool], what: str, patience: float = PATIENCE_SECONDS) -> None:
--- a/tools/lentilbayd/unittests/SettingsTest.cpp
+++ b/tools/lentilbayd/unittests/SettingsTest.cpp
@@ -6,7 +6,6 @@
 namespace lentilbay {
 namespace {
 
-
 constexpr auto good = "[daemon]\nname = d1\nregion = chungcheong\ndata_centre = c1\n";
 
 Settings parse(const std::string& text, Diagnostics& diagnostics)
--- a/tools/scenario/lib/Child.cpp
+++ b/tools/scenario/lib/Child.cpp
@@ -1,7 +1,6 @@
 // posix_spawn and waitpid.
 #include "Child.h"
 
-#include "lentilbay/Support/Secret.h"
 #include "lentilbay/Support/SteadyClock.h"
 
 #include <arpa/inet.h>
@@ -23,10 +22,11 @@
 
 constexpr Duration pollInterval = std::chrono::milliseconds(2);
 constexpr int signalledExitCode = 128;
-constexpr int portTrials = 1'000;
-// Below the ports that Linux gives to outgoing connections.
-constexpr uint64_t firstOwnPort = 10'000;
-constexpr uint64_t ownPorts = 22'000;
+// Below the ports that Linux gives to outgoing connections. Runs beside each other take ports from blocks of
+// their own, by process number, since a port that was given out is not listened on at once.
+constexpr uint32_t firstOwnPort = 10'000;
+constexpr uint32_t portsInBlock = 100;
+constexpr uint32_t portBlocks = 220;
 
 /// A socket bound to the port; closed with its object.
 class BoundSocket {
@@ -123,8 +123,10 @@
 
 uint16_t freePort()
 {
-    for (int n = 0; n < portTrials; ++n) {
-        const auto port = static_cast<uint16_t>(firstOwnPort + randomNumber() % ownPorts);
+    static uint32_t given = 0;
+    const auto firstPort = firstOwnPort + static_cast<uint32_t>(getpid()) % portBlocks * portsInBlock;
+    while (given < portsInBlock) {
+        const auto port = static_cast<uint16_t>(firstPort + given++);
         const BoundSocket datagrams(SOCK_DGRAM, port);
         const BoundSocket streams(SOCK_STREAM, port);
         if (datagrams.isBound() && streams.isBound())
