--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -56,7 +56,6 @@
     std::shared_ptr<http::ClientConnection> m_announcement;
     TimePoint m_nextAnnouncement {};
     bool m_isAnnounced = false;
-    std::optional<TimePoint> m_stopRequestedAt;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -30,7 +30,8 @@
     std::optional<TimePoint> routesConfirmedAt;
     /// The endpoints were read at least once.
     bool knowsEndpoints = false;
-    bool isStopping = false;
+    /// When SIGTERM came.
+    std::optional<TimePoint> stopRequestedAt;
     EndpointBook book;
     WaitingLine line;
     EndpointPools pools;
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -111,7 +111,7 @@
         m_endpoints->step(now);
         m_state.pools.step(now, [this](const EndpointId& id) { return m_state.book.find(id) != nullptr; });
         announce(now);
-        if (m_stopRequestedAt)
+        if (m_state.stopRequestedAt)
             checkStop();
     });
     m_configuration->start();
@@ -222,7 +222,7 @@
 
 void EdgeDaemon::announce(TimePoint now)
 {
-    if (m_isAnnounced || now < m_nextAnnouncement || m_stopRequestedAt)
+    if (m_isAnnounced || now < m_nextAnnouncement || m_state.stopRequestedAt)
         return;
     m_nextAnnouncement = now + announceTimeout + announceRetry;
     if (m_announcement)
@@ -308,7 +308,7 @@
         .sequence = ++m_sequence,
         .host = own.ownHost,
         .port = own.firstPeerPort,
-        .isLeaving = m_stopRequestedAt.has_value() };
+        .isLeaving = m_state.stopRequestedAt.has_value() };
     for (const auto& [id, endpoint] : m_state.book.all()) {
         if (endpoint->ownInFlight() > 0)
             status.loads.push_back(
@@ -339,7 +339,7 @@
             .limits = [] { return http::ServerLimits {}; },
             .handler =
                 [this](std::shared_ptr<http::Exchange> exchange) {
-                    const bool isReady = !m_stopRequestedAt && m_state.knowsEndpoints && m_state.routes
+                    const bool isReady = !m_state.stopRequestedAt && m_state.knowsEndpoints && m_state.routes
                         && m_state.canJudgeKeys(bootNow());
                     const int status = isReady ? 200 : 503;
                     exchange->respond(status, http::reasonPhrase(status), {}, "");
@@ -392,17 +392,16 @@
 
 void EdgeDaemon::stop()
 {
-    if (m_stopRequestedAt)
+    if (m_state.stopRequestedAt)
         return;
-    m_stopRequestedAt = bootNow();
-    m_state.isStopping = true;
+    m_state.stopRequestedAt = bootNow();
     m_front->closeAfterAnswers();
     logEvent(Event::DrainStarted, { { "open_requests", static_cast<int64_t>(m_state.requests.size()) } });
 }
 
 void EdgeDaemon::checkStop()
 {
-    const auto elapsed = bootNow() - *m_stopRequestedAt;
+    const auto elapsed = bootNow() - *m_state.stopRequestedAt;
     const bool isTooLate = elapsed > m_state.settings.bounds.stopGrace - stopMargin;
     if (elapsed < acceptAfterStop || (!m_state.requests.empty() && !isTooLate))
         return;
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -12,6 +12,9 @@
 
 /// A refusal over an unknown route or key needs a configuration at most this old: a newer one may hold it.
 constexpr Duration youngForDenial = std::chrono::milliseconds(2200);
+/// The balancer sends new connections elsewhere within this time of SIGTERM, and what begins later may not end
+/// before the process must.
+constexpr Duration acceptAfterStop = std::chrono::milliseconds(2400);
 /// When a caller should come back after a refusal that has nothing to do with load.
 constexpr Duration usualReturn = std::chrono::milliseconds(600);
 /// Sends of one request that endpoints refuse, beside those that may have run.
@@ -76,6 +79,10 @@
 
 bool EdgeRequest::judge(TimePoint now)
 {
+    if (m_state.stopRequestedAt && now - *m_state.stopRequestedAt > acceptAfterStop) {
+        refuse(ResultCode::Draining, usualReturn, now);
+        return false;
+    }
     const auto age = m_state.routesAge(now);
     if (!m_routes || !m_state.knowsEndpoints || !age) {
         refuse(ResultCode::NotConfigured, usualReturn, now);
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -45,10 +45,8 @@
 QuotaWindow& EdgeState::quota(const RoutedOrganisation& organisation, TimePoint now)
 {
     auto [it, isNew] = m_quotas.try_emplace(organisation.name);
-    if (isNew && !settings.isFirstStart && organisation.quota) {
-        const double share = 1.0 / static_cast<double>(peers.known());
-        it->second.assumePast(quotaLimits(*organisation.quota), share, std::min(now, m_startedAt));
-    }
+    if (isNew && !settings.isFirstStart && organisation.quota)
+        it->second.assumePast(quotaLimits(*organisation.quota), std::min(now, m_startedAt));
     return it->second;
 }
 
--- a/packages/Policy/include/lentilbay/Policy/QuotaWindow.h
+++ b/packages/Policy/include/lentilbay/Policy/QuotaWindow.h
@@ -37,9 +37,9 @@
         Duration window = std::chrono::seconds(8);
     };
 
-    /// Takes the past window as used up at an even pace: a process that starts while the others run does not
-    /// know what it admitted before.
-    void assumePast(const Limits& limits, double share, TimePoint now);
+    /// Takes the past window as used up by the whole fleet at an even pace: a process that was restarted knows
+    /// neither what it admitted before nor what others did, and all may have been restarted.
+    void assumePast(const Limits& limits, TimePoint now);
 
     struct Peers {
         /// All daemons that may admit, this one included.
--- a/packages/Policy/lib/QuotaWindow.cpp
+++ b/packages/Policy/lib/QuotaWindow.cpp
@@ -30,9 +30,9 @@
     return std::max(0.0, sum);
 }
 
-void QuotaWindow::assumePast(const Limits& limits, double share, TimePoint now)
+void QuotaWindow::assumePast(const Limits& limits, TimePoint now)
 {
-    const double whole = (limits.tokensPerSecond * toSeconds(limits.window) + limits.burstTokens) * share;
+    const double whole = limits.tokensPerSecond * toSeconds(limits.window) + limits.burstTokens;
     const auto steps = limits.window / bucketLength;
     for (int64_t step = steps; step > 0; --step)
         m_used.add(whole / static_cast<double>(steps), now - step * bucketLength);
