--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -7,7 +7,7 @@
 #include "lentilbay/Edge/PeerStatus.h"
 #include "lentilbay/Edge/WaitingLine.h"
 #include "lentilbay/Model/RouteTable.h"
-#include "lentilbay/Policy/QuotaWindow.h"
+#include "lentilbay/Policy/SharedQuota.h"
 #include "lentilbay/Policy/RepeatBudget.h"
 #include "lentilbay/platform/ProcessSettings.h"
 
@@ -20,7 +20,7 @@
 /// A blackboard: the front reads it, the followers and peers write it. One thread uses it.
 class EdgeState {
 public:
-    EdgeState(asio::io_context& context, platform::ProcessSettings settings, uint64_t seed, TimePoint now);
+    EdgeState(asio::io_context& context, platform::ProcessSettings settings, uint64_t seed);
 
     asio::io_context& context;
     platform::ProcessSettings settings;
@@ -47,11 +47,10 @@
     /// Whether keys can be judged: the configuration is young enough that no key of it can have been revoked
     /// for longer than the bound allows.
     bool canJudgeKeys(TimePoint now) const;
-    QuotaWindow& quota(const RoutedOrganisation& organisation, TimePoint now);
-    QuotaWindow::Limits quotaLimits(const TokenQuota& quota) const;
-    const std::map<OrganisationId, QuotaWindow>& quotas() const { return m_quotas; }
-    QuotaWindow* findQuota(uint64_t organisationHash);
-    QuotaWindow::Peers quotaPeers() const;
+    SharedQuota& quota(const RoutedOrganisation& organisation, TimePoint now);
+    static QuotaLimits quotaLimits(const TokenQuota& quota);
+    const std::map<OrganisationId, SharedQuota>& quotas() const { return m_quotas; }
+    QuotaSharers quotaSharers() const;
     RepeatBudget& repeats(const ServiceId& service) { return m_repeats[service]; }
     RepeatLimits repeatLimits() const;
     /// Lets waiting requests start and turns away those without a chance; their EdgeRequests are told.
@@ -59,8 +58,7 @@
 
 private:
     uint64_t m_lastNumber = 0;
-    TimePoint m_startedAt;
-    std::map<OrganisationId, QuotaWindow> m_quotas;
+    std::map<OrganisationId, SharedQuota> m_quotas;
     std::map<ServiceId, RepeatBudget> m_repeats;
     bool m_isStepping = false;
 };
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -57,7 +57,7 @@
 } // namespace
 
 EdgeDaemon::EdgeDaemon(platform::ProcessSettings settings, std::function<void()> reload)
-    : m_state(m_context, std::move(settings), randomSeed(), bootNow())
+    : m_state(m_context, std::move(settings), randomSeed())
     , m_reload(std::move(reload))
     , m_incarnation(randomSeed())
     , m_signals(m_context, SIGTERM, SIGHUP)
@@ -314,8 +314,8 @@
             status.loads.push_back(
                 { .endpoint = hashOf(id.text()), .inFlight = static_cast<uint16_t>(endpoint->ownInFlight()) });
     }
-    for (const auto& [name, window] : m_state.quotas())
-        status.quotas.push_back({ .organisation = hashOf(name.text()), .admittedTotal = window.admittedTotal() });
+    for (const auto& [name, quota] : m_state.quotas())
+        status.quotas.push_back({ .organisation = hashOf(name.text()), .admittedTotal = quota.admittedTotal() });
     const auto datagram = encodePeerStatus(status);
     for (const auto& [name, peer] : m_state.peers.peers()) {
         std::error_code ec;
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -148,11 +148,11 @@
     m_quotaTokens = m_facts.promptTokens && m_facts.maxAnswerTokens
         ? static_cast<double>(*m_facts.promptTokens + *m_facts.maxAnswerTokens)
         : quota.defaultTokens;
-    auto& window = m_state.quota(*m_organisation, now);
-    const auto limits = m_state.quotaLimits(quota);
-    if (window.admit(m_quotaTokens, limits, m_state.quotaPeers(), now))
+    auto& shared = m_state.quota(*m_organisation, now);
+    const auto limits = EdgeState::quotaLimits(quota);
+    if (shared.admit(m_quotaTokens, limits, m_state.quotaSharers(), now))
         return true;
-    refuse(ResultCode::TokenRateLimit, std::max(usualReturn, window.timeUntil(m_quotaTokens, limits)), now);
+    refuse(ResultCode::TokenRateLimit, std::max(usualReturn, shared.timeUntil(m_quotaTokens, now)), now);
     return false;
 }
 
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -2,7 +2,6 @@
 #include "lentilbay/Edge/EdgeState.h"
 
 #include "lentilbay/Edge/EdgeRequest.h"
-#include "lentilbay/Support/Hash.h"
 
 #include <algorithm>
 
@@ -17,7 +16,7 @@
 } // namespace
 
 EdgeState::EdgeState(
-    asio::io_context& context, platform::ProcessSettings given, uint64_t seed, TimePoint now)
+    asio::io_context& context, platform::ProcessSettings given, uint64_t seed)
     : context(context)
     , settings(std::move(given))
     , book({ .ownDataCentre = settings.dataCentre, .regions = settings.regions }, seed)
@@ -25,7 +24,6 @@
     , pools(context)
     , peers(settings.daemon.text())
     , random(seed + 1)
-    , m_startedAt(now)
 {
 }
 
@@ -42,29 +40,18 @@
     return age && *age < settings.bounds.keyRevocation - revocationMargin;
 }
 
-QuotaWindow& EdgeState::quota(const RoutedOrganisation& organisation, TimePoint now)
+SharedQuota& EdgeState::quota(const RoutedOrganisation& organisation, TimePoint now)
 {
-    auto [it, isNew] = m_quotas.try_emplace(organisation.name);
-    if (isNew && !settings.isFirstStart && organisation.quota)
-        it->second.assumePast(quotaLimits(*organisation.quota), std::min(now, m_startedAt));
-    return it->second;
+    const auto limits = organisation.quota ? quotaLimits(*organisation.quota) : QuotaLimits {};
+    return m_quotas.try_emplace(organisation.name, limits, settings.isFirstStart, now).first->second;
 }
 
-QuotaWindow::Limits EdgeState::quotaLimits(const TokenQuota& quota) const
+QuotaLimits EdgeState::quotaLimits(const TokenQuota& quota)
 {
-    return { .tokensPerSecond = quota.tokensPerSecond,
-        .burstTokens = quota.burstTokens,
-        .window = settings.bounds.quotaWindow };
+    return { .tokensPerSecond = quota.tokensPerSecond, .burstTokens = quota.burstTokens };
 }
 
-QuotaWindow* EdgeState::findQuota(uint64_t organisationHash)
-{
-    auto it = std::ranges::find_if(
-        m_quotas, [&](const auto& entry) { return hashOf(entry.first.text()) == organisationHash; });
-    return it == m_quotas.end() ? nullptr : &it->second;
-}
-
-QuotaWindow::Peers EdgeState::quotaPeers() const
+QuotaSharers EdgeState::quotaSharers() const
 {
     return { .known = peers.known(), .silent = peers.silent() };
 }
--- a/packages/Policy/include/lentilbay/Policy/RepeatBudget.h
+++ b/packages/Policy/include/lentilbay/Policy/RepeatBudget.h
@@ -3,7 +3,7 @@
 // Every daemon keeps to its own requests and its own part of the slack, so the sum needs no messages.
 #pragma once
 
-#include "lentilbay/Policy/QuotaWindow.h"
+#include "lentilbay/Policy/WindowSum.h"
 
 namespace lentilbay {
 
--- /dev/null
+++ b/packages/Policy/include/lentilbay/Policy/SharedQuota.h
@@ -0,0 +1,65 @@
+// An organisation's token quota, kept by many daemons without a store.
+//
+// Every daemon keeps the same token bucket: it takes out what it admits itself and what others tell that they
+// admitted. For each daemon that it does not hear, an equal share of rate and burst is set aside. So the sum
+// stays within the quota however the network splits: a daemon that hears nobody uses its own share and no more.
+//
+// A bucket, and not a sum over a sliding window, because it needs no memory of the past: a daemon that was
+// restarted begins with an empty one, and whatever was admitted before, no window holds more than the quota.
+#pragma once
+
+#include "lentilbay/Policy/TokenBucket.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace lentilbay {
+
+struct QuotaLimits {
+    double tokensPerSecond = 0;
+    double burstTokens = 0;
+
+    auto operator<=>(const QuotaLimits&) const = default;
+};
+
+/// The daemons among which a quota is shared.
+struct QuotaSharers {
+    /// All that may admit, this one included.
+    size_t known = 1;
+    /// Those that were not heard lately.
+    size_t silent = 0;
+
+    auto operator<=>(const QuotaSharers&) const = default;
+};
+
+class SharedQuota {
+public:
+    /// Starts full where nothing can have been admitted before, else empty.
+    SharedQuota(const QuotaLimits& limits, bool startsFull, TimePoint now);
+
+    /// Counts the tokens and returns true where the quota allows them.
+    bool admit(double tokens, const QuotaLimits& limits, const QuotaSharers& sharers, TimePoint now);
+    /// How long until so many tokens are there, if nobody else takes them.
+    Duration timeUntil(double tokens, TimePoint now) { return m_bucket.timeUntil(tokens, now); }
+    /// Gives back what was admitted and then not run.
+    void giveBack(double tokens, TimePoint now);
+
+    /// All that this daemon has admitted since it started.
+    double admittedTotal() const { return m_total; }
+    /// Another daemon, in one incarnation, has admitted so much since it started.
+    void heard(const std::string& daemon, uint64_t incarnation, double admittedTotal, TimePoint now);
+
+private:
+    struct PeerTotal {
+        uint64_t incarnation = 0;
+        double total = 0;
+    };
+
+    TokenBucket m_bucket;
+    double m_total = 0;
+    std::map<std::string, PeerTotal> m_peers;
+};
+
+} // namespace lentilbay
