--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -1,7 +1,7 @@
 // One caller's request from its arrival to its one final answer.
 //
-// admit -> wait -> start -> [retry or resume elsewhere] -> final answer. The daemon that read the request is the
-// only one that sends it to endpoints. A request that may run at most once is sent again only where the
+// admit -> wait -> start -> [retry or resume elsewhere] -> final answer. The daemon that read the request is
+// the only one that sends it to endpoints. A request that may run at most once is sent again only where the
 // endpoint stated that it did not run it, or no connection came about.
 #pragma once
 
@@ -87,6 +87,7 @@
     int m_runs = 0;
     /// Sends that reached an endpoint, run or not.
     int m_sends = 0;
+    int m_staleConnections = 0;
     std::optional<Send> m_send;
     EventSplitter m_events;
     size_t m_eventsRelayed = 0;
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -7,8 +7,8 @@
 #include "lentilbay/Edge/PeerStatus.h"
 #include "lentilbay/Edge/WaitingLine.h"
 #include "lentilbay/Model/RouteTable.h"
-#include "lentilbay/Policy/SharedQuota.h"
 #include "lentilbay/Policy/RepeatBudget.h"
+#include "lentilbay/Policy/SharedQuota.h"
 #include "lentilbay/platform/ProcessSettings.h"
 
 #include <unordered_map>
--- a/packages/Edge/include/lentilbay/Edge/EndpointBook.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointBook.h
@@ -123,8 +123,8 @@
 
     /// The endpoint to send the work to now, or nothing where none has room.
     std::shared_ptr<EndpointState> choose(const ChoiceQuery& query, TimePoint now);
-    /// Whether any endpoint of the service is listed and not leaving.
-    bool hasAny(const ServiceId& service) const;
+    /// Whether any endpoint of the service is listed, not leaving and not among the tried ones.
+    bool hasAny(const ServiceId& service, const std::vector<EndpointId>& tried = {}) const;
     /// The slots of the service's endpoints that take work, and the requests there.
     struct Occupancy {
         double slots = 0;
--- a/packages/Edge/include/lentilbay/Edge/EndpointPools.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointPools.h
@@ -1,5 +1,5 @@
-// Kept connections to endpoints. A daemon holds no more of them than it has had requests at the endpoint at once,
-// which its slots bound.
+// Kept connections to endpoints. A daemon holds no more of them than it has had requests at the endpoint at
+// once, which its slots bound.
 #pragma once
 
 #include "lentilbay/Http/ClientConnection.h"
@@ -25,8 +25,8 @@
     }
 
     /// Calls back with an open connection, or with nullptr where none came about; `isNew` tells which.
-    void lease(
-        const LeaseQuery& query, std::function<void(std::shared_ptr<http::ClientConnection>, bool isNew)> done);
+    void lease(const LeaseQuery& query,
+        std::function<void(std::shared_ptr<http::ClientConnection>, bool isNew)> done);
     /// Takes a connection back; one that cannot be used again is closed.
     void giveBack(const RoutedEndpoint& endpoint, std::shared_ptr<http::ClientConnection> connection);
     /// Closes connections that are about to be closed by their endpoint, or whose endpoint is gone.
--- a/packages/Edge/include/lentilbay/Edge/PeerStatus.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerStatus.h
@@ -1,5 +1,5 @@
-// What daemons tell each other, several times a second by UDP: their load at each endpoint, and what they have
-// admitted of each quota. Losing a datagram loses nothing, since each carries totals.
+// What daemons tell each other, several times a second by UDP: their load at each endpoint, and what they
+// have admitted of each quota. Losing a datagram loses nothing, since each carries totals.
 #pragma once
 
 #include "lentilbay/Support/Result.h"
--- a/packages/Edge/include/lentilbay/Edge/WaitingLine.h
+++ b/packages/Edge/include/lentilbay/Edge/WaitingLine.h
@@ -1,7 +1,7 @@
 // The requests that wait for room, and the decision who waits and who is turned away.
 //
-// Answers the load of a burst: more arrives than the endpoints finish. Whoever cannot start in time is told at
-// arrival, with the time at which room is expected; what waits has a start that the present rate of work
+// Answers the load of a burst: more arrives than the endpoints finish. Whoever cannot start in time is told
+// at arrival, with the time at which room is expected; what waits has a start that the present rate of work
 // supports. Within a service the order is by rank, then by those that can still be in time, then by deadline.
 #pragma once
 
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -36,12 +36,11 @@
 constexpr Duration daemonSpacing = std::chrono::seconds(2);
 constexpr Duration announceTimeout = std::chrono::seconds(1);
 constexpr Duration announceRetry = std::chrono::milliseconds(700);
-/// After SIGTERM: the balancer needs two missed questions, one a second, to send new connections elsewhere; ...
+/// After SIGTERM: the balancer needs two missed questions, one a second, to send new connections elsewhere;
+/// ...
 constexpr Duration acceptAfterStop = std::chrono::milliseconds(2400);
 /// ... and this much of the grace period is kept for closing what is left.
 constexpr Duration stopMargin = std::chrono::milliseconds(700);
-/// The port of the metrics, which deploy/system.toml names too.
-constexpr uint16_t metricsPort = 9464;
 
 uint64_t randomSeed()
 {
@@ -73,7 +72,8 @@
             .limits =
                 [this] {
                     const auto limits = m_state.routes ? m_state.routes->limits() : CallerLimits {};
-                    return http::ServerLimits { .parser = { .headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes },
+                    return http::ServerLimits { .parser
+                        = { .headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes },
                         .headerTimeout = limits.headerTimeout,
                         .idleTimeout = limits.idleTimeout };
                 },
@@ -97,8 +97,10 @@
 {
     const auto& own = m_state.settings;
     logEvent(Event::DaemonStarted,
-        { { "daemon", own.daemon.text() }, { "callers", own.callers.host + ":" + std::to_string(own.callers.port) },
-            { "data_centre", own.dataCentre.text() }, { "first_start", static_cast<int64_t>(own.isFirstStart) } });
+        { { "daemon", own.daemon.text() },
+            { "callers", own.callers.host + ":" + std::to_string(own.callers.port) },
+            { "data_centre", own.dataCentre.text() },
+            { "first_start", static_cast<int64_t>(own.isFirstStart) } });
     awaitSignal();
     receivePeers();
     arm(m_lineTimer, linePeriod, [this] {
@@ -164,8 +166,11 @@
                 },
             .confirmed = [this](TimePoint) { m_state.knowsEndpoints = true; } });
     m_daemons = std::make_unique<StoreFollower>(m_context,
-        StoreFollowerOptions {
-            .store = store, .table = daemonTable, .wait = daemonWait, .spacing = daemonSpacing, .seed = randomSeed() },
+        StoreFollowerOptions { .store = store,
+            .table = daemonTable,
+            .wait = daemonWait,
+            .spacing = daemonSpacing,
+            .seed = randomSeed() },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { daemonRow(row); },
             .deleted = [](const auto&) {},
             .confirmed = [](TimePoint) {} });
@@ -177,7 +182,8 @@
         return;
     auto decoded = outcomeOf<RouteTable>([&] { return platform::decodeConfiguration(row.value); });
     if (const auto* failure = std::get_if<Failure>(&decoded)) {
-        logEvent(Event::ConfigurationInvalid, { { "code", printed(failure->code) }, { "detail", failure->detail } });
+        logEvent(Event::ConfigurationInvalid,
+            { { "code", printed(failure->code) }, { "detail", failure->detail } });
         return;
     }
     auto& table = std::get<RouteTable>(decoded);
@@ -211,8 +217,7 @@
 
 void EdgeDaemon::daemonRow(const platform::StoreRow& row)
 {
-    const auto address
-        = outcomeOf<platform::Address>([&] { return platform::decodeAddress(row.value); });
+    const auto address = outcomeOf<platform::Address>([&] { return platform::decodeAddress(row.value); });
     if (const auto* found = std::get_if<platform::Address>(&address))
         m_state.peers.listed(row.key, found->host, found->port, bootNow());
     else
@@ -248,27 +253,29 @@
                         if (!m_isAnnounced)
                             logEvent(Event::StoreCallFailed, { { "table", daemonTable } });
                     },
-                .broken = [](http::BrokenAt) { logEvent(Event::StoreCallFailed, { { "table", daemonTable } }); } });
+                .broken =
+                    [](http::BrokenAt) {
+                        logEvent(Event::StoreCallFailed, { { "table", daemonTable } });
+                    } });
     });
 }
 
 void EdgeDaemon::receivePeers()
 {
-    m_peerSocket.async_receive_from(
-        asio::buffer(m_datagram), m_sender, [this](std::error_code ec, size_t n) {
-            if (ec == asio::error::operation_aborted)
-                return;
-            if (!ec) {
-                const auto decoded = outcomeOf<PeerStatus>(
-                    [&] { return decodePeerStatus(std::string_view(m_datagram.data(), n)); });
-                if (const auto* status = std::get_if<PeerStatus>(&decoded))
-                    peerHeard(*status, bootNow());
-                else
-                    m_state.metrics.count("peer_datagrams_invalid");
-            }
-            // An error here is a port that nobody listens on; that peer falls silent by itself.
-            receivePeers();
-        });
+    m_peerSocket.async_receive_from(asio::buffer(m_datagram), m_sender, [this](std::error_code ec, size_t n) {
+        if (ec == asio::error::operation_aborted)
+            return;
+        if (!ec) {
+            const auto decoded = outcomeOf<PeerStatus>(
+                [&] { return decodePeerStatus(std::string_view(m_datagram.data(), n)); });
+            if (const auto* status = std::get_if<PeerStatus>(&decoded))
+                peerHeard(*status, bootNow());
+            else
+                m_state.metrics.count("peer_datagrams_invalid");
+        }
+        // An error here is a port that nobody listens on; that peer falls silent by itself.
+        receivePeers();
+    });
 }
 
 void EdgeDaemon::peerHeard(const PeerStatus& status, TimePoint now)
@@ -292,7 +299,8 @@
             break;
         for (const auto& organisation : m_state.routes->organisations()) {
             if (hashOf(organisation.name.text()) == it.organisation)
-                m_state.quota(organisation, now).heard(status.daemon, status.incarnation, it.admittedTotal, now);
+                m_state.quota(organisation, now)
+                    .heard(status.daemon, status.incarnation, it.admittedTotal, now);
         }
     }
 }
@@ -311,11 +319,12 @@
         .isLeaving = m_state.stopRequestedAt.has_value() };
     for (const auto& [id, endpoint] : m_state.book.all()) {
         if (endpoint->ownInFlight() > 0)
-            status.loads.push_back(
-                { .endpoint = hashOf(id.text()), .inFlight = static_cast<uint16_t>(endpoint->ownInFlight()) });
+            status.loads.push_back({ .endpoint = hashOf(id.text()),
+                .inFlight = static_cast<uint16_t>(endpoint->ownInFlight()) });
     }
     for (const auto& [name, quota] : m_state.quotas())
-        status.quotas.push_back({ .organisation = hashOf(name.text()), .admittedTotal = quota.admittedTotal() });
+        status.quotas.push_back(
+            { .organisation = hashOf(name.text()), .admittedTotal = quota.admittedTotal() });
     const auto datagram = encodePeerStatus(status);
     for (const auto& [name, peer] : m_state.peers.peers()) {
         std::error_code ec;
@@ -349,9 +358,8 @@
 
 void EdgeDaemon::serveMetrics()
 {
-    const platform::Address address { .host = m_state.settings.ownHost, .port = metricsPort };
     m_metricsServer = std::make_unique<http::HttpServer>(m_context,
-        http::HttpServerOptions { .address = tcpEndpoint(address),
+        http::HttpServerOptions { .address = tcpEndpoint(m_state.settings.metrics),
             .limits = [] { return http::ServerLimits {}; },
             .handler =
                 [this](std::shared_ptr<http::Exchange> exchange) {
@@ -359,7 +367,8 @@
                     const auto age = m_state.routesAge(now);
                     exchange->respond(200, "OK", {},
                         m_state.metrics.text({ { "configuration_version",
-                                                   static_cast<double>(m_state.routes ? m_state.routes->version() : 0) },
+                                                   static_cast<double>(
+                                                       m_state.routes ? m_state.routes->version() : 0) },
                             { "configuration_age_seconds", age ? toSeconds(*age) : -1 },
                             { "endpoints", static_cast<double>(m_state.book.all().size()) },
                             { "requests_open", static_cast<double>(m_state.requests.size()) },
@@ -369,10 +378,11 @@
                             { "peers", static_cast<double>(m_state.peers.peers().size()) },
                             { "peers_silent", static_cast<double>(m_state.peers.silent()) },
                             { "store_calls",
-                                static_cast<double>(m_configuration->calls() + m_endpoints->calls() + m_daemons->calls()) },
-                            { "store_calls_failed",
                                 static_cast<double>(
-                                    m_configuration->failures() + m_endpoints->failures() + m_daemons->failures()) } }));
+                                    m_configuration->calls() + m_endpoints->calls() + m_daemons->calls()) },
+                            { "store_calls_failed",
+                                static_cast<double>(m_configuration->failures() + m_endpoints->failures()
+                                    + m_daemons->failures()) } }));
                 },
             .malformed = {} });
 }
--- a/packages/Edge/lib/EdgeMetrics.cpp
+++ b/packages/Edge/lib/EdgeMetrics.cpp
@@ -48,7 +48,8 @@
         }
         count += times.histogram.at(bins.size());
         fmt::format_to(std::back_inserter(out),
-            "{0}_bucket{{rank=\"{1}\",le=\"+Inf\"}} {2}\n{0}_count{{rank=\"{1}\"}} {2}\n{0}_sum{{rank=\"{1}\"}} {3}\n",
+            "{0}_bucket{{rank=\"{1}\",le=\"+Inf\"}} {2}\n{0}_count{{rank=\"{1}\"}} "
+            "{2}\n{0}_sum{{rank=\"{1}\"}} {3}\n",
             name, rank, count, times.sum);
     }
 }
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -12,13 +12,15 @@
 
 /// A refusal over an unknown route or key needs a configuration at most this old: a newer one may hold it.
 constexpr Duration youngForDenial = std::chrono::milliseconds(2200);
-/// The balancer sends new connections elsewhere within this time of SIGTERM, and what begins later may not end
-/// before the process must.
+/// The balancer sends new connections elsewhere within this time of SIGTERM, and what begins later may not
+/// end before the process must.
 constexpr Duration acceptAfterStop = std::chrono::milliseconds(2400);
 /// When a caller should come back after a refusal that has nothing to do with load.
 constexpr Duration usualReturn = std::chrono::milliseconds(600);
 /// Sends of one request that endpoints refuse, beside those that may have run.
 constexpr int maxSends = 4;
+/// Kept connections that may turn out closed before one request.
+constexpr int maxStaleConnections = 4;
 /// An answer token is part of an answer only if the length is known; without a hint, this part of the most.
 constexpr double usualPartOfMost = 0.8;
 /// A connection that has been idle longer may just be closed by its endpoint; a request that must not run
@@ -67,12 +69,14 @@
         { { "id", m_facts.id.text() }, { "route", m_route->name },
             { "version", static_cast<int64_t>(m_routes->version()) },
             { "organisation", m_organisation ? m_organisation->name.text() : std::string() },
-            { "prompt_tokens", m_work.promptTokens }, { "deadline_ms", millisecondsOf(m_giveUpAt - m_arrivedAt) } });
+            { "prompt_tokens", m_work.promptTokens },
+            { "deadline_ms", millisecondsOf(m_giveUpAt - m_arrivedAt) } });
     enqueue(now);
     m_state.step(now);
     if (!m_isOver && !m_send)
         logEvent(Event::RequestWaits,
-            { { "id", m_facts.id.text() }, { "waiting", static_cast<int64_t>(m_state.line.sizeOf(m_service)) },
+            { { "id", m_facts.id.text() },
+                { "waiting", static_cast<int64_t>(m_state.line.sizeOf(m_service)) },
                 { "slots", m_state.book.occupancy(m_service, now).slots },
                 { "load", m_state.book.occupancy(m_service, now).load } });
 }
@@ -200,7 +204,8 @@
         [self = shared_from_this(), target = m_send->endpoint](
             std::shared_ptr<http::ClientConnection> connection, bool) {
             const auto at = bootNow();
-            if (self->m_isOver || !self->m_send || self->m_send->endpoint != target || self->m_send->connection) {
+            if (self->m_isOver || !self->m_send || self->m_send->endpoint != target
+                || self->m_send->connection) {
                 if (connection)
                     self->m_state.pools.giveBack(target->listed(), std::move(connection));
                 return;
@@ -379,11 +384,23 @@
     finish(status >= 500 ? ResultCode::EndpointBroke : ResultCode::Ok, now);
 }
 
-void EdgeRequest::responseBroken(http::BrokenAt)
+void EdgeRequest::responseBroken(http::BrokenAt at)
 {
     if (m_isOver || !m_send)
         return;
     const auto now = bootNow();
+    if (at == http::BrokenAt::NothingSent) {
+        // The endpoint had closed a kept connection, which tells nothing of its health.
+        m_send->wasNotRun = true;
+        m_tried.pop_back();
+        endSend(SendEnd::Neutral, now);
+        if (now < m_giveUpAt && ++m_staleConnections <= maxStaleConnections) {
+            waitAgain(now);
+            return;
+        }
+        refuse(ResultCode::NoEndpoint, usualReturn, now);
+        return;
+    }
     const bool wasNotRun = m_send->wasNotRun;
     endSend(SendEnd::Bad, now);
     sendFailed(!wasNotRun, ResultCode::EndpointBroke, now);
@@ -425,7 +442,7 @@
         { { "id", m_facts.id.text() }, { "endpoint", m_tried.back().text() }, { "code", printed(reason) },
             { "may_have_run", static_cast<int64_t>(mayHaveRun) },
             { "events", static_cast<int64_t>(m_eventsRelayed) } });
-    if (now < m_giveUpAt && mayStillSend(now)) {
+    if (now < m_giveUpAt && m_state.book.hasAny(m_service, m_tried) && mayStillSend(now)) {
         if (m_eventsRelayed > 0) {
             m_state.metrics.count("streams_resumed");
             logEvent(Event::StreamResumed,
@@ -451,7 +468,6 @@
 
 void EdgeRequest::waitAgain(TimePoint now)
 {
-    // Where all were tried, the ones that refused for want of room may be asked again.
     enqueue(now);
     m_state.step(now);
 }
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -10,13 +10,13 @@
 
 /// Before the bound of revocation: the time from judging a key to the endpoint's start, and late timers.
 constexpr Duration revocationMargin = std::chrono::milliseconds(400);
-/// The part of the fleet's repeat budget that is used: requests are counted at other moments than the users do.
+/// The part of the fleet's repeat budget that is used: requests are counted at other moments than the users
+/// do.
 constexpr double repeatPart = 0.8;
 
 } // namespace
 
-EdgeState::EdgeState(
-    asio::io_context& context, platform::ProcessSettings given, uint64_t seed)
+EdgeState::EdgeState(asio::io_context& context, platform::ProcessSettings given, uint64_t seed)
     : context(context)
     , settings(std::move(given))
     , book({ .ownDataCentre = settings.dataCentre, .regions = settings.regions }, seed)
@@ -51,10 +51,7 @@
     return { .tokensPerSecond = quota.tokensPerSecond, .burstTokens = quota.burstTokens };
 }
 
-QuotaSharers EdgeState::quotaSharers() const
-{
-    return { .known = peers.known(), .silent = peers.silent() };
-}
+QuotaSharers EdgeState::quotaSharers() const { return { .known = peers.known(), .silent = peers.silent() }; }
 
 RepeatLimits EdgeState::repeatLimits() const
 {
--- a/packages/Edge/lib/EndpointBook.cpp
+++ b/packages/Edge/lib/EndpointBook.cpp
@@ -66,7 +66,8 @@
         m_plainSeconds.observe(toSeconds(elapsed));
         return;
     }
-    const double expected = (firstTokenCost + work.promptTokens / promptTokensPerToken) * m_secondsPerToken.mean();
+    const double expected
+        = (firstTokenCost + work.promptTokens / promptTokensPerToken) * m_secondsPerToken.mean();
     constexpr double largestRatio = 20;
     m_firstRatio.observe(std::min(largestRatio, toSeconds(elapsed) / expected));
 }
@@ -181,8 +182,8 @@
     if (dataCentre != m_limits.ownDataCentre) {
         const auto own = m_limits.regions.find(m_limits.ownDataCentre);
         const auto other = m_limits.regions.find(dataCentre);
-        const bool isSameRegion
-            = own != m_limits.regions.end() && other != m_limits.regions.end() && own->second == other->second;
+        const bool isSameRegion = own != m_limits.regions.end() && other != m_limits.regions.end()
+            && own->second == other->second;
         cost += isSameRegion ? remoteDataCentreSeconds : remoteRegionSeconds;
     }
     if (now + first > query.objectiveAt)
@@ -198,8 +199,7 @@
     double bestCost = 0;
     for (const auto& [id, it] : m_endpoints) {
         const auto& listed = it->listed();
-        if (listed.service != query.service || listed.isDraining || it->isSuspended(now)
-            || it->isSilent(now))
+        if (listed.service != query.service || listed.isDraining || it->isSuspended(now) || it->isSilent(now))
             continue;
         if (it->load(now) + 1 > listed.slots || (it->isOnProbation() && it->ownInFlight() > 0))
             continue;
@@ -214,10 +214,11 @@
     return best;
 }
 
-bool EndpointBook::hasAny(const ServiceId& service) const
+bool EndpointBook::hasAny(const ServiceId& service, const std::vector<EndpointId>& tried) const
 {
     return std::ranges::any_of(m_endpoints, [&](const auto& it) {
-        return it.second->listed().service == service && !it.second->listed().isDraining;
+        return it.second->listed().service == service && !it.second->listed().isDraining
+            && std::ranges::find(tried, it.first) == tried.end();
     });
 }
 
--- a/packages/Edge/lib/EndpointPools.cpp
+++ b/packages/Edge/lib/EndpointPools.cpp
@@ -48,11 +48,14 @@
     }
     ++m_opened;
     auto connection = std::make_shared<http::ClientConnection>(m_context);
-    connection->connect({ host, query.endpoint.port }, connectTimeout,
-        [connection, done = std::move(done)](bool connected) { done(connected ? connection : nullptr, true); });
+    connection->connect(
+        { host, query.endpoint.port }, connectTimeout, [connection, done = std::move(done)](bool connected) {
+            done(connected ? connection : nullptr, true);
+        });
 }
 
-void EndpointPools::giveBack(const RoutedEndpoint& endpoint, std::shared_ptr<http::ClientConnection> connection)
+void EndpointPools::giveBack(
+    const RoutedEndpoint& endpoint, std::shared_ptr<http::ClientConnection> connection)
 {
     if (!connection->isReusable()) {
         connection->close();
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr Duration connectTimeout = std::chrono::milliseconds(600);
-/// Beyond the store's own wait: several times its usual answer, and short enough to notice a silent connection.
+/// Beyond the store's own wait: several times its usual answer, and short enough to notice a silent
+/// connection.
 constexpr Duration answerTimeout = std::chrono::milliseconds(800);
 /// A store that is slow for a long time is still heard: the time-out grows with failures in a row up to this.
 constexpr Duration longestAnswerTimeout = std::chrono::milliseconds(2000);
@@ -50,8 +51,8 @@
     m_callStarted = bootNow();
     ++m_calls;
     const auto number = ++m_callNumber;
-    const auto limit
-        = std::min(longestAnswerTimeout, answerTimeout * (1 + m_failuresInRow)) + (m_version ? m_options.wait : Duration {});
+    const auto limit = std::min(longestAnswerTimeout, answerTimeout * (1 + m_failuresInRow))
+        + (m_version ? m_options.wait : Duration {});
     m_timeout.expires_after(limit);
     m_timeout.async_wait([this, number](std::error_code ec) {
         if (!ec && number == m_callNumber)
@@ -75,10 +76,9 @@
 void StoreFollower::send()
 {
     const auto host = hostOf(m_options.store);
-    auto request = m_version
-        ? platform::followRowsRequest(host, m_options.table, *m_version,
-            static_cast<unsigned>(m_options.wait / std::chrono::milliseconds(1)))
-        : platform::readRowsRequest(host, m_options.table, m_snapshotFrom);
+    auto request = m_version ? platform::followRowsRequest(host, m_options.table, *m_version,
+                       static_cast<unsigned>(m_options.wait / std::chrono::milliseconds(1)))
+                             : platform::readRowsRequest(host, m_options.table, m_snapshotFrom);
     auto status = std::make_shared<int>(0);
     auto body = std::make_shared<std::string>();
     const auto sentAt = bootNow();
--- /dev/null
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -0,0 +1,130 @@
+// The whole daemon on loopback beside a store and an endpoint: from the settings to an answer and a stop.
+#include "lentilbay/Edge/EdgeDaemon.h"
+
+#include "RawServer.h"
+
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <csignal>
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace lentilbay::edge {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string rowsAnswer(const std::string& rows)
+{
+    return httpAnswer(200, R"({"Rows":[)" + rows + R"(],"HasMore":false,"Ver":9,"NowMs":1})");
+}
+
+/// An answer of the store to any call; the values are base64 of the documents below.
+std::string storeAnswer(const std::string& request, const std::string& entry)
+{
+    // {"Version":1,"Routes":[{"Name":"r","Host":"h","Prefix":"/a/","Type":"safe","TimeoutMs":2000,"Service":"s",
+    // "Public":true}],"Services":[{"Name":"s"}]}
+    const std::string configuration
+        = "eyJWZXJzaW9uIjoxLCJSb3V0ZXMiOlt7Ik5hbWUiOiJyIiwiSG9zdCI6ImgiLCJQcmVmaXgiOiIvYS8i"
+          "LCJUeXBlIjoic2FmZSIsIlRpbWVvdXRNcyI6MjAwMCwiU2VydmljZSI6InMiLCJQdWJsaWMiOnRydWV9"
+          "XSwiU2VydmljZXMiOlt7Ik5hbWUiOiJzIn1dfQ==";
+    if (request.find("rows-get?Table=op") != std::string::npos)
+        return rowsAnswer(R"({"Table":"op","Key":"config","Ver":1,"Value":")" + configuration + "\"}");
+    if (request.find("rows-get?Table=servers") != std::string::npos)
+        return rowsAnswer(R"({"Table":"servers","Key":"i-1","Ver":2,"Value":")" + entry + "\"}");
+    return rowsAnswer("");
+}
+
+uint16_t freePort()
+{
+    asio::io_context context;
+    return asio::ip::tcp::acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
+        .local_endpoint()
+        .port();
+}
+
+TEST(EdgeDaemon, ServesAndStopsInOrder)
+{
+    asio::io_context context;
+    RawServer store(context);
+    RawServer endpoint(context);
+    const auto document = R"({"Service":"s","Addr":"127.0.0.1:)" + std::to_string(endpoint.port())
+        + R"(","Zone":"a","Slots":2,"State":"ready"})";
+    const auto written = platform::writeRowRequest("s", "t", "k", document);
+    const auto at = written.find("\"Value\":\"") + 9;
+    const auto entry = written.substr(at, written.find('"', at) - at);
+    store.setResponder([&](const std::string& request) {
+        const bool waits = request.find("rows-feed") != std::string::npos;
+        return ScriptedAnswer { .bytes = storeAnswer(request, entry), .delay = waits ? 50ms : 0ms };
+    });
+    endpoint.setResponder([](const std::string&) {
+        return ScriptedAnswer { .bytes
+            = httpAnswer(200, "served", "X-Request-Id: 7\r\nX-Served-By-Sig: s\r\n") };
+    });
+    platform::ProcessSettings settings;
+    settings.daemon = DaemonId("d");
+    settings.dataCentre = DataCentreId("a");
+    settings.ownHost = "127.0.0.1";
+    settings.callers = { .host = "127.0.0.1", .port = freePort() };
+    settings.readiness = { .host = "127.0.0.1", .port = freePort() };
+    settings.store = { .host = "127.0.0.1", .port = store.port() };
+    settings.firstPeerPort = freePort();
+    settings.metrics = { .host = "127.0.0.1", .port = freePort() };
+
+    std::atomic<bool> hasStopped = false;
+    std::thread daemon([&] {
+        EdgeDaemon it(settings, [] {});
+        it.run();
+        hasStopped = true;
+    });
+    std::string received;
+    std::string metrics;
+    const auto ask = [&](uint16_t port, const std::string& request) {
+        std::string out;
+        asio::ip::tcp::socket socket(context);
+        std::error_code ec;
+        socket.connect({ asio::ip::make_address("127.0.0.1"), port }, ec);
+        if (ec)
+            return out;
+        asio::write(socket, asio::buffer(request), ec);
+        socket.non_blocking(true);
+        constexpr int mostSteps = 200;
+        for (int i = 0; i < mostSteps && ec != asio::error::eof; ++i) {
+            std::array<char, 4096> buf {};
+            const size_t n = socket.read_some(asio::buffer(buf), ec);
+            out.append(buf.data(), n);
+            if (ec && ec != asio::error::would_block)
+                break;
+            context.run_for(5ms);
+            context.restart();
+        }
+        return out;
+    };
+    const std::string tail = "Host: h\r\nX-Request-Id: 7\r\nConnection: close\r\n\r\n";
+    constexpr int mostTries = 50;
+    for (int i = 0; i < mostTries && received.find("served") == std::string::npos; ++i)
+        received = ask(settings.callers.port, "GET /a/x HTTP/1.1\r\n" + tail);
+    EXPECT_NE(received.find("served"), std::string::npos);
+    EXPECT_TRUE(ask(settings.readiness.port, "GET /lentilbay/readyz HTTP/1.1\r\n" + tail)
+                    .starts_with("HTTP/1.1 200"));
+    metrics = ask(settings.metrics.port, "GET /metrics HTTP/1.1\r\n" + tail);
+    EXPECT_NE(metrics.find("lentilbay_requests_total{rank="), std::string::npos);
+
+    kill(getpid(), SIGTERM);
+    std::string readiness;
+    for (int i = 0; i < mostTries && !readiness.starts_with("HTTP/1.1 503"); ++i)
+        readiness = ask(settings.readiness.port, "GET /lentilbay/readyz HTTP/1.1\r\n" + tail);
+    EXPECT_TRUE(readiness.starts_with("HTTP/1.1 503"));
+    // It still answers while the balancer may send connections.
+    EXPECT_NE(ask(settings.callers.port, "GET /a/x HTTP/1.1\r\n" + tail).find("served"), std::string::npos);
+    while (!hasStopped) {
+        context.run_for(20ms);
+        context.restart();
+    }
+    daemon.join();
+}
+
+} // namespace
+} // namespace lentilbay::edge
--- /dev/null
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -0,0 +1,411 @@
+// One request through the daemon: what callers get, and what endpoints see, for each way in which an endpoint
+// can answer or fail.
+#include "lentilbay/Edge/EdgeRequest.h"
+
+#include "RawServer.h"
+#include "lentilbay/Support/SteadyClock.h"
+
+#include <asio/steady_timer.hpp>
+#include <gtest/gtest.h>
+
+namespace lentilbay::edge {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string signedFields = "X-Request-Id: 7\r\nX-Served-By-Sig: s\r\n";
+
+std::string eventOf(int id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
+
+std::string streamAnswer(const std::vector<std::string>& events, bool isWhole = true)
+{
+    std::string out = "HTTP/1.1 200 OK\r\n" + signedFields
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto& it : events) {
+        char size[16];
+        std::snprintf(size, sizeof size, "%zx\r\n", it.size());
+        out += size + it + "\r\n";
+    }
+    return isWhole ? out + "0\r\n\r\n" : out;
+}
+
+platform::ProcessSettings settings()
+{
+    platform::ProcessSettings out;
+    out.daemon = DaemonId("d");
+    out.dataCentre = DataCentreId("a");
+    out.isFirstStart = true;
+    out.bounds.retrySlack = 50;
+    return out;
+}
+
+Route routeOf(const std::string& prefix, Repeatability repeatability, int attempts, bool isStream)
+{
+    return { .name = prefix,
+        .host = "h",
+        .prefix = prefix,
+        .repeatability = repeatability,
+        .isStream = isStream,
+        .isResumable = isStream && repeatability == Repeatability::Idempotent,
+        .timeout = 3s,
+        .objective = 400ms,
+        .maxAttempts = attempts,
+        .targets = { { .service = ServiceId("s") } } };
+}
+
+RouteTable::Parts routes()
+{
+    RouteTable::Parts parts;
+    parts.version = 1;
+    parts.routes = { routeOf("/safe/", Repeatability::Idempotent, 2, false),
+        routeOf("/once/", Repeatability::AtMostOnce, 1, false),
+        routeOf("/stream/", Repeatability::Idempotent, 2, true),
+        routeOf("/streamonce/", Repeatability::AtMostOnce, 1, true) };
+    parts.services
+        = { { .name = ServiceId("s"), .engine = EngineTraits { .slots = 4, .tokensPerEvent = 6 } } };
+    parts.organisations = { { .name = OrganisationId("o"),
+        .quota = TokenQuota { .tokensPerSecond = 1000, .burstTokens = 2000, .defaultTokens = 200 } } };
+    parts.keys = { { "k", 0 } };
+    return parts;
+}
+
+struct CallerAnswer {
+    int status = 0;
+    std::string body;
+    http::Headers headers;
+    bool isWhole = false;
+    bool isBroken = false;
+
+    bool hasEnded() const { return isWhole || isBroken; }
+};
+
+class EdgeRequestTest : public testing::Test {
+protected:
+    EdgeRequestTest()
+    {
+        state.routes = std::make_shared<const RouteTable>(routes());
+        state.routesConfirmedAt = bootNow();
+        state.knowsEndpoints = true;
+        list("e1", first);
+        front = std::make_unique<http::HttpServer>(context,
+            http::HttpServerOptions { .address = { asio::ip::make_address("127.0.0.1"), 0 },
+                .limits = [] { return http::ServerLimits {}; },
+                .handler =
+                    [this](std::shared_ptr<http::Exchange> exchange) {
+                        std::make_shared<EdgeRequest>(state, std::move(exchange))->admit(bootNow());
+                    },
+                .malformed = {} });
+    }
+
+    void list(const std::string& id, const RawServer& server)
+    {
+        state.book.list({ .id = EndpointId(id),
+            .service = ServiceId("s"),
+            .host = "127.0.0.1",
+            .port = server.port(),
+            .dataCentre = DataCentreId("a"),
+            .slots = 4 });
+    }
+
+    void runUntil(const std::function<bool()>& done)
+    {
+        constexpr int mostSteps = 2000;
+        for (int i = 0; i < mostSteps && !done(); ++i) {
+            context.run_for(5ms);
+            context.restart();
+        }
+        ASSERT_TRUE(done());
+    }
+
+    std::shared_ptr<http::ClientConnection> send(const std::string& path, CallerAnswer& answer,
+        const std::string& fields = "Authorization: Token k\r\n")
+    {
+        auto connection = std::make_shared<http::ClientConnection>(context);
+        connection->connect({ asio::ip::make_address("127.0.0.1"), front->port() }, 5s,
+            [&answer, connection, path, fields](bool connected) {
+                ASSERT_TRUE(connected);
+                connection->exchange("POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: 7\r\n" + fields
+                        + "Content-Length: 2\r\n\r\nok",
+                    false,
+                    { .head =
+                            [&](const http::HttpResponseHead& head) {
+                                answer.status = head.status;
+                                answer.headers = head.headers;
+                                return true;
+                            },
+                        .body = [&](std::string_view piece) { answer.body += piece; },
+                        .whole = [&] { answer.isWhole = true; },
+                        .broken = [&](http::BrokenAt) { answer.isBroken = true; } });
+            });
+        return connection;
+    }
+
+    CallerAnswer call(const std::string& path, const std::string& fields = "Authorization: Token k\r\n")
+    {
+        CallerAnswer answer;
+        const auto connection = send(path, answer, fields);
+        runUntil([&] { return answer.hasEnded(); });
+        connection->close();
+        return answer;
+    }
+
+    size_t requestsAtEndpoints() const { return first.requests().size() + second.requests().size(); }
+
+    asio::io_context context;
+    EdgeState state { context, settings(), 1 };
+    RawServer first { context };
+    RawServer second { context };
+    std::unique_ptr<http::HttpServer> front;
+};
+
+TEST_F(EdgeRequestTest, PassesAnAnswerOnUnchanged)
+{
+    first.script({ .bytes = httpAnswer(201, "hello", signedFields + "X-Own: 1\r\n") });
+    const auto answer = call("/safe/x");
+    EXPECT_EQ(answer.status, 201);
+    EXPECT_EQ(answer.body, "hello");
+    ASSERT_TRUE(answer.headers.find("X-Served-By-Sig"));
+    EXPECT_TRUE(answer.headers.contains("X-Own"));
+    ASSERT_EQ(first.requests().size(), 1U);
+    const auto& seen = first.requests()[0];
+    EXPECT_NE(seen.find("X-Tenant: o\r\n"), std::string::npos);
+    EXPECT_NE(seen.find("X-Expect-Instance: e1\r\n"), std::string::npos);
+    EXPECT_EQ(seen.find("Token k"), std::string::npos);
+    EXPECT_TRUE(state.requests.empty());
+}
+
+TEST_F(EdgeRequestTest, RefusesWhatTheConfigurationDoesNotAllow)
+{
+    EXPECT_EQ(call("/unknown/x").status, 404);
+    EXPECT_EQ(call("/safe/x", "").status, 401);
+    EXPECT_EQ(call("/safe/x", "Authorization: Token other\r\n").status, 401);
+    EXPECT_EQ(requestsAtEndpoints(), 0U);
+}
+
+TEST_F(EdgeRequestTest, WithoutAYoungConfigurationNothingIsDenied)
+{
+    state.routesConfirmedAt = bootNow() - 3s;
+    EXPECT_EQ(call("/unknown/x").status, 503);
+    EXPECT_EQ(call("/safe/x", "Authorization: Token other\r\n").status, 503);
+    state.routes = nullptr;
+    const auto answer = call("/safe/x");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.headers.contains("Retry-After"));
+}
+
+TEST_F(EdgeRequestTest, KeyedRequestsStopBeforeARevokedKeyCouldRun)
+{
+    state.routesConfirmedAt = bootNow() - 4700ms;
+    EXPECT_EQ(call("/safe/x").status, 503);
+    EXPECT_EQ(requestsAtEndpoints(), 0U);
+}
+
+TEST_F(EdgeRequestTest, TheQuotaCountsTokens)
+{
+    first.setResponder(
+        [](const std::string&) { return ScriptedAnswer { .bytes = httpAnswer(200, "a", signedFields) }; });
+    const std::string fields = "Authorization: Token k\r\nX-Token-Usage: 1000,500\r\n";
+    EXPECT_EQ(call("/safe/x", fields).status, 200);
+    const auto refused = call("/safe/x", fields);
+    EXPECT_EQ(refused.status, 429);
+    EXPECT_TRUE(refused.headers.contains("Retry-After"));
+    EXPECT_EQ(call("/safe/x").status, 200) << "a small request still fits";
+}
+
+TEST_F(EdgeRequestTest, AnIdempotentRequestGoesToAnotherEndpointAfterAFailure)
+{
+    list("e2", second);
+    for (auto* it : { &first, &second })
+        it->setResponder([this](const std::string&) {
+            return requestsAtEndpoints() == 1
+                ? ScriptedAnswer { .bytes = "", .then = ScriptedAnswer::Then::Reset }
+                : ScriptedAnswer { .bytes = httpAnswer(200, "second", signedFields) };
+        });
+    const auto answer = call("/safe/x");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(answer.body, "second");
+    EXPECT_EQ(first.requests().size(), 1U);
+    EXPECT_EQ(second.requests().size(), 1U);
+}
+
+TEST_F(EdgeRequestTest, ARequestThatMayRunOnceIsNeverSentAgainAfterAReset)
+{
+    list("e2", second);
+    for (auto* it : { &first, &second })
+        it->setResponder([](const std::string&) {
+            return ScriptedAnswer { .bytes = "", .then = ScriptedAnswer::Then::Reset };
+        });
+    const auto answer = call("/once/x");
+    EXPECT_EQ(answer.status, 502) << "502 promises nothing; 503 would say that it has not run";
+    EXPECT_EQ(requestsAtEndpoints(), 1U);
+}
+
+TEST_F(EdgeRequestTest, ARequestThatAnEndpointDidNotRunGoesToAnother)
+{
+    list("e2", second);
+    for (auto* it : { &first, &second })
+        it->setResponder([this](const std::string&) {
+            return requestsAtEndpoints() == 1
+                ? ScriptedAnswer { .bytes = httpAnswer(503, "", "X-Not-Executed: 1\r\n") }
+                : ScriptedAnswer { .bytes = httpAnswer(200, "ran", signedFields) };
+        });
+    EXPECT_EQ(call("/once/x").status, 200);
+    EXPECT_EQ(requestsAtEndpoints(), 2U);
+}
+
+TEST_F(EdgeRequestTest, A503WithoutTheHeaderMayHaveRun)
+{
+    list("e2", second);
+    for (auto* it : { &first, &second })
+        it->setResponder([](const std::string&) {
+            return ScriptedAnswer { .bytes = httpAnswer(503, "no", signedFields) };
+        });
+    const auto answer = call("/once/x");
+    EXPECT_EQ(requestsAtEndpoints(), 1U);
+    EXPECT_NE(answer.status, 429);
+}
+
+TEST_F(EdgeRequestTest, AForeignAnswerIsNotGivenToTheCaller)
+{
+    first.script({ .bytes = httpAnswer(200, "foreign", "X-Request-Id: 6\r\nX-Served-By-Sig: s\r\n")
+            + httpAnswer(200, "own", signedFields) });
+    const auto answer = call("/once/x");
+    EXPECT_EQ(answer.body, "own");
+}
+
+TEST_F(EdgeRequestTest, AnUnsignedSuccessIsNotGivenToTheCaller)
+{
+    first.script({ .bytes = httpAnswer(200, "forged", "X-Request-Id: 7\r\n") });
+    const auto answer = call("/once/x");
+    EXPECT_EQ(answer.status, 502);
+    EXPECT_EQ(answer.body.find("forged"), std::string::npos);
+}
+
+TEST_F(EdgeRequestTest, ATruncatedAnswerIsAFailure)
+{
+    first.script({ .bytes = "HTTP/1.1 200 OK\r\n" + signedFields + "Content-Length: 9\r\n\r\nhel",
+        .then = ScriptedAnswer::Then::Close });
+    const auto answer = call("/once/x");
+    EXPECT_EQ(answer.status, 502);
+}
+
+TEST_F(EdgeRequestTest, TheEndpointsOwnFailureIsPassedOn)
+{
+    first.setResponder(
+        [](const std::string&) { return ScriptedAnswer { .bytes = httpAnswer(500, "mine", signedFields) }; });
+    const auto answer = call("/safe/x");
+    EXPECT_EQ(answer.status, 500);
+    EXPECT_EQ(answer.body, "mine");
+}
+
+TEST_F(EdgeRequestTest, AStreamPassesThroughWhole)
+{
+    first.script({ .bytes = streamAnswer({ eventOf(1), eventOf(2), eventOf(3) }) });
+    const auto answer = call("/stream/x");
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(answer.body, eventOf(1) + eventOf(2) + eventOf(3));
+}
+
+TEST_F(EdgeRequestTest, ABrokenStreamGoesOnElsewhereOnWholeEvents)
+{
+    list("e2", second);
+    for (auto* it : { &first, &second })
+        it->setResponder([this](const std::string&) {
+            return requestsAtEndpoints() == 1
+                ? ScriptedAnswer { .bytes = streamAnswer({ eventOf(1), eventOf(2), "id: 3\nda" }, false),
+                      .then = ScriptedAnswer::Then::Close }
+                : ScriptedAnswer { .bytes = streamAnswer({ eventOf(3), eventOf(4) }) };
+        });
+    const auto answer = call("/stream/x");
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(answer.body, eventOf(1) + eventOf(2) + eventOf(3) + eventOf(4));
+    const auto& resumed = first.requests().empty() || second.requests().empty()
+        ? std::string()
+        : (first.requests()[0].find("Last-Event-Id") != std::string::npos ? first.requests()[0]
+                                                                          : second.requests()[0]);
+    EXPECT_NE(resumed.find("Last-Event-Id: 2\r\n"), std::string::npos);
+}
+
+TEST_F(EdgeRequestTest, ABrokenStreamThatMayNotGoOnDoesNotLookWhole)
+{
+    list("e2", second);
+    for (auto* it : { &first, &second })
+        it->setResponder([](const std::string&) {
+            return ScriptedAnswer { .bytes = streamAnswer({ eventOf(1), eventOf(2) }, false),
+                .then = ScriptedAnswer::Then::Close };
+        });
+    const auto answer = call("/streamonce/x");
+    EXPECT_TRUE(answer.isBroken);
+    EXPECT_EQ(requestsAtEndpoints(), 1U);
+}
+
+TEST_F(EdgeRequestTest, NoConnectionMeansThatItDidNotRun)
+{
+    first.stopListening();
+    const auto begin = bootNow();
+    const auto answer = call("/once/x");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_LT(bootNow() - begin, Duration(3s))
+        << "with no endpoint left to try, it does not wait for its timeout";
+    EXPECT_TRUE(answer.headers.contains("Retry-After"));
+    EXPECT_EQ(requestsAtEndpoints(), 0U);
+}
+
+TEST_F(EdgeRequestTest, TheTimeoutGetsAFinalAnswerAndStopsTheEndpoint)
+{
+    // Without a script the server stalls.
+    const auto answer = call("/once/x", "Authorization: Token k\r\nX-Deadline-Ms: 150\r\n");
+    EXPECT_EQ(answer.status, 504);
+    EXPECT_EQ(requestsAtEndpoints(), 1U);
+    EXPECT_EQ(state.book.find(EndpointId("e1"))->ownInFlight(), 0U);
+}
+
+TEST_F(EdgeRequestTest, WaitingForRoomEndsWithATruthfulRefusal)
+{
+    state.book.find(EndpointId("e1"))->heardLoad("peer", 4, bootNow() + 10s);
+    const auto answer = call("/once/x", "Authorization: Token k\r\nX-Deadline-Ms: 200\r\n");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(requestsAtEndpoints(), 0U);
+}
+
+TEST_F(EdgeRequestTest, ACallerThatLeavesStopsTheEndpoint)
+{
+    CallerAnswer answer;
+    const auto connection = send("/safe/x", answer);
+    runUntil([&] { return first.requests().size() == 1; });
+    EXPECT_EQ(state.book.find(EndpointId("e1"))->ownInFlight(), 1U);
+    connection->close();
+    runUntil([&] { return state.requests.empty(); });
+    EXPECT_EQ(state.book.find(EndpointId("e1"))->ownInFlight(), 0U);
+    EXPECT_EQ(state.pools.idleConnections(), 0U) << "the connection is closed, which stops the work";
+}
+
+TEST_F(EdgeRequestTest, ASilentEndpointIsLeftForAnotherOne)
+{
+    first.setResponder([](const std::string&) { return ScriptedAnswer { .bytes = "", .delay = 10s }; });
+    CallerAnswer answer;
+    const auto connection = send("/safe/x", answer);
+    runUntil([&] { return first.requests().size() == 1; });
+    list("e2", second);
+    second.setResponder([](const std::string&) {
+        return ScriptedAnswer { .bytes = httpAnswer(200, "second", signedFields) };
+    });
+    runUntil([&] {
+        for (const auto& requests = state.requests; const auto& [number, it] : std::unordered_map(requests))
+            it->checkProgress(bootNow());
+        return answer.hasEnded();
+    });
+    EXPECT_EQ(answer.body, "second");
+    connection->close();
+}
+
+TEST_F(EdgeRequestTest, LateInAStopNothingNewIsTaken)
+{
+    state.stopRequestedAt = bootNow() - 3s;
+    const auto answer = call("/safe/x");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(requestsAtEndpoints(), 0U);
+}
+
+} // namespace
+} // namespace lentilbay::edge
--- /dev/null
+++ b/packages/Edge/unittests/StoreFollowerTest.cpp
@@ -0,0 +1,127 @@
+// A table of the store is read whole and followed, through outages, lost history and lapsed entries.
+#include "lentilbay/Edge/StoreFollower.h"
+
+#include "RawServer.h"
+#include "lentilbay/Support/SteadyClock.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilbay::edge {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A row as the store prints it; the value is "x" in base64.
+std::string row(const std::string& key, int version, bool isDeleted = false)
+{
+    return R"({"Table":"t","part":"","Key":")" + key + R"(","Ver":)" + std::to_string(version)
+        + (isDeleted ? R"(,"Deleted":true})" : R"(,"Value":"eA=="})");
+}
+
+std::string answer(const std::string& rows, int version, bool hasMore = false)
+{
+    return httpAnswer(200,
+        R"({"Rows":[)" + rows + R"(],"HasMore":)" + (hasMore ? "true" : "false") + R"(,"Ver":)"
+            + std::to_string(version) + R"(,"NowMs":1})");
+}
+
+class StoreFollowerTest : public testing::Test {
+protected:
+    void start(Duration deletionDelay = Duration::zero())
+    {
+        follower = std::make_unique<StoreFollower>(context,
+            StoreFollowerOptions { .store = { asio::ip::make_address("127.0.0.1"), server.port() },
+                .table = "t",
+                .wait = 100ms,
+                .spacing = 1ms,
+                .deletionDelay = deletionDelay },
+            StoreFollower::Callbacks {
+                .changed = [this](const auto& it) { seen += "+" + it.key + std::to_string(it.version); },
+                .deleted = [this](const auto& key) { seen += "-" + key; },
+                .confirmed = [this](TimePoint at) { confirmedAt = at; } });
+        follower->start();
+    }
+
+    void runUntil(const std::function<bool()>& done)
+    {
+        constexpr int mostSteps = 4000;
+        for (int i = 0; i < mostSteps && !done(); ++i) {
+            context.run_for(5ms);
+            context.restart();
+            follower->step(bootNow());
+        }
+        ASSERT_TRUE(done()) << seen;
+    }
+
+    asio::io_context context;
+    RawServer server { context };
+    std::unique_ptr<StoreFollower> follower;
+    std::string seen;
+    TimePoint confirmedAt {};
+};
+
+TEST_F(StoreFollowerTest, ReadsAllPagesAndThenFollows)
+{
+    server.script({ .bytes = answer(row("a", 3), 7, true) });
+    server.script({ .bytes = answer(row("b", 5), 8) });
+    server.script({ .bytes = answer(row("a", 9) + "," + row("b", 10, true), 10) });
+    start();
+    runUntil([&] { return seen == "+a3+b5+a9-b"; });
+    ASSERT_GE(server.requests().size(), 3U);
+    EXPECT_NE(server.requests()[1].find("From=a%00"), std::string::npos);
+    EXPECT_NE(server.requests()[2].find("After=7"), std::string::npos) << "the version of the first page";
+    EXPECT_GT(confirmedAt, TimePoint());
+}
+
+TEST_F(StoreFollowerTest, NeverGoesBackToAnOlderRow)
+{
+    server.script({ .bytes = answer(row("a", 5), 7) });
+    server.script({ .bytes = answer(row("a", 4), 8) });
+    server.script({ .bytes = answer(row("b", 9), 9) });
+    start();
+    runUntil([&] { return seen == "+a5+b9"; });
+}
+
+TEST_F(StoreFollowerTest, ReadsAllAnewWhereTheHistoryIsLost)
+{
+    server.script({ .bytes = answer(row("a", 3) + "," + row("b", 4), 7) });
+    server.script({ .bytes = httpAnswer(410, "") });
+    server.script({ .bytes = answer(row("a", 8), 20) });
+    start();
+    runUntil([&] { return seen == "+a3+b4+a8-b"; });
+}
+
+TEST_F(StoreFollowerTest, ComesBackAfterAnOutage)
+{
+    server.script({ .bytes = answer(row("a", 3), 7) });
+    server.script({ .bytes = "", .then = ScriptedAnswer::Then::Reset });
+    server.script({ .bytes = httpAnswer(503, "") });
+    server.script({ .bytes = httpAnswer(200, "not json") });
+    server.script({ .bytes = answer(row("a", 8), 8) });
+    start();
+    runUntil([&] { return seen == "+a3+a8"; });
+    EXPECT_EQ(follower->failures(), 3U);
+}
+
+TEST_F(StoreFollowerTest, ASilentCallIsGivenUp)
+{
+    server.script({ .bytes = answer(row("a", 3), 7) });
+    server.script({ .bytes = "", .delay = 60s });
+    start();
+    runUntil([&] { return seen == "+a3" && server.requests().size() == 2; });
+    server.script({ .bytes = answer(row("a", 8), 8) });
+    runUntil([&] { return seen == "+a3+a8"; });
+}
+
+TEST_F(StoreFollowerTest, AnEntryThatLapsedInAnOutageMayReturn)
+{
+    server.script({ .bytes = answer(row("a", 3) + "," + row("b", 4), 7) });
+    server.script({ .bytes = "", .then = ScriptedAnswer::Then::Reset });
+    server.script({ .bytes = answer(row("a", 8, true) + "," + row("b", 9, true), 9) });
+    server.script({ .bytes = answer(row("a", 10), 10) });
+    start(300ms);
+    runUntil([&] { return seen == "+a3+b4+a10-b"; });
+}
+
+} // namespace
+} // namespace lentilbay::edge
--- a/packages/Edge/unittests/WaitingLineTest.cpp
+++ b/packages/Edge/unittests/WaitingLineTest.cpp
@@ -1,1 +1,114 @@
+// Who starts, who waits and who is turned away.
+#include "lentilbay/Edge/WaitingLine.h"
 
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace lentilbay::edge {
+namespace {
+
+using namespace std::chrono_literals;
+
+const ServiceId service("s");
+constexpr Work edit { .isStream = true, .promptTokens = 6000, .answerTokens = 380 };
+
+class WaitingLineTest : public testing::Test {
+protected:
+    WaitingLineTest()
+    {
+        book.list({ .id = EndpointId("e"),
+            .service = service,
+            .host = "10.0.0.1",
+            .port = 80,
+            .dataCentre = DataCentreId("a"),
+            .slots = 2 });
+    }
+
+    void push(uint64_t number, int rank, TimePoint arrivedAt, Duration deadline = 10s)
+    {
+        line.push({ .number = number,
+            .rank = rank,
+            .query = { .service = service, .work = edit, .objectiveAt = arrivedAt + 800ms },
+            .arrivedAt = arrivedAt,
+            .giveUpAt = arrivedAt + deadline });
+    }
+
+    static std::vector<uint64_t> numbersOf(const auto& list)
+    {
+        std::vector<uint64_t> out;
+        for (const auto& it : list)
+            out.push_back(it.number);
+        return out;
+    }
+
+    EndpointBook book { { .ownDataCentre = DataCentreId("a") }, 1 };
+    WaitingLine line { book };
+};
+
+using Numbers = std::vector<uint64_t>;
+
+TEST_F(WaitingLineTest, StartsTheMostUrgentFirst)
+{
+    push(1, 2, TimePoint(1s));
+    push(2, 0, TimePoint(1s));
+    push(3, 1, TimePoint(1s));
+    EXPECT_EQ(numbersOf(line.step(TimePoint(1s)).started), (Numbers { 2, 3 }));
+    EXPECT_EQ(line.size(), 1U);
+    book.find(EndpointId("e"))->ended(edit, SendEnd::Good, false, TimePoint(1200ms));
+    EXPECT_EQ(numbersOf(line.step(TimePoint(1200ms)).started), (Numbers { 1 }));
+}
+
+TEST_F(WaitingLineTest, WhoCanStillBeInTimeGoesBeforeWhoIsLate)
+{
+    push(1, 0, TimePoint(1s));
+    push(2, 0, TimePoint(3s));
+    book.find(EndpointId("e"))->sent(edit, TimePoint(3s));
+    EXPECT_EQ(numbersOf(line.step(TimePoint(3s)).started), (Numbers { 2 }));
+}
+
+TEST_F(WaitingLineTest, ABurstIsTurnedAwayAtOnceWithATimeToComeBack)
+{
+    // The load of a burst: a hundred edits at once before two slots.
+    for (uint64_t i = 1; i <= 100; ++i)
+        push(i, 0, TimePoint(1s));
+    const auto decisions = line.step(TimePoint(1s));
+    EXPECT_EQ(decisions.started.size(), 2U);
+    EXPECT_GT(decisions.turnedAway.size(), 80U);
+    for (const auto& it : decisions.turnedAway)
+        EXPECT_GT(it.comeBackIn, Duration(1s)) << "room is not expected before the line has moved on";
+    EXPECT_GT(line.size(), 0U) << "what can start soon waits";
+}
+
+TEST_F(WaitingLineTest, TheLeastUrgentIsTurnedAwayFirst)
+{
+    for (uint64_t i = 1; i <= 10; ++i)
+        push(i, 1, TimePoint(1s));
+    for (uint64_t i = 11; i <= 20; ++i)
+        push(i, 0, TimePoint(1s));
+    const auto decisions = line.step(TimePoint(1s));
+    const auto away = numbersOf(decisions.turnedAway);
+    EXPECT_FALSE(away.empty());
+    const bool anyUrgent = std::ranges::any_of(away, [](auto it) { return it > 10; });
+    const bool allOthers = std::ranges::count_if(away, [](auto it) { return it <= 10; }) == 10;
+    EXPECT_TRUE(!anyUrgent || allOthers);
+}
+
+TEST_F(WaitingLineTest, GivesUpWhatCannotBeginBeforeItsEnd)
+{
+    book.find(EndpointId("e"))->sent(edit, TimePoint(1s));
+    book.find(EndpointId("e"))->sent(edit, TimePoint(1s));
+    push(1, 0, TimePoint(1s), 200ms);
+    EXPECT_TRUE(line.step(TimePoint(1s)).turnedAway.empty());
+    EXPECT_EQ(numbersOf(line.step(TimePoint(1160ms)).turnedAway), (Numbers { 1 }));
+    EXPECT_EQ(line.size(), 0U);
+}
+
+TEST_F(WaitingLineTest, ACallerThatLeftWaitsNoLonger)
+{
+    push(1, 0, TimePoint(1s));
+    line.remove(1);
+    EXPECT_TRUE(line.step(TimePoint(1s)).started.empty());
+}
+
+} // namespace
+} // namespace lentilbay::edge
--- a/packages/Http/include/lentilbay/Http/ClientConnection.h
+++ b/packages/Http/include/lentilbay/Http/ClientConnection.h
@@ -17,8 +17,8 @@
 namespace lentilbay::http {
 
 enum class BrokenAt : uint8_t {
-    /// The connection never came about; nothing was sent.
-    Connecting,
+    /// Not a byte of the request was sent.
+    NothingSent,
     /// The connection closed before any byte of a response.
     BeforeResponse,
     /// The response broke off, or its bytes are no HTTP.
@@ -43,7 +43,8 @@
     void onIdleClose(std::function<void()> callback) { m_idleClose = std::move(callback); }
 
     void connect(const asio::ip::tcp::endpoint& address, Duration timeout, std::function<void(bool)> done);
-    /// Sends a request (head and body) and reads its response.
+    /// Sends a request (head and body) and reads its response. The observer is called later, never from
+    /// inside.
     void exchange(std::string request, bool isHead, Observer observer);
     /// Closes the connection; the observer hears nothing more.
     void close();
@@ -80,6 +81,8 @@
     bool m_isWriting = false;
     bool m_isPaused = false;
     bool m_keepsAlive = true;
+    /// Of the present exchange.
+    bool m_sentBytes = false;
     bool m_sawBytes = false;
     /// The response now read is the awaited one.
     bool m_isAwaited = false;
--- a/packages/Http/include/lentilbay/Http/Server.h
+++ b/packages/Http/include/lentilbay/Http/Server.h
@@ -1,7 +1,8 @@
 // The server side of HTTP/1.1: accepts connections and gives each whole request to a handler as an Exchange.
 //
-// RESTinio, which the project uses elsewhere, tells of a closed connection only when it reads the next request,
-// and bounds neither the wait for a header nor an idle connection by settings that change while it runs.
+// RESTinio, which the project uses elsewhere, tells of a closed connection only when it reads the next
+// request, and bounds neither the wait for a header nor an idle connection by settings that change while it
+// runs.
 #pragma once
 
 #include "lentilbay/Http/MessageParser.h"
@@ -90,6 +91,8 @@
     /// Closes the connections on which no request is being read or answered.
     void closeIdle();
     void stopAccepting();
+    /// The port that it listens on; of use where the address left it to the system.
+    uint16_t port() const { return m_acceptor.local_endpoint().port(); }
     size_t connections() const { return m_connections.size(); }
 
 private:
--- a/packages/Http/lib/ClientConnection.cpp
+++ b/packages/Http/lib/ClientConnection.cpp
@@ -93,11 +93,14 @@
     m_observer = std::make_shared<Observer>(std::move(observer));
     m_out = std::move(request);
     m_sent = 0;
-    m_sawBytes = m_isAwaited = m_isWhole = false;
+    m_sentBytes = m_sawBytes = m_isAwaited = m_isWhole = false;
     m_parser.expectNoBody(isHead);
+    if (!m_isOpen) {
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(); });
+        return;
+    }
     flush();
-    if (m_isOpen)
-        awaitBytes();
+    awaitBytes();
 }
 
 void ClientConnection::flush()
@@ -105,13 +108,17 @@
     if (m_isWriting || !m_isOpen || m_sent == m_out.size())
         return;
     std::error_code ec;
-    m_sent += m_socket.write_some(asio::buffer(m_out.data() + m_sent, m_out.size() - m_sent), ec);
+    const size_t n = m_socket.write_some(asio::buffer(m_out.data() + m_sent, m_out.size() - m_sent), ec);
+    m_sent += n;
+    m_sentBytes = m_sentBytes || n > 0;
     if (ec && ec != asio::error::would_block && ec != asio::error::try_again) {
         // A response may have come before the reset; the reader finds out.
         m_keepsAlive = false;
         asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-            if (self->m_isOpen)
+            if (self->m_isOpen && self->m_sentBytes)
                 self->readSome();
+            else
+                self->fail();
         });
         return;
     }
@@ -228,7 +235,9 @@
     const auto self = shared_from_this();
     auto observer = std::exchange(m_observer, nullptr);
     close();
-    if (observer)
+    if (observer && !m_sentBytes)
+        observer->broken(BrokenAt::NothingSent);
+    else if (observer)
         observer->broken(m_sawBytes ? BrokenAt::InsideResponse : BrokenAt::BeforeResponse);
     else if (m_idleClose)
         m_idleClose();
--- a/packages/Http/lib/Message.cpp
+++ b/packages/Http/lib/Message.cpp
@@ -17,9 +17,9 @@
 constexpr std::array<std::pair<int, std::string_view>, 17> phrases { { { 100, "Continue" }, { 200, "OK" },
     { 400, "Bad Request" }, { 401, "Unauthorized" }, { 403, "Forbidden" }, { 404, "Not Found" },
     { 405, "Method Not Allowed" }, { 408, "Request Timeout" }, { 413, "Content Too Large" },
-    { 421, "Misdirected Request" }, { 429, "Too Many Requests" },
-    { 431, "Request Header Fields Too Large" }, { 500, "Internal Server Error" }, { 501, "Not Implemented" },
-    { 502, "Bad Gateway" }, { 503, "Service Unavailable" }, { 504, "Gateway Timeout" } } };
+    { 421, "Misdirected Request" }, { 429, "Too Many Requests" }, { 431, "Request Header Fields Too Large" },
+    { 500, "Internal Server Error" }, { 501, "Not Implemented" }, { 502, "Bad Gateway" },
+    { 503, "Service Unavailable" }, { 504, "Gateway Timeout" } } };
 
 std::string_view trimmed(std::string_view text)
 {
@@ -38,7 +38,8 @@
 
 const std::string* Headers::find(std::string_view name) const
 {
-    auto it = std::ranges::find_if(m_fields, [&](const auto& field) { return sameHeaderName(field.name, name); });
+    auto it
+        = std::ranges::find_if(m_fields, [&](const auto& field) { return sameHeaderName(field.name, name); });
     return it == m_fields.end() ? nullptr : &it->value;
 }
 
--- a/packages/Http/lib/MessageParser.cpp
+++ b/packages/Http/lib/MessageParser.cpp
@@ -58,7 +58,8 @@
 
 size_t countOf(const Headers& headers, std::string_view name)
 {
-    return std::ranges::count_if(headers.fields(), [&](const auto& it) { return sameHeaderName(it.name, name); });
+    return std::ranges::count_if(
+        headers.fields(), [&](const auto& it) { return sameHeaderName(it.name, name); });
 }
 
 /// Whether all readers agree on where the body ends.
--- /dev/null
+++ b/packages/Http/unittests/ClientConnectionTest.cpp
@@ -0,0 +1,215 @@
+// Each way in which an endpoint's answer can end is told apart.
+#include "lentilbay/Http/ClientConnection.h"
+
+#include "RawServer.h"
+
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace lentilbay::http {
+namespace {
+
+using namespace std::chrono_literals;
+
+class ClientConnectionTest : public testing::Test {
+protected:
+    void runUntil(const std::function<bool()>& done)
+    {
+        constexpr int mostSteps = 4000;
+        for (int i = 0; i < mostSteps && !done(); ++i)
+            context.run_for(5ms);
+        ASSERT_TRUE(done());
+    }
+
+    void connect()
+    {
+        std::optional<bool> connected;
+        connection->connect(
+            { asio::ip::make_address("127.0.0.1"), server.port() }, 5s, [&](bool it) { connected = it; });
+        runUntil([&] { return connected.has_value(); });
+        ASSERT_TRUE(*connected);
+    }
+
+    /// Sends a request; its own answers carry the id 7.
+    void send(std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+    {
+        connection->exchange(std::move(request), false,
+            { .head =
+                    [this](const HttpResponseHead& head) {
+                        const auto* id = head.headers.find("X-Request-Id");
+                        return !id || *id == "7";
+                    },
+                .body = [this](std::string_view piece) { body += piece; },
+                .whole = [this] { isWhole = true; },
+                .broken = [this](BrokenAt at) { brokenAt = at; } });
+    }
+
+    bool hasEnded() const { return isWhole || brokenAt; }
+
+    asio::io_context context;
+    RawServer server { context };
+    std::shared_ptr<ClientConnection> connection = std::make_shared<ClientConnection>(context);
+    std::string body;
+    bool isWhole = false;
+    std::optional<BrokenAt> brokenAt;
+};
+
+TEST_F(ClientConnectionTest, ReadsAWholeAnswerAndIsReusable)
+{
+    server.script({ .bytes = httpAnswer(200, "hello", "Keep-Alive: timeout=7\r\n") });
+    connect();
+    send();
+    runUntil([&] { return hasEnded(); });
+    EXPECT_TRUE(isWhole);
+    EXPECT_EQ(body, "hello");
+    EXPECT_TRUE(connection->isReusable());
+    EXPECT_EQ(connection->keepAlive(), Duration(7s));
+}
+
+TEST_F(ClientConnectionTest, DropsAnAnswerToAnotherRequest)
+{
+    server.script({ .bytes = httpAnswer(200, "foreign", "X-Request-Id: 6\r\n")
+            + httpAnswer(200, "own", "X-Request-Id: 7\r\n") });
+    connect();
+    send();
+    runUntil([&] { return hasEnded(); });
+    EXPECT_TRUE(isWhole);
+    EXPECT_EQ(body, "own");
+}
+
+TEST_F(ClientConnectionTest, BytesBehindTheAnswerEndTheConnection)
+{
+    server.script({ .bytes = httpAnswer(200, "own") + httpAnswer(200, "extra") });
+    connect();
+    send();
+    runUntil([&] { return hasEnded(); });
+    EXPECT_TRUE(isWhole);
+    EXPECT_EQ(body, "own");
+    EXPECT_FALSE(connection->isReusable());
+}
+
+TEST_F(ClientConnectionTest, BytesWhileIdleEndTheConnection)
+{
+    server.script({ .bytes = httpAnswer(200, "own") });
+    connect();
+    send();
+    runUntil([&] { return hasEnded(); });
+    ASSERT_TRUE(connection->isReusable());
+    // The server's answer to nothing: a second request that this side never made is scripted as a late
+    // answer.
+    bool wasClosed = false;
+    connection->onIdleClose([&] { wasClosed = true; });
+    server.script({ .bytes = httpAnswer(200, "late") + "stray", .then = ScriptedAnswer::Then::Close });
+    isWhole = false;
+    send();
+    runUntil([&] { return hasEnded(); });
+    EXPECT_FALSE(connection->isReusable());
+}
+
+TEST_F(ClientConnectionTest, TellsATruncatedAnswerFromAWholeOne)
+{
+    server.script(
+        { .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhell", .then = ScriptedAnswer::Then::Close });
+    connect();
+    send();
+    runUntil([&] { return hasEnded(); });
+    EXPECT_EQ(brokenAt, BrokenAt::InsideResponse);
+    EXPECT_FALSE(connection->isOpen());
+}
+
+TEST_F(ClientConnectionTest, AnAnswerWithoutLengthEndsInOrderOnly)
+{
+    server.script({ .bytes = "HTTP/1.1 200 OK\r\n\r\nhello", .then = ScriptedAnswer::Then::Close });
+    connect();
+    send();
+    runUntil([&] { return hasEnded(); });
+    EXPECT_TRUE(isWhole);
+    EXPECT_EQ(body, "hello");
+    EXPECT_FALSE(connection->isReusable());
+}
+
+TEST_F(ClientConnectionTest, AResetIsNotTheEndOfAnAnswerWithoutLength)
+{
+    server.script({ .bytes = "HTTP/1.1 200 OK\r\n\r\nhello", .then = ScriptedAnswer::Then::Reset });
+    connect();
+    send();
+    runUntil([&] { return hasEnded(); });
+    EXPECT_TRUE(brokenAt.has_value());
+    EXPECT_FALSE(isWhole);
+}
+
+TEST_F(ClientConnectionTest, SaysThatNothingWasAnswered)
+{
+    server.script({ .bytes = "", .then = ScriptedAnswer::Then::Reset });
+    connect();
+    send();
+    runUntil([&] { return hasEnded(); });
+    EXPECT_EQ(brokenAt, BrokenAt::BeforeResponse);
+}
+
+TEST_F(ClientConnectionTest, AnAnswerBeforeTheEndOfTheRequestEndsTheConnection)
+{
+    // The server answers as soon as anything came; the body is larger than the socket's buffers.
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    asio::ip::tcp::socket peer(context);
+    acceptor.async_accept(peer, [&](std::error_code) {
+        peer.async_wait(asio::ip::tcp::socket::wait_read,
+            [&](std::error_code) { asio::write(peer, asio::buffer(httpAnswer(200, "early"))); });
+    });
+    std::optional<bool> connected;
+    connection->connect(acceptor.local_endpoint(), 5s, [&](bool it) { connected = it; });
+    runUntil([&] { return connected.has_value(); });
+    constexpr size_t large = 64U << 20U;
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 67108864\r\n\r\n" + std::string(large, 'a'));
+    runUntil([&] { return hasEnded(); });
+    EXPECT_TRUE(isWhole);
+    EXPECT_EQ(body, "early");
+    EXPECT_FALSE(connection->isReusable());
+}
+
+TEST_F(ClientConnectionTest, SaysThatNothingWasSentOnAClosedConnection)
+{
+    server.script({ .bytes = httpAnswer(200, "own") + "stray" });
+    connect();
+    send();
+    runUntil([&] { return hasEnded(); });
+    ASSERT_FALSE(connection->isOpen());
+    isWhole = false;
+    send();
+    EXPECT_FALSE(hasEnded()) << "not from inside the call";
+    runUntil([&] { return hasEnded(); });
+    EXPECT_EQ(brokenAt, BrokenAt::NothingSent);
+}
+
+TEST_F(ClientConnectionTest, ARefusedConnectionIsReported)
+{
+    server.stopListening();
+    std::optional<bool> connected;
+    const asio::ip::tcp::endpoint unused(asio::ip::make_address("127.0.0.1"), 1);
+    connection->connect(unused, 5s, [&](bool it) { connected = it; });
+    runUntil([&] { return connected.has_value(); });
+    EXPECT_FALSE(*connected);
+}
+
+TEST_F(ClientConnectionTest, MayBeClosedFromItsOwnCallback)
+{
+    server.script({ .bytes = chunkedAnswer({ "a", "b" }) });
+    connect();
+    bool hadBody = false;
+    connection->exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false,
+        { .head = [](const HttpResponseHead&) { return true; },
+            .body =
+                [&](std::string_view) {
+                    hadBody = true;
+                    connection->close();
+                },
+            .whole = [&] { isWhole = true; },
+            .broken = [&](BrokenAt at) { brokenAt = at; } });
+    runUntil([&] { return hadBody; });
+    context.run_for(20ms);
+    EXPECT_FALSE(isWhole);
+    EXPECT_FALSE(brokenAt.has_value());
+}
+
+} // namespace
+} // namespace lentilbay::http
--- a/packages/Http/unittests/MessageParserTest.cpp
+++ b/packages/Http/unittests/MessageParserTest.cpp
@@ -1,1 +1,180 @@
+// Requests are read whole or refused; ambiguous framing, which smuggles requests, is always refused.
+#include "lentilbay/Http/MessageParser.h"
 
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lentilbay::http {
+namespace {
+
+const std::string post
+    = "POST /a/b?c HTTP/1.1\r\nHost: h\r\nX-Request-Id: 1\r\nContent-Length: 5\r\n\r\nhello";
+
+ParseError errorOf(std::string_view text)
+{
+    RequestParser parser({});
+    parser.feed(text);
+    return parser.error();
+}
+
+TEST(RequestParser, ReadsARequest)
+{
+    RequestParser parser({});
+    EXPECT_EQ(parser.feed(post), post.size());
+    ASSERT_TRUE(parser.isWhole());
+    EXPECT_TRUE(parser.keepsAlive());
+    const auto request = parser.take();
+    EXPECT_EQ(request.method, "POST");
+    EXPECT_EQ(request.target, "/a/b?c");
+    EXPECT_EQ(request.path(), "/a/b");
+    EXPECT_EQ(request.body, "hello");
+    ASSERT_TRUE(request.headers.find("x-request-id"));
+    EXPECT_EQ(*request.headers.find("x-request-id"), "1");
+}
+
+RC_GTEST_PROP(RequestParser, ReadsTheSameHoweverTheBytesAreCut, ())
+{
+    const std::string chunked
+        = "PUT /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    const std::string both = post + chunked;
+    RequestParser parser({});
+    std::vector<HttpRequest> requests;
+    size_t at = 0;
+    while (at < both.size()) {
+        const auto n = *rc::gen::inRange<size_t>(1, 12);
+        std::string_view piece = std::string_view(both).substr(at, n);
+        while (!piece.empty()) {
+            const size_t taken = parser.feed(piece);
+            RC_ASSERT(parser.error() == ParseError::None);
+            piece.remove_prefix(taken);
+            if (parser.isWhole())
+                requests.push_back(parser.take());
+        }
+        at += n;
+    }
+    RC_ASSERT(requests.size() == 2U);
+    RC_ASSERT(requests[0].body == "hello");
+    RC_ASSERT(requests[1].body == "abcde");
+}
+
+TEST(RequestParser, RefusesAmbiguousFraming)
+{
+    const std::string begin = "POST /a HTTP/1.1\r\nHost: h\r\n";
+    EXPECT_EQ(
+        errorOf(begin + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n"), ParseError::Malformed);
+    EXPECT_EQ(
+        errorOf(begin + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n"), ParseError::Malformed);
+    EXPECT_EQ(errorOf(begin + "Content-Length: 5\r\nContent-Length: 6\r\n\r\n"), ParseError::Malformed);
+    EXPECT_EQ(errorOf(begin + "Content-Length: 5\r\nContent-Length: 5\r\n\r\n"), ParseError::Malformed);
+    EXPECT_EQ(errorOf(begin + "Content-Length: +5\r\n\r\n"), ParseError::Malformed);
+    EXPECT_EQ(errorOf(begin + "Content-Length : 5\r\n\r\n"), ParseError::Malformed);
+    EXPECT_EQ(errorOf(begin + "Transfer-Encoding: xchunked\r\n\r\n"), ParseError::Malformed);
+    EXPECT_EQ(errorOf(begin + "Transfer-Encoding: gzip, chunked\r\n\r\n"), ParseError::Malformed);
+    EXPECT_EQ(errorOf(begin + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"),
+        ParseError::Malformed);
+    EXPECT_EQ(errorOf(begin + "Host: other\r\n\r\n"), ParseError::Malformed);
+    EXPECT_EQ(errorOf("POST http://other/a HTTP/1.1\r\nHost: h\r\n\r\n"), ParseError::Malformed);
+    EXPECT_EQ(errorOf("nonsense\r\n\r\n"), ParseError::Malformed);
+}
+
+TEST(RequestParser, KeepsToItsLimits)
+{
+    RequestParser headers({ .headerBytes = 100, .bodyBytes = 10 });
+    headers.feed("GET /" + std::string(200, 'a'));
+    EXPECT_EQ(headers.error(), ParseError::HeadersTooLarge);
+
+    RequestParser length({ .headerBytes = 1000, .bodyBytes = 10 });
+    length.feed("PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n");
+    EXPECT_EQ(length.error(), ParseError::BodyTooLarge);
+
+    RequestParser chunked({ .headerBytes = 1000, .bodyBytes = 10 });
+    chunked.feed(
+        "PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n0\r\n\r\n");
+    EXPECT_EQ(chunked.error(), ParseError::BodyTooLarge);
+}
+
+TEST(RequestParser, DropsTrailers)
+{
+    RequestParser parser({});
+    parser.feed(
+        "PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Tenant: t\r\n\r\n");
+    ASSERT_TRUE(parser.isWhole());
+    EXPECT_FALSE(parser.take().headers.contains("X-Tenant"));
+}
+
+struct Response {
+    int heads = 0;
+    int ends = 0;
+    HttpResponseHead head;
+    std::string body;
+    ResponseParser parser { { .head =
+                                  [this](HttpResponseHead it) {
+                                      ++heads;
+                                      head = std::move(it);
+                                  },
+        .body = [this](std::string_view it) { body += it; },
+        .end = [this] { ++ends; } } };
+};
+
+TEST(ResponseParser, ReadsLengthChunksAndTheEndOfTheConnection)
+{
+    Response length;
+    length.parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+    EXPECT_EQ(length.ends, 1);
+    EXPECT_EQ(length.body, "ab");
+    EXPECT_TRUE(length.head.keepsAlive);
+
+    Response chunked;
+    chunked.parser.feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n");
+    EXPECT_EQ(chunked.ends, 0);
+    EXPECT_FALSE(chunked.parser.finishAtEnd());
+    EXPECT_EQ(chunked.ends, 0);
+
+    Response unframed;
+    unframed.parser.feed("HTTP/1.1 200 OK\r\n\r\nab");
+    EXPECT_EQ(unframed.ends, 0);
+    EXPECT_TRUE(unframed.parser.finishAtEnd());
+    EXPECT_EQ(unframed.ends, 1);
+    EXPECT_EQ(unframed.body, "ab");
+}
+
+TEST(ResponseParser, StopsAtTheEndOfEachResponse)
+{
+    Response response;
+    const std::string one = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+    EXPECT_EQ(response.parser.feed(one + one), one.size());
+    EXPECT_EQ(response.ends, 1);
+    EXPECT_EQ(response.parser.feed(one), one.size());
+    EXPECT_EQ(response.ends, 2);
+}
+
+TEST(ResponseParser, PassesOverInterimResponsesAndFailsOnNonsense)
+{
+    Response response;
+    response.parser.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n");
+    EXPECT_EQ(response.heads, 1);
+    EXPECT_EQ(response.ends, 1);
+
+    Response nonsense;
+    nonsense.parser.feed("\x01\x02garbage\r\n\r\n");
+    EXPECT_TRUE(nonsense.parser.hasFailed());
+}
+
+TEST(Headers, ConnectionCannotTakeAwayWhatIsKept)
+{
+    Headers headers;
+    headers.add("Connection", "close, X-Request-Id , x-other");
+    headers.add("X-Request-Id", "1");
+    headers.add("X-Other", "2");
+    headers.add("Keep-Alive", "timeout=5");
+    headers.add("X-Third", "3");
+    removeHopByHop(headers, { "X-Request-Id" });
+    EXPECT_TRUE(headers.contains("X-Request-Id"));
+    EXPECT_TRUE(headers.contains("X-Third"));
+    EXPECT_FALSE(headers.contains("X-Other"));
+    EXPECT_FALSE(headers.contains("Keep-Alive"));
+    EXPECT_FALSE(headers.contains("Connection"));
+}
+
+} // namespace
+} // namespace lentilbay::http
--- /dev/null
+++ b/packages/Http/unittests/ServerTest.cpp
@@ -0,0 +1,176 @@
+// The server side: answers, kept connections, callers that leave, and answers that must not look whole.
+#include "lentilbay/Http/Server.h"
+
+#include <array>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace lentilbay::http {
+namespace {
+
+using namespace std::chrono_literals;
+
+class ServerTest : public testing::Test {
+protected:
+    ServerTest()
+    {
+        limits.parser = { .headerBytes = 2000, .bodyBytes = 1000 };
+        server = std::make_unique<HttpServer>(context,
+            HttpServerOptions { .address = { asio::ip::make_address("127.0.0.1"), 0 },
+                .limits = [this] { return limits; },
+                .handler = [this](std::shared_ptr<Exchange> it) { exchanges.push_back(std::move(it)); },
+                .malformed = [this](ParseError) { ++malformed; } });
+        client.connect({ asio::ip::make_address("127.0.0.1"), server->port() });
+        client.non_blocking(true);
+    }
+
+    void runUntil(const std::function<bool()>& done)
+    {
+        constexpr int mostSteps = 4000;
+        for (int i = 0; i < mostSteps && !done(); ++i) {
+            context.run_for(2ms);
+            context.restart();
+            readSome();
+        }
+        ASSERT_TRUE(done()) << received;
+    }
+
+    void readSome()
+    {
+        std::array<char, 4096> buf {};
+        std::error_code ec;
+        const size_t n = client.read_some(asio::buffer(buf), ec);
+        received.append(buf.data(), n);
+        if (ec && ec != asio::error::would_block)
+            isClosed = true;
+    }
+
+    void send(const std::string& text) { asio::write(client, asio::buffer(text)); }
+
+    asio::io_context context;
+    ServerLimits limits;
+    std::unique_ptr<HttpServer> server;
+    asio::ip::tcp::socket client { context };
+    std::vector<std::shared_ptr<Exchange>> exchanges;
+    std::string received;
+    bool isClosed = false;
+    int malformed = 0;
+};
+
+const std::string get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+TEST_F(ServerTest, AnswersOneRequestAfterTheOther)
+{
+    send(get + "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil([&] { return exchanges.size() == 1; });
+    context.run_for(10ms);
+    context.restart();
+    EXPECT_EQ(exchanges.size(), 1U) << "the second request waits for the first answer";
+    exchanges[0]->respond(200, "OK", {}, "first");
+    runUntil([&] { return exchanges.size() == 2; });
+    EXPECT_EQ(exchanges[1]->request().target, "/b");
+    exchanges[1]->respond(503, "Service Unavailable", {}, "");
+    runUntil([&] { return received.find("503") != std::string::npos; });
+    EXPECT_NE(received.find("Content-Length: 5\r\n\r\nfirst"), std::string::npos);
+    EXPECT_FALSE(isClosed);
+}
+
+TEST_F(ServerTest, TellsOnceThatTheCallerLeft)
+{
+    send(get);
+    runUntil([&] { return exchanges.size() == 1; });
+    int left = 0;
+    exchanges[0]->onClientLeft([&] { ++left; });
+    client.close();
+    runUntil([&] { return left > 0; });
+    EXPECT_EQ(left, 1);
+    EXPECT_TRUE(exchanges[0]->isDone());
+    exchanges[0]->respond(200, "OK", {}, "goes nowhere");
+    EXPECT_EQ(server->connections(), 0U);
+}
+
+TEST_F(ServerTest, StreamsInChunks)
+{
+    send(get);
+    runUntil([&] { return exchanges.size() == 1; });
+    exchanges[0]->begin(200, "OK", {});
+    exchanges[0]->write("ab");
+    exchanges[0]->write("c");
+    exchanges[0]->finish();
+    runUntil([&] { return received.find("0\r\n\r\n") != std::string::npos; });
+    EXPECT_NE(received.find("\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(ServerTest, AnAbortedAnswerDoesNotLookWhole)
+{
+    send(get);
+    runUntil([&] { return exchanges.size() == 1; });
+    exchanges[0]->begin(200, "OK", {});
+    exchanges[0]->write("ab");
+    exchanges[0]->abort();
+    runUntil([&] { return isClosed; });
+    EXPECT_EQ(received.find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(ServerTest, RefusesWhatItCannotRead)
+{
+    send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n");
+    runUntil([&] { return isClosed; });
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 400 "));
+    EXPECT_TRUE(exchanges.empty());
+    EXPECT_EQ(malformed, 1);
+}
+
+TEST_F(ServerTest, RefusesABodyBeyondTheLimit)
+{
+    send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n");
+    runUntil([&] { return isClosed; });
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 413 "));
+}
+
+TEST_F(ServerTest, EndsAHeaderThatTakesTooLong)
+{
+    limits.headerTimeout = 20ms;
+    send("GET /a HTTP/1.1\r\nHos");
+    runUntil([&] { return isClosed; });
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 408 "));
+}
+
+TEST_F(ServerTest, ClosesAnIdleConnectionOnly)
+{
+    limits.idleTimeout = 30ms;
+    send(get);
+    runUntil([&] { return exchanges.size() == 1; });
+    context.run_for(100ms);
+    context.restart();
+    readSome();
+    EXPECT_FALSE(isClosed) << "a connection with a request is not idle";
+    exchanges[0]->respond(200, "OK", {}, "late");
+    runUntil([&] { return isClosed; });
+    EXPECT_NE(received.find("late"), std::string::npos);
+}
+
+TEST_F(ServerTest, AStoppingServerSaysSoAndStillAnswers)
+{
+    send(get);
+    runUntil([&] { return exchanges.size() == 1; });
+    server->closeAfterAnswers();
+    server->closeIdle();
+    exchanges[0]->respond(200, "OK", {}, "last");
+    runUntil([&] { return isClosed; });
+    EXPECT_NE(received.find("Connection: close\r\n"), std::string::npos);
+    EXPECT_NE(received.find("last"), std::string::npos);
+}
+
+TEST_F(ServerTest, AsksForTheBodyThatTheCallerHoldsBack)
+{
+    send("POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+    runUntil([&] { return received.find("100 Continue") != std::string::npos; });
+    send("ok");
+    runUntil([&] { return exchanges.size() == 1; });
+    EXPECT_EQ(exchanges[0]->request().body, "ok");
+}
+
+} // namespace
+} // namespace lentilbay::http
--- a/packages/Policy/include/lentilbay/Policy/SharedQuota.h
+++ b/packages/Policy/include/lentilbay/Policy/SharedQuota.h
@@ -2,7 +2,8 @@
 //
 // Every daemon keeps the same token bucket: it takes out what it admits itself and what others tell that they
 // admitted. For each daemon that it does not hear, an equal share of rate and burst is set aside. So the sum
-// stays within the quota however the network splits: a daemon that hears nobody uses its own share and no more.
+// stays within the quota however the network splits: a daemon that hears nobody uses its own share and no
+// more.
 //
 // A bucket, and not a sum over a sliding window, because it needs no memory of the past: a daemon that was
 // restarted begins with an empty one, and whatever was admitted before, no window holds more than the quota.
--- a/packages/Policy/lib/SharedQuota.cpp
+++ b/packages/Policy/lib/SharedQuota.cpp
@@ -20,8 +20,7 @@
         m_bucket.settle(-m_bucket.level(now), now);
 }
 
-bool SharedQuota::admit(
-    double tokens, const QuotaLimits& limits, const QuotaSharers& sharers, TimePoint now)
+bool SharedQuota::admit(double tokens, const QuotaLimits& limits, const QuotaSharers& sharers, TimePoint now)
 {
     const auto known = static_cast<double>(std::max<size_t>(1, sharers.known));
     const double heard = known - static_cast<double>(std::min(sharers.silent, sharers.known));
--- a/packages/Policy/unittests/RepeatBudgetTest.cpp
+++ b/packages/Policy/unittests/RepeatBudgetTest.cpp
@@ -1,1 +1,45 @@
+// Repeats stay a part of the requests, over every window.
+#include "lentilbay/Policy/RepeatBudget.h"
 
+#include <gtest/gtest.h>
+
+namespace lentilbay {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr RepeatLimits limits { .ratio = 0.2, .slack = 5, .window = 10s };
+
+TEST(RepeatBudget, AllowsSlackAndAPartOfTheRequests)
+{
+    RepeatBudget budget;
+    for (int i = 0; i < 100; ++i)
+        budget.request(TimePoint(1s));
+    int repeats = 0;
+    while (budget.take(limits, TimePoint(2s)))
+        ++repeats;
+    EXPECT_EQ(repeats, 25);
+}
+
+TEST(RepeatBudget, OldRequestsAllowNothing)
+{
+    RepeatBudget budget;
+    for (int i = 0; i < 100; ++i)
+        budget.request(TimePoint(1s));
+    int repeats = 0;
+    while (budget.take(limits, TimePoint(12s)))
+        ++repeats;
+    EXPECT_EQ(repeats, 5);
+}
+
+TEST(RepeatBudget, RepeatsLeaveTheWindow)
+{
+    RepeatBudget budget;
+    for (int i = 0; i < 5; ++i)
+        EXPECT_TRUE(budget.take(limits, TimePoint(1s)));
+    EXPECT_FALSE(budget.take(limits, TimePoint(10s)));
+    EXPECT_TRUE(budget.take(limits, TimePoint(12s)));
+}
+
+} // namespace
+} // namespace lentilbay
--- a/tools/lentilbayd/main/EdgeMode.cpp
+++ b/tools/lentilbayd/main/EdgeMode.cpp
@@ -22,15 +22,14 @@
 {
     const char* path = std::getenv(platform::settingsVariable);
     if (!path)
-        return fail(
-            ResultCode::SettingsUnreadable, std::string(platform::settingsVariable) + " names no settings file");
+        return fail(ResultCode::SettingsUnreadable,
+            std::string(platform::settingsVariable) + " names no settings file");
     std::ifstream in(path);
     if (!in)
         return fail(ResultCode::SettingsUnreadable, std::string(path) + " cannot be read");
     std::stringstream text;
     text << in.rdbuf();
-    BOOST_LEAF_AUTO(settings, platform::decodeSettings(text.str()));
-    return std::make_shared<const platform::ProcessSettings>(std::move(settings));
+    return platform::decodeSettings(text.str());
 }
 
 /// The addresses of a process stay for its life; only the reading of the file is checked.
@@ -38,7 +37,8 @@
 {
     const auto outcome = outcomeOf<SettingsPointer>([] { return readSettings(); });
     if (const auto* failure = std::get_if<Failure>(&outcome))
-        logEvent(Event::SettingsInvalid, { { "code", printed(failure->code) }, { "detail", failure->detail } });
+        logEvent(
+            Event::SettingsInvalid, { { "code", printed(failure->code) }, { "detail", failure->detail } });
     else
         logEvent(Event::SettingsReloaded);
 }
@@ -52,7 +52,8 @@
         .destination = LogDestination::BoundedStandardOutput });
     const auto outcome = outcomeOf<SettingsPointer>([] { return readSettings(); });
     if (const auto* failure = std::get_if<Failure>(&outcome)) {
-        logEvent(Event::SettingsInvalid, { { "code", printed(failure->code) }, { "detail", failure->detail } });
+        logEvent(
+            Event::SettingsInvalid, { { "code", printed(failure->code) }, { "detail", failure->detail } });
         std::cerr << "lentilbayd: " << printed(failure->code) << ": " << failure->detail << '\n';
         return exitInvalidSettings;
     }
--- a/tools/lentilbayd/main/Main.cpp
+++ b/tools/lentilbayd/main/Main.cpp
@@ -92,7 +92,8 @@
 
 int main(int argc, char** argv)
 {
-    gflags::SetUsageMessage("runs a lentilbay daemon: lentilbayd --settings FILE [--check], or lentilbayd --platform [--check]");
+    gflags::SetUsageMessage(
+        "runs a lentilbay daemon: lentilbayd --settings FILE [--check], or lentilbayd --platform [--check]");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_platform)
