--- a/packages/Http/lib/ClientConnection.cpp
+++ b/packages/Http/lib/ClientConnection.cpp
@@ -201,7 +201,9 @@
         auto observer = std::exchange(m_observer, nullptr);
         if (!m_keepsAlive)
             close();
-        observer->whole();
+        // Gone where a callback of this response has closed the connection.
+        if (observer)
+            observer->whole();
         return;
     }
 }
