--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -48,7 +48,7 @@
     /// for longer than the bound allows.
     bool canJudgeKeys(TimePoint now) const;
     SharedQuota& quota(const RoutedOrganisation& organisation, TimePoint now);
-    static QuotaLimits quotaLimits(const TokenQuota& quota);
+    QuotaLimits quotaLimits(const TokenQuota& quota) const;
     std::map<OrganisationId, SharedQuota>& quotas() { return m_quotas; }
     QuotaSharers quotaSharers() const;
     RepeatBudget& repeats(const ServiceId& service) { return m_repeats[service]; }
--- a/packages/Edge/include/lentilbay/Edge/EndpointBook.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointBook.h
@@ -105,6 +105,8 @@
     Work work;
     /// The first event should come until then.
     TimePoint objectiveAt {};
+    /// The whole answer must be there until then.
+    TimePoint giveUpAt = TimePoint::max();
     /// Endpoints that this request was sent to already.
     std::vector<EndpointId> tried;
 };
@@ -131,10 +133,14 @@
         double load = 0;
     };
     Occupancy occupancy(const ServiceId& service, TimePoint now) const;
+    /// The mean time to the first event of the work, once sent.
+    Duration meanFirst(const ServiceId& service, const Work& work) const;
     /// The mean time that the work holds a slot of the service.
     Duration meanWhole(const ServiceId& service, const Work& work) const;
 
 private:
+    /// Whether an endpoint would finish the work in time if it had room.
+    static bool finishes(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now);
     double costOf(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now);
 
     ChoiceLimits m_limits;
--- a/packages/Edge/include/lentilbay/Edge/WaitingLine.h
+++ b/packages/Edge/include/lentilbay/Edge/WaitingLine.h
@@ -19,6 +19,8 @@
     TimePoint arrivedAt {};
     /// The caller's deadline or the route's timeout, whichever is sooner.
     TimePoint giveUpAt {};
+    /// Its first event would miss the objective even if it started now; set by the line.
+    bool isLate = false;
 };
 
 struct WaitingOptions {
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -153,7 +153,7 @@
         ? static_cast<double>(*m_facts.promptTokens + *m_facts.maxAnswerTokens)
         : quota.defaultTokens;
     auto& shared = m_state.quota(*m_organisation, now);
-    const auto limits = EdgeState::quotaLimits(quota);
+    const auto limits = m_state.quotaLimits(quota);
     if (shared.admit(m_quotaTokens, limits, m_state.quotaSharers(), now))
         return true;
     refuse(ResultCode::TokenRateLimit, std::max(usualReturn, shared.timeUntil(m_quotaTokens, now)), now);
@@ -171,6 +171,7 @@
         .query = { .service = m_service,
             .work = m_work,
             .objectiveAt = m_arrivedAt + m_route->objective,
+            .giveUpAt = m_giveUpAt,
             .tried = m_tried },
         .arrivedAt = m_arrivedAt,
         .giveUpAt = m_giveUpAt });
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -10,6 +10,11 @@
 
 /// Before the bound of revocation: the time from judging a key to the endpoint's start, and late timers.
 constexpr Duration revocationMargin = std::chrono::milliseconds(400);
+/// A bucket of the bare burst refuses bursts that the quota's window allows, so the bucket holds a part of the
+/// allowed overshoot too. The rest is for what daemons admit before they hear of each other, which in a fleet that
+/// speaks less often needs all of it.
+constexpr double overshootPart = 0.6;
+constexpr size_t quicklyHeardFleet = 16;
 /// The part of the fleet's repeat budget that is used: requests are counted at other moments than the users
 /// do.
 constexpr double repeatPart = 0.8;
@@ -46,9 +51,14 @@
     return m_quotas.try_emplace(organisation.name, limits, settings.isFirstStart, now).first->second;
 }
 
-QuotaLimits EdgeState::quotaLimits(const TokenQuota& quota)
+QuotaLimits EdgeState::quotaLimits(const TokenQuota& quota) const
 {
-    return { .tokensPerSecond = quota.tokensPerSecond, .burstTokens = quota.burstTokens };
+    QuotaLimits out { .tokensPerSecond = quota.tokensPerSecond, .burstTokens = quota.burstTokens };
+    if (peers.known() > quicklyHeardFleet)
+        return out;
+    const double window = quota.tokensPerSecond * toSeconds(settings.bounds.quotaWindow) + quota.burstTokens;
+    out.burstTokens += window * settings.bounds.quotaOvershoot * overshootPart;
+    return out;
 }
 
 QuotaSharers EdgeState::quotaSharers() const { return { .known = peers.known(), .silent = peers.silent() }; }
--- a/packages/Edge/lib/EndpointBook.cpp
+++ b/packages/Edge/lib/EndpointBook.cpp
@@ -36,6 +36,8 @@
 /// An endpoint with work that shows no progress for so long, and for several times the usual, is avoided.
 constexpr Duration silenceTolerated = std::chrono::milliseconds(500);
 constexpr int silenceFactor = 3;
+/// Answers are often longer than expected: by this factor for an endpoint to count as fast enough.
+constexpr double lengthMargin = 1.5;
 /// Equal costs are spread, because several daemons decide on the same figures.
 constexpr double costSpread = 0.15;
 
@@ -193,13 +195,27 @@
     return cost;
 }
 
+bool EndpointBook::finishes(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now)
+{
+    const double whole = toSeconds(endpoint.expectedWhole(query.work)) * lengthMargin;
+    return query.giveUpAt == TimePoint::max() || now + fromSeconds(whole) < query.giveUpAt;
+}
+
 std::shared_ptr<EndpointState> EndpointBook::choose(const ChoiceQuery& query, TimePoint now)
 {
+    const auto serves = [&](const EndpointState& it) {
+        return it.listed().service == query.service && !it.listed().isDraining && !it.isSuspended(now)
+            && !it.isSilent(now);
+    };
+    // A long answer waits for an endpoint that is fast enough, where there is one, instead of being cut off at
+    // its deadline by a slow one.
+    const bool anyFinishes = std::ranges::any_of(m_endpoints,
+        [&](const auto& it) { return serves(*it.second) && finishes(*it.second, query, now); });
     std::shared_ptr<EndpointState> best;
     double bestCost = 0;
     for (const auto& [id, it] : m_endpoints) {
         const auto& listed = it->listed();
-        if (listed.service != query.service || listed.isDraining || it->isSuspended(now) || it->isSilent(now))
+        if (!serves(*it) || (anyFinishes && !finishes(*it, query, now)))
             continue;
         if (it->load(now) + 1 > listed.slots || (it->isOnProbation() && it->ownInFlight() > 0))
             continue;
@@ -235,6 +251,19 @@
     return out;
 }
 
+Duration EndpointBook::meanFirst(const ServiceId& service, const Work& work) const
+{
+    Duration sum {};
+    int n = 0;
+    for (const auto& [id, it] : m_endpoints) {
+        if (it->listed().service == service) {
+            sum += it->expectedFirst(work);
+            ++n;
+        }
+    }
+    return n == 0 ? Duration::zero() : sum / n;
+}
+
 Duration EndpointBook::meanWhole(const ServiceId& service, const Work& work) const
 {
     Duration sum {};
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -204,7 +204,7 @@
 {
     first.setResponder(
         [](const std::string&) { return ScriptedAnswer { .bytes = httpAnswer(200, "a", signedFields) }; });
-    const std::string fields = "Authorization: Token k\r\nX-Token-Usage: 1000,500\r\n";
+    const std::string fields = "Authorization: Token k\r\nX-Token-Usage: 1000,900\r\n";
     EXPECT_EQ(call("/safe/x", fields).status, 200);
     const auto refused = call("/safe/x", fields);
     EXPECT_EQ(refused.status, 429);
--- a/packages/Edge/unittests/EndpointBookTest.cpp
+++ b/packages/Edge/unittests/EndpointBookTest.cpp
@@ -131,6 +131,24 @@
     EXPECT_GT(near.expectedWhole(shortStream), Duration(5s));
 }
 
+TEST_F(EndpointBookTest, ALongAnswerWaitsForAnEndpointThatIsFastEnough)
+{
+    // The load of djspu-edit scale-1: answers of thousands of tokens, and engines that are five times slower.
+    auto& near = at("near");
+    for (int i = 0; i < 60; ++i)
+        near.progressed(6, 75ms, TimePoint(1s));
+    const ChoiceQuery query { .service = service,
+        .work = { .isStream = true, .promptTokens = 500, .answerTokens = 1500 },
+        .objectiveAt = TimePoint(1800ms),
+        .giveUpAt = TimePoint(16s) };
+    ASSERT_TRUE(book.choose(query, TimePoint(1s)));
+    EXPECT_EQ(book.choose(query, TimePoint(1s))->listed().id, EndpointId("far"));
+    at("far").heardLoad("peer", 2, TimePoint(1s));
+    EXPECT_EQ(book.choose(query, TimePoint(1s)), nullptr) << "the slow one would be cut off at the deadline";
+    book.unlist(EndpointId("far"));
+    EXPECT_TRUE(book.choose(query, TimePoint(1s))) << "with no faster one it is tried all the same";
+}
+
 TEST_F(EndpointBookTest, LongPromptsAheadDelayTheFirstEvent)
 {
     auto& near = at("near");
--- a/packages/Edge/unittests/WaitingLineTest.cpp
+++ b/packages/Edge/unittests/WaitingLineTest.cpp
@@ -66,6 +66,16 @@
     EXPECT_EQ(numbersOf(line.step(TimePoint(3s)).started), (Numbers { 2 }));
 }
 
+TEST_F(WaitingLineTest, WhoWouldMissTheObjectiveEvenNowGivesWay)
+{
+    // The load of djspu-edit scale-1: in a long burst the earliest objective is always about to be missed.
+    push(1, 0, TimePoint(1s));
+    push(2, 0, TimePoint(1500ms));
+    book.find(EndpointId("e"))->sent(edit, TimePoint(1750ms));
+    EXPECT_EQ(numbersOf(line.step(TimePoint(1750ms)).started), (Numbers { 2 }))
+        << "the first has 50 ms left, and its first event takes longer";
+}
+
 TEST_F(WaitingLineTest, ABurstIsTurnedAwayAtOnceWithATimeToComeBack)
 {
     // The load of a burst: a hundred edits at once before two slots.
