--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -14,6 +14,23 @@
 
 namespace lentilbay::edge {
 
+/// What is known of one send to an endpoint.
+struct EndpointSend {
+    std::shared_ptr<EndpointState> endpoint;
+    std::shared_ptr<http::ClientConnection> connection;
+    /// Bytes of the request may have reached the endpoint.
+    bool isSent = false;
+    TimePoint sentAt {};
+    TimePoint lastEventAt {};
+    bool hadFirst = false;
+    bool wasNotRun = false;
+    bool isOtherEndpoint = false;
+    bool isEventStream = false;
+    http::HttpResponseHead head;
+    bool isGenuine = false;
+    std::string body;
+};
+
 class EdgeRequest : public std::enable_shared_from_this<EdgeRequest> {
 public:
     EdgeRequest(EdgeState& state, std::shared_ptr<http::Exchange> exchange);
@@ -28,23 +45,6 @@
     void checkProgress(TimePoint now);
 
 private:
-    /// What is known of one send to an endpoint.
-    struct Send {
-        std::shared_ptr<EndpointState> endpoint;
-        std::shared_ptr<http::ClientConnection> connection;
-        /// Bytes of the request may have reached the endpoint.
-        bool isSent = false;
-        TimePoint sentAt {};
-        TimePoint lastEventAt {};
-        bool hadFirst = false;
-        bool wasNotRun = false;
-        bool isOtherEndpoint = false;
-        bool isEventStream = false;
-        http::HttpResponseHead head;
-        bool isGenuine = false;
-        std::string body;
-    };
-
     bool judge(TimePoint now);
     bool judgeKey(TimePoint now);
     bool judgeQuota(TimePoint now);
@@ -88,7 +88,7 @@
     /// Sends that reached an endpoint, run or not.
     int m_sends = 0;
     int m_staleConnections = 0;
-    std::optional<Send> m_send;
+    std::optional<EndpointSend> m_send;
     EventSplitter m_events;
     size_t m_eventsRelayed = 0;
     /// An endpoint's own failure, which the caller gets if no other send does better.
--- a/packages/Edge/unittests/WaitingLineTest.cpp
+++ b/packages/Edge/unittests/WaitingLineTest.cpp
@@ -35,9 +35,8 @@
 
     static std::vector<uint64_t> numbersOf(const auto& list)
     {
-        std::vector<uint64_t> out;
-        for (const auto& it : list)
-            out.push_back(it.number);
+        std::vector<uint64_t> out(list.size());
+        std::ranges::transform(list, out.begin(), [](const auto& it) { return it.number; });
         return out;
     }
 
--- a/tools/lentilbayctl/Command.h
+++ b/tools/lentilbayctl/Command.h
@@ -7,7 +7,7 @@
 
 namespace lentilbay {
 
-/// How lentilbayctl ends. Scripts rely on these numbers; docs/Operations.md lists them.
+/// How lentilbayctl ends. Scripts rely on these numbers; docs/OPERATIONS.md lists them.
 enum class ExitCode : int {
     Done = 0,
     /// The document or the request has faults; nothing was changed.
@@ -37,6 +37,7 @@
     ExitCode (*run)(const CommandArguments& arguments);
 };
 
+ExitCode runExplain(const CommandArguments& arguments);
 ExitCode runStatus(const CommandArguments& arguments);
 ExitCode runEndpoints(const CommandArguments& arguments);
 ExitCode runRequests(const CommandArguments& arguments);
--- a/tools/lentilbayctl/main.cpp
+++ b/tools/lentilbayctl/main.cpp
@@ -13,6 +13,8 @@
     Command { "status", "", "", "Show the daemon and the members that it knows.", runStatus },
     Command { "endpoints", "", "", "List the endpoints, their slots and their load.", runEndpoints },
     Command { "requests", "", "", "List the requests that are open.", runRequests },
+    Command { "explain", "", "REQUEST-ID [FILES]", "Tell a request's way from log files, or from standard input.",
+        runExplain },
     Command { "drain", "", "", "Begin a graceful stop of the daemon named by --admin.", runDrain },
     Command { "configuration", "check", "FILE", "List every fault of a document.", runConfigurationCheck },
     Command { "configuration", "format", "FILE", "Print a document in its canonical form.",
--- /dev/null
+++ b/tools/soak/standins.py
@@ -0,0 +1,202 @@
+"""Stand-ins of the users' platform for the soak: the store, and endpoints that record each execution."""
+
+import asyncio
+import base64
+import json
+import random
+import time
+import urllib.parse
+
+CHUNK_END = b"0\r\n\r\n"
+
+
+async def read_request(reader: asyncio.StreamReader):
+    """Method, target, headers (names in lower case) and body, or None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        if line:
+            name, value = line.split(":", 1)
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return method, target, headers, body
+
+
+def answer(status: int, body: bytes, fields: dict | None = None) -> bytes:
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in (fields or {}).items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Server:
+    """An HTTP server on a loopback address; subclasses answer requests."""
+
+    def __init__(self) -> None:
+        self.server = None
+        self.writers: set = set()
+
+    async def listen(self, host: str, port: int) -> None:
+        self.server = await asyncio.start_server(self.serve, host, port, backlog=512)
+
+    async def serve(self, reader, writer) -> None:
+        self.writers.add(writer)
+        try:
+            while request := await read_request(reader):
+                await self.respond(*request, writer)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+            pass  # The other side is gone, which the soak causes on purpose.
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def crash(self) -> None:
+        """Resets every connection and accepts none until listen() is called again."""
+        if self.server:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def respond(self, method, target, headers, body, writer) -> None:
+        raise NotImplementedError
+
+
+class Store(Server):
+    """The transactional store: rows with versions, and a feed that waits for changes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.version = 1
+        self.rows: dict = {}
+        self.changed = asyncio.Condition()
+
+    async def put(self, table: str, key: str, value: dict | str | None) -> None:
+        """Writes or, with None, drops a row."""
+        text = value if isinstance(value, str) or value is None else json.dumps(value)
+        async with self.changed:
+            self.version += 1
+            self.rows[(table, key)] = (self.version, text)
+            self.changed.notify_all()
+
+    def encoded(self, table: str, after: int, with_deleted: bool) -> list:
+        out = []
+        for (name, key), (version, text) in sorted(self.rows.items()):
+            if name != table or version <= after or (text is None and not with_deleted):
+                continue
+            row = {"Table": table, "part": "", "Key": key, "Ver": version}
+            if text is None:
+                row["Deleted"] = True
+            else:
+                row["Value"] = base64.b64encode(text.encode()).decode()
+            out.append(row)
+        return out
+
+    async def respond(self, method, target, headers, body, writer) -> None:
+        url = urllib.parse.urlsplit(target)
+        query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
+        if url.path.endswith("rows-tx"):
+            for row in json.loads(body)["Write"]:
+                await self.put(row["Table"], row["Key"], base64.b64decode(row["Value"]).decode())
+            result = {"Ver": self.version, "NowMs": 0}
+        elif url.path.endswith("rows-get"):
+            result = {"Rows": self.encoded(query["Table"], 0, False), "HasMore": False, "Ver": self.version}
+        else:
+            after = int(query["After"])
+            rows = self.encoded(query["Table"], after, True)
+            deadline = time.monotonic() + int(query["WaitMs"]) / 1000
+            while not rows and (left := deadline - time.monotonic()) > 0:
+                async with self.changed:
+                    try:
+                        await asyncio.wait_for(self.changed.wait(), left)
+                    except asyncio.TimeoutError:
+                        pass
+                rows = self.encoded(query["Table"], after, True)
+            result = {"Rows": rows, "Ver": self.version}
+        writer.write(answer(200, json.dumps(result).encode(), {"Content-Type": "application/json"}))
+
+
+class Endpoint(Server):
+    """An engine or an application: runs requests, and tells the soak which ones it ran."""
+
+    EVENTS = 12
+
+    def __init__(self, name: str, service: str, runs: dict, rng: random.Random) -> None:
+        super().__init__()
+        self.name, self.service, self.runs, self.rng = name, service, runs, rng
+        self.refuses = False
+
+    def row(self, address: str, state: str = "ready") -> dict:
+        return {"Service": self.service, "Addr": address, "Zone": "a", "Slots": 6, "State": state, "Seq": 1}
+
+    async def respond(self, method, target, headers, body, writer) -> None:
+        request = headers.get("x-request-id", "")
+        if headers.get("x-expect-instance") != self.name:
+            writer.write(answer(421, b"", {"X-Instance-Id": self.name}))
+            return
+        if self.refuses or self.rng.random() < 0.02:
+            writer.write(answer(503, b"", {"X-Not-Executed": "1"}))
+            return
+        self.runs.setdefault(request, []).append((time.monotonic(), headers, target, body))
+        signed = {"X-Request-Id": request, "X-Served-By-Sig": f"{self.name}.{request}"}
+        if "/stream/" not in target:
+            await asyncio.sleep(self.rng.uniform(0.005, 0.05))
+            writer.write(answer(200, b"done:" + request.encode() + body, signed))
+            return
+        fields = "".join(f"{name}: {value}\r\n" for name, value in signed.items())
+        writer.write(f"HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n".encode())
+        for event in range(int(headers.get("last-event-id", "0")) + 1, self.EVENTS + 1):
+            await asyncio.sleep(0.02)
+            piece = f"id: {event}\ndata: {request}\n\n".encode()
+            writer.write(f"{len(piece):x}\r\n".encode() + piece + b"\r\n")
+            await writer.drain()
+        writer.write(CHUNK_END)
+
+
+class Proxy:
+    """A loopback link that can be delayed, reset, silenced or cut one way."""
+
+    def __init__(self, target: tuple) -> None:
+        self.target = target
+        self.mode = "pass"
+        self.open: set = set()
+
+    async def listen(self, host: str, port: int) -> None:
+        await asyncio.start_server(self.link, host, port, backlog=512)
+
+    def set_mode(self, mode: str) -> None:
+        self.mode = mode
+        if mode == "reset":
+            for writer in list(self.open):
+                writer.transport.abort()
+
+    async def link(self, reader, writer) -> None:
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.open |= {writer, far_writer}
+        await asyncio.gather(self.pump(reader, far_writer, False), self.pump(far_reader, writer, True))
+        self.open -= {writer, far_writer}
+
+    async def pump(self, reader, writer, is_back: bool) -> None:
+        try:
+            while data := await reader.read(65536):
+                if self.mode == "delay":
+                    await asyncio.sleep(0.15)
+                # Bytes of a silenced link are lost, like those behind a partition whose sender gives up.
+                if self.mode == "silent" or (self.mode == "one_way" and is_back):
+                    continue
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except (ConnectionError, OSError):
+            writer.transport.abort()
