--- /dev/null
+++ b/fuzz/PlatformFuzz.cpp
@@ -0,0 +1,35 @@
+// The platform's codecs: any text gives a value or a numbered failure, and never throws.
+#include "lentilbay/platform/Documents.h"
+#include "lentilbay/platform/ProcessSettings.h"
+#include "lentilbay/platform/StoreCalls.h"
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace lentilbay;
+
+namespace {
+
+template <class T, class F> void check(F decode, ResultCode expected)
+{
+    const auto outcome = outcomeOf<T>(decode);
+    const auto* failure = std::get_if<Failure>(&outcome);
+    if (failure && failure->code != expected) {
+        std::cerr << "failed with " << printed(failure->code) << ": " << failure->detail << '\n';
+        std::abort();
+    }
+}
+
+} // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
+{
+    const std::string text(reinterpret_cast<const char*>(data), size);
+    check<std::shared_ptr<const platform::ProcessSettings>>(
+        [&] { return platform::decodeSettings(text); }, ResultCode::PlatformSettingsInvalid);
+    check<RouteTable>([&] { return platform::decodeConfiguration(text); }, ResultCode::PlatformDocumentInvalid);
+    check<RoutedEndpoint>(
+        [&] { return platform::decodeEndpoint(EndpointId("i"), text); }, ResultCode::PlatformDocumentInvalid);
+    check<platform::StoreRows>([&] { return platform::decodeRows(text); }, ResultCode::PlatformAnswerInvalid);
+    return 0;
+}
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -41,6 +41,7 @@
         self.store = Store()
         self.processes: dict = {}
         self.planned: set = set()
+        self.log_begins: dict = {}
         self.findings: list = []
         self.counts: dict = {}
         self.config_version = 1
@@ -96,10 +97,20 @@
         path = os.path.join(self.folder, f"edge-{i}.json")
         with open(path, "w", encoding="utf-8") as out:
             json.dump(settings, out)
-        with open(os.path.join(self.folder, f"edge-{i}.log"), "ab") as log:
+        with open(self.log_path(i), "ab") as log:
+            self.log_begins[i] = log.tell()
             self.processes[i] = subprocess.Popen([self.binary, "--platform"], stdout=log, stderr=log,
                                                  env={"LENTILBAY_CONFIG": path, "PATH": os.environ["PATH"]})
 
+    def log_path(self, i: int) -> str:
+        return os.path.join(self.folder, f"edge-{i}.log")
+
+    def has_started(self, i: int) -> bool:
+        """Whether the newest process listened. Before that it may end by the signal itself: nobody was served."""
+        with open(self.log_path(i), "rb") as log:
+            log.seek(self.log_begins[i])
+            return b"DaemonStarted" in log.read()
+
     # --- callers ---
 
     async def caller(self, number: int) -> None:
@@ -254,7 +265,7 @@
                 self.find("DRAIN", f"daemon {i} did not end after signal {number}")
                 process.kill()
                 process.wait()
-            elif number == signal.SIGTERM and process.returncode != 0:
+            elif number == signal.SIGTERM and process.returncode != 0 and self.has_started(i):
                 self.find("DRAIN", f"daemon {i} ended with {process.returncode} after SIGTERM")
             await asyncio.sleep(self.rng.uniform(0.1, 0.8))
             self.spawn(i)
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -49,8 +49,8 @@
             while request := await read_request(reader):
                 await self.respond(*request, writer)
                 await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError, ValueError):
-            pass  # The other side is gone, which the soak causes on purpose.
+        except (ConnectionError, asyncio.IncompleteReadError, ValueError, asyncio.CancelledError):
+            pass  # The other side is gone, which the soak causes on purpose, or the soak has ended.
         finally:
             self.writers.discard(writer)
             writer.close()
@@ -184,7 +184,10 @@
             writer.transport.abort()
             return
         self.open |= {writer, far_writer}
-        await asyncio.gather(self.pump(reader, far_writer, False), self.pump(far_reader, writer, True))
+        try:
+            await asyncio.gather(self.pump(reader, far_writer, False), self.pump(far_reader, writer, True))
+        except asyncio.CancelledError:
+            pass  # The soak has ended.
         self.open -= {writer, far_writer}
 
     async def pump(self, reader, writer, is_back: bool) -> None:
