--- a/packages/Http/unittests/ClientConnectionTest.cpp
+++ b/packages/Http/unittests/ClientConnectionTest.cpp
@@ -35,7 +35,7 @@
     {
         connection->exchange(std::move(request), false,
             { .head =
-                    [this](const HttpResponseHead& head) {
+                    [](const HttpResponseHead& head) {
                         const auto* id = head.headers.find("X-Request-Id");
                         return !id || *id == "7";
                     },
