--- a/tools/lentilbayctl/Explain.cpp
+++ b/tools/lentilbayctl/Explain.cpp
@@ -32,7 +32,8 @@
     auto json = Json::parse(text.begin() + static_cast<ptrdiff_t>(begin), text.end(), nullptr, false);
     if (json.is_discarded() || !json.is_object() || json.value("id", "") != id)
         return std::nullopt;
-    return LogLine { .time = json.value("time", ""), .fields = std::move(json) };
+    auto time = json.value("time", "");
+    return LogLine { .time = std::move(time), .fields = std::move(json) };
 }
 
 void readLines(std::istream& in, const std::string& id, std::vector<LogLine>& out)
