Pass an endpoint's own failure on where a second send never happens

Found by reading: a request that waited for another endpoint after a 500 was answered 502, though the endpoint's answer was there. The test fails without the change.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -63,6 +63,8 @@
     void endSend(SendEnd end, TimePoint now);
     /// After a send without a usable answer: sends again where that is allowed, else gives up.
     void sendFailed(bool mayHaveRun, ResultCode reason, TimePoint now);
+    /// Gives up what may have run; an endpoint's own failure is passed on where there is one.
+    void endAfterRun(ResultCode reason, TimePoint now);
     void waitAgain(TimePoint now);
     void timedOut();
     void callerLeft();
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -183,15 +183,10 @@
 {
     if (m_isOver)
         return;
-    if (m_eventsRelayed > 0) {
-        finish(ResultCode::EndpointBroke, now);
-        return;
-    }
-    if (m_runs > 0) {
-        finish(ResultCode::EndpointBroke, now);
-        return;
-    }
-    refuse(ResultCode::QueueShed, std::max(comeBackIn, usualReturn), now);
+    if (m_runs > 0)
+        endAfterRun(ResultCode::EndpointBroke, now);
+    else
+        refuse(ResultCode::QueueShed, std::max(comeBackIn, usualReturn), now);
 }
 
 void EdgeRequest::start(std::shared_ptr<EndpointState> endpoint, TimePoint now)
@@ -454,19 +449,22 @@
         waitAgain(now);
         return;
     }
+    if (m_runs == 0)
+        refuse(reason == ResultCode::EndpointUnreachable ? ResultCode::NoEndpoint : ResultCode::QueueShed,
+            usualReturn, now);
+    else
+        endAfterRun(reason, now);
+}
+
+void EdgeRequest::endAfterRun(ResultCode reason, TimePoint now)
+{
     if (m_fallback && m_eventsRelayed == 0) {
         auto head = std::move(*m_fallback);
         http::removeHopByHop(head.headers, {});
         head.headers.remove("Content-Length");
         m_exchange->respond(head.status, head.reason, head.headers, m_fallbackBody);
-        finish(ResultCode::EndpointBroke, now);
-        return;
     }
-    if (m_runs == 0)
-        refuse(reason == ResultCode::EndpointUnreachable ? ResultCode::NoEndpoint : ResultCode::QueueShed,
-            usualReturn, now);
-    else
-        finish(reason, now);
+    finish(reason, now);
 }
 
 void EdgeRequest::waitAgain(TimePoint now)
@@ -505,7 +503,7 @@
     if (m_runs == 0)
         refuse(ResultCode::DeadlinePassedWaiting, Duration::zero(), now);
     else
-        finish(ResultCode::EndpointTimeout, now);
+        endAfterRun(ResultCode::EndpointTimeout, now);
 }
 
 void EdgeRequest::callerLeft()
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -298,6 +298,17 @@
     EXPECT_EQ(answer.body, "mine");
 }
 
+TEST_F(EdgeRequestTest, AnEndpointsFailureIsPassedOnWhereNoOtherOneHasRoom)
+{
+    list("e2", second);
+    state.book.find(EndpointId("e2"))->heardLoad("peer", 4, bootNow() + 10s);
+    first.script({ .bytes = httpAnswer(500, "mine", signedFields) });
+    const auto answer = call("/safe/x", "Authorization: Token k\r\nX-Deadline-Ms: 200\r\n");
+    EXPECT_EQ(answer.status, 500);
+    EXPECT_EQ(answer.body, "mine");
+    EXPECT_EQ(second.requests().size(), 0U);
+}
+
 TEST_F(EdgeRequestTest, AStreamPassesThroughWhole)
 {
     first.script({ .bytes = streamAnswer({ eventOf(1), eventOf(2), eventOf(3) }) });
