--- /dev/null
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -0,0 +1,191 @@
+// What an edge daemon tells the others and takes from them: loads, quotas, and views of the store.
+#include "EdgeTimes.h"
+#include "lentilbay/Edge/EdgeDaemon.h"
+#include "lentilbay/Edge/EdgeRequest.h"
+#include "lentilbay/Support/Hash.h"
+#include "lentilbay/Support/Log.h"
+#include "lentilbay/Support/SteadyClock.h"
+
+#include <algorithm>
+
+namespace lentilbay::edge {
+namespace {
+
+namespace ip = asio::ip;
+
+/// In a larger fleet, statuses to places whose endpoints are seldom used go out less often: links between
+/// regions are billed, and the statuses of all to all grow with the square of the fleet.
+constexpr Duration otherDataCentrePeriod = std::chrono::milliseconds(600);
+constexpr Duration otherRegionPeriod = std::chrono::milliseconds(1000);
+constexpr size_t smallFleet = 16;
+/// A view of the store that is older makes a daemon read by itself. The reader's own is as old as its wait,
+/// and telling it takes up to three status periods; the bound of draining is 2.5 s on the smallest
+/// deployments.
+constexpr Duration oldestRestingView = std::chrono::milliseconds(1900);
+
+} // namespace
+
+void EdgeDaemon::receivePeers()
+{
+    m_peerSocket.async_receive_from(asio::buffer(m_datagram), m_sender, [this](std::error_code ec, size_t n) {
+        if (ec == asio::error::operation_aborted)
+            return;
+        if (!ec) {
+            const auto decoded = outcomeOf<PeerStatus>(
+                [&] { return decodePeerStatus(std::string_view(m_datagram.data(), n)); });
+            if (const auto* status = std::get_if<PeerStatus>(&decoded))
+                peerHeard(*status, bootNow());
+            else
+                m_state.metrics.count("peer_datagrams_invalid");
+        }
+        // An error here is a port that nobody listens on; that peer falls silent by itself.
+        receivePeers();
+    });
+}
+
+void EdgeDaemon::peerHeard(const PeerStatus& status, TimePoint now)
+{
+    const auto known = m_state.peers.peers().find(status.daemon);
+    const bool wasSilent = known == m_state.peers.peers().end() || known->second.isSilent;
+    if (!m_state.peers.heard(status, now))
+        return;
+    if (wasSilent)
+        logEvent(Event::PeerSeen,
+            { { "daemon", status.daemon }, { "incarnation", static_cast<int64_t>(status.incarnation) } });
+    takeViews(status, now);
+    std::map<uint64_t, uint32_t> loads;
+    for (const auto& it : status.loads)
+        loads[it.endpoint] = it.inFlight;
+    for (const auto& [id, endpoint] : m_state.book.all()) {
+        const auto it = loads.find(hashOf(id.text()));
+        endpoint->heardLoad(status.daemon, it == loads.end() ? 0 : it->second, now);
+    }
+    takeQuotas(status, now);
+}
+
+void EdgeDaemon::takeQuotas(const PeerStatus& status, TimePoint now)
+{
+    if (!m_state.routes)
+        return;
+    const bool adopts = status.countsAllUse && !m_countsAllUse;
+    for (const auto& organisation : m_state.routes->organisations()) {
+        if (!organisation.quota)
+            continue;
+        auto& quota = m_state.quota(organisation, now);
+        const auto it = std::ranges::find(
+            status.quotas, hashOf(organisation.name.text()), &PeerStatus::QuotaUse::organisation);
+        if (adopts)
+            quota.adoptLevel(it == status.quotas.end() ? organisation.quota->burstTokens : it->level, now);
+        if (it != status.quotas.end())
+            quota.heard(status.daemon, status.incarnation, it->admittedTotal, now);
+    }
+    m_countsAllUse = m_countsAllUse || adopts;
+}
+
+bool EdgeDaemon::mayRest(const StoreFollower& follower, TimePoint now) const
+{
+    const auto confirmedAt = follower.confirmedAt();
+    if (!confirmedAt || now - *confirmedAt > oldestRestingView)
+        return false;
+    // The first by name of those that are heard reads for its data centre.
+    const auto& own = m_state.settings;
+    return std::ranges::any_of(m_state.peers.peers(), [&](const auto& it) {
+        const auto& [name, peer] = it;
+        return !peer.isSilent && !peer.isLeaving && peer.dataCentre == own.dataCentre.text()
+            && name < own.daemon.text();
+    });
+}
+
+void EdgeDaemon::takeViews(const PeerStatus& status, TimePoint now)
+{
+    const TimePoint echoed { Duration(status.echoedMicroseconds) };
+    if (status.echoedIncarnation != m_incarnation || echoed > now)
+        return;
+    // The peer wrote this after it had our status of the echoed time, whatever delayed either on the way.
+    const auto take = [&](StoreFollower& follower, const PeerStatus::TableView& view) {
+        if (view.ageMicroseconds >= 0)
+            follower.peerConfirmed(
+                view.coveredVersion, view.changedVersion, echoed - Duration(view.ageMicroseconds));
+    };
+    take(*m_configuration, status.configuration);
+    take(*m_endpoints, status.endpoints);
+}
+
+PeerStatus::TableView EdgeDaemon::viewOf(const StoreFollower& follower, TimePoint now)
+{
+    const auto confirmedAt = follower.confirmedAt();
+    return { .coveredVersion = follower.coveredVersion(),
+        .changedVersion = follower.changedVersion(),
+        .ageMicroseconds = confirmedAt ? (now - *confirmedAt).count() : -1 };
+}
+
+Duration EdgeDaemon::periodTo(const PeerTable::Peer& peer) const
+{
+    const auto& own = m_state.settings;
+    if (m_state.peers.known() <= smallFleet || peer.dataCentre == own.dataCentre.text())
+        return peerPeriod;
+    const auto region = own.regions.find(DataCentreId(peer.dataCentre));
+    const bool isSameRegion = region != own.regions.end() && region->second == own.region;
+    return isSameRegion ? otherDataCentrePeriod : otherRegionPeriod;
+}
+
+PeerStatus EdgeDaemon::makeStatus(TimePoint now)
+{
+    const auto& own = m_state.settings;
+    PeerStatus out { .daemon = own.daemon.text(),
+        .incarnation = m_incarnation,
+        .sequence = m_sequence,
+        .host = own.ownHost,
+        .port = own.firstPeerPort,
+        .dataCentre = own.dataCentre.text(),
+        .isLeaving = m_state.stopRequestedAt.has_value() };
+    for (const auto& [id, endpoint] : m_state.book.all()) {
+        if (endpoint->ownInFlight() > 0)
+            out.loads.push_back({ .endpoint = hashOf(id.text()),
+                .inFlight = static_cast<uint16_t>(endpoint->ownInFlight()) });
+    }
+    for (auto& [name, quota] : m_state.quotas())
+        out.quotas.push_back({ .organisation = hashOf(name.text()),
+            .admittedTotal = quota.admittedTotal(),
+            .level = quota.level(now) });
+    m_countsAllUse = m_countsAllUse || now - m_startedAt > m_state.settings.bounds.quotaWindow;
+    out.countsAllUse = m_countsAllUse;
+    return out;
+}
+
+void EdgeDaemon::sendStatuses()
+{
+    const auto now = bootNow();
+    for (const auto& it : m_state.peers.step(now))
+        logEvent(Event::PeerSilent, { { "daemon", it } });
+    ++m_sequence;
+    auto status = makeStatus(now);
+    std::erase_if(m_nextStatus, [&](const auto& it) { return !m_state.peers.peers().contains(it.first); });
+    for (const auto& [name, peer] : m_state.peers.peers()) {
+        auto& next = m_nextStatus[name];
+        if (now < next)
+            continue;
+        const auto period = periodTo(peer);
+        next = now + period - peerPeriod / 2;
+        status.periodMilliseconds = static_cast<uint32_t>(period / std::chrono::milliseconds(1));
+        status.echoedMicroseconds = peer.sentMicroseconds;
+        status.echoedIncarnation = peer.incarnation;
+        const auto at = bootNow();
+        status.sentMicroseconds = at.time_since_epoch().count();
+        status.configuration = viewOf(*m_configuration, at);
+        status.endpoints = viewOf(*m_endpoints, at);
+        std::error_code ec;
+        const auto host = ip::make_address(peer.host, ec);
+        if (ec)
+            continue;
+        m_peerSocket.send_to(asio::buffer(encodePeerStatus(status)), { host, peer.port }, 0, ec);
+        if (ec)
+            m_state.metrics.count("peer_datagrams_unsent");
+    }
+    // Requests move on while they wait for an endpoint that says nothing.
+    const auto requests = m_state.requests;
+    for (const auto& [number, request] : requests)
+        request->checkProgress(now);
+}
+
+} // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -1,6 +1,7 @@
 // The way of one request.
 #include "lentilbay/Edge/EdgeRequest.h"
 
+#include "EdgeTimes.h"
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/SteadyClock.h"
 
@@ -10,21 +11,10 @@
 namespace lentilbay::edge {
 namespace {
 
-/// A refusal over an unknown route or key needs a configuration at most this old: a newer one may hold it.
-constexpr Duration youngForDenial = std::chrono::milliseconds(2200);
-/// The balancer sends new connections elsewhere within this time of SIGTERM, and what begins later may not
-/// end before the process must.
-constexpr Duration acceptAfterStop = std::chrono::milliseconds(2400);
-/// When a caller should come back after a refusal that has nothing to do with load.
-constexpr Duration usualReturn = std::chrono::milliseconds(600);
-/// After a refusal by this daemon alone: others can serve the caller at once.
-constexpr Duration elsewhereReturn = std::chrono::milliseconds(20);
 /// Sends of one request that endpoints refuse, beside those that may have run.
 constexpr int maxSends = 4;
 /// Kept connections that may turn out closed before one request.
 constexpr int maxStaleConnections = 4;
-/// An answer token is part of an answer only if the length is known; without a hint, this part of the most.
-constexpr double usualPartOfMost = 0.8;
 /// A connection that has been idle longer may just be closed by its endpoint; a request that must not run
 /// twice does not take that risk.
 constexpr Duration freshForAtMostOnce = std::chrono::milliseconds(700);
@@ -36,10 +26,6 @@
 /// Bytes that a slow caller may leave unread before the endpoint is no longer read.
 constexpr size_t maxUnsent = 65'536;
 
-std::string hostNameOf(const std::string& host) { return host.substr(0, host.find(':')); }
-
-int64_t millisecondsOf(Duration duration) { return duration / std::chrono::milliseconds(1); }
-
 } // namespace
 
 EdgeRequest::EdgeRequest(EdgeState& state, std::shared_ptr<http::Exchange> exchange)
@@ -52,133 +38,6 @@
 {
 }
 
-void EdgeRequest::admit(TimePoint now)
-{
-    m_number = m_state.nextNumber();
-    m_state.metrics.count("requests_read");
-    if (!judge(now))
-        return;
-    m_giveUpAt = m_arrivedAt + std::min(m_route->timeout, m_facts.deadline.value_or(m_route->timeout));
-    m_state.requests.emplace(m_number, shared_from_this());
-    m_exchange->onClientLeft([self = shared_from_this()] { self->callerLeft(); });
-    m_timer.expires_after(std::max(Duration::zero(), m_giveUpAt - now));
-    m_timer.async_wait([self = shared_from_this()](std::error_code ec) {
-        if (!ec)
-            self->timedOut();
-    });
-    m_state.repeats(m_service).request(now);
-    logEvent(Event::RequestAccepted,
-        { { "id", m_facts.id.text() }, { "route", m_route->name },
-            { "version", static_cast<int64_t>(m_routes->version()) },
-            { "organisation", m_organisation ? m_organisation->name.text() : std::string() },
-            { "prompt_tokens", m_work.promptTokens },
-            { "deadline_ms", millisecondsOf(m_giveUpAt - m_arrivedAt) } });
-    enqueue(now);
-    m_state.step(now);
-    if (!m_isOver && !m_send)
-        logEvent(Event::RequestWaits,
-            { { "id", m_facts.id.text() },
-                { "waiting", static_cast<int64_t>(m_state.line.sizeOf(m_service)) },
-                { "slots", m_state.book.occupancy(m_service, now).slots },
-                { "load", m_state.book.occupancy(m_service, now).load } });
-}
-
-bool EdgeRequest::judge(TimePoint now)
-{
-    if (m_state.stopRequestedAt && now - *m_state.stopRequestedAt > acceptAfterStop) {
-        refuse(ResultCode::Draining, elsewhereReturn, now);
-        return false;
-    }
-    const auto age = m_state.routesAge(now);
-    if (!m_routes || !m_state.knowsEndpoints || !age) {
-        refuse(ResultCode::NotConfigured, usualReturn, now);
-        return false;
-    }
-    const bool isYoung = *age < youngForDenial;
-    m_route = m_routes->findRoute(hostNameOf(m_facts.host), m_exchange->request().path());
-    if (!m_route) {
-        refuse(isYoung ? ResultCode::UnknownRoute : ResultCode::NotConfigured,
-            isYoung ? std::nullopt : std::optional(usualReturn), now);
-        return false;
-    }
-    if (m_facts.id.empty()) {
-        refuse(ResultCode::InvalidRequest, std::nullopt, now);
-        return false;
-    }
-    double weights = 0;
-    for (const auto& it : m_route->targets)
-        weights += it.weight;
-    double drawn = m_state.random.fraction() * weights;
-    for (const auto& it : m_route->targets) {
-        drawn -= it.weight;
-        if (it.weight > 0 && (m_service.empty() || drawn + it.weight > 0))
-            m_service = it.service;
-        if (drawn <= 0)
-            break;
-    }
-    const auto most = static_cast<double>(m_facts.maxAnswerTokens.value_or(0));
-    m_work = { .isStream = m_route->isStream,
-        .promptTokens = static_cast<double>(m_facts.promptTokens.value_or(0)),
-        .answerTokens = m_facts.expectedAnswerTokens
-            ? std::min(most, static_cast<double>(*m_facts.expectedAnswerTokens))
-            : most * usualPartOfMost };
-    return judgeKey(now) && judgeQuota(now);
-}
-
-bool EdgeRequest::judgeKey(TimePoint now)
-{
-    if (!m_route->needsKey)
-        return true;
-    if (!m_state.canJudgeKeys(now)) {
-        refuse(ResultCode::KeysUnverifiable, usualReturn, now);
-        return false;
-    }
-    m_organisation = m_facts.key ? m_routes->findOrganisation(*m_facts.key) : nullptr;
-    if (m_organisation)
-        return true;
-    const bool isYoung = *m_state.routesAge(now) < youngForDenial;
-    if (!m_facts.key)
-        refuse(ResultCode::MissingKey, std::nullopt, now);
-    else if (isYoung)
-        refuse(ResultCode::UnknownKey, std::nullopt, now);
-    else
-        refuse(ResultCode::KeysUnverifiable, usualReturn, now);
-    return false;
-}
-
-bool EdgeRequest::judgeQuota(TimePoint now)
-{
-    if (!m_organisation || !m_organisation->quota)
-        return true;
-    const auto& quota = *m_organisation->quota;
-    m_quotaTokens = m_facts.promptTokens && m_facts.maxAnswerTokens
-        ? static_cast<double>(*m_facts.promptTokens + *m_facts.maxAnswerTokens)
-        : quota.defaultTokens;
-    auto& shared = m_state.quota(*m_organisation, now);
-    const auto limits = m_state.quotaLimits(quota);
-    if (shared.admit(m_quotaTokens, limits, m_state.quotaSharers(), now))
-        return true;
-    refuse(ResultCode::TokenRateLimit, std::max(usualReturn, shared.timeUntil(m_quotaTokens, now)), now);
-    return false;
-}
-
-void EdgeRequest::enqueue(TimePoint now)
-{
-    if (!m_state.book.hasAny(m_service)) {
-        refuse(ResultCode::NoEndpoint, usualReturn, now);
-        return;
-    }
-    m_state.line.push({ .number = m_number,
-        .rank = m_route->rank,
-        .query = { .service = m_service,
-            .work = m_work,
-            .objectiveAt = m_arrivedAt + m_route->objective,
-            .giveUpAt = m_giveUpAt,
-            .tried = m_tried },
-        .arrivedAt = m_arrivedAt,
-        .giveUpAt = m_giveUpAt });
-}
-
 void EdgeRequest::turnAway(Duration comeBackIn, TimePoint now)
 {
     if (m_isOver)
