Log unreadable headers, and find endpoints by service instead of scanning all

Cause: a caller's header that cannot be read counted as absent without a log line. Each waiting request scanned all endpoints, and each endpoint's load walked a map of all daemons: quadratic on grown deployments, where every daemon also hashed every endpoint's id for each status it received.

--- a/packages/Edge/include/lentilbay/Edge/EndpointBook.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointBook.h
@@ -13,6 +13,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace lentilbay::edge {
@@ -50,10 +52,8 @@
     void progressed(double tokens, Duration elapsed, TimePoint now);
     /// Ends what sent() began; `hadFirst` tells whether first() was called for it.
     void ended(const Work& work, SendEnd end, bool hadFirst, TimePoint now);
-    void heardLoad(const std::string& daemon, uint32_t inFlight, TimePoint now);
-
     /// Requests there, of all daemons.
-    double load(TimePoint now) const;
+    double load() const { return static_cast<double>(m_ownInFlight + m_peerInFlight); }
     uint32_t ownInFlight() const { return m_ownInFlight; }
     /// The time to the first event (or the whole plain answer) if the work were sent now.
     Duration expectedFirst(const Work& work) const;
@@ -67,19 +67,20 @@
     bool isSilent(TimePoint now) const;
 
 private:
+    /// Prompt reading, the wait for the first step included.
+    double secondsPerPromptToken() const;
+
     /// One failure may be the request's own; two in a row are the endpoint's.
     static constexpr int failuresToSuspect = 2;
 
-    struct PeerLoad {
-        uint32_t inFlight = 0;
-        TimePoint at {};
-    };
+    friend class EndpointBook;
 
     RoutedEndpoint m_listed;
     uint32_t m_ownInFlight = 0;
     /// Prompt tokens sent whose first event has not come.
     double m_promptTokensAhead = 0;
-    std::map<std::string, PeerLoad> m_peers;
+    /// The sum over the daemons whose statuses are young enough; the book keeps it.
+    int64_t m_peerInFlight = 0;
     Estimate m_secondsPerToken;
     /// Observed against expected times to the first event.
     Estimate m_firstRatio;
@@ -111,6 +112,28 @@
     std::vector<EndpointId> tried;
 };
 
+/// What another daemon has in flight at an endpoint.
+struct PeerLoad {
+    /// hashOf() of the endpoint's id.
+    uint64_t endpoint = 0;
+    uint16_t inFlight = 0;
+
+    auto operator<=>(const PeerLoad&) const = default;
+};
+
+/// What work takes on average at the endpoints of one service.
+struct ServicePace {
+    double plainSeconds = 0;
+    double firstSeconds = 0;
+    double secondsPerPromptToken = 0;
+    double secondsPerAnswerToken = 0;
+
+    /// The time to the first event, once sent.
+    Duration first(const Work& work) const;
+    /// The time that the work holds a slot.
+    Duration whole(const Work& work) const;
+};
+
 class EndpointBook {
 public:
     EndpointBook(ChoiceLimits limits, uint64_t seed);
@@ -123,6 +146,11 @@
     std::shared_ptr<EndpointState> find(const EndpointId& id) const;
     const std::map<EndpointId, std::shared_ptr<EndpointState>>& all() const { return m_endpoints; }
 
+    /// What a daemon has in flight at each endpoint; replaces what it told before.
+    void heardLoads(const std::string& daemon, const std::vector<PeerLoad>& loads, TimePoint now);
+    /// Drops what daemons told too long ago.
+    void forgetStaleLoads(TimePoint now);
+
     /// The endpoint to send the work to now, or nothing where none has room.
     std::shared_ptr<EndpointState> choose(const ChoiceQuery& query, TimePoint now);
     /// Whether any endpoint of the service is listed, not leaving and not among the tried ones.
@@ -133,19 +161,30 @@
         double load = 0;
     };
     Occupancy occupancy(const ServiceId& service, TimePoint now) const;
-    /// The mean time to the first event of the work, once sent.
-    Duration meanFirst(const ServiceId& service, const Work& work) const;
-    /// The mean time that the work holds a slot of the service.
-    Duration meanWhole(const ServiceId& service, const Work& work) const;
+    ServicePace paceOf(const ServiceId& service) const;
 
 private:
     /// Whether an endpoint would finish the work in time if it had room.
     static bool finishes(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now);
     double costOf(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now);
+    using Endpoints = std::vector<std::shared_ptr<EndpointState>>;
+    const Endpoints& of(const ServiceId& service) const;
+    void index();
+
+    struct PeerLoads {
+        TimePoint at {};
+        /// The states themselves: an endpoint that is listed anew begins without these.
+        std::vector<std::pair<std::shared_ptr<EndpointState>, uint32_t>> loads;
+    };
+    static void takeBack(PeerLoads& peer);
 
     ChoiceLimits m_limits;
     Random m_random;
     std::map<EndpointId, std::shared_ptr<EndpointState>> m_endpoints;
+    /// The same endpoints by service and by hashOf() of their ids, made anew at each change of an entry.
+    std::map<ServiceId, Endpoints> m_byService;
+    std::unordered_map<uint64_t, std::shared_ptr<EndpointState>> m_byHash;
+    std::map<std::string, PeerLoads> m_peers;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/include/lentilbay/Edge/PeerStatus.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerStatus.h
@@ -2,6 +2,7 @@
 // have admitted of each quota. Losing a datagram loses nothing, since each carries totals.
 #pragma once
 
+#include "lentilbay/Edge/EndpointBook.h"
 #include "lentilbay/Support/Result.h"
 #include "lentilbay/Support/Time.h"
 
@@ -47,14 +48,7 @@
     };
     TableView configuration;
     TableView endpoints;
-    struct EndpointLoad {
-        /// hashOf() of the endpoint's id.
-        uint64_t endpoint = 0;
-        uint16_t inFlight = 0;
-
-        auto operator<=>(const EndpointLoad&) const = default;
-    };
-    std::vector<EndpointLoad> loads;
+    std::vector<PeerLoad> loads;
     struct QuotaUse {
         /// hashOf() of the organisation's name.
         uint64_t organisation = 0;
--- a/packages/Edge/include/lentilbay/Edge/WaitingLine.h
+++ b/packages/Edge/include/lentilbay/Edge/WaitingLine.h
@@ -69,7 +69,7 @@
     size_t sizeOf(const ServiceId& service) const;
 
 private:
-    void shed(const ServiceId& service, TimePoint now, Decisions& out);
+    void shed(const ServiceId& service, const ServicePace& pace, TimePoint now, Decisions& out);
 
     EndpointBook& m_book;
     WaitingOptions m_options;
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -22,6 +22,10 @@
 {
     m_number = m_state.nextNumber();
     m_state.metrics.count("requests_read");
+    for (const auto& it : m_facts.unreadable) {
+        m_state.metrics.count("headers_unreadable");
+        logEvent(Event::HeaderUnreadable, { { "id", m_facts.id.text() }, { "header", it } });
+    }
     if (!judge(now))
         return;
     m_giveUpAt = m_arrivedAt + std::min(m_route->timeout, m_facts.deadline.value_or(m_route->timeout));
@@ -41,12 +45,12 @@
             { "deadline_ms", millisecondsOf(m_giveUpAt - m_arrivedAt) } });
     enqueue(now);
     m_state.step(now);
-    if (!m_isOver && !m_send)
-        logEvent(Event::RequestWaits,
-            { { "id", m_facts.id.text() },
-                { "waiting", static_cast<int64_t>(m_state.line.sizeOf(m_service)) },
-                { "slots", m_state.book.occupancy(m_service, now).slots },
-                { "load", m_state.book.occupancy(m_service, now).load } });
+    if (m_isOver || m_send)
+        return;
+    const auto occupancy = m_state.book.occupancy(m_service, now);
+    logEvent(Event::RequestWaits,
+        { { "id", m_facts.id.text() }, { "waiting", static_cast<int64_t>(m_state.line.sizeOf(m_service)) },
+            { "slots", occupancy.slots }, { "load", occupancy.load } });
 }
 
 bool EdgeRequest::judge(TimePoint now)
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -53,13 +53,7 @@
         logEvent(Event::PeerSeen,
             { { "daemon", status.daemon }, { "incarnation", static_cast<int64_t>(status.incarnation) } });
     takeViews(status, now);
-    std::map<uint64_t, uint32_t> loads;
-    for (const auto& it : status.loads)
-        loads[it.endpoint] = it.inFlight;
-    for (const auto& [id, endpoint] : m_state.book.all()) {
-        const auto it = loads.find(hashOf(id.text()));
-        endpoint->heardLoad(status.daemon, it == loads.end() ? 0 : it->second, now);
-    }
+    m_state.book.heardLoads(status.daemon, status.loads, now);
     takeQuotas(status, now);
 }
 
@@ -158,6 +152,7 @@
     const auto now = bootNow();
     for (const auto& it : m_state.peers.step(now))
         logEvent(Event::PeerSilent, { { "daemon", it } });
+    m_state.book.forgetStaleLoads(now);
     ++m_sequence;
     auto status = makeStatus(now);
     std::erase_if(m_nextStatus, [&](const auto& it) { return !m_state.peers.peers().contains(it.first); });
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -26,6 +26,14 @@
 /// Bytes that a slow caller may leave unread before the endpoint is no longer read.
 constexpr size_t maxUnsent = 65'536;
 
+/// The fields of an endpoint's answer that the caller gets; the server frames the answer itself.
+http::Headers passedOn(http::Headers headers)
+{
+    http::removeHopByHop(headers, {});
+    headers.remove("Content-Length");
+    return headers;
+}
+
 } // namespace
 
 EdgeRequest::EdgeRequest(EdgeState& state, std::shared_ptr<http::Exchange> exchange)
@@ -89,7 +97,7 @@
     const auto& endpoint = *m_send->endpoint;
     logEvent(Event::RequestSent,
         { { "id", m_facts.id.text() }, { "endpoint", endpoint.listed().id.text() },
-            { "waited_ms", millisecondsOf(now - m_arrivedAt) }, { "load", endpoint.load(now) },
+            { "waited_ms", millisecondsOf(now - m_arrivedAt) }, { "load", endpoint.load() },
             { "slots", static_cast<int64_t>(endpoint.listed().slots) },
             { "expected_first_ms", millisecondsOf(endpoint.expectedFirst(m_work)) },
             { "send", static_cast<int64_t>(m_sends) } });
@@ -167,10 +175,8 @@
 
 void EdgeRequest::beginAnswer()
 {
-    auto headers = m_send->head.headers;
-    http::removeHopByHop(headers, {});
-    headers.remove("Content-Length");
-    m_exchange->begin(m_send->head.status, m_send->head.reason, headers);
+    const auto& head = m_send->head;
+    m_exchange->begin(head.status, head.reason, passedOn(head.headers));
 }
 
 void EdgeRequest::responseWhole()
@@ -233,11 +239,9 @@
         sendFailed(true, ResultCode::EndpointAnswerInvalid, now);
         return;
     }
-    http::removeHopByHop(head.headers, {});
-    head.headers.remove("Content-Length");
     if (isSuccess)
         m_state.metrics.firstAnswer(m_route->rank, now - m_arrivedAt);
-    m_exchange->respond(head.status, head.reason, head.headers, body);
+    m_exchange->respond(head.status, head.reason, passedOn(std::move(head.headers)), body);
     finish(status >= 500 ? ResultCode::EndpointBroke : ResultCode::Ok, now);
 }
 
@@ -318,10 +322,8 @@
 void EdgeRequest::endAfterRun(ResultCode reason, TimePoint now)
 {
     if (m_fallback && m_eventsRelayed == 0) {
-        auto head = std::move(*m_fallback);
-        http::removeHopByHop(head.headers, {});
-        head.headers.remove("Content-Length");
-        m_exchange->respond(head.status, head.reason, head.headers, m_fallbackBody);
+        m_exchange->respond(
+            m_fallback->status, m_fallback->reason, passedOn(m_fallback->headers), m_fallbackBody);
     }
     finish(reason, now);
 }
--- a/packages/Edge/lib/EndpointBook.cpp
+++ b/packages/Edge/lib/EndpointBook.cpp
@@ -1,6 +1,8 @@
 // Learns from sends and picks the endpoint for the next one.
 #include "lentilbay/Edge/EndpointBook.h"
 
+#include "lentilbay/Support/Hash.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -36,6 +38,8 @@
 /// An endpoint with work that shows no progress for so long, and for several times the usual, is avoided.
 constexpr Duration silenceTolerated = std::chrono::milliseconds(500);
 constexpr int silenceFactor = 3;
+/// First events are not believed to come sooner than this part of the model's time.
+constexpr double leastFirstRatio = 0.5;
 /// Answers are often longer than expected: by this factor for an endpoint to count as fast enough.
 constexpr double lengthMargin = 1.5;
 /// Equal costs are spread, because several daemons decide on the same figures.
@@ -112,11 +116,6 @@
     }
 }
 
-void EndpointState::heardLoad(const std::string& daemon, uint32_t inFlight, TimePoint now)
-{
-    m_peers[daemon] = { .inFlight = inFlight, .at = now };
-}
-
 bool EndpointState::isSilent(TimePoint now) const
 {
     if (m_ownInFlight == 0)
@@ -125,22 +124,17 @@
     return now - m_lastProgress > std::max<Duration>(silenceTolerated, silenceFactor * usual);
 }
 
-double EndpointState::load(TimePoint now) const
-{
-    double sum = m_ownInFlight;
-    for (const auto& [daemon, it] : m_peers) {
-        if (now - it.at < peerLoadKept)
-            sum += it.inFlight;
-    }
-    return sum;
-}
-
 Duration EndpointState::expectedFirst(const Work& work) const
 {
     if (!work.isStream)
         return fromSeconds(m_plainSeconds.mean());
-    const double tokens = firstTokenCost + (work.promptTokens + m_promptTokensAhead) / promptTokensPerToken;
-    return fromSeconds(tokens * m_secondsPerToken.mean() * std::max(0.5, m_firstRatio.mean()));
+    const double tokens = firstTokenCost * promptTokensPerToken + work.promptTokens + m_promptTokensAhead;
+    return fromSeconds(tokens * secondsPerPromptToken());
+}
+
+double EndpointState::secondsPerPromptToken() const
+{
+    return m_secondsPerToken.mean() * std::max(leastFirstRatio, m_firstRatio.mean()) / promptTokensPerToken;
 }
 
 Duration EndpointState::expectedWhole(const Work& work) const
@@ -157,17 +151,73 @@
 bool EndpointBook::list(const RoutedEndpoint& endpoint)
 {
     auto& state = m_endpoints[endpoint.id];
-    if (!state) {
+    if (state && state->listed() == endpoint)
+        return false;
+    if (state)
+        state->relist(endpoint);
+    else
         state = std::make_shared<EndpointState>(endpoint);
-        return true;
-    }
-    if (state->listed() == endpoint)
+    index();
+    return true;
+}
+
+bool EndpointBook::unlist(const EndpointId& id)
+{
+    if (m_endpoints.erase(id) == 0)
         return false;
-    state->relist(endpoint);
+    index();
     return true;
 }
 
-bool EndpointBook::unlist(const EndpointId& id) { return m_endpoints.erase(id) > 0; }
+void EndpointBook::index()
+{
+    m_byService.clear();
+    m_byHash.clear();
+    for (const auto& [id, it] : m_endpoints) {
+        m_byService[it->listed().service].push_back(it);
+        m_byHash.emplace(hashOf(id.text()), it);
+    }
+}
+
+const EndpointBook::Endpoints& EndpointBook::of(const ServiceId& service) const
+{
+    static const Endpoints none;
+    const auto it = m_byService.find(service);
+    return it == m_byService.end() ? none : it->second;
+}
+
+void EndpointBook::takeBack(PeerLoads& peer)
+{
+    for (const auto& [endpoint, inFlight] : peer.loads)
+        endpoint->m_peerInFlight -= inFlight;
+    peer.loads.clear();
+}
+
+void EndpointBook::heardLoads(const std::string& daemon, const std::vector<PeerLoad>& loads, TimePoint now)
+{
+    auto& peer = m_peers[daemon];
+    takeBack(peer);
+    peer.at = now;
+    for (const auto& it : loads) {
+        const auto endpoint = m_byHash.find(it.endpoint);
+        if (endpoint == m_byHash.end())
+            continue;
+        endpoint->second->m_peerInFlight += it.inFlight;
+        peer.loads.emplace_back(endpoint->second, it.inFlight);
+    }
+}
+
+void EndpointBook::forgetStaleLoads(TimePoint now)
+{
+    for (auto it = m_peers.begin(); it != m_peers.end();) {
+        if (now - it->second.at < peerLoadKept) {
+            ++it;
+            continue;
+        }
+        takeBack(it->second);
+        it = m_peers.erase(it);
+    }
+}
 
 std::shared_ptr<EndpointState> EndpointBook::find(const EndpointId& id) const
 {
@@ -203,78 +253,80 @@
 
 std::shared_ptr<EndpointState> EndpointBook::choose(const ChoiceQuery& query, TimePoint now)
 {
-    const auto serves = [&](const EndpointState& it) {
-        return it.listed().service == query.service && !it.listed().isDraining && !it.isSuspended(now)
-            && !it.isSilent(now);
+    struct Best {
+        std::shared_ptr<EndpointState> endpoint;
+        double cost = 0;
     };
+    Best fast;
+    Best slow;
     // A long answer waits for an endpoint that is fast enough, where there is one, instead of being cut off
     // at its deadline by a slow one.
-    const bool anyFinishes = std::ranges::any_of(
-        m_endpoints, [&](const auto& it) { return serves(*it.second) && finishes(*it.second, query, now); });
-    std::shared_ptr<EndpointState> best;
-    double bestCost = 0;
-    for (const auto& [id, it] : m_endpoints) {
-        const auto& listed = it->listed();
-        if (!serves(*it) || (anyFinishes && !finishes(*it, query, now)))
+    bool anyFinishes = false;
+    for (const auto& it : of(query.service)) {
+        if (it->listed().isDraining || it->isSuspended(now) || it->isSilent(now))
             continue;
-        if (it->load(now) + 1 > listed.slots || (it->isOnProbation() && it->ownInFlight() > 0))
+        const bool isFast = finishes(*it, query, now);
+        anyFinishes = anyFinishes || isFast;
+        if (!isFast && anyFinishes)
             continue;
-        if (std::ranges::find(query.tried, id) != query.tried.end())
+        if (it->load() + 1 > it->listed().slots || (it->isOnProbation() && it->ownInFlight() > 0))
             continue;
+        if (std::ranges::find(query.tried, it->listed().id) != query.tried.end())
+            continue;
+        auto& best = isFast ? fast : slow;
         const double cost = costOf(*it, query, now);
-        if (!best || cost < bestCost) {
-            best = it;
-            bestCost = cost;
-        }
+        if (!best.endpoint || cost < best.cost)
+            best = { .endpoint = it, .cost = cost };
     }
-    return best;
+    return anyFinishes ? fast.endpoint : slow.endpoint;
 }
 
 bool EndpointBook::hasAny(const ServiceId& service, const std::vector<EndpointId>& tried) const
 {
-    return std::ranges::any_of(m_endpoints, [&](const auto& it) {
-        return it.second->listed().service == service && !it.second->listed().isDraining
-            && std::ranges::find(tried, it.first) == tried.end();
+    return std::ranges::any_of(of(service), [&](const auto& it) {
+        return !it->listed().isDraining && std::ranges::find(tried, it->listed().id) == tried.end();
     });
 }
 
 EndpointBook::Occupancy EndpointBook::occupancy(const ServiceId& service, TimePoint now) const
 {
     Occupancy out;
-    for (const auto& [id, it] : m_endpoints) {
+    for (const auto& it : of(service)) {
         const auto& listed = it->listed();
-        if (listed.service != service || listed.isDraining || it->isSuspended(now))
+        if (listed.isDraining || it->isSuspended(now))
             continue;
         out.slots += listed.slots;
-        out.load += std::min<double>(listed.slots, it->load(now));
+        out.load += std::min<double>(listed.slots, it->load());
     }
     return out;
 }
 
-Duration EndpointBook::meanFirst(const ServiceId& service, const Work& work) const
+ServicePace EndpointBook::paceOf(const ServiceId& service) const
 {
-    Duration sum {};
-    int n = 0;
-    for (const auto& [id, it] : m_endpoints) {
-        if (it->listed().service == service) {
-            sum += it->expectedFirst(work);
-            ++n;
-        }
+    const auto& endpoints = of(service);
+    ServicePace out;
+    const auto n = static_cast<double>(endpoints.size());
+    for (const auto& it : endpoints) {
+        const double token = it->m_secondsPerToken.mean() / n;
+        const double prompt = it->secondsPerPromptToken() / n;
+        out.plainSeconds += it->m_plainSeconds.mean() / n;
+        out.firstSeconds += prompt * (firstTokenCost * promptTokensPerToken + it->m_promptTokensAhead);
+        out.secondsPerPromptToken += prompt;
+        out.secondsPerAnswerToken += token;
     }
-    return n == 0 ? Duration::zero() : sum / n;
+    return out;
 }
 
-Duration EndpointBook::meanWhole(const ServiceId& service, const Work& work) const
+Duration ServicePace::first(const Work& work) const
 {
-    Duration sum {};
-    int n = 0;
-    for (const auto& [id, it] : m_endpoints) {
-        if (it->listed().service == service) {
-            sum += it->expectedWhole(work);
-            ++n;
-        }
-    }
-    return n == 0 ? Duration::zero() : sum / n;
+    if (!work.isStream)
+        return fromSeconds(plainSeconds);
+    return fromSeconds(firstSeconds + work.promptTokens * secondsPerPromptToken);
+}
+
+Duration ServicePace::whole(const Work& work) const
+{
+    return first(work) + fromSeconds(work.answerTokens * secondsPerAnswerToken);
 }
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/PeerStatus.cpp
+++ b/packages/Edge/lib/PeerStatus.cpp
@@ -9,10 +9,7 @@
 
 namespace lentilbay::edge {
 
-template <class Archive> void serialize(Archive& archive, PeerStatus::EndpointLoad& it)
-{
-    archive(it.endpoint, it.inFlight);
-}
+template <class Archive> void serialize(Archive& archive, PeerLoad& it) { archive(it.endpoint, it.inFlight); }
 
 template <class Archive> void serialize(Archive& archive, PeerStatus::QuotaUse& it)
 {
--- a/packages/Edge/lib/WaitingLine.cpp
+++ b/packages/Edge/lib/WaitingLine.cpp
@@ -2,7 +2,7 @@
 #include "lentilbay/Edge/WaitingLine.h"
 
 #include <algorithm>
-#include <set>
+#include <map>
 #include <tuple>
 
 namespace lentilbay::edge {
@@ -31,16 +31,19 @@
     Decisions out;
     if (m_requests.empty())
         return out;
-    for (auto& it : m_requests)
-        it.isLate
-            = now + m_book.meanFirst(it.query.service, it.query.work) + lateMargin > it.query.objectiveAt;
+    std::map<ServiceId, ServicePace> paces;
+    for (auto& it : m_requests) {
+        auto [pace, isNew] = paces.try_emplace(it.query.service);
+        if (isNew)
+            pace->second = m_book.paceOf(it.query.service);
+        it.isLate = now + pace->second.first(it.query.work) + lateMargin > it.query.objectiveAt;
+    }
     m_requests.sort([&](const auto& a, const auto& b) {
         const auto key = [](const WaitingRequest& it) {
             return std::make_tuple(it.rank, it.isLate, it.query.objectiveAt, it.number);
         };
         return key(a) < key(b);
     });
-    std::set<ServiceId> services;
     for (auto it = m_requests.begin(); it != m_requests.end();) {
         if (now + leastUseful >= it->giveUpAt) {
             out.turnedAway.push_back({ .number = it->number, .comeBackIn = Duration::zero() });
@@ -53,15 +56,14 @@
             it = m_requests.erase(it);
             continue;
         }
-        services.insert(it->query.service);
         ++it;
     }
-    for (const auto& it : services)
-        shed(it, now, out);
+    for (const auto& [service, pace] : paces)
+        shed(service, pace, now, out);
     return out;
 }
 
-void WaitingLine::shed(const ServiceId& service, TimePoint now, Decisions& out)
+void WaitingLine::shed(const ServiceId& service, const ServicePace& pace, TimePoint now, Decisions& out)
 {
     const double slots = std::max(1.0, m_book.occupancy(service, now).slots * m_options.ownPart);
     double ahead = 0;
@@ -70,7 +72,7 @@
             ++it;
             continue;
         }
-        const double own = toSeconds(m_book.meanWhole(service, it->query.work)) / slots;
+        const double own = toSeconds(pace.whole(it->query.work)) / slots;
         const auto start = now + fromSeconds(ahead);
         if (ahead > m_options.maxSeconds || start + leastUseful >= it->giveUpAt) {
             out.turnedAway.push_back({ .number = it->number,
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -3,6 +3,7 @@
 #include "lentilbay/Edge/EdgeRequest.h"
 
 #include "RawServer.h"
+#include "lentilbay/Support/Hash.h"
 #include "lentilbay/Support/SteadyClock.h"
 
 #include <asio/steady_timer.hpp>
@@ -289,6 +290,15 @@
     EXPECT_EQ(answer.status, 502);
 }
 
+TEST_F(EdgeRequestTest, AnUnreadableHeaderCountsAsAbsentAndIsCounted)
+{
+    first.script({ .bytes = httpAnswer(200, "mine", signedFields) });
+    const auto answer
+        = call("/safe/x", "Authorization: Token k\r\nX-Deadline-Ms: soon\r\nX-Token-Usage: 5\r\n");
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_NE(state.metrics.text({}).find("lentilbay_headers_unreadable 2\n"), std::string::npos);
+}
+
 TEST_F(EdgeRequestTest, TheEndpointsOwnFailureIsPassedOn)
 {
     first.setResponder(
@@ -301,7 +311,7 @@
 TEST_F(EdgeRequestTest, AnEndpointsFailureIsPassedOnWhereNoOtherOneHasRoom)
 {
     list("e2", second);
-    state.book.find(EndpointId("e2"))->heardLoad("peer", 4, bootNow() + 10s);
+    state.book.heardLoads("peer", { { .endpoint = hashOf("e2"), .inFlight = 4 } }, bootNow());
     first.script({ .bytes = httpAnswer(500, "mine", signedFields) });
     const auto answer = call("/safe/x", "Authorization: Token k\r\nX-Deadline-Ms: 200\r\n");
     EXPECT_EQ(answer.status, 500);
@@ -373,7 +383,7 @@
 
 TEST_F(EdgeRequestTest, WaitingForRoomEndsWithATruthfulRefusal)
 {
-    state.book.find(EndpointId("e1"))->heardLoad("peer", 4, bootNow() + 10s);
+    state.book.heardLoads("peer", { { .endpoint = hashOf("e1"), .inFlight = 4 } }, bootNow());
     const auto answer = call("/once/x", "Authorization: Token k\r\nX-Deadline-Ms: 200\r\n");
     EXPECT_EQ(answer.status, 503);
     EXPECT_EQ(requestsAtEndpoints(), 0U);
--- a/packages/Edge/unittests/EndpointBookTest.cpp
+++ b/packages/Edge/unittests/EndpointBookTest.cpp
@@ -1,6 +1,8 @@
 // Which endpoint gets the next request.
 #include "lentilbay/Edge/EndpointBook.h"
 
+#include "lentilbay/Support/Hash.h"
+
 #include <gtest/gtest.h>
 
 namespace lentilbay::edge {
@@ -41,6 +43,11 @@
 
     EndpointState& at(const std::string& id) { return *book.find(EndpointId(id)); }
 
+    void peerHas(const std::string& id, uint16_t inFlight, TimePoint now)
+    {
+        book.heardLoads("peer", { { .endpoint = hashOf(id), .inFlight = inFlight } }, now);
+    }
+
     EndpointBook book {
         { .ownDataCentre = DataCentreId("a"),
             .regions = { { DataCentreId("a"), RegionId("ra") }, { DataCentreId("b"), RegionId("rb") } } },
@@ -63,11 +70,25 @@
 
 TEST_F(EndpointBookTest, CountsTheLoadOfOtherDaemonsForAWhile)
 {
-    at("near").heardLoad("peer", 2, TimePoint(1s));
+    peerHas("near", 2, TimePoint(1s));
     EXPECT_EQ(chosen(TimePoint(1s)), "far");
+    book.forgetStaleLoads(TimePoint(4s));
     EXPECT_EQ(chosen(TimePoint(4s)), "near") << "what was heard long ago no longer counts";
 }
 
+TEST_F(EndpointBookTest, AStatusReplacesTheOneBeforeAndTheEndpointListedAnewBeginsEmpty)
+{
+    peerHas("near", 2, TimePoint(1s));
+    peerHas("far", 1, TimePoint(1s));
+    EXPECT_EQ(at("near").load(), 0);
+    EXPECT_EQ(at("far").load(), 1);
+    book.unlist(EndpointId("far"));
+    book.list(endpointOf("far", "b"));
+    EXPECT_EQ(at("far").load(), 0);
+    peerHas("near", 2, TimePoint(1s));
+    EXPECT_EQ(at("far").load(), 0) << "what the former one had isn't taken from its successor";
+}
+
 TEST_F(EndpointBookTest, SendsNothingToWhatLeavesOrWasTried)
 {
     auto leaving = endpointOf("near", "a");
@@ -89,7 +110,7 @@
     at("near").ended(shortStream, SendEnd::Bad, false, TimePoint(1s));
     EXPECT_EQ(chosen(), "far");
     // After the pause it gets one request at a time, until one is good.
-    at("far").heardLoad("peer", 2, TimePoint(10s));
+    peerHas("far", 2, TimePoint(10s));
     EXPECT_EQ(chosen(TimePoint(10s)), "near");
     at("near").sent(shortStream, TimePoint(10s));
     EXPECT_EQ(chosen(TimePoint(10s)), "none");
@@ -143,7 +164,7 @@
         .giveUpAt = TimePoint(16s) };
     ASSERT_TRUE(book.choose(query, TimePoint(1s)));
     EXPECT_EQ(book.choose(query, TimePoint(1s))->listed().id, EndpointId("far"));
-    at("far").heardLoad("peer", 2, TimePoint(1s));
+    peerHas("far", 2, TimePoint(1s));
     EXPECT_EQ(book.choose(query, TimePoint(1s)), nullptr) << "the slow one would be cut off at the deadline";
     book.unlist(EndpointId("far"));
     EXPECT_TRUE(book.choose(query, TimePoint(1s))) << "with no faster one it is tried all the same";
--- a/packages/Http/include/lentilbay/Http/ClientConnection.h
+++ b/packages/Http/include/lentilbay/Http/ClientConnection.h
@@ -39,9 +39,6 @@
 
     explicit ClientConnection(asio::io_context& context);
 
-    /// Called when the connection closes while it is idle.
-    void onIdleClose(std::function<void()> callback) { m_idleClose = std::move(callback); }
-
     void connect(const asio::ip::tcp::endpoint& address, Duration timeout, std::function<void(bool)> done);
     /// Sends a request (head and body) and reads its response. The observer is called later, never from
     /// inside.
@@ -73,7 +70,6 @@
     ResponseParser m_parser;
     /// Shared, because a callback may close the connection that calls it.
     std::shared_ptr<Observer> m_observer;
-    std::function<void()> m_idleClose;
     std::string m_out;
     size_t m_sent = 0;
     bool m_isOpen = false;
--- a/packages/Http/lib/ClientConnection.cpp
+++ b/packages/Http/lib/ClientConnection.cpp
@@ -241,8 +241,6 @@
         observer->broken(BrokenAt::NothingSent);
     else if (observer)
         observer->broken(m_sawBytes ? BrokenAt::InsideResponse : BrokenAt::BeforeResponse);
-    else if (m_idleClose)
-        m_idleClose();
 }
 
 void ClientConnection::close()
--- a/packages/Http/lib/MessageParser.cpp
+++ b/packages/Http/lib/MessageParser.cpp
@@ -75,6 +75,23 @@
 
 std::string_view viewOf(const char* at, size_t length) { return { at, length }; }
 
+/// Sets the callbacks for the head, which requests and responses share.
+template <class State> void collectHeaders(http_parser_settings& settings)
+{
+    settings.on_header_field = [](http_parser* p, const char* at, size_t n) {
+        // Fields after the body are trailers, which are dropped.
+        if (!State::of(p).headIsWhole)
+            State::of(p).headers.name(viewOf(at, n));
+        return 0;
+    };
+    settings.on_header_value = [](http_parser* p, const char* at, size_t n) {
+        if (!State::of(p).headIsWhole)
+            State::of(p).headers.value(viewOf(at, n));
+        return 0;
+    };
+    settings.on_headers_complete = [](http_parser* p) { return State::of(p).headComplete(); };
+}
+
 } // namespace
 
 struct RequestParser::State {
@@ -102,18 +119,7 @@
                 of(p).request.target += viewOf(at, n);
                 return 0;
             };
-            s.on_header_field = [](http_parser* p, const char* at, size_t n) {
-                // Fields after the body are trailers, which are dropped.
-                if (!of(p).headIsWhole)
-                    of(p).headers.name(viewOf(at, n));
-                return 0;
-            };
-            s.on_header_value = [](http_parser* p, const char* at, size_t n) {
-                if (!of(p).headIsWhole)
-                    of(p).headers.value(viewOf(at, n));
-                return 0;
-            };
-            s.on_headers_complete = [](http_parser* p) { return of(p).headComplete(); };
+            collectHeaders<State>(s);
             s.on_body = [](http_parser* p, const char* at, size_t n) { return of(p).addBody(viewOf(at, n)); };
             s.on_message_complete = [](http_parser* p) {
                 of(p).isWhole = true;
@@ -234,17 +240,7 @@
                 of(p).head.reason += viewOf(at, n);
                 return 0;
             };
-            s.on_header_field = [](http_parser* p, const char* at, size_t n) {
-                if (!of(p).headIsWhole)
-                    of(p).headers.name(viewOf(at, n));
-                return 0;
-            };
-            s.on_header_value = [](http_parser* p, const char* at, size_t n) {
-                if (!of(p).headIsWhole)
-                    of(p).headers.value(viewOf(at, n));
-                return 0;
-            };
-            s.on_headers_complete = [](http_parser* p) { return of(p).headComplete(); };
+            collectHeaders<State>(s);
             s.on_body = [](http_parser* p, const char* at, size_t n) {
                 if (!of(p).isInterim)
                     of(p).callbacks.body(viewOf(at, n));
--- a/packages/Http/unittests/ClientConnectionTest.cpp
+++ b/packages/Http/unittests/ClientConnectionTest.cpp
@@ -97,8 +97,6 @@
     ASSERT_TRUE(connection->isReusable());
     // The server's answer to nothing: a second request that this side never made is scripted as a late
     // answer.
-    bool wasClosed = false;
-    connection->onIdleClose([&] { wasClosed = true; });
     server.script({ .bytes = httpAnswer(200, "late") + "stray", .then = ScriptedAnswer::Then::Close });
     isWhole = false;
     send();
