Count what restarted peers admit, and begin a restarted daemon's quota at its share

A restarted daemon took the first total it heard of each peer as past, also of peers that were themselves restarted and whose total nobody had counted; and until the first request of an organisation its bucket filled at the whole rate, though it heard nobody yet.

Ruled out: the steady state of a fleet that hears each other once a second stays within the bound (new test, five times the quota asked).

Change: totals of peers that don't count all use are counted whole; a quota begins at the share of a daemon that hears those it hears; a restarted daemon admits nothing that counts against a quota before it has read who the others are, also where the store takes no writes. A connection to the store that fails while the daemon announces itself is logged.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -27,6 +27,8 @@
     void endpointRow(const platform::StoreRow& row);
     void daemonRow(const platform::StoreRow& row);
     void announce(TimePoint now);
+    void announcementFailed(const std::string& reason);
+    void readDaemons();
     void receivePeers();
     void peerHeard(const PeerStatus& status, TimePoint now);
     void sendStatuses();
@@ -70,6 +72,7 @@
     std::shared_ptr<http::ClientConnection> m_announcement;
     TimePoint m_nextAnnouncement {};
     bool m_isAnnounced = false;
+    bool m_readsDaemons = false;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -30,6 +30,9 @@
     std::optional<TimePoint> routesConfirmedAt;
     /// The endpoints were read at least once.
     bool knowsEndpoints = false;
+    /// The other daemons were read, or this is the first start of the fleet. Without them, a restarted daemon
+    /// doesn't know its share of the quotas.
+    bool knowsDaemons = false;
     /// When SIGTERM came.
     std::optional<TimePoint> stopRequestedAt;
     EndpointBook book;
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -120,6 +120,10 @@
 {
     if (!m_organisation || !m_organisation->quota)
         return true;
+    if (!m_state.knowsDaemons) {
+        refuse(ResultCode::NotConfigured, usualReturn, now);
+        return false;
+    }
     const auto& quota = *m_organisation->quota;
     m_quotaTokens = m_facts.promptTokens && m_facts.maxAnswerTokens
         ? static_cast<double>(*m_facts.promptTokens + *m_facts.maxAnswerTokens)
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -11,6 +11,7 @@
 #include <csignal>
 #include <fmt/format.h>
 #include <random>
+#include <utility>
 
 namespace lentilbay::edge {
 namespace {
@@ -70,6 +71,7 @@
     , m_peerSocket(m_context)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    m_state.knowsDaemons = m_state.settings.isFirstStart;
     const auto& own = m_state.settings;
     m_front = std::make_unique<http::HttpServer>(m_context,
         http::HttpServerOptions { .address = tcpEndpoint(own.callers),
@@ -178,7 +180,11 @@
             .seed = randomSeed() },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { daemonRow(row); },
             .deleted = [](const auto&) {},
-            .confirmed = [this](TimePoint) { grantStartLevels(); } });
+            .confirmed =
+                [this](TimePoint) {
+                    m_state.knowsDaemons = true;
+                    grantStartLevels();
+                } });
 }
 
 void EdgeDaemon::grantStartLevels()
@@ -254,8 +260,10 @@
     m_announcement = std::make_shared<http::ClientConnection>(m_context);
     const auto& own = m_state.settings;
     m_announcement->connect(tcpEndpoint(own.store), announceTimeout, [this](bool connected) {
-        if (!connected)
+        if (!connected) {
+            announcementFailed("no connection");
             return;
+        }
         const auto& self = m_state.settings;
         auto request = platform::writeRowRequest(fmt::format("{}:{}", self.store.host, self.store.port),
             daemonTable, self.daemon.text(), fmt::format("{}:{}", self.ownHost, self.firstPeerPort));
@@ -272,17 +280,27 @@
                         // Read after the own row stands: of two daemons that start at once, one sees the
                         // other.
                         if (m_isAnnounced)
-                            m_daemons->start();
+                            readDaemons();
                         else
-                            logEvent(Event::StoreCallFailed, { { "table", daemonTable } });
+                            announcementFailed("refused");
                     },
-                .broken =
-                    [](http::BrokenAt) {
-                        logEvent(Event::StoreCallFailed, { { "table", daemonTable } });
-                    } });
+                .broken = [this](http::BrokenAt) { announcementFailed("the connection broke"); } });
     });
 }
 
+void EdgeDaemon::announcementFailed(const std::string& reason)
+{
+    logEvent(Event::StoreCallFailed, { { "table", daemonTable }, { "detail", reason } });
+    // A store that takes no writes may still tell who the others are.
+    readDaemons();
+}
+
+void EdgeDaemon::readDaemons()
+{
+    if (!std::exchange(m_readsDaemons, true))
+        m_daemons->start();
+}
+
 void EdgeDaemon::serveReadiness()
 {
     m_readiness = std::make_unique<http::HttpServer>(m_context,
@@ -290,8 +308,8 @@
             .limits = [] { return http::ServerLimits {}; },
             .handler =
                 [this](std::shared_ptr<http::Exchange> exchange) {
-                    const bool isReady = !m_state.stopRequestedAt && m_state.knowsEndpoints && m_state.routes
-                        && m_state.canJudgeKeys(bootNow());
+                    const bool isReady = !m_state.stopRequestedAt && m_state.knowsEndpoints
+                        && m_state.knowsDaemons && m_state.routes && m_state.canJudgeKeys(bootNow());
                     const int status = isReady ? 200 : 503;
                     exchange->respond(status, http::reasonPhrase(status), {}, "");
                 },
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -71,7 +71,11 @@
         if (adopts)
             quota.adoptLevel(it == status.quotas.end() ? organisation.quota->burstTokens : it->level, now);
         if (it != status.quotas.end())
-            quota.heard(status.daemon, status.incarnation, it->admittedTotal, now);
+            quota.heard(status.daemon,
+                { .incarnation = status.incarnation,
+                    .admittedTotal = it->admittedTotal,
+                    .countsAllUse = status.countsAllUse },
+                now);
     }
     m_countsAllUse = m_countsAllUse || adopts;
 }
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -48,7 +48,8 @@
 SharedQuota& EdgeState::quota(const RoutedOrganisation& organisation, TimePoint now)
 {
     const auto limits = organisation.quota ? quotaLimits(*organisation.quota) : QuotaLimits {};
-    return m_quotas.try_emplace(organisation.name, limits, settings.isFirstStart, now).first->second;
+    return m_quotas.try_emplace(organisation.name, limits, settings.isFirstStart, quotaSharers(), now)
+        .first->second;
 }
 
 QuotaLimits EdgeState::quotaLimits(const TokenQuota& quota) const
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -87,6 +87,7 @@
         state.routes = std::make_shared<const RouteTable>(routes());
         state.routesConfirmedAt = bootNow();
         state.knowsEndpoints = true;
+        state.knowsDaemons = true;
         list("e1", first);
         front = std::make_unique<http::HttpServer>(context,
             http::HttpServerOptions { .address = { asio::ip::make_address("127.0.0.1"), 0 },
@@ -290,6 +291,13 @@
     EXPECT_EQ(answer.status, 502);
 }
 
+TEST_F(EdgeRequestTest, ARestartedDaemonAdmitsNoQuotaBeforeItKnowsTheOthers)
+{
+    state.knowsDaemons = false;
+    EXPECT_EQ(call("/safe/x").status, 503);
+    EXPECT_EQ(first.requests().size(), 0U);
+}
+
 TEST_F(EdgeRequestTest, AnUnreadableHeaderCountsAsAbsentAndIsCounted)
 {
     first.script({ .bytes = httpAnswer(200, "mine", signedFields) });
--- a/packages/Policy/include/lentilbay/Policy/SharedQuota.h
+++ b/packages/Policy/include/lentilbay/Policy/SharedQuota.h
@@ -36,10 +36,22 @@
     auto operator<=>(const QuotaSharers&) const = default;
 };
 
+/// What a daemon tells of its own admissions.
+struct QuotaReport {
+    uint64_t incarnation = 0;
+    /// All that it has admitted since it started.
+    double admittedTotal = 0;
+    /// Its bucket accounts for whatever was admitted before it started; not so soon after the whole fleet was
+    /// restarted.
+    bool countsAllUse = false;
+
+    auto operator<=>(const QuotaReport&) const = default;
+};
+
 class SharedQuota {
 public:
     /// Starts full where nothing can have been admitted before, else empty.
-    SharedQuota(const QuotaLimits& limits, bool startsFull, TimePoint now);
+    SharedQuota(const QuotaLimits& limits, bool startsFull, const QuotaSharers& sharers, TimePoint now);
 
     /// Counts the tokens and returns true where the quota allows them.
     bool admit(double tokens, const QuotaLimits& limits, const QuotaSharers& sharers, TimePoint now);
@@ -54,9 +66,8 @@
 
     /// All that this daemon has admitted since it started.
     double admittedTotal() const { return m_total; }
-    /// Another daemon, in one incarnation, has admitted so much since it started. Older totals change
-    /// nothing.
-    void heard(const std::string& daemon, uint64_t incarnation, double admittedTotal, TimePoint now);
+    /// Another daemon has admitted so much. Totals that were heard before change nothing.
+    void heard(const std::string& daemon, const QuotaReport& report, TimePoint now);
 
 private:
     struct PeerTotal {
--- a/packages/Policy/unittests/SharedQuotaTest.cpp
+++ b/packages/Policy/unittests/SharedQuotaTest.cpp
@@ -1,10 +1,13 @@
 // The quota holds for the fleet: over any window, through splits, restarts and lost messages.
 #include "lentilbay/Policy/SharedQuota.h"
 
+#include "lentilbay/Policy/WindowSum.h"
 #include "lentilbay/Support/Random.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <set>
 #include <vector>
 
 namespace lentilbay {
@@ -17,7 +20,7 @@
 
 TEST(SharedQuota, AdmitsTheBurstAndThenTheRate)
 {
-    SharedQuota quota(limits, true, TimePoint());
+    SharedQuota quota(limits, true, {}, TimePoint());
     EXPECT_TRUE(quota.admit(1000, limits, {}, TimePoint()));
     EXPECT_FALSE(quota.admit(100, limits, {}, TimePoint()));
     EXPECT_EQ(quota.timeUntil(100, TimePoint()), Duration(100ms));
@@ -26,26 +29,26 @@
 
 TEST(SharedQuota, CountsWhatOthersTell)
 {
-    SharedQuota quota(limits, true, TimePoint());
-    quota.heard("a", 1, 600, TimePoint());
-    quota.heard("a", 1, 600, TimePoint());
-    quota.heard("b", 1, 300, TimePoint());
+    SharedQuota quota(limits, true, {}, TimePoint());
+    quota.heard("a", { .incarnation = 1, .admittedTotal = 600, .countsAllUse = true }, TimePoint());
+    quota.heard("a", { .incarnation = 1, .admittedTotal = 600, .countsAllUse = true }, TimePoint());
+    quota.heard("b", { .incarnation = 1, .admittedTotal = 300, .countsAllUse = true }, TimePoint());
     EXPECT_FALSE(quota.admit(200, limits, { .known = 3 }, TimePoint()));
     EXPECT_TRUE(quota.admit(100, limits, { .known = 3 }, TimePoint()));
 }
 
 TEST(SharedQuota, ARestartedPeerCountsFromZero)
 {
-    SharedQuota quota(limits, true, TimePoint());
-    quota.heard("a", 1, 500, TimePoint());
-    quota.heard("a", 2, 100, TimePoint());
+    SharedQuota quota(limits, true, {}, TimePoint());
+    quota.heard("a", { .incarnation = 1, .admittedTotal = 500, .countsAllUse = true }, TimePoint());
+    quota.heard("a", { .incarnation = 2, .admittedTotal = 100, .countsAllUse = true }, TimePoint());
     EXPECT_TRUE(quota.admit(400, limits, { .known = 2 }, TimePoint()));
     EXPECT_FALSE(quota.admit(10, limits, { .known = 2 }, TimePoint()));
 }
 
 TEST(SharedQuota, GivesBackWhatDidNotRun)
 {
-    SharedQuota quota(limits, true, TimePoint());
+    SharedQuota quota(limits, true, {}, TimePoint());
     EXPECT_TRUE(quota.admit(1000, limits, {}, TimePoint()));
     quota.giveBack(400, TimePoint());
     EXPECT_TRUE(quota.admit(400, limits, {}, TimePoint()));
@@ -54,10 +57,10 @@
 
 TEST(SharedQuota, WhatPeersAdmittedBeforeARestartIsNoDebt)
 {
-    SharedQuota quota(limits, false, TimePoint());
-    quota.heard("a", 1, 5'000'000, TimePoint());
+    SharedQuota quota(limits, false, {}, TimePoint());
+    quota.heard("a", { .incarnation = 1, .admittedTotal = 5'000'000, .countsAllUse = true }, TimePoint());
     EXPECT_TRUE(quota.admit(900, limits, { .known = 2 }, TimePoint(1s)));
-    quota.heard("a", 1, 5'000'500, TimePoint(1s));
+    quota.heard("a", { .incarnation = 1, .admittedTotal = 5'000'500, .countsAllUse = true }, TimePoint(1s));
     EXPECT_FALSE(quota.admit(10, limits, { .known = 2 }, TimePoint(1s)))
         << "what it admits from now on counts";
     EXPECT_TRUE(quota.admit(10, limits, { .known = 2 }, TimePoint(1500ms)));
@@ -66,7 +69,7 @@
 TEST(SharedQuota, ARestartedDaemonGoesOnFromAPeersLevel)
 {
     // The load of djspu-edit trouble-2: daemons restart one after the other while an organisation uses half.
-    SharedQuota quota(limits, false, TimePoint());
+    SharedQuota quota(limits, false, {}, TimePoint());
     EXPECT_FALSE(quota.admit(500, limits, { .known = 2 }, TimePoint()));
     quota.adoptLevel(700, TimePoint());
     EXPECT_TRUE(quota.admit(500, limits, { .known = 2 }, TimePoint()));
@@ -80,7 +83,7 @@
 class QuotaFleet {
 public:
     explicit QuotaFleet(size_t n)
-        : m_daemons(n, SharedQuota(limits, true, TimePoint()))
+        : m_daemons(n, SharedQuota(limits, true, {}, TimePoint()))
         , m_incarnations(n, 1)
     {
     }
@@ -94,8 +97,9 @@
                 if (a == b)
                     continue;
                 if (hears(a, b))
-                    m_daemons[a].heard(
-                        std::to_string(b), m_incarnations[b], m_daemons[b].admittedTotal(), now);
+                    m_daemons[a].heard(std::to_string(b),
+                        { .incarnation = m_incarnations[b], .admittedTotal = m_daemons[b].admittedTotal() },
+                        now);
                 else
                     ++silent;
             }
@@ -106,7 +110,8 @@
 
     void restart(size_t i, TimePoint now)
     {
-        m_daemons[i] = SharedQuota(limits, false, now);
+        m_daemons[i]
+            = SharedQuota(limits, false, { .known = m_daemons.size(), .silent = m_daemons.size() - 1 }, now);
         ++m_incarnations[i];
     }
 
@@ -148,6 +153,99 @@
     EXPECT_LE(fleet.worstWindow(), worstAllowed);
 }
 
+/// A large fleet whose daemons hear each other once a second, each pair at its own moments, and of which one
+/// organisation asks for several times its quota.
+class SlowlyHeardFleet {
+public:
+    static constexpr size_t size = 40;
+    static constexpr QuotaLimits quota { .tokensPerSecond = 40'000, .burstTokens = 40'000 };
+    static constexpr Duration hearingPeriod = 1s;
+    /// The users' slack is 0.022 of the quota of a window on their largest site.
+    static constexpr double slack = 0.022;
+
+    explicit SlowlyHeardFleet(double demand)
+        : m_demand(demand)
+        , m_daemons(size, SharedQuota(quota, true, {}, TimePoint()))
+        , m_asked(size)
+    {
+    }
+
+    void restartAll(TimePoint now)
+    {
+        for (auto& it : m_daemons)
+            it = SharedQuota(quota, false, { .known = size, .silent = size - 1 }, now);
+        m_sinceRestart = now;
+        m_heard.clear();
+        ++m_incarnation;
+    }
+
+    void run(TimePoint now)
+    {
+        constexpr double piece = 100;
+        for (size_t a = 0; a < size; ++a) {
+            for (size_t b = 0; b < size; ++b) {
+                const auto offset = step * static_cast<int64_t>((a * 7 + b * 3) % (hearingPeriod / step));
+                if (a == b || (now - TimePoint()) % hearingPeriod != offset)
+                    continue;
+                m_daemons[a].heard(std::to_string(b),
+                    { .incarnation = m_incarnation,
+                        .admittedTotal = m_daemons[b].admittedTotal(),
+                        .countsAllUse = m_incarnation == 1 || now - m_sinceRestart > 8s },
+                    now);
+                m_heard.insert({ a, b });
+            }
+            const size_t heard
+                = std::ranges::count_if(m_heard, [&](const auto& it) { return it.first == a; });
+            const QuotaSharers sharers { .known = size, .silent = size - 1 - heard };
+            m_asked[a] += m_demand * quota.tokensPerSecond / size * toSeconds(step);
+            for (; m_asked[a] >= piece; m_asked[a] -= piece) {
+                if (m_daemons[a].admit(piece, quota, sharers, now))
+                    m_window.add(piece, now);
+            }
+        }
+        constexpr double window = quota.tokensPerSecond * 8 + quota.burstTokens;
+        m_last = m_window.within(8s, now) / window;
+        m_worst = std::max(m_worst, m_last);
+    }
+
+    /// The most and the last window, against the quota of such a window.
+    double worstWindow() const { return m_worst; }
+    double lastWindow() const { return m_last; }
+
+private:
+    double m_demand;
+    std::vector<SharedQuota> m_daemons;
+    std::vector<double> m_asked;
+    std::set<std::pair<size_t, size_t>> m_heard;
+    uint64_t m_incarnation = 1;
+    TimePoint m_sinceRestart {};
+    WindowSum m_window;
+    double m_worst = 0;
+    double m_last = 0;
+};
+
+TEST(SharedQuota, HoldsWhereDaemonsHearEachOtherOnceASecond)
+{
+    SlowlyHeardFleet fleet(5);
+    for (TimePoint now {}; now < TimePoint(30s); now += step)
+        fleet.run(now);
+    EXPECT_LE(fleet.worstWindow(), worstAllowed);
+    EXPECT_GT(fleet.lastWindow(), 0.8) << "what the organisation has a right to is served";
+}
+
+TEST(SharedQuota, HoldsWhenALargeFleetIsKilledUnderAHotOrganisation)
+{
+    // The load of ictc-desk-grown trouble-3: 87 of 88 daemons killed, back half a second later.
+    SlowlyHeardFleet fleet(5);
+    for (TimePoint now {}; now < TimePoint(30s); now += step) {
+        if (now == TimePoint(12500ms))
+            fleet.restartAll(now);
+        fleet.run(now);
+    }
+    EXPECT_LE(fleet.worstWindow(), worstAllowed + SlowlyHeardFleet::slack);
+    EXPECT_GT(fleet.lastWindow(), 0.8);
+}
+
 RC_GTEST_PROP(SharedQuota, HoldsHoweverTheNetworkSplits, (uint64_t seed))
 {
     Random random(seed);
