--- a/packages/Edge/include/lentilbay/Edge/EdgeMetrics.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeMetrics.h
@@ -17,10 +17,13 @@
     EdgeMetrics();
     ~EdgeMetrics();
 
-    /// A request of the rank ended with the code; `first` is the time to its first event or whole answer.
+    /// A request of the rank ended with the code.
     void requestEnded(int rank, ResultCode code, Duration total);
+    /// The time from the arrival to the first event, or the whole plain answer.
     void firstAnswer(int rank, Duration sinceArrival);
     void waited(int rank, Duration wait);
+    /// The longest time between two events of one stream.
+    void longestPause(int rank, Duration pause);
     void count(std::string_view name, uint64_t n = 1);
     /// Text with the counters, the histograms and the gauges, which are given by name.
     std::string text(const std::vector<std::pair<std::string, double>>& gauges) const;
--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -58,6 +58,7 @@
     void plainWhole(TimePoint now);
     void responseBroken(http::BrokenAt at);
     void relay(std::string_view piece, TimePoint now);
+    void noteFirstAnswer(TimePoint now);
     void beginAnswer();
     /// Ends the current send and tells the endpoint's state.
     void endSend(SendEnd end, TimePoint now);
@@ -93,6 +94,10 @@
     std::optional<EndpointSend> m_send;
     EventSplitter m_events;
     size_t m_eventsRelayed = 0;
+    /// From the arrival to the first event, or the whole plain answer.
+    std::optional<Duration> m_firstAfter;
+    TimePoint m_lastRelayedAt {};
+    Duration m_longestPause {};
     /// An endpoint's own failure, which the caller gets if no other send does better.
     std::optional<http::HttpResponseHead> m_fallback;
     std::string m_fallbackBody;
--- a/packages/Edge/lib/EdgeMetrics.cpp
+++ b/packages/Edge/lib/EdgeMetrics.cpp
@@ -60,6 +60,7 @@
     std::map<int, Times> total;
     std::map<int, Times> first;
     std::map<int, Times> waited;
+    std::map<int, Times> pauses;
     std::map<std::pair<int, ResultCode>, uint64_t> ended;
     std::map<std::string, uint64_t, std::less<>> counters;
 };
@@ -81,6 +82,8 @@
 
 void EdgeMetrics::waited(int rank, Duration wait) { m_state->waited[rank].observe(wait); }
 
+void EdgeMetrics::longestPause(int rank, Duration pause) { m_state->pauses[rank].observe(pause); }
+
 void EdgeMetrics::count(std::string_view name, uint64_t n)
 {
     auto it = m_state->counters.find(name);
@@ -104,6 +107,7 @@
     appendTimes(out, "lentilbay_request_seconds", m_state->total);
     appendTimes(out, "lentilbay_first_answer_seconds", m_state->first);
     appendTimes(out, "lentilbay_wait_seconds", m_state->waited);
+    appendTimes(out, "lentilbay_longest_pause_seconds", m_state->pauses);
     return out;
 }
 
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -159,9 +159,12 @@
     }
     m_send->lastEventAt = now;
     if (m_eventsRelayed == 0) {
-        m_state.metrics.firstAnswer(m_route->rank, now - m_arrivedAt);
+        noteFirstAnswer(now);
         beginAnswer();
+    } else {
+        m_longestPause = std::max(m_longestPause, now - m_lastRelayedAt);
     }
+    m_lastRelayedAt = now;
     m_eventsRelayed += events.events;
     m_exchange->write(events.bytes);
     if (m_exchange->unsentBytes() <= maxUnsent)
@@ -173,6 +176,12 @@
     });
 }
 
+void EdgeRequest::noteFirstAnswer(TimePoint now)
+{
+    m_firstAfter = now - m_arrivedAt;
+    m_state.metrics.firstAnswer(m_route->rank, *m_firstAfter);
+}
+
 void EdgeRequest::beginAnswer()
 {
     const auto& head = m_send->head;
@@ -240,7 +249,7 @@
         return;
     }
     if (isSuccess)
-        m_state.metrics.firstAnswer(m_route->rank, now - m_arrivedAt);
+        noteFirstAnswer(now);
     m_exchange->respond(head.status, head.reason, passedOn(std::move(head.headers)), body);
     finish(status >= 500 ? ResultCode::EndpointBroke : ResultCode::Ok, now);
 }
@@ -411,11 +420,16 @@
     }
     m_exchange->onClientLeft({});
     m_exchange->onDrained({});
-    m_state.metrics.requestEnded(m_route ? m_route->rank : -1, code, now - m_arrivedAt);
+    const int rank = m_route ? m_route->rank : -1;
+    m_state.metrics.requestEnded(rank, code, now - m_arrivedAt);
+    if (m_eventsRelayed > 1)
+        m_state.metrics.longestPause(rank, m_longestPause);
     logEvent(Event::RequestEnded,
         { { "id", m_facts.id.text() }, { "code", printed(code) },
             { "endpoint", m_tried.empty() ? std::string() : m_tried.back().text() },
             { "sends", static_cast<int64_t>(m_sends) }, { "events", static_cast<int64_t>(m_eventsRelayed) },
+            { "first_ms", m_firstAfter ? millisecondsOf(*m_firstAfter) : -1 },
+            { "longest_pause_ms", millisecondsOf(m_longestPause) },
             { "total_ms", millisecondsOf(now - m_arrivedAt) } });
     m_state.requests.erase(m_number);
     // Room may have come free. Not from here: a caller of this function may still use the request.
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -333,6 +333,8 @@
     const auto answer = call("/stream/x");
     EXPECT_TRUE(answer.isWhole);
     EXPECT_EQ(answer.body, eventOf(1) + eventOf(2) + eventOf(3));
+    EXPECT_NE(state.metrics.text({}).find("lentilbay_longest_pause_seconds_count{rank=\"0\"} 1\n"),
+        std::string::npos);
 }
 
 TEST_F(EdgeRequestTest, ABrokenStreamGoesOnElsewhereOnWholeEvents)
