--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -37,6 +37,9 @@
     Duration periodTo(const PeerTable::Peer& peer) const;
     /// Whether others of this data centre read the store, and their view is young enough.
     bool mayRest(const StoreFollower& follower, TimePoint now) const;
+    /// Whether another daemon of this data centre is the one that reads the store for it.
+    bool isHelper() const;
+    Duration restingSpacing() const;
     void takeViews(const PeerStatus& status, TimePoint now);
     static PeerStatus::TableView viewOf(const StoreFollower& follower, TimePoint now);
     void serveReadiness();
--- a/packages/Edge/include/lentilbay/Edge/PeerStatus.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerStatus.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,9 +21,6 @@
     uint64_t incarnation = 0;
     /// Counts up; older datagrams are dropped.
     uint64_t sequence = 0;
-    /// Where the daemon is reached.
-    std::string host;
-    uint16_t port = 0;
     std::string dataCentre;
     /// The next status to this peer follows after this time.
     uint32_t periodMilliseconds = 0;
@@ -46,19 +44,26 @@
 
         auto operator<=>(const TableView&) const = default;
     };
-    TableView configuration;
-    TableView endpoints;
+    /// Only daemons of one data centre read for each other.
+    struct Views {
+        TableView configuration;
+        TableView endpoints;
+
+        auto operator<=>(const Views&) const = default;
+    };
+    std::optional<Views> views;
     std::vector<PeerLoad> loads;
     struct QuotaUse {
         /// hashOf() of the organisation's name.
         uint64_t organisation = 0;
         double admittedTotal = 0;
-        /// What the sender's bucket holds.
-        double level = 0;
 
         auto operator<=>(const QuotaUse&) const = default;
     };
     std::vector<QuotaUse> quotas;
+    /// What the sender's buckets hold, in the order of `quotas`; only for a receiver that needs them because
+    /// it was restarted.
+    std::vector<float> levels;
     /// The sender's quotas have counted all use for as long as it matters.
     bool countsAllUse = false;
 
@@ -90,12 +95,13 @@
         int64_t sentMicroseconds = 0;
         bool isSilent = true;
         bool isLeaving = false;
+        bool countsAllUse = true;
     };
 
     /// The platform's store lists a daemon.
     void listed(const std::string& daemon, const std::string& host, uint16_t port, TimePoint now);
-    /// Returns false for an old or repeated status.
-    bool heard(const PeerStatus& status, TimePoint now);
+    /// A status came from this address. Returns false for an old or repeated one.
+    bool heard(const PeerStatus& status, const std::string& host, uint16_t port, TimePoint now);
     /// Returns the daemons that have fallen silent since the last call, and forgets those long gone.
     std::vector<std::string> step(TimePoint now);
 
--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -20,6 +20,8 @@
     Duration wait = std::chrono::seconds(1);
     /// The least time between the starts of two calls: a table that changes often costs no more calls.
     Duration spacing = std::chrono::milliseconds(200);
+    /// The same while this daemon rests and only reads what peers have seen.
+    Duration spacingWhileResting = std::chrono::milliseconds(200);
     /// How long a deletion is held back that is seen shortly after an outage.
     Duration deletionDelay {};
     uint64_t seed = 1;
@@ -34,6 +36,9 @@
         std::function<void(TimePoint confirmedAt)> confirmed;
         /// Whether this daemon leaves the reading to others; asked before each call once the table is known.
         std::function<bool(TimePoint now)> mayRest = {};
+        /// Whether another daemon reads, or tries to, and would tell; this one then tries less often while
+        /// the store is away.
+        std::function<bool()> isHelper = {};
     };
 
     StoreFollower(asio::io_context& context, StoreFollowerOptions options, Callbacks callbacks);
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -33,7 +33,7 @@
 constexpr Duration lapsedEntryDelay = std::chrono::milliseconds(2100);
 /// Daemons hear of each other by their statuses; the table only serves those that start.
 constexpr Duration daemonWait = Duration::zero();
-constexpr Duration daemonSpacing = std::chrono::seconds(20);
+constexpr Duration daemonSpacing = std::chrono::seconds(60);
 constexpr Duration announceTimeout = std::chrono::seconds(1);
 constexpr Duration announceRetry = std::chrono::milliseconds(700);
 /// After SIGTERM, when idle connections of callers can be closed, because the balancer sends no new ones; ...
@@ -148,6 +148,7 @@
             .table = platform::configurationTable,
             .wait = configurationWait,
             .spacing = configurationSpacing,
+            .spacingWhileResting = restingSpacing(),
             .seed = randomSeed() },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { configurationRow(row); },
             .deleted = [](const auto&) {},
@@ -156,12 +157,14 @@
                     if (m_state.routes)
                         m_state.routesConfirmedAt = std::max(at, m_state.routesConfirmedAt.value_or(at));
                 },
-            .mayRest = [this](TimePoint now) { return mayRest(*m_configuration, now); } });
+            .mayRest = [this](TimePoint now) { return mayRest(*m_configuration, now); },
+            .isHelper = [this] { return isHelper(); } });
     m_endpoints = std::make_unique<StoreFollower>(m_context,
         StoreFollowerOptions { .store = store,
             .table = platform::endpointTable,
             .wait = endpointWait,
             .spacing = endpointSpacing,
+            .spacingWhileResting = restingSpacing(),
             .deletionDelay = lapsedEntryDelay,
             .seed = randomSeed() },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { endpointRow(row); },
@@ -171,7 +174,8 @@
                         logEvent(Event::EndpointUnlisted, { { "endpoint", key } });
                 },
             .confirmed = [this](TimePoint) { m_state.knowsEndpoints = true; },
-            .mayRest = [this](TimePoint now) { return mayRest(*m_endpoints, now); } });
+            .mayRest = [this](TimePoint now) { return mayRest(*m_endpoints, now); },
+            .isHelper = [this] { return isHelper(); } });
     m_daemons = std::make_unique<StoreFollower>(m_context,
         StoreFollowerOptions { .store = store,
             .table = daemonTable,
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -18,13 +18,25 @@
 constexpr Duration otherDataCentrePeriod = std::chrono::milliseconds(600);
 constexpr Duration otherRegionPeriod = std::chrono::milliseconds(1000);
 constexpr size_t smallFleet = 16;
-/// A view of the store that is older makes a daemon read by itself. The reader's own is as old as its wait,
-/// and telling it takes up to three status periods; the bound of draining is 2.5 s on the smallest
-/// deployments.
-constexpr Duration oldestRestingView = std::chrono::milliseconds(1900);
+/// A view of the store that is older than this part of the tightest bound makes a daemon read by itself. The
+/// reader's own is up to 1.6 s old, and telling it takes up to three status periods.
+constexpr double oldestRestingPart = 0.76;
+/// A resting daemon reads what peers have seen no more often than this part of the tightest bound: while a
+/// fleet starts, entries change all the time.
+constexpr double restingSpacingPart = 0.3;
+
+Duration tightestBound(const platform::RuleBounds& bounds)
+{
+    return std::min({ bounds.endpointDrain, bounds.configurationAge, bounds.keyRevocation });
+}
 
 } // namespace
 
+Duration EdgeDaemon::restingSpacing() const
+{
+    return fromSeconds(toSeconds(tightestBound(m_state.settings.bounds)) * restingSpacingPart);
+}
+
 void EdgeDaemon::receivePeers()
 {
     m_peerSocket.async_receive_from(asio::buffer(m_datagram), m_sender, [this](std::error_code ec, size_t n) {
@@ -47,7 +59,7 @@
 {
     const auto known = m_state.peers.peers().find(status.daemon);
     const bool wasSilent = known == m_state.peers.peers().end() || known->second.isSilent;
-    if (!m_state.peers.heard(status, now))
+    if (!m_state.peers.heard(status, m_sender.address().to_string(), m_sender.port(), now))
         return;
     if (wasSilent)
         logEvent(Event::PeerSeen,
@@ -61,15 +73,19 @@
 {
     if (!m_state.routes)
         return;
-    const bool adopts = status.countsAllUse && !m_countsAllUse;
+    const bool adopts
+        = status.countsAllUse && !m_countsAllUse && status.levels.size() == status.quotas.size();
     for (const auto& organisation : m_state.routes->organisations()) {
         if (!organisation.quota)
             continue;
         auto& quota = m_state.quota(organisation, now);
         const auto it = std::ranges::find(
             status.quotas, hashOf(organisation.name.text()), &PeerStatus::QuotaUse::organisation);
-        if (adopts)
-            quota.adoptLevel(it == status.quotas.end() ? organisation.quota->burstTokens : it->level, now);
+        if (adopts) {
+            const auto i = static_cast<size_t>(it - status.quotas.begin());
+            quota.adoptLevel(
+                it == status.quotas.end() ? organisation.quota->burstTokens : status.levels[i], now);
+        }
         if (it != status.quotas.end())
             quota.heard(status.daemon,
                 { .incarnation = status.incarnation,
@@ -83,8 +99,12 @@
 bool EdgeDaemon::mayRest(const StoreFollower& follower, TimePoint now) const
 {
     const auto confirmedAt = follower.confirmedAt();
-    if (!confirmedAt || now - *confirmedAt > oldestRestingView)
-        return false;
+    const auto oldest = fromSeconds(toSeconds(tightestBound(m_state.settings.bounds)) * oldestRestingPart);
+    return confirmedAt && now - *confirmedAt <= oldest && isHelper();
+}
+
+bool EdgeDaemon::isHelper() const
+{
     // The first by name of those that are heard reads for its data centre.
     const auto& own = m_state.settings;
     return std::ranges::any_of(m_state.peers.peers(), [&](const auto& it) {
@@ -97,7 +117,7 @@
 void EdgeDaemon::takeViews(const PeerStatus& status, TimePoint now)
 {
     const TimePoint echoed { Duration(status.echoedMicroseconds) };
-    if (status.echoedIncarnation != m_incarnation || echoed > now)
+    if (!status.views || status.echoedIncarnation != m_incarnation || echoed > now)
         return;
     // The peer wrote this after it had our status of the echoed time, whatever delayed either on the way.
     const auto take = [&](StoreFollower& follower, const PeerStatus::TableView& view) {
@@ -105,8 +125,8 @@
             follower.peerConfirmed(
                 view.coveredVersion, view.changedVersion, echoed - Duration(view.ageMicroseconds));
     };
-    take(*m_configuration, status.configuration);
-    take(*m_endpoints, status.endpoints);
+    take(*m_configuration, status.views->configuration);
+    take(*m_endpoints, status.views->endpoints);
 }
 
 PeerStatus::TableView EdgeDaemon::viewOf(const StoreFollower& follower, TimePoint now)
@@ -133,8 +153,6 @@
     PeerStatus out { .daemon = own.daemon.text(),
         .incarnation = m_incarnation,
         .sequence = m_sequence,
-        .host = own.ownHost,
-        .port = own.firstPeerPort,
         .dataCentre = own.dataCentre.text(),
         .isLeaving = m_state.stopRequestedAt.has_value() };
     for (const auto& [id, endpoint] : m_state.book.all()) {
@@ -143,9 +161,7 @@
                 .inFlight = static_cast<uint16_t>(endpoint->ownInFlight()) });
     }
     for (auto& [name, quota] : m_state.quotas())
-        out.quotas.push_back({ .organisation = hashOf(name.text()),
-            .admittedTotal = quota.admittedTotal(),
-            .level = quota.level(now) });
+        out.quotas.push_back({ .organisation = hashOf(name.text()), .admittedTotal = quota.admittedTotal() });
     m_countsAllUse = m_countsAllUse || now - m_startedAt > m_state.settings.bounds.quotaWindow;
     out.countsAllUse = m_countsAllUse;
     return out;
@@ -171,8 +187,15 @@
         status.echoedIncarnation = peer.incarnation;
         const auto at = bootNow();
         status.sentMicroseconds = at.time_since_epoch().count();
-        status.configuration = viewOf(*m_configuration, at);
-        status.endpoints = viewOf(*m_endpoints, at);
+        status.views.reset();
+        if (peer.dataCentre == m_state.settings.dataCentre.text())
+            status.views
+                = { .configuration = viewOf(*m_configuration, at), .endpoints = viewOf(*m_endpoints, at) };
+        status.levels.clear();
+        if (m_countsAllUse && !peer.countsAllUse) {
+            for (auto& [organisation, quota] : m_state.quotas())
+                status.levels.push_back(static_cast<float>(quota.level(now)));
+        }
         std::error_code ec;
         const auto host = ip::make_address(peer.host, ec);
         if (ec)
--- a/packages/Edge/lib/PeerStatus.cpp
+++ b/packages/Edge/lib/PeerStatus.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <sstream>
@@ -13,7 +14,7 @@
 
 template <class Archive> void serialize(Archive& archive, PeerStatus::QuotaUse& it)
 {
-    archive(it.organisation, it.admittedTotal, it.level);
+    archive(it.organisation, it.admittedTotal);
 }
 
 template <class Archive> void serialize(Archive& archive, PeerStatus::TableView& it)
@@ -21,17 +22,22 @@
     archive(it.coveredVersion, it.changedVersion, it.ageMicroseconds);
 }
 
+template <class Archive> void serialize(Archive& archive, PeerStatus::Views& it)
+{
+    archive(it.configuration, it.endpoints);
+}
+
 template <class Archive> void serialize(Archive& archive, PeerStatus& it)
 {
-    archive(it.daemon, it.incarnation, it.sequence, it.host, it.port, it.dataCentre, it.periodMilliseconds,
-        it.isLeaving, it.echoedMicroseconds, it.echoedIncarnation, it.sentMicroseconds, it.configuration,
-        it.endpoints, it.loads, it.quotas, it.countsAllUse);
+    archive(it.daemon, it.incarnation, it.sequence, it.dataCentre, it.periodMilliseconds, it.isLeaving,
+        it.echoedMicroseconds, it.echoedIncarnation, it.sentMicroseconds, it.views, it.loads, it.quotas,
+        it.levels, it.countsAllUse);
 }
 
 namespace {
 
 /// Tells our datagrams from strays; changes with their layout.
-constexpr uint32_t magic = 0x4c42'5303;
+constexpr uint32_t magic = 0x4c42'5304;
 /// A peer is silent when so many of its statuses are missing in a row.
 constexpr double periodsToSilence = 3.5;
 /// The longest period that is believed.
@@ -83,15 +89,15 @@
     }
 }
 
-bool PeerTable::heard(const PeerStatus& status, TimePoint now)
+bool PeerTable::heard(const PeerStatus& status, const std::string& host, uint16_t port, TimePoint now)
 {
     if (status.daemon == m_self)
         return false;
     auto& peer = m_peers[status.daemon];
     if (status.incarnation == peer.incarnation && status.sequence <= peer.sequence)
         return false;
-    peer = { .host = status.host,
-        .port = status.port,
+    peer = { .host = host,
+        .port = port,
         .incarnation = status.incarnation,
         .sequence = status.sequence,
         .heardAt = now,
@@ -99,7 +105,8 @@
         .period = std::min<Duration>(longestPeriod, std::chrono::milliseconds(status.periodMilliseconds)),
         .sentMicroseconds = status.sentMicroseconds,
         .isSilent = false,
-        .isLeaving = status.isLeaving };
+        .isLeaving = status.isLeaving,
+        .countsAllUse = status.countsAllUse };
     return true;
 }
 
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -18,6 +18,9 @@
 constexpr Duration longestAnswerTimeout = std::chrono::milliseconds(2000);
 constexpr Duration firstPause = std::chrono::milliseconds(150);
 constexpr Duration longestPause = std::chrono::milliseconds(600);
+/// Calls to the platform are billed, also those that fail: where another daemon tries as often as the pauses
+/// above say, the rest do so this much less often, which still finds a store that only some can reach.
+constexpr double helperPause = 3;
 /// While it rests, a follower looks this often whether it must read after all.
 constexpr Duration restPeriod = std::chrono::milliseconds(150);
 /// A deletion this soon after an outage may be an entry that lapsed meanwhile.
@@ -222,7 +225,8 @@
         m_connection->close();
     m_connection.reset();
     const auto pause = std::min(longestPause, firstPause * m_failuresInRow);
-    again(fromSeconds(toSeconds(pause) * (0.5 + m_random.fraction())));
+    const double factor = m_callbacks.isHelper && m_callbacks.isHelper() ? helperPause : 1;
+    again(fromSeconds(toSeconds(pause) * factor * (0.5 + m_random.fraction())));
 }
 
 void StoreFollower::again(Duration wait)
@@ -232,7 +236,9 @@
     m_timer.async_wait([this](std::error_code ec) {
         if (ec)
             return;
-        if (m_version && !m_isBehind && m_callbacks.mayRest && m_callbacks.mayRest(bootNow()))
+        const auto now = bootNow();
+        const bool mayRest = m_version && m_callbacks.mayRest && m_callbacks.mayRest(now);
+        if (mayRest && (!m_isBehind || now - m_callStarted < m_options.spacingWhileResting))
             again(restPeriod);
         else
             call();
--- a/packages/Edge/unittests/PeerStatusTest.cpp
+++ b/packages/Edge/unittests/PeerStatusTest.cpp
@@ -14,17 +14,17 @@
     return { .daemon = daemon,
         .incarnation = incarnation,
         .sequence = sequence,
-        .host = "10.0.0.1",
-        .port = 7600,
         .dataCentre = "z",
         .periodMilliseconds = 200,
         .loads = { { .endpoint = 5, .inFlight = 3 } },
-        .quotas = { { .organisation = 6, .admittedTotal = 1.5 } } };
+        .quotas = { { .organisation = 6, .admittedTotal = 1.5 } },
+        .levels = { 2.5F } };
 }
 
 TEST(PeerStatus, SurvivesTheWire)
 {
-    const auto sent = status("a", 1, 2);
+    auto sent = status("a", 1, 2);
+    sent.views = { .configuration = { .coveredVersion = 3 }, .endpoints = { .changedVersion = 4 } };
     const auto outcome = outcomeOf<PeerStatus>([&] { return decodePeerStatus(encodePeerStatus(sent)); });
     ASSERT_TRUE(std::holds_alternative<PeerStatus>(outcome));
     EXPECT_EQ(std::get<PeerStatus>(outcome), sent);
@@ -48,11 +48,11 @@
 TEST(PeerTable, DropsOldStatusesAndTakesANewIncarnation)
 {
     PeerTable peers("self");
-    EXPECT_TRUE(peers.heard(status("a", 7, 2), TimePoint(1s)));
-    EXPECT_FALSE(peers.heard(status("a", 7, 2), TimePoint(1s)));
-    EXPECT_FALSE(peers.heard(status("a", 7, 1), TimePoint(1s)));
-    EXPECT_TRUE(peers.heard(status("a", 3, 1), TimePoint(1s)));
-    EXPECT_FALSE(peers.heard(status("self", 1, 1), TimePoint(1s)));
+    EXPECT_TRUE(peers.heard(status("a", 7, 2), "10.0.0.1", 7600, TimePoint(1s)));
+    EXPECT_FALSE(peers.heard(status("a", 7, 2), "10.0.0.1", 7600, TimePoint(1s)));
+    EXPECT_FALSE(peers.heard(status("a", 7, 1), "10.0.0.1", 7600, TimePoint(1s)));
+    EXPECT_TRUE(peers.heard(status("a", 3, 1), "10.0.0.1", 7600, TimePoint(1s)));
+    EXPECT_FALSE(peers.heard(status("self", 1, 1), "10.0.0.1", 7600, TimePoint(1s)));
     EXPECT_EQ(peers.known(), 2U);
 }
 
@@ -61,7 +61,7 @@
     PeerTable peers("self");
     auto leaving = status("a", 1, 1);
     leaving.isLeaving = true;
-    peers.heard(leaving, TimePoint(1s));
+    peers.heard(leaving, "10.0.0.1", 7600, TimePoint(1s));
     peers.step(TimePoint(3s));
     EXPECT_EQ(peers.silent(), 0U);
     EXPECT_EQ(peers.known(), 2U);
@@ -70,7 +70,7 @@
 TEST(PeerTable, NoticesSilenceAndForgetsInTheEnd)
 {
     PeerTable peers("self");
-    peers.heard(status("a", 1, 1), TimePoint(1s));
+    peers.heard(status("a", 1, 1), "10.0.0.1", 7600, TimePoint(1s));
     peers.listed("b", "10.0.0.2", 7600, TimePoint(1s));
     peers.listed("self", "10.0.0.3", 7600, TimePoint(1s));
     EXPECT_EQ(peers.known(), 3U);
@@ -79,7 +79,7 @@
     EXPECT_EQ(peers.step(TimePoint(2s)), std::vector<std::string> { "a" });
     EXPECT_TRUE(peers.step(TimePoint(3s)).empty());
     EXPECT_EQ(peers.silent(), 2U);
-    peers.heard(status("a", 1, 2), TimePoint(20s));
+    peers.heard(status("a", 1, 2), "10.0.0.1", 7600, TimePoint(20s));
     peers.step(TimePoint(40s));
     EXPECT_EQ(peers.known(), 2U);
 }
--- a/packages/Edge/unittests/StoreFollowerTest.cpp
+++ b/packages/Edge/unittests/StoreFollowerTest.cpp
@@ -34,12 +34,14 @@
                 .table = "t",
                 .wait = 100ms,
                 .spacing = 1ms,
+                .spacingWhileResting = spacingWhileResting,
                 .deletionDelay = deletionDelay },
             StoreFollower::Callbacks {
                 .changed = [this](const auto& it) { seen += "+" + it.key + std::to_string(it.version); },
                 .deleted = [this](const auto& key) { seen += "-" + key; },
                 .confirmed = [this](TimePoint at) { confirmedAt = at; },
-                .mayRest = [this](TimePoint) { return mayRest; } });
+                .mayRest = [this](TimePoint) { return mayRest; },
+                .isHelper = [this] { return isHelper; } });
         follower->start();
     }
 
@@ -60,6 +62,8 @@
     std::string seen;
     TimePoint confirmedAt {};
     bool mayRest = false;
+    bool isHelper = false;
+    Duration spacingWhileResting = 1ms;
 };
 
 TEST_F(StoreFollowerTest, ReadsAllPagesAndThenFollows)
@@ -138,6 +142,42 @@
     EXPECT_NE(server.requests()[1].find("After=12"), std::string::npos);
 }
 
+TEST_F(StoreFollowerTest, ReadsWhatPeersHaveSeenNoMoreOftenThanItsSpacing)
+{
+    // The load of a start: entries change all the time, and each change would make all daemons call.
+    mayRest = true;
+    spacingWhileResting = 1s;
+    server.script({ .bytes = answer(row("a", 3), 7) });
+    start();
+    runUntil([&] { return seen == "+a3"; });
+    server.script({ .bytes = answer(row("a", 9), 9) });
+    const auto before = bootNow();
+    for (uint64_t version = 8; version < 10; ++version) {
+        follower->peerConfirmed(version, version, bootNow());
+        context.run_for(250ms);
+        context.restart();
+    }
+    EXPECT_EQ(server.requests().size(), 1U);
+    runUntil([&] { return seen == "+a3+a9"; });
+    EXPECT_GE(bootNow() - before, 900ms);
+}
+
+TEST_F(StoreFollowerTest, TriesLessOftenWhereAnotherDaemonReads)
+{
+    isHelper = true;
+    server.script({ .bytes = answer(row("a", 3), 7) });
+    server.setResponder([](const std::string&) { return ScriptedAnswer { .bytes = httpAnswer(503, "") }; });
+    start();
+    context.run_for(2s);
+    context.restart();
+    const auto asHelper = follower->failures();
+    isHelper = false;
+    context.run_for(2s);
+    context.restart();
+    EXPECT_GT(asHelper, 0U);
+    EXPECT_GT(follower->failures() - asHelper, asHelper);
+}
+
 TEST_F(StoreFollowerTest, APeersOlderViewSetsNothingBack)
 {
     mayRest = true;
