--- a/packages/Edge/include/lentilbay/Edge/PeerStatus.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerStatus.h
@@ -61,9 +61,16 @@
         auto operator<=>(const QuotaUse&) const = default;
     };
     std::vector<QuotaUse> quotas;
-    /// What the sender's buckets hold, in the order of `quotas`; only for a receiver that needs them because
-    /// it was restarted.
-    std::vector<float> levels;
+    struct QuotaLevel {
+        /// What the sender's bucket holds.
+        float level = 0;
+        /// What the sender has seen in the last window.
+        float inWindow = 0;
+
+        auto operator<=>(const QuotaLevel&) const = default;
+    };
+    /// In the order of `quotas`; only for a receiver that needs them because it was restarted.
+    std::vector<QuotaLevel> levels;
     /// The sender's quotas have counted all use for as long as it matters.
     bool countsAllUse = false;
 
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -198,7 +198,7 @@
     const double level = bounds.quotaSlackTokens * startPart / static_cast<double>(m_state.peers.known());
     for (const auto& organisation : m_state.routes->organisations()) {
         if (organisation.quota)
-            m_state.quota(organisation, now).adoptLevel(level, now);
+            m_state.quota(organisation, now).beginWith(level, now);
     }
 }
 
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -91,8 +91,10 @@
             status.quotas, hashOf(organisation.name.text()), &PeerStatus::QuotaUse::organisation);
         if (adopts) {
             const auto i = static_cast<size_t>(it - status.quotas.begin());
-            quota.adoptLevel(
-                it == status.quotas.end() ? organisation.quota->burstTokens : status.levels[i], now);
+            if (it == status.quotas.end())
+                quota.adopt(organisation.quota->burstTokens, 0, now);
+            else
+                quota.adopt(status.levels[i].level, status.levels[i].inWindow, now);
         }
         if (it != status.quotas.end())
             quota.heard(status.daemon,
@@ -202,7 +204,8 @@
         status.levels.clear();
         if (m_countsAllUse && !peer.countsAllUse) {
             for (auto& [organisation, quota] : m_state.quotas())
-                status.levels.push_back(static_cast<float>(quota.level(now)));
+                status.levels.push_back({ .level = static_cast<float>(quota.level(now)),
+                    .inWindow = static_cast<float>(quota.inWindow(now)) });
         }
         std::error_code ec;
         const auto host = ip::make_address(peer.host, ec);
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -10,11 +10,12 @@
 
 /// Before the bound of revocation: the time from judging a key to the endpoint's start, and late timers.
 constexpr Duration revocationMargin = std::chrono::milliseconds(400);
-/// A bucket of the bare burst refuses bursts that the quota's window allows, so the bucket holds a part of
-/// the allowed overshoot too. The rest is for what daemons admit before they hear of each other, which in a
-/// fleet that speaks less often needs all of it.
-constexpr double overshootPart = 0.6;
-constexpr size_t quicklyHeardFleet = 16;
+/// A bucket of the bare burst refuses rushes that the quota's window allows. This part of a window's tokens
+/// more, and a fleet that is killed in a rush still stays within the bound (see the tests of SharedQuota).
+constexpr double rushPart = 0.19;
+/// The part of the allowed overshoot that is used; the rest is for what daemons admit before they hear of
+/// each other.
+constexpr double overshootPart = 0.4;
 /// The part of the fleet's repeat budget that is used: requests are counted at other moments than the users
 /// do.
 constexpr double repeatPart = 0.8;
@@ -54,12 +55,12 @@
 
 QuotaLimits EdgeState::quotaLimits(const TokenQuota& quota) const
 {
-    QuotaLimits out { .tokensPerSecond = quota.tokensPerSecond, .burstTokens = quota.burstTokens };
-    if (peers.known() > quicklyHeardFleet)
-        return out;
-    const double window = quota.tokensPerSecond * toSeconds(settings.bounds.quotaWindow) + quota.burstTokens;
-    out.burstTokens += window * settings.bounds.quotaOvershoot * overshootPart;
-    return out;
+    const auto& bounds = settings.bounds;
+    const double refill = quota.tokensPerSecond * toSeconds(bounds.quotaWindow);
+    return { .tokensPerSecond = quota.tokensPerSecond,
+        .burstTokens = quota.burstTokens + refill * rushPart,
+        .window = bounds.quotaWindow,
+        .windowTokens = (refill + quota.burstTokens) * (1 + bounds.quotaOvershoot * overshootPart) };
 }
 
 QuotaSharers EdgeState::quotaSharers() const { return { .known = peers.known(), .silent = peers.silent() }; }
--- a/packages/Edge/lib/PeerStatus.cpp
+++ b/packages/Edge/lib/PeerStatus.cpp
@@ -17,6 +17,11 @@
     archive(it.organisation, it.admittedTotal);
 }
 
+template <class Archive> void serialize(Archive& archive, PeerStatus::QuotaLevel& it)
+{
+    archive(it.level, it.inWindow);
+}
+
 template <class Archive> void serialize(Archive& archive, PeerStatus::TableView& it)
 {
     archive(it.coveredVersion, it.changedVersion, it.ageMicroseconds);
--- a/packages/Edge/unittests/PeerStatusTest.cpp
+++ b/packages/Edge/unittests/PeerStatusTest.cpp
@@ -18,7 +18,7 @@
         .periodMilliseconds = 200,
         .loads = { { .endpoint = 5, .inFlight = 3 } },
         .quotas = { { .organisation = 6, .admittedTotal = 1.5 } },
-        .levels = { 2.5F } };
+        .levels = { { .level = 2.5F, .inWindow = 3.5F } } };
 }
 
 TEST(PeerStatus, SurvivesTheWire)
--- a/packages/Policy/include/lentilbay/Policy/SharedQuota.h
+++ b/packages/Policy/include/lentilbay/Policy/SharedQuota.h
@@ -5,12 +5,15 @@
 // stays within the quota however the network splits: a daemon that hears nobody uses its own share and no
 // more.
 //
-// A bucket, and not a sum over a sliding window, because it needs no memory of the past: a daemon that was
-// restarted begins with an empty one, and whatever was admitted before, no window holds more than the quota.
-// Where a peer that ran on tells what its bucket holds, the restarted daemon goes on from there.
+// Two bounds hold at once. The bucket needs no memory of the past: a daemon that was restarted begins with an
+// empty one, so whatever was admitted before, a window stays near the quota; where a peer that ran on tells
+// what its bucket holds, the restarted daemon goes on from there. The sum over the sliding window bounds what
+// a bucket alone would let through when a full one meets a long rush, so the bucket may hold more than the
+// burst and an organisation that stays below its quota on the whole isn't refused for being uneven.
 #pragma once
 
 #include "lentilbay/Policy/TokenBucket.h"
+#include "lentilbay/Policy/WindowSum.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -21,7 +24,11 @@
 
 struct QuotaLimits {
     double tokensPerSecond = 0;
+    /// The most that may be admitted at once after a quiet time.
     double burstTokens = 0;
+    /// The most that any time of the length `window` may hold; zero: no such bound.
+    Duration window {};
+    double windowTokens = 0;
 
     auto operator<=>(const QuotaLimits&) const = default;
 };
@@ -59,8 +66,13 @@
     Duration timeUntil(double tokens, TimePoint now) { return m_bucket.timeUntil(tokens, now); }
     /// What the bucket holds.
     double level(TimePoint now) { return m_bucket.level(now); }
-    /// A peer that has counted all along holds this much; it is taken over where it is more.
-    void adoptLevel(double level, TimePoint now);
+    /// What all daemons admitted in the last window, as far as this one knows.
+    double inWindow(TimePoint now) { return m_recent.within(m_limits.window, now); }
+    /// A peer that has counted all along holds this much, which is taken over where it is more, and has seen
+    /// so many tokens in the last window.
+    void adopt(double level, double inWindow, TimePoint now);
+    /// Tokens to begin with after a restart of the whole fleet.
+    void beginWith(double level, TimePoint now);
     /// Gives back what was admitted and then not run.
     void giveBack(double tokens, TimePoint now);
 
@@ -75,10 +87,17 @@
         double total = 0;
     };
 
+    /// Whether what was admitted in the last window is known.
+    bool knowsWindow(TimePoint now) const;
+    TokenBucketOptions bucketOptions(const QuotaSharers& sharers, TimePoint now) const;
+
+    QuotaLimits m_limits;
     TokenBucket m_bucket;
+    /// What this daemon and others admitted.
+    WindowSum m_recent;
     bool m_startedFull;
+    bool m_hasAdopted = false;
     TimePoint m_startedAt;
-    double m_capacity;
     double m_total = 0;
     std::map<std::string, PeerTotal> m_peers;
 };
--- a/packages/Policy/lib/SharedQuota.cpp
+++ b/packages/Policy/lib/SharedQuota.cpp
@@ -9,38 +9,69 @@
 /// Peers are heard for the first time within this time of a start.
 constexpr Duration learningTime = std::chrono::seconds(5);
 
+/// Part of the rate that is used until a window has passed since the whole fleet was restarted: nobody knows
+/// what was admitted just before.
+constexpr double uncertainPart = 0.75;
+
 /// What may be used without hearing from those that are silent.
-TokenBucketOptions optionsOf(const QuotaLimits& limits, const QuotaSharers& sharers)
+double partOf(const QuotaSharers& sharers)
 {
     const auto known = static_cast<double>(std::max<size_t>(1, sharers.known));
-    const double part = 1 - static_cast<double>(std::min(sharers.silent, sharers.known)) / known;
-    return { .rate = limits.tokensPerSecond * part, .capacity = limits.burstTokens * part };
+    return 1 - static_cast<double>(std::min(sharers.silent, sharers.known)) / known;
 }
 
 } // namespace
 
 SharedQuota::SharedQuota(
     const QuotaLimits& limits, bool startsFull, const QuotaSharers& sharers, TimePoint now)
-    : m_bucket(optionsOf(limits, sharers), now)
+    : m_limits(limits)
+    , m_bucket({ .capacity = limits.burstTokens }, now)
     , m_startedFull(startsFull)
     , m_startedAt(now)
-    , m_capacity(limits.burstTokens)
 {
+    m_bucket.configure(bucketOptions(sharers, now), now);
     if (!startsFull)
         m_bucket.settle(-m_bucket.level(now), now);
 }
 
+bool SharedQuota::knowsWindow(TimePoint now) const
+{
+    return m_startedFull || m_hasAdopted || now - m_startedAt >= m_limits.window;
+}
+
+TokenBucketOptions SharedQuota::bucketOptions(const QuotaSharers& sharers, TimePoint now) const
+{
+    const double part = partOf(sharers);
+    return { .rate = m_limits.tokensPerSecond * part * (knowsWindow(now) ? 1 : uncertainPart),
+        .capacity = m_limits.burstTokens * part };
+}
+
 bool SharedQuota::admit(double tokens, const QuotaLimits& limits, const QuotaSharers& sharers, TimePoint now)
 {
-    m_capacity = limits.burstTokens;
-    m_bucket.configure(optionsOf(limits, sharers), now);
+    m_limits = limits;
+    m_bucket.configure(bucketOptions(sharers, now), now);
+    const double recent = limits.windowTokens > 0 ? inWindow(now) : 0;
+    if (recent > 0 && recent + tokens > limits.windowTokens * partOf(sharers))
+        return false;
     if (!m_bucket.take(tokens, now))
         return false;
     m_total += tokens;
+    m_recent.add(tokens, now);
     return true;
 }
 
-void SharedQuota::adoptLevel(double level, TimePoint now)
+void SharedQuota::adopt(double level, double inWindow, TimePoint now)
+{
+    beginWith(level, now);
+    m_hasAdopted = true;
+    // When it was admitted isn't told: as good as evenly.
+    m_recent = {};
+    constexpr int parts = 16;
+    for (int i = parts; i > 0; --i)
+        m_recent.add(inWindow / parts, now - m_limits.window * i / parts);
+}
+
+void SharedQuota::beginWith(double level, TimePoint now)
 {
     m_bucket.settle(std::max(0.0, level - m_bucket.level(now)), now);
 }
@@ -48,6 +79,7 @@
 void SharedQuota::giveBack(double tokens, TimePoint now)
 {
     m_bucket.settle(tokens, now);
+    m_recent.add(-tokens, now);
     m_total -= tokens;
 }
 
@@ -62,7 +94,8 @@
     const double before = isPast ? admittedTotal : (peer.incarnation == report.incarnation ? peer.total : 0);
     peer = { .incarnation = report.incarnation, .total = admittedTotal };
     // More than a whole bucket can only have been admitted over a time in which as much came in.
-    m_bucket.settle(-std::clamp(admittedTotal - before, 0.0, m_capacity), now);
+    m_bucket.settle(-std::clamp(admittedTotal - before, 0.0, m_limits.burstTokens), now);
+    m_recent.add(admittedTotal - before, now);
 }
 
 } // namespace lentilbay
--- a/packages/Policy/unittests/SharedQuotaTest.cpp
+++ b/packages/Policy/unittests/SharedQuotaTest.cpp
@@ -71,11 +71,11 @@
     // The load of djspu-edit trouble-2: daemons restart one after the other while an organisation uses half.
     SharedQuota quota(limits, false, {}, TimePoint());
     EXPECT_FALSE(quota.admit(500, limits, { .known = 2 }, TimePoint()));
-    quota.adoptLevel(700, TimePoint());
+    quota.adopt(700, 0, TimePoint());
     EXPECT_TRUE(quota.admit(500, limits, { .known = 2 }, TimePoint()));
-    quota.adoptLevel(100, TimePoint());
+    quota.adopt(100, 0, TimePoint());
     EXPECT_EQ(quota.level(TimePoint()), 200) << "a lower level elsewhere is known by the totals";
-    quota.adoptLevel(1e9, TimePoint());
+    quota.adopt(1e9, 0, TimePoint());
     EXPECT_EQ(quota.level(TimePoint()), limits.burstTokens);
 }
 
@@ -158,7 +158,12 @@
 class SlowlyHeardFleet {
 public:
     static constexpr size_t size = 40;
-    static constexpr QuotaLimits quota { .tokensPerSecond = 40'000, .burstTokens = 40'000 };
+    /// What the users allow: a burst of one second.
+    static constexpr double rate = 40'000;
+    static constexpr double allowed = rate * 8 + rate;
+    static constexpr QuotaLimits quota {
+        .tokensPerSecond = rate, .burstTokens = 2.5 * rate, .window = 8s, .windowTokens = 1.04 * allowed
+    };
     static constexpr Duration hearingPeriod = 1s;
     /// The users' slack is 0.022 of the quota of a window on their largest site.
     static constexpr double slack = 0.022;
@@ -203,8 +208,7 @@
                     m_window.add(piece, now);
             }
         }
-        constexpr double window = quota.tokensPerSecond * 8 + quota.burstTokens;
-        m_last = m_window.within(8s, now) / window;
+        m_last = m_window.within(8s, now) / allowed;
         m_worst = std::max(m_worst, m_last);
     }
 
@@ -224,6 +228,19 @@
     double m_last = 0;
 };
 
+TEST(SharedQuota, AnUnevenOrganisationWithinItsQuotaIsNotRefused)
+{
+    // The load of djspu-edit-grown quiet-1: requests come in rushes of twice the rate, a little below the
+    // rate on the whole.
+    constexpr auto& limits = SlowlyHeardFleet::quota;
+    SharedQuota quota(limits, true, {}, TimePoint());
+    for (TimePoint now {}; now < TimePoint(24s); now += step) {
+        const bool isRush = (now - TimePoint()) % 3s < 1s;
+        const double tokens = limits.tokensPerSecond * toSeconds(step) * (isRush ? 2.2 : 0.3);
+        EXPECT_TRUE(quota.admit(tokens, limits, {}, now));
+    }
+}
+
 TEST(SharedQuota, HoldsWhereDaemonsHearEachOtherOnceASecond)
 {
     SlowlyHeardFleet fleet(5);
