--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -132,6 +132,13 @@
     const auto limits = m_state.quotaLimits(quota);
     if (shared.admit(m_quotaTokens, limits, m_state.quotaSharers(), now))
         return true;
+    const auto sharers = m_state.quotaSharers();
+    logEvent(Event::QuotaExceeded,
+        { { "id", m_facts.id.text() }, { "organisation", m_organisation->name.text() },
+            { "tokens", m_quotaTokens }, { "bucket", shared.level(now) },
+            { "bucket_size", limits.burstTokens }, { "in_window", shared.inWindow(now) },
+            { "window_size", limits.windowTokens }, { "daemons", static_cast<int64_t>(sharers.known) },
+            { "silent", static_cast<int64_t>(sharers.silent) } });
     refuse(ResultCode::TokenRateLimit, std::max(usualReturn, shared.timeUntil(m_quotaTokens, now)), now);
     return false;
 }
