Leave a silent endpoint only for one with room, and never turn away what has begun

An engine's silence is no reason to end an answer.

Change: a silent send ends only where another endpoint has room now and the repeat budget allows the send; what has begun waits first in the line and is turned away only at its end.

Tests: a silent stream stays and goes on once there is room (fails without the condition); the line keeps what has begun.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -49,6 +49,7 @@
     bool judgeKey(TimePoint now);
     bool judgeQuota(TimePoint now);
     void enqueue(TimePoint now);
+    WaitingRequest waitingRequest() const;
     bool mayStillSend(TimePoint now);
     void sendNow(std::shared_ptr<http::ClientConnection> connection, TimePoint now);
     bool responseHead(const http::HttpResponseHead& head);
@@ -62,6 +63,7 @@
     void beginAnswer();
     /// Ends the current send and tells the endpoint's state.
     void endSend(SendEnd end, TimePoint now);
+    void logFailedSend(bool mayHaveRun, ResultCode reason) const;
     /// After a send without a usable answer: sends again where that is allowed, else gives up.
     void sendFailed(bool mayHaveRun, ResultCode reason, TimePoint now);
     /// Gives up what may have run; an endpoint's own failure is passed on where there is one.
--- a/packages/Edge/include/lentilbay/Edge/WaitingLine.h
+++ b/packages/Edge/include/lentilbay/Edge/WaitingLine.h
@@ -15,6 +15,8 @@
     uint64_t number = 0;
     /// 0 is the most urgent.
     int rank = 0;
+    /// An endpoint has worked on it: it is never turned away while it can still be answered.
+    bool hasBegun = false;
     ChoiceQuery query;
     TimePoint arrivedAt {};
     /// The caller's deadline or the route's timeout, whichever is sooner.
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -149,15 +149,21 @@
         refuse(ResultCode::NoEndpoint, usualReturn, now);
         return;
     }
-    m_state.line.push({ .number = m_number,
+    m_state.line.push(waitingRequest());
+}
+
+WaitingRequest EdgeRequest::waitingRequest() const
+{
+    return { .number = m_number,
         .rank = m_route->rank,
+        .hasBegun = m_runs > 0,
         .query = { .service = m_service,
             .work = m_work,
             .objectiveAt = m_arrivedAt + m_route->objective,
             .giveUpAt = m_giveUpAt,
             .tried = m_tried },
         .arrivedAt = m_arrivedAt,
-        .giveUpAt = m_giveUpAt });
+        .giveUpAt = m_giveUpAt };
 }
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -306,18 +306,18 @@
     return m_sends == 0 || m_state.repeats(m_service).take(m_state.repeatLimits(), now);
 }
 
-void EdgeRequest::sendFailed(bool mayHaveRun, ResultCode reason, TimePoint now)
+void EdgeRequest::logFailedSend(bool mayHaveRun, ResultCode reason) const
 {
     logEvent(Event::SendFailed,
         { { "id", m_facts.id.text() }, { "endpoint", m_tried.back().text() }, { "code", printed(reason) },
             { "may_have_run", static_cast<int64_t>(mayHaveRun) },
             { "events", static_cast<int64_t>(m_eventsRelayed) } });
+}
+
+void EdgeRequest::sendFailed(bool mayHaveRun, ResultCode reason, TimePoint now)
+{
+    logFailedSend(mayHaveRun, reason);
     if (now < m_giveUpAt && m_state.book.hasAny(m_service, m_tried) && mayStillSend(now)) {
-        if (m_eventsRelayed > 0) {
-            m_state.metrics.count("streams_resumed");
-            logEvent(Event::StreamResumed,
-                { { "id", m_facts.id.text() }, { "last_event", m_events.lastId().value_or("") } });
-        }
         waitAgain(now);
         return;
     }
@@ -339,6 +339,11 @@
 
 void EdgeRequest::waitAgain(TimePoint now)
 {
+    if (m_eventsRelayed > 0) {
+        m_state.metrics.count("streams_resumed");
+        logEvent(Event::StreamResumed,
+            { { "id", m_facts.id.text() }, { "last_event", m_events.lastId().value_or("") } });
+    }
     enqueue(now);
     m_state.step(now);
 }
@@ -354,10 +359,12 @@
         ? fromSeconds(toSeconds(m_route->gapObjective) * silentGaps)
         : std::max(fromSeconds(toSeconds(m_route->objective) * silentPartOfObjective),
             2 * m_send->endpoint->expectedFirst({ .isStream = m_work.isStream }));
-    if (silence < tolerated)
+    // Silence alone ends nothing: the endpoint may still go on, and only another one with room does better.
+    if (silence < tolerated || !m_state.book.choose(waitingRequest().query, now) || !mayStillSend(now))
         return;
+    logFailedSend(true, ResultCode::EndpointStalled);
     endSend(SendEnd::Bad, now);
-    sendFailed(true, ResultCode::EndpointStalled, now);
+    waitAgain(now);
 }
 
 void EdgeRequest::timedOut()
--- a/packages/Edge/lib/WaitingLine.cpp
+++ b/packages/Edge/lib/WaitingLine.cpp
@@ -40,7 +40,7 @@
     }
     m_requests.sort([&](const auto& a, const auto& b) {
         const auto key = [](const WaitingRequest& it) {
-            return std::make_tuple(it.rank, it.isLate, it.query.objectiveAt, it.number);
+            return std::make_tuple(!it.hasBegun, it.rank, it.isLate, it.query.objectiveAt, it.number);
         };
         return key(a) < key(b);
     });
@@ -74,7 +74,7 @@
         }
         const double own = toSeconds(pace.whole(it->query.work)) / slots;
         const auto start = now + fromSeconds(ahead);
-        if (ahead > m_options.maxSeconds || start + leastUseful >= it->giveUpAt) {
+        if (!it->hasBegun && (ahead > m_options.maxSeconds || start + leastUseful >= it->giveUpAt)) {
             out.turnedAway.push_back({ .number = it->number,
                 .comeBackIn = std::min(m_options.longestReturn, fromSeconds(std::max(0.2, ahead))) });
             it = m_requests.erase(it);
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -411,6 +411,35 @@
     EXPECT_EQ(state.pools.idleConnections(), 0U) << "the connection is closed, which stops the work";
 }
 
+TEST_F(EdgeRequestTest, ASilentStreamIsNotEndedWhereNoOtherEndpointHasRoom)
+{
+    // The load of djspu-edit-grown scale-1: an engine pauses while all others are full.
+    list("e2", second);
+    state.book.heardLoads("peer", { { .endpoint = hashOf("e2"), .inFlight = 4 } }, bootNow());
+    first.script({ .bytes = streamAnswer({ eventOf(1) }, false) });
+    CallerAnswer answer;
+    auto connection = send("/stream/x", answer);
+    runUntil([&] { return answer.body == eventOf(1); });
+    const auto silentFrom = bootNow();
+    runUntil([&] {
+        for (const auto& [number, request] : std::unordered_map(state.requests))
+            request->checkProgress(bootNow());
+        return bootNow() - silentFrom > 1500ms;
+    });
+    EXPECT_FALSE(answer.hasEnded());
+    EXPECT_EQ(second.requests().size(), 0U);
+    // Room elsewhere: the stream goes on there.
+    second.script({ .bytes = streamAnswer({ eventOf(2) }) });
+    state.book.heardLoads("peer", {}, bootNow());
+    runUntil([&] {
+        for (const auto& [number, request] : std::unordered_map(state.requests))
+            request->checkProgress(bootNow());
+        return answer.hasEnded();
+    });
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(answer.body, eventOf(1) + eventOf(2));
+}
+
 TEST_F(EdgeRequestTest, ASilentEndpointIsLeftForAnotherOne)
 {
     first.setResponder([](const std::string&) { return ScriptedAnswer { .bytes = "", .delay = 10s }; });
--- a/packages/Edge/unittests/WaitingLineTest.cpp
+++ b/packages/Edge/unittests/WaitingLineTest.cpp
@@ -112,6 +112,27 @@
     EXPECT_EQ(line.size(), 0U);
 }
 
+TEST_F(WaitingLineTest, WhatHasBegunGoesFirstAndIsNotTurnedAway)
+{
+    for (uint64_t i = 1; i <= 100; ++i)
+        push(i, 0, TimePoint(1s));
+    line.push({ .number = 200,
+        .rank = 2,
+        .hasBegun = true,
+        .query = { .service = service, .work = edit, .objectiveAt = TimePoint(500ms) },
+        .arrivedAt = TimePoint(1s),
+        .giveUpAt = TimePoint(11s) });
+    EXPECT_EQ(numbersOf(line.step(TimePoint(1s)).started).front(), 200U);
+    line.push({ .number = 201,
+        .rank = 2,
+        .hasBegun = true,
+        .query = { .service = service, .work = edit, .objectiveAt = TimePoint(500ms) },
+        .arrivedAt = TimePoint(1s),
+        .giveUpAt = TimePoint(1200ms) });
+    const auto away = numbersOf(line.step(TimePoint(1s)).turnedAway);
+    EXPECT_EQ(std::ranges::count(away, 201U), 0);
+}
+
 TEST_F(WaitingLineTest, ACallerThatLeftWaitsNoLonger)
 {
     push(1, 0, TimePoint(1s));
