--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -35,6 +35,10 @@
     PeerStatus makeStatus(TimePoint now);
     void takeQuotas(const PeerStatus& status, TimePoint now);
     Duration periodTo(const PeerTable::Peer& peer) const;
+    /// The counter of the bytes that go to the peer's place.
+    std::string_view sentBytesName(const PeerTable::Peer& peer) const;
+    using Gauges = std::vector<std::pair<std::string, double>>;
+    Gauges gauges(TimePoint now) const;
     /// Whether others of this data centre read the store, and their view is young enough.
     bool mayRest(const StoreFollower& follower, TimePoint now) const;
     /// Whether another daemon of this data centre is the one that reads the store for it.
--- a/packages/Edge/include/lentilbay/Edge/EdgeMetrics.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeMetrics.h
@@ -24,8 +24,13 @@
     void waited(int rank, Duration wait);
     /// The longest time between two events of one stream.
     void longestPause(int rank, Duration pause);
+    /// The Retry-After of a refusal.
+    void promisedReturn(int rank, Duration wait);
+    /// How far the first event was from the time that was expected at the send, either way.
+    void firstEventError(int rank, Duration error);
     void count(std::string_view name, uint64_t n = 1);
-    /// Text with the counters, the histograms and the gauges, which are given by name.
+    /// Text with the counters, the histograms and the gauges, which are given by name, with labels or
+    /// without.
     std::string text(const std::vector<std::pair<std::string, double>>& gauges) const;
 
 private:
--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -22,6 +22,8 @@
     bool isSent = false;
     TimePoint sentAt {};
     TimePoint lastEventAt {};
+    /// From the send on, as estimated then.
+    Duration expectedFirst {};
     bool hadFirst = false;
     bool wasNotRun = false;
     bool isOtherEndpoint = false;
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -10,7 +10,10 @@
 #include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
+#include <fstream>
 #include <random>
+#include <set>
+#include <unistd.h>
 #include <utility>
 
 namespace lentilbay::edge {
@@ -48,6 +51,15 @@
     return (uint64_t { device() } << 32U) | device();
 }
 
+/// The memory that the process holds now; -1 where the system doesn't tell.
+double residentBytes()
+{
+    std::ifstream in("/proc/self/statm");
+    double all = 0;
+    double resident = 0;
+    return in >> all >> resident ? resident * static_cast<double>(sysconf(_SC_PAGESIZE)) : -1;
+}
+
 ip::tcp::endpoint tcpEndpoint(const platform::Address& address)
 {
     return { ip::make_address(address.host), address.port };
@@ -324,30 +336,40 @@
             .limits = [] { return http::ServerLimits {}; },
             .handler =
                 [this](std::shared_ptr<http::Exchange> exchange) {
-                    const auto now = bootNow();
-                    const auto age = m_state.routesAge(now);
-                    exchange->respond(200, "OK", {},
-                        m_state.metrics.text({ { "configuration_version",
-                                                   static_cast<double>(
-                                                       m_state.routes ? m_state.routes->version() : 0) },
-                            { "configuration_age_seconds", age ? toSeconds(*age) : -1 },
-                            { "endpoints", static_cast<double>(m_state.book.all().size()) },
-                            { "requests_open", static_cast<double>(m_state.requests.size()) },
-                            { "requests_waiting", static_cast<double>(m_state.line.size()) },
-                            { "caller_connections", static_cast<double>(m_front->connections()) },
-                            { "endpoint_connections_opened", static_cast<double>(m_state.pools.opened()) },
-                            { "peers", static_cast<double>(m_state.peers.peers().size()) },
-                            { "peers_silent", static_cast<double>(m_state.peers.silent()) },
-                            { "store_calls",
-                                static_cast<double>(
-                                    m_configuration->calls() + m_endpoints->calls() + m_daemons->calls()) },
-                            { "store_calls_failed",
-                                static_cast<double>(m_configuration->failures() + m_endpoints->failures()
-                                    + m_daemons->failures()) } }));
+                    exchange->respond(200, "OK", {}, m_state.metrics.text(gauges(bootNow())));
                 },
             .malformed = {} });
 }
 
+EdgeDaemon::Gauges EdgeDaemon::gauges(TimePoint now) const
+{
+    const auto number = [](auto n) { return static_cast<double>(n); };
+    const auto age = m_state.routesAge(now);
+    const auto endpointsAt = m_endpoints->confirmedAt();
+    Gauges out { { "configuration_version", number(m_state.routes ? m_state.routes->version() : 0) },
+        { "configuration_age_seconds", age ? toSeconds(*age) : -1 },
+        { "endpoints", number(m_state.book.all().size()) },
+        { "endpoints_age_seconds", endpointsAt ? toSeconds(now - *endpointsAt) : -1 },
+        { "requests_open", number(m_state.requests.size()) },
+        { "requests_waiting", number(m_state.line.size()) },
+        { "caller_connections", number(m_front->connections()) },
+        { "endpoint_connections_opened", number(m_state.pools.opened()) },
+        { "peers", number(m_state.peers.peers().size()) }, { "peers_silent", number(m_state.peers.silent()) },
+        { "store_calls", number(m_configuration->calls() + m_endpoints->calls() + m_daemons->calls()) },
+        { "store_calls_failed",
+            number(m_configuration->failures() + m_endpoints->failures() + m_daemons->failures()) },
+        { "log_lines_dropped", number(droppedLogLines()) }, { "resident_bytes", residentBytes() } };
+    std::set<ServiceId> services;
+    for (const auto& [id, endpoint] : m_state.book.all())
+        services.insert(endpoint->listed().service);
+    for (const auto& it : services) {
+        const auto occupancy = m_state.book.occupancy(it, now);
+        out.emplace_back(fmt::format("service_slots{{service=\"{}\"}}", it.text()), occupancy.slots);
+        out.emplace_back(fmt::format("service_load{{service=\"{}\"}}", it.text()), occupancy.load);
+    }
+    return out;
+}
+
 void EdgeDaemon::awaitSignal()
 {
     m_signals.async_wait([this](std::error_code ec, int signal) {
--- a/packages/Edge/lib/EdgeMetrics.cpp
+++ b/packages/Edge/lib/EdgeMetrics.cpp
@@ -61,6 +61,8 @@
     std::map<int, Times> first;
     std::map<int, Times> waited;
     std::map<int, Times> pauses;
+    std::map<int, Times> promisedReturns;
+    std::map<int, Times> firstErrors;
     std::map<std::pair<int, ResultCode>, uint64_t> ended;
     std::map<std::string, uint64_t, std::less<>> counters;
 };
@@ -84,6 +86,10 @@
 
 void EdgeMetrics::longestPause(int rank, Duration pause) { m_state->pauses[rank].observe(pause); }
 
+void EdgeMetrics::promisedReturn(int rank, Duration wait) { m_state->promisedReturns[rank].observe(wait); }
+
+void EdgeMetrics::firstEventError(int rank, Duration error) { m_state->firstErrors[rank].observe(error); }
+
 void EdgeMetrics::count(std::string_view name, uint64_t n)
 {
     auto it = m_state->counters.find(name);
@@ -102,12 +108,14 @@
         fmt::format_to(
             std::back_inserter(out), "# TYPE lentilbay_{0} counter\nlentilbay_{0} {1}\n", name, count);
     for (const auto& [name, value] : gauges)
-        fmt::format_to(
-            std::back_inserter(out), "# TYPE lentilbay_{0} gauge\nlentilbay_{0} {1}\n", name, value);
+        fmt::format_to(std::back_inserter(out), "# TYPE lentilbay_{} gauge\nlentilbay_{} {}\n",
+            name.substr(0, name.find('{')), name, value);
     appendTimes(out, "lentilbay_request_seconds", m_state->total);
     appendTimes(out, "lentilbay_first_answer_seconds", m_state->first);
     appendTimes(out, "lentilbay_wait_seconds", m_state->waited);
     appendTimes(out, "lentilbay_longest_pause_seconds", m_state->pauses);
+    appendTimes(out, "lentilbay_promised_return_seconds", m_state->promisedReturns);
+    appendTimes(out, "lentilbay_first_event_error_seconds", m_state->firstErrors);
     return out;
 }
 
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -152,6 +152,16 @@
     return isSameRegion ? otherDataCentrePeriod : otherRegionPeriod;
 }
 
+std::string_view EdgeDaemon::sentBytesName(const PeerTable::Peer& peer) const
+{
+    const auto& own = m_state.settings;
+    if (peer.dataCentre == own.dataCentre.text())
+        return "peer_bytes_sent_in_data_centre";
+    const auto region = own.regions.find(DataCentreId(peer.dataCentre));
+    return region != own.regions.end() && region->second == own.region ? "peer_bytes_sent_in_region"
+                                                                       : "peer_bytes_sent_between_regions";
+}
+
 PeerStatus EdgeDaemon::makeStatus(TimePoint now)
 {
     const auto& own = m_state.settings;
@@ -206,9 +216,12 @@
         const auto host = ip::make_address(peer.host, ec);
         if (ec)
             continue;
-        m_peerSocket.send_to(asio::buffer(encodePeerStatus(status)), { host, peer.port }, 0, ec);
+        const auto datagram = encodePeerStatus(status);
+        m_peerSocket.send_to(asio::buffer(datagram), { host, peer.port }, 0, ec);
         if (ec)
             m_state.metrics.count("peer_datagrams_unsent");
+        else
+            m_state.metrics.count(sentBytesName(peer), datagram.size());
     }
     // Requests move on while they wait for an endpoint that says nothing.
     const auto requests = m_state.requests;
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -95,11 +95,12 @@
     m_send->isSent = true;
     m_send->sentAt = m_send->lastEventAt = now;
     const auto& endpoint = *m_send->endpoint;
+    m_send->expectedFirst = endpoint.expectedFirst(m_work);
     logEvent(Event::RequestSent,
         { { "id", m_facts.id.text() }, { "endpoint", endpoint.listed().id.text() },
             { "waited_ms", millisecondsOf(now - m_arrivedAt) }, { "load", endpoint.load() },
             { "slots", static_cast<int64_t>(endpoint.listed().slots) },
-            { "expected_first_ms", millisecondsOf(endpoint.expectedFirst(m_work)) },
+            { "expected_first_ms", millisecondsOf(m_send->expectedFirst) },
             { "send", static_cast<int64_t>(m_sends) } });
     platform::SendFacts facts { .endpoint = endpoint.listed().id,
         .organisation = m_organisation ? std::optional(m_organisation->name) : std::nullopt,
@@ -151,6 +152,8 @@
     auto& endpoint = *m_send->endpoint;
     if (!m_send->hadFirst) {
         m_send->hadFirst = true;
+        const auto error = now - m_send->sentAt - m_send->expectedFirst;
+        m_state.metrics.firstEventError(m_route->rank, std::max(error, -error));
         endpoint.first(m_work, now - m_send->sentAt, now);
     } else {
         const auto* service = m_routes->findService(m_service);
@@ -405,8 +408,10 @@
             { "held_ms", millisecondsOf(now - m_arrivedAt) },
             { "come_back_ms", comeBackIn ? millisecondsOf(*comeBackIn) : -1 } });
     http::Headers headers;
-    if (comeBackIn)
+    if (comeBackIn) {
         headers = platform::retryAfterHeaders(*comeBackIn);
+        m_state.metrics.promisedReturn(m_route ? m_route->rank : -1, *comeBackIn);
+    }
     m_exchange->respond(status, http::reasonPhrase(status), headers, printed(code) + "\n");
     finish(code, now);
 }
--- a/packages/Edge/unittests/EdgeDaemonTest.cpp
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -115,6 +115,9 @@
                     .starts_with("HTTP/1.1 200"));
     metrics = ask(settings.metrics.port, "GET /metrics HTTP/1.1\r\n" + tail);
     EXPECT_NE(metrics.find("lentilbay_requests_total{rank="), std::string::npos);
+    for (const auto* name : { "resident_bytes", "endpoints_age_seconds", "log_lines_dropped", "service_slots",
+             "first_answer_seconds", "promised_return_seconds" })
+        EXPECT_NE(metrics.find(std::string("# TYPE lentilbay_") + name + " "), std::string::npos) << name;
 
     kill(getpid(), SIGTERM);
     std::string readiness;
--- a/packages/Support/lib/BoundedOutput.h
+++ b/packages/Support/lib/BoundedOutput.h
@@ -1,6 +1,9 @@
 // A log sink that never blocks: a bounded buffer before a descriptor that is written without waiting.
 #pragma once
 
+#include "lentilbay/Support/Log.h"
+
+#include <algorithm>
 #include <cerrno>
 #include <cstdint>
 #include <fcntl.h>
@@ -53,7 +56,11 @@
     {
         if (m_droppedUntold == 0)
             return;
-        m_buffer += "{\"event\":\"log\",\"dropped\":" + std::to_string(m_droppedUntold) + "}\n";
+        // By hand: this line is written while the logger is busy with another one.
+        m_buffer += "{"
+            + formatEvent(Event::LogLinesDropped, { { "dropped", static_cast<int64_t>(m_droppedUntold) } },
+                LogFormat::JsonLines)
+            + "}\n";
         m_droppedUntold = 0;
     }
 
@@ -66,8 +73,10 @@
                 continue;
             }
             // A closed reader: nothing of it can ever be written.
-            if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+            if (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+                m_dropped += static_cast<uint64_t>(std::count(m_buffer.begin(), m_buffer.end(), '\n'));
                 m_buffer.clear();
+            }
             return;
         }
     }
