--- a/packages/Support/lib/Log.cpp
+++ b/packages/Support/lib/Log.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cassert>
 #include <fmt/format.h>
+#include <iterator>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 #include <unistd.h>
@@ -42,27 +43,50 @@
     return row.level == "warn" ? spdlog::level::warn : spdlog::level::err;
 }
 
-std::string quoted(std::string_view text)
+using Buffer = fmt::memory_buffer;
+
+void append(Buffer& out, std::string_view text) { out.append(text.data(), text.data() + text.size()); }
+
+void appendQuoted(Buffer& out, std::string_view text)
 {
-    std::string out = "\"";
+    out.push_back('"');
     for (char c : text) {
         if (c == '"' || c == '\\')
-            out += '\\';
+            out.push_back('\\');
         if (static_cast<unsigned char>(c) < 0x20)
-            out += fmt::format("\\u{:04x}", static_cast<unsigned>(c));
+            fmt::format_to(std::back_inserter(out), "\\u{:04x}", static_cast<unsigned>(c));
         else
-            out += c;
+            out.push_back(c);
     }
-    return out + '"';
+    out.push_back('"');
 }
 
-std::string printedValue(const LogField& field)
+void appendField(Buffer& out, const LogField& field, bool isJson)
 {
+    append(out, isJson ? ",\"" : " ");
+    append(out, field.name);
+    append(out, isJson ? "\":" : "=");
     if (const auto* text = std::get_if<std::string>(&field.value))
-        return quoted(*text);
-    if (const auto* number = std::get_if<int64_t>(&field.value))
-        return fmt::format("{}", *number);
-    return fmt::format("{}", std::get<double>(field.value));
+        appendQuoted(out, *text);
+    else if (const auto* number = std::get_if<int64_t>(&field.value))
+        append(out, std::string_view(fmt::format_int(*number).c_str()));
+    else
+        fmt::format_to(std::back_inserter(out), "{}", std::get<double>(field.value));
+}
+
+/// One line for each decision on a request is written, so without temporary strings.
+void appendEvent(Buffer& out, Event event, std::initializer_list<LogField> fields, LogFormat format)
+{
+    const auto& row = rowOf(event);
+    const bool isJson = format == LogFormat::JsonLines;
+    append(out, isJson ? "\"event\":\"LE-" : "LE-");
+    append(out, std::string_view(fmt::format_int(static_cast<unsigned>(event)).c_str()));
+    append(out, isJson ? "\",\"name\":\"" : " ");
+    append(out, row.name);
+    if (isJson)
+        out.push_back('"');
+    for (const auto& field : fields)
+        appendField(out, field, isJson);
 }
 
 } // namespace
@@ -79,15 +103,9 @@
 
 std::string formatEvent(Event event, std::initializer_list<LogField> fields, LogFormat format)
 {
-    const auto& row = rowOf(event);
-    const bool json = format == LogFormat::JsonLines;
-    std::string out = json
-        ? fmt::format(R"("event":"LE-{}","name":"{}")", static_cast<unsigned>(event), row.name)
-        : fmt::format("LE-{} {}", static_cast<unsigned>(event), row.name);
-    for (const auto& field : fields)
-        out += json ? fmt::format(",\"{}\":{}", field.name, printedValue(field))
-                    : fmt::format(" {}={}", field.name, printedValue(field));
-    return out;
+    Buffer out;
+    appendEvent(out, event, fields, format);
+    return { out.data(), out.size() };
 }
 
 void configureLog(const LogOptions& options)
@@ -117,7 +135,9 @@
     const auto level = levelOf(rowOf(event));
     if (!spdlog::should_log(level))
         return;
-    spdlog::log(level, "{}", formatEvent(event, fields, currentFormat));
+    Buffer out;
+    appendEvent(out, event, fields, currentFormat);
+    spdlog::log(level, spdlog::string_view_t(out.data(), out.size()));
 }
 
 } // namespace lentilbay
