Write one type line for gauges with labels, and move the store views out of the status

A second type line for a metric makes the Prometheus text unreadable. clang cannot construct a nested type with member initialisers through optional inside its enclosing class; found by the linter.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -46,7 +46,7 @@
     Duration feedWait() const;
     Duration restingSpacing() const;
     void takeViews(const PeerStatus& status, TimePoint now);
-    static PeerStatus::TableView viewOf(const StoreFollower& follower, TimePoint now);
+    static TableView viewOf(const StoreFollower& follower, TimePoint now);
     void serveReadiness();
     void serveMetrics();
     void arm(asio::steady_timer& timer, Duration period, std::function<void()> action);
--- a/packages/Edge/include/lentilbay/Edge/EdgeMetrics.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeMetrics.h
@@ -30,7 +30,7 @@
     void firstEventError(int rank, Duration error);
     void count(std::string_view name, uint64_t n = 1);
     /// Text with the counters, the histograms and the gauges, which are given by name, with labels or
-    /// without.
+    /// without; gauges that differ in their labels follow each other.
     std::string text(const std::vector<std::pair<std::string, double>>& gauges) const;
 
 private:
--- a/packages/Edge/include/lentilbay/Edge/PeerStatus.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerStatus.h
@@ -15,6 +15,25 @@
 
 namespace lentilbay::edge {
 
+/// What the sender of a status knows of one table of the store.
+struct TableView {
+    /// The version of the store up to which the view is complete.
+    uint64_t coveredVersion = 0;
+    /// The newest change that the view holds.
+    uint64_t changedVersion = 0;
+    /// How long ago the view was known to be complete, when the status was written; negative: never.
+    int64_t ageMicroseconds = -1;
+
+    auto operator<=>(const TableView&) const = default;
+};
+
+struct StoreViews {
+    TableView configuration;
+    TableView endpoints;
+
+    auto operator<=>(const StoreViews&) const = default;
+};
+
 struct PeerStatus {
     std::string daemon;
     /// Drawn at random by each process.
@@ -33,25 +52,8 @@
     uint64_t echoedIncarnation = 0;
     /// The send time by the sender's own clock, for it to be echoed.
     int64_t sentMicroseconds = 0;
-    /// What the sender knows of one table of the store.
-    struct TableView {
-        /// The version of the store up to which the view is complete.
-        uint64_t coveredVersion = 0;
-        /// The newest change that the view holds.
-        uint64_t changedVersion = 0;
-        /// How long ago the view was known to be complete, when the status was written; negative: never.
-        int64_t ageMicroseconds = -1;
-
-        auto operator<=>(const TableView&) const = default;
-    };
     /// Only daemons of one data centre read for each other.
-    struct Views {
-        TableView configuration;
-        TableView endpoints;
-
-        auto operator<=>(const Views&) const = default;
-    };
-    std::optional<Views> views;
+    std::optional<StoreViews> views;
     std::vector<PeerLoad> loads;
     struct QuotaUse {
         /// hashOf() of the organisation's name.
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -362,11 +362,12 @@
     std::set<ServiceId> services;
     for (const auto& [id, endpoint] : m_state.book.all())
         services.insert(endpoint->listed().service);
-    for (const auto& it : services) {
-        const auto occupancy = m_state.book.occupancy(it, now);
-        out.emplace_back(fmt::format("service_slots{{service=\"{}\"}}", it.text()), occupancy.slots);
-        out.emplace_back(fmt::format("service_load{{service=\"{}\"}}", it.text()), occupancy.load);
-    }
+    for (const auto& it : services)
+        out.emplace_back(
+            fmt::format("service_slots{{service=\"{}\"}}", it.text()), m_state.book.occupancy(it, now).slots);
+    for (const auto& it : services)
+        out.emplace_back(
+            fmt::format("service_load{{service=\"{}\"}}", it.text()), m_state.book.occupancy(it, now).load);
     return out;
 }
 
--- a/packages/Edge/lib/EdgeMetrics.cpp
+++ b/packages/Edge/lib/EdgeMetrics.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <iterator>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace lentilbay::edge {
@@ -107,9 +108,14 @@
     for (const auto& [name, count] : m_state->counters)
         fmt::format_to(
             std::back_inserter(out), "# TYPE lentilbay_{0} counter\nlentilbay_{0} {1}\n", name, count);
-    for (const auto& [name, value] : gauges)
-        fmt::format_to(std::back_inserter(out), "# TYPE lentilbay_{} gauge\nlentilbay_{} {}\n",
-            name.substr(0, name.find('{')), name, value);
+    std::string_view typed;
+    for (const auto& [name, value] : gauges) {
+        // One type line for all labels of a name: a second one makes the text unreadable.
+        const auto bare = std::string_view(name).substr(0, name.find('{'));
+        if (std::exchange(typed, bare) != bare)
+            fmt::format_to(std::back_inserter(out), "# TYPE lentilbay_{} gauge\n", bare);
+        fmt::format_to(std::back_inserter(out), "lentilbay_{} {}\n", name, value);
+    }
     appendTimes(out, "lentilbay_request_seconds", m_state->total);
     appendTimes(out, "lentilbay_first_answer_seconds", m_state->first);
     appendTimes(out, "lentilbay_wait_seconds", m_state->waited);
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -125,7 +125,7 @@
     if (!status.views || status.echoedIncarnation != m_incarnation || echoed > now)
         return;
     // The peer wrote this after it had our status of the echoed time, whatever delayed either on the way.
-    const auto take = [&](StoreFollower& follower, const PeerStatus::TableView& view) {
+    const auto take = [&](StoreFollower& follower, const TableView& view) {
         if (view.ageMicroseconds >= 0)
             follower.peerConfirmed(
                 view.coveredVersion, view.changedVersion, echoed - Duration(view.ageMicroseconds));
@@ -134,7 +134,7 @@
     take(*m_endpoints, status.views->endpoints);
 }
 
-PeerStatus::TableView EdgeDaemon::viewOf(const StoreFollower& follower, TimePoint now)
+TableView EdgeDaemon::viewOf(const StoreFollower& follower, TimePoint now)
 {
     const auto confirmedAt = follower.confirmedAt();
     return { .coveredVersion = follower.coveredVersion(),
--- a/packages/Edge/lib/PeerStatus.cpp
+++ b/packages/Edge/lib/PeerStatus.cpp
@@ -22,12 +22,12 @@
     archive(it.level, it.inWindow);
 }
 
-template <class Archive> void serialize(Archive& archive, PeerStatus::TableView& it)
+template <class Archive> void serialize(Archive& archive, TableView& it)
 {
     archive(it.coveredVersion, it.changedVersion, it.ageMicroseconds);
 }
 
-template <class Archive> void serialize(Archive& archive, PeerStatus::Views& it)
+template <class Archive> void serialize(Archive& archive, StoreViews& it)
 {
     archive(it.configuration, it.endpoints);
 }
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -291,6 +291,15 @@
     EXPECT_EQ(answer.status, 502);
 }
 
+TEST_F(EdgeRequestTest, GaugesThatDifferInLabelsShareOneTypeLine)
+{
+    const auto text
+        = state.metrics.text({ { "x", 1 }, { "y{service=\"a\"}", 2 }, { "y{service=\"b\"}", 3 } });
+    EXPECT_NE(text.find("# TYPE lentilbay_x gauge\nlentilbay_x 1\n# TYPE lentilbay_y gauge\n"
+                        "lentilbay_y{service=\"a\"} 2\nlentilbay_y{service=\"b\"} 3\n"),
+        std::string::npos);
+}
+
 TEST_F(EdgeRequestTest, ARestartedDaemonAdmitsNoQuotaBeforeItKnowsTheOthers)
 {
     state.knowsDaemons = false;
