Tell places apart in one function, and grade each endpoint once

Whether a data centre is the own one, of the own region or of another one was worked out in three places. A choice asked up to three times whether an endpoint finishes in time. Silent endpoints are looked for beside the statuses, not inside the function that sends them. No behaviour changes.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -32,11 +32,13 @@
     void receivePeers();
     void peerHeard(const PeerStatus& status, TimePoint now);
     void sendStatuses();
+    /// Requests leave endpoints that have fallen silent.
+    void checkRequests(TimePoint now);
     PeerStatus makeStatus(TimePoint now);
     void takeQuotas(const PeerStatus& status, TimePoint now);
-    Duration periodTo(const PeerTable::Peer& peer) const;
-    /// The counter of the bytes that go to the peer's place.
-    std::string_view sentBytesName(const PeerTable::Peer& peer) const;
+    Duration periodTo(Place place) const;
+    /// The counter of the bytes that go there.
+    static std::string_view sentBytesName(Place place);
     using Gauges = std::vector<std::pair<std::string, double>>;
     Gauges gauges(TimePoint now) const;
     /// Whether others of this data centre read the store, and their view is young enough.
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -24,6 +24,7 @@
 
     asio::io_context& context;
     platform::ProcessSettings settings;
+    Places places;
     /// nullptr until the first configuration was read.
     std::shared_ptr<const RouteTable> routes;
     /// The configuration was complete up to this moment; never set back.
--- a/packages/Edge/include/lentilbay/Edge/EndpointBook.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointBook.h
@@ -4,6 +4,7 @@
 // are older than both and are not read.
 #pragma once
 
+#include "lentilbay/Model/Places.h"
 #include "lentilbay/Model/RoutedEndpoint.h"
 #include "lentilbay/Policy/Estimate.h"
 #include "lentilbay/Support/Random.h"
@@ -99,12 +100,6 @@
     TimePoint m_lastProgress {};
 };
 
-struct ChoiceLimits {
-    DataCentreId ownDataCentre;
-    /// The region of each data centre.
-    std::map<DataCentreId, RegionId> regions;
-};
-
 /// Slots that must be free, beyond the one to be taken, at endpoints whose load is heard of late.
 struct Headroom {
     double sameRegion = 0;
@@ -156,7 +151,7 @@
 
 class EndpointBook {
 public:
-    EndpointBook(ChoiceLimits limits, uint64_t seed);
+    EndpointBook(Places places, uint64_t seed);
 
     /// Lists an endpoint or changes its entry. Returns whether anything changed.
     bool list(const RoutedEndpoint& endpoint);
@@ -187,12 +182,15 @@
 private:
     /// Whether an endpoint would finish the work in time if it had room.
     static bool finishes(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now);
-    /// Whether it would also begin in time, and not hold up the streams that run there. `ahead` are the
-    /// prompt tokens that it reads first.
-    static bool suits(const EndpointState& endpoint, const ChoiceQuery& query, double ahead, TimePoint now);
+    /// Whether it would begin in time, and not hold up the streams that run there. `ahead` are the prompt
+    /// tokens that it reads first.
+    static bool beginsWell(
+        const EndpointState& endpoint, const ChoiceQuery& query, double ahead, TimePoint now);
     double costOf(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now);
-    enum class Place : uint8_t { OwnDataCentre, OwnRegion, OtherRegion };
-    Place placeOf(const EndpointState& endpoint) const;
+    Place placeOf(const EndpointState& endpoint) const
+    {
+        return m_places.placeOf(endpoint.listed().dataCentre);
+    }
     bool hasRoom(const EndpointState& endpoint) const;
     using Endpoints = std::vector<std::shared_ptr<EndpointState>>;
     const Endpoints& of(const ServiceId& service) const;
@@ -205,7 +203,7 @@
     };
     static void takeBack(PeerLoads& peer);
 
-    ChoiceLimits m_limits;
+    Places m_places;
     Headroom m_headroom;
     Random m_random;
     std::map<EndpointId, std::shared_ptr<EndpointState>> m_endpoints;
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -122,7 +122,10 @@
         if (m_state.line.size() > 0)
             m_state.step(bootNow());
     });
-    arm(m_peerTimer, peerPeriod, [this] { sendStatuses(); });
+    arm(m_peerTimer, peerPeriod, [this] {
+        sendStatuses();
+        checkRequests(bootNow());
+    });
     arm(m_slowTimer, slowPeriod, [this] {
         const auto now = bootNow();
         m_endpoints->step(now);
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -142,24 +142,18 @@
         .ageMicroseconds = confirmedAt ? (now - *confirmedAt).count() : -1 };
 }
 
-Duration EdgeDaemon::periodTo(const PeerTable::Peer& peer) const
+Duration EdgeDaemon::periodTo(Place place) const
 {
-    const auto& own = m_state.settings;
-    if (m_state.peers.known() <= smallFleet || peer.dataCentre == own.dataCentre.text())
+    if (m_state.peers.known() <= smallFleet || place == Place::OwnDataCentre)
         return peerPeriod;
-    const auto region = own.regions.find(DataCentreId(peer.dataCentre));
-    const bool isSameRegion = region != own.regions.end() && region->second == own.region;
-    return isSameRegion ? otherDataCentrePeriod : otherRegionPeriod;
+    return place == Place::OwnRegion ? otherDataCentrePeriod : otherRegionPeriod;
 }
 
-std::string_view EdgeDaemon::sentBytesName(const PeerTable::Peer& peer) const
+std::string_view EdgeDaemon::sentBytesName(Place place)
 {
-    const auto& own = m_state.settings;
-    if (peer.dataCentre == own.dataCentre.text())
+    if (place == Place::OwnDataCentre)
         return "peer_bytes_sent_in_data_centre";
-    const auto region = own.regions.find(DataCentreId(peer.dataCentre));
-    return region != own.regions.end() && region->second == own.region ? "peer_bytes_sent_in_region"
-                                                                       : "peer_bytes_sent_between_regions";
+    return place == Place::OwnRegion ? "peer_bytes_sent_in_region" : "peer_bytes_sent_between_regions";
 }
 
 PeerStatus EdgeDaemon::makeStatus(TimePoint now)
@@ -195,7 +189,8 @@
         auto& next = m_nextStatus[name];
         if (now < next)
             continue;
-        const auto period = periodTo(peer);
+        const auto place = m_state.places.placeOf(DataCentreId(peer.dataCentre));
+        const auto period = periodTo(place);
         next = now + period - peerPeriod / 2;
         status.periodMilliseconds = static_cast<uint32_t>(period / std::chrono::milliseconds(1));
         status.echoedMicroseconds = peer.sentMicroseconds;
@@ -203,7 +198,7 @@
         const auto at = bootNow();
         status.sentMicroseconds = at.time_since_epoch().count();
         status.views.reset();
-        if (peer.dataCentre == m_state.settings.dataCentre.text())
+        if (place == Place::OwnDataCentre)
             status.views
                 = { .configuration = viewOf(*m_configuration, at), .endpoints = viewOf(*m_endpoints, at) };
         status.levels.clear();
@@ -221,9 +216,13 @@
         if (ec)
             m_state.metrics.count("peer_datagrams_unsent");
         else
-            m_state.metrics.count(sentBytesName(peer), datagram.size());
+            m_state.metrics.count(sentBytesName(place), datagram.size());
     }
-    // Requests move on while they wait for an endpoint that says nothing.
+}
+
+void EdgeDaemon::checkRequests(TimePoint now)
+{
+    // A copy: a request that moves on may end.
     const auto requests = m_state.requests;
     for (const auto& [number, request] : requests)
         request->checkProgress(now);
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -29,7 +29,8 @@
 EdgeState::EdgeState(asio::io_context& context, platform::ProcessSettings given, uint64_t seed)
     : context(context)
     , settings(std::move(given))
-    , book({ .ownDataCentre = settings.dataCentre, .regions = settings.regions }, seed)
+    , places { .ownDataCentre = settings.dataCentre, .regions = settings.regions }
+    , book(places, seed)
     , line(book)
     , pools(context)
     , peers(settings.daemon.text())
--- a/packages/Edge/lib/EndpointBook.cpp
+++ b/packages/Edge/lib/EndpointBook.cpp
@@ -161,8 +161,8 @@
     return expectedFirst(work) + fromSeconds(work.answerTokens * m_secondsPerToken.mean());
 }
 
-EndpointBook::EndpointBook(ChoiceLimits limits, uint64_t seed)
-    : m_limits(std::move(limits))
+EndpointBook::EndpointBook(Places places, uint64_t seed)
+    : m_places(std::move(places))
     , m_random(seed)
 {
 }
@@ -244,18 +244,6 @@
     return it == m_endpoints.end() ? nullptr : it->second;
 }
 
-EndpointBook::Place EndpointBook::placeOf(const EndpointState& endpoint) const
-{
-    const auto& dataCentre = endpoint.listed().dataCentre;
-    if (dataCentre == m_limits.ownDataCentre)
-        return Place::OwnDataCentre;
-    const auto own = m_limits.regions.find(m_limits.ownDataCentre);
-    const auto other = m_limits.regions.find(dataCentre);
-    const bool isOwnRegion
-        = own != m_limits.regions.end() && other != m_limits.regions.end() && own->second == other->second;
-    return isOwnRegion ? Place::OwnRegion : Place::OtherRegion;
-}
-
 bool EndpointBook::hasRoom(const EndpointState& endpoint) const
 {
     if (endpoint.isOnProbation() && endpoint.ownInFlight() > 0)
@@ -290,10 +278,10 @@
     return query.giveUpAt == TimePoint::max() || now + fromSeconds(whole) < query.giveUpAt;
 }
 
-bool EndpointBook::suits(const EndpointState& endpoint, const ChoiceQuery& query, double ahead, TimePoint now)
+bool EndpointBook::beginsWell(
+    const EndpointState& endpoint, const ChoiceQuery& query, double ahead, TimePoint now)
 {
-    if (!finishes(endpoint, query, now)
-        || now + endpoint.expectedFirst(query.work, ahead) > query.objectiveAt)
+    if (now + endpoint.expectedFirst(query.work, ahead) > query.objectiveAt)
         return false;
     return query.gapObjective == Duration::zero()
         || endpoint.expectedPause(query.work, ahead, query.tokensPerEvent) <= query.gapObjective;
@@ -313,14 +301,15 @@
     for (const auto& it : of(query.service)) {
         if (it->listed().isDraining || it->isSuspended(now) || it->isSilent(now))
             continue;
-        const bool isFast = finishes(*it, query, now);
-        possible = std::min(possible, suits(*it, query, 0, now) ? InTime : isFast ? Finishes : Any);
+        const auto gradeWith = [&, isFast = finishes(*it, query, now)](double ahead) {
+            return !isFast ? Any : beginsWell(*it, query, ahead, now) ? InTime : Finishes;
+        };
+        possible = std::min(possible, gradeWith(0));
         if (!hasRoom(*it))
             continue;
         if (std::ranges::find(query.tried, it->listed().id) != query.tried.end())
             continue;
-        const bool isInTime = suits(*it, query, it->promptTokensAhead(), now);
-        auto& slot = best[isInTime ? InTime : isFast ? Finishes : Any];
+        auto& slot = best[gradeWith(it->promptTokensAhead())];
         const double cost = costOf(*it, query, now);
         if (!slot.endpoint || cost < slot.cost)
             slot = { .endpoint = it, .cost = cost };
