Share the read buffer and the reading of numbers, and drop what nobody uses

Giving a connection back closes one that cannot be used, so its caller need not. No behaviour changes.

--- a/packages/Edge/include/lentilbay/Edge/EndpointPools.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointPools.h
@@ -24,9 +24,8 @@
     {
     }
 
-    /// Calls back with an open connection, or with nullptr where none came about; `isNew` tells which.
-    void lease(const LeaseQuery& query,
-        std::function<void(std::shared_ptr<http::ClientConnection>, bool isNew)> done);
+    /// Calls back with an open connection, or with nullptr where none came about.
+    void lease(const LeaseQuery& query, std::function<void(std::shared_ptr<http::ClientConnection>)> done);
     /// Takes a connection back; one that cannot be used again is closed.
     void giveBack(const RoutedEndpoint& endpoint, std::shared_ptr<http::ClientConnection> connection);
     /// Closes connections that are about to be closed by their endpoint, or whose endpoint is gone.
@@ -35,12 +34,8 @@
     uint64_t opened() const { return m_opened; }
 
 private:
-    struct Pool {
-        std::vector<std::shared_ptr<http::ClientConnection>> idle;
-    };
-
     asio::io_context& m_context;
-    std::map<EndpointId, Pool> m_pools;
+    std::map<EndpointId, std::vector<std::shared_ptr<http::ClientConnection>>> m_idle;
     uint64_t m_opened = 0;
 };
 
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -321,7 +321,6 @@
 {
     m_readiness = std::make_unique<http::HttpServer>(m_context,
         http::HttpServerOptions { .address = tcpEndpoint(m_state.settings.readiness),
-            .limits = [] { return http::ServerLimits {}; },
             .handler =
                 [this](std::shared_ptr<http::Exchange> exchange) {
                     const bool isReady = !m_state.stopRequestedAt && m_state.knowsEndpoints
@@ -336,7 +335,6 @@
 {
     m_metricsServer = std::make_unique<http::HttpServer>(m_context,
         http::HttpServerOptions { .address = tcpEndpoint(m_state.settings.metrics),
-            .limits = [] { return http::ServerLimits {}; },
             .handler =
                 [this](std::shared_ptr<http::Exchange> exchange) {
                     exchange->respond(200, "OK", {}, m_state.metrics.text(gauges(bootNow())));
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -67,7 +67,7 @@
     // Not from inside the line's step, which is still going through its requests.
     m_state.pools.lease({ .endpoint = m_send->endpoint->listed(), .freshest = freshest },
         [self = shared_from_this(), target = m_send->endpoint](
-            std::shared_ptr<http::ClientConnection> connection, bool) {
+            std::shared_ptr<http::ClientConnection> connection) {
             const auto at = bootNow();
             if (self->m_isOver || !self->m_send || self->m_send->endpoint != target
                 || self->m_send->connection) {
@@ -283,21 +283,14 @@
 {
     auto send = std::move(*m_send);
     m_send.reset();
-    if (end == SendEnd::Bad && !send.endpoint->isSuspended(now)) {
-        send.endpoint->ended(m_work, end, send.hadFirst, now);
-        if (send.endpoint->isSuspended(now))
-            logEvent(Event::EndpointSuspected, { { "endpoint", send.endpoint->listed().id.text() } });
-    } else {
-        send.endpoint->ended(m_work, end, send.hadFirst, now);
-    }
+    const bool wasSuspended = send.endpoint->isSuspended(now);
+    send.endpoint->ended(m_work, end, send.hadFirst, now);
+    if (end == SendEnd::Bad && !wasSuspended && send.endpoint->isSuspended(now))
+        logEvent(Event::EndpointSuspected, { { "endpoint", send.endpoint->listed().id.text() } });
     if (send.isSent && !send.wasNotRun)
         ++m_runs;
-    if (!send.connection)
-        return;
-    if (send.connection->isReusable())
+    if (send.connection)
         m_state.pools.giveBack(send.endpoint->listed(), std::move(send.connection));
-    else
-        send.connection->close();
 }
 
 bool EdgeRequest::mayStillSend(TimePoint now)
--- a/packages/Edge/lib/EndpointPools.cpp
+++ b/packages/Edge/lib/EndpointPools.cpp
@@ -25,16 +25,16 @@
 } // namespace
 
 void EndpointPools::lease(
-    const LeaseQuery& query, std::function<void(std::shared_ptr<http::ClientConnection>, bool isNew)> done)
+    const LeaseQuery& query, std::function<void(std::shared_ptr<http::ClientConnection>)> done)
 {
     const auto now = bootNow();
-    auto& idle = m_pools[query.endpoint.id].idle;
+    auto& idle = m_idle[query.endpoint.id];
     while (!idle.empty()) {
         auto connection = idle.back();
         idle.pop_back();
         const auto age = now - connection->idleSince();
         if (connection->isReusable() && age < lifeOf(*connection) && age < query.freshest) {
-            done(std::move(connection), false);
+            done(std::move(connection));
             return;
         }
         connection->close();
@@ -43,15 +43,13 @@
     const auto host = asio::ip::make_address(query.endpoint.host, ec);
     if (ec) {
         // The codec checks addresses; reported as unreachable all the same.
-        asio::post(m_context, [done = std::move(done)] { done(nullptr, true); });
+        asio::post(m_context, [done = std::move(done)] { done(nullptr); });
         return;
     }
     ++m_opened;
     auto connection = std::make_shared<http::ClientConnection>(m_context);
-    connection->connect(
-        { host, query.endpoint.port }, connectTimeout, [connection, done = std::move(done)](bool connected) {
-            done(connected ? connection : nullptr, true);
-        });
+    connection->connect({ host, query.endpoint.port }, connectTimeout,
+        [connection, done = std::move(done)](bool connected) { done(connected ? connection : nullptr); });
 }
 
 void EndpointPools::giveBack(
@@ -61,28 +59,28 @@
         connection->close();
         return;
     }
-    m_pools[endpoint.id].idle.push_back(std::move(connection));
+    m_idle[endpoint.id].push_back(std::move(connection));
 }
 
 void EndpointPools::step(TimePoint now, const std::function<bool(const EndpointId&)>& isListed)
 {
-    for (auto it = m_pools.begin(); it != m_pools.end();) {
+    for (auto it = m_idle.begin(); it != m_idle.end();) {
         const bool stays = isListed(it->first);
-        std::erase_if(it->second.idle, [&](const auto& connection) {
+        std::erase_if(it->second, [&](const auto& connection) {
             if (stays && connection->isReusable() && now - connection->idleSince() < lifeOf(*connection))
                 return false;
             connection->close();
             return true;
         });
-        it = stays || !it->second.idle.empty() ? std::next(it) : m_pools.erase(it);
+        it = stays || !it->second.empty() ? std::next(it) : m_idle.erase(it);
     }
 }
 
 size_t EndpointPools::idleConnections() const
 {
     size_t n = 0;
-    for (const auto& [id, pool] : m_pools)
-        n += pool.idle.size();
+    for (const auto& [id, idle] : m_idle)
+        n += idle.size();
     return n;
 }
 
--- a/packages/Edge/lib/EventSplitter.cpp
+++ b/packages/Edge/lib/EventSplitter.cpp
@@ -1,7 +1,7 @@
 // Finds the blank lines that end events, and the id lines inside them.
 #include "lentilbay/Edge/EventSplitter.h"
 
-#include <charconv>
+#include "lentilbay/Support/Units.h"
 
 namespace lentilbay::edge {
 namespace {
@@ -25,22 +25,13 @@
     return std::nullopt;
 }
 
-std::optional<uint64_t> numberOf(std::string_view text)
-{
-    uint64_t out = 0;
-    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), out);
-    if (ec != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return out;
-}
-
 /// Whether an event was relayed before: a resumed answer may begin with events that the caller has.
 bool isRepeated(const std::optional<std::string>& id, const std::optional<std::string>& lastId)
 {
     if (!id || !lastId)
         return false;
-    const auto number = numberOf(*id);
-    const auto last = numberOf(*lastId);
+    const auto number = parseCount(*id);
+    const auto last = parseCount(*lastId);
     return number && last && *number <= *last;
 }
 
--- a/packages/Http/include/lentilbay/Http/Server.h
+++ b/packages/Http/include/lentilbay/Http/Server.h
@@ -36,8 +36,6 @@
     const HttpRequest& request() const { return m_request; }
     HttpRequest& request() { return m_request; }
     TimePoint arrivedAt() const { return m_arrivedAt; }
-    /// The client's address, which only serves as a number that tells clients apart.
-    const std::string& peer() const { return m_peer; }
 
     /// Called once when the client closes its connection before the answer is whole.
     void onClientLeft(std::function<void()> callback) { m_clientLeft = std::move(callback); }
@@ -64,7 +62,6 @@
     std::shared_ptr<ServerConnection> m_connection;
     HttpRequest m_request;
     TimePoint m_arrivedAt;
-    std::string m_peer;
     std::function<void()> m_clientLeft;
     std::function<void()> m_drained;
     bool m_hasBegun = false;
@@ -74,7 +71,7 @@
 struct HttpServerOptions {
     asio::ip::tcp::endpoint address;
     /// Read for each request, so that a new configuration takes effect on open connections.
-    std::function<ServerLimits()> limits;
+    std::function<ServerLimits()> limits = [] { return ServerLimits {}; };
     std::function<void(std::shared_ptr<Exchange>)> handler;
     /// Called when a request cannot be read; only for logs.
     std::function<void(ParseError)> malformed;
--- a/packages/Http/lib/ClientConnection.cpp
+++ b/packages/Http/lib/ClientConnection.cpp
@@ -1,9 +1,9 @@
 // The client side of HTTP/1.1 on Asio.
 #include "lentilbay/Http/ClientConnection.h"
 
+#include "ReadBuffer.h"
 #include "lentilbay/Support/SteadyClock.h"
 
-#include <array>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <charconv>
@@ -15,16 +15,9 @@
 
 namespace ip = asio::ip;
 
-constexpr size_t readBytes = 65'536;
 /// Unacknowledged bytes close the connection after this time: a host without power sends no reset.
 constexpr unsigned userTimeoutMilliseconds = 3'000;
 
-std::array<char, readBytes>& sharedBuffer()
-{
-    static std::array<char, readBytes> buffer;
-    return buffer;
-}
-
 /// The whole seconds of "timeout=N" in a Keep-Alive header.
 std::optional<Duration> keepAliveOf(const Headers& headers)
 {
@@ -155,7 +148,7 @@
 void ClientConnection::readSome()
 {
     const auto self = shared_from_this();
-    auto& buffer = sharedBuffer();
+    auto& buffer = readBuffer();
     std::error_code ec;
     const size_t n = m_socket.read_some(asio::buffer(buffer), ec);
     if (ec == asio::error::would_block || ec == asio::error::try_again) {
--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -1,10 +1,10 @@
-// Connections are read without a buffer of their own: all share one, since each read is parsed at once.
+// The server side of HTTP/1.1 on Asio.
 #include "lentilbay/Http/Server.h"
 
+#include "ReadBuffer.h"
 #include "ServerConnection.h"
 #include "lentilbay/Support/SteadyClock.h"
 
-#include <array>
 #include <asio/buffer.hpp>
 #include <fmt/format.h>
 
@@ -13,8 +13,6 @@
 
 namespace ip = asio::ip;
 
-/// Read at once; larger than nearly every request.
-constexpr size_t readBytes = 65'536;
 /// Bytes behind the current request that are kept before reading stops.
 constexpr size_t maxUnparsed = 65'536;
 /// How long a closing connection waits for the client to close its side.
@@ -22,19 +20,12 @@
 constexpr Duration acceptRetry = std::chrono::milliseconds(50);
 constexpr int listenBacklog = 1024;
 
-std::array<char, readBytes>& sharedBuffer()
-{
-    static std::array<char, readBytes> buffer;
-    return buffer;
-}
-
 } // namespace
 
 Exchange::Exchange(std::shared_ptr<ServerConnection> connection, HttpRequest request, TimePoint arrivedAt)
     : m_connection(std::move(connection))
     , m_request(std::move(request))
     , m_arrivedAt(arrivedAt)
-    , m_peer(m_connection->peer())
 {
 }
 
@@ -97,9 +88,7 @@
     std::error_code ec;
     m_socket.non_blocking(true, ec);
     m_socket.set_option(ip::tcp::no_delay(true), ec);
-    const auto remote = m_socket.remote_endpoint(ec);
     // A client that is gone already is noticed by the first read.
-    m_peer = ec ? std::string() : remote.address().to_string();
 }
 
 void ServerConnection::start()
@@ -126,7 +115,7 @@
 
 void ServerConnection::readSome()
 {
-    auto& buffer = sharedBuffer();
+    auto& buffer = readBuffer();
     std::error_code ec;
     const size_t n = m_socket.read_some(asio::buffer(buffer), ec);
     if (ec == asio::error::would_block || ec == asio::error::try_again) {
--- a/packages/Http/lib/ServerConnection.h
+++ b/packages/Http/lib/ServerConnection.h
@@ -16,7 +16,6 @@
     /// Closes the connection; the client of an unfinished answer counts as gone.
     void close();
     bool isIdle() const { return !m_exchange && !m_parser.isInside() && m_out.empty(); }
-    const std::string& peer() const { return m_peer; }
 
     // For the Exchange that is current.
     void sendHead(int status, std::string_view reason, const Headers& headers, std::optional<size_t> length);
@@ -43,7 +42,6 @@
     HttpServer* m_server;
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
-    std::string m_peer;
     RequestParser m_parser;
     /// Bytes that came behind the current request.
     std::string m_unparsed;
--- a/packages/Support/include/lentilbay/Support/Units.h
+++ b/packages/Support/include/lentilbay/Support/Units.h
@@ -22,6 +22,9 @@
 /// A whole number in decimal, and nothing else.
 std::optional<int64_t> parseInteger(std::string_view text);
 
+/// A whole number without a sign.
+std::optional<uint64_t> parseCount(std::string_view text);
+
 /// A finite number in decimal, and nothing else.
 std::optional<double> parseNumber(std::string_view text);
 
--- a/packages/Support/lib/Units.cpp
+++ b/packages/Support/lib/Units.cpp
@@ -97,6 +97,8 @@
 
 std::optional<int64_t> parseInteger(std::string_view text) { return parseWhole<int64_t>(text); }
 
+std::optional<uint64_t> parseCount(std::string_view text) { return parseWhole<uint64_t>(text); }
+
 std::optional<double> parseNumber(std::string_view text)
 {
     auto value = parseWhole<double>(text);
--- a/packages/Support/unittests/UnitsTest.cpp
+++ b/packages/Support/unittests/UnitsTest.cpp
@@ -39,6 +39,9 @@
 {
     EXPECT_EQ(parseInteger("-12"), -12);
     EXPECT_EQ(parseInteger("12x"), std::nullopt);
+    EXPECT_EQ(parseCount("18446744073709551615"), UINT64_MAX);
+    for (const auto* text : { "", "-1", "+1", "12x", "18446744073709551616" })
+        EXPECT_EQ(parseCount(text), std::nullopt) << text;
     EXPECT_EQ(parseNumber("0.5"), 0.5);
     EXPECT_EQ(parseNumber("nan"), std::nullopt);
 }
