--- a/packages/Edge/include/lentilbay/Edge/EdgeMetrics.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeMetrics.h
@@ -4,6 +4,7 @@
 #include "lentilbay/Support/ResultCode.h"
 #include "lentilbay/Support/Time.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -12,6 +13,22 @@
 
 namespace lentilbay::edge {
 
+/// The histograms, each by rank; -1 stands for requests without a route.
+enum class Timing : uint8_t {
+    /// From the arrival to the end.
+    Total,
+    /// From the arrival to the first event, or the whole plain answer.
+    FirstAnswer,
+    /// From the arrival to the send.
+    Wait,
+    /// The longest time between two events of one stream.
+    LongestPause,
+    /// The Retry-After of a refusal.
+    PromisedReturn,
+    /// How far the first event was from the time that was expected at the send, either way.
+    FirstEventError,
+};
+
 class EdgeMetrics {
 public:
     EdgeMetrics();
@@ -19,15 +36,7 @@
 
     /// A request of the rank ended with the code.
     void requestEnded(int rank, ResultCode code, Duration total);
-    /// The time from the arrival to the first event, or the whole plain answer.
-    void firstAnswer(int rank, Duration sinceArrival);
-    void waited(int rank, Duration wait);
-    /// The longest time between two events of one stream.
-    void longestPause(int rank, Duration pause);
-    /// The Retry-After of a refusal.
-    void promisedReturn(int rank, Duration wait);
-    /// How far the first event was from the time that was expected at the send, either way.
-    void firstEventError(int rank, Duration error);
+    void observe(Timing timing, int rank, Duration time);
     void count(std::string_view name, uint64_t n = 1);
     /// Text with the counters, the histograms and the gauges, which are given by name, with labels or
     /// without; gauges that differ in their labels follow each other.
--- a/packages/Edge/lib/EdgeMetrics.cpp
+++ b/packages/Edge/lib/EdgeMetrics.cpp
@@ -1,6 +1,7 @@
 // Boost.Histogram keeps the times; it is included here only.
 #include "lentilbay/Edge/EdgeMetrics.h"
 
+#include <array>
 #include <boost/histogram.hpp>
 #include <fmt/format.h>
 #include <iterator>
@@ -13,6 +14,12 @@
 
 namespace histogram = boost::histogram;
 
+/// In the order of Timing.
+constexpr std::array<std::string_view, 6> timingNames { "lentilbay_request_seconds",
+    "lentilbay_first_answer_seconds", "lentilbay_wait_seconds", "lentilbay_longest_pause_seconds",
+    "lentilbay_promised_return_seconds", "lentilbay_first_event_error_seconds" };
+static_assert(timingNames.size() == static_cast<size_t>(Timing::FirstEventError) + 1);
+
 constexpr unsigned timeBins = 24;
 constexpr double shortestSeconds = 0.002;
 constexpr double longestSeconds = 30;
@@ -58,12 +65,7 @@
 } // namespace
 
 struct EdgeMetrics::State {
-    std::map<int, Times> total;
-    std::map<int, Times> first;
-    std::map<int, Times> waited;
-    std::map<int, Times> pauses;
-    std::map<int, Times> promisedReturns;
-    std::map<int, Times> firstErrors;
+    std::array<std::map<int, Times>, timingNames.size()> timings;
     std::map<std::pair<int, ResultCode>, uint64_t> ended;
     std::map<std::string, uint64_t, std::less<>> counters;
 };
@@ -78,18 +80,13 @@
 void EdgeMetrics::requestEnded(int rank, ResultCode code, Duration total)
 {
     ++m_state->ended[{ rank, code }];
-    m_state->total[rank].observe(total);
+    observe(Timing::Total, rank, total);
 }
 
-void EdgeMetrics::firstAnswer(int rank, Duration sinceArrival) { m_state->first[rank].observe(sinceArrival); }
-
-void EdgeMetrics::waited(int rank, Duration wait) { m_state->waited[rank].observe(wait); }
-
-void EdgeMetrics::longestPause(int rank, Duration pause) { m_state->pauses[rank].observe(pause); }
-
-void EdgeMetrics::promisedReturn(int rank, Duration wait) { m_state->promisedReturns[rank].observe(wait); }
-
-void EdgeMetrics::firstEventError(int rank, Duration error) { m_state->firstErrors[rank].observe(error); }
+void EdgeMetrics::observe(Timing timing, int rank, Duration time)
+{
+    m_state->timings.at(static_cast<size_t>(timing))[rank].observe(time);
+}
 
 void EdgeMetrics::count(std::string_view name, uint64_t n)
 {
@@ -116,12 +113,8 @@
             fmt::format_to(std::back_inserter(out), "# TYPE lentilbay_{} gauge\n", bare);
         fmt::format_to(std::back_inserter(out), "lentilbay_{} {}\n", name, value);
     }
-    appendTimes(out, "lentilbay_request_seconds", m_state->total);
-    appendTimes(out, "lentilbay_first_answer_seconds", m_state->first);
-    appendTimes(out, "lentilbay_wait_seconds", m_state->waited);
-    appendTimes(out, "lentilbay_longest_pause_seconds", m_state->pauses);
-    appendTimes(out, "lentilbay_promised_return_seconds", m_state->promisedReturns);
-    appendTimes(out, "lentilbay_first_event_error_seconds", m_state->firstErrors);
+    for (size_t i = 0; i < timingNames.size(); ++i)
+        appendTimes(out, timingNames.at(i), m_state->timings.at(i));
     return out;
 }
 
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -60,7 +60,7 @@
 {
     m_send.emplace();
     m_send->endpoint = std::move(endpoint);
-    m_state.metrics.waited(m_route->rank, now - m_arrivedAt);
+    m_state.metrics.observe(Timing::Wait, m_route->rank, now - m_arrivedAt);
     m_tried.push_back(m_send->endpoint->listed().id);
     const auto freshest
         = m_route->repeatability == Repeatability::AtMostOnce ? freshForAtMostOnce : freshForOthers;
@@ -153,7 +153,7 @@
     if (!m_send->hadFirst) {
         m_send->hadFirst = true;
         const auto error = now - m_send->sentAt - m_send->expectedFirst;
-        m_state.metrics.firstEventError(m_route->rank, std::max(error, -error));
+        m_state.metrics.observe(Timing::FirstEventError, m_route->rank, std::max(error, -error));
         endpoint.first(m_work, now - m_send->sentAt, now);
     } else {
         const auto* service = m_routes->findService(m_service);
@@ -182,7 +182,7 @@
 void EdgeRequest::noteFirstAnswer(TimePoint now)
 {
     m_firstAfter = now - m_arrivedAt;
-    m_state.metrics.firstAnswer(m_route->rank, *m_firstAfter);
+    m_state.metrics.observe(Timing::FirstAnswer, m_route->rank, *m_firstAfter);
 }
 
 void EdgeRequest::beginAnswer()
@@ -403,7 +403,7 @@
     http::Headers headers;
     if (comeBackIn) {
         headers = platform::retryAfterHeaders(*comeBackIn);
-        m_state.metrics.promisedReturn(m_route ? m_route->rank : -1, *comeBackIn);
+        m_state.metrics.observe(Timing::PromisedReturn, m_route ? m_route->rank : -1, *comeBackIn);
     }
     m_exchange->respond(status, http::reasonPhrase(status), headers, printed(code) + "\n");
     finish(code, now);
@@ -428,7 +428,7 @@
     const int rank = m_route ? m_route->rank : -1;
     m_state.metrics.requestEnded(rank, code, now - m_arrivedAt);
     if (m_eventsRelayed > 1)
-        m_state.metrics.longestPause(rank, m_longestPause);
+        m_state.metrics.observe(Timing::LongestPause, rank, m_longestPause);
     logEvent(Event::RequestEnded,
         { { "id", m_facts.id.text() }, { "code", printed(code) },
             { "endpoint", m_tried.empty() ? std::string() : m_tried.back().text() },
