--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -25,7 +25,9 @@
 constexpr const char* daemonTable = "daemons";
 /// Waiting requests are looked at this often, besides at each end of a request.
 constexpr Duration linePeriod = std::chrono::milliseconds(40);
+/// What needs no haste: deletions held back, idle connections, the own row in the store, the end of a stop.
 constexpr Duration slowPeriod = std::chrono::milliseconds(500);
+/// A fifth of a second between two changes is seldom; it bounds the calls if they come in a row.
 constexpr Duration configurationSpacing = std::chrono::milliseconds(200);
 /// Entries of endpoints change several times a second in all.
 constexpr Duration endpointSpacing = std::chrono::milliseconds(700);
@@ -34,7 +36,9 @@
 /// Daemons hear of each other by their statuses; the table only serves those that start.
 constexpr Duration daemonWait = Duration::zero();
 constexpr Duration daemonSpacing = std::chrono::seconds(60);
+/// Many times the usual answer of the store.
 constexpr Duration announceTimeout = std::chrono::seconds(1);
+/// After a failure; nobody waits for the own row but daemons that start.
 constexpr Duration announceRetry = std::chrono::milliseconds(700);
 /// After SIGTERM, when idle connections of callers can be closed, because the balancer sends no new ones; ...
 constexpr Duration closeIdleAfterStop = std::chrono::milliseconds(2000);
--- a/packages/Edge/lib/EdgeMetrics.cpp
+++ b/packages/Edge/lib/EdgeMetrics.cpp
@@ -20,6 +20,7 @@
     "lentilbay_promised_return_seconds", "lentilbay_first_event_error_seconds" };
 static_assert(timingNames.size() == static_cast<size_t>(Timing::FirstEventError) + 1);
 
+/// From the shortest plain answers to the longest route time-outs; neighbouring bins differ by half.
 constexpr unsigned timeBins = 24;
 constexpr double shortestSeconds = 0.002;
 constexpr double longestSeconds = 30;
--- a/packages/Edge/lib/EndpointBook.cpp
+++ b/packages/Edge/lib/EndpointBook.cpp
@@ -24,6 +24,7 @@
 /// An endpoint of which more than this part of the sends fail is suspected, once some were seen.
 constexpr double failuresTolerated = 0.3;
 constexpr uint64_t failuresSeen = 5;
+/// The pause doubles from a few answers' time to what a restart takes.
 constexpr Duration shortestSuspension = std::chrono::milliseconds(400);
 constexpr Duration longestSuspension = std::chrono::seconds(4);
 /// A refusal for want of room is over once a request or two have ended.
@@ -80,6 +81,7 @@
     }
     const double expected
         = (firstTokenCost + work.promptTokens / promptTokensPerToken) * m_secondsPerToken.mean();
+    // One stall must not count for many answers.
     constexpr double largestRatio = 20;
     m_firstRatio.observe(std::min(largestRatio, toSeconds(elapsed) / expected));
 }
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -10,12 +10,15 @@
 namespace lentilbay::edge {
 namespace {
 
+/// Many times the longest way there and back.
 constexpr Duration connectTimeout = std::chrono::milliseconds(600);
 /// Beyond the store's own wait: several times its usual answer, and short enough to notice a silent
 /// connection.
 constexpr Duration answerTimeout = std::chrono::milliseconds(800);
 /// A store that is slow for a long time is still heard: the time-out grows with failures in a row up to this.
 constexpr Duration longestAnswerTimeout = std::chrono::milliseconds(2000);
+/// After failed calls: grows with them, and still finds a store that is back well within the two seconds that
+/// entries of endpoints take to be back.
 constexpr Duration firstPause = std::chrono::milliseconds(150);
 constexpr Duration longestPause = std::chrono::milliseconds(600);
 /// Calls to the platform are billed, also those that fail: where another daemon tries as often as the pauses
--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -17,7 +17,9 @@
 constexpr size_t maxUnparsed = 65'536;
 /// How long a closing connection waits for the client to close its side.
 constexpr Duration lingerTime = std::chrono::seconds(1);
+/// After an accept that failed; descriptors come free as requests end.
 constexpr Duration acceptRetry = std::chrono::milliseconds(50);
+/// Connections that may wait while the process is busy or paused.
 constexpr int listenBacklog = 1024;
 
 } // namespace
--- a/packages/Policy/lib/SharedQuota.cpp
+++ b/packages/Policy/lib/SharedQuota.cpp
@@ -92,6 +92,7 @@
     m_hasAdopted = true;
     // When it was admitted isn't told: as good as evenly.
     m_recent = {};
+    // Half a second each in the usual window.
     constexpr int parts = 16;
     for (int i = parts; i > 0; --i)
         m_recent.add(inWindow / parts, now - m_limits.window * i / parts);
