--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -31,8 +31,8 @@
     std::shared_ptr<const RouteTable> routes;
     /// The configuration is known to be complete as of this time; never moves backwards.
     std::optional<TimePoint> routesConfirmedAt;
-    /// Whether the endpoint table has been read at least once.
-    bool knowsEndpoints = false;
+    /// The list of endpoints is known to be complete as of this time; std::nullopt until it has been read.
+    std::optional<TimePoint> endpointsConfirmedAt;
     /// Whether the other daemons have been read from the store, or this is the first start of the fleet.
     /// Without them a restarted daemon does not know its share of the quotas.
     bool knowsDaemons = false;
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -62,7 +62,7 @@
         return false;
     }
     const auto age = m_state.routesAge(now);
-    if (!m_routes || !m_state.knowsEndpoints || !age) {
+    if (!m_routes || !m_state.endpointsConfirmedAt || !age) {
         refuse(ResultCode::NotConfigured, defaultRetryAfter, now);
         return false;
     }
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -190,7 +190,7 @@
                     if (m_state.endpointRegistry.unlist(EndpointId(key)))
                         logEvent(Event::EndpointUnlisted, { { "endpoint", key } });
                 },
-            .confirmed = [this](TimePoint) { m_state.knowsEndpoints = true; },
+            .confirmed = [this](TimePoint at) { m_state.endpointsConfirmedAt = at; },
             .maySkipPolling = [this](TimePoint now) { return maySkipPolling(*m_endpointFollower, now); },
             .hasOtherReader = [this] { return hasOtherReader(); } });
     m_daemonFollower = std::make_unique<StoreFollower>(m_context,
@@ -333,7 +333,7 @@
         http::HttpServerOptions { .address = tcpEndpoint(m_state.settings.readiness),
             .handler =
                 [this](std::shared_ptr<http::Exchange> exchange) {
-                    const bool isReady = !m_state.stopRequestedAt && m_state.knowsEndpoints
+                    const bool isReady = !m_state.stopRequestedAt && m_state.endpointsConfirmedAt
                         && m_state.knowsDaemons && m_state.routes && m_state.canVerifyKeys(bootNow());
                     const int status = isReady ? 200 : 503;
                     exchange->respond(status, http::reasonPhrase(status), {}, "");
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -103,6 +103,7 @@
         { { "id", m_metadata.id.text() }, { "endpoint", endpoint.entry().id.text() },
             { "waited_ms", millisecondsOf(now - m_arrivedAt) }, { "load", endpoint.load() },
             { "slots", static_cast<int64_t>(endpoint.entry().slots) },
+            { "endpoints_age_ms", millisecondsOf(now - m_state.endpointsConfirmedAt.value_or(now)) },
             { "expected_first_ms", millisecondsOf(m_send->expectedTimeToFirstEvent) },
             { "send", static_cast<int64_t>(m_sends) } });
     platform::SendMetadata metadata { .endpoint = endpoint.entry().id,
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -129,7 +129,10 @@
     if (m_isStoreUnreachable) {
         m_isStoreUnreachable = false;
         m_reconnectedAt = now;
-        logEvent(Event::PlatformBack, { { "table", m_options.table } });
+        logEvent(Event::PlatformBack,
+            { { "table", m_options.table },
+                { "view_age_ms", m_confirmedAt ? (now - *m_confirmedAt) / std::chrono::milliseconds(1) : -1 },
+                { "failures", static_cast<int64_t>(m_failuresInRow) } });
     }
     m_failuresInRow = 0;
     m_isBehind = false;
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -86,7 +86,7 @@
     {
         state.routes = std::make_shared<const RouteTable>(routes());
         state.routesConfirmedAt = bootNow();
-        state.knowsEndpoints = true;
+        state.endpointsConfirmedAt = bootNow();
         state.knowsDaemons = true;
         list("e1", first);
         front = std::make_unique<http::HttpServer>(context,
