--- /dev/null
+++ b/packages/Edge/unittests/StoreRecoveryTest.cpp
@@ -0,0 +1,103 @@
+// Tests how soon a daemon's view of the store is current again after it could not reach the store. The times
+// are those of the default bounds of the platform.
+#include "lentilbay/Edge/StoreFollower.h"
+
+#include "RawServer.h"
+#include "lentilbay/Support/SteadyClock.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilbay::edge {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// From this long after an outage a daemon must act on what the store says.
+constexpr Duration contactBound = 3s;
+/// The period within which entries that expired in an outage are written again, and a margin.
+constexpr Duration lapsedEntryDelay = 2100ms;
+
+std::string row(const std::string& key, int version, bool isDeleted = false)
+{
+    return R"({"Table":"t","part":"","Key":")" + key + R"(","Ver":)" + std::to_string(version)
+        + (isDeleted ? R"(,"Deleted":true})" : R"(,"Value":"eA=="})");
+}
+
+std::string answer(const std::string& rows, int version)
+{
+    return httpResponse(
+        200, R"({"Rows":[)" + rows + R"(],"HasMore":false,"Ver":)" + std::to_string(version) + "}");
+}
+
+class StoreRecovery : public testing::Test {
+protected:
+    void start()
+    {
+        server.script({ .bytes = answer(row("a", 3) + "," + row("b", 4), 7) });
+        follower = std::make_unique<StoreFollower>(context,
+            StoreFollowerOptions { .store = { asio::ip::make_address("127.0.0.1"), server.port() },
+                .table = "t",
+                .wait = 750ms,
+                .spacing = 200ms,
+                .deletionDelay = lapsedEntryDelay },
+            StoreFollower::Callbacks { .changed = [this](const auto& it) { seen += "+" + it.key; },
+                .deleted = [this](const auto& key) { seen += "-" + key; },
+                .confirmed = [](TimePoint) {},
+                .hasOtherReader = [] { return true; } });
+        follower->start();
+        runUntil([this] { return seen == "+a+b"; });
+    }
+
+    /// Leaves calls unanswered until several have failed, and answers from the next failed call on.
+    void passOutage(const std::string& rowsAfterwards)
+    {
+        server.setResponder([](const std::string&) { return ScriptedResponse { .delay = 1h }; });
+        runUntil([this] { return follower->failures() >= 3; });
+        // The call that is sent last before the store returns is lost.
+        const auto calls = server.requests().size();
+        runUntil([&] { return server.requests().size() > calls; });
+        server.setResponder([rowsAfterwards](const std::string&) {
+            return ScriptedResponse { .bytes = answer(rowsAfterwards, 9), .delay = 4ms };
+        });
+        returnedAt = bootNow();
+    }
+
+    void runUntil(const std::function<bool()>& done)
+    {
+        constexpr int maxSteps = 4000;
+        for (int i = 0; i < maxSteps && !done(); ++i) {
+            context.run_for(5ms);
+            context.restart();
+            follower->applyDueDeletions(bootNow());
+        }
+        ASSERT_TRUE(done()) << seen;
+    }
+
+    asio::io_context context;
+    RawServer server { context };
+    std::unique_ptr<StoreFollower> follower;
+    std::string seen;
+    TimePoint returnedAt {};
+};
+
+TEST_F(StoreRecovery, ChangeMadeDuringASilentOutageWasReadLate)
+{
+    // Requests went to an endpoint that had announced during the outage that it was leaving.
+    start();
+    passOutage(row("a", 8));
+    runUntil([this] { return seen == "+a+b+a"; });
+    EXPECT_LT(bootNow() - returnedAt, contactBound);
+}
+
+TEST_F(StoreRecovery, EntryRemovedDuringASilentOutageStayedInUse)
+{
+    // Requests went to an endpoint whose entry had been removed during the outage.
+    start();
+    passOutage(row("a", 8, true));
+    runUntil([this] { return seen == "+a+b-a"; });
+    EXPECT_GE(bootNow() - returnedAt, 2s) << "its endpoint may still write the entry again";
+    EXPECT_LT(bootNow() - returnedAt, contactBound);
+}
+
+} // namespace
+} // namespace lentilbay::edge
