--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -1,7 +1,10 @@
 // Follows one table of the platform's store: reads a snapshot, then follows the changes.
 //
 // Polling may be skipped while another daemon's view, received in heartbeats, is known to contain nothing
-// newer than this one. The follower never returns to a version older than one that it has seen. After an
+// newer than this one. The follower never returns to a version older than one that it has seen.
+//
+// While the store is unreachable, new calls start at short intervals whether or not the previous ones have
+// ended, so that the view is current again soon after the store's return, however calls fail. After an
 // outage, deletions are delayed, because entries that expired while the store was unreachable return when
 // their owners write them again.
 #pragma once
@@ -61,14 +64,23 @@
     uint64_t failures() const { return m_failures; }
 
 private:
-    void call();
-    void send();
-    void handleAnswer(int status, const std::string& body, TimePoint sentAt);
+    /// One call to the store, from connecting to its answer.
+    struct Call;
+
+    void startCall();
+    void send(const std::shared_ptr<Call>& call);
+    void handleAnswer(const std::shared_ptr<Call>& call);
     void apply(const platform::StoreRows& rows, TimePoint now);
     void applySnapshot(TimePoint now);
     void remove(const std::string& key, TimePoint now);
-    void handleFailure(const std::string& reason);
+    void handleFailure(const std::shared_ptr<Call>& call, const std::string& reason);
+    /// Drops all calls in progress and keeps the connection of the answered one.
+    void endCalls(const std::shared_ptr<Call>& answered);
+    /// Schedules the next call; replaces the one that was scheduled before.
     void scheduleCall(Duration wait);
+    Duration retryDelay(TimePoint now);
+    /// Whether a peer has reached the store since this daemon found it unreachable.
+    bool isReachedByPeer(TimePoint now) const;
     void confirm(TimePoint at);
 
     asio::io_context& m_context;
@@ -76,10 +88,10 @@
     Callbacks m_callbacks;
     Random m_random;
     asio::steady_timer m_timer;
-    asio::steady_timer m_timeout;
-    std::shared_ptr<http::ClientConnection> m_connection;
-    /// Answers to calls with a lower number are ignored.
-    uint64_t m_callNumber = 0;
+    /// The connection of the last answered call, for the next one.
+    std::shared_ptr<http::ClientConnection> m_idleConnection;
+    /// One at most while the store is reachable. The first answer ends the others.
+    std::vector<std::shared_ptr<Call>> m_openCalls;
     /// std::nullopt if a snapshot must be read.
     std::optional<uint64_t> m_version;
     /// While a snapshot is read: the rows so far, and the version of its first page.
@@ -94,6 +106,9 @@
     std::optional<TimePoint> m_confirmedAt;
     std::map<std::string, TimePoint> m_deletions;
     bool m_isStoreUnreachable = false;
+    TimePoint m_unreachableSince {};
+    /// The time of the newest view that a peer has reported.
+    TimePoint m_peerContactAt {};
     int m_failuresInRow = 0;
     TimePoint m_reconnectedAt {};
     TimePoint m_callStarted {};
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -23,9 +23,9 @@
 
 /// The table in the store that maps the name of each daemon to its address.
 constexpr const char* daemonTable = "daemons";
-/// How often the queue is processed, in addition to whenever a request ends.
+/// How often the queue and delayed deletions are processed, the queue in addition to whenever a request ends.
 constexpr Duration queuePeriod = std::chrono::milliseconds(40);
-/// Interval of delayed deletions, idle connection expiry, registration in the store and shutdown checks.
+/// Interval of idle connection expiry, registration in the store and shutdown checks.
 constexpr Duration maintenancePeriod = std::chrono::milliseconds(500);
 /// The configuration changes rarely; this bounds the calls if changes come in quick succession.
 constexpr Duration configurationSpacing = std::chrono::milliseconds(200);
@@ -123,8 +123,10 @@
     awaitSignal();
     receiveHeartbeats();
     schedulePeriodic(m_queueTimer, queuePeriod, [this] {
+        const auto now = bootNow();
+        m_endpointFollower->applyDueDeletions(now);
         if (m_state.queue.size() > 0)
-            m_state.dispatchWaiting(bootNow());
+            m_state.dispatchWaiting(now);
     });
     schedulePeriodic(m_heartbeatTimer, heartbeatPeriod, [this] {
         sendHeartbeats();
@@ -132,7 +134,6 @@
     });
     schedulePeriodic(m_maintenanceTimer, maintenancePeriod, [this] {
         const auto now = bootNow();
-        m_endpointFollower->applyDueDeletions(now);
         m_state.pools.closeExpired(
             now, [this](const EndpointId& id) { return m_state.endpointRegistry.find(id) != nullptr; });
         announce(now);
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -4,7 +4,7 @@
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/SteadyClock.h"
 
-#include <asio/post.hpp>
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace lentilbay::edge {
@@ -15,16 +15,21 @@
 /// Added to the store's long-poll wait: several times its usual response time, and short enough to detect a
 /// dead connection.
 constexpr Duration answerTimeout = std::chrono::milliseconds(800);
-/// The timeout grows with consecutive failures up to this value, so that a store that stays slow is still
-/// read.
-constexpr Duration maxAnswerTimeout = std::chrono::milliseconds(2000);
-/// The retry delay grows with consecutive failures. The upper bound is well below the two seconds that
-/// endpoint entries take to be restored after an outage.
+/// The timeout while the store is unreachable. Other calls start meanwhile, so it only decides how slow a
+/// store can still be read.
+constexpr Duration recoveryAnswerTimeout = std::chrono::milliseconds(2000);
+/// The time between the starts of two calls while the store is unreachable grows with consecutive failures.
+/// The upper bound and the delay of deletions together must stay below the three seconds after which a daemon
+/// must act on what the store says.
 constexpr Duration firstRetryDelay = std::chrono::milliseconds(150);
-constexpr Duration maxRetryDelay = std::chrono::milliseconds(600);
-/// Calls to the platform are billed, including failed ones. While another daemon retries at the delays above,
-/// this daemon uses delays longer by this factor, which still finds a store that only some daemons can reach.
+constexpr Duration maxRetryDelay = std::chrono::milliseconds(300);
+/// Calls to the platform are billed, including failed ones. While another daemon retries at the delays above
+/// and has not reached the store either, this daemon uses delays longer by this factor.
 constexpr double passiveRetryFactor = 3;
+/// How long a peer's contact to the store counts as evidence that the store is reachable.
+constexpr Duration peerContactLifetime = std::chrono::seconds(3);
+/// Delays are drawn between this fraction and the whole, so that daemons do not retry at the same moment.
+constexpr double minRetryFraction = 0.75;
 /// How often a follower that skips polling checks whether it must read.
 constexpr Duration passiveCheckPeriod = std::chrono::milliseconds(150);
 /// A deletion this soon after an outage may be an entry that expired during it.
@@ -37,93 +42,130 @@
 
 } // namespace
 
+struct StoreFollower::Call {
+    explicit Call(asio::io_context& context)
+        : timeout(context)
+    {
+    }
+    Call(const Call&) = delete;
+    Call& operator=(const Call&) = delete;
+    ~Call()
+    {
+        if (connection)
+            connection->close();
+    }
+
+    std::shared_ptr<http::ClientConnection> connection;
+    asio::steady_timer timeout;
+    TimePoint sentAt {};
+    int status = 0;
+    std::string body;
+};
+
 StoreFollower::StoreFollower(asio::io_context& context, StoreFollowerOptions options, Callbacks callbacks)
     : m_context(context)
     , m_options(std::move(options))
     , m_callbacks(std::move(callbacks))
     , m_random(m_options.seed)
     , m_timer(context)
-    , m_timeout(context)
 {
 }
 
 StoreFollower::~StoreFollower()
 {
-    if (m_connection)
-        m_connection->close();
+    if (m_idleConnection)
+        m_idleConnection->close();
 }
 
-void StoreFollower::start() { call(); }
+void StoreFollower::start() { startCall(); }
 
-void StoreFollower::call()
+void StoreFollower::startCall()
 {
     m_callStarted = bootNow();
     ++m_calls;
-    const auto number = ++m_callNumber;
-    const auto limit = std::min(maxAnswerTimeout, answerTimeout * (1 + m_failuresInRow))
-        + (m_version ? m_options.wait : Duration {});
-    m_timeout.expires_after(limit);
-    m_timeout.async_wait([this, number](std::error_code ec) {
-        if (!ec && number == m_callNumber)
-            handleFailure("timed out waiting for the answer");
+    // Callbacks refer to the call weakly: a call that has been dropped ignores its answer and its timeout.
+    auto call = std::make_shared<Call>(m_context);
+    const std::weak_ptr<Call> weak = call;
+    m_openCalls.push_back(call);
+    call->timeout.expires_after(m_isStoreUnreachable
+            ? recoveryAnswerTimeout
+            : answerTimeout + (m_version ? m_options.wait : Duration {}));
+    call->timeout.async_wait([this, weak](std::error_code ec) {
+        if (const auto it = weak.lock(); it && !ec)
+            handleFailure(it, "timed out waiting for the answer");
     });
-    if (m_connection && m_connection->isReusable()) {
-        send();
+    if (m_idleConnection && m_idleConnection->isReusable()) {
+        call->connection = std::move(m_idleConnection);
+        send(call);
         return;
     }
-    m_connection = std::make_shared<http::ClientConnection>(m_context);
-    m_connection->connect(m_options.store, connectTimeout, [this, number](bool connected) {
-        if (number != m_callNumber)
+    call->connection = std::make_shared<http::ClientConnection>(m_context);
+    call->connection->connect(m_options.store, connectTimeout, [this, weak](bool connected) {
+        const auto it = weak.lock();
+        if (!it)
             return;
         if (connected)
-            send();
+            send(it);
         else
-            handleFailure("could not connect");
+            handleFailure(it, "could not connect");
     });
 }
 
-void StoreFollower::send()
+void StoreFollower::send(const std::shared_ptr<Call>& call)
 {
     const auto host = hostOf(m_options.store);
+    // A store that was unreachable answers at once, so that what it says is known without waiting for a
+    // change.
+    const auto wait = m_isStoreUnreachable ? Duration {} : m_options.wait;
     auto request = m_version ? platform::followRowsRequest(host, m_options.table, *m_version,
-                       static_cast<unsigned>(m_options.wait / std::chrono::milliseconds(1)))
+                       static_cast<unsigned>(wait / std::chrono::milliseconds(1)))
                              : platform::readRowsRequest(host, m_options.table, m_snapshotFrom);
-    auto status = std::make_shared<int>(0);
-    auto body = std::make_shared<std::string>();
-    const auto sentAt = bootNow();
-    m_connection->exchange(std::move(request), false,
+    call->sentAt = bootNow();
+    const std::weak_ptr<Call> weak = call;
+    call->connection->exchange(std::move(request), false,
         { .head =
-                [status](const http::HttpResponseHead& head) {
-                    *status = head.status;
+                [weak](const http::HttpResponseHead& head) {
+                    if (const auto it = weak.lock())
+                        it->status = head.status;
                     return true;
                 },
-            .body = [body](std::string_view piece) { *body += piece; },
-            .complete = [this, status, body, sentAt] { handleAnswer(*status, *body, sentAt); },
+            .body =
+                [weak](std::string_view piece) {
+                    if (const auto it = weak.lock())
+                        it->body += piece;
+                },
+            .complete =
+                [this, weak] {
+                    if (const auto it = weak.lock())
+                        handleAnswer(it);
+                },
             .failed =
-                [this](http::FailurePoint) {
-                    handleFailure("connection closed before the answer was complete");
+                [this, weak](http::FailurePoint) {
+                    if (const auto it = weak.lock())
+                        handleFailure(it, "connection closed before the answer was complete");
                 } });
 }
 
-void StoreFollower::handleAnswer(int status, const std::string& body, TimePoint sentAt)
+void StoreFollower::handleAnswer(const std::shared_ptr<Call>& call)
 {
     const auto now = bootNow();
-    if (status == platform::statusHistoryGone) {
+    if (call->status == platform::statusHistoryGone) {
         logEvent(Event::StoreHistoryLost, { { "table", m_options.table } });
         m_version.reset();
         m_snapshot.clear();
         m_snapshotVersion.reset();
         m_snapshotFrom.clear();
+        endCalls(call);
         scheduleCall(Duration::zero());
         return;
     }
-    if (status != 200) {
-        handleFailure(fmt::format("status {}", status));
+    if (call->status != 200) {
+        handleFailure(call, fmt::format("status {}", call->status));
         return;
     }
-    const auto decoded = outcomeOf<platform::StoreRows>([&] { return platform::decodeRows(body); });
+    const auto decoded = outcomeOf<platform::StoreRows>([&] { return platform::decodeRows(call->body); });
     if (const auto* failure = std::get_if<Failure>(&decoded)) {
-        handleFailure(failure->detail);
+        handleFailure(call, failure->detail);
         return;
     }
     if (m_isStoreUnreachable) {
@@ -136,14 +178,20 @@
     }
     m_failuresInRow = 0;
     m_isBehind = false;
-    const auto& rows = std::get<platform::StoreRows>(decoded);
-    apply(rows, now);
+    endCalls(call);
+    apply(std::get<platform::StoreRows>(decoded), now);
     if (m_version)
-        confirm(sentAt);
+        confirm(call->sentAt);
     const auto next = m_callStarted + m_options.spacing;
     scheduleCall(m_version && next > now ? next - now : Duration::zero());
 }
 
+void StoreFollower::endCalls(const std::shared_ptr<Call>& answered)
+{
+    m_idleConnection = std::exchange(answered->connection, nullptr);
+    m_openCalls.clear();
+}
+
 void StoreFollower::apply(const platform::StoreRows& rows, TimePoint now)
 {
     if (!m_version) {
@@ -224,24 +272,35 @@
     }
 }
 
-void StoreFollower::handleFailure(const std::string& reason)
+void StoreFollower::handleFailure(const std::shared_ptr<Call>& call, const std::string& reason)
 {
     ++m_failures;
     ++m_failuresInRow;
-    ++m_callNumber;
-    if (!std::exchange(m_isStoreUnreachable, true))
-        logEvent(Event::PlatformAway, { { "table", m_options.table }, { "reason", reason } });
-    if (m_connection)
-        m_connection->close();
-    m_connection.reset();
-    const auto pause = std::min(maxRetryDelay, firstRetryDelay * m_failuresInRow);
-    const double factor = m_callbacks.hasOtherReader && m_callbacks.hasOtherReader() ? passiveRetryFactor : 1;
-    scheduleCall(fromSeconds(toSeconds(pause) * factor * (0.5 + m_random.fraction())));
+    std::erase(m_openCalls, call);
+    if (std::exchange(m_isStoreUnreachable, true))
+        return; // The next call is scheduled already.
+    const auto now = bootNow();
+    m_unreachableSince = now;
+    logEvent(Event::PlatformAway, { { "table", m_options.table }, { "reason", reason } });
+    scheduleCall(retryDelay(now));
+}
+
+bool StoreFollower::isReachedByPeer(TimePoint now) const
+{
+    return m_peerContactAt > m_unreachableSince && now - m_peerContactAt < peerContactLifetime;
+}
+
+Duration StoreFollower::retryDelay(TimePoint now)
+{
+    const auto delay = std::min(maxRetryDelay, firstRetryDelay * std::max(1, m_failuresInRow));
+    const bool isPassive = m_callbacks.hasOtherReader && m_callbacks.hasOtherReader();
+    const double factor = isPassive && !isReachedByPeer(now) ? passiveRetryFactor : 1;
+    return fromSeconds(
+        toSeconds(delay) * factor * (minRetryFraction + (1 - minRetryFraction) * m_random.fraction()));
 }
 
 void StoreFollower::scheduleCall(Duration wait)
 {
-    m_timeout.cancel();
     m_timer.expires_after(wait);
     m_timer.async_wait([this](std::error_code ec) {
         if (ec)
@@ -249,10 +308,13 @@
         const auto now = bootNow();
         const bool maySkipPolling
             = m_version && m_callbacks.maySkipPolling && m_callbacks.maySkipPolling(now);
-        if (maySkipPolling && (!m_isBehind || now - m_callStarted < m_options.spacingWhilePassive))
+        if (maySkipPolling && (!m_isBehind || now - m_callStarted < m_options.spacingWhilePassive)) {
             scheduleCall(passiveCheckPeriod);
-        else
-            call();
+            return;
+        }
+        startCall();
+        if (m_isStoreUnreachable)
+            scheduleCall(retryDelay(now));
     });
 }
 
@@ -264,6 +326,11 @@
 
 void StoreFollower::peerConfirmed(uint64_t covered, uint64_t changed, TimePoint at)
 {
+    const auto now = bootNow();
+    const bool wasReachedByPeer = isReachedByPeer(now);
+    m_peerContactAt = std::max(m_peerContactAt, at);
+    if (m_isStoreUnreachable && !wasReachedByPeer && isReachedByPeer(now))
+        scheduleCall(Duration::zero());
     if (!m_version)
         return;
     if (changed > *m_version) {
--- a/packages/Edge/unittests/StoreRecoveryTest.cpp
+++ b/packages/Edge/unittests/StoreRecoveryTest.cpp
@@ -99,5 +99,14 @@
     EXPECT_LT(bootNow() - returnedAt, contactBound);
 }
 
+TEST_F(StoreRecovery, RetriesAtOnceWhenAPeerHasReachedTheStore)
+{
+    start();
+    passOutage(row("a", 8));
+    follower->peerConfirmed(9, 8, bootNow());
+    runUntil([this] { return seen == "+a+b+a"; });
+    EXPECT_LT(bootNow() - returnedAt, 200ms);
+}
+
 } // namespace
 } // namespace lentilbay::edge
