--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -261,7 +261,9 @@
 void StoreFollower::applyDueDeletions(TimePoint now)
 {
     for (auto it = m_deletions.begin(); it != m_deletions.end();) {
-        if (it->second > now || m_isStoreUnreachable) {
+        // Without contact to the store, a peer may have confirmed that the entry was not written again.
+        const bool isKnown = !m_isStoreUnreachable || m_confirmedAt >= it->second;
+        if (it->second > now || !isKnown) {
             ++it;
             continue;
         }
--- a/packages/Edge/unittests/StoreRecoveryTest.cpp
+++ b/packages/Edge/unittests/StoreRecoveryTest.cpp
@@ -31,9 +31,9 @@
 
 class StoreRecovery : public testing::Test {
 protected:
-    void start()
+    void start(ScriptedResponse snapshot = { .bytes = answer(row("a", 3) + "," + row("b", 4), 7) })
     {
-        server.script({ .bytes = answer(row("a", 3) + "," + row("b", 4), 7) });
+        server.script(std::move(snapshot));
         follower = std::make_unique<StoreFollower>(context,
             StoreFollowerOptions { .store = { asio::ip::make_address("127.0.0.1"), server.port() },
                 .table = "t",
@@ -43,6 +43,7 @@
             StoreFollower::Callbacks { .changed = [this](const auto& it) { seen += "+" + it.key; },
                 .deleted = [this](const auto& key) { seen += "-" + key; },
                 .confirmed = [](TimePoint) {},
+                .maySkipPolling = [this](TimePoint) { return maySkipPolling; },
                 .hasOtherReader = [] { return true; } });
         follower->start();
         runUntil([this] { return seen == "+a+b"; });
@@ -77,6 +78,7 @@
     RawServer server { context };
     std::unique_ptr<StoreFollower> follower;
     std::string seen;
+    bool maySkipPolling = false;
     TimePoint returnedAt {};
 };
 
@@ -108,5 +110,23 @@
     EXPECT_LT(bootNow() - returnedAt, 200ms);
 }
 
+TEST_F(StoreRecovery, RemovalConfirmedByAPeerWasNotApplied)
+{
+    // The store was lost again before the delayed deletion was due, and a peer read it from then on.
+    start();
+    passOutage(row("a", 8, true));
+    runUntil([this] { return follower->coveredVersion() == 9; });
+    server.setResponder(
+        [](const std::string&) { return ScriptedResponse { .bytes = httpResponse(503, "") }; });
+    const auto failures = follower->failures();
+    runUntil([&] { return follower->failures() > failures; });
+    maySkipPolling = true;
+    runUntil([this] {
+        follower->peerConfirmed(9, 8, bootNow());
+        return seen == "+a+b-a" || bootNow() - returnedAt > contactBound;
+    });
+    EXPECT_EQ(seen, "+a+b-a");
+}
+
 } // namespace
 } // namespace lentilbay::edge
