--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -76,6 +76,9 @@
     void handleFailure(const std::shared_ptr<Call>& call, const std::string& reason);
     /// Drops all calls in progress and keeps the connection of the answered one.
     void endCalls(const std::shared_ptr<Call>& answered);
+    /// How long the store may hold the next call. If there is something to read, the answer is due
+    /// immediately, and a connection that has died is noticed sooner.
+    Duration longPollWait() const;
     /// Schedules the next call; replaces the one that was scheduled before.
     void scheduleCall(Duration wait);
     Duration retryDelay(TimePoint now);
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -87,9 +87,8 @@
     auto call = std::make_shared<Call>(m_context);
     const std::weak_ptr<Call> weak = call;
     m_openCalls.push_back(call);
-    call->timeout.expires_after(m_isStoreUnreachable
-            ? recoveryAnswerTimeout
-            : answerTimeout + (m_version ? m_options.wait : Duration {}));
+    call->timeout.expires_after(
+        m_isStoreUnreachable ? recoveryAnswerTimeout : answerTimeout + longPollWait());
     call->timeout.async_wait([this, weak](std::error_code ec) {
         if (const auto it = weak.lock(); it && !ec)
             handleFailure(it, "timed out waiting for the answer");
@@ -111,14 +110,17 @@
     });
 }
 
+Duration StoreFollower::longPollWait() const
+{
+    const bool hasNewsToRead = !m_version || m_isBehind || m_isStoreUnreachable;
+    return hasNewsToRead ? Duration {} : m_options.wait;
+}
+
 void StoreFollower::send(const std::shared_ptr<Call>& call)
 {
     const auto host = hostOf(m_options.store);
-    // A store that was unreachable answers at once, so that what it says is known without waiting for a
-    // change.
-    const auto wait = m_isStoreUnreachable ? Duration {} : m_options.wait;
     auto request = m_version ? platform::followRowsRequest(host, m_options.table, *m_version,
-                       static_cast<unsigned>(wait / std::chrono::milliseconds(1)))
+                       static_cast<unsigned>(longPollWait() / std::chrono::milliseconds(1)))
                              : platform::readRowsRequest(host, m_options.table, m_snapshotFrom);
     call->sentAt = bootNow();
     const std::weak_ptr<Call> weak = call;
--- a/packages/Edge/unittests/StoreRecoveryTest.cpp
+++ b/packages/Edge/unittests/StoreRecoveryTest.cpp
@@ -110,6 +110,21 @@
     EXPECT_LT(bootNow() - returnedAt, 200ms);
 }
 
+TEST_F(StoreRecovery, ChangeSeenByAPeerWaitedForADeadConnection)
+{
+    // The idle connection of a daemon that leaves reading to a peer had died without a reset.
+    constexpr Duration drainBound = 2500ms;
+    constexpr Duration untilPeerReports = 900ms;
+    maySkipPolling = true;
+    start();
+    server.script({ .bytes = "", .delay = 1h });
+    server.script({ .bytes = answer(row("a", 8), 9) });
+    const auto reportedAt = bootNow();
+    follower->peerConfirmed(9, 8, reportedAt);
+    runUntil([this] { return seen == "+a+b+a"; });
+    EXPECT_LT(bootNow() - reportedAt, drainBound - untilPeerReports);
+}
+
 TEST_F(StoreRecovery, RemovalConfirmedByAPeerWasNotApplied)
 {
     // The store was lost again before the delayed deletion was due, and a peer read it from then on.
