--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -29,6 +29,8 @@
     Duration spacingWhilePassive = std::chrono::milliseconds(200);
     /// How long a deletion that is seen shortly after an outage is delayed.
     Duration deletionDelay {};
+    /// No entry expires in a shorter outage, so deletions after it are not delayed.
+    Duration minOutageToExpire {};
     uint64_t seed = 1;
 };
 
@@ -113,7 +115,10 @@
     /// The time of the newest view that a peer has reported.
     TimePoint m_peerContactAt {};
     int m_failuresInRow = 0;
+    TimePoint m_lastAnswerAt {};
     TimePoint m_reconnectedAt {};
+    /// The time without an answer before m_reconnectedAt.
+    Duration m_lastOutage {};
     TimePoint m_callStarted {};
     uint64_t m_calls = 0;
     uint64_t m_failures = 0;
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -33,6 +33,9 @@
 constexpr Duration endpointSpacing = std::chrono::milliseconds(700);
 /// Entries that expired in an outage are restored within about two seconds of its end.
 constexpr Duration lapsedEntryDelay = std::chrono::milliseconds(2100);
+/// An entry expires after three heartbeats of its endpoint are missing; one of them may be due just after the
+/// store is lost.
+constexpr int missedHeartbeatsToExpire = 2;
 /// Daemons learn of each other from heartbeats; the table is needed only by daemons that start.
 constexpr Duration daemonLongPollWait = Duration::zero();
 constexpr Duration daemonSpacing = std::chrono::seconds(60);
@@ -184,6 +187,7 @@
             .spacing = endpointSpacing,
             .spacingWhilePassive = passiveSpacing(),
             .deletionDelay = lapsedEntryDelay,
+            .minOutageToExpire = m_state.settings.endpointHeartbeat * missedHeartbeatsToExpire,
             .seed = randomSeed() },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { applyEndpointRow(row); },
             .deleted =
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -56,6 +56,8 @@
     }
 
     std::shared_ptr<http::ClientConnection> connection;
+    /// The connection had carried a call before.
+    bool isReused = false;
     asio::steady_timer timeout;
     TimePoint sentAt {};
     int status = 0;
@@ -95,6 +97,7 @@
     });
     if (m_idleConnection && m_idleConnection->isReusable()) {
         call->connection = std::move(m_idleConnection);
+        call->isReused = true;
         send(call);
         return;
     }
@@ -173,11 +176,13 @@
     if (m_isStoreUnreachable) {
         m_isStoreUnreachable = false;
         m_reconnectedAt = now;
+        m_lastOutage = now - m_lastAnswerAt;
         logEvent(Event::PlatformBack,
             { { "table", m_options.table },
                 { "view_age_ms", m_confirmedAt ? (now - *m_confirmedAt) / std::chrono::milliseconds(1) : -1 },
                 { "failures", static_cast<int64_t>(m_failuresInRow) } });
     }
+    m_lastAnswerAt = now;
     m_failuresInRow = 0;
     m_isBehind = false;
     endCalls(call);
@@ -251,8 +256,9 @@
 
 void StoreFollower::remove(const std::string& key, TimePoint now)
 {
-    const bool mayReturn = m_reconnectedAt != TimePoint {} && now - m_reconnectedAt < postOutageWindow;
-    if (mayReturn && m_options.deletionDelay > Duration::zero()) {
+    const bool followsOutage = m_reconnectedAt != TimePoint {} && now - m_reconnectedAt < postOutageWindow;
+    if (followsOutage && m_lastOutage >= m_options.minOutageToExpire
+        && m_options.deletionDelay > Duration::zero()) {
         m_deletions.try_emplace(key, m_reconnectedAt + m_options.deletionDelay);
         return;
     }
@@ -286,7 +292,8 @@
     const auto now = bootNow();
     m_unreachableSince = now;
     logEvent(Event::PlatformAway, { { "table", m_options.table }, { "reason", reason } });
-    scheduleCall(retryDelay(now));
+    // A reused connection may have died while the store is reachable.
+    scheduleCall(call->isReused && call->status == 0 ? Duration::zero() : retryDelay(now));
 }
 
 bool StoreFollower::isReachedByPeer(TimePoint now) const
--- a/packages/Edge/unittests/StoreRecoveryTest.cpp
+++ b/packages/Edge/unittests/StoreRecoveryTest.cpp
@@ -16,6 +16,8 @@
 constexpr Duration contactBound = 3s;
 /// The period within which entries that expired in an outage are written again, and a margin.
 constexpr Duration lapsedEntryDelay = 2100ms;
+/// Two heartbeats of an endpoint.
+constexpr Duration minOutageToExpire = 2400ms;
 
 std::string row(const std::string& key, int version, bool isDeleted = false)
 {
@@ -39,7 +41,8 @@
                 .table = "t",
                 .wait = 750ms,
                 .spacing = 200ms,
-                .deletionDelay = lapsedEntryDelay },
+                .deletionDelay = lapsedEntryDelay,
+                .minOutageToExpire = minOutageToExpire },
             StoreFollower::Callbacks { .changed = [this](const auto& it) { seen += "+" + it.key; },
                 .deleted = [this](const auto& key) { seen += "-" + key; },
                 .confirmed = [](TimePoint) {},
@@ -125,6 +128,19 @@
     EXPECT_LT(bootNow() - reportedAt, drainBound - untilPeerReports);
 }
 
+TEST_F(StoreRecovery, DeadConnectionDelayedTheRemovalOfAnEntry)
+{
+    // One reset connection was taken for an outage, in which entries may expire.
+    start({ .bytes = answer(row("a", 3) + "," + row("b", 4), 7), .resetOnNextRequest = true });
+    server.setResponder([](const std::string& request) {
+        const bool isNews = request.find("After=7") != std::string::npos;
+        return ScriptedResponse { .bytes = answer(isNews ? row("a", 8, true) : "", 9), .delay = 20ms };
+    });
+    const auto readAt = bootNow();
+    runUntil([this] { return seen == "+a+b-a"; });
+    EXPECT_LT(bootNow() - readAt, 500ms);
+}
+
 TEST_F(StoreRecovery, RemovalConfirmedByAPeerWasNotApplied)
 {
     // The store was lost again before the delayed deletion was due, and a peer read it from then on.
