--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -53,7 +53,8 @@
     void enqueue(TimePoint now);
     WaitingRequest waitingRequest() const;
     bool mayResend(TimePoint now);
-    void sendNow(std::shared_ptr<http::ClientConnection> connection, TimePoint now);
+    /// Sends the request on the established connection.
+    void sendNow(TimePoint now);
     bool handleResponseHead(const http::HttpResponseHead& head);
     void handleResponseBody(std::string_view piece);
     void handleResponseComplete();
@@ -71,6 +72,8 @@
     void sendFailed(bool mayHaveExecuted, ResultCode reason, TimePoint now);
     /// Ends a request that may have been executed; forwards an endpoint's own error response if there is one.
     void endAfterExecution(ResultCode reason, TimePoint now);
+    /// Ends a send before its first byte because the endpoint no longer accepts requests.
+    void withdrawSend(TimePoint now);
     void requeue(TimePoint now);
     void handleTimeout();
     void handleCallerLeft();
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -79,7 +79,11 @@
                 return;
             }
             if (connection) {
-                self->sendNow(std::move(connection), at);
+                self->m_send->connection = std::move(connection);
+                if (self->m_state.endpointRegistry.acceptsRequests(*target))
+                    self->sendNow(at);
+                else
+                    self->withdrawSend(at);
                 return;
             }
             self->endSend(SendOutcome::Failed, at);
@@ -87,9 +91,21 @@
         });
 }
 
-void EdgeRequest::sendNow(std::shared_ptr<http::ClientConnection> connection, TimePoint now)
+void EdgeRequest::withdrawSend(TimePoint now)
+{
+    logEvent(Event::SendWithdrawn,
+        { { "id", m_metadata.id.text() }, { "endpoint", m_send->endpoint->entry().id.text() } });
+    endSend(SendOutcome::Neutral, now);
+    if (m_state.endpointRegistry.hasCandidate(m_service, m_triedEndpoints))
+        requeue(now);
+    else if (m_possibleExecutions == 0)
+        refuse(ResultCode::NoEndpoint, defaultRetryAfter, now);
+    else
+        endAfterExecution(ResultCode::EndpointBroke, now);
+}
+
+void EdgeRequest::sendNow(TimePoint now)
 {
-    m_send->connection = std::move(connection);
     if (now >= m_expiresAt) {
         handleTimeout();
         return;
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -333,6 +333,11 @@
     return possible == Any ? best[Any].endpoint : best[Finishes].endpoint;
 }
 
+bool EndpointRegistry::acceptsRequests(const EndpointState& endpoint) const
+{
+    return find(endpoint.entry().id).get() == &endpoint && !endpoint.entry().isDraining;
+}
+
 bool EndpointRegistry::hasCandidate(const ServiceId& service, const std::vector<EndpointId>& tried) const
 {
     return std::ranges::any_of(endpointsOf(service), [&](const auto& it) {
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -95,6 +95,8 @@
                 .handler =
                     [this](std::shared_ptr<http::Exchange> exchange) {
                         std::make_shared<EdgeRequest>(state, std::move(exchange))->admit(bootNow());
+                        if (afterAdmission)
+                            afterAdmission();
                     },
                 .malformed = {} });
     }
@@ -158,6 +160,8 @@
     RawServer first { context };
     RawServer second { context };
     std::unique_ptr<http::HttpServer> front;
+    /// Runs while the connection to the endpoint is being established.
+    std::function<void()> afterAdmission;
 };
 
 TEST_F(EdgeRequestTest, ForwardsAnAnswerUnchanged)
@@ -256,6 +260,28 @@
     EXPECT_EQ(receivedRequests(), 2U);
 }
 
+TEST_F(EdgeRequestTest, EndpointThatLeftWhileItWasConnectedGotTheRequest)
+{
+    // The request is sent to another endpoint, also if it may run only once.
+    afterAdmission = [this] {
+        auto entry = state.endpointRegistry.find(EndpointId("e1"))->entry();
+        entry.isDraining = true;
+        state.endpointRegistry.list(entry);
+        list("e2", second);
+    };
+    second.script({ .bytes = httpResponse(200, "second", signatureFields) });
+    EXPECT_EQ(call("/once/x").status, 200);
+    EXPECT_EQ(first.requests().size(), 0U);
+    EXPECT_EQ(second.requests().size(), 1U);
+}
+
+TEST_F(EdgeRequestTest, EndpointThatWasRemovedWhileItWasConnectedGotTheRequest)
+{
+    afterAdmission = [this] { state.endpointRegistry.unlist(EndpointId("e1")); };
+    EXPECT_EQ(call("/once/x").status, 503);
+    EXPECT_EQ(first.requests().size(), 0U);
+}
+
 TEST_F(EdgeRequestTest, Status503WithoutTheHeaderMayHaveBeenExecuted)
 {
     list("e2", second);
