--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -2,8 +2,8 @@
 
 Checks, from what clients and endpoints observe: a non-idempotent request runs at most once; a request refused as not
 run did not run; responses and streams are complete and belong to the client's request; a revoked key runs nothing
-after the revocation bound; no permitted request is denied; a graceful stop ends in time; service recovers after the
-last fault.
+after the revocation bound; a draining endpoint and an old route get nothing after their bounds; no permitted request is
+denied; a graceful stop ends in time; service recovers after the last fault.
 
     soak.py --daemon build/bin/lentilbayd [--seed N] [--seconds S] [--runs N]
 """
@@ -25,15 +25,22 @@
 DAEMONS = 3
 REVOKE_SECONDS = 5.0
 GRACE_SECONDS = 8.0
+DRAIN_SECONDS = 2.5
+CONFIG_SECONDS = 2.5
+# Time-bounded checks hold for a daemon this long after the last fault that affected it.
+CONTACT_SECONDS = 3.0
+# Those that meet each other most often in practice are drawn twice as often.
+FAULT_KINDS = ["kill", "pause", "term", "store", "store", "endpoint", "drain", "drain", "crash", "configure", "configure",
+               "revoke", "herd", "hup"]
 # Request kinds and the types of their routes.
-KINDS = {"once": "unsafe", "safe": "safe", "stream": "stream"}
+KINDS = {"once": "unsafe", "safe": "safe", "stream": "stream", "moved": "safe"}
 
 
 class Soak:
     """One run: the deployment, the injected faults and the findings. Random choices are drawn from the seed."""
 
-    def __init__(self, daemon: str, seed: int, seconds: float, folder: str) -> None:
-        self.binary, self.seconds, self.folder = daemon, seconds, folder
+    def __init__(self, daemon: str, seed: int, seconds: float, folder: str, fault_kinds: list) -> None:
+        self.binary, self.seconds, self.folder, self.fault_kinds = daemon, seconds, folder, fault_kinds
         self.rng = random.Random(seed)
         # A loopback network per run, so that concurrent runs do not use the same addresses.
         self.network = f"127.{40 + os.getpid() % 200}.{seed % 250}"
@@ -50,6 +57,12 @@
         self.config_version = 1
         self.keys = {"key-kept": True, "key-revoked": True}
         self.revoked_at = None
+        # Intervals [begin, end] of the faults that affected each daemon, and of each endpoint's draining; end is
+        # infinite while they last.
+        self.faulted: dict = {i: [] for i in range(DAEMONS)}
+        self.drained: dict = {}
+        # When each service became the target of the route "moved".
+        self.moves: list = []
         self.requests: list = []
         self.faults_ended = False
         self.stopping = False
@@ -78,8 +91,10 @@
             self.spawn(i, first=True)
 
     async def configure(self) -> None:
+        moved = "llm" if len(self.moves) % 2 else "app"
+        services = {"stream": "llm", "moved": moved}
         routes = [{"Name": kind, "Host": "h", "Prefix": f"/{kind}/", "Type": wire, "TimeoutMs": 3000, "SloMs": 300,
-                   "Service": "llm" if kind == "stream" else "app", "Attempts": 1 if kind == "once" else 2,
+                   "Service": services.get(kind, "app"), "Attempts": 1 if kind == "once" else 2,
                    "Resumable": kind == "stream", "Priority": 0} for kind, wire in KINDS.items()]
         self.config_version += self.rng.randint(1, 3)
         await self.store.put("op", "config", {
@@ -87,6 +102,7 @@
             "Services": [{"Name": "app", "MaxConns": 100},
                          {"Name": "llm", "MaxConns": 100, "Engine": {"Slots": 6, "Stride": 6}}],
             "Tenants": [{"Name": "t", "ApiKeys": [key for key, is_valid in self.keys.items() if is_valid]}]})
+        self.moves.append((time.monotonic(), moved))
 
     def spawn(self, i: int, first: bool = False) -> None:
         address = f"{self.network}.{80 + i}"
@@ -94,7 +110,8 @@
             "Node": f"edge-{i}", "Ip": address, "Zone": "a", "Region": "r", "Zones": {"a": "r"},
             "Listen": {"Frontend": f"{address}:8000", "Ready": f"{address}:8001"}, "InternalPorts": [7600, 7615],
             "Bootstrap": first, "Limits": {"CpuQuota": 1, "MemoryMb": 256},
-            "Bounds": {"RevokeMs": REVOKE_SECONDS * 1000, "GraceS": GRACE_SECONDS, "RetryBudgetRatio": 0.2,
+            "Bounds": {"RevokeMs": REVOKE_SECONDS * 1000, "DrainMs": DRAIN_SECONDS * 1000,
+                       "ConfigDeadlineMs": CONFIG_SECONDS * 1000, "GraceS": GRACE_SECONDS, "RetryBudgetRatio": 0.2,
                        "BudgetSlack": 50, "BudgetWindowS": 10, "QuotaWindowS": 8},
             "Platform": {"Addr": f"{self.network}.{60 + i}:7000"}}
         path = os.path.join(self.folder, f"edge-{i}.json")
@@ -123,7 +140,7 @@
     async def client(self, number: int) -> None:
         """Sends requests one after another and reuses the connection while it is open."""
         rng = random.Random(number * 7919 + self.rng.randint(0, 1 << 30))
-        connection = None
+        connection = daemon = None
         while not self.stopping:
             await asyncio.sleep(rng.uniform(0.01, 0.12))
             kind = rng.choice(list(KINDS))
@@ -134,7 +151,8 @@
                 if connection:
                     connection[1].close()
                 try:
-                    host = f"{self.network}.{80 + rng.randrange(DAEMONS)}"
+                    daemon = rng.randrange(DAEMONS)
+                    host = f"{self.network}.{80 + daemon}"
                     connection = await asyncio.wait_for(asyncio.open_connection(host, 8000), 1)
                 except (OSError, asyncio.TimeoutError):
                     connection = None
@@ -151,7 +169,7 @@
                 status, headers, text, is_complete = 0, {}, "", False
                 if isinstance(error, asyncio.TimeoutError):
                     self.count_outcome(after_faults, "no answer in time")
-            self.requests.append((request, kind, key, sent_at, status))
+            self.requests.append((request, kind, key, daemon, sent_at, status))
             self.check_response(request, kind, key, body, status, headers, text, is_complete, sent_at)
             self.count_outcome(after_faults, str(status) if is_complete or status == 0 else f"{status} cut")
             if not is_complete or headers.get("connection") == "close":
@@ -206,16 +224,18 @@
         end = time.monotonic() + self.seconds
         pending = []
         while time.monotonic() < end:
-            kind = self.rng.choice(["kill", "pause", "term", "store", "endpoint", "drain", "crash", "configure", "revoke",
-                                    "herd", "hup"])
+            kind = self.rng.choice(self.fault_kinds)
             pending.append(asyncio.create_task(self.fault(kind)))
             await asyncio.sleep(self.rng.uniform(0.2, 1.5))
         await asyncio.gather(*pending)
 
     async def fault(self, kind: str) -> None:
         i = self.rng.randrange(DAEMONS)
-        duration = self.rng.uniform(0.3, 3.0)
+        duration = self.rng.uniform(0.3, 8.0 if kind == "store" else 3.0)
         mode = self.rng.choice(["delay", "reset", "silent", "one_way"])
+        if kind in ("pause", "store"):
+            fault = [time.monotonic(), float("inf")]
+            self.faulted[i].append(fault)
         if kind == "kill":
             await self.restart([i], signal.SIGKILL)
         elif kind == "herd":
@@ -228,13 +248,17 @@
             self.send_signal(i, signal.SIGSTOP)
             await asyncio.sleep(duration)
             self.send_signal(i, signal.SIGCONT)
+            fault[1] = time.monotonic()
         elif kind in ("store", "endpoint"):
             name = f"store-{i}" if kind == "store" else self.rng.choice(self.endpoints).name
             self.proxies[name].set_mode(mode)
             await asyncio.sleep(duration)
             # Connections that lost bytes cannot continue, as after a partition.
-            self.proxies[name].set_mode("reset")
-            self.proxies[name].set_mode("pass")
+            if self.rng.random() < 0.5:
+                self.proxies[name].set_mode("reset")
+            self.proxies[name].pass_again()
+            if kind == "store":
+                fault[1] = time.monotonic()
         elif kind == "crash":
             n = self.rng.randrange(len(self.endpoints))
             if n in self.crashed:
@@ -246,10 +270,17 @@
             self.crashed.discard(n)
         elif kind == "drain":
             n = self.rng.randrange(len(self.endpoints))
-            address = f"{self.network}.{40 + n}:7001"
-            await self.store.put("servers", self.endpoints[n].name, self.endpoints[n].row(address, "draining"))
-            await asyncio.sleep(duration)
-            await self.store.put("servers", self.endpoints[n].name, self.endpoints[n].row(address))
+            name, address = self.endpoints[n].name, f"{self.network}.{40 + n}:7001"
+            if any(end == float("inf") for _, end in self.drained.get(name, [])):
+                return
+            # Some endpoints leave without announcing it: their entry is removed.
+            row = None if self.rng.random() < 0.4 else self.endpoints[n].row(address, "draining")
+            await self.store.put("servers", name, row)
+            interval = [time.monotonic(), float("inf")]
+            self.drained.setdefault(name, []).append(interval)
+            await asyncio.sleep(self.rng.uniform(1.0, 9.0))
+            interval[1] = time.monotonic()
+            await self.store.put("servers", name, self.endpoints[n].row(address))
         elif kind == "configure":
             await self.configure()
         elif kind == "revoke" and self.revoked_at is None:
@@ -265,7 +296,9 @@
     async def restart(self, daemons: list, signal_number: int) -> None:
         daemons = [i for i in daemons if i not in self.restarting]
         self.restarting |= set(daemons)
+        faults = {i: [time.monotonic(), float("inf")] for i in daemons}
         for i in daemons:
+            self.faulted[i].append(faults[i])
             self.send_signal(i, signal_number)
         for i in daemons:
             process = self.processes[i]
@@ -280,14 +313,33 @@
                 self.add_finding("DRAIN", f"daemon {i} ended with {process.returncode} after SIGTERM")
             await asyncio.sleep(self.rng.uniform(0.1, 0.8))
             self.spawn(i)
+            faults[i][1] = time.monotonic()
         self.restarting -= set(daemons)
 
     # --- checks at the end ---
 
+    def is_in_contact(self, daemon: int, begin: float, end: float) -> bool:
+        """Whether no fault affected the daemon from the contact time before `begin` until `end`."""
+        return all(to + CONTACT_SECONDS <= begin or since >= end for since, to in self.faulted[daemon])
+
+    def check_bounds(self, request, kind, daemon, sent_at, executed_at, endpoint) -> None:
+        """Checks an execution against the endpoint's draining and the target of the route "moved"."""
+        if not self.is_in_contact(daemon, sent_at, executed_at):
+            return
+        for since, to in self.drained.get(endpoint.name, []):
+            if since + DRAIN_SECONDS < executed_at < to:
+                self.add_finding("DRAIN", f"{request} reached {endpoint.name} from daemon {daemon} "
+                                 f"{executed_at - since:.2f} s after it had left")
+        if kind == "moved":
+            before = [service for at, service in self.moves if at <= sent_at - CONFIG_SECONDS]
+            later = [service for at, service in self.moves if sent_at - CONFIG_SECONDS < at <= executed_at]
+            if endpoint.service not in before[-1:] + later:
+                self.add_finding("CONFIG", f"{request} ran at {endpoint.service} from daemon {daemon}")
+
     def check_executions(self) -> None:
-        kinds = {request: (kind, key, sent_at, status) for request, kind, key, sent_at, status in self.requests}
+        requests = {request: rest for request, *rest in self.requests}
         for request, executions in self.executions.items():
-            kind, key, sent_at, status = kinds.get(request, (None, None, 0, 0))
+            kind, key, daemon, sent_at, status = requests.get(request, (None, None, 0, 0, 0))
             if kind is None:
                 continue  # The request was still open when the soak ended.
             if kind == "once" and len(executions) > 1:
@@ -296,7 +348,8 @@
                 self.add_finding("REFUSED", f"{request} got {status} and ran")
             if key == "key-revoked" and self.revoked_at and sent_at > self.revoked_at + REVOKE_SECONDS:
                 self.add_finding("CONFIG", f"{request} ran {sent_at - self.revoked_at:.1f} s after its key was taken away")
-            for _, headers, target, body in executions:
+            for executed_at, endpoint, headers, target, body in executions:
+                self.check_bounds(request, kind, daemon, sent_at, executed_at, endpoint)
                 if headers.get("x-tenant") != "t" or "authorization" in headers:
                     self.add_finding("UNASKED", f"{request} arrived with tenant {headers.get('x-tenant')}")
                 if target != f"/{kind}/x" or body != f"body-{request}".encode():
@@ -336,13 +389,14 @@
     parser.add_argument("--seed", type=int, default=int(time.time()) % 100000)
     parser.add_argument("--seconds", type=float, default=15, help="duration of fault injection in seconds")
     parser.add_argument("--runs", type=int, default=1, help="number of consecutive seeds to run")
+    parser.add_argument("--faults", default=",".join(FAULT_KINDS), help="kinds of faults, drawn with equal probability")
     parser.add_argument("--keep", default="", help="folder in which to keep the daemons' logs")
     options = parser.parse_args()
     failed = []
     for seed in range(options.seed, options.seed + options.runs):
         folder = os.path.join(options.keep, str(seed)) if options.keep else tempfile.mkdtemp(prefix="soak-")
         os.makedirs(folder, exist_ok=True)
-        soak = Soak(options.daemon, seed, options.seconds, folder)
+        soak = Soak(options.daemon, seed, options.seconds, folder, options.faults.split(","))
         try:
             asyncio.run(soak.run())
         finally:
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -141,7 +141,7 @@
         if self.refuses or self.rng.random() < 0.02:
             writer.write(build_response(503, b"", {"X-Not-Executed": "1"}))
             return
-        self.executions.setdefault(request, []).append((time.monotonic(), headers, target, body))
+        self.executions.setdefault(request, []).append((time.monotonic(), self, headers, target, body))
         signature_headers = {"X-Request-Id": request, "X-Served-By-Sig": f"{self.name}.{request}"}
         if "/stream/" not in target:
             await asyncio.sleep(self.rng.uniform(0.005, 0.05))
@@ -158,12 +158,16 @@
 
 
 class Proxy:
-    """A loopback TCP proxy that can delay, reset or drop traffic, in both directions or only towards the client."""
+    """A loopback TCP proxy that can delay, reset or drop traffic, in both directions or only towards the client.
+
+    After traffic was dropped, pass_again() leaves the open connections silent for good, without a reset.
+    """
 
     def __init__(self, target: tuple) -> None:
         self.target = target
         self.mode = "pass"
         self.writers: set = set()
+        self.dead_writers: set = set()
 
     async def listen(self, host: str, port: int) -> None:
         await asyncio.start_server(self.relay, host, port, backlog=512)
@@ -174,6 +178,11 @@
             for writer in list(self.writers):
                 writer.transport.abort()
 
+    def pass_again(self) -> None:
+        if self.mode in ("silent", "one_way"):
+            self.dead_writers |= self.writers
+        self.mode = "pass"
+
     async def relay(self, reader, writer) -> None:
         if self.mode == "reset":
             writer.transport.abort()
@@ -189,6 +198,7 @@
         except asyncio.CancelledError:
             pass  # The soak has ended.
         self.writers -= {writer, target_writer}
+        self.dead_writers -= {writer, target_writer}
 
     async def pump(self, reader, writer, is_response: bool) -> None:
         try:
@@ -196,7 +206,7 @@
                 if self.mode == "delay":
                     await asyncio.sleep(0.15)
                 # Bytes are dropped, as in a partition whose sender stops retransmitting.
-                if self.mode == "silent" or (self.mode == "one_way" and is_response):
+                if self.mode == "silent" or (self.mode == "one_way" and is_response) or writer in self.dead_writers:
                     continue
                 writer.write(data)
                 await writer.drain()
