--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -2,8 +2,9 @@
 
 Checks, from what clients and endpoints observe: a non-idempotent request runs at most once; a request refused as not
 run did not run; responses and streams are complete and belong to the client's request; a revoked key runs nothing
-after the revocation bound; a draining endpoint and an old route get nothing after their bounds; no permitted request is
-denied; a graceful stop ends in time; service recovers after the last fault.
+after the revocation bound; a draining endpoint and an old route get nothing after their bounds; an endpoint that states a
+limit gets no more than it allows; no permitted request is denied; a graceful stop ends in time; service recovers after
+the last fault.
 
     soak.py --daemon build/bin/lentilbayd [--seed N] [--seconds S] [--runs N]
 """
@@ -27,6 +28,9 @@
 GRACE_SECONDS = 8.0
 DRAIN_SECONDS = 2.5
 CONFIG_SECONDS = 2.5
+# An endpoint's limit holds for the requests in any LIMIT_WINDOW seconds, from daemons that have known it for TOLD_SECONDS.
+LIMIT_WINDOW = 4.0
+TOLD_SECONDS = 0.5
 # Time-bounded checks hold for a daemon this long after the last fault that affected it.
 CONTACT_SECONDS = 3.0
 # Those that meet each other most often in practice are drawn twice as often.
@@ -61,6 +65,10 @@
         # infinite while they last.
         self.faulted: dict = {i: [] for i in range(DAEMONS)}
         self.drained: dict = {}
+        # Faults that interrupted each daemon itself, and the periods in which endpoints stated a limit, as
+        # [begin, end, endpoint, limit].
+        self.interrupted: dict = {i: [] for i in range(DAEMONS)}
+        self.limited: list = []
         # When each service became the target of the route "moved".
         self.moves: list = []
         self.requests: list = []
@@ -236,6 +244,8 @@
         if kind in ("pause", "store"):
             fault = [time.monotonic(), float("inf")]
             self.faulted[i].append(fault)
+        if kind == "pause":
+            self.interrupted[i].append(fault)
         if kind == "kill":
             await self.restart([i], signal.SIGKILL)
         elif kind == "herd":
@@ -281,6 +291,16 @@
             await asyncio.sleep(self.rng.uniform(1.0, 9.0))
             interval[1] = time.monotonic()
             await self.store.put("servers", name, self.endpoints[n].row(address))
+        elif kind == "limit":
+            endpoint = self.rng.choice(self.endpoints)
+            if endpoint.limit is not None:
+                return
+            endpoint.limit = round(self.rng.choice([0.4, 2, 2.7, 6]) * self.rng.uniform(0.8, 1.2), 2)
+            period = [time.monotonic(), float("inf"), endpoint, endpoint.limit]
+            self.limited.append(period)
+            await asyncio.sleep(self.rng.uniform(4.0, 12.0))
+            period[1] = time.monotonic()
+            endpoint.limit = None
         elif kind == "configure":
             await self.configure()
         elif kind == "revoke" and self.revoked_at is None:
@@ -299,6 +319,7 @@
         faults = {i: [time.monotonic(), float("inf")] for i in daemons}
         for i in daemons:
             self.faulted[i].append(faults[i])
+            self.interrupted[i].append(faults[i])
             self.send_signal(i, signal_number)
         for i in daemons:
             process = self.processes[i]
@@ -336,8 +357,28 @@
             if endpoint.service not in before[-1:] + later:
                 self.add_finding("CONFIG", f"{request} ran at {endpoint.service} from daemon {daemon}")
 
+    def check_limits(self, daemons: dict) -> None:
+        """Checks the arrivals at each endpoint that stated a limit; `daemons` has the daemon of each request."""
+        for begin, end, endpoint, limit in self.limited:
+            told: dict = {}
+            for at, request in endpoint.told:
+                if begin <= at <= end and request in daemons:
+                    told.setdefault(daemons[request], at)
+            counted = []
+            for at, request in endpoint.arrivals:
+                daemon = daemons.get(request)
+                if not begin + CONTACT_SECONDS <= at <= end or daemon not in told:
+                    continue
+                is_excused = any(since < at and to > begin for since, to in self.interrupted[daemon])
+                if told[daemon] + TOLD_SECONDS <= at and not is_excused:
+                    counted.append(at)
+            most = max((sum(at <= it < at + LIMIT_WINDOW for it in counted) for at in counted), default=0)
+            if most > 1.5 * limit * LIMIT_WINDOW + 5:
+                self.add_finding("LIMIT", f"{endpoint.name} got {most} requests in {LIMIT_WINDOW:g} s at a limit of {limit}")
+
     def check_executions(self) -> None:
         requests = {request: rest for request, *rest in self.requests}
+        self.check_limits({request: rest[2] for request, rest in requests.items()})
         for request, executions in self.executions.items():
             kind, key, daemon, sent_at, status = requests.get(request, (None, None, 0, 0, 0))
             if kind is None:
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -129,6 +129,17 @@
         super().__init__()
         self.name, self.service, self.executions, self.rng = name, service, executions, rng
         self.refuses = False
+        # The requests per second that the endpoint states in its answers; the requests that reached it, and those
+        # whose answer stated a limit, as (time, request).
+        self.limit: float | None = None
+        self.arrivals: list = []
+        self.told: list = []
+
+    def limit_header(self, request: str) -> dict:
+        if self.limit is None:
+            return {}
+        self.told.append((time.monotonic(), request))
+        return {"Server-Limit": f"{self.limit:g}"}
 
     def row(self, address: str, state: str = "ready") -> dict:
         return {"Service": self.service, "Addr": address, "Zone": "a", "Slots": 6, "State": state, "Seq": 1}
@@ -138,15 +149,18 @@
         if headers.get("x-expect-instance") != self.name:
             writer.write(build_response(421, b"", {"X-Instance-Id": self.name}))
             return
+        self.arrivals.append((time.monotonic(), request))
         if self.refuses or self.rng.random() < 0.02:
-            writer.write(build_response(503, b"", {"X-Not-Executed": "1"}))
+            writer.write(build_response(503, b"", {"X-Not-Executed": "1"} | self.limit_header(request)))
             return
         self.executions.setdefault(request, []).append((time.monotonic(), self, headers, target, body))
         signature_headers = {"X-Request-Id": request, "X-Served-By-Sig": f"{self.name}.{request}"}
         if "/stream/" not in target:
             await asyncio.sleep(self.rng.uniform(0.005, 0.05))
+            signature_headers |= self.limit_header(request)
             writer.write(build_response(200, b"done:" + request.encode() + body, signature_headers))
             return
+        signature_headers |= self.limit_header(request)
         fields = "".join(f"{name}: {value}\r\n" for name, value in signature_headers.items())
         writer.write(f"HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n".encode())
         for event in range(int(headers.get("last-event-id", "0")) + 1, self.EVENTS + 1):
