--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -35,6 +35,10 @@
     /// Moves requests away from stalled endpoints.
     void checkStalledRequests(TimePoint now);
     PeerHeartbeat makeHeartbeat(TimePoint now);
+    /// Applies what a peer knows of endpoints' statements about themselves.
+    void applyPeerSignals(const PeerHeartbeat& heartbeat, TimePoint now);
+    /// Divides the rates that endpoints state among the daemons that are alive.
+    void updateSignals(TimePoint now);
     void applyPeerQuotas(const PeerHeartbeat& heartbeat, TimePoint now);
     Duration heartbeatPeriodTo(Locality locality) const;
     /// The name of the counter for bytes sent to daemons of that locality.
--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -56,6 +56,7 @@
     /// Sends the request on the established connection.
     void sendNow(TimePoint now);
     bool handleResponseHead(const http::HttpResponseHead& head);
+    void recordSignals(const platform::ResponseMetadata& metadata, TimePoint now);
     void handleResponseBody(std::string_view piece);
     void handleResponseComplete();
     void completeStream(TimePoint now);
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -59,6 +59,9 @@
     QuotaParticipants quotaParticipants() const;
     WindowedRetryBudget& retryBudget(const ServiceId& service) { return m_retryBudgets[service]; }
     WindowedRetryLimits retryLimits() const;
+    /// Logs what an endpoint is now known to state about itself; `source` is the peer that reported it, or
+    /// empty.
+    void logSignals(const EndpointId& endpoint, const std::string& source) const;
     /// Starts waiting requests that an endpoint can take and rejects those that cannot start in time, by
     /// calling their EdgeRequests.
     void dispatchWaiting(TimePoint now);
--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -4,6 +4,7 @@
 // daemons' heartbeats. The engines' own reports are older than both and are not read.
 #pragma once
 
+#include "lentilbay/Edge/EndpointSignalTable.h"
 #include "lentilbay/Model/RoutedEndpoint.h"
 #include "lentilbay/Model/Topology.h"
 #include "lentilbay/Policy/Estimate.h"
@@ -44,6 +45,8 @@
     explicit EndpointState(RoutedEndpoint entry);
 
     const RoutedEndpoint& entry() const { return m_entry; }
+    /// hashOf() of the endpoint's id.
+    uint64_t hash() const { return m_hash; }
     void updateEntry(RoutedEndpoint entry) { m_entry = std::move(entry); }
 
     void recordSend(const Work& work, TimePoint now);
@@ -66,6 +69,8 @@
     Duration expectedStreamPause(const Work& work, double pendingTokens, double tokensPerEvent) const;
     /// The expected time to the end of the answer.
     Duration expectedTotalTime(const Work& work) const;
+    /// Records an answer whose header could not be parsed; returns whether it is the first one.
+    bool noteUnreadableHeader() { return !std::exchange(m_hadUnreadableHeader, true); }
     /// Whether the endpoint failed recently and gets no work at present.
     bool isSuspended(TimePoint now) const { return now < m_suspendedUntil; }
     /// Whether the endpoint has not succeeded since it was suspended; it then gets one request at a time.
@@ -84,6 +89,9 @@
     friend class EndpointRegistry;
 
     RoutedEndpoint m_entry;
+    uint64_t m_hash;
+    TimePoint m_lastSendAt {};
+    bool m_hadUnreadableHeader = false;
     uint32_t m_ownInFlight = 0;
     /// Prompt tokens of requests that were sent and have not produced their first event.
     double m_pendingPromptTokens = 0;
@@ -170,6 +178,21 @@
     /// Drops loads that were reported too long ago.
     void dropStaleLoads(TimePoint now);
 
+    /// Records what an endpoint states in the head of its answer. Returns whether that is new.
+    bool recordSignals(const EndpointState& endpoint, const EndpointSignals& signals, bool isAttributed,
+        TimePoint sentAt, TimePoint now);
+    /// Applies what a peer knew at `at` or later, and returns the endpoints for which that is new.
+    std::vector<EndpointId> applySignalReports(
+        const std::vector<SignalReport>& reports, TimePoint at, TimePoint now);
+    std::vector<SignalReport> signalReports(TimePoint now) const { return m_signals.reports(now); }
+    /// Tells the table of statements which daemons are alive; to be called regularly while it has entries.
+    void updateSignals(const std::string& self, std::vector<SendingDaemon> daemons, TimePoint now);
+    bool hasSignals() const { return !m_signals.empty(); }
+    EndpointSignals signalsOf(const EndpointState& endpoint) const
+    {
+        return m_signals.signalsOf(endpoint.hash());
+    }
+
     void setHeadroom(Headroom headroom) { m_headroom = headroom; }
     /// Returns the endpoint to send the work to now, or nullptr if none has room.
     std::shared_ptr<EndpointState> choose(const ChoiceQuery& query, TimePoint now);
@@ -199,6 +222,8 @@
         return m_topology.localityOf(endpoint.entry().dataCentre);
     }
     bool hasRoom(const EndpointState& endpoint) const;
+    /// Whether what the endpoint states about itself allows a send now.
+    bool isAllowedBySignals(const EndpointState& endpoint, TimePoint now) const;
     using Endpoints = std::vector<std::shared_ptr<EndpointState>>;
     const Endpoints& endpointsOf(const ServiceId& service) const;
     void rebuildIndexes();
@@ -219,6 +244,7 @@
     std::map<ServiceId, Endpoints> m_byService;
     std::unordered_map<uint64_t, std::shared_ptr<EndpointState>> m_byHash;
     std::map<std::string, PeerLoads> m_peers;
+    EndpointSignalTable m_signals;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
@@ -75,6 +75,8 @@
     };
     /// In the order of `quotas`. Sent only to a receiver that was restarted and needs them.
     std::vector<QuotaLevel> levels;
+    /// What endpoints state about themselves; empty for most of the time.
+    std::vector<SignalReport> signals;
     /// The sender's quotas account for all use that still matters to them.
     bool countsAllUse = false;
 
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -72,6 +72,29 @@
     applyPeerViews(heartbeat, now);
     m_state.endpointRegistry.updatePeerLoads(heartbeat.daemon, heartbeat.loads, now);
     applyPeerQuotas(heartbeat, now);
+    applyPeerSignals(heartbeat, now);
+}
+
+void EdgeDaemon::applyPeerSignals(const PeerHeartbeat& heartbeat, TimePoint now)
+{
+    const TimePoint echoed { Duration(heartbeat.echoedMicroseconds) };
+    if (heartbeat.signals.empty() || heartbeat.echoedIncarnation != m_incarnation || echoed > now)
+        return;
+    for (const auto& it : m_state.endpointRegistry.applySignalReports(heartbeat.signals, echoed, now))
+        m_state.logSignals(it, heartbeat.daemon);
+}
+
+void EdgeDaemon::updateSignals(TimePoint now)
+{
+    if (!m_state.endpointRegistry.hasSignals())
+        return;
+    const auto& own = m_state.settings;
+    std::vector<SendingDaemon> daemons { { .name = own.daemon.text(), .dataCentre = own.dataCentre } };
+    for (const auto& [name, peer] : m_state.peers.peers()) {
+        if (!peer.isSilent)
+            daemons.push_back({ .name = name, .dataCentre = DataCentreId(peer.dataCentre) });
+    }
+    m_state.endpointRegistry.updateSignals(own.daemon.text(), std::move(daemons), now);
 }
 
 void EdgeDaemon::applyPeerQuotas(const PeerHeartbeat& heartbeat, TimePoint now)
@@ -175,6 +198,7 @@
     }
     for (auto& [name, quota] : m_state.quotas())
         out.quotas.push_back({ .organisation = hashOf(name.text()), .admittedTotal = quota.admittedTotal() });
+    out.signals = m_state.endpointRegistry.signalReports(now);
     m_countsAllUse = m_countsAllUse || now - m_startedAt > m_state.settings.bounds.quotaWindow;
     out.countsAllUse = m_countsAllUse;
     return out;
@@ -186,6 +210,7 @@
     for (const auto& it : m_state.peers.detectSilent(now))
         logEvent(Event::PeerSilent, { { "daemon", it } });
     m_state.endpointRegistry.dropStaleLoads(now);
+    updateSignals(now);
     ++m_sequence;
     auto heartbeat = makeHeartbeat(now);
     std::erase_if(
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -145,6 +145,8 @@
         m_state.metrics.count("foreign_answers");
         return false;
     }
+    if (!metadata.isMisdirected)
+        recordSignals(metadata, bootNow());
     m_send->head = head;
     m_send->wasNotExecuted = metadata.execution == platform::Execution::No;
     m_send->isMisdirected = metadata.isMisdirected;
@@ -153,6 +155,22 @@
     return true;
 }
 
+void EdgeRequest::recordSignals(const platform::ResponseMetadata& metadata, TimePoint now)
+{
+    auto& endpoint = *m_send->endpoint;
+    const auto& id = endpoint.entry().id;
+    if (!metadata.signals) {
+        m_state.metrics.count("endpoint_headers_unreadable");
+        if (endpoint.noteUnreadableHeader())
+            logEvent(Event::EndpointHeaderUnreadable,
+                { { "id", m_metadata.id.text() }, { "endpoint", id.text() } });
+        return;
+    }
+    if (m_state.endpointRegistry.recordSignals(
+            endpoint, *metadata.signals, metadata.isAttributed, m_send->sentAt, now))
+        m_state.logSignals(id, {});
+}
+
 void EdgeRequest::handleResponseBody(std::string_view piece)
 {
     if (m_isOver || !m_send)
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -3,6 +3,7 @@
 
 #include "EdgeTimes.h"
 #include "lentilbay/Edge/EdgeRequest.h"
+#include "lentilbay/Support/Log.h"
 
 #include <algorithm>
 
@@ -85,6 +86,17 @@
         .window = settings.bounds.retryWindow };
 }
 
+void EdgeState::logSignals(const EndpointId& endpoint, const std::string& source) const
+{
+    const auto state = endpointRegistry.find(endpoint);
+    if (!state)
+        return;
+    const auto rate = endpointRegistry.signalsOf(*state).maxRequestsPerSecond;
+    logEvent(Event::EndpointLimitChanged,
+        { { "endpoint", endpoint.text() }, { "requests_per_second", rate.value_or(-1) },
+            { "load", state->load() }, { "reported_by", source } });
+}
+
 void EdgeState::dispatchWaiting(TimePoint now)
 {
     // Starting a request may end it immediately and call this function again.
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -60,6 +60,7 @@
 
 EndpointState::EndpointState(RoutedEndpoint entry)
     : m_entry(std::move(entry))
+    , m_hash(hashOf(m_entry.id.text()))
     , m_secondsPerToken(priorSecondsPerToken, latencyWeight)
     , m_firstEventRatio(1, firstEventWeight)
     , m_nonStreamSeconds(priorNonStreamSeconds, latencyWeight)
@@ -71,6 +72,7 @@
 {
     if (m_ownInFlight == 0)
         m_lastProgress = now;
+    m_lastSendAt = now;
     ++m_ownInFlight;
     m_pendingPromptTokens += work.promptTokens;
 }
@@ -204,7 +206,7 @@
     m_byHash.clear();
     for (const auto& [id, it] : m_endpoints) {
         m_byService[it->entry().service].push_back(it);
-        m_byHash.emplace(hashOf(id.text()), it);
+        m_byHash.emplace(it->hash(), it);
     }
 }
 
@@ -266,6 +268,46 @@
     return endpoint.load() + 1 + headroom <= endpoint.entry().slots;
 }
 
+bool EndpointRegistry::isAllowedBySignals(const EndpointState& endpoint, TimePoint now) const
+{
+    return m_signals.empty() || m_signals.maySend(endpoint.hash(), endpoint.m_lastSendAt, now);
+}
+
+bool EndpointRegistry::recordSignals(const EndpointState& endpoint, const EndpointSignals& signals,
+    bool isAttributed, TimePoint sentAt, TimePoint now)
+{
+    if (m_signals.empty() && signals == EndpointSignals {})
+        return false;
+    return m_signals.recordAnswer({ .endpoint = endpoint.hash(),
+                                      .dataCentre = endpoint.entry().dataCentre,
+                                      .signals = signals,
+                                      .isAttributed = isAttributed,
+                                      .sentAt = sentAt },
+        now);
+}
+
+std::vector<EndpointId> EndpointRegistry::applySignalReports(
+    const std::vector<SignalReport>& reports, TimePoint at, TimePoint now)
+{
+    std::vector<EndpointId> out;
+    for (const auto& it : reports) {
+        const auto endpoint = m_byHash.find(it.endpoint);
+        if (endpoint == m_byHash.end())
+            continue;
+        const auto& entry = endpoint->second->entry();
+        if (m_signals.applyReport(it, entry.dataCentre, at, now))
+            out.push_back(entry.id);
+    }
+    return out;
+}
+
+void EndpointRegistry::updateSignals(
+    const std::string& self, std::vector<SendingDaemon> daemons, TimePoint now)
+{
+    m_signals.setDaemons(self, std::move(daemons));
+    m_signals.dropOld(now);
+}
+
 double EndpointRegistry::costOf(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now)
 {
     const auto first = endpoint.expectedTimeToFirstEvent(query.work);
@@ -311,7 +353,8 @@
     // The best grade that any endpoint would reach if it were idle.
     Grade possible = Any;
     for (const auto& it : endpointsOf(query.service)) {
-        if (it->entry().isDraining || it->isSuspended(now) || it->isStalled(now))
+        if (it->entry().isDraining || it->isSuspended(now) || it->isStalled(now)
+            || !isAllowedBySignals(*it, now))
             continue;
         const auto gradeWith = [&, isFast = finishesInTime(*it, query, now)](double pendingTokens) {
             return !isFast ? Any : meetsLatencyObjectives(*it, query, pendingTokens, now) ? InTime : Finishes;
@@ -352,8 +395,9 @@
         const auto& entry = it->entry();
         if (entry.isDraining || it->isSuspended(now))
             continue;
-        out.slots += entry.slots;
-        out.load += std::min<double>(entry.slots, it->load());
+        const double load = std::min<double>(entry.slots, it->load());
+        out.slots += isAllowedBySignals(*it, now) ? entry.slots : load;
+        out.load += load;
     }
     return out;
 }
--- a/packages/Edge/lib/PeerHeartbeat.cpp
+++ b/packages/Edge/lib/PeerHeartbeat.cpp
@@ -32,17 +32,22 @@
     archive(it.configuration, it.endpoints);
 }
 
+template <class Archive> void serialize(Archive& archive, SignalReport& it)
+{
+    archive(it.endpoint, it.signals.maxRequestsPerSecond, it.ageMicroseconds);
+}
+
 template <class Archive> void serialize(Archive& archive, PeerHeartbeat& it)
 {
     archive(it.daemon, it.incarnation, it.sequence, it.dataCentre, it.periodMilliseconds, it.isLeaving,
         it.echoedMicroseconds, it.echoedIncarnation, it.sentMicroseconds, it.views, it.loads, it.quotas,
-        it.levels, it.countsAllUse);
+        it.levels, it.signals, it.countsAllUse);
 }
 
 namespace {
 
 /// Identifies heartbeat datagrams and their version; changes with the layout.
-constexpr uint32_t magic = 0x4c42'5304;
+constexpr uint32_t magic = 0x4c42'5305;
 /// A peer is silent after this many missing heartbeats in a row.
 constexpr double silentAfterPeriods = 3.5;
 /// Upper bound of the period that a peer may announce.
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -7,6 +7,7 @@
 #include "lentilbay/Support/SteadyClock.h"
 
 #include <asio/steady_timer.hpp>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 namespace lentilbay::edge {
@@ -260,6 +261,38 @@
     EXPECT_EQ(receivedRequests(), 2U);
 }
 
+TEST_F(EdgeRequestTest, EndpointThatStatedALimitGotMoreRequests)
+{
+    list("e2", second);
+    state.endpointRegistry.updateSignals(
+        "d", { { .name = "d", .dataCentre = DataCentreId("a") } }, bootNow());
+    first.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes
+            = httpResponse(200, "a", signatureFields + "Server-Limit: 0.5\r\n") };
+    });
+    second.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = httpResponse(200, "b", signatureFields) };
+    });
+    constexpr int requests = 40;
+    for (int i = 0; i < requests; ++i)
+        EXPECT_EQ(call("/safe/x", "Authorization: Token k\r\nX-Token-Usage: 10,10\r\n").status, 200);
+    EXPECT_EQ(first.requests().size(), 1U);
+    EXPECT_EQ(second.requests().size(), requests - 1U);
+}
+
+TEST_F(EdgeRequestTest, UnreadableLimitChangesNothing)
+{
+    for (const std::string value : { "many", "-1", "nan", "inf", "", "2 per second" }) {
+        first.setResponder([&](const std::string&) {
+            return ScriptedResponse { .bytes
+                = httpResponse(200, "a", fmt::format("{}Server-Limit: {}\r\n", signatureFields, value)) };
+        });
+        EXPECT_EQ(call("/safe/x").status, 200) << value;
+        EXPECT_FALSE(state.endpointRegistry.hasSignals()) << value;
+    }
+    EXPECT_NE(state.metrics.text({}).find("lentilbay_endpoint_headers_unreadable 6"), std::string::npos);
+}
+
 TEST_F(EdgeRequestTest, EndpointThatLeftWhileItWasConnectedGotTheRequest)
 {
     // The request is sent to another endpoint, also if it may run only once.
--- /dev/null
+++ b/packages/Edge/unittests/EndpointSignalTableTest.cpp
@@ -0,0 +1,165 @@
+// Tests that daemons together respect the rate that an endpoint states, and when a statement applies.
+#include "lentilbay/Edge/EndpointSignalTable.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace lentilbay::edge {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr uint64_t endpoint = 7;
+constexpr Duration window = 4s;
+
+std::vector<SendingDaemon> daemonsOf(size_t n)
+{
+    std::vector<SendingDaemon> out;
+    for (size_t i = 0; i < n; ++i)
+        out.push_back({ .name = fmt::format("d{}", i), .dataCentre = DataCentreId(i % 3 == 0 ? "a" : "b") });
+    return out;
+}
+
+SignalAnswer answer(std::optional<double> rate, TimePoint sentAt)
+{
+    return { .endpoint = endpoint,
+        .dataCentre = DataCentreId("a"),
+        .signals = { .maxRequestsPerSecond = rate },
+        .isAttributed = true,
+        .sentAt = sentAt };
+}
+
+/// What an endpoint that states a rate may get in a window without a rule being broken.
+double mostIn(Duration period, double rate) { return 1.5 * rate * toSeconds(period) + 5; }
+
+size_t mostInAnyWindow(const std::vector<TimePoint>& sends)
+{
+    size_t out = 0;
+    for (size_t i = 0, first = 0; i < sends.size(); ++i) {
+        while (sends[i] - sends[first] >= window)
+            ++first;
+        out = std::max(out, i - first + 1);
+    }
+    return out;
+}
+
+TEST(EndpointSignalTable, AllowsEverythingWithoutAStatement)
+{
+    EndpointSignalTable table;
+    EXPECT_TRUE(table.maySend(endpoint, TimePoint(1s), TimePoint(1s)));
+    EXPECT_FALSE(table.recordAnswer(answer(std::nullopt, TimePoint(1s)), TimePoint(2s)));
+    EXPECT_TRUE(table.empty());
+}
+
+TEST(EndpointSignalTable, SingleDaemonSendsAtTheStatedRate)
+{
+    EndpointSignalTable table;
+    table.setDaemons("d0", daemonsOf(1));
+    EXPECT_TRUE(table.recordAnswer(answer(2, TimePoint(1s)), TimePoint(1s)));
+    EXPECT_FALSE(table.maySend(endpoint, TimePoint(1s), TimePoint(1400ms)));
+    EXPECT_TRUE(table.maySend(endpoint, TimePoint(1s), TimePoint(1500ms)));
+    EXPECT_TRUE(table.maySend(endpoint + 1, TimePoint(1s), TimePoint(1s))) << "another endpoint";
+}
+
+TEST(EndpointSignalTable, OnlyALaterRequestWithdrawsAStatement)
+{
+    EndpointSignalTable table;
+    table.setDaemons("d0", daemonsOf(1));
+    table.recordAnswer(answer(2, TimePoint(1s)), TimePoint(2s));
+    EXPECT_FALSE(table.recordAnswer(answer(std::nullopt, TimePoint(1900ms)), TimePoint(3s)))
+        << "the answer may have been written before the statement";
+    auto unattributed = answer(std::nullopt, TimePoint(2100ms));
+    unattributed.isAttributed = false;
+    EXPECT_FALSE(table.recordAnswer(unattributed, TimePoint(3s)));
+    EXPECT_TRUE(table.recordAnswer(answer(std::nullopt, TimePoint(2100ms)), TimePoint(3s)));
+    EXPECT_TRUE(table.maySend(endpoint, TimePoint(3s), TimePoint(3s)));
+    table.dropOld(TimePoint(9s));
+    EXPECT_TRUE(table.empty());
+}
+
+TEST(EndpointSignalTable, NewestOfPeersAndOwnStatementsApplies)
+{
+    EndpointSignalTable table;
+    const DataCentreId a("a");
+    table.setDaemons("d0", daemonsOf(2));
+    const auto report = [](std::optional<double> rate, Duration age) {
+        return SignalReport {
+            .endpoint = endpoint, .signals = { .maxRequestsPerSecond = rate }, .ageMicroseconds = age.count()
+        };
+    };
+    EXPECT_TRUE(table.applyReport(report(2, 100ms), a, TimePoint(5s), TimePoint(5s)));
+    EXPECT_FALSE(table.applyReport(report(std::nullopt, 200ms), a, TimePoint(5s), TimePoint(5s))) << "older";
+    EXPECT_FALSE(table.applyReport(report(-1, Duration {}), a, TimePoint(6s), TimePoint(6s))) << "invalid";
+    EXPECT_TRUE(table.applyReport(report(std::nullopt, Duration {}), a, TimePoint(6s), TimePoint(6s)));
+    EXPECT_EQ(table.signalsOf(endpoint), EndpointSignals {});
+    table.recordAnswer(answer(3, TimePoint(6s)), TimePoint(7s));
+    EXPECT_FALSE(table.applyReport(report(std::nullopt, Duration {}), a, TimePoint(6500ms), TimePoint(8s)));
+    EXPECT_EQ(table.signalsOf(endpoint).maxRequestsPerSecond, 3);
+    ASSERT_EQ(table.reports(TimePoint(9s)).size(), 1U);
+    EXPECT_EQ(table.reports(TimePoint(9s))[0].ageMicroseconds, Duration(2s).count());
+}
+
+TEST(EndpointSignalTable, AnotherDaemonSendsIfTheSelectedOneHasNoRequests)
+{
+    // Without this a limit would never end for daemons that are not selected.
+    const auto daemons = daemonsOf(4);
+    size_t allowedAtOnce = 0;
+    size_t allowedLater = 0;
+    for (const auto& it : daemons) {
+        EndpointSignalTable table;
+        table.setDaemons(it.name, daemons);
+        table.recordAnswer(answer(0.5, TimePoint(1s)), TimePoint(1s));
+        allowedAtOnce += table.maySend(endpoint, TimePoint(), TimePoint(3s));
+        allowedLater += table.maySend(endpoint, TimePoint(), TimePoint(7s));
+    }
+    EXPECT_EQ(allowedAtOnce, 1U);
+    EXPECT_EQ(allowedLater, 2U);
+}
+
+RC_GTEST_PROP(EndpointSignalTable, DaemonsTogetherRespectTheStatedRate, ())
+{
+    // Each daemon tries to send often; some are unknown to the others for a while, and answers reach all
+    // daemons late.
+    const auto n = *rc::gen::inRange<size_t>(1, 90);
+    const double rate = *rc::gen::element(0.0, 0.3, 1.0, 2.0, 2.7, 7.5, 30.0);
+    const auto restarted = *rc::gen::inRange<size_t>(0, n);
+    const auto daemons = daemonsOf(n);
+    struct Sender {
+        EndpointSignalTable table;
+        TimePoint lastSendAt {};
+    };
+    std::vector<Sender> senders(n);
+    for (size_t i = 0; i < n; ++i) {
+        senders[i].table.setDaemons(daemons[i].name, daemons);
+        senders[i].table.recordAnswer(answer(rate, TimePoint(1s)), TimePoint(1s));
+    }
+    std::vector<TimePoint> sends;
+    for (auto now = TimePoint(1s); now < TimePoint(21s); now += 20ms) {
+        const bool isAway = now >= TimePoint(8s) && now < TimePoint(11s);
+        for (size_t i = 0; i < n; ++i) {
+            auto& it = senders[i];
+            auto known = daemons;
+            if (isAway && n > 1 && i != restarted)
+                known.erase(known.begin() + static_cast<std::ptrdiff_t>(restarted));
+            it.table.setDaemons(daemons[i].name, known);
+            if (isAway && i == restarted)
+                continue;
+            if (!it.table.maySend(endpoint, it.lastSendAt, now))
+                continue;
+            it.lastSendAt = now;
+            sends.push_back(now);
+        }
+        if (!sends.empty() && now - sends.back() == 100ms) {
+            for (auto& it : senders)
+                it.table.recordAnswer(answer(rate, sends.back()), now);
+        }
+    }
+    RC_ASSERT(static_cast<double>(mostInAnyWindow(sends)) <= mostIn(window, rate));
+    // The rate is also used: a selected daemon is replaced while it is away.
+    RC_ASSERT(static_cast<double>(sends.size()) >= std::floor(0.8 * rate * 20));
+}
+
+} // namespace
+} // namespace lentilbay::edge
--- a/packages/Edge/unittests/PeerHeartbeatTest.cpp
+++ b/packages/Edge/unittests/PeerHeartbeatTest.cpp
@@ -18,7 +18,8 @@
         .periodMilliseconds = 200,
         .loads = { { .endpoint = 5, .inFlight = 3 } },
         .quotas = { { .organisation = 6, .admittedTotal = 1.5 } },
-        .levels = { { .level = 2.5F, .inWindow = 3.5F } } };
+        .levels = { { .level = 2.5F, .inWindow = 3.5F } },
+        .signals = { { .endpoint = 8, .signals = { .maxRequestsPerSecond = 2.7 }, .ageMicroseconds = 9 } } };
 }
 
 TEST(PeerHeartbeat, DecodesWhatWasEncoded)
--- /dev/null
+++ b/packages/Model/include/lentilbay/Model/EndpointSignals.h
@@ -0,0 +1,17 @@
+// What an endpoint states about itself in its answers.
+#pragma once
+
+#include <compare>
+#include <optional>
+
+namespace lentilbay {
+
+struct EndpointSignals {
+    /// The requests per second that the endpoint accepts from all daemons together; std::nullopt for no
+    /// limit.
+    std::optional<double> maxRequestsPerSecond;
+
+    auto operator<=>(const EndpointSignals&) const = default;
+};
+
+} // namespace lentilbay
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -35,7 +35,7 @@
 CONTACT_SECONDS = 3.0
 # Those that meet each other most often in practice are drawn twice as often.
 FAULT_KINDS = ["kill", "pause", "term", "store", "store", "endpoint", "drain", "drain", "crash", "configure", "configure",
-               "revoke", "herd", "hup"]
+               "limit", "revoke", "herd", "hup"]
 # Request kinds and the types of their routes.
 KINDS = {"once": "unsafe", "safe": "safe", "stream": "stream", "moved": "safe"}
 
