--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -19,12 +19,15 @@
 /// store can still be read.
 constexpr Duration recoveryAnswerTimeout = std::chrono::milliseconds(2000);
 /// The time between the starts of two calls while the store is unreachable grows with consecutive failures.
-/// The upper bound and the delay of deletions together must stay below the three seconds after which a daemon
-/// must act on what the store says.
+/// The upper bounds and the delay of deletions together must stay below the three seconds after which a
+/// daemon must act on what the store says.
 constexpr Duration firstRetryDelay = std::chrono::milliseconds(150);
-constexpr Duration maxRetryDelay = std::chrono::milliseconds(300);
-/// Calls to the platform are billed, including failed ones. While another daemon retries at the delays above
-/// and has not reached the store either, this daemon uses delays longer by this factor.
+constexpr Duration maxRetryDelay = std::chrono::milliseconds(250);
+/// The upper bound if a peer reaches the store: then only this daemon is cut off, and failed calls are
+/// billed.
+constexpr Duration maxRetryDelayAlone = std::chrono::milliseconds(600);
+/// While another daemon retries at the delays above and has not reached the store either, this daemon uses
+/// delays longer by this factor.
 constexpr double passiveRetryFactor = 3;
 /// How long a peer's contact to the store counts as evidence that the store is reachable.
 constexpr Duration peerContactLifetime = std::chrono::seconds(3);
@@ -303,9 +306,11 @@
 
 Duration StoreFollower::retryDelay(TimePoint now)
 {
-    const auto delay = std::min(maxRetryDelay, firstRetryDelay * std::max(1, m_failuresInRow));
+    const bool isReached = isReachedByPeer(now);
+    const auto longest = isReached ? maxRetryDelayAlone : maxRetryDelay;
+    const auto delay = std::min(longest, firstRetryDelay * std::max(1, m_failuresInRow));
     const bool isPassive = m_callbacks.hasOtherReader && m_callbacks.hasOtherReader();
-    const double factor = isPassive && !isReachedByPeer(now) ? passiveRetryFactor : 1;
+    const double factor = isPassive && !isReached ? passiveRetryFactor : 1;
     return fromSeconds(
         toSeconds(delay) * factor * (minRetryFraction + (1 - minRetryFraction) * m_random.fraction()));
 }
