--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -17,6 +17,8 @@
 /// The state of one send to an endpoint.
 struct EndpointSend {
     std::shared_ptr<EndpointState> endpoint;
+    /// As of the send; the endpoint may have been started again since.
+    EndpointIncarnation incarnation;
     std::shared_ptr<http::ClientConnection> connection;
     /// Bytes of the request may have reached the endpoint.
     bool isSent = false;
--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -47,6 +47,12 @@
     const RoutedEndpoint& entry() const { return m_entry; }
     /// hashOf() of the endpoint's id.
     uint64_t hash() const { return m_hash; }
+    EndpointIncarnation incarnation() const
+    {
+        return { .endpoint = m_hash,
+            .startedAtMilliseconds = m_entry.startedAtMilliseconds,
+            .dataCentre = m_entry.dataCentre };
+    }
     void updateEntry(RoutedEndpoint entry) { m_entry = std::move(entry); }
 
     void recordSend(const Work& work, TimePoint now);
@@ -179,8 +185,7 @@
     void dropStaleLoads(TimePoint now);
 
     /// Records what an endpoint states in the head of its answer. Returns whether that is new.
-    bool recordSignals(const EndpointState& endpoint, const EndpointSignals& signals, bool isAttributed,
-        TimePoint sentAt, TimePoint now);
+    bool recordSignals(const EndpointState& endpoint, const SignalAnswer& answer, TimePoint now);
     /// Applies what a peer knew at `at` or later, and returns the endpoints for which that is new.
     std::vector<EndpointId> applySignalReports(
         const std::vector<SignalReport>& reports, TimePoint at, TimePoint now);
@@ -196,10 +201,10 @@
     void setHeadroom(Headroom headroom) { m_headroom = headroom; }
     /// Returns the endpoint to send the work to now, or nullptr if none has room.
     std::shared_ptr<EndpointState> choose(const ChoiceQuery& query, TimePoint now);
-    /// Whether the endpoint is listed and not draining. To be asked again right before a send, as choose()
+    /// Whether the endpoint is listed and not leaving. To be asked again right before a send, as choose()
     /// may have returned the endpoint some time before.
     bool acceptsRequests(const EndpointState& endpoint) const;
-    /// Whether the service has an endpoint that is not draining and not in `tried`.
+    /// Whether the service has an endpoint that is not leaving and not in `tried`.
     bool hasCandidate(const ServiceId& service, const std::vector<EndpointId>& tried = {}) const;
     /// The slots of the service's endpoints that accept work, and the requests in flight there.
     struct Occupancy {
@@ -224,6 +229,11 @@
     bool hasRoom(const EndpointState& endpoint) const;
     /// Whether what the endpoint states about itself allows a send now.
     bool isAllowedBySignals(const EndpointState& endpoint, TimePoint now) const;
+    /// Whether the endpoint is leaving, according to its entry or to its own answers.
+    bool isLeaving(const EndpointState& endpoint) const
+    {
+        return endpoint.entry().isDraining || (!m_signals.empty() && m_signals.isLeaving(endpoint.hash()));
+    }
     using Endpoints = std::vector<std::shared_ptr<EndpointState>>;
     const Endpoints& endpointsOf(const ServiceId& service) const;
     void rebuildIndexes();
--- a/packages/Edge/include/lentilbay/Edge/EndpointSignalTable.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointSignalTable.h
@@ -9,7 +9,8 @@
 // the others may send.
 //
 // A statement applies from the answer that made it until a later one differs. Answers may overtake each
-// other, so only an answer to a request that was sent after a statement can withdraw it.
+// other, so only an answer to a request that was sent after a statement can withdraw it. An endpoint that is
+// leaving stays so until it is started again: its entry in the platform's store may be older than its answer.
 #pragma once
 
 #include "lentilbay/Model/EndpointSignals.h"
@@ -31,10 +32,21 @@
     auto operator<=>(const SendingDaemon&) const = default;
 };
 
+/// An endpoint as the table identifies it.
+struct EndpointIncarnation {
+    /// hashOf() of the endpoint's id.
+    uint64_t endpoint = 0;
+    /// See RoutedEndpoint; 0 if unknown.
+    uint64_t startedAtMilliseconds = 0;
+    DataCentreId dataCentre;
+};
+
 /// What a daemon knows of an endpoint's statements, for its heartbeats.
 struct SignalReport {
     /// hashOf() of the endpoint's id.
     uint64_t endpoint = 0;
+    /// The incarnation that stated them; see RoutedEndpoint.
+    uint64_t startedAtMilliseconds = 0;
     EndpointSignals signals;
     /// Time since the newest answer that stated them, as of when the report was written.
     int64_t ageMicroseconds = 0;
@@ -44,9 +56,7 @@
 
 /// The head of an endpoint's answer, as far as the table needs it.
 struct SignalAnswer {
-    /// hashOf() of the endpoint's id.
-    uint64_t endpoint = 0;
-    DataCentreId dataCentre;
+    EndpointIncarnation endpoint;
     EndpointSignals signals;
     /// Whether the answer is known to belong to the request that was sent at `sentAt`.
     bool isAttributed = false;
@@ -61,7 +71,10 @@
     bool recordAnswer(const SignalAnswer& answer, TimePoint now);
     /// Applies what a peer knew at `at` or later. Returns whether it changed what the endpoint is known to
     /// state.
-    bool applyReport(const SignalReport& report, const DataCentreId& dataCentre, TimePoint at, TimePoint now);
+    bool applyReport(
+        const SignalReport& report, const EndpointIncarnation& endpoint, TimePoint at, TimePoint now);
+    /// Forgets what an earlier incarnation stated.
+    void endpointListed(const EndpointIncarnation& endpoint);
     std::vector<SignalReport> reports(TimePoint now) const;
     /// Drops what was withdrawn, or has not been confirmed, for long.
     void dropOld(TimePoint now);
@@ -72,11 +85,13 @@
     /// Whether the endpoint's statements allow this daemon to send it a request, if it sent the previous one
     /// at `lastSendAt`.
     bool maySend(uint64_t endpoint, TimePoint lastSendAt, TimePoint now) const;
+    bool isLeaving(uint64_t endpoint) const { return signalsOf(endpoint).isLeaving; }
 
 private:
     struct Entry {
         EndpointSignals signals;
         DataCentreId dataCentre;
+        uint64_t startedAtMilliseconds = 0;
         /// When the newest answer arrived that stated `signals`; for one that a peer received, no later than
         /// that.
         TimePoint statedAt {};
@@ -89,7 +104,8 @@
     };
 
     /// Applies newer statements to an entry and returns whether they differ.
-    bool update(Entry& entry, const EndpointSignals& signals, TimePoint statedAt, uint64_t endpoint);
+    bool update(Entry& entry, EndpointSignals signals, TimePoint statedAt, uint64_t endpoint);
+    Entry& entryOf(const EndpointIncarnation& endpoint);
     /// Determines this daemon's share of the rate.
     void divide(uint64_t endpoint, Entry& entry) const;
 
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -114,6 +114,7 @@
     m_send->isSent = true;
     m_send->sentAt = m_send->lastEventAt = now;
     const auto& endpoint = *m_send->endpoint;
+    m_send->incarnation = endpoint.incarnation();
     m_send->expectedTimeToFirstEvent = endpoint.expectedTimeToFirstEvent(m_work);
     logEvent(Event::RequestSent,
         { { "id", m_metadata.id.text() }, { "endpoint", endpoint.entry().id.text() },
@@ -166,8 +167,12 @@
                 { { "id", m_metadata.id.text() }, { "endpoint", id.text() } });
         return;
     }
-    if (m_state.endpointRegistry.recordSignals(
-            endpoint, *metadata.signals, metadata.isAttributed, m_send->sentAt, now))
+    if (m_state.endpointRegistry.recordSignals(endpoint,
+            { .endpoint = m_send->incarnation,
+                .signals = *metadata.signals,
+                .isAttributed = metadata.isAttributed,
+                .sentAt = m_send->sentAt },
+            now))
         m_state.logSignals(id, {});
 }
 
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -91,10 +91,12 @@
     const auto state = endpointRegistry.find(endpoint);
     if (!state)
         return;
-    const auto rate = endpointRegistry.signalsOf(*state).maxRequestsPerSecond;
-    logEvent(Event::EndpointLimitChanged,
-        { { "endpoint", endpoint.text() }, { "requests_per_second", rate.value_or(-1) },
-            { "load", state->load() }, { "reported_by", source } });
+    const auto signals = endpointRegistry.signalsOf(*state);
+    logEvent(Event::EndpointSignalsChanged,
+        { { "endpoint", endpoint.text() },
+            { "requests_per_second", signals.maxRequestsPerSecond.value_or(-1) },
+            { "leaving", static_cast<int64_t>(signals.isLeaving) }, { "load", state->load() },
+            { "reported_by", source } });
 }
 
 void EdgeState::dispatchWaiting(TimePoint now)
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -188,6 +188,7 @@
         state->updateEntry(endpoint);
     else
         state = std::make_shared<EndpointState>(endpoint);
+    m_signals.endpointListed(state->incarnation());
     rebuildIndexes();
     return true;
 }
@@ -273,17 +274,12 @@
     return m_signals.empty() || m_signals.maySend(endpoint.hash(), endpoint.m_lastSendAt, now);
 }
 
-bool EndpointRegistry::recordSignals(const EndpointState& endpoint, const EndpointSignals& signals,
-    bool isAttributed, TimePoint sentAt, TimePoint now)
+bool EndpointRegistry::recordSignals(const EndpointState& endpoint, const SignalAnswer& answer, TimePoint now)
 {
-    if (m_signals.empty() && signals == EndpointSignals {})
+    if (m_signals.empty() && answer.signals == EndpointSignals {})
         return false;
-    return m_signals.recordAnswer({ .endpoint = endpoint.hash(),
-                                      .dataCentre = endpoint.entry().dataCentre,
-                                      .signals = signals,
-                                      .isAttributed = isAttributed,
-                                      .sentAt = sentAt },
-        now);
+    const bool isCurrent = answer.endpoint.startedAtMilliseconds == endpoint.entry().startedAtMilliseconds;
+    return isCurrent && m_signals.recordAnswer(answer, now);
 }
 
 std::vector<EndpointId> EndpointRegistry::applySignalReports(
@@ -294,9 +290,8 @@
         const auto endpoint = m_byHash.find(it.endpoint);
         if (endpoint == m_byHash.end())
             continue;
-        const auto& entry = endpoint->second->entry();
-        if (m_signals.applyReport(it, entry.dataCentre, at, now))
-            out.push_back(entry.id);
+        if (m_signals.applyReport(it, endpoint->second->incarnation(), at, now))
+            out.push_back(endpoint->second->entry().id);
     }
     return out;
 }
@@ -353,8 +348,7 @@
     // The best grade that any endpoint would reach if it were idle.
     Grade possible = Any;
     for (const auto& it : endpointsOf(query.service)) {
-        if (it->entry().isDraining || it->isSuspended(now) || it->isStalled(now)
-            || !isAllowedBySignals(*it, now))
+        if (isLeaving(*it) || it->isSuspended(now) || it->isStalled(now) || !isAllowedBySignals(*it, now))
             continue;
         const auto gradeWith = [&, isFast = finishesInTime(*it, query, now)](double pendingTokens) {
             return !isFast ? Any : meetsLatencyObjectives(*it, query, pendingTokens, now) ? InTime : Finishes;
@@ -378,13 +372,13 @@
 
 bool EndpointRegistry::acceptsRequests(const EndpointState& endpoint) const
 {
-    return find(endpoint.entry().id).get() == &endpoint && !endpoint.entry().isDraining;
+    return find(endpoint.entry().id).get() == &endpoint && !isLeaving(endpoint);
 }
 
 bool EndpointRegistry::hasCandidate(const ServiceId& service, const std::vector<EndpointId>& tried) const
 {
     return std::ranges::any_of(endpointsOf(service), [&](const auto& it) {
-        return !it->entry().isDraining && std::ranges::find(tried, it->entry().id) == tried.end();
+        return !isLeaving(*it) && std::ranges::find(tried, it->entry().id) == tried.end();
     });
 }
 
@@ -393,7 +387,7 @@
     Occupancy out;
     for (const auto& it : endpointsOf(service)) {
         const auto& entry = it->entry();
-        if (entry.isDraining || it->isSuspended(now))
+        if (isLeaving(*it) || it->isSuspended(now))
             continue;
         const double load = std::min<double>(entry.slots, it->load());
         out.slots += isAllowedBySignals(*it, now) ? entry.slots : load;
--- a/packages/Edge/lib/EndpointSignalTable.cpp
+++ b/packages/Edge/lib/EndpointSignalTable.cpp
@@ -17,8 +17,8 @@
 constexpr Duration maxInterval = std::chrono::seconds(5);
 /// Lower bound of the rate from which an interval is computed; gives the longest interval.
 constexpr double minRate = 0.01;
-/// How long a withdrawal is reported to peers; they receive several heartbeats in this time.
-constexpr Duration withdrawalLifetime = std::chrono::seconds(5);
+/// How long peers are told of a withdrawal or a departure; they receive several heartbeats in this time.
+constexpr Duration reportLifetime = std::chrono::seconds(5);
 /// A statement that no answer has confirmed for this long belongs to an endpoint that is gone.
 constexpr Duration statementLifetime = std::chrono::minutes(10);
 
@@ -54,9 +54,9 @@
     entry.interval = fromSeconds(std::min(toSeconds(maxInterval), senders / std::max(*rate, minRate)));
 }
 
-bool EndpointSignalTable::update(
-    Entry& entry, const EndpointSignals& signals, TimePoint statedAt, uint64_t endpoint)
+bool EndpointSignalTable::update(Entry& entry, EndpointSignals signals, TimePoint statedAt, uint64_t endpoint)
 {
+    signals.isLeaving = signals.isLeaving || entry.signals.isLeaving;
     entry.statedAt = std::max(entry.statedAt, statedAt);
     if (entry.signals == signals)
         return false;
@@ -67,20 +67,35 @@
 
 bool EndpointSignalTable::recordAnswer(const SignalAnswer& answer, TimePoint now)
 {
-    const auto it = m_entries.find(answer.endpoint);
+    const auto it = m_entries.find(answer.endpoint.endpoint);
     if (answer.signals == EndpointSignals {}) {
         if (it == m_entries.end() || !answer.isAttributed || answer.sentAt <= it->second.statedAt)
             return false;
-        return update(it->second, answer.signals, now, answer.endpoint);
+        return update(it->second, answer.signals, now, answer.endpoint.endpoint);
     }
-    auto& entry = m_entries[answer.endpoint];
-    entry.dataCentre = answer.dataCentre;
-    return update(entry, answer.signals, now, answer.endpoint);
+    return update(entryOf(answer.endpoint), answer.signals, now, answer.endpoint.endpoint);
+}
+
+EndpointSignalTable::Entry& EndpointSignalTable::entryOf(const EndpointIncarnation& endpoint)
+{
+    auto& out = m_entries[endpoint.endpoint];
+    out.dataCentre = endpoint.dataCentre;
+    out.startedAtMilliseconds = endpoint.startedAtMilliseconds;
+    return out;
+}
+
+void EndpointSignalTable::endpointListed(const EndpointIncarnation& endpoint)
+{
+    const auto it = m_entries.find(endpoint.endpoint);
+    if (it != m_entries.end() && endpoint.startedAtMilliseconds > it->second.startedAtMilliseconds)
+        m_entries.erase(it);
 }
 
 bool EndpointSignalTable::applyReport(
-    const SignalReport& report, const DataCentreId& dataCentre, TimePoint at, TimePoint now)
+    const SignalReport& report, const EndpointIncarnation& endpoint, TimePoint at, TimePoint now)
 {
+    if (report.startedAtMilliseconds != endpoint.startedAtMilliseconds)
+        return false;
     const auto rate = report.signals.maxRequestsPerSecond;
     if (rate && (!std::isfinite(*rate) || *rate < 0))
         return false;
@@ -92,19 +107,21 @@
     } else if (statedAt <= it->second.statedAt) {
         return false;
     }
-    auto& entry = m_entries[report.endpoint];
-    entry.dataCentre = dataCentre;
-    return update(entry, report.signals, statedAt, report.endpoint);
+    return update(entryOf(endpoint), report.signals, statedAt, report.endpoint);
 }
 
 std::vector<SignalReport> EndpointSignalTable::reports(TimePoint now) const
 {
     std::vector<SignalReport> out;
     out.reserve(m_entries.size());
-    for (const auto& [endpoint, entry] : m_entries)
+    for (const auto& [endpoint, entry] : m_entries) {
+        if (!entry.signals.maxRequestsPerSecond && now - entry.statedAt > reportLifetime)
+            continue;
         out.push_back({ .endpoint = endpoint,
+            .startedAtMilliseconds = entry.startedAtMilliseconds,
             .signals = entry.signals,
             .ageMicroseconds = (now - entry.statedAt).count() });
+    }
     return out;
 }
 
@@ -113,7 +130,7 @@
     std::erase_if(m_entries, [&](const auto& it) {
         const auto& entry = it.second;
         return now - entry.statedAt
-            > (entry.signals == EndpointSignals {} ? withdrawalLifetime : statementLifetime);
+            > (entry.signals == EndpointSignals {} ? reportLifetime : statementLifetime);
     });
 }
 
@@ -129,6 +146,8 @@
     if (it == m_entries.end())
         return true;
     const auto& entry = it->second;
+    if (entry.signals.isLeaving)
+        return false;
     if (!entry.signals.maxRequestsPerSecond)
         return true;
     const auto unconfirmed = std::max(Duration::zero(), now - entry.statedAt);
--- a/packages/Edge/lib/PeerHeartbeat.cpp
+++ b/packages/Edge/lib/PeerHeartbeat.cpp
@@ -34,7 +34,8 @@
 
 template <class Archive> void serialize(Archive& archive, SignalReport& it)
 {
-    archive(it.endpoint, it.signals.maxRequestsPerSecond, it.ageMicroseconds);
+    archive(it.endpoint, it.startedAtMilliseconds, it.signals.maxRequestsPerSecond, it.signals.isLeaving,
+        it.ageMicroseconds);
 }
 
 template <class Archive> void serialize(Archive& archive, PeerHeartbeat& it)
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -280,6 +280,33 @@
     EXPECT_EQ(second.requests().size(), requests - 1U);
 }
 
+TEST_F(EdgeRequestTest, EndpointThatStatedThatItLeavesGotAnotherRequest)
+{
+    // An older row of the store does not bring it back; a later start under the same id does.
+    list("e2", second);
+    const std::string small = "Authorization: Token k\r\nX-Token-Usage: 10,10\r\n";
+    first.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes
+            = httpResponse(200, "a", signatureFields + "Server-Leaving: 1\r\n") };
+    });
+    second.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = httpResponse(200, "b", signatureFields) };
+    });
+    constexpr int requests = 30;
+    for (int i = 0; i < requests; ++i)
+        EXPECT_EQ(call("/safe/x", small).status, 200);
+    EXPECT_EQ(first.requests().size(), 1U);
+    auto entry = state.endpointRegistry.find(EndpointId("e1"))->entry();
+    state.endpointRegistry.unlist(entry.id);
+    state.endpointRegistry.list(entry);
+    state.endpointRegistry.unlist(EndpointId("e2"));
+    EXPECT_EQ(call("/safe/x", small).status, 503);
+    EXPECT_EQ(first.requests().size(), 1U);
+    entry.startedAtMilliseconds = 1;
+    state.endpointRegistry.list(entry);
+    EXPECT_EQ(call("/safe/x", small).status, 200);
+}
+
 TEST_F(EdgeRequestTest, UnreadableLimitChangesNothing)
 {
     for (const std::string value : { "many", "-1", "nan", "inf", "", "2 per second" }) {
--- a/packages/Edge/unittests/EndpointSignalTableTest.cpp
+++ b/packages/Edge/unittests/EndpointSignalTableTest.cpp
@@ -22,10 +22,14 @@
     return out;
 }
 
+EndpointIncarnation instance(uint64_t startedAt = 1)
+{
+    return { .endpoint = endpoint, .startedAtMilliseconds = startedAt, .dataCentre = DataCentreId("a") };
+}
+
 SignalAnswer answer(std::optional<double> rate, TimePoint sentAt)
 {
-    return { .endpoint = endpoint,
-        .dataCentre = DataCentreId("a"),
+    return { .endpoint = instance(),
         .signals = { .maxRequestsPerSecond = rate },
         .isAttributed = true,
         .sentAt = sentAt };
@@ -82,12 +86,13 @@
 TEST(EndpointSignalTable, NewestOfPeersAndOwnStatementsApplies)
 {
     EndpointSignalTable table;
-    const DataCentreId a("a");
+    const auto a = instance();
     table.setDaemons("d0", daemonsOf(2));
     const auto report = [](std::optional<double> rate, Duration age) {
-        return SignalReport {
-            .endpoint = endpoint, .signals = { .maxRequestsPerSecond = rate }, .ageMicroseconds = age.count()
-        };
+        return SignalReport { .endpoint = endpoint,
+            .startedAtMilliseconds = 1,
+            .signals = { .maxRequestsPerSecond = rate },
+            .ageMicroseconds = age.count() };
     };
     EXPECT_TRUE(table.applyReport(report(2, 100ms), a, TimePoint(5s), TimePoint(5s)));
     EXPECT_FALSE(table.applyReport(report(std::nullopt, 200ms), a, TimePoint(5s), TimePoint(5s))) << "older";
@@ -101,6 +106,26 @@
     EXPECT_EQ(table.reports(TimePoint(9s))[0].ageMicroseconds, Duration(2s).count());
 }
 
+TEST(EndpointSignalTable, LeavingEndpointStaysSoUntilItIsStartedAgain)
+{
+    EndpointSignalTable table;
+    table.setDaemons("d0", daemonsOf(1));
+    auto leaving = answer(std::nullopt, TimePoint(1s));
+    leaving.signals.isLeaving = true;
+    EXPECT_TRUE(table.recordAnswer(leaving, TimePoint(2s)));
+    EXPECT_FALSE(table.recordAnswer(answer(std::nullopt, TimePoint(3s)), TimePoint(4s)));
+    EXPECT_TRUE(table.isLeaving(endpoint));
+    EXPECT_FALSE(table.maySend(endpoint, TimePoint(), TimePoint(5s)));
+    table.endpointListed(instance(0));
+    EXPECT_TRUE(table.isLeaving(endpoint)) << "an older entry, or one without the time of the start";
+    table.endpointListed(instance(2));
+    EXPECT_FALSE(table.isLeaving(endpoint));
+    EXPECT_FALSE(table.applyReport(
+        { .endpoint = endpoint, .startedAtMilliseconds = 1, .signals = { .isLeaving = true } }, instance(2),
+        TimePoint(6s), TimePoint(6s)))
+        << "a peer's report on the earlier start";
+}
+
 TEST(EndpointSignalTable, AnotherDaemonSendsIfTheSelectedOneHasNoRequests)
 {
     // Without this a limit would never end for daemons that are not selected.
@@ -137,11 +162,11 @@
     }
     std::vector<TimePoint> sends;
     for (auto now = TimePoint(1s); now < TimePoint(21s); now += 20ms) {
-        const bool isAway = now >= TimePoint(8s) && now < TimePoint(11s);
+        const bool isAway = n > 1 && now >= TimePoint(8s) && now < TimePoint(11s);
         for (size_t i = 0; i < n; ++i) {
             auto& it = senders[i];
             auto known = daemons;
-            if (isAway && n > 1 && i != restarted)
+            if (isAway && i != restarted)
                 known.erase(known.begin() + static_cast<std::ptrdiff_t>(restarted));
             it.table.setDaemons(daemons[i].name, known);
             if (isAway && i == restarted)
--- a/packages/Model/include/lentilbay/Model/EndpointSignals.h
+++ b/packages/Model/include/lentilbay/Model/EndpointSignals.h
@@ -10,6 +10,8 @@
     /// The requests per second that the endpoint accepts from all daemons together; std::nullopt for no
     /// limit.
     std::optional<double> maxRequestsPerSecond;
+    /// The endpoint is about to stop and accepts no new requests.
+    bool isLeaving = false;
 
     auto operator<=>(const EndpointSignals&) const = default;
 };
--- a/packages/Model/include/lentilbay/Model/RoutedEndpoint.h
+++ b/packages/Model/include/lentilbay/Model/RoutedEndpoint.h
@@ -16,6 +16,9 @@
     uint16_t port = 0;
     DataCentreId dataCentre;
     uint32_t slots = 1;
+    /// Unix time in milliseconds at which the endpoint started, which distinguishes its incarnations; 0 if
+    /// unknown.
+    uint64_t startedAtMilliseconds = 0;
     /// Finishes its requests and receives no new ones.
     bool isDraining = false;
 
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -35,7 +35,7 @@
 CONTACT_SECONDS = 3.0
 # Those that meet each other most often in practice are drawn twice as often.
 FAULT_KINDS = ["kill", "pause", "term", "store", "store", "endpoint", "drain", "drain", "crash", "configure", "configure",
-               "limit", "revoke", "herd", "hup"]
+               "limit", "leave", "revoke", "herd", "hup"]
 # Request kinds and the types of their routes.
 KINDS = {"once": "unsafe", "safe": "safe", "stream": "stream", "moved": "safe"}
 
@@ -69,6 +69,8 @@
         # [begin, end, endpoint, limit].
         self.interrupted: dict = {i: [] for i in range(DAEMONS)}
         self.limited: list = []
+        # The periods in which endpoints stated that they leave, as [begin, end, endpoint].
+        self.left: list = []
         # When each service became the target of the route "moved".
         self.moves: list = []
         self.requests: list = []
@@ -291,6 +293,22 @@
             await asyncio.sleep(self.rng.uniform(1.0, 9.0))
             interval[1] = time.monotonic()
             await self.store.put("servers", name, self.endpoints[n].row(address))
+        elif kind == "leave":
+            # The endpoint states that it leaves, which the store does not show, and is started again later.
+            endpoint = self.rng.choice(self.endpoints)
+            if endpoint.leaving or any(end == float("inf") for _, end in self.drained.get(endpoint.name, [])):
+                return
+            endpoint.leaving = True
+            period = [time.monotonic(), float("inf"), endpoint]
+            self.left.append(period)
+            self.drained.setdefault(endpoint.name, []).append([float("inf"), float("inf")])
+            await asyncio.sleep(self.rng.uniform(4.0, 9.0))
+            period[1] = time.monotonic()
+            self.drained[endpoint.name].pop()
+            endpoint.leaving = False
+            endpoint.started += 1
+            address = f"{self.network}.{40 + self.endpoints.index(endpoint)}:7001"
+            await self.store.put("servers", endpoint.name, endpoint.row(address))
         elif kind == "limit":
             endpoint = self.rng.choice(self.endpoints)
             if endpoint.limit is not None:
@@ -376,9 +394,27 @@
             if most > 1.5 * limit * LIMIT_WINDOW + 5:
                 self.add_finding("LIMIT", f"{endpoint.name} got {most} requests in {LIMIT_WINDOW:g} s at a limit of {limit}")
 
+    def check_leaving(self, daemons: dict, sent: dict) -> None:
+        """Checks that a daemon that has relayed an endpoint's statement that it leaves sends it nothing later."""
+        for begin, end, endpoint in self.left:
+            told: dict = {}
+            for at, request in endpoint.told_leaving:
+                if begin <= at <= end and request in daemons:
+                    told.setdefault(daemons[request], at)
+            for at, request in endpoint.arrivals:
+                daemon = daemons.get(request)
+                if daemon not in told or not begin <= at <= end:
+                    continue
+                is_excused = any(since < at and to > told[daemon] for since, to in self.interrupted[daemon])
+                if sent[request] > told[daemon] + DRAIN_SECONDS and not is_excused:
+                    self.add_finding("DRAIN", f"{request} reached {endpoint.name} from daemon {daemon} "
+                                     f"{at - told[daemon]:.2f} s after it had stated that it leaves")
+
     def check_executions(self) -> None:
         requests = {request: rest for request, *rest in self.requests}
-        self.check_limits({request: rest[2] for request, rest in requests.items()})
+        daemons = {request: rest[2] for request, rest in requests.items()}
+        self.check_limits(daemons)
+        self.check_leaving(daemons, {request: rest[3] for request, rest in requests.items()})
         for request, executions in self.executions.items():
             kind, key, daemon, sent_at, status = requests.get(request, (None, None, 0, 0, 0))
             if kind is None:
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -132,17 +132,26 @@
         # The requests per second that the endpoint states in its answers; the requests that reached it, and those
         # whose answer stated a limit, as (time, request).
         self.limit: float | None = None
+        self.leaving = False
+        self.started = 1
         self.arrivals: list = []
         self.told: list = []
-
-    def limit_header(self, request: str) -> dict:
-        if self.limit is None:
-            return {}
-        self.told.append((time.monotonic(), request))
-        return {"Server-Limit": f"{self.limit:g}"}
+        self.told_leaving: list = []
+
+    def own_headers(self, request: str) -> dict:
+        """What the endpoint states about itself in each answer."""
+        headers = {}
+        if self.limit is not None:
+            self.told.append((time.monotonic(), request))
+            headers["Server-Limit"] = f"{self.limit:g}"
+        if self.leaving:
+            self.told_leaving.append((time.monotonic(), request))
+            headers["Server-Leaving"] = "1"
+        return headers
 
     def row(self, address: str, state: str = "ready") -> dict:
-        return {"Service": self.service, "Addr": address, "Zone": "a", "Slots": 6, "State": state, "Seq": 1}
+        return {"Service": self.service, "Addr": address, "Zone": "a", "Slots": 6, "State": state, "Seq": 1,
+                "born": self.started}
 
     async def respond(self, method, target, headers, body, writer) -> None:
         request = headers.get("x-request-id", "")
@@ -151,16 +160,16 @@
             return
         self.arrivals.append((time.monotonic(), request))
         if self.refuses or self.rng.random() < 0.02:
-            writer.write(build_response(503, b"", {"X-Not-Executed": "1"} | self.limit_header(request)))
+            writer.write(build_response(503, b"", {"X-Not-Executed": "1"} | self.own_headers(request)))
             return
         self.executions.setdefault(request, []).append((time.monotonic(), self, headers, target, body))
         signature_headers = {"X-Request-Id": request, "X-Served-By-Sig": f"{self.name}.{request}"}
         if "/stream/" not in target:
             await asyncio.sleep(self.rng.uniform(0.005, 0.05))
-            signature_headers |= self.limit_header(request)
+            signature_headers |= self.own_headers(request)
             writer.write(build_response(200, b"done:" + request.encode() + body, signature_headers))
             return
-        signature_headers |= self.limit_header(request)
+        signature_headers |= self.own_headers(request)
         fields = "".join(f"{name}: {value}\r\n" for name, value in signature_headers.items())
         writer.write(f"HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n".encode())
         for event in range(int(headers.get("last-event-id", "0")) + 1, self.EVENTS + 1):
