--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -201,9 +201,12 @@
     void setHeadroom(Headroom headroom) { m_headroom = headroom; }
     /// Returns the endpoint to send the work to now, or nullptr if none has room.
     std::shared_ptr<EndpointState> choose(const ChoiceQuery& query, TimePoint now);
-    /// Whether the endpoint is listed and not leaving. To be asked again right before a send, as choose()
-    /// may have returned the endpoint some time before.
-    bool acceptsRequests(const EndpointState& endpoint) const;
+    /// Records that an endpoint wants no requests from this daemon until then. Afterwards it gets one at a
+    /// time until one succeeds.
+    void pause(EndpointState& endpoint, const EndpointIncarnation& incarnation, TimePoint until);
+    /// Whether the endpoint is listed, not leaving and not paused. To be asked again right before a send, as
+    /// choose() may have returned the endpoint some time before.
+    bool acceptsRequests(const EndpointState& endpoint, TimePoint now) const;
     /// Whether the service has an endpoint that is not leaving and not in `tried`.
     bool hasCandidate(const ServiceId& service, const std::vector<EndpointId>& tried = {}) const;
     /// The slots of the service's endpoints that accept work, and the requests in flight there.
--- a/packages/Edge/include/lentilbay/Edge/EndpointSignalTable.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointSignalTable.h
@@ -73,6 +73,8 @@
     /// state.
     bool applyReport(
         const SignalReport& report, const EndpointIncarnation& endpoint, TimePoint at, TimePoint now);
+    /// Records that the endpoint wants no requests from this daemon until then.
+    void recordPause(const EndpointIncarnation& endpoint, TimePoint until);
     /// Forgets what an earlier incarnation stated.
     void endpointListed(const EndpointIncarnation& endpoint);
     std::vector<SignalReport> reports(TimePoint now) const;
@@ -86,6 +88,7 @@
     /// at `lastSendAt`.
     bool maySend(uint64_t endpoint, TimePoint lastSendAt, TimePoint now) const;
     bool isLeaving(uint64_t endpoint) const { return signalsOf(endpoint).isLeaving; }
+    bool isPaused(uint64_t endpoint, TimePoint now) const;
 
 private:
     struct Entry {
@@ -95,6 +98,7 @@
         /// When the newest answer arrived that stated `signals`; for one that a peer received, no later than
         /// that.
         TimePoint statedAt {};
+        TimePoint pausedUntil {};
         /// The number of daemons that share the rate.
         size_t senders = 0;
         /// The number of daemons that come before this one in the order in which they are selected.
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -80,7 +80,7 @@
             }
             if (connection) {
                 self->m_send->connection = std::move(connection);
-                if (self->m_state.endpointRegistry.acceptsRequests(*target))
+                if (self->m_state.endpointRegistry.acceptsRequests(*target, at))
                     self->sendNow(at);
                 else
                     self->withdrawSend(at);
@@ -160,20 +160,27 @@
 {
     auto& endpoint = *m_send->endpoint;
     const auto& id = endpoint.entry().id;
-    if (!metadata.signals) {
-        m_state.metrics.count("endpoint_headers_unreadable");
+    if (!metadata.unreadable.empty()) {
+        m_state.metrics.count("endpoint_headers_unreadable", metadata.unreadable.size());
         if (endpoint.noteUnreadableHeader())
             logEvent(Event::EndpointHeaderUnreadable,
-                { { "id", m_metadata.id.text() }, { "endpoint", id.text() } });
-        return;
+                { { "id", m_metadata.id.text() }, { "endpoint", id.text() },
+                    { "header", metadata.unreadable.front() } });
     }
+    // An answer that cannot be read completely withdraws nothing.
     if (m_state.endpointRegistry.recordSignals(endpoint,
             { .endpoint = m_send->incarnation,
-                .signals = *metadata.signals,
-                .isAttributed = metadata.isAttributed,
+                .signals = metadata.signals,
+                .isAttributed = metadata.isAttributed && metadata.unreadable.empty(),
                 .sentAt = m_send->sentAt },
             now))
         m_state.logSignals(id, {});
+    if (!metadata.retryAfter)
+        return;
+    m_state.endpointRegistry.pause(endpoint, m_send->incarnation, now + *metadata.retryAfter);
+    logEvent(Event::EndpointPaused,
+        { { "id", m_metadata.id.text() }, { "endpoint", id.text() },
+            { "wait_ms", millisecondsOf(*metadata.retryAfter) } });
 }
 
 void EdgeRequest::handleResponseBody(std::string_view piece)
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -370,9 +370,18 @@
     return possible == Any ? best[Any].endpoint : best[Finishes].endpoint;
 }
 
-bool EndpointRegistry::acceptsRequests(const EndpointState& endpoint) const
+bool EndpointRegistry::acceptsRequests(const EndpointState& endpoint, TimePoint now) const
 {
-    return find(endpoint.entry().id).get() == &endpoint && !isLeaving(endpoint);
+    return find(endpoint.entry().id).get() == &endpoint && !isLeaving(endpoint)
+        && !m_signals.isPaused(endpoint.hash(), now);
+}
+
+void EndpointRegistry::pause(EndpointState& endpoint, const EndpointIncarnation& incarnation, TimePoint until)
+{
+    if (incarnation.startedAtMilliseconds != endpoint.entry().startedAtMilliseconds)
+        return;
+    m_signals.recordPause(incarnation, until);
+    endpoint.m_failuresInRow = std::max(endpoint.m_failuresInRow, EndpointState::failuresToSuspend);
 }
 
 bool EndpointRegistry::hasCandidate(const ServiceId& service, const std::vector<EndpointId>& tried) const
--- a/packages/Edge/lib/EndpointSignalTable.cpp
+++ b/packages/Edge/lib/EndpointSignalTable.cpp
@@ -84,6 +84,18 @@
     return out;
 }
 
+void EndpointSignalTable::recordPause(const EndpointIncarnation& endpoint, TimePoint until)
+{
+    auto& entry = entryOf(endpoint);
+    entry.pausedUntil = std::max(entry.pausedUntil, until);
+}
+
+bool EndpointSignalTable::isPaused(uint64_t endpoint, TimePoint now) const
+{
+    const auto it = m_entries.find(endpoint);
+    return it != m_entries.end() && now < it->second.pausedUntil;
+}
+
 void EndpointSignalTable::endpointListed(const EndpointIncarnation& endpoint)
 {
     const auto it = m_entries.find(endpoint.endpoint);
@@ -129,7 +141,8 @@
 {
     std::erase_if(m_entries, [&](const auto& it) {
         const auto& entry = it.second;
-        return now - entry.statedAt
+        return now >= entry.pausedUntil
+            && now - entry.statedAt
             > (entry.signals == EndpointSignals {} ? reportLifetime : statementLifetime);
     });
 }
@@ -146,7 +159,7 @@
     if (it == m_entries.end())
         return true;
     const auto& entry = it->second;
-    if (entry.signals.isLeaving)
+    if (entry.signals.isLeaving || now < entry.pausedUntil)
         return false;
     if (!entry.signals.maxRequestsPerSecond)
         return true;
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -307,6 +307,24 @@
     EXPECT_EQ(call("/safe/x", small).status, 200);
 }
 
+TEST_F(EdgeRequestTest, EndpointThatAskedForAPauseGotMoreRequests)
+{
+    first.script({ .bytes = httpResponse(503, "", "X-Not-Executed: 1\r\nRetry-After: 1.5\r\n") });
+    first.script({ .bytes = httpResponse(200, "a", signatureFields) });
+    EXPECT_EQ(call("/once/x").status, 503);
+    const auto rejectedAt = bootNow();
+    CallerAnswer answer;
+    const auto connection = send("/once/x", answer);
+    runUntil([&] {
+        state.dispatchWaiting(bootNow());
+        return answer.hasEnded();
+    });
+    EXPECT_EQ(answer.status, 200) << "it waits, as it can still be served in time";
+    EXPECT_GE(bootNow() - rejectedAt, 1400ms);
+    EXPECT_EQ(first.requests().size(), 2U);
+    connection->close();
+}
+
 TEST_F(EdgeRequestTest, UnreadableLimitChangesNothing)
 {
     for (const std::string value : { "many", "-1", "nan", "inf", "", "2 per second" }) {
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -35,7 +35,7 @@
 CONTACT_SECONDS = 3.0
 # Those that meet each other most often in practice are drawn twice as often.
 FAULT_KINDS = ["kill", "pause", "term", "store", "store", "endpoint", "drain", "drain", "crash", "configure", "configure",
-               "limit", "leave", "revoke", "herd", "hup"]
+               "limit", "leave", "busy", "revoke", "herd", "hup"]
 # Request kinds and the types of their routes.
 KINDS = {"once": "unsafe", "safe": "safe", "stream": "stream", "moved": "safe"}
 
@@ -293,6 +293,11 @@
             await asyncio.sleep(self.rng.uniform(1.0, 9.0))
             interval[1] = time.monotonic()
             await self.store.put("servers", name, self.endpoints[n].row(address))
+        elif kind == "busy":
+            endpoint = self.rng.choice(self.endpoints)
+            endpoint.retry_after = round(self.rng.uniform(0.2, 4.0), 2)
+            await asyncio.sleep(duration)
+            endpoint.retry_after = None
         elif kind == "leave":
             # The endpoint states that it leaves, which the store does not show, and is started again later.
             endpoint = self.rng.choice(self.endpoints)
@@ -410,10 +415,24 @@
                     self.add_finding("DRAIN", f"{request} reached {endpoint.name} from daemon {daemon} "
                                      f"{at - told[daemon]:.2f} s after it had stated that it leaves")
 
+    def check_pauses(self, daemons: dict) -> None:
+        """Checks that a daemon sends two requests at most to an endpoint that wants none from it for a time."""
+        for endpoint in self.endpoints:
+            for told, rejected, seconds in endpoint.rejections:
+                daemon = daemons.get(rejected)
+                if daemon is None or any(since < told + seconds and to > told for since, to in self.interrupted[daemon]):
+                    continue
+                n = sum(told + TOLD_SECONDS < at <= told + seconds and daemons.get(request) == daemon
+                        for at, request in endpoint.arrivals)
+                if n > 2:
+                    self.add_finding("BUDGET", f"{endpoint.name} got {n} requests from daemon {daemon} in the {seconds:g} s "
+                                     "for which it wanted none")
+
     def check_executions(self) -> None:
         requests = {request: rest for request, *rest in self.requests}
         daemons = {request: rest[2] for request, rest in requests.items()}
         self.check_limits(daemons)
+        self.check_pauses(daemons)
         self.check_leaving(daemons, {request: rest[3] for request, rest in requests.items()})
         for request, executions in self.executions.items():
             kind, key, daemon, sent_at, status = requests.get(request, (None, None, 0, 0, 0))
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -133,6 +133,10 @@
         # whose answer stated a limit, as (time, request).
         self.limit: float | None = None
         self.leaving = False
+        # Seconds for which the endpoint wants no requests from a daemon that it rejects; the rejections as (time,
+        # request, seconds).
+        self.retry_after: float | None = None
+        self.rejections: list = []
         self.started = 1
         self.arrivals: list = []
         self.told: list = []
@@ -162,6 +166,11 @@
         if self.refuses or self.rng.random() < 0.02:
             writer.write(build_response(503, b"", {"X-Not-Executed": "1"} | self.own_headers(request)))
             return
+        if self.retry_after is not None:
+            self.rejections.append((time.monotonic(), request, self.retry_after))
+            writer.write(build_response(503, b"", {"X-Not-Executed": "1", "Retry-After": f"{self.retry_after:g}"}
+                                        | self.own_headers(request)))
+            return
         self.executions.setdefault(request, []).append((time.monotonic(), self, headers, target, body))
         signature_headers = {"X-Request-Id": request, "X-Served-By-Sig": f"{self.name}.{request}"}
         if "/stream/" not in target:
