--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -2,9 +2,9 @@
 
 Checks, from what clients and endpoints observe: a non-idempotent request runs at most once; a request refused as not
 run did not run; responses and streams are complete and belong to the client's request; a revoked key runs nothing
-after the revocation bound; a draining endpoint and an old route get nothing after their bounds; an endpoint that states a
-limit gets no more than it allows; no permitted request is denied; a graceful stop ends in time; service recovers after
-the last fault.
+after the revocation bound; a draining endpoint and an old route get nothing after their bounds; an endpoint that
+states a limit, that it leaves or that it wants a pause gets no more than it allows; no permitted request is denied; a
+graceful stop ends in time; service recovers after the last fault.
 
     soak.py --daemon build/bin/lentilbayd [--seed N] [--seconds S] [--runs N]
 """
@@ -28,14 +28,15 @@
 GRACE_SECONDS = 8.0
 DRAIN_SECONDS = 2.5
 CONFIG_SECONDS = 2.5
-# An endpoint's limit holds for the requests in any LIMIT_WINDOW seconds, from daemons that have known it for TOLD_SECONDS.
+# An endpoint's limit holds for the requests in any LIMIT_WINDOW seconds, from daemons that have known it for
+# TOLD_SECONDS.
 LIMIT_WINDOW = 4.0
 TOLD_SECONDS = 0.5
 # Time-bounded checks hold for a daemon this long after the last fault that affected it.
 CONTACT_SECONDS = 3.0
 # Those that meet each other most often in practice are drawn twice as often.
-FAULT_KINDS = ["kill", "pause", "term", "store", "store", "endpoint", "drain", "drain", "crash", "configure", "configure",
-               "limit", "leave", "busy", "revoke", "herd", "hup"]
+FAULT_KINDS = ["kill", "pause", "term", "store", "store", "endpoint", "drain", "drain", "crash", "configure",
+               "configure", "limit", "leave", "busy", "revoke", "herd", "hup"]
 # Request kinds and the types of their routes.
 KINDS = {"once": "unsafe", "safe": "safe", "stream": "stream", "moved": "safe"}
 
@@ -397,7 +398,8 @@
                     counted.append(at)
             most = max((sum(at <= it < at + LIMIT_WINDOW for it in counted) for at in counted), default=0)
             if most > 1.5 * limit * LIMIT_WINDOW + 5:
-                self.add_finding("LIMIT", f"{endpoint.name} got {most} requests in {LIMIT_WINDOW:g} s at a limit of {limit}")
+                self.add_finding("LIMIT",
+                                 f"{endpoint.name} got {most} requests in {LIMIT_WINDOW:g} s at a limit of {limit}")
 
     def check_leaving(self, daemons: dict, sent: dict) -> None:
         """Checks that a daemon that has relayed an endpoint's statement that it leaves sends it nothing later."""
@@ -420,13 +422,14 @@
         for endpoint in self.endpoints:
             for told, rejected, seconds in endpoint.rejections:
                 daemon = daemons.get(rejected)
-                if daemon is None or any(since < told + seconds and to > told for since, to in self.interrupted[daemon]):
+                faults = self.interrupted.get(daemon, [])
+                if daemon is None or any(since < told + seconds and to > told for since, to in faults):
                     continue
                 n = sum(told + TOLD_SECONDS < at <= told + seconds and daemons.get(request) == daemon
                         for at, request in endpoint.arrivals)
                 if n > 2:
-                    self.add_finding("BUDGET", f"{endpoint.name} got {n} requests from daemon {daemon} in the {seconds:g} s "
-                                     "for which it wanted none")
+                    self.add_finding("BUDGET", f"{endpoint.name} got {n} requests from daemon {daemon} in the "
+                                     f"{seconds:g} s for which it wanted none")
 
     def check_executions(self) -> None:
         requests = {request: rest for request, *rest in self.requests}
