--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -117,7 +117,8 @@
     int m_failuresInRow = 0;
     TimePoint m_lastAnswerAt {};
     TimePoint m_reconnectedAt {};
-    /// The time without an answer before m_reconnectedAt.
+    /// The time before m_reconnectedAt in which neither this daemon nor a peer is known to have read the
+    /// store.
     Duration m_lastOutage {};
     TimePoint m_callStarted {};
     uint64_t m_calls = 0;
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -179,7 +179,7 @@
     if (m_isStoreUnreachable) {
         m_isStoreUnreachable = false;
         m_reconnectedAt = now;
-        m_lastOutage = now - m_lastAnswerAt;
+        m_lastOutage = now - std::max(m_lastAnswerAt, m_confirmedAt.value_or(m_lastAnswerAt));
         logEvent(Event::PlatformBack,
             { { "table", m_options.table },
                 { "view_age_ms", m_confirmedAt ? (now - *m_confirmedAt) / std::chrono::milliseconds(1) : -1 },
--- a/packages/Edge/unittests/StoreRecoveryTest.cpp
+++ b/packages/Edge/unittests/StoreRecoveryTest.cpp
@@ -143,6 +143,25 @@
     EXPECT_LT(bootNow() - readAt, drainBound - untilPeerReports);
 }
 
+TEST_F(StoreRecovery, DeadConnectionDelayedARemovalWhilePeersReadTheStore)
+{
+    // The daemon had not called the store for long, which was taken for an outage of that length.
+    maySkipPolling = true;
+    start();
+    const auto startedAt = bootNow();
+    runUntil([&] {
+        follower->peerConfirmed(7, 7, bootNow());
+        return bootNow() - startedAt > minOutageToExpire;
+    });
+    server.script({ .bytes = "", .delay = 1h });
+    server.script({ .bytes = answer(row("a", 8, true), 9) });
+    server.script({ .bytes = answer("", 9) });
+    const auto reportedAt = bootNow();
+    follower->peerConfirmed(9, 8, reportedAt);
+    runUntil([this] { return seen == "+a+b-a"; });
+    EXPECT_LT(bootNow() - reportedAt, drainBound - untilPeerReports);
+}
+
 TEST_F(StoreRecovery, RemovalConfirmedByAPeerWasNotApplied)
 {
     // The store was lost again before the delayed deletion was due, and a peer read it from then on.
