--- a/tools/lentilbayd/main/EdgeMode.cpp
+++ b/tools/lentilbayd/main/EdgeMode.cpp
@@ -4,6 +4,7 @@
 #include "lentilbay/Edge/EdgeDaemon.h"
 #include "lentilbay/Support/Log.h"
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -47,6 +48,8 @@
 
 int runOnPlatform(const EdgeModeOptions& options)
 {
+    // EdgeDaemon handles it later; until then its default action would end the process.
+    std::signal(SIGHUP, SIG_IGN);
     configureLog({ .format = LogFormat::JsonLines,
         .level = options.logLevel,
         .destination = LogDestination::BoundedStandardOutput });
