--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -12,6 +12,9 @@
 
 /// Many times the longest round trip.
 constexpr Duration connectTimeout = std::chrono::milliseconds(600);
+/// A connection that was idle for longer may have died without a reset and is not used again. A daemon that
+/// reads the store itself calls more often than this.
+constexpr Duration maxIdleTime = std::chrono::seconds(1);
 /// Added to the store's long-poll wait: several times its usual response time, and short enough to detect a
 /// dead connection.
 constexpr Duration answerTimeout = std::chrono::milliseconds(800);
@@ -98,12 +101,15 @@
         if (const auto it = weak.lock(); it && !ec)
             handleFailure(it, "timed out waiting for the answer");
     });
-    if (m_idleConnection && m_idleConnection->isReusable()) {
+    if (m_idleConnection && m_idleConnection->isReusable()
+        && m_callStarted - m_idleConnection->idleSince() < maxIdleTime) {
         call->connection = std::move(m_idleConnection);
         call->isReused = true;
         send(call);
         return;
     }
+    if (m_idleConnection)
+        std::exchange(m_idleConnection, nullptr)->close();
     call->connection = std::make_shared<http::ClientConnection>(m_context);
     call->connection->connect(m_options.store, connectTimeout, [this, weak](bool connected) {
         const auto it = weak.lock();
--- a/packages/Edge/unittests/StoreRecoveryTest.cpp
+++ b/packages/Edge/unittests/StoreRecoveryTest.cpp
@@ -162,6 +162,19 @@
     EXPECT_LT(bootNow() - reportedAt, drainBound - untilPeerReports);
 }
 
+TEST_F(StoreRecovery, ConnectionThatHadBeenIdleForLongWasUsedAgain)
+{
+    // It had died unnoticed, which delayed the next read by the answer timeout.
+    maySkipPolling = true;
+    start();
+    const auto startedAt = bootNow();
+    runUntil([&] { return bootNow() - startedAt > 1200ms; });
+    server.script({ .bytes = answer(row("a", 8), 9) });
+    follower->peerConfirmed(9, 8, bootNow());
+    runUntil([this] { return seen == "+a+b+a"; });
+    EXPECT_EQ(server.connections(), 2U);
+}
+
 TEST_F(StoreRecovery, RemovalConfirmedByAPeerWasNotApplied)
 {
     // The store was lost again before the delayed deletion was due, and a peer read it from then on.
