Play a store that comes back from older copies in the soak

The stand-in states Store-Era in all its answers, gives version numbers out again after it has gone back, and answers 410 to reads from a version that it does not have. The soak's fault "rewind" takes the store away for up to 3 s and brings it back 1 to 10 s older; what the operator and the endpoints wrote is written again within 1.5 s, what the daemons wrote is not. At the end the store must have the row of each daemon.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -6,7 +6,7 @@
 states a limit, that it leaves or that it wants a pause gets no more than it allows; no permitted request is denied; a
 graceful stop ends in time; service recovers after the last fault; a part of a prompt that crashes engines reaches no
 more of them once it is known, while other requests are served; a stream has events from one software version only,
-and is resumed while engines of that version serve.
+and is resumed while engines of that version serve. All of that holds also after the store came back from an older copy.
 
     soak.py --daemon build/bin/lentilbayd [--seed N] [--seconds S] [--runs N] [--daemons N] [--endpoints N]
         [--streams N]
@@ -39,7 +39,7 @@
 CONTACT_SECONDS = 3.0
 # Those that meet each other most often in practice are drawn twice as often.
 FAULT_KINDS = ["kill", "pause", "term", "store", "store", "endpoint", "drain", "drain", "crash", "configure",
-               "configure", "limit", "leave", "busy", "revoke", "herd", "hup"]
+               "configure", "limit", "leave", "busy", "revoke", "herd", "hup", "rewind"]
 # Kinds that need --streams: "prompt" sends requests with a part that crashes engines, "release" replaces engines by
 # ones of another software version.
 STREAM_FAULT_KINDS = ["prompt", "release"]
@@ -93,6 +93,7 @@
         self.contact_seconds = CONTACT_SECONDS
         self.prompts = PromptTraffic(self)
         self.releases = 0
+        self.is_rewinding = False
 
     def add_finding(self, rule: str, detail: str) -> None:
         self.findings.append(f"{rule}: {detail}")
@@ -363,11 +364,42 @@
             endpoint.limit = None
         elif kind == "configure":
             await self.configure()
+        elif kind == "rewind" and not self.is_rewinding:
+            self.is_rewinding = True
+            await self.rewind_store()
+            self.is_rewinding = False
         elif kind == "revoke" and self.revoked_at is None:
             self.keys["key-revoked"] = False
             await self.configure()
             self.revoked_at = time.monotonic()
 
+    async def rewind_store(self) -> None:
+        """The store is away and comes back from an older copy; the operator and the endpoints write again."""
+        fault = [time.monotonic(), float("inf")]
+        for faults in self.faulted.values():
+            faults.append(fault)
+        closes = self.rng.random() < 0.5
+        self.store.is_away = True
+        if closes:
+            self.store.crash()
+        await asyncio.sleep(self.rng.uniform(0.1, 3.0))
+        seconds = self.rng.uniform(1.0, 10.0)
+        rewound_to = time.monotonic() - seconds
+        lost = await self.store.rewind(seconds)
+        version = self.store.version
+        if closes:
+            await self.store.listen(f"{self.network}.1", 7000)
+        self.store.is_away = False
+        keys = [key for key in lost if key[0] in ("op", "servers")]
+        for key in self.rng.sample(keys, len(keys)):
+            await asyncio.sleep(self.rng.uniform(0.0, 1.5) / len(keys))
+            # Unless it has been written meanwhile.
+            if self.store.rows.get(key, (0, None))[0] <= version:
+                await self.store.put(*key, lost[key])
+            if key[0] == "op" and self.revoked_at and self.revoked_at > rewound_to:
+                self.revoked_at = time.monotonic()
+        fault[1] = time.monotonic()
+
     async def release(self) -> None:
         """Replaces a part of the engines, one after the other, by ones of another version at the same addresses."""
         self.releases += 1
@@ -533,6 +565,8 @@
         if total < 50 or good < 0.9 * total:
             self.add_finding("RECOVER", f"after the last fault {good} of {total} requests were served: {outcomes}")
         for i, process in self.processes.items():
+            if ("daemons", f"edge-{i}") not in self.store.rows:
+                self.add_finding("RECOVER", f"the store has no row of daemon {i}")
             if process.poll() is not None:
                 self.add_finding("FAULT", f"daemon {i} ended by itself with {process.returncode}")
 
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -72,12 +72,19 @@
 
 
 class Store(Server):
-    """The transactional store: versioned rows and a long-poll feed of changes."""
+    """The transactional store: versioned rows and a long-poll feed of changes.
+
+    rewind() brings it back from an older copy, as another era: versions are given out again.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.version = 1
+        self.era = 1
+        self.is_away = False
         self.rows: dict = {}
+        # For each version, oldest first: when it was written, the key, and the row before.
+        self.history: list = []
         self.changed = asyncio.Condition()
 
     async def put(self, table: str, key: str, value: dict | str | None) -> None:
@@ -85,9 +92,27 @@
         text = value if isinstance(value, str) or value is None else json.dumps(value)
         async with self.changed:
             self.version += 1
+            self.history.append((time.monotonic(), (table, key), self.rows.get((table, key))))
             self.rows[(table, key)] = (self.version, text)
             self.changed.notify_all()
 
+    async def rewind(self, seconds: float) -> dict:
+        """Goes back to the state of that many seconds ago. Returns the values that were lost, by table and key."""
+        lost: dict = {}
+        since = time.monotonic() - seconds
+        async with self.changed:
+            while self.history and self.history[-1][0] > since:
+                _, key, before = self.history.pop()
+                lost.setdefault(key, self.rows[key][1])
+                self.version -= 1
+                if before is None:
+                    del self.rows[key]
+                else:
+                    self.rows[key] = before
+            self.era += 1
+            self.changed.notify_all()
+        return lost
+
     def encode_rows(self, table: str, after: int, with_deleted: bool) -> list:
         rows = []
         for (name, key), (version, text) in sorted(self.rows.items()):
@@ -104,6 +129,10 @@
     async def respond(self, method, target, headers, body, writer) -> None:
         url = urllib.parse.urlsplit(target)
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
+        if self.is_away:
+            writer.write(build_response(503, b"", {"Store-Era": self.era}))
+            return
+        status = 200
         if url.path.endswith("rows-tx"):
             for row in json.loads(body)["Write"]:
                 await self.put(row["Table"], row["Key"], base64.b64decode(row["Value"]).decode())
@@ -124,7 +153,9 @@
                         pass
                 rows = self.encode_rows(query["Table"], after, True)
             result = {"Rows": rows, "Ver": self.version}
-        writer.write(build_response(200, json.dumps(result).encode(), {"Content-Type": "application/json"}))
+            status = 410 if after > self.version else 200
+        writer.write(build_response(status, json.dumps(result).encode(),
+                                    {"Content-Type": "application/json", "Store-Era": self.era}))
 
 
 class Endpoint(Server):
