Compare rows of the store by its era

Callers' requests reached endpoints up to 18 s after the store had acknowledged that they leave, and revoked keys were served, after the store had come back from a copy some seconds old. Version numbers are given out again then, and each reader compared them with those of before: a row written again at a lower number was passed over, a daemon that leaves reading to a peer took the peer's view for an older one, and nothing was read again if the numbers had overtaken the old ones before the next call.

In a new era, which a daemon learns from any answer of the store or from a heartbeat, each table is read again. A row of the copy that may be older than the known one is withheld until it is written again, for 30 s at most; a row that the copy lacks is kept until nobody has written it again. The daemons write their own rows again, over 2 s.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -28,6 +28,9 @@
     void applyConfigurationRow(const platform::StoreRow& row);
     void applyEndpointRow(const platform::StoreRow& row);
     void applyDaemonRow(const platform::StoreRow& row);
+    /// Records the era of the store. In a later one than before, all tables are read again and what this
+    /// daemon has written is written again.
+    void handleStoreEra(uint64_t era, TimePoint now);
     void announce(TimePoint now);
     void announcementFailed(const std::string& reason);
     void startDaemonFollower();
@@ -55,6 +58,7 @@
     std::vector<std::string> aliveDaemons() const;
     void applySharedRow(const platform::StoreRow& row);
     void sharedRowDeleted(const std::string& key);
+    void sharedRowLost(const std::string& key) { m_sharedRows.erase(key); }
     /// The shared rows that this daemon has to keep in the platform's store, by key.
     std::map<std::string, std::string> ownedRows(TimePoint now) const;
     /// Writes a row, or deletes it if the value is empty.
@@ -107,6 +111,9 @@
     std::unique_ptr<StoreFollower> m_endpointFollower;
     std::unique_ptr<StoreFollower> m_daemonFollower;
     std::unique_ptr<StoreFollower> m_sharedRowFollower;
+    uint64_t m_storeEra = 0;
+    /// Of the configuration row that is in force.
+    uint64_t m_configurationHash = 0;
     StoreWriter m_sharedRowWriter;
     /// The shared rows in the store, as far as known to this daemon, by key.
     std::map<std::string, std::string> m_sharedRows;
--- a/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
@@ -17,11 +17,11 @@
 
 namespace lentilbay::edge {
 
-/// How much of one store table the sender of a heartbeat has seen.
+/// How much of one store table the sender of a heartbeat has seen. The versions are of the same era.
 struct TableView {
-    /// The store version up to which the view is complete.
+    /// The number of the store version up to which the view is complete.
     uint64_t coveredVersion = 0;
-    /// The version of the newest change in the view.
+    /// The number of the version of the newest change in the view.
     uint64_t changedVersion = 0;
     /// Time since the view was known to be complete, as of when the heartbeat was written; negative: never.
     int64_t ageMicroseconds = -1;
@@ -30,6 +30,8 @@
 };
 
 struct StoreViews {
+    /// The latest era of the store that the sender knows; see StoreVersion.
+    uint64_t era = 0;
     TableView configuration;
     TableView endpoints;
 
--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -1,7 +1,11 @@
 // Follows one table of the platform's store: reads a snapshot, then follows the changes.
 //
+// TableReplica decides what an answer changes; this class makes the calls.
+//
 // Polling may be skipped while another daemon's view, received in heartbeats, is known to contain nothing
-// newer than this one. The follower never returns to a version older than one that it has seen.
+// newer than this one. The follower never returns to a version older than one that it has seen. In a new era
+// of the store it reads a snapshot again, whether it learns of the era from an answer, from a follower of
+// another table or from a peer; answers of an earlier era are dropped.
 //
 // While the store is unreachable, new calls start at short intervals whether or not the previous ones have
 // ended, so that the view is current again soon after the store's return, however calls fail. After an
@@ -9,11 +13,9 @@
 // their owners write them again.
 #pragma once
 
+#include "lentilbay/Edge/TableReplica.h"
 #include "lentilbay/Http/ClientConnection.h"
 #include "lentilbay/Support/Random.h"
-#include "lentilbay/platform/StoreCalls.h"
-
-#include <map>
 
 namespace lentilbay::edge {
 
@@ -27,10 +29,9 @@
     Duration spacing = std::chrono::milliseconds(200);
     /// The same while this daemon is passive and reads only the changes that peers have seen.
     Duration spacingWhilePassive = std::chrono::milliseconds(200);
-    /// How long a deletion that is seen shortly after an outage is delayed.
-    Duration deletionDelay {};
-    /// No entry expires in a shorter outage, so deletions after it are not delayed.
-    Duration minOutageToExpire {};
+    /// The time within which the snapshot of a new era is read, which spreads the reads of many daemons.
+    Duration eraReadSpread {};
+    TableReplicaOptions replica;
     uint64_t seed = 1;
 };
 
@@ -39,6 +40,8 @@
     struct Callbacks {
         std::function<void(const platform::StoreRow&)> changed;
         std::function<void(const std::string& key)> deleted;
+        /// The store has lost the row.
+        std::function<void(const std::string& key)> lost = {};
         /// The rows delivered so far are complete as of `confirmedAt`.
         std::function<void(TimePoint confirmedAt)> confirmed;
         /// Whether another daemon reads the table for this one; called before each call once a snapshot has
@@ -47,6 +50,8 @@
         /// Whether another daemon reads the table, or tries to, and would report changes; this one then
         /// retries less often while the store is unreachable.
         std::function<bool()> hasOtherReader = {};
+        /// An answer or a peer has shown that the store is in a later era.
+        std::function<void(uint64_t era)> eraChanged = {};
     };
 
     StoreFollower(asio::io_context& context, StoreFollowerOptions options, Callbacks callbacks);
@@ -55,15 +60,17 @@
     void start();
     /// Starts the next call now if none is in progress.
     void pollNow();
-    /// Applies the delayed deletions that are due.
-    void applyDueDeletions(TimePoint now);
+    /// Applies the delayed changes that are due.
+    void applyDueChanges(TimePoint now);
     /// How much of the table this daemon has seen, for its heartbeats; the caller adds the age.
-    uint64_t coveredVersion() const { return m_version.value_or(0); }
-    uint64_t changedVersion() const { return m_changedVersion; }
+    std::optional<StoreVersion> coveredVersion() const { return m_replica.covered(); }
+    StoreVersion changedVersion() const { return m_replica.changed(); }
     std::optional<TimePoint> confirmedAt() const { return m_confirmedAt; }
     /// Records that a peer's view was complete up to version `covered` no earlier than `at`, and contained no
     /// change after version `changed`. If this view contains all of that, it is confirmed as of `at`.
-    void peerConfirmed(uint64_t covered, uint64_t changed, TimePoint at);
+    void peerConfirmed(StoreVersion covered, StoreVersion changed, TimePoint at);
+    /// Reads the table again if the era is later than the known one.
+    void enterEra(uint64_t era, TimePoint now);
     uint64_t calls() const { return m_calls; }
     uint64_t failures() const { return m_failures; }
 
@@ -74,9 +81,9 @@
     void startCall();
     void send(const std::shared_ptr<Call>& call);
     void handleAnswer(const std::shared_ptr<Call>& call);
-    void apply(const platform::StoreRows& rows, TimePoint now);
-    void applySnapshot(TimePoint now);
-    void remove(const std::string& key, TimePoint now);
+    /// Whether the answer is of the current era and continues what has been read; enters a later era.
+    bool isCurrent(const std::shared_ptr<Call>& call, TimePoint now);
+    void report(const std::vector<RowChange>& changes);
     void handleFailure(const std::shared_ptr<Call>& call, const std::string& reason);
     /// Drops all calls in progress and keeps the connection of the answered one.
     void endCalls(const std::shared_ptr<Call>& answered);
@@ -99,29 +106,18 @@
     std::shared_ptr<http::ClientConnection> m_idleConnection;
     /// One at most while the store is reachable. The first answer ends the others.
     std::vector<std::shared_ptr<Call>> m_openCalls;
-    /// std::nullopt if a snapshot must be read.
-    std::optional<uint64_t> m_version;
-    /// While a snapshot is read: the rows so far, and the version of its first page.
-    std::map<std::string, platform::StoreRow> m_snapshot;
-    std::optional<uint64_t> m_snapshotVersion;
-    std::string m_snapshotFrom;
-    /// The version of each current row.
-    std::map<std::string, uint64_t> m_rowVersions;
-    uint64_t m_changedVersion = 0;
+    TableReplica m_replica;
     /// A peer has seen a change that this view lacks.
     bool m_isBehind = false;
     std::optional<TimePoint> m_confirmedAt;
-    std::map<std::string, TimePoint> m_deletions;
+    /// Until then the store may lack changes of the former era that peers have seen and this daemon has not.
+    TimePoint m_incompleteUntil {};
     bool m_isStoreUnreachable = false;
     TimePoint m_unreachableSince {};
     /// The time of the newest view that a peer has reported.
     TimePoint m_peerContactAt {};
     int m_failuresInRow = 0;
     TimePoint m_lastAnswerAt {};
-    TimePoint m_reconnectedAt {};
-    /// The time before m_reconnectedAt in which neither this daemon nor a peer is known to have read the
-    /// store.
-    Duration m_lastOutage {};
     TimePoint m_callStarted {};
     uint64_t m_calls = 0;
     uint64_t m_failures = 0;
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -3,6 +3,7 @@
 
 #include "EdgeTimes.h"
 #include "lentilbay/Edge/EdgeRequest.h"
+#include "lentilbay/Support/Hash.h"
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/SteadyClock.h"
 #include "lentilbay/platform/Documents.h"
@@ -36,6 +37,12 @@
 /// An entry expires after three heartbeats of its endpoint are missing; one of them may be due just after the
 /// store is lost.
 constexpr int missedHeartbeatsToExpire = 2;
+/// After the store has come back from an older copy, a row of that copy is used after this time if it has not
+/// been written again; an endpoint whose departure the store has lost is gone by then.
+constexpr Duration copiedRowDelay = std::chrono::seconds(30);
+/// The time over which the daemons together write their rows again, and read tables that only some of them
+/// need, after the store has come back from an older copy.
+constexpr Duration rewriteSpread = std::chrono::seconds(2);
 /// Daemons learn of each other from heartbeats; the table is needed only by daemons that start.
 constexpr Duration daemonLongPollWait = Duration::zero();
 constexpr Duration daemonSpacing = std::chrono::seconds(60);
@@ -131,7 +138,8 @@
     receiveHeartbeats();
     schedulePeriodic(m_queueTimer, queuePeriod, [this] {
         const auto now = bootNow();
-        m_endpointFollower->applyDueDeletions(now);
+        m_configurationFollower->applyDueChanges(now);
+        m_endpointFollower->applyDueChanges(now);
         m_state.streams.poll(now);
         if (m_state.queue.size() > 0)
             m_state.dispatchWaiting(now);
@@ -177,6 +185,7 @@
             .wait = longPollWait(),
             .spacing = configurationSpacing,
             .spacingWhilePassive = passiveSpacing(),
+            .replica = { .copiedRowDelay = copiedRowDelay },
             .seed = randomSeed() },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { applyConfigurationRow(row); },
             .deleted = [](const auto&) {},
@@ -186,15 +195,17 @@
                         m_state.routesConfirmedAt = std::max(at, m_state.routesConfirmedAt.value_or(at));
                 },
             .maySkipPolling = [this](TimePoint now) { return maySkipPolling(*m_configurationFollower, now); },
-            .hasOtherReader = [this] { return hasOtherReader(); } });
+            .hasOtherReader = [this] { return hasOtherReader(); },
+            .eraChanged = [this](uint64_t era) { handleStoreEra(era, bootNow()); } });
     m_endpointFollower = std::make_unique<StoreFollower>(m_context,
         StoreFollowerOptions { .store = store,
             .table = platform::endpointTable,
             .wait = longPollWait(),
             .spacing = endpointSpacing,
             .spacingWhilePassive = passiveSpacing(),
-            .deletionDelay = lapsedEntryDelay,
-            .minOutageToExpire = m_state.settings.endpointHeartbeat * missedHeartbeatsToExpire,
+            .replica = { .deletionDelay = lapsedEntryDelay,
+                .minOutageToExpire = m_state.settings.endpointHeartbeat * missedHeartbeatsToExpire,
+                .copiedRowDelay = copiedRowDelay },
             .seed = randomSeed() },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { applyEndpointRow(row); },
             .deleted =
@@ -208,12 +219,14 @@
                     m_state.versions.update(m_state.endpointRegistry, bootNow());
                 },
             .maySkipPolling = [this](TimePoint now) { return maySkipPolling(*m_endpointFollower, now); },
-            .hasOtherReader = [this] { return hasOtherReader(); } });
+            .hasOtherReader = [this] { return hasOtherReader(); },
+            .eraChanged = [this](uint64_t era) { handleStoreEra(era, bootNow()); } });
     m_daemonFollower = std::make_unique<StoreFollower>(m_context,
         StoreFollowerOptions { .store = store,
             .table = daemonTable,
             .wait = daemonLongPollWait,
             .spacing = daemonSpacing,
+            .eraReadSpread = rewriteSpread,
             .seed = randomSeed() },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { applyDaemonRow(row); },
             .deleted = [](const auto&) {},
@@ -221,7 +234,26 @@
                 [this](TimePoint) {
                     m_state.knowsDaemons = true;
                     grantInitialQuotas();
-                } });
+                },
+            .eraChanged = [this](uint64_t era) { handleStoreEra(era, bootNow()); } });
+}
+
+void EdgeDaemon::handleStoreEra(uint64_t era, TimePoint now)
+{
+    if (era <= m_storeEra)
+        return;
+    const auto former = std::exchange(m_storeEra, era);
+    const bool wasUsed = m_isAnnounced || m_configurationFollower->coveredVersion();
+    for (auto* it : { m_configurationFollower.get(), m_endpointFollower.get(), m_daemonFollower.get(),
+             m_sharedRowFollower.get() })
+        it->enterEra(era, now);
+    if (!wasUsed)
+        return;
+    logEvent(Event::StoreEraChanged,
+        { { "from", static_cast<int64_t>(former) }, { "to", static_cast<int64_t>(era) } });
+    m_state.metrics.count("store_era_changes");
+    m_isAnnounced = false;
+    m_nextAnnouncement = now + fromSeconds(toSeconds(rewriteSpread) * m_state.random.fraction());
 }
 
 void EdgeDaemon::grantInitialQuotas()
@@ -250,13 +282,17 @@
         return;
     }
     auto& table = std::get<RouteTable>(decoded);
-    if (m_state.routes && table.version() <= m_state.routes->version())
+    const auto hash = hashOf(row.value);
+    if (m_state.routes && table.version() < m_state.routes->version())
+        return;
+    if (m_state.routes && table.version() == m_state.routes->version() && hash == m_configurationHash)
         return;
+    m_configurationHash = hash;
     m_state.routes = std::make_shared<const RouteTable>(std::move(table));
     logEvent(Event::ConfigurationInForce,
         { { "version", static_cast<int64_t>(m_state.routes->version()) },
             { "routes", static_cast<int64_t>(m_state.routes->routes().size()) },
-            { "row_version", static_cast<int64_t>(row.version) } });
+            { "row_version", static_cast<int64_t>(row.version.number) } });
 }
 
 void EdgeDaemon::applyEndpointRow(const platform::StoreRow& row)
@@ -275,7 +311,7 @@
             { { "endpoint", row.key }, { "service", endpoint.service.text() },
                 { "slots", static_cast<int64_t>(endpoint.slots) },
                 { "draining", static_cast<int64_t>(endpoint.isDraining) },
-                { "row_version", static_cast<int64_t>(row.version) } });
+                { "row_version", static_cast<int64_t>(row.version.number) } });
 }
 
 void EdgeDaemon::applyDaemonRow(const platform::StoreRow& row)
@@ -389,6 +425,7 @@
         { "store_calls_failed",
             number(m_configurationFollower->failures() + m_endpointFollower->failures()
                 + m_daemonFollower->failures()) },
+        { "store_era", number(m_storeEra) },
         { "prompt_parts_blocked", number(m_state.crashes.blockedParts()) },
         { "log_lines_dropped", number(droppedLogLines()) }, { "resident_bytes", residentBytes() } };
     std::set<ServiceId> services;
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -215,10 +215,12 @@
         return;
     // The peer wrote this after it had received our heartbeat with the echoed time, however long either was
     // delayed in transit.
+    const auto era = heartbeat.views->era;
+    handleStoreEra(era, now);
     const auto take = [&](StoreFollower& follower, const TableView& view) {
         if (view.ageMicroseconds >= 0)
-            follower.peerConfirmed(
-                view.coveredVersion, view.changedVersion, echoed - Duration(view.ageMicroseconds));
+            follower.peerConfirmed({ .era = era, .number = view.coveredVersion },
+                { .era = era, .number = view.changedVersion }, echoed - Duration(view.ageMicroseconds));
     };
     take(*m_configurationFollower, heartbeat.views->configuration);
     take(*m_endpointFollower, heartbeat.views->endpoints);
@@ -227,9 +229,12 @@
 TableView EdgeDaemon::viewOf(const StoreFollower& follower, TimePoint now)
 {
     const auto confirmedAt = follower.confirmedAt();
-    return { .coveredVersion = follower.coveredVersion(),
-        .changedVersion = follower.changedVersion(),
-        .ageMicroseconds = confirmedAt ? (now - *confirmedAt).count() : -1 };
+    const auto covered = follower.coveredVersion();
+    if (!covered || !confirmedAt)
+        return {};
+    return { .coveredVersion = covered->number,
+        .changedVersion = follower.changedVersion().number,
+        .ageMicroseconds = (now - *confirmedAt).count() };
 }
 
 Duration EdgeDaemon::heartbeatPeriodTo(Locality locality) const
@@ -297,7 +302,8 @@
         heartbeat.sentMicroseconds = at.time_since_epoch().count();
         heartbeat.views.reset();
         if (locality == Locality::OwnDataCentre)
-            heartbeat.views = { .configuration = viewOf(*m_configurationFollower, at),
+            heartbeat.views = { .era = m_storeEra,
+                .configuration = viewOf(*m_configurationFollower, at),
                 .endpoints = viewOf(*m_endpointFollower, at) };
         heartbeat.levels.clear();
         if (m_countsAllUse && !peer.countsAllUse) {
--- a/packages/Edge/lib/EdgeSharedRows.cpp
+++ b/packages/Edge/lib/EdgeSharedRows.cpp
@@ -24,6 +24,8 @@
 constexpr std::string_view versionKind = "version/";
 /// Rows are needed by daemons that start, and to lift a block.
 constexpr Duration sharedRowSpacing = std::chrono::seconds(60);
+/// The time over which the daemons read the rows again after the store has come back from an older copy.
+constexpr Duration eraReadSpread = std::chrono::seconds(1);
 /// The value of a "version" row if there are several.
 constexpr std::string_view severalVersions = "several";
 constexpr int hexadecimal = 16;
@@ -82,10 +84,14 @@
             .table = sharedTable,
             .wait = Duration::zero(),
             .spacing = sharedRowSpacing,
+            .eraReadSpread = eraReadSpread,
+            .replica = { .forgetsLostRows = true },
             .seed = m_incarnation },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { applySharedRow(row); },
             .deleted = [this](const auto& key) { sharedRowDeleted(key); },
-            .confirmed = [](TimePoint) {} });
+            .lost = [this](const auto& key) { sharedRowLost(key); },
+            .confirmed = [](TimePoint) {},
+            .eraChanged = [this](uint64_t era) { handleStoreEra(era, bootNow()); } });
 }
 
 void EdgeDaemon::applySharedRow(const platform::StoreRow& row)
@@ -139,7 +145,10 @@
     const auto host = fmt::format("{}:{}", store.host, store.port);
     auto request = value.empty() ? platform::deleteRowRequest(host, sharedTable, key)
                                  : platform::writeRowRequest(host, sharedTable, key, value);
-    m_sharedRowWriter.send(std::move(request), [this, key, value](bool acknowledged) {
+    m_sharedRowWriter.send(std::move(request), [this, key, value, era = m_storeEra](bool acknowledged) {
+        // What was acknowledged before the store came back from an older copy may be lost.
+        if (acknowledged && era != m_storeEra)
+            return;
         if (!acknowledged)
             logEvent(
                 Event::StoreCallFailed, { { "table", sharedTable }, { "detail", "write not acknowledged" } });
--- a/packages/Edge/lib/PeerHeartbeat.cpp
+++ b/packages/Edge/lib/PeerHeartbeat.cpp
@@ -29,7 +29,7 @@
 
 template <class Archive> void serialize(Archive& archive, StoreViews& it)
 {
-    archive(it.configuration, it.endpoints);
+    archive(it.era, it.configuration, it.endpoints);
 }
 
 template <class Archive> void serialize(Archive& archive, SignalReport& it)
@@ -59,7 +59,7 @@
 namespace {
 
 /// Identifies heartbeat datagrams and their version; changes with the layout.
-constexpr uint32_t magic = 0x4c42'5307;
+constexpr uint32_t magic = 0x4c42'5308;
 /// A peer is silent after this many missing heartbeats in a row.
 constexpr double silentAfterPeriods = 3.5;
 /// Upper bound of the period that a peer may announce.
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -38,8 +38,8 @@
 constexpr double minRetryFraction = 0.75;
 /// How often a follower that skips polling checks whether it must read.
 constexpr Duration passiveCheckPeriod = std::chrono::milliseconds(150);
-/// A deletion this soon after an outage may be an entry that expired during it.
-constexpr Duration postOutageWindow = std::chrono::seconds(3);
+/// Within this time after the store has come back from an older copy, what it has lost is written again.
+constexpr Duration rewriteTime = std::chrono::milliseconds(2100);
 
 std::string hostOf(const asio::ip::tcp::endpoint& address)
 {
@@ -66,7 +66,10 @@
     bool isReused = false;
     asio::steady_timer timeout;
     TimePoint sentAt {};
+    /// The call asks for what follows a position of the current era.
+    bool hasPosition = false;
     int status = 0;
+    std::optional<uint64_t> era;
     std::string body;
 };
 
@@ -76,6 +79,7 @@
     , m_callbacks(std::move(callbacks))
     , m_random(m_options.seed)
     , m_timer(context)
+    , m_replica(m_options.replica)
 {
 }
 
@@ -130,23 +134,27 @@
 
 Duration StoreFollower::longPollWait() const
 {
-    const bool hasNewsToRead = !m_version || m_isBehind || m_isStoreUnreachable;
+    const bool hasNewsToRead = !m_replica.covered() || m_isBehind || m_isStoreUnreachable;
     return hasNewsToRead ? Duration {} : m_options.wait;
 }
 
 void StoreFollower::send(const std::shared_ptr<Call>& call)
 {
     const auto host = hostOf(m_options.store);
-    auto request = m_version ? platform::followRowsRequest(host, m_options.table, *m_version,
+    const auto covered = m_replica.covered();
+    auto request = covered ? platform::followRowsRequest(host, m_options.table, covered->number,
                        static_cast<unsigned>(longPollWait() / std::chrono::milliseconds(1)))
-                             : platform::readRowsRequest(host, m_options.table, m_snapshotFrom);
+                           : platform::readRowsRequest(host, m_options.table, m_replica.nextPage());
+    call->hasPosition = covered || !m_replica.nextPage().empty();
     call->sentAt = bootNow();
     const std::weak_ptr<Call> weak = call;
     call->connection->exchange(std::move(request), false,
         { .head =
                 [weak](const http::HttpResponseHead& head) {
-                    if (const auto it = weak.lock())
+                    if (const auto it = weak.lock()) {
                         it->status = head.status;
+                        it->era = platform::decodeStoreEra(head.headers);
+                    }
                     return true;
                 },
             .body =
@@ -169,12 +177,11 @@
 void StoreFollower::handleAnswer(const std::shared_ptr<Call>& call)
 {
     const auto now = bootNow();
+    if (!isCurrent(call, now))
+        return;
     if (call->status == platform::statusHistoryGone) {
         logEvent(Event::StoreHistoryLost, { { "table", m_options.table } });
-        m_version.reset();
-        m_snapshot.clear();
-        m_snapshotVersion.reset();
-        m_snapshotFrom.clear();
+        m_replica.forgetPosition();
         endCalls(call);
         scheduleCall(Duration::zero());
         return;
@@ -183,15 +190,15 @@
         handleFailure(call, fmt::format("status {}", call->status));
         return;
     }
-    const auto decoded = outcomeOf<platform::StoreRows>([&] { return platform::decodeRows(call->body); });
+    const auto decoded
+        = outcomeOf<platform::StoreRows>([&] { return platform::decodeRows(call->body, m_replica.era()); });
     if (const auto* failure = std::get_if<Failure>(&decoded)) {
         handleFailure(call, failure->detail);
         return;
     }
     if (m_isStoreUnreachable) {
         m_isStoreUnreachable = false;
-        m_reconnectedAt = now;
-        m_lastOutage = now - std::max(m_lastAnswerAt, m_confirmedAt.value_or(m_lastAnswerAt));
+        m_replica.reconnected(now - std::max(m_lastAnswerAt, m_confirmedAt.value_or(m_lastAnswerAt)), now);
         logEvent(Event::PlatformBack,
             { { "table", m_options.table },
                 { "view_age_ms", m_confirmedAt ? (now - *m_confirmedAt) / std::chrono::milliseconds(1) : -1 },
@@ -201,100 +208,70 @@
     m_failuresInRow = 0;
     m_isBehind = false;
     endCalls(call);
-    apply(std::get<platform::StoreRows>(decoded), now);
-    if (m_version)
+    report(m_replica.apply(std::get<platform::StoreRows>(decoded), now));
+    const bool isComplete = m_replica.covered().has_value();
+    if (isComplete)
         confirm(call->sentAt);
     const auto next = m_callStarted + m_options.spacing;
-    scheduleCall(m_version && next > now ? next - now : Duration::zero());
+    scheduleCall(isComplete && next > now ? next - now : Duration::zero());
 }
 
-void StoreFollower::endCalls(const std::shared_ptr<Call>& answered)
+bool StoreFollower::isCurrent(const std::shared_ptr<Call>& call, TimePoint now)
 {
-    m_idleConnection = std::exchange(answered->connection, nullptr);
-    m_openCalls.clear();
+    const auto era = call->era.value_or(m_replica.era());
+    if (era < m_replica.era()) {
+        handleFailure(call, fmt::format("answer of era {}, which is over", era));
+        return false;
+    }
+    if (era == m_replica.era())
+        return true;
+    enterEra(era, now);
+    if (m_callbacks.eraChanged)
+        m_callbacks.eraChanged(era);
+    // What follows a position of the former era does not follow from one of this era.
+    return !call->hasPosition;
 }
 
-void StoreFollower::apply(const platform::StoreRows& rows, TimePoint now)
+void StoreFollower::enterEra(uint64_t era, TimePoint now)
 {
-    if (!m_version) {
-        if (!m_snapshotVersion)
-            m_snapshotVersion = rows.version;
-        for (const auto& row : rows.rows)
-            m_snapshot[row.key] = row;
-        if (rows.hasMore && !rows.rows.empty()) {
-            // The smallest key after the last one is that key followed by a zero byte.
-            m_snapshotFrom = rows.rows.back().key + '\0';
-            return;
-        }
-        applySnapshot(now);
+    const bool hadRead = m_replica.covered() || !m_replica.nextPage().empty();
+    if (!m_replica.enterEra(era) || !hadRead)
         return;
-    }
-    for (const auto& row : rows.rows) {
-        m_changedVersion = std::max(m_changedVersion, row.version);
-        if (row.isDeleted) {
-            remove(row.key, now);
-            continue;
-        }
-        m_deletions.erase(row.key);
-        auto& version = m_rowVersions[row.key];
-        if (row.version < version)
-            continue;
-        version = row.version;
-        m_callbacks.changed(row);
-    }
-    m_version = std::max(*m_version, rows.version);
+    if (m_isBehind)
+        m_incompleteUntil = now + rewriteTime;
+    m_isBehind = false;
+    m_openCalls.clear();
+    scheduleCall(fromSeconds(toSeconds(m_options.eraReadSpread) * m_random.fraction()));
 }
 
-void StoreFollower::applySnapshot(TimePoint now)
+void StoreFollower::endCalls(const std::shared_ptr<Call>& answered)
 {
-    for (const auto& [key, row] : m_snapshot) {
-        m_changedVersion = std::max(m_changedVersion, row.version);
-        m_deletions.erase(key);
-        auto [it, isNew] = m_rowVersions.try_emplace(key, row.version);
-        if (!isNew && row.version <= it->second)
-            continue;
-        it->second = row.version;
-        m_callbacks.changed(row);
-    }
-    const auto known = m_rowVersions;
-    for (const auto& [key, version] : known) {
-        if (!m_snapshot.contains(key))
-            remove(key, now);
-    }
-    // The snapshot does not show rows that were deleted before, so all of it counts as changed.
-    m_changedVersion = std::max(m_changedVersion, m_snapshotVersion.value_or(0));
-    m_version = m_snapshotVersion;
-    m_snapshot.clear();
-    m_snapshotVersion.reset();
-    m_snapshotFrom.clear();
+    m_idleConnection = std::exchange(answered->connection, nullptr);
+    m_openCalls.clear();
 }
 
-void StoreFollower::remove(const std::string& key, TimePoint now)
+void StoreFollower::report(const std::vector<RowChange>& changes)
 {
-    const bool followsOutage = m_reconnectedAt != TimePoint {} && now - m_reconnectedAt < postOutageWindow;
-    if (followsOutage && m_lastOutage >= m_options.minOutageToExpire
-        && m_options.deletionDelay > Duration::zero()) {
-        m_deletions.try_emplace(key, m_reconnectedAt + m_options.deletionDelay);
-        return;
+    for (const auto& it : changes) {
+        switch (it.kind) {
+        case RowChange::Kind::Written:
+            m_callbacks.changed(it.row);
+            break;
+        case RowChange::Kind::Deleted:
+            m_callbacks.deleted(it.row.key);
+            break;
+        case RowChange::Kind::Lost:
+            if (m_callbacks.lost)
+                m_callbacks.lost(it.row.key);
+            break;
+        }
     }
-    m_rowVersions.erase(key);
-    m_callbacks.deleted(key);
 }
 
-void StoreFollower::applyDueDeletions(TimePoint now)
+void StoreFollower::applyDueChanges(TimePoint now)
 {
-    for (auto it = m_deletions.begin(); it != m_deletions.end();) {
-        // Without contact to the store, a peer may have confirmed that the entry was not written again.
-        const bool isKnown = !m_isStoreUnreachable || m_confirmedAt >= it->second;
-        if (it->second > now || !isKnown) {
-            ++it;
-            continue;
-        }
-        const auto key = it->first;
-        it = m_deletions.erase(it);
-        m_rowVersions.erase(key);
-        m_callbacks.deleted(key);
-    }
+    // Without contact to the store, a peer may have confirmed that an entry was not written again.
+    report(m_replica.takeDue(m_isStoreUnreachable ? m_confirmedAt : TimePoint::max(), now));
 }
 
 void StoreFollower::handleFailure(const std::shared_ptr<Call>& call, const std::string& reason)
@@ -335,7 +312,7 @@
             return;
         const auto now = bootNow();
         const bool maySkipPolling
-            = m_version && m_callbacks.maySkipPolling && m_callbacks.maySkipPolling(now);
+            = m_replica.covered() && m_callbacks.maySkipPolling && m_callbacks.maySkipPolling(now);
         if (maySkipPolling && (!m_isBehind || now - m_callStarted < m_options.spacingWhilePassive)) {
             scheduleCall(passiveCheckPeriod);
             return;
@@ -348,24 +325,25 @@
 
 void StoreFollower::confirm(TimePoint at)
 {
+    if (at < m_incompleteUntil)
+        return;
     m_confirmedAt = std::max(at, m_confirmedAt.value_or(at));
     m_callbacks.confirmed(*m_confirmedAt);
 }
 
-void StoreFollower::peerConfirmed(uint64_t covered, uint64_t changed, TimePoint at)
+void StoreFollower::peerConfirmed(StoreVersion covered, StoreVersion changed, TimePoint at)
 {
     const auto now = bootNow();
     const bool wasReachedByPeer = isReachedByPeer(now);
     m_peerContactAt = std::max(m_peerContactAt, at);
     if (m_isStoreUnreachable && !wasReachedByPeer && isReachedByPeer(now))
         scheduleCall(Duration::zero());
-    if (!m_version)
+    if (!m_replica.covered() || covered.era != m_replica.era())
         return;
-    if (changed > *m_version) {
+    if (!m_replica.applyPeerView(covered, changed)) {
         m_isBehind = true;
         return;
     }
-    m_version = std::max(*m_version, covered);
     confirm(at);
 }
 
--- a/packages/Edge/unittests/StoreFollowerTest.cpp
+++ b/packages/Edge/unittests/StoreFollowerTest.cpp
@@ -25,6 +25,13 @@
             + std::to_string(version) + R"(,"NowMs":1})");
 }
 
+std::string answerOfEra(uint64_t era, const std::string& rows, int version)
+{
+    return httpResponse(200,
+        R"({"Rows":[)" + rows + R"(],"HasMore":false,"Ver":)" + std::to_string(version) + "}",
+        "Store-Era: " + std::to_string(era) + "\r\n");
+}
+
 class StoreFollowerTest : public testing::Test {
 protected:
     void start(Duration deletionDelay = Duration::zero())
@@ -35,13 +42,14 @@
                 .wait = 100ms,
                 .spacing = spacing,
                 .spacingWhilePassive = spacingWhilePassive,
-                .deletionDelay = deletionDelay },
-            StoreFollower::Callbacks {
-                .changed = [this](const auto& it) { seen += "+" + it.key + std::to_string(it.version); },
+                .replica = { .deletionDelay = deletionDelay } },
+            StoreFollower::Callbacks { .changed
+                = [this](const auto& it) { seen += "+" + it.key + std::to_string(it.version.number); },
                 .deleted = [this](const auto& key) { seen += "-" + key; },
                 .confirmed = [this](TimePoint at) { confirmedAt = at; },
                 .maySkipPolling = [this](TimePoint) { return maySkipPolling; },
-                .hasOtherReader = [this] { return hasOtherReader; } });
+                .hasOtherReader = [this] { return hasOtherReader; },
+                .eraChanged = [this](uint64_t it) { era = it; } });
         follower->start();
     }
 
@@ -51,7 +59,7 @@
         for (int i = 0; i < maxSteps && !done(); ++i) {
             context.run_for(5ms);
             context.restart();
-            follower->applyDueDeletions(bootNow());
+            follower->applyDueChanges(bootNow());
         }
         ASSERT_TRUE(done()) << seen;
     }
@@ -62,6 +70,7 @@
     std::string seen;
     TimePoint confirmedAt {};
     Duration spacing = 1ms;
+    uint64_t era = 0;
     bool maySkipPolling = false;
     bool hasOtherReader = false;
     Duration spacingWhilePassive = 1ms;
@@ -137,17 +146,18 @@
     server.script({ .bytes = answer(row("a", 3), 7) });
     start();
     runUntil([&] { return seen == "+a3"; });
-    EXPECT_EQ(follower->changedVersion(), 7U) << "rows that were deleted before are not in the snapshot";
+    EXPECT_EQ(follower->changedVersion().number, 7U)
+        << "rows that were deleted before are not in the snapshot";
     const auto at = bootNow() + 1s;
-    follower->peerConfirmed(12, 7, at);
+    follower->peerConfirmed({ .number = 12 }, { .number = 7 }, at);
     EXPECT_EQ(confirmedAt, at);
-    EXPECT_EQ(follower->coveredVersion(), 12U);
+    EXPECT_EQ(follower->coveredVersion(), StoreVersion { .number = 12 });
     context.run_for(400ms);
     context.restart();
     EXPECT_EQ(server.requests().size(), 1U);
     // A change that this view lacks must be read before the view is confirmed again.
     server.script({ .bytes = answer(row("a", 14), 15) });
-    follower->peerConfirmed(15, 14, at + 1s);
+    follower->peerConfirmed({ .number = 15 }, { .number = 14 }, at + 1s);
     EXPECT_EQ(confirmedAt, at);
     runUntil([&] { return seen == "+a3+a14"; });
     EXPECT_NE(server.requests()[1].find("After=12"), std::string::npos);
@@ -165,7 +175,7 @@
     server.script({ .bytes = answer(row("a", 9), 9) });
     const auto before = bootNow();
     for (uint64_t version = 8; version < 10; ++version) {
-        follower->peerConfirmed(version, version, bootNow());
+        follower->peerConfirmed({ .number = version }, { .number = version }, bootNow());
         context.run_for(250ms);
         context.restart();
     }
@@ -198,9 +208,70 @@
     start();
     runUntil([&] { return seen == "+a3"; });
     const auto first = *follower->confirmedAt();
-    follower->peerConfirmed(5, 3, first - 1s);
-    EXPECT_EQ(follower->coveredVersion(), 7U);
+    follower->peerConfirmed({ .number = 5 }, { .number = 3 }, first - 1s);
+    EXPECT_EQ(follower->coveredVersion(), StoreVersion { .number = 7 });
+    EXPECT_EQ(follower->confirmedAt(), first);
+}
+
+TEST_F(StoreFollowerTest, VersionOvertookTheOldOneBeforeTheStoreWasAskedAgain)
+{
+    // No 410 shows that the store came back from an older copy; row "a" was written again at a lower version.
+    server.script({ .bytes = answerOfEra(1, row("a", 5) + "," + row("b", 6), 7) });
+    server.script({ .bytes = answerOfEra(2, row("b", 9), 9) });
+    server.script({ .bytes = answerOfEra(2, row("a", 4) + "," + row("b", 9) + "," + row("c", 6), 9) });
+    start();
+    runUntil([&] { return seen == "+a5+b6+c6"; });
+    EXPECT_NE(server.requests()[2].find("rows-get"), std::string::npos);
+    EXPECT_EQ(era, 2U);
+    EXPECT_EQ(follower->coveredVersion(), (StoreVersion { .era = 2, .number = 9 }));
+}
+
+TEST_F(StoreFollowerTest, PeerOfTheFormerEraConfirmedAnIncompleteView)
+{
+    maySkipPolling = true;
+    server.script({ .bytes = answerOfEra(1, row("a", 3), 7) });
+    start();
+    runUntil([&] { return seen == "+a3"; });
+    const auto first = *follower->confirmedAt();
+    server.script({ .bytes = answerOfEra(2, row("a", 3) + "," + row("b", 5), 6) });
+    follower->enterEra(2, bootNow());
+    // The peer has not seen the new era, in which this daemon has read nothing yet.
+    follower->peerConfirmed({ .era = 1, .number = 9 }, { .era = 1, .number = 7 }, first + 1s);
+    EXPECT_EQ(follower->confirmedAt(), first);
+    runUntil([&] { return seen == "+a3+b5"; });
+    follower->peerConfirmed({ .era = 1, .number = 9 }, { .era = 1, .number = 7 }, first + 60s);
+    EXPECT_LT(*follower->confirmedAt(), first + 60s);
+    follower->peerConfirmed({ .era = 2, .number = 8 }, { .era = 2, .number = 6 }, first + 60s);
+    EXPECT_EQ(follower->confirmedAt(), first + 60s);
+}
+
+TEST_F(StoreFollowerTest, AnswerOfAFormerEraArrivedLate)
+{
+    server.script({ .bytes = answerOfEra(2, row("a", 3), 7) });
+    server.script({ .bytes = answerOfEra(1, row("a", 9), 9) });
+    server.script({ .bytes = answerOfEra(2, row("b", 8), 8) });
+    start();
+    runUntil([&] { return seen == "+a3+b8"; });
+    EXPECT_EQ(follower->failures(), 1U);
+}
+
+TEST_F(StoreFollowerTest, ChangeThatOnlyPeersHaveReadIsLostWithTheFormerEra)
+{
+    // Until it has been written again, what the store says is not complete.
+    maySkipPolling = true;
+    server.script({ .bytes = answerOfEra(1, row("a", 3), 7) });
+    start();
+    runUntil([&] { return seen == "+a3"; });
+    const auto first = *follower->confirmedAt();
+    spacingWhilePassive = 60s;
+    follower->peerConfirmed({ .era = 1, .number = 9 }, { .era = 1, .number = 9 }, bootNow());
+    server.script({ .bytes = answerOfEra(2, row("a", 3) + "," + row("b", 5), 6) });
+    follower->enterEra(2, bootNow());
+    runUntil([&] { return seen == "+a3+b5"; });
     EXPECT_EQ(follower->confirmedAt(), first);
+    const auto at = bootNow() + 3s;
+    follower->peerConfirmed({ .era = 2, .number = 6 }, { .era = 2, .number = 6 }, at);
+    EXPECT_EQ(follower->confirmedAt(), at);
 }
 
 TEST_F(StoreFollowerTest, EntryThatExpiredInAnOutageMayReturn)
--- a/packages/Edge/unittests/StoreRecoveryTest.cpp
+++ b/packages/Edge/unittests/StoreRecoveryTest.cpp
@@ -45,8 +45,7 @@
                 .table = "t",
                 .wait = 750ms,
                 .spacing = 200ms,
-                .deletionDelay = lapsedEntryDelay,
-                .minOutageToExpire = minOutageToExpire },
+                .replica = { .deletionDelay = lapsedEntryDelay, .minOutageToExpire = minOutageToExpire } },
             StoreFollower::Callbacks { .changed = [this](const auto& it) { seen += "+" + it.key; },
                 .deleted = [this](const auto& key) { seen += "-" + key; },
                 .confirmed = [](TimePoint) {},
@@ -76,7 +75,7 @@
         for (int i = 0; i < maxSteps && !done(); ++i) {
             context.run_for(5ms);
             context.restart();
-            follower->applyDueDeletions(bootNow());
+            follower->applyDueChanges(bootNow());
         }
         ASSERT_TRUE(done()) << seen;
     }
@@ -112,7 +111,7 @@
 {
     start();
     passOutage(row("a", 8));
-    follower->peerConfirmed(9, 8, bootNow());
+    follower->peerConfirmed({ .number = 9 }, { .number = 8 }, bootNow());
     runUntil([this] { return seen == "+a+b+a"; });
     EXPECT_LT(bootNow() - returnedAt, 200ms);
 }
@@ -125,7 +124,7 @@
     server.script({ .bytes = "", .delay = 1h });
     server.script({ .bytes = answer(row("a", 8), 9) });
     const auto reportedAt = bootNow();
-    follower->peerConfirmed(9, 8, reportedAt);
+    follower->peerConfirmed({ .number = 9 }, { .number = 8 }, reportedAt);
     runUntil([this] { return seen == "+a+b+a"; });
     EXPECT_LT(bootNow() - reportedAt, drainBound - untilPeerReports);
 }
@@ -150,14 +149,14 @@
     start();
     const auto startedAt = bootNow();
     runUntil([&] {
-        follower->peerConfirmed(7, 7, bootNow());
+        follower->peerConfirmed({ .number = 7 }, { .number = 7 }, bootNow());
         return bootNow() - startedAt > minOutageToExpire;
     });
     server.script({ .bytes = "", .delay = 1h });
     server.script({ .bytes = answer(row("a", 8, true), 9) });
     server.script({ .bytes = answer("", 9) });
     const auto reportedAt = bootNow();
-    follower->peerConfirmed(9, 8, reportedAt);
+    follower->peerConfirmed({ .number = 9 }, { .number = 8 }, reportedAt);
     runUntil([this] { return seen == "+a+b-a"; });
     EXPECT_LT(bootNow() - reportedAt, drainBound - untilPeerReports);
 }
@@ -170,7 +169,7 @@
     const auto startedAt = bootNow();
     runUntil([&] { return bootNow() - startedAt > 1200ms; });
     server.script({ .bytes = answer(row("a", 8), 9) });
-    follower->peerConfirmed(9, 8, bootNow());
+    follower->peerConfirmed({ .number = 9 }, { .number = 8 }, bootNow());
     runUntil([this] { return seen == "+a+b+a"; });
     EXPECT_EQ(server.connections(), 2U);
 }
@@ -180,14 +179,14 @@
     // The store was lost again before the delayed deletion was due, and a peer read it from then on.
     start();
     passOutage(row("a", 8, true));
-    runUntil([this] { return follower->coveredVersion() == 9; });
+    runUntil([this] { return follower->coveredVersion() == StoreVersion { .number = 9 }; });
     server.setResponder(
         [](const std::string&) { return ScriptedResponse { .bytes = httpResponse(503, "") }; });
     const auto failures = follower->failures();
     runUntil([&] { return follower->failures() > failures; });
     maySkipPolling = true;
     runUntil([this] {
-        follower->peerConfirmed(9, 8, bootNow());
+        follower->peerConfirmed({ .number = 9 }, { .number = 8 }, bootNow());
         return seen == "+a+b-a" || bootNow() - returnedAt > contactBound;
     });
     EXPECT_EQ(seen, "+a+b-a");
