Play rejections that do not state the limit in the soak

An endpoint of the stand-ins that states a limit rejects a fifth of the requests, names their ids and does not repeat the limit.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -9,7 +9,7 @@
 and is resumed while engines of that version serve. All of that holds also after the store came back from an older copy.
 
     soak.py --daemon build/bin/lentilbayd [--seed N] [--seconds S] [--runs N] [--daemons N] [--endpoints N]
-        [--streams N]
+        [--clients N] [--streams N]
 """
 
 import argparse
@@ -57,6 +57,7 @@
         self.binary, self.seconds, self.folder = options.daemon, options.seconds, folder
         self.fault_kinds = options.faults.split(",")
         self.daemons, self.endpoint_count, self.streams = options.daemons, options.endpoints, options.streams
+        self.clients = options.clients
         self.rng = random.Random(seed)
         # A loopback network per run, so that concurrent runs do not use the same addresses.
         self.network = f"127.{40 + os.getpid() % 200}.{seed % 250}"
@@ -572,7 +573,7 @@
 
     async def run(self) -> None:
         await self.start()
-        clients = [asyncio.create_task(self.client(number)) for number in range(12)]
+        clients = [asyncio.create_task(self.client(number)) for number in range(self.clients)]
         clients += [asyncio.create_task(self.prompts.client()) for _ in range(self.streams)]
         await asyncio.sleep(1.5)
         await self.faults()
@@ -601,6 +602,7 @@
                         help=f"kinds of faults, drawn with equal probability; also {', '.join(STREAM_FAULT_KINDS)}")
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--endpoints", type=int, default=5, help="the first two are applications, the others engines")
+    parser.add_argument("--clients", type=int, default=12, help="clients that send short requests")
     parser.add_argument("--streams", type=int, default=0, help="clients that send long streams with prompts")
     parser.add_argument("--keep", default="", help="folder in which to keep the daemons' logs")
     options = parser.parse_args()
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -167,6 +167,8 @@
     # Seconds between two events of such a stream, and before its first one.
     LONG_PAUSE = 0.05
     PREFILL_SECONDS = 0.1
+    # The fraction of requests that an endpoint rejects while it states a limit.
+    REJECTED_IN_NEED = 0.2
 
     def __init__(self, name: str, service: str, executions: dict, rng: random.Random) -> None:
         super().__init__()
@@ -189,10 +191,10 @@
         self.told: list = []
         self.told_leaving: list = []
 
-    def own_headers(self, request: str) -> dict:
-        """What the endpoint states about itself in each answer."""
+    def own_headers(self, request: str, states_limit: bool = True) -> dict:
+        """What the endpoint states about itself in each answer, its limit only where it runs the request."""
         headers = {}
-        if self.limit is not None:
+        if self.limit is not None and states_limit:
             self.told.append((time.monotonic(), request))
             headers["Server-Limit"] = f"{self.limit:g}"
         if self.leaving:
@@ -210,8 +212,9 @@
             writer.write(build_response(421, b"", {"X-Instance-Id": self.name}))
             return
         self.arrivals.append((time.monotonic(), request))
-        if self.refuses or self.rng.random() < 0.02:
-            writer.write(build_response(503, b"", {"X-Not-Executed": "1"} | self.own_headers(request)))
+        if self.refuses or self.rng.random() < (0.02 if self.limit is None else self.REJECTED_IN_NEED):
+            fields = {"X-Not-Executed": "1", "X-Request-Id": request}
+            writer.write(build_response(503, b"", fields | self.own_headers(request, states_limit=False)))
             return
         if self.retry_after is not None:
             self.rejections.append((time.monotonic(), request, self.retry_after))
