Keep a stated limit over rejections, slow answers and silence

On a fleet of 66 daemons an endpoint got far more requests than the limit that it had stated.

A statement is now dated by the times of its request and of its answer; what overlaps counts as the lower one, and only answers of requests that the endpoint ran end a limit. Daemons that are not selected send in turn. A daemon that becomes selected waits for an interval, counts a peer as a sender for 5 s after its last heartbeat, and remembers its last send over the removal of the endpoint's entry. That daemons which stand still for a moment exceed the limit was not shown.

--- a/packages/Edge/include/lentilbay/Edge/EndpointSignalTable.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointSignalTable.h
@@ -4,13 +4,16 @@
 // A request rate that an endpoint states holds for all daemons together. It is divided without communication
 // per request: a few daemons, selected by rendezvous hashing over those that are alive and preferably in the
 // endpoint's data centre, send at equal intervals, and the others do not send. Their number grows with the
-// rate, so that sends of all of them that happen to coincide exceed the rate by little. While no answer
-// confirms the statement, because the selected daemons have no requests for the endpoint, more and more of
-// the others may send.
+// rate, so that sends of all of them that happen to coincide exceed the rate by little. A daemon that becomes
+// selected waits for an interval first, so that changes of the selection add no sends. While no answer
+// confirms the statement, because the selected daemons have no requests for the endpoint, each of the others
+// may send once in turn.
 //
-// A statement applies from the answer that made it until a later one differs. Answers may overtake each
-// other, so only an answer to a request that was sent after a statement can withdraw it. An endpoint that is
-// leaving stays so until it is started again: its entry in the platform's store may be older than its answer.
+// The endpoint wrote a statement at some time between the sending of the request and the receipt of the
+// answer. Of two statements whose times overlap, either may be the newer one, and the lower rate applies. A
+// statement ends with answers to later requests that do not repeat it; answers that reject a request, or are
+// not known to be the endpoint's own, end nothing. An endpoint that is leaving stays so until it is started
+// again: its entry in the platform's store may be older than its answer.
 #pragma once
 
 #include "lentilbay/Model/EndpointSignals.h"
@@ -48,8 +51,10 @@
     /// The incarnation that stated them; see RoutedEndpoint.
     uint64_t startedAtMilliseconds = 0;
     EndpointSignals signals;
-    /// Time since the newest answer that stated them, as of when the report was written.
+    /// Time since the receipt of the newest answer that stated them, as of when the report was written.
     int64_t ageMicroseconds = 0;
+    /// Time since the request was sent to which that was the answer.
+    int64_t sentAgeMicroseconds = 0;
 
     auto operator<=>(const SignalReport&) const = default;
 };
@@ -58,15 +63,16 @@
 struct SignalAnswer {
     EndpointIncarnation endpoint;
     EndpointSignals signals;
-    /// Whether the answer is known to belong to the request that was sent at `sentAt`.
-    bool isAttributed = false;
+    /// Whether the endpoint itself answered the request that was sent at `sentAt`, and ran it, so that what
+    /// the answer does not state no longer applies.
+    bool isConclusive = false;
     TimePoint sentAt {};
 };
 
 class EndpointSignalTable {
 public:
     /// Sets the daemons that are alive; `self` is this one and must be among them.
-    void setDaemons(const std::string& self, std::vector<SendingDaemon> daemons);
+    void setDaemons(const std::string& self, std::vector<SendingDaemon> daemons, TimePoint now);
     /// Records an answer received now. Returns whether it changed what the endpoint is known to state.
     bool recordAnswer(const SignalAnswer& answer, TimePoint now);
     /// Applies what a peer knew at `at` or later. Returns whether it changed what the endpoint is known to
@@ -75,6 +81,8 @@
         const SignalReport& report, const EndpointIncarnation& endpoint, TimePoint at, TimePoint now);
     /// Records that the endpoint wants no requests from this daemon until then.
     void recordPause(const EndpointIncarnation& endpoint, TimePoint until);
+    /// Keeps the time of the last send over the removal of the endpoint's entry.
+    void keepLastSend(uint64_t endpoint, TimePoint lastSendAt);
     /// Forgets what an earlier incarnation stated.
     void endpointListed(const EndpointIncarnation& endpoint);
     std::vector<SignalReport> reports(TimePoint now) const;
@@ -95,9 +103,12 @@
         EndpointSignals signals;
         DataCentreId dataCentre;
         uint64_t startedAtMilliseconds = 0;
-        /// When the newest answer arrived that stated `signals`; for one that a peer received, no later than
-        /// that.
+        /// The endpoint stated `signals` between these times: when the request was sent and when its answer
+        /// arrived, in the newest such answer; for one that a peer received, no later than that.
+        TimePoint sentAt {};
         TimePoint statedAt {};
+        /// The number of conclusive answers since then that stated nothing.
+        int unstatedAnswers = 0;
         TimePoint pausedUntil {};
         /// The number of daemons that share the rate.
         size_t senders = 0;
@@ -105,13 +116,22 @@
         size_t rank = 0;
         /// The least time between two sends of a selected daemon; zero without a limit.
         Duration interval {};
+        /// When this daemon became selected.
+        TimePoint selectedAt {};
+        TimePoint lastSendAt {};
+    };
+    /// What was stated, and the times between which it was written.
+    struct Statement {
+        EndpointSignals signals;
+        TimePoint sentAt {};
+        TimePoint statedAt {};
     };
 
-    /// Applies newer statements to an entry and returns whether they differ.
-    bool update(Entry& entry, EndpointSignals signals, TimePoint statedAt, uint64_t endpoint);
+    /// Applies a statement unless it is older than that of the entry, and returns whether the signals differ.
+    bool apply(Entry& entry, const Statement& statement, uint64_t endpoint, TimePoint now);
     Entry& entryOf(const EndpointIncarnation& endpoint);
     /// Determines this daemon's share of the rate.
-    void divide(uint64_t endpoint, Entry& entry) const;
+    void divide(uint64_t endpoint, Entry& entry, TimePoint now) const;
 
     std::string m_self;
     std::vector<SendingDaemon> m_daemons;
--- a/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
@@ -128,6 +128,9 @@
     const std::map<std::string, Peer>& peers() const { return m_peers; }
     /// The number of daemons, including this one.
     size_t knownDaemons() const { return m_peers.size() + 1; }
+    /// The other daemons that may send to endpoints. A daemon that has not been heard for a moment counts:
+    /// this one may have stood still itself, or heartbeats may be lost in one direction only.
+    std::vector<SendingDaemon> sendingDaemons(TimePoint now) const;
     /// The number of silent daemons, without those that announced their shutdown and so admit nothing more.
     size_t silentDaemons() const;
 
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -152,11 +152,8 @@
     if (!m_state.endpointRegistry.hasSignals())
         return;
     const auto& own = m_state.settings;
-    std::vector<SendingDaemon> daemons { { .name = own.daemon.text(), .dataCentre = own.dataCentre } };
-    for (const auto& [name, peer] : m_state.peers.peers()) {
-        if (!peer.isSilent)
-            daemons.push_back({ .name = name, .dataCentre = DataCentreId(peer.dataCentre) });
-    }
+    auto daemons = m_state.peers.sendingDaemons(now);
+    daemons.push_back({ .name = own.daemon.text(), .dataCentre = own.dataCentre });
     m_state.endpointRegistry.updateSignals(own.daemon.text(), std::move(daemons), now);
 }
 
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -204,11 +204,14 @@
                 { { "id", m_metadata.id.text() }, { "endpoint", id.text() },
                     { "header", metadata.unreadable.front() } });
     }
-    // An answer that cannot be read completely withdraws nothing.
+    // An answer that cannot be read completely withdraws nothing, and endpoints that reject requests do not
+    // always state their limit.
+    const bool isConclusive
+        = metadata.isAttributed && metadata.unreadable.empty() && metadata.isSuccess && metadata.isGenuine;
     if (m_state.endpointRegistry.recordSignals(endpoint,
             { .endpoint = m_send->incarnation,
                 .signals = metadata.signals,
-                .isAttributed = metadata.isAttributed && metadata.unreadable.empty(),
+                .isConclusive = isConclusive,
                 .sentAt = m_send->sentAt },
             now))
         m_state.logSignals(id, {});
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -202,8 +202,11 @@
 
 bool EndpointRegistry::unlist(const EndpointId& id)
 {
-    if (m_endpoints.erase(id) == 0)
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end())
         return false;
+    m_signals.keepLastSend(it->second->hash(), it->second->m_lastSendAt);
+    m_endpoints.erase(it);
     rebuildIndexes();
     return true;
 }
@@ -306,7 +309,7 @@
 void EndpointRegistry::updateSignals(
     const std::string& self, std::vector<SendingDaemon> daemons, TimePoint now)
 {
-    m_signals.setDaemons(self, std::move(daemons));
+    m_signals.setDaemons(self, std::move(daemons), now);
     m_signals.dropOld(now);
 }
 
--- a/packages/Edge/lib/PeerHeartbeat.cpp
+++ b/packages/Edge/lib/PeerHeartbeat.cpp
@@ -35,7 +35,7 @@
 template <class Archive> void serialize(Archive& archive, SignalReport& it)
 {
     archive(it.endpoint, it.startedAtMilliseconds, it.signals.maxRequestsPerSecond, it.signals.isLeaving,
-        it.ageMicroseconds);
+        it.ageMicroseconds, it.sentAgeMicroseconds);
 }
 
 template <class Archive> void serialize(Archive& archive, PartReport::Crash& it)
@@ -59,7 +59,7 @@
 namespace {
 
 /// Identifies heartbeat datagrams and their version; changes with the layout.
-constexpr uint32_t magic = 0x4c42'5308;
+constexpr uint32_t magic = 0x4c42'5309;
 /// A peer is silent after this many missing heartbeats in a row.
 constexpr double silentAfterPeriods = 3.5;
 /// Upper bound of the period that a peer may announce.
@@ -68,6 +68,8 @@
 /// well and serves no request with a key, or it is gone.
 constexpr Duration forgetAfter = std::chrono::seconds(30);
 constexpr Duration forgetLeavingAfter = std::chrono::seconds(10);
+/// A daemon that was silent for less may still send to endpoints.
+constexpr Duration sendsAfterSilence = std::chrono::seconds(5);
 
 } // namespace
 
@@ -149,6 +151,16 @@
     return out;
 }
 
+std::vector<SendingDaemon> PeerTable::sendingDaemons(TimePoint now) const
+{
+    std::vector<SendingDaemon> out;
+    for (const auto& [name, peer] : m_peers) {
+        if (!peer.isLeaving && peer.incarnation != 0 && now - peer.lastHeardAt < sendsAfterSilence)
+            out.push_back({ .name = name, .dataCentre = DataCentreId(peer.dataCentre) });
+    }
+    return out;
+}
+
 size_t PeerTable::silentDaemons() const
 {
     return std::ranges::count_if(
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -469,6 +469,25 @@
     EXPECT_EQ(second.requests().size(), requests - 1U);
 }
 
+TEST_F(EdgeRequestTest, RejectionWithoutTheLimitEndedIt)
+{
+    state.endpointRegistry.updateSignals(
+        "d", { { .name = "d", .dataCentre = DataCentreId("a") } }, bootNow());
+    const std::string small = "Authorization: Token k\r\nX-Token-Usage: 10,10\r\n";
+    first.script({ .bytes = httpResponse(200, "a", signatureFields + "Server-Limit: 1000\r\n") });
+    for (int i = 0; i < 3; ++i)
+        first.script({ .bytes = httpResponse(503, "", "X-Request-Id: 7\r\nX-Not-Executed: 1\r\n") });
+    for (int i = 0; i < 4; ++i) {
+        call("/safe/x", small);
+        // An endpoint that has rejected a request gets the next one a little later.
+        context.run_for(100ms);
+        context.restart();
+    }
+    EXPECT_EQ(first.requests().size(), 4U);
+    const auto& endpoint = *state.endpointRegistry.find(EndpointId("e1"));
+    EXPECT_EQ(state.endpointRegistry.signalsOf(endpoint).maxRequestsPerSecond, 1000);
+}
+
 TEST_F(EdgeRequestTest, EndpointThatStatedThatItLeavesGotAnotherRequest)
 {
     // An older row of the store does not bring it back; a later start under the same id does.
--- a/packages/Edge/unittests/EndpointSignalTableTest.cpp
+++ b/packages/Edge/unittests/EndpointSignalTableTest.cpp
@@ -31,7 +31,7 @@
 {
     return { .endpoint = instance(),
         .signals = { .maxRequestsPerSecond = rate },
-        .isAttributed = true,
+        .isConclusive = true,
         .sentAt = sentAt };
 }
 
@@ -60,7 +60,7 @@
 TEST(EndpointSignalTable, SingleDaemonSendsAtTheStatedRate)
 {
     EndpointSignalTable table;
-    table.setDaemons("d0", daemonsOf(1));
+    table.setDaemons("d0", daemonsOf(1), TimePoint());
     EXPECT_TRUE(table.recordAnswer(answer(2, TimePoint(1s)), TimePoint(1s)));
     EXPECT_FALSE(table.maySend(endpoint, TimePoint(1s), TimePoint(1400ms)));
     EXPECT_TRUE(table.maySend(endpoint, TimePoint(1s), TimePoint(1500ms)));
@@ -70,29 +70,61 @@
 TEST(EndpointSignalTable, OnlyALaterRequestWithdrawsAStatement)
 {
     EndpointSignalTable table;
-    table.setDaemons("d0", daemonsOf(1));
+    table.setDaemons("d0", daemonsOf(1), TimePoint());
     table.recordAnswer(answer(2, TimePoint(1s)), TimePoint(2s));
     EXPECT_FALSE(table.recordAnswer(answer(std::nullopt, TimePoint(1900ms)), TimePoint(3s)))
         << "the answer may have been written before the statement";
-    auto unattributed = answer(std::nullopt, TimePoint(2100ms));
-    unattributed.isAttributed = false;
-    EXPECT_FALSE(table.recordAnswer(unattributed, TimePoint(3s)));
+    auto inconclusive = answer(std::nullopt, TimePoint(2100ms));
+    inconclusive.isConclusive = false;
+    EXPECT_FALSE(table.recordAnswer(inconclusive, TimePoint(3s)));
+    EXPECT_FALSE(table.recordAnswer(answer(std::nullopt, TimePoint(2100ms)), TimePoint(3s)))
+        << "the first one";
     EXPECT_TRUE(table.recordAnswer(answer(std::nullopt, TimePoint(2100ms)), TimePoint(3s)));
     EXPECT_TRUE(table.maySend(endpoint, TimePoint(3s), TimePoint(3s)));
     table.dropOld(TimePoint(9s));
     EXPECT_TRUE(table.empty());
 }
 
+TEST(EndpointSignalTable, OneAnswerEndsAStatementThatNoneHasRepeatedForLong)
+{
+    EndpointSignalTable table;
+    table.setDaemons("d0", daemonsOf(1), TimePoint());
+    table.recordAnswer(answer(0.2, TimePoint(1s)), TimePoint(2s));
+    EXPECT_TRUE(table.recordAnswer(answer(std::nullopt, TimePoint(2100ms)), TimePoint(5s)));
+}
+
+TEST(EndpointSignalTable, AnswerThatWasOvertakenDoesNotRaiseTheLimit)
+{
+    EndpointSignalTable table;
+    table.setDaemons("d0", daemonsOf(1), TimePoint());
+    table.recordAnswer(answer(2, TimePoint(2s)), TimePoint(3s));
+    EXPECT_FALSE(table.recordAnswer(answer(8, TimePoint(1s)), TimePoint(4s)));
+    EXPECT_EQ(table.signalsOf(endpoint).maxRequestsPerSecond, 2);
+    EXPECT_TRUE(table.recordAnswer(answer(1, TimePoint(1s)), TimePoint(4s))) << "the lower one may be newer";
+    EXPECT_TRUE(table.recordAnswer(answer(8, TimePoint(4100ms)), TimePoint(5s)));
+}
+
+TEST(EndpointSignalTable, EndpointThatWasListedAgainGotItsLastRequestTwice)
+{
+    EndpointSignalTable table;
+    table.setDaemons("d0", daemonsOf(1), TimePoint());
+    table.recordAnswer(answer(0.5, TimePoint(1s)), TimePoint(1s));
+    table.keepLastSend(endpoint, TimePoint(5s));
+    EXPECT_FALSE(table.maySend(endpoint, TimePoint(), TimePoint(6s)));
+    EXPECT_TRUE(table.maySend(endpoint, TimePoint(), TimePoint(7s)));
+}
+
 TEST(EndpointSignalTable, NewestOfPeersAndOwnStatementsApplies)
 {
     EndpointSignalTable table;
     const auto a = instance();
-    table.setDaemons("d0", daemonsOf(2));
+    table.setDaemons("d0", daemonsOf(2), TimePoint());
     const auto report = [](std::optional<double> rate, Duration age) {
         return SignalReport { .endpoint = endpoint,
             .startedAtMilliseconds = 1,
             .signals = { .maxRequestsPerSecond = rate },
-            .ageMicroseconds = age.count() };
+            .ageMicroseconds = age.count(),
+            .sentAgeMicroseconds = age.count() };
     };
     EXPECT_TRUE(table.applyReport(report(2, 100ms), a, TimePoint(5s), TimePoint(5s)));
     EXPECT_FALSE(table.applyReport(report(std::nullopt, 200ms), a, TimePoint(5s), TimePoint(5s))) << "older";
@@ -109,7 +141,7 @@
 TEST(EndpointSignalTable, LeavingEndpointStaysSoUntilItIsStartedAgain)
 {
     EndpointSignalTable table;
-    table.setDaemons("d0", daemonsOf(1));
+    table.setDaemons("d0", daemonsOf(1), TimePoint());
     auto leaving = answer(std::nullopt, TimePoint(1s));
     leaving.signals.isLeaving = true;
     EXPECT_TRUE(table.recordAnswer(leaving, TimePoint(2s)));
@@ -134,7 +166,7 @@
     size_t allowedLater = 0;
     for (const auto& it : daemons) {
         EndpointSignalTable table;
-        table.setDaemons(it.name, daemons);
+        table.setDaemons(it.name, daemons, TimePoint());
         table.recordAnswer(answer(0.5, TimePoint(1s)), TimePoint(1s));
         allowedAtOnce += table.maySend(endpoint, TimePoint(), TimePoint(3s));
         allowedLater += table.maySend(endpoint, TimePoint(), TimePoint(7s));
@@ -157,7 +189,7 @@
     };
     std::vector<Sender> senders(n);
     for (size_t i = 0; i < n; ++i) {
-        senders[i].table.setDaemons(daemons[i].name, daemons);
+        senders[i].table.setDaemons(daemons[i].name, daemons, TimePoint());
         senders[i].table.recordAnswer(answer(rate, TimePoint(1s)), TimePoint(1s));
     }
     std::vector<TimePoint> sends;
@@ -168,7 +200,7 @@
             auto known = daemons;
             if (isAway && i != restarted)
                 known.erase(known.begin() + static_cast<std::ptrdiff_t>(restarted));
-            it.table.setDaemons(daemons[i].name, known);
+            it.table.setDaemons(daemons[i].name, known, now);
             if (isAway && i == restarted)
                 continue;
             if (!it.table.maySend(endpoint, it.lastSendAt, now))
