Play requests that crash endpoints in the soak

The fault "repeat" sends a request that crashes each endpoint which runs it again and again, with other ids, to all daemons; two at a time at most, on a route that may be repeated, on one that may not, or as a stream. Checked are the requests that reach endpoints after the third crash and the contact time (3 at most), and that others of the kind are served meanwhile.

--- a/tools/soak/prompts.py
+++ b/tools/soak/prompts.py
@@ -1,8 +1,9 @@
-"""Streams with prompts, for the soak test: parts that crash engines, and streams that clients resume.
+"""Work that crashes endpoints, for the soak test, and streams with prompts, which clients resume.
 
 Some requests have a part in their prompts that crashes each engine which begins to write an answer to them. Once
 enough engines have crashed, the daemons must send hardly any more of them, and go on serving requests that share the
-other parts. A stream that is interrupted is resumed at another daemon, and must go on at the software version that
+other parts. Other requests crash each endpoint that runs them, and come again with the same path, key and body: after
+three crashes the daemons must send hardly any of their repetitions. A stream that is interrupted is resumed at another daemon, and must go on at the software version that
 began it.
 """
 
@@ -12,13 +13,16 @@
 
 # After this many crashes, the daemons in contact may send this many more requests with the part.
 CRASHES_KNOWN = 5
+# The same for requests that come again unchanged.
+CRASHES_KNOWN_OF_REQUEST = 3
 MAX_SENT_LATER = 3
 # The shares of requests served are compared from this many requests on.
 MIN_COMPARED = 20
 MIN_RESUMED = 12
 MAX_MIXED_STREAMS = 2
-# Two parts at a time, so that the daemons have to tell them apart.
+# Two parts, and two requests, at a time, so that the daemons have to tell them apart.
 MAX_CRASHING_PARTS = 2
+MAX_REPEATED_REQUESTS = 2
 FIRST_PART = "a1"
 SUBJECTS = [f"5{n:03x}" for n in range(12)]
 
@@ -41,7 +45,11 @@
     def __init__(self, soak) -> None:
         self.soak = soak
         self.crashing_parts: set = set()
-        # By part: the times of crashes, and the requests that had it as (request, daemon, time of sending).
+        # The bodies of requests that crash endpoints, with the kind of each.
+        self.crashing_bodies: dict = {}
+        # How many of them are being repeated.
+        self.repeated = 0
+        # By part or body: the times of crashes, and the requests that had it as (request, daemon, time of sending).
         self.crashes: dict = {}
         self.crashing_requests: dict = {}
         # The positions of the engines that such a part has crashed and that have not started again.
@@ -171,6 +179,40 @@
         request, _ = await self.attempt(daemon, parts, Stream())
         self.crashing_requests[part].append((request, daemon, sent_at))
 
+    async def repeat_crashing_request(self, seconds: float) -> None:
+        """Sends a request that crashes endpoints again and again, unchanged but for its id, to all daemons."""
+        if self.repeated >= MAX_REPEATED_REQUESTS:
+            return
+        self.repeated += 1
+        rng = self.soak.rng
+        kind = rng.choice(["safe", "once", "stream"])
+        body = f"crash-{rng.getrandbits(40):010x}"
+        self.crashing_bodies[body] = kind
+        self.crashing_requests[body] = []
+        end = time.monotonic() + seconds
+        pending = []
+        while time.monotonic() < end:
+            pending.append(asyncio.create_task(self.send_unchanged(kind, body)))
+            await asyncio.sleep(rng.uniform(0.05, 0.4))
+        await asyncio.gather(*pending)
+        self.repeated -= 1
+
+    async def send_unchanged(self, kind: str, body: str) -> None:
+        daemon = self.soak.rng.randrange(self.soak.daemons)
+        sent_at = time.monotonic()
+        request = uuid.UUID(int=self.soak.rng.getrandbits(128)).hex[:16]
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(f"{self.soak.network}.{80 + daemon}", 8000), 1)
+            writer.write((f"POST /{kind}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request}\r\nX-Deadline-Ms: 2500\r\n"
+                          f"Authorization: Token key-kept\r\nX-Token-Usage: 100,72\r\nConnection: close\r\n"
+                          f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
+            await asyncio.wait_for(reader.read(), 4)
+            writer.close()
+        except (OSError, asyncio.TimeoutError):
+            pass
+        self.crashing_requests[body].append((request, daemon, sent_at))
+
     # --- checks ---
 
     def check(self) -> None:
@@ -181,23 +223,28 @@
                 arrivals.setdefault(request, []).append(at)
         for part, requests in self.crashing_requests.items():
             crashes = sorted(self.crashes.get(part, []))
-            if len(crashes) >= CRASHES_KNOWN:
-                since = crashes[CRASHES_KNOWN - 1]
+            known = CRASHES_KNOWN_OF_REQUEST if part in self.crashing_bodies else CRASHES_KNOWN
+            if len(crashes) >= known:
+                since = crashes[known - 1]
                 late = sum(at > since + contact and self.soak.is_in_contact(daemon, sent_at, at)
                            for request, daemon, sent_at in requests for at in arrivals.get(request, []))
                 if late > MAX_SENT_LATER:
-                    self.soak.add_finding("BUDGET", f"{late} more requests with part {part} reached engines; "
+                    self.soak.add_finding("BUDGET", f"{late} more requests with {part} reached endpoints; "
                                           f"{len(crashes)} engines crashed")
             elif crashes:
                 since = crashes[-1]
             else:
                 continue
-            self.check_served(part, since + 2 * contact, max(sent_at for _, _, sent_at in requests))
+            end = max(sent_at for _, _, sent_at in requests)
+            if part in self.crashing_bodies:
+                self.check_others_served(part, since + 2 * contact, end)
+            else:
+                self.check_served(part, since + 2 * contact, end)
         self.check_resumed()
         crashed = sum(len(it) for it in self.crashes.values())
         print(f"  {len(self.first_attempts)} streams, {sum(began for _, _, began, _ in self.first_attempts)} began; "
               f"{len(self.resumed)} resumed, {sum(went_on for _, _, went_on in self.resumed)} went on; "
-              f"{len(self.mixed)} mixed; {len(self.crashes)} parts crashed {crashed} engines")
+              f"{len(self.mixed)} mixed; {len(self.crashes)} parts or requests crashed {crashed} endpoints")
 
     def check_resumed(self) -> None:
         if len(self.mixed) > MAX_MIXED_STREAMS:
@@ -209,6 +256,16 @@
             self.soak.add_finding("LOST", f"{sum(resumed)} of {len(resumed)} streams went on, {sum(begun)} of "
                                   f"{len(begun)} began")
 
+    def check_others_served(self, body: str, begin: float, end: float) -> None:
+        """Checks that other requests of the kind are served while one that crashes endpoints is known."""
+        kind = self.crashing_bodies[body]
+        served = [status == 200 for _, it, key, daemon, sent_at, status in self.soak.requests
+                  if it == kind and key == "key-kept" and begin <= sent_at <= end
+                  and self.soak.is_in_contact(daemon, sent_at, sent_at)]
+        if len(served) >= MIN_COMPARED and sum(served) < 0.5 * len(served):
+            self.soak.add_finding("LOST", f"{sum(served)} of {len(served)} requests were served while {body} "
+                                  "crashed endpoints")
+
     def check_served(self, part: str, begin: float, end: float) -> None:
         """Checks that other requests are served while a part that crashes engines is known."""
         served = [began for at, daemon, began, is_counted in self.first_attempts
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -4,12 +4,12 @@
 run did not run; responses and streams are complete and belong to the client's request; a revoked key runs nothing
 after the revocation bound; a draining endpoint and an old route get nothing after their bounds; an endpoint that
 states a limit, that it leaves or that it wants a pause gets no more than it allows; no permitted request is denied; a
-graceful stop ends in time; service recovers after the last fault; a part of a prompt that crashes engines reaches no
-more of them once it is known, while other requests are served; a stream has events from one software version only,
+graceful stop ends in time; service recovers after the last fault; a part of a prompt that crashes engines, or a
+request that crashes endpoints, reaches no more of them once it is known, while other requests are served; a stream has events from one software version only,
 and is resumed while engines of that version serve. All of that holds also after the store came back from an older copy.
 
     soak.py --daemon build/bin/lentilbayd [--seed N] [--seconds S] [--runs N] [--daemons N] [--endpoints N]
-        [--clients N] [--streams N]
+        [--applications N] [--clients N] [--streams N]
 """
 
 import argparse
@@ -40,6 +40,8 @@
 # Those that meet each other most often in practice are drawn twice as often.
 FAULT_KINDS = ["kill", "pause", "term", "store", "store", "endpoint", "drain", "drain", "crash", "configure",
                "configure", "limit", "leave", "busy", "revoke", "herd", "hup", "rewind"]
+# "repeat" repeats a request that crashes each endpoint which runs it.
+CRASH_FAULT_KINDS = ["repeat"]
 # Kinds that need --streams: "prompt" sends requests with a part that crashes engines, "release" replaces engines by
 # ones of another software version.
 STREAM_FAULT_KINDS = ["prompt", "release"]
@@ -57,7 +59,7 @@
         self.binary, self.seconds, self.folder = options.daemon, options.seconds, folder
         self.fault_kinds = options.faults.split(",")
         self.daemons, self.endpoint_count, self.streams = options.daemons, options.endpoints, options.streams
-        self.clients = options.clients
+        self.clients, self.applications = options.clients, options.applications
         self.rng = random.Random(seed)
         # A loopback network per run, so that concurrent runs do not use the same addresses.
         self.network = f"127.{40 + os.getpid() % 200}.{seed % 250}"
@@ -104,7 +106,7 @@
     async def start(self) -> None:
         await self.store.listen(f"{self.network}.1", 7000)
         for i in range(self.endpoint_count):
-            service = "app" if i < 2 else "llm"
+            service = "app" if i < self.applications else "llm"
             endpoint = self.create_endpoint(f"i-{i}", service, "v1")
             await self.listen(i, endpoint)
             proxy = Proxy((f"{self.network}.20", 7001 + i))
@@ -123,6 +125,7 @@
         endpoint = Endpoint(name, service, self.executions, self.rng)
         endpoint.version = version
         endpoint.crashing_parts, endpoint.crashed_by = self.prompts.crashing_parts, self.prompts.engine_crashed
+        endpoint.crashing_bodies = self.prompts.crashing_bodies
         return endpoint
 
     def address_of(self, n: int) -> str:
@@ -315,6 +318,8 @@
             self.crashed.discard(n)
         elif kind == "prompt":
             await self.prompts.send_crashing_requests(self.rng.uniform(12, 20))
+        elif kind == "repeat":
+            await self.prompts.repeat_crashing_request(self.rng.uniform(12, 20))
         elif kind == "release":
             await self.release()
         elif kind == "drain":
@@ -599,9 +604,10 @@
     parser.add_argument("--seconds", type=float, default=15, help="duration of fault injection in seconds")
     parser.add_argument("--runs", type=int, default=1, help="number of consecutive seeds to run")
     parser.add_argument("--faults", default=",".join(FAULT_KINDS),
-                        help=f"kinds of faults, drawn with equal probability; also {', '.join(STREAM_FAULT_KINDS)}")
+                        help=f"kinds of faults, drawn with equal probability; also {', '.join(CRASH_FAULT_KINDS + STREAM_FAULT_KINDS)}")
     parser.add_argument("--daemons", type=int, default=3)
-    parser.add_argument("--endpoints", type=int, default=5, help="the first two are applications, the others engines")
+    parser.add_argument("--endpoints", type=int, default=5, help="applications and engines")
+    parser.add_argument("--applications", type=int, default=2, help="how many of the endpoints are applications")
     parser.add_argument("--clients", type=int, default=12, help="clients that send short requests")
     parser.add_argument("--streams", type=int, default=0, help="clients that send long streams with prompts")
     parser.add_argument("--keep", default="", help="folder in which to keep the daemons' logs")
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -167,6 +167,8 @@
     # Seconds between two events of such a stream, and before its first one.
     LONG_PAUSE = 0.05
     PREFILL_SECONDS = 0.1
+    # Seconds between the begin of a request that crashes the endpoint and its end.
+    CRASH_DELAY = 0.1
     # The fraction of requests that an endpoint rejects while it states a limit.
     REJECTED_IN_NEED = 0.2
 
@@ -174,8 +176,10 @@
         super().__init__()
         self.name, self.service, self.executions, self.rng = name, service, executions, rng
         self.version = "v1"
-        # The parts of prompts that crash an engine, and what to call for such a crash, with this and the part.
+        # The parts of prompts that crash an engine, the bodies of requests that crash an endpoint, and what to call
+        # for such a crash, with this and the part or body.
         self.crashing_parts: set = set()
+        self.crashing_bodies: dict = {}
         self.crashed_by = None
         self.refuses = False
         # The requests per second that the endpoint states in its answers; the requests that reached it, and those
@@ -222,6 +226,10 @@
                                         | self.own_headers(request)))
             return
         self.executions.setdefault(request, []).append((time.monotonic(), self, headers, target, body))
+        if body.decode() in self.crashing_bodies:
+            await asyncio.sleep(self.CRASH_DELAY)
+            self.crashed_by(self, body.decode())
+            return
         signature_headers = {"X-Request-Id": request, "X-Served-By-Sig": f"{self.name}.{request}"}
         if "/stream/" not in target and "/long/" not in target:
             await asyncio.sleep(self.rng.uniform(0.005, 0.05))
