--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -50,10 +50,10 @@
     void applyPeerSignals(const PeerHeartbeat& heartbeat, TimePoint now);
     /// Divides the rates that endpoints state among the daemons that are alive.
     void updateSignals(TimePoint now);
-    /// Applies what a peer knows of parts of prompts that crash endpoints.
-    void applyPeerPromptParts(const PeerHeartbeat& heartbeat, TimePoint now);
-    /// Decides which parts of prompts are blocked.
-    void updatePromptParts(std::vector<std::string> others, TimePoint now);
+    /// Applies what a peer knows of what crashes endpoints.
+    void applyPeerCrashTriggers(const PeerHeartbeat& heartbeat, TimePoint now);
+    /// Decides which parts of prompts and which requests are blocked.
+    void updateCrashTriggers(std::vector<std::string> others, TimePoint now);
     /// The other daemons that are alive and not shutting down.
     std::vector<std::string> aliveDaemons() const;
     void applySharedRow(const platform::StoreRow& row);
--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -28,7 +28,7 @@
     /// Measured from the send, as estimated at that time.
     Duration expectedTimeToFirstEvent {};
     bool hadFirstEvent = false;
-    /// The endpoint has written enough of the answer to show that the prompt does not crash it.
+    /// The endpoint has written enough of the answer to show that the request does not crash it.
     bool hasBegunAnswer = false;
     size_t events = 0;
     bool wasNotExecuted = false;
@@ -57,8 +57,8 @@
 private:
     bool validate(TimePoint now);
     bool authenticate(TimePoint now);
-    /// Refuses a request whose prompt crashes endpoints.
-    bool checkPrompt(TimePoint now);
+    /// Refuses a request that crashes endpoints, or has a part in its prompt that does.
+    bool checkTriggers(TimePoint now);
     bool checkQuota(TimePoint now);
     /// Queues the request, after its stream's origin has been looked up if it resumes one.
     void enqueueOrFindOrigin(TimePoint now);
@@ -104,9 +104,9 @@
     void endAfterExecution(ResultCode reason, TimePoint now);
     /// Ends a send before its first byte because the endpoint no longer accepts requests.
     void withdrawSend(TimePoint now);
-    /// Ends the request before a send because its prompt has been blocked since it was admitted.
+    /// Ends the request before a send because it has been blocked since it was admitted.
     void endBlocked(TimePoint now);
-    /// The time after which a caller whose prompt is blocked may retry.
+    /// The time after which a caller whose request is blocked may retry.
     Duration blockedRetryAfter(TimePoint now) const;
     void requeue(TimePoint now);
     void handleTimeout();
@@ -127,7 +127,7 @@
     ServiceId m_service;
     Work m_work;
     double m_quotaTokens = 0;
-    AttributedPrompt m_prompt;
+    AttributedRequest m_attributed;
     /// Number of sends that an endpoint broke off before its answer had begun.
     int m_sendsBroken = 0;
     std::vector<EndpointId> m_triedEndpoints;
--- a/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
@@ -81,7 +81,7 @@
     /// What endpoints state about themselves; empty for most of the time.
     std::vector<SignalReport> signals;
     /// Parts of prompts that crash endpoints or may do so; empty for most of the time.
-    std::vector<PartReport> parts;
+    std::vector<TriggerReport> triggers;
     /// The sender's quotas account for all use that still matters to them.
     bool countsAllUse = false;
 
--- a/packages/Edge/lib/CrashAttribution.cpp
+++ b/packages/Edge/lib/CrashAttribution.cpp
@@ -1,4 +1,4 @@
-// Evidence against parts of prompts, and the blocks that follow from it.
+// Evidence against parts of prompts and whole requests, and the blocks that follow from it.
 #include "lentilbay/Edge/CrashAttribution.h"
 
 #include "lentilbay/Support/Hash.h"
@@ -11,22 +11,22 @@
 namespace lentilbay::edge {
 namespace {
 
-/// A part is blocked after this many crashes without an answer in between.
+/// A trigger is blocked after this many crashes without an answer in between.
 constexpr size_t crashesToBlock = 3;
-/// A crash counts once peers could report their own requests at the endpoint, and which parts they know to be
-/// sound.
+/// A crash counts once peers could report their own requests at the endpoint, and which triggers they know to
+/// be sound.
 constexpr Duration evidenceDelay = std::chrono::milliseconds(700);
 /// An endpoint that breaks off a single answer goes on with others; after a crash it answers none of them.
 constexpr Duration breakConfirmation = std::chrono::milliseconds(100);
-/// A blocked part explains crashes of parts that are in at least so many times as many requests.
+/// A blocked trigger explains crashes of triggers that are in at least so many times as many requests.
 constexpr uint64_t leastFrequencyRatio = 4;
-/// Crashes this close to each other may have one cause that is not a request, such as a lost host. For a part
-/// that is known to be sound they count as one.
+/// Crashes this close to each other may have one cause that is not a request, such as a lost host. For a
+/// trigger that is known to be sound they count as one.
 constexpr Duration simultaneous = std::chrono::milliseconds(250);
-/// The time until the first trial of a blocked part; each later one takes trialFactor times as long.
+/// The time until the first trial of a blocked trigger; each later one takes trialFactor times as long.
 constexpr Duration firstTrialDelay = std::chrono::seconds(2);
 constexpr int trialFactor = 10;
-/// How much later a request may be a trial for each further blocked part in its prompt.
+/// How much later a request may be a trial for each further blocked trigger of it.
 constexpr Duration jointTrialDelay = std::chrono::seconds(4);
 /// A trial waits until no endpoint has crashed for this long, since sound requests fail as well while some
 /// crash.
@@ -37,11 +37,11 @@
 constexpr Duration evidenceLifetime = std::chrono::minutes(10);
 /// How long peers are told of something new; they receive several heartbeats in this time.
 constexpr Duration reportLifetime = std::chrono::seconds(3);
-/// Bounds of the tables and of a heartbeat, which hold whatever callers put into their prompts.
-constexpr size_t maxParts = 1024;
+/// Bounds of the tables and of a heartbeat, which hold whatever callers put into their requests.
+constexpr size_t maxTriggers = 1024;
 constexpr size_t maxBreaks = 256;
-constexpr size_t maxCrashesPerPart = 32;
-constexpr size_t maxSoundParts = 1024;
+constexpr size_t maxCrashesPerTrigger = 32;
+constexpr size_t maxSoundTriggers = 1024;
 constexpr size_t maxCountedParts = 1024;
 constexpr size_t maxReports = 32;
 constexpr size_t maxReportedCrashes = 8;
@@ -58,145 +58,155 @@
 
 } // namespace
 
-bool CrashAttribution::isKnownSound(uint64_t part) const
+bool CrashAttribution::isKnownSound(uint64_t trigger) const
 {
-    return m_sound.contains(part) || m_soundBefore.contains(part);
+    const auto& sound = isWholeRequest(trigger) ? m_soundRequests : m_soundParts;
+    return sound.newer.contains(trigger) || sound.older.contains(trigger);
 }
 
-bool CrashAttribution::isBlockedFor(const Part& part, uint64_t organisation)
+bool CrashAttribution::isBlockedFor(const Trigger& trigger, uint64_t organisation)
 {
-    return part.blockedAt && (part.hasSeveralOrganisations || part.organisation == organisation);
+    return trigger.blockedAt && (trigger.hasSeveralOrganisations || trigger.organisation == organisation);
 }
 
-TimePoint CrashAttribution::trialDueAt(const Part& part)
+TimePoint CrashAttribution::trialDueAt(const Trigger& trigger)
 {
-    assert(part.blockedAt && "only blocked parts have trials");
+    assert(trigger.blockedAt && "only blocked triggers have trials");
     auto delay = firstTrialDelay;
-    for (uint32_t i = 0; i < part.trials && delay < maxTrialDelay; ++i)
+    for (uint32_t i = 0; i < trigger.trials && delay < maxTrialDelay; ++i)
         delay *= trialFactor;
-    return std::max(*part.blockedAt, part.trialAt) + std::min<Duration>(delay, maxTrialDelay);
+    return std::max(*trigger.blockedAt, trigger.trialAt) + std::min<Duration>(delay, maxTrialDelay);
 }
 
-size_t CrashAttribution::rankOf(uint64_t part) const
+size_t CrashAttribution::rankOf(uint64_t trigger) const
 {
-    const auto weight = hashOf(m_self, part);
-    return std::ranges::count_if(m_daemons, [&](const auto& it) { return hashOf(it, part) < weight; });
+    const auto weight = hashOf(m_self, trigger);
+    return std::ranges::count_if(m_daemons, [&](const auto& it) { return hashOf(it, trigger) < weight; });
 }
 
-CrashAttribution::Verdict CrashAttribution::judge(const AttributedPrompt& prompt, TimePoint now) const
+CrashAttribution::Verdict CrashAttribution::judge(const AttributedRequest& request, TimePoint now) const
 {
     if (m_blocked == 0)
         return Verdict::Allowed;
     size_t n = 0;
     TimePoint due {};
-    for (const auto id : prompt.parts) {
-        const auto it = m_parts.find(id);
-        if (it == m_parts.end() || !isBlockedFor(it->second, prompt.organisation))
+    for (const auto id : request.triggers) {
+        const auto it = m_triggers.find(id);
+        if (it == m_triggers.end() || !isBlockedFor(it->second, request.organisation))
             continue;
         ++n;
         // One more daemon may send the trial after each report delay, in case those before it have no request
-        // with this part.
+        // with this trigger.
         due = std::max(due, trialDueAt(it->second) + m_reportDelay * static_cast<int64_t>(rankOf(id)));
     }
     if (n == 0)
         return Verdict::Allowed;
-    // Requests with the fewest blocked parts go first, since their trials tell the parts apart.
+    // Requests with the fewest blocked triggers go first, since their trials tell the triggers apart.
     if (n > 1)
         due += jointTrialDelay * static_cast<int64_t>(n - 1);
     due = std::max(due, std::min(m_lastCrashAt + calmBeforeTrial, due + maxWaitForCalm));
     return now >= due ? Verdict::Trial : Verdict::Blocked;
 }
 
-TimePoint CrashAttribution::nextTrialAt(const AttributedPrompt& prompt, TimePoint now) const
+TimePoint CrashAttribution::nextTrialAt(const AttributedRequest& request, TimePoint now) const
 {
     auto out = now;
-    for (const auto id : prompt.parts) {
-        const auto it = m_parts.find(id);
-        if (it != m_parts.end() && isBlockedFor(it->second, prompt.organisation))
+    for (const auto id : request.triggers) {
+        const auto it = m_triggers.find(id);
+        if (it != m_triggers.end() && isBlockedFor(it->second, request.organisation))
             out = std::max(out, trialDueAt(it->second));
     }
     return out;
 }
 
-void CrashAttribution::recordRequest(const AttributedPrompt& prompt)
+void CrashAttribution::recordRequest(const AttributedRequest& request)
 {
-    for (const auto id : prompt.parts) {
+    for (const auto id : request.triggers) {
+        if (isWholeRequest(id)) {
+            if (const auto it = m_triggers.find(id); it != m_triggers.end())
+                ++it->second.requests;
+            continue;
+        }
         ++m_requests[id];
         if (m_requests.size() >= maxCountedParts)
             m_requestsBefore = std::exchange(m_requests, {});
     }
 }
 
-uint64_t CrashAttribution::requestsWith(uint64_t part) const
+uint64_t CrashAttribution::requestsWith(uint64_t trigger) const
 {
+    if (isWholeRequest(trigger)) {
+        const auto it = m_triggers.find(trigger);
+        return it == m_triggers.end() ? 0 : it->second.requests;
+    }
     const auto count = [&](const auto& requests) {
-        const auto it = requests.find(part);
+        const auto it = requests.find(trigger);
         return it == requests.end() ? uint64_t { 0 } : it->second;
     };
     return count(m_requests) + count(m_requestsBefore);
 }
 
-void CrashAttribution::recordTrial(const AttributedPrompt& prompt, TimePoint now)
+void CrashAttribution::recordTrial(const AttributedRequest& request, TimePoint now)
 {
-    for (const auto id : prompt.parts) {
-        const auto it = m_parts.find(id);
-        if (it == m_parts.end() || !isBlockedFor(it->second, prompt.organisation))
+    for (const auto id : request.triggers) {
+        const auto it = m_triggers.find(id);
+        if (it == m_triggers.end() || !isBlockedFor(it->second, request.organisation))
             continue;
         ++it->second.trials;
         it->second.trialAt = it->second.changedAt = now;
     }
 }
 
-CrashAttribution::Part& CrashAttribution::partOf(uint64_t id, TimePoint now)
+CrashAttribution::Trigger& CrashAttribution::entryOf(uint64_t id, TimePoint now)
 {
-    if (m_parts.size() >= maxParts && !m_parts.contains(id)) {
-        // The part with the least evidence is dropped, the oldest first.
+    if (m_triggers.size() >= maxTriggers && !m_triggers.contains(id)) {
+        // The trigger with the least evidence is dropped, the oldest first.
         const auto key = [](const auto& it) {
             return std::make_tuple(
                 it.second.blockedAt.has_value(), it.second.crashes.size(), it.second.changedAt);
         };
-        const auto least = std::ranges::min_element(m_parts, {}, key);
+        const auto least = std::ranges::min_element(m_triggers, {}, key);
         if (least->second.blockedAt)
             --m_blocked;
-        m_parts.erase(least);
+        m_triggers.erase(least);
     }
-    auto [it, isNew] = m_parts.try_emplace(id);
+    auto [it, isNew] = m_triggers.try_emplace(id);
     if (isNew)
         it->second.changedAt = now;
     return it->second;
 }
 
-void CrashAttribution::addOrganisation(Part& part, uint64_t organisation)
+void CrashAttribution::addOrganisation(Trigger& trigger, uint64_t organisation)
 {
-    if (part.organisation && *part.organisation != organisation)
-        part.hasSeveralOrganisations = true;
-    part.organisation = part.organisation.value_or(organisation);
+    if (trigger.organisation && *trigger.organisation != organisation)
+        trigger.hasSeveralOrganisations = true;
+    trigger.organisation = trigger.organisation.value_or(organisation);
 }
 
-void CrashAttribution::addCrash(Part& part, Crash crash, TimePoint now)
+void CrashAttribution::addCrash(Trigger& trigger, Crash crash, TimePoint now)
 {
-    if (part.answeredAt && crash.at <= *part.answeredAt)
+    if (trigger.answeredAt && crash.at <= *trigger.answeredAt)
         return;
-    part.lastCrashAt = std::max(part.lastCrashAt, crash.at);
+    trigger.lastCrashAt = std::max(trigger.lastCrashAt, crash.at);
     m_lastCrashAt = std::max(m_lastCrashAt, crash.at);
-    const auto it = std::ranges::find(part.crashes, crash.endpoint, &Crash::endpoint);
-    if (it != part.crashes.end()) {
+    const auto it = std::ranges::find(trigger.crashes, crash.endpoint, &Crash::endpoint);
+    if (it != trigger.crashes.end()) {
         it->at = std::min(it->at, crash.at);
         it->isOwn = it->isOwn || crash.isOwn;
         return;
     }
-    if (part.crashes.size() < maxCrashesPerPart) {
+    if (trigger.crashes.size() < maxCrashesPerTrigger) {
         if (crash.isOwn)
-            part.changedAt = now;
-        part.crashes.push_back(std::move(crash));
+            trigger.changedAt = now;
+        trigger.crashes.push_back(std::move(crash));
     }
 }
 
 void CrashAttribution::recordBreak(const std::string& endpoint, const EndpointIncarnation& incarnation,
-    const AttributedPrompt& prompt, TimePoint now)
+    const AttributedRequest& request, TimePoint now)
 {
-    if (!prompt.parts.empty() && m_breaks.size() < maxBreaks)
-        m_breaks.push_back({ .name = endpoint, .endpoint = incarnation, .prompt = prompt, .at = now });
+    if (!request.triggers.empty() && m_breaks.size() < maxBreaks)
+        m_breaks.push_back({ .name = endpoint, .endpoint = incarnation, .request = request, .at = now });
 }
 
 void CrashAttribution::recordAlive(uint64_t endpoint, TimePoint sentAt)
@@ -207,28 +217,29 @@
         m_breaks, [&](const auto& it) { return it.endpoint.endpoint == endpoint && sentAt < it.at; });
 }
 
-void CrashAttribution::setAnswered(Part& part, TimePoint at, TimePoint now)
+void CrashAttribution::setAnswered(Trigger& trigger, TimePoint at, TimePoint now)
 {
-    if (part.answeredAt && at <= *part.answeredAt)
+    if (trigger.answeredAt && at <= *trigger.answeredAt)
         return;
-    part.answeredAt = at;
-    const auto n = std::erase_if(part.crashes, [&](const auto& it) { return it.at <= at; });
-    if (n > 0 || part.blockedAt)
-        part.changedAt = now;
+    trigger.answeredAt = at;
+    const auto n = std::erase_if(trigger.crashes, [&](const auto& it) { return it.at <= at; });
+    if (n > 0 || trigger.blockedAt)
+        trigger.changedAt = now;
 }
 
 void CrashAttribution::rememberSound(uint64_t id)
 {
-    m_sound.insert(id);
-    if (m_sound.size() >= maxSoundParts)
-        m_soundBefore = std::exchange(m_sound, {});
+    auto& sound = isWholeRequest(id) ? m_soundRequests : m_soundParts;
+    sound.newer.insert(id);
+    if (sound.newer.size() >= maxSoundTriggers)
+        sound.older = std::exchange(sound.newer, {});
 }
 
-void CrashAttribution::recordAnswer(const AttributedPrompt& prompt, TimePoint now)
+void CrashAttribution::recordAnswer(const AttributedRequest& request, TimePoint now)
 {
-    for (const auto id : prompt.parts) {
+    for (const auto id : request.triggers) {
         rememberSound(id);
-        if (const auto it = m_parts.find(id); it != m_parts.end()) {
+        if (const auto it = m_triggers.find(id); it != m_triggers.end()) {
             setAnswered(it->second, now, now);
             m_isDirty = true;
         }
@@ -243,46 +254,46 @@
     m_reportDelay = reportDelay;
 }
 
-bool CrashAttribution::isReported(uint64_t id, const Part& part, TimePoint now) const
+bool CrashAttribution::isReported(uint64_t id, const Trigger& trigger, TimePoint now) const
 {
-    if (part.blockedAt)
+    if (trigger.blockedAt)
         return true;
-    if (now - part.changedAt > reportLifetime)
+    if (now - trigger.changedAt > reportLifetime)
         return false;
-    // One crash says little about a part that is known to be sound, and most parts are present at one.
-    return part.isShared || part.crashes.size() >= (isKnownSound(id) ? 2 : 1);
+    // One crash says little about a trigger that is known to be sound, and most triggers are present at one.
+    return trigger.isShared || trigger.crashes.size() >= (isKnownSound(id) ? 2 : 1);
 }
 
-std::vector<PartReport> CrashAttribution::reports(TimePoint now)
+std::vector<TriggerReport> CrashAttribution::reports(TimePoint now)
 {
-    std::vector<std::pair<const uint64_t, Part>*> parts;
-    for (auto& it : m_parts) {
+    std::vector<std::pair<const uint64_t, Trigger>*> triggers;
+    for (auto& it : m_triggers) {
         if (isReported(it.first, it.second, now))
-            parts.push_back(&it);
+            triggers.push_back(&it);
     }
     const auto key = [](const auto* it) {
         return std::make_tuple(
             !it->second.blockedAt, -static_cast<int64_t>(it->second.crashes.size()), it->first);
     };
-    std::ranges::sort(parts, {}, key);
-    parts.resize(std::min(parts.size(), maxReports));
-    std::vector<PartReport> out;
-    out.reserve(parts.size());
-    for (auto* it : parts) {
-        auto& part = it->second;
-        part.isShared = true;
-        auto& report = out.emplace_back(PartReport { .part = it->first,
-            .organisation = part.organisation.value_or(0),
-            .hasSeveralOrganisations = part.hasSeveralOrganisations,
-            .isBlocked = part.blockedAt.has_value(),
+    std::ranges::sort(triggers, {}, key);
+    triggers.resize(std::min(triggers.size(), maxReports));
+    std::vector<TriggerReport> out;
+    out.reserve(triggers.size());
+    for (auto* it : triggers) {
+        auto& trigger = it->second;
+        trigger.isShared = true;
+        auto& report = out.emplace_back(TriggerReport { .trigger = it->first,
+            .organisation = trigger.organisation.value_or(0),
+            .hasSeveralOrganisations = trigger.hasSeveralOrganisations,
+            .isBlocked = trigger.blockedAt.has_value(),
             .isKnownSound = isKnownSound(it->first),
-            .lastCrashAgeMicroseconds = ageOf(part.lastCrashAt, now),
-            .answeredAgeMicroseconds = part.answeredAt ? ageOf(*part.answeredAt, now) : -1,
-            .trials = part.trials,
-            .trialAgeMicroseconds = ageOf(part.trialAt, now) });
-        if (now - part.changedAt > reportLifetime)
+            .lastCrashAgeMicroseconds = ageOf(trigger.lastCrashAt, now),
+            .answeredAgeMicroseconds = trigger.answeredAt ? ageOf(*trigger.answeredAt, now) : -1,
+            .trials = trigger.trials,
+            .trialAgeMicroseconds = ageOf(trigger.trialAt, now) });
+        if (now - trigger.changedAt > reportLifetime)
             continue;
-        for (const auto& crash : part.crashes) {
+        for (const auto& crash : trigger.crashes) {
             if (crash.isOwn && report.crashes.size() < maxReportedCrashes)
                 report.crashes.push_back(
                     { .endpoint = crash.endpoint, .ageMicroseconds = ageOf(crash.at, now) });
@@ -291,66 +302,67 @@
     return out;
 }
 
-void CrashAttribution::applyReport(const PartReport& report, TimePoint at, TimePoint now)
+void CrashAttribution::applyReport(const TriggerReport& report, TimePoint at, TimePoint now)
 {
     const auto timeOf = [&](int64_t age) { return at - Duration(age); };
     const bool hasEvidence = report.isBlocked || !report.crashes.empty();
-    if (!hasEvidence && !m_parts.contains(report.part))
+    if (!hasEvidence && !m_triggers.contains(report.trigger))
         return;
-    auto& part = partOf(report.part, now);
-    part.isShared = true;
+    auto& trigger = entryOf(report.trigger, now);
+    trigger.isShared = true;
     m_isDirty = true;
     if (report.answeredAgeMicroseconds >= 0)
-        setAnswered(part, timeOf(report.answeredAgeMicroseconds), now);
+        setAnswered(trigger, timeOf(report.answeredAgeMicroseconds), now);
     if (report.isKnownSound)
-        rememberSound(report.part);
-    // A daemon that was restarted does not know which parts are sound.
-    else if (hasEvidence && isKnownSound(report.part))
-        part.changedAt = now;
+        rememberSound(report.trigger);
+    // A daemon that was restarted does not know which triggers are sound.
+    else if (hasEvidence && isKnownSound(report.trigger))
+        trigger.changedAt = now;
     if (hasEvidence)
-        addOrganisation(part, report.organisation);
-    part.hasSeveralOrganisations = part.hasSeveralOrganisations || report.hasSeveralOrganisations;
+        addOrganisation(trigger, report.organisation);
+    trigger.hasSeveralOrganisations = trigger.hasSeveralOrganisations || report.hasSeveralOrganisations;
     for (const auto& it : report.crashes)
-        addCrash(part, { .endpoint = it.endpoint, .at = timeOf(it.ageMicroseconds) }, now);
+        addCrash(trigger, { .endpoint = it.endpoint, .at = timeOf(it.ageMicroseconds) }, now);
     if (!report.isBlocked)
         return;
-    if (!part.blockedAt && report.lastCrashAgeMicroseconds >= 0)
-        adoptBlock(report, part, timeOf(report.lastCrashAgeMicroseconds), now);
-    if (part.blockedAt && report.trials > part.trials) {
-        part.trials = report.trials;
-        part.trialAt = std::max(part.trialAt, timeOf(report.trialAgeMicroseconds));
+    if (!trigger.blockedAt && report.lastCrashAgeMicroseconds >= 0)
+        adoptBlock(report, trigger, timeOf(report.lastCrashAgeMicroseconds), now);
+    if (trigger.blockedAt && report.trials > trigger.trials) {
+        trigger.trials = report.trials;
+        trigger.trialAt = std::max(trigger.trialAt, timeOf(report.trialAgeMicroseconds));
     }
 }
 
-void CrashAttribution::adoptBlock(const PartReport& report, Part& part, TimePoint lastCrashAt, TimePoint now)
+void CrashAttribution::adoptBlock(
+    const TriggerReport& report, Trigger& trigger, TimePoint lastCrashAt, TimePoint now)
 {
-    // A daemon that knows the part to be sound, or another one to be to blame, judges recent crashes by
-    // itself; its next answer frees the part at the others.
-    const bool isExplained = std::ranges::any_of(
-        m_parts, [&](const auto& it) { return it.second.blockedAt && explains(it.first, report.part); });
-    if (isExplained || (isKnownSound(report.part) && !report.crashes.empty()))
+    // A daemon that knows the trigger to be sound, or another one to be to blame, judges recent crashes by
+    // itself; its next answer frees the trigger at the others.
+    const bool isExplained = std::ranges::any_of(m_triggers,
+        [&](const auto& it) { return it.second.blockedAt && explains(it.first, report.trigger); });
+    if (isExplained || (isKnownSound(report.trigger) && !report.crashes.empty()))
         return;
-    if (part.answeredAt && lastCrashAt <= *part.answeredAt)
+    if (trigger.answeredAt && lastCrashAt <= *trigger.answeredAt)
         return;
-    part.lastCrashAt = std::max(part.lastCrashAt, lastCrashAt);
-    block(report.part, part, now);
+    trigger.lastCrashAt = std::max(trigger.lastCrashAt, lastCrashAt);
+    block(report.trigger, trigger, now);
 }
 
-void CrashAttribution::restore(uint64_t id, const BlockedPart& blocked, TimePoint now)
+void CrashAttribution::restore(uint64_t id, const BlockedTrigger& blocked, TimePoint now)
 {
-    auto& part = partOf(id, now);
-    addOrganisation(part, blocked.organisation);
-    part.hasSeveralOrganisations = part.hasSeveralOrganisations || blocked.hasSeveralOrganisations;
-    part.trials = std::max(part.trials, blocked.trials);
-    if (part.blockedAt || part.answeredAt)
+    auto& trigger = entryOf(id, now);
+    addOrganisation(trigger, blocked.organisation);
+    trigger.hasSeveralOrganisations = trigger.hasSeveralOrganisations || blocked.hasSeveralOrganisations;
+    trigger.trials = std::max(trigger.trials, blocked.trials);
+    if (trigger.blockedAt || trigger.answeredAt)
         return;
-    part.lastCrashAt = now;
-    block(id, part, now);
+    trigger.lastCrashAt = now;
+    block(id, trigger, now);
 }
 
 void CrashAttribution::release(uint64_t id, TimePoint now)
 {
-    if (const auto it = m_parts.find(id); it != m_parts.end()) {
+    if (const auto it = m_triggers.find(id); it != m_triggers.end()) {
         setAnswered(it->second, now, now);
         m_isDirty = true;
     }
@@ -361,13 +373,13 @@
     std::erase_if(m_breaks, [&](const auto& it) {
         if (now - it.at < breakConfirmation)
             return false;
-        if (!std::ranges::all_of(it.prompt.parts, [&](const auto id) { return isKnownSound(id); }))
+        if (!std::ranges::all_of(it.request.triggers, [&](const auto id) { return isKnownSound(id); }))
             ++m_suspiciousCrashes;
-        for (const auto id : it.prompt.parts) {
-            auto& part = partOf(id, now);
-            addOrganisation(part, it.prompt.organisation);
-            addCrash(
-                part, { .endpoint = crashId(it.endpoint), .at = it.at, .isOwn = true, .name = it.name }, now);
+        for (const auto id : it.request.triggers) {
+            auto& trigger = entryOf(id, now);
+            addOrganisation(trigger, it.request.organisation);
+            addCrash(trigger,
+                { .endpoint = crashId(it.endpoint), .at = it.at, .isOwn = true, .name = it.name }, now);
         }
         m_isDirty = true;
         return true;
@@ -376,26 +388,39 @@
 
 void CrashAttribution::dropOld(TimePoint now)
 {
-    for (auto it = m_parts.begin(); it != m_parts.end();) {
-        auto& part = it->second;
-        if (!part.blockedAt)
-            std::erase_if(part.crashes, [&](const auto& crash) { return now - crash.at > evidenceLifetime; });
+    for (auto it = m_triggers.begin(); it != m_triggers.end();) {
+        auto& trigger = it->second;
+        if (!trigger.blockedAt)
+            std::erase_if(
+                trigger.crashes, [&](const auto& crash) { return now - crash.at > evidenceLifetime; });
         // An answer is remembered for longer than a peer may report the crashes before it.
-        const bool isOld = part.crashes.empty() && now - part.changedAt > 2 * reportLifetime;
-        it = !part.blockedAt && isOld ? m_parts.erase(it) : std::next(it);
+        const bool isOld = trigger.crashes.empty() && now - trigger.changedAt > 2 * reportLifetime;
+        it = !trigger.blockedAt && isOld ? m_triggers.erase(it) : std::next(it);
     }
 }
 
 bool CrashAttribution::explains(uint64_t culprit, uint64_t id) const
 {
-    return culprit != id
-        && (isKnownSound(id) || requestsWith(culprit) * leastFrequencyRatio <= requestsWith(id));
+    if (culprit == id)
+        return false;
+    if (isKnownSound(id))
+        return true;
+    if (!isWholeRequest(culprit))
+        return requestsWith(culprit) * leastFrequencyRatio <= requestsWith(id);
+    // A request with a part that crashes endpoints comes again as well, so it does not clear its parts.
+    if (!isWholeRequest(id))
+        return false;
+    const auto crashesOf = [&](uint64_t trigger) {
+        const auto it = m_triggers.find(trigger);
+        return it == m_triggers.end() ? 0 : it->second.crashes.size();
+    };
+    return crashesOf(culprit) > crashesOf(id);
 }
 
-size_t CrashAttribution::unexplainedCrashes(uint64_t id, const Part& part, TimePoint now)
+size_t CrashAttribution::unexplainedCrashes(uint64_t id, const Trigger& trigger, TimePoint now)
 {
     std::vector<TimePoint> times;
-    for (const auto& it : part.crashes) {
+    for (const auto& it : trigger.crashes) {
         if (now - it.at < evidenceDelay) {
             m_isDirty = true;
             continue;
@@ -422,73 +447,79 @@
     return n;
 }
 
-std::vector<std::string> CrashAttribution::crashedEndpoints(const Part& part)
+std::vector<std::string> CrashAttribution::crashedEndpoints(const Trigger& trigger)
 {
     std::vector<std::string> out;
-    for (const auto& it : part.crashes)
+    for (const auto& it : trigger.crashes)
         out.push_back(it.name.empty() ? fmt::format("{:016x}", it.endpoint) : it.name);
     return out;
 }
 
-void CrashAttribution::block(uint64_t id, Part& part, TimePoint now)
+void CrashAttribution::block(uint64_t id, Trigger& trigger, TimePoint now)
 {
-    part.blockedAt = part.changedAt = now;
+    trigger.blockedAt = trigger.changedAt = now;
     ++m_blocked;
     m_changes.push_back(
-        { .part = id, .kind = PartChange::Kind::Blocked, .endpoints = crashedEndpoints(part) });
+        { .trigger = id, .kind = TriggerChange::Kind::Blocked, .endpoints = crashedEndpoints(trigger) });
 }
 
 void CrashAttribution::blockCulprits(TimePoint now)
 {
     m_culprits.clear();
-    std::vector<std::pair<uint64_t, Part*>> candidates;
-    for (auto& [id, part] : m_parts) {
-        if (part.blockedAt)
-            m_culprits.emplace_back(id, &part);
-        else if (part.crashes.size() + 1 >= crashesToBlock)
-            candidates.emplace_back(id, &part);
+    std::vector<std::pair<uint64_t, Trigger*>> candidates;
+    for (auto& [id, trigger] : m_triggers) {
+        if (trigger.blockedAt)
+            m_culprits.emplace_back(id, &trigger);
+        else if (trigger.crashes.size() + 1 >= crashesToBlock)
+            candidates.emplace_back(id, &trigger);
     }
-    // Parts of few requests are blocked first. If another part is to blame, requests without the blocked part
-    // show it, while blocking a part of many requests takes the service from all of them.
+    // Whole requests and then parts of few requests are blocked first. If another trigger is to blame,
+    // requests without the blocked trigger show it, while blocking a trigger of many requests takes the
+    // service from all of them. Of the whole requests, one that crashes endpoints was at more crashes than
+    // its victims.
     std::ranges::sort(candidates, {}, [&](const auto& it) {
-        return std::make_tuple(isKnownSound(it.first), requestsWith(it.first), it.first);
+        const bool isWhole = isWholeRequest(it.first);
+        const auto order = isWhole ? -static_cast<int64_t>(it.second->crashes.size())
+                                   : static_cast<int64_t>(requestsWith(it.first));
+        return std::make_tuple(isKnownSound(it.first), !isWhole, order, it.first);
     });
-    for (const auto& [id, part] : candidates) {
-        const auto n = unexplainedCrashes(id, *part, now);
-        if (n + 1 >= crashesToBlock && !std::exchange(part->isSuspected, true))
-            m_changes.push_back(
-                { .part = id, .kind = PartChange::Kind::Suspected, .endpoints = crashedEndpoints(*part) });
+    for (const auto& [id, trigger] : candidates) {
+        const auto n = unexplainedCrashes(id, *trigger, now);
+        if (n + 1 >= crashesToBlock && !std::exchange(trigger->isSuspected, true))
+            m_changes.push_back({ .trigger = id,
+                .kind = TriggerChange::Kind::Suspected,
+                .endpoints = crashedEndpoints(*trigger) });
         if (n < crashesToBlock)
             continue;
-        block(id, *part, now);
-        m_culprits.emplace_back(id, part);
+        block(id, *trigger, now);
+        m_culprits.emplace_back(id, trigger);
     }
-    // While few requests have been counted, a part of many may have been blocked as well.
-    for (const auto& [id, part] : m_culprits) {
-        if (!part->crashes.empty() && unexplainedCrashes(id, *part, now) == 0 && !m_isDirty)
-            unblock(id, *part, now);
+    // While few requests have been counted, a trigger of many may have been blocked as well.
+    for (const auto& [id, trigger] : m_culprits) {
+        if (!trigger->crashes.empty() && unexplainedCrashes(id, *trigger, now) == 0 && !m_isDirty)
+            unblock(id, *trigger, now);
     }
 }
 
-void CrashAttribution::unblock(uint64_t id, Part& part, TimePoint now)
+void CrashAttribution::unblock(uint64_t id, Trigger& trigger, TimePoint now)
 {
-    part.blockedAt.reset();
-    part.isSuspected = false;
-    part.trials = 0;
-    part.trialAt = {};
-    part.changedAt = now;
+    trigger.blockedAt.reset();
+    trigger.isSuspected = false;
+    trigger.trials = 0;
+    trigger.trialAt = {};
+    trigger.changedAt = now;
     --m_blocked;
-    m_changes.push_back({ .part = id, .kind = PartChange::Kind::Freed });
+    m_changes.push_back({ .trigger = id, .kind = TriggerChange::Kind::Freed });
 }
 
-std::vector<PartChange> CrashAttribution::update(TimePoint now)
+std::vector<TriggerChange> CrashAttribution::update(TimePoint now)
 {
     promoteBreaks(now);
     if (m_isDirty || m_blocked > 0) {
-        for (auto& [id, part] : m_parts) {
-            if (!part.blockedAt || !part.answeredAt || part.lastCrashAt > *part.answeredAt)
+        for (auto& [id, trigger] : m_triggers) {
+            if (!trigger.blockedAt || !trigger.answeredAt || trigger.lastCrashAt > *trigger.answeredAt)
                 continue;
-            unblock(id, part, now);
+            unblock(id, trigger, now);
         }
         m_isDirty = false;
         blockCulprits(now);
@@ -497,17 +528,17 @@
     return std::exchange(m_changes, {});
 }
 
-std::map<uint64_t, BlockedPart> CrashAttribution::ownedBlockedParts() const
+std::map<uint64_t, BlockedTrigger> CrashAttribution::ownedBlockedTriggers() const
 {
-    std::map<uint64_t, BlockedPart> out;
+    std::map<uint64_t, BlockedTrigger> out;
     if (m_blocked == 0)
         return out;
-    for (const auto& [id, part] : m_parts) {
-        if (part.blockedAt && rankOf(id) == 0)
+    for (const auto& [id, trigger] : m_triggers) {
+        if (trigger.blockedAt && rankOf(id) == 0)
             out.emplace(id,
-                BlockedPart { .organisation = part.organisation.value_or(0),
-                    .hasSeveralOrganisations = part.hasSeveralOrganisations,
-                    .trials = part.trials });
+                BlockedTrigger { .organisation = trigger.organisation.value_or(0),
+                    .hasSeveralOrganisations = trigger.hasSeveralOrganisations,
+                    .trials = trigger.trials });
     }
     return out;
 }
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -95,17 +95,24 @@
         .answerTokens = m_metadata.expectedAnswerTokens
             ? std::min(maxTokens, static_cast<double>(*m_metadata.expectedAnswerTokens))
             : maxTokens * expectedAnswerFraction };
-    return authenticate(now) && checkPrompt(now) && checkQuota(now);
+    return authenticate(now) && checkTriggers(now) && checkQuota(now);
 }
 
-bool EdgeRequest::checkPrompt(TimePoint now)
+bool EdgeRequest::checkTriggers(TimePoint now)
 {
-    m_prompt = { .parts = std::move(m_metadata.promptParts),
-        .organisation = m_organisation ? hashOf(m_organisation->name.text()) : 0 };
-    m_state.crashes.recordRequest(m_prompt);
-    if (m_state.crashes.judge(m_prompt, now) != CrashAttribution::Verdict::Blocked)
+    const auto organisation = m_organisation ? hashOf(m_organisation->name.text()) : 0;
+    m_attributed = { .organisation = organisation };
+    const auto& request = m_exchange->request();
+    auto fingerprint = hashOf(request.body, hashOf(request.target, hashOf(m_metadata.host, organisation)));
+    for (const auto it : m_metadata.promptParts) {
+        m_attributed.triggers.push_back(triggerOfPart(it));
+        fingerprint = hashOf({ reinterpret_cast<const char*>(&it), sizeof it }, fingerprint);
+    }
+    m_attributed.triggers.push_back(triggerOfRequest(fingerprint));
+    m_state.crashes.recordRequest(m_attributed);
+    if (m_state.crashes.judge(m_attributed, now) != CrashAttribution::Verdict::Blocked)
         return true;
-    refuse(ResultCode::PromptPartBlocked, blockedRetryAfter(now), now);
+    refuse(ResultCode::CrashTriggerBlocked, blockedRetryAfter(now), now);
     return false;
 }
 
--- a/packages/Edge/lib/EdgePromptParts.cpp
+++ b/packages/Edge/lib/EdgeCrashTriggers.cpp
@@ -1,4 +1,4 @@
-// Parts of prompts that crash endpoints: exchange with the other daemons, and logs.
+// What crashes endpoints, parts of prompts and whole requests: exchange with the other daemons, and logs.
 #include "EdgeTimes.h"
 #include "lentilbay/Edge/EdgeDaemon.h"
 #include "lentilbay/Support/Log.h"
@@ -10,44 +10,44 @@
 namespace lentilbay::edge {
 namespace {
 
-Event eventOf(PartChange::Kind kind)
+Event eventOf(TriggerChange::Kind kind)
 {
     switch (kind) {
-    case PartChange::Kind::Suspected:
-        return Event::PromptPartSuspected;
-    case PartChange::Kind::Blocked:
-        return Event::PromptPartBlocked;
-    case PartChange::Kind::Freed:
+    case TriggerChange::Kind::Suspected:
+        return Event::CrashTriggerSuspected;
+    case TriggerChange::Kind::Blocked:
+        return Event::CrashTriggerBlocked;
+    case TriggerChange::Kind::Freed:
         break;
     }
-    return Event::PromptPartFreed;
+    return Event::CrashTriggerFreed;
 }
 
-std::string_view counterOf(PartChange::Kind kind)
+std::string_view counterOf(TriggerChange::Kind kind)
 {
     switch (kind) {
-    case PartChange::Kind::Suspected:
-        return "prompt_parts_suspected_total";
-    case PartChange::Kind::Blocked:
-        return "prompt_parts_blocked_total";
-    case PartChange::Kind::Freed:
+    case TriggerChange::Kind::Suspected:
+        return "crash_triggers_suspected_total";
+    case TriggerChange::Kind::Blocked:
+        return "crash_triggers_blocked_total";
+    case TriggerChange::Kind::Freed:
         break;
     }
-    return "prompt_parts_freed_total";
+    return "crash_triggers_freed_total";
 }
 
 } // namespace
 
-void EdgeDaemon::applyPeerPromptParts(const PeerHeartbeat& heartbeat, TimePoint now)
+void EdgeDaemon::applyPeerCrashTriggers(const PeerHeartbeat& heartbeat, TimePoint now)
 {
     const TimePoint echoed { Duration(heartbeat.echoedMicroseconds) };
-    if (heartbeat.parts.empty() || heartbeat.echoedIncarnation != m_incarnation || echoed > now)
+    if (heartbeat.triggers.empty() || heartbeat.echoedIncarnation != m_incarnation || echoed > now)
         return;
-    for (const auto& it : heartbeat.parts)
+    for (const auto& it : heartbeat.triggers)
         m_state.crashes.applyReport(it, echoed, now);
 }
 
-void EdgeDaemon::updatePromptParts(std::vector<std::string> others, TimePoint now)
+void EdgeDaemon::updateCrashTriggers(std::vector<std::string> others, TimePoint now)
 {
     auto daemons = std::move(others);
     daemons.push_back(m_state.settings.daemon.text());
@@ -56,13 +56,14 @@
         (isLarge ? otherRegionHeartbeatPeriod : heartbeatPeriod) * 2);
     const auto crashes = m_state.crashes.suspiciousCrashes();
     const auto changes = m_state.crashes.update(now);
-    // Daemons that this one cannot hear may have blocked the part already.
+    // Daemons that this one cannot hear may have blocked the trigger already.
     if (m_state.crashes.suspiciousCrashes() > crashes && m_state.peers.silentDaemons() > 0)
         m_sharedRowFollower->pollNow();
     for (const auto& it : changes) {
         m_state.metrics.count(counterOf(it.kind));
         logEvent(eventOf(it.kind),
-            { { "part", fmt::format("{:x}", it.part) },
+            { { "kind", isWholeRequest(it.trigger) ? "request" : "part" },
+                { "trigger", fmt::format("{:x}", it.trigger) },
                 { "endpoints", fmt::format("{}", fmt::join(it.endpoints, " ")) } });
     }
 }
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -426,7 +426,7 @@
             number(m_configurationFollower->failures() + m_endpointFollower->failures()
                 + m_daemonFollower->failures()) },
         { "store_era", number(m_storeEra) },
-        { "prompt_parts_blocked", number(m_state.crashes.blockedParts()) },
+        { "crash_triggers_blocked", number(m_state.crashes.blockedTriggers()) },
         { "log_lines_dropped", number(droppedLogLines()) }, { "resident_bytes", residentBytes() } };
     std::set<ServiceId> services;
     for (const auto& [id, endpoint] : m_state.endpointRegistry.all())
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -125,7 +125,7 @@
     m_state.endpointRegistry.updatePeerLoads(heartbeat.daemon, heartbeat.loads, now);
     applyPeerQuotas(heartbeat, now);
     applyPeerSignals(heartbeat, now);
-    applyPeerPromptParts(heartbeat, now);
+    applyPeerCrashTriggers(heartbeat, now);
 }
 
 void EdgeDaemon::applyPeerSignals(const PeerHeartbeat& heartbeat, TimePoint now)
@@ -264,7 +264,7 @@
     for (auto& [name, quota] : m_state.quotas())
         out.quotas.push_back({ .organisation = hashOf(name.text()), .admittedTotal = quota.admittedTotal() });
     out.signals = m_state.endpointRegistry.signalReports(now);
-    out.parts = m_state.crashes.reports(now);
+    out.triggers = m_state.crashes.reports(now);
     m_countsAllUse = m_countsAllUse || now - m_startedAt > m_state.settings.bounds.quotaWindow;
     out.countsAllUse = m_countsAllUse;
     return out;
@@ -280,7 +280,7 @@
     m_state.versions.update(m_state.endpointRegistry, now);
     const auto daemons = aliveDaemons();
     m_state.streams.setDaemons(m_state.settings.daemon.text(), daemons);
-    updatePromptParts(daemons, now);
+    updateCrashTriggers(daemons, now);
     ++m_sequence;
     auto heartbeat = makeHeartbeat(now);
     std::erase_if(
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -120,13 +120,13 @@
         handleTimeout();
         return;
     }
-    switch (m_state.crashes.judge(m_prompt, now)) {
+    switch (m_state.crashes.judge(m_attributed, now)) {
     case CrashAttribution::Verdict::Blocked:
         endSend(SendOutcome::Neutral, now);
         endBlocked(now);
         return;
     case CrashAttribution::Verdict::Trial:
-        m_state.crashes.recordTrial(m_prompt, now);
+        m_state.crashes.recordTrial(m_attributed, now);
         break;
     case CrashAttribution::Verdict::Allowed:
         break;
@@ -162,14 +162,14 @@
 void EdgeRequest::endBlocked(TimePoint now)
 {
     if (m_possibleExecutions == 0)
-        refuse(ResultCode::PromptPartBlocked, blockedRetryAfter(now), now);
+        refuse(ResultCode::CrashTriggerBlocked, blockedRetryAfter(now), now);
     else
         endAfterExecution(ResultCode::EndpointBroke, now);
 }
 
 Duration EdgeRequest::blockedRetryAfter(TimePoint now) const
 {
-    return std::clamp<Duration>(m_state.crashes.nextTrialAt(m_prompt, now) - now, defaultRetryAfter,
+    return std::clamp<Duration>(m_state.crashes.nextTrialAt(m_attributed, now) - now, defaultRetryAfter,
         m_state.settings.bounds.maxRetryAfter);
 }
 
@@ -300,7 +300,7 @@
 void EdgeRequest::recordAnswerBegun(TimePoint now)
 {
     if (!std::exchange(m_send->hasBegunAnswer, true))
-        m_state.crashes.recordAnswer(m_prompt, now);
+        m_state.crashes.recordAnswer(m_attributed, now);
 }
 
 void EdgeRequest::recordBrokenOff(TimePoint now)
@@ -308,7 +308,7 @@
     if (m_send->hasBegunAnswer)
         return;
     ++m_sendsBroken;
-    m_state.crashes.recordBreak(m_send->endpoint->entry().id.text(), m_send->incarnation, m_prompt, now);
+    m_state.crashes.recordBreak(m_send->endpoint->entry().id.text(), m_send->incarnation, m_attributed, now);
 }
 
 void EdgeRequest::recordOrigin(TimePoint now)
@@ -464,7 +464,7 @@
         return false;
     if (m_sends >= maxSends || m_possibleExecutions >= m_route->maxAttempts)
         return false;
-    if (m_sendsBroken >= maxSendsBroken && !m_prompt.parts.empty())
+    if (m_sendsBroken >= maxSendsBroken)
         return false;
     if (m_possibleExecutions > 0 && m_route->executionSemantics == ExecutionSemantics::AtMostOnce)
         return false;
--- a/packages/Edge/lib/EdgeSharedRows.cpp
+++ b/packages/Edge/lib/EdgeSharedRows.cpp
@@ -1,7 +1,7 @@
 // Rows in the platform's store that the daemons share: what has to be known if all of them are restarted at
 // once.
 //
-// The key of a row is its kind and the name of what it describes: "blocked/PART" for a blocked part of
+// The key of a row is its kind and the name of what it describes: "blocked/PART" for a blocked trigger of
 // prompts, "version/SERVICE" for the software version of a service's endpoints. One daemon writes each row;
 // the others learn the same from it directly while they run.
 #include "EdgeTimes.h"
@@ -30,7 +30,7 @@
 constexpr std::string_view severalVersions = "several";
 constexpr int hexadecimal = 16;
 
-std::string keyOf(uint64_t part) { return fmt::format("{:016x}", part); }
+std::string keyOf(uint64_t trigger) { return fmt::format("{:016x}", trigger); }
 
 std::optional<uint64_t> parseHexadecimal(std::string_view text)
 {
@@ -40,18 +40,18 @@
 }
 
 /// The organisation, or "*" for all of them, and the number of trials.
-std::string encodeBlockedPart(const BlockedPart& it)
+std::string encodeBlockedTrigger(const BlockedTrigger& it)
 {
     const auto organisation = it.hasSeveralOrganisations ? "*" : keyOf(it.organisation);
     return fmt::format("{},{:x}", organisation, it.trials);
 }
 
-std::optional<BlockedPart> decodeBlockedPart(std::string_view text)
+std::optional<BlockedTrigger> decodeBlockedTrigger(std::string_view text)
 {
     const auto comma = text.find(',');
     if (comma == std::string_view::npos)
         return std::nullopt;
-    BlockedPart out { .hasSeveralOrganisations = text.starts_with('*') };
+    BlockedTrigger out { .hasSeveralOrganisations = text.starts_with('*') };
     const auto organisation
         = out.hasSeveralOrganisations ? std::optional<uint64_t>(0) : parseHexadecimal(text.substr(0, comma));
     const auto trials = parseHexadecimal(text.substr(comma + 1));
@@ -68,7 +68,7 @@
     return key.starts_with(kind) ? std::optional(key.substr(kind.size())) : std::nullopt;
 }
 
-std::optional<uint64_t> blockedPartIn(std::string_view key)
+std::optional<uint64_t> blockedTriggerIn(std::string_view key)
 {
     const auto name = nameIn(key, blockedKind);
     return name ? parseHexadecimal(*name) : std::nullopt;
@@ -102,10 +102,10 @@
             m_state.versions.restore(ServiceId(std::string(*service)), *version);
         return;
     }
-    const auto part = blockedPartIn(row.key);
-    const auto blocked = decodeBlockedPart(row.value);
-    if (part && blocked)
-        m_state.crashes.restore(*part, *blocked, bootNow());
+    const auto trigger = blockedTriggerIn(row.key);
+    const auto blocked = decodeBlockedTrigger(row.value);
+    if (trigger && blocked)
+        m_state.crashes.restore(*trigger, *blocked, bootNow());
     else
         logEvent(
             Event::StoreCallFailed, { { "table", sharedTable }, { "detail", "invalid row " + row.key } });
@@ -115,15 +115,15 @@
 {
     if (m_sharedRows.erase(key) == 0)
         return;
-    if (const auto part = blockedPartIn(key))
-        m_state.crashes.release(*part, bootNow());
+    if (const auto trigger = blockedTriggerIn(key))
+        m_state.crashes.release(*trigger, bootNow());
 }
 
 std::map<std::string, std::string> EdgeDaemon::ownedRows(TimePoint now) const
 {
     std::map<std::string, std::string> out;
-    for (const auto& [part, blocked] : m_state.crashes.ownedBlockedParts())
-        out.emplace(fmt::format("{}{}", blockedKind, keyOf(part)), encodeBlockedPart(blocked));
+    for (const auto& [trigger, blocked] : m_state.crashes.ownedBlockedTriggers())
+        out.emplace(fmt::format("{}{}", blockedKind, keyOf(trigger)), encodeBlockedTrigger(blocked));
     const auto others = aliveDaemons();
     for (const auto& service : m_state.versions.services()) {
         const auto key = fmt::format("{}{}", versionKind, service.text());
@@ -172,8 +172,8 @@
         return;
     }
     for (const auto& [key, value] : m_sharedRows) {
-        const auto part = blockedPartIn(key);
-        if (!part || m_state.crashes.isBlocked(*part))
+        const auto trigger = blockedTriggerIn(key);
+        if (!trigger || m_state.crashes.isBlocked(*trigger))
             continue;
         writeSharedRow(std::string(key), {});
         return;
--- a/packages/Edge/lib/PeerHeartbeat.cpp
+++ b/packages/Edge/lib/PeerHeartbeat.cpp
@@ -38,22 +38,23 @@
         it.ageMicroseconds, it.sentAgeMicroseconds);
 }
 
-template <class Archive> void serialize(Archive& archive, PartReport::Crash& it)
+template <class Archive> void serialize(Archive& archive, TriggerReport::Crash& it)
 {
     archive(it.endpoint, it.ageMicroseconds);
 }
 
-template <class Archive> void serialize(Archive& archive, PartReport& it)
+template <class Archive> void serialize(Archive& archive, TriggerReport& it)
 {
-    archive(it.part, it.organisation, it.hasSeveralOrganisations, it.isBlocked, it.isKnownSound, it.crashes,
-        it.lastCrashAgeMicroseconds, it.answeredAgeMicroseconds, it.trials, it.trialAgeMicroseconds);
+    archive(it.trigger, it.organisation, it.hasSeveralOrganisations, it.isBlocked, it.isKnownSound,
+        it.crashes, it.lastCrashAgeMicroseconds, it.answeredAgeMicroseconds, it.trials,
+        it.trialAgeMicroseconds);
 }
 
 template <class Archive> void serialize(Archive& archive, PeerHeartbeat& it)
 {
     archive(it.daemon, it.incarnation, it.sequence, it.dataCentre, it.periodMilliseconds, it.isLeaving,
         it.echoedMicroseconds, it.echoedIncarnation, it.sentMicroseconds, it.views, it.loads, it.quotas,
-        it.levels, it.signals, it.parts, it.countsAllUse);
+        it.levels, it.signals, it.triggers, it.countsAllUse);
 }
 
 namespace {
--- a/packages/Edge/unittests/CrashAttributionTest.cpp
+++ b/packages/Edge/unittests/CrashAttributionTest.cpp
@@ -21,9 +21,16 @@
 
 TimePoint at(Duration since) { return TimePoint {} + 1h + since; }
 
-AttributedPrompt promptOf(std::vector<uint64_t> parts, uint64_t organisation = caller)
+AttributedRequest promptOf(std::vector<uint64_t> parts, uint64_t organisation = caller)
 {
-    return { .parts = std::move(parts), .organisation = organisation };
+    return { .triggers = std::move(parts), .organisation = organisation };
+}
+
+/// A request that comes again unchanged, and the parts of its prompt.
+AttributedRequest requestOf(uint64_t fingerprint, std::vector<uint64_t> parts = {})
+{
+    parts.push_back(triggerOfRequest(fingerprint));
+    return { .triggers = std::move(parts), .organisation = caller };
 }
 
 EndpointIncarnation engine(int n) { return { .endpoint = hashOf("e" + std::to_string(n)) }; }
@@ -67,26 +74,26 @@
         }
     }
 
-    bool isBlockedEverywhere(const AttributedPrompt& prompt) const
+    bool isBlockedEverywhere(const AttributedRequest& prompt) const
     {
         return std::ranges::all_of(
             m_daemons, [&](const auto& it) { return it->judge(prompt, now()) == Verdict::Blocked; });
     }
-    bool isAllowedEverywhere(const AttributedPrompt& prompt) const
+    bool isAllowedEverywhere(const AttributedRequest& prompt) const
     {
         return std::ranges::all_of(
             m_daemons, [&](const auto& it) { return it->judge(prompt, now()) == Verdict::Allowed; });
     }
 
     /// An engine crashes under a request that one daemon sent.
-    void crash(size_t daemon, const AttributedPrompt& prompt)
+    void crash(size_t daemon, const AttributedRequest& prompt)
     {
         ++m_crashes;
         m_daemons[daemon]->recordRequest(prompt);
         m_daemons[daemon]->recordBreak("e" + std::to_string(m_crashes), engine(m_crashes), prompt, now());
     }
     /// The same engine breaks off the request of another daemon.
-    void breakOff(size_t daemon, const AttributedPrompt& prompt)
+    void breakOff(size_t daemon, const AttributedRequest& prompt)
     {
         m_daemons[daemon]->recordRequest(prompt);
         m_daemons[daemon]->recordBreak("e" + std::to_string(m_crashes), engine(m_crashes), prompt, now());
@@ -126,7 +133,7 @@
     }
     EXPECT_TRUE(fleet.isBlockedEverywhere(promptOf({ bad })));
     for (size_t i = 0; i < fleet.size(); ++i)
-        EXPECT_EQ(fleet[i].blockedParts(), 1U) << i;
+        EXPECT_EQ(fleet[i].blockedTriggers(), 1U) << i;
 }
 
 TEST(CrashAttribution, TwoPartsAtOnceAreToldApart)
@@ -295,9 +302,9 @@
         fleet.crash(i, prompt);
         fleet.advance(1s);
     }
-    std::map<uint64_t, BlockedPart> stored;
+    std::map<uint64_t, BlockedTrigger> stored;
     for (size_t i = 0; i < 3; ++i)
-        stored.merge(fleet[i].ownedBlockedParts());
+        stored.merge(fleet[i].ownedBlockedTriggers());
     ASSERT_EQ(stored.size(), 1U);
     EXPECT_EQ(stored.begin()->second.trials, 1U);
     for (size_t i = 0; i < 3; ++i) {
@@ -341,7 +348,7 @@
         fleet[0].recordAlive(engine(i).endpoint, fleet.now() - 1s);
         fleet.advance(400ms);
     }
-    EXPECT_EQ(fleet[0].blockedParts(), 0U);
+    EXPECT_EQ(fleet[0].blockedTriggers(), 0U);
 }
 
 TEST(CrashAttribution, BlockAppliesOnlyToTheOrganisationWhoseRequestsCrashedEndpoints)
@@ -369,7 +376,7 @@
     fleet.advance(200ms);
     const auto reports = fleet[0].reports(fleet.now());
     ASSERT_EQ(reports.size(), 1U);
-    EXPECT_EQ(reports[0].part, bad);
+    EXPECT_EQ(reports[0].trigger, bad);
     fleet.advance(5s);
     EXPECT_TRUE(fleet[0].reports(fleet.now()).empty());
 }
@@ -379,9 +386,9 @@
     Fleet fleet(2);
     uint64_t part = 1;
     for (int i = 0; i < 200; ++i) {
-        AttributedPrompt prompt = promptOf({});
+        AttributedRequest prompt = promptOf({});
         for (int n = 0; n < 100; ++n)
-            prompt.parts.push_back(++part);
+            prompt.triggers.push_back(++part);
         if (i % 4 == 0)
             fleet.crash(0, prompt);
         else
@@ -395,5 +402,125 @@
     EXPECT_TRUE(fleet.isBlockedEverywhere(promptOf({ bad })));
 }
 
+TEST(CrashAttribution, RequestThatCameAgainUnchangedCrashedOneEndpointAfterTheOther)
+{
+    Fleet fleet(8);
+    for (size_t i = 0; i < 3; ++i) {
+        fleet.crash(i, requestOf(bad));
+        fleet.breakOff(i + 4, requestOf(0x700 + i));
+        fleet.advance(200ms);
+    }
+    fleet.advance(1s);
+    EXPECT_TRUE(fleet.isBlockedEverywhere(requestOf(bad)));
+    EXPECT_TRUE(fleet.isAllowedEverywhere(requestOf(bad + 1)));
+    for (size_t i = 0; i < fleet.size(); ++i)
+        EXPECT_EQ(fleet[i].blockedTriggers(), 1U) << i;
+}
+
+TEST(CrashAttribution, RetriedVictimsOfACrashingRequestWereBlocked)
+{
+    // A sound request that its client repeats is at three of the crashes, a lookup that comes often at all.
+    Fleet fleet(4);
+    const auto lookup = requestOf(0x10);
+    fleet[0].recordAnswer(lookup, fleet.now());
+    for (size_t i = 0; i < 5; ++i) {
+        fleet.crash(i % 4, requestOf(bad));
+        fleet.breakOff(0, lookup);
+        if (i < 3)
+            fleet.breakOff((i + 1) % 4, requestOf(0x20));
+        fleet.advance(200ms);
+    }
+    fleet.advance(1s);
+    EXPECT_TRUE(fleet.isBlockedEverywhere(requestOf(bad)));
+    EXPECT_TRUE(fleet.isAllowedEverywhere(lookup));
+    EXPECT_TRUE(fleet.isAllowedEverywhere(requestOf(0x20)));
+}
+
+TEST(CrashAttribution, LookupIsNotBlockedWhileEndpointsEndForOtherReasons)
+{
+    // All endpoints are reclaimed at once, then one after the other, while the same request comes all the
+    // time.
+    Fleet fleet(4);
+    const auto lookup = requestOf(0x10);
+    fleet[1].recordAnswer(lookup, fleet.now());
+    fleet.advance(1s);
+    for (int i = 0; i < 6; ++i)
+        fleet.crash(1, lookup);
+    for (int i = 0; i < 5; ++i) {
+        fleet.advance(1s);
+        fleet[2].recordAnswer(lookup, fleet.now());
+        fleet.advance(400ms);
+        fleet.crash(1, lookup);
+        EXPECT_TRUE(fleet.isAllowedEverywhere(lookup)) << i;
+    }
+}
+
+TEST(CrashAttribution, RequestThatIsBlockedWronglyIsFreedByATrial)
+{
+    Fleet fleet(3);
+    for (size_t i = 0; i < 3; ++i) {
+        fleet.crash(i, requestOf(0x10));
+        fleet.advance(200ms);
+    }
+    fleet.advance(1s);
+    ASSERT_TRUE(fleet.isBlockedEverywhere(requestOf(0x10)));
+    size_t trials = 0;
+    for (int step = 0; step < 20 && trials == 0; ++step) {
+        fleet.advance(200ms);
+        for (size_t i = 0; i < fleet.size(); ++i) {
+            if (fleet[i].judge(requestOf(0x10), fleet.now()) != Verdict::Trial)
+                continue;
+            fleet[i].recordTrial(requestOf(0x10), fleet.now());
+            fleet[i].recordAnswer(requestOf(0x10), fleet.now());
+            ++trials;
+            break;
+        }
+    }
+    EXPECT_EQ(trials, 1U);
+    fleet.advance(1s);
+    EXPECT_TRUE(fleet.isAllowedEverywhere(requestOf(0x10)));
+}
+
+TEST(CrashAttribution, CrashingPartIsBlockedAlthoughItsRequestsComeAgain)
+{
+    // Each request with the part is repeated, and is at as many crashes as the part.
+    Fleet fleet(4);
+    for (uint64_t i = 0; i < 2; ++i) {
+        for (size_t d = 0; d < 2; ++d) {
+            fleet.crash(d + i, requestOf(0x900 + i, { first, bad }));
+            fleet.advance(200ms);
+        }
+    }
+    fleet[0].recordAnswer(promptOf({ first }), fleet.now());
+    fleet.advance(1s);
+    EXPECT_TRUE(fleet.isBlockedEverywhere(requestOf(0x990, { first, bad })));
+}
+
+TEST(CrashAttribution, MadeUpRequestsDisplaceNothing)
+{
+    CrashAttribution table;
+    table.setDaemons("d0", { "d0" }, heartbeatInterval);
+    table.recordAnswer(promptOf({ subject }), at(0s));
+    for (uint64_t i = 0; i < 100'000; ++i) {
+        const auto request = requestOf(hashOf(std::to_string(i)));
+        table.recordRequest(request);
+        table.recordAnswer(request, at(Duration(static_cast<int64_t>(i))));
+    }
+    for (int i = 1; i <= 3; ++i) {
+        table.recordBreak("e", engine(i), promptOf({ subject, bad }), at(1s + 100ms * i));
+        table.update(at(1s + 200ms * i));
+    }
+    table.update(at(4s));
+    EXPECT_EQ(table.judge(promptOf({ subject }), at(4s)), Verdict::Allowed);
+    EXPECT_EQ(table.judge(promptOf({ bad }), at(4s)), Verdict::Blocked);
+    for (int i = 0; i < 10'000; ++i) {
+        const auto now = at(5s + Duration(i));
+        table.recordBreak("e", engine(i), requestOf(static_cast<uint64_t>(i)), now);
+        table.update(now + 1s);
+        EXPECT_LE(table.reports(at(7s)).size(), 32U);
+    }
+    EXPECT_EQ(table.judge(promptOf({ bad }), at(5s)), Verdict::Blocked);
+}
+
 } // namespace
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -65,9 +65,11 @@
         routeOf("/streamonce/", ExecutionSemantics::AtMostOnce, 1, true) };
     parts.services
         = { { .name = ServiceId("s"), .engine = EngineTraits { .slots = 4, .tokensPerEvent = 6 } } };
-    parts.organisations = { { .name = OrganisationId("o"),
-        .quota = TokenQuota { .tokensPerSecond = 1000, .burstTokens = 2000, .defaultTokens = 200 } } };
-    parts.keys = { { "k", 0 } };
+    parts.organisations
+        = { { .name = OrganisationId("o"),
+                .quota = TokenQuota { .tokensPerSecond = 1000, .burstTokens = 2000, .defaultTokens = 200 } },
+              { .name = OrganisationId("other") } };
+    parts.keys = { { "k", 0 }, { "other-key", 1 } };
     return parts;
 }
 
@@ -129,10 +131,10 @@
     {
         auto connection = std::make_shared<http::ClientConnection>(context);
         connection->connect({ asio::ip::make_address("127.0.0.1"), front->port() }, 5s,
-            [&answer, connection, path, fields](bool connected) {
+            [this, &answer, connection, path, fields](bool connected) {
                 ASSERT_TRUE(connected);
                 connection->exchange("POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: 7\r\n" + fields
-                        + "Content-Length: 2\r\n\r\nok",
+                        + fmt::format("Content-Length: {}\r\n\r\n{}", requestBody.size(), requestBody),
                     false,
                     { .head =
                             [&](const http::HttpResponseHead& head) {
@@ -158,6 +160,7 @@
 
     size_t receivedRequests() const { return first.requests().size() + second.requests().size(); }
 
+    std::string requestBody = "ok";
     asio::io_context context;
     EdgeState state { context, settings(), 1 };
     RawServer first { context };
@@ -376,6 +379,37 @@
     EXPECT_EQ(call("/streamonce/x", key + "X-Prefix-Hash: b2:60,bad:40\r\n").status, 200);
 }
 
+TEST_F(EdgeRequestTest, RequestThatCrashesEndpointsIsRefusedWhenItComesAgain)
+{
+    const std::string key = "Authorization: Token k\r\n";
+    for (const std::string body : { "", "x", "a longer body" }) {
+        requestBody = body;
+        first.setResponder([](const std::string&) {
+            return ScriptedResponse { .bytes = "", .then = ScriptedResponse::Then::Reset };
+        });
+        const auto received = receivedRequests();
+        for (int i = 0; i < 3; ++i) {
+            for (const auto& it : { "e1", "e2", "e3", "e4" })
+                state.endpointRegistry.unlist(EndpointId(it));
+            list(fmt::format("e{}", i + 2), first);
+            EXPECT_EQ(call("/once/x", key).status, 502) << body;
+            state.crashes.update(bootNow() + 1s);
+        }
+        const auto refused = call("/once/x", key);
+        EXPECT_EQ(refused.status, 503);
+        EXPECT_TRUE(refused.headers.contains("Retry-After"));
+        EXPECT_TRUE(refused.body.starts_with("LB-3015"));
+        EXPECT_EQ(receivedRequests(), received + 3);
+        first.setResponder([](const std::string&) {
+            return ScriptedResponse { .bytes = httpResponse(200, "a", signatureFields) };
+        });
+        EXPECT_EQ(call("/once/y", key).status, 200) << "another path";
+        EXPECT_EQ(call("/once/x", "Authorization: Token other-key\r\n").status, 200) << "another caller";
+        requestBody = body + "!";
+        EXPECT_EQ(call("/once/x", key).status, 200) << "another body";
+    }
+}
+
 TEST_F(EdgeRequestTest, PromptThatEndsAnswersWithTheirConnectionsIsRefused)
 {
     const std::string head = "HTTP/1.1 200 OK\r\n" + signatureFields + "Connection: close\r\n\r\n";
