Make heartbeats smaller and tell large fleets of crashes through owners

What the daemons tell each other weighs in fleets of 66 and 88. Integers, lengths and flags of heartbeats are now encoded in as few bytes as they need, fields that are not set are left out.

With more than 16 daemons, a trigger that was present at a single crash is told to its three owners only, selected by rendezvous hashing, instead of to all; most such triggers are victims. An owner tells all of the second crash, with those that peers observed, and of a block at once instead of with the next heartbeat.

--- a/packages/Edge/include/lentilbay/Edge/CrashAttribution.h
+++ b/packages/Edge/include/lentilbay/Edge/CrashAttribution.h
@@ -116,6 +116,11 @@
     /// Sets the daemons that are alive, this one among them, and the time that their reports need.
     void setDaemons(const std::string& self, std::vector<std::string> daemons, Duration reportDelay);
     std::vector<TriggerReport> reports(TimePoint now);
+    /// Whether a daemon has to be told a report. In a large fleet, a trigger that was present at one crash is
+    /// told to its owners only, which tell all daemons of the second crash: most such triggers are victims.
+    bool isAddressedTo(const TriggerReport& report, const std::string& daemon) const;
+    /// Whether this daemon is an owner of the trigger, by rendezvous hashing.
+    bool isOwner(uint64_t trigger) const { return isOwner(trigger, m_self); }
     /// Applies what a peer knew at `at` or later.
     void applyReport(const TriggerReport& report, TimePoint at, TimePoint now);
     /// Blocks a trigger that was blocked before all daemons were restarted.
@@ -175,7 +180,8 @@
     };
 
     Trigger& entryOf(uint64_t id, TimePoint now);
-    void addCrash(Trigger& trigger, Crash crash, TimePoint now);
+    /// `isRelayed` is whether this daemon has to tell the others of a crash that a peer observed.
+    void addCrash(Trigger& trigger, Crash crash, bool isRelayed, TimePoint now);
     static void addOrganisation(Trigger& trigger, uint64_t organisation);
     static void setAnswered(Trigger& trigger, TimePoint at, TimePoint now);
     static std::vector<std::string> crashedEndpoints(const Trigger& trigger);
@@ -199,7 +205,9 @@
     void blockCulprits(TimePoint now);
     void rememberSound(uint64_t id);
     bool isKnownSound(uint64_t trigger) const;
-    size_t rankOf(uint64_t trigger) const;
+    /// The number of daemons that come before this one in the order of rendezvous hashing.
+    size_t rankOf(uint64_t trigger, const std::string& daemon) const;
+    bool isOwner(uint64_t trigger, const std::string& daemon) const;
 
     std::string m_self;
     std::vector<std::string> m_daemons;
--- a/packages/Edge/lib/CrashAttribution.cpp
+++ b/packages/Edge/lib/CrashAttribution.cpp
@@ -44,6 +44,10 @@
 constexpr size_t maxSoundTriggers = 1024;
 constexpr size_t maxCountedParts = 1024;
 constexpr size_t maxReports = 32;
+/// Up to this number, all daemons are told everything.
+constexpr size_t maxDaemonsToTell = 16;
+/// Several daemons may be lost at once.
+constexpr size_t ownersOfTrigger = 3;
 constexpr size_t maxReportedCrashes = 8;
 
 uint64_t crashId(const EndpointIncarnation& it)
@@ -78,9 +82,22 @@
     return std::max(*trigger.blockedAt, trigger.trialAt) + std::min<Duration>(delay, maxTrialDelay);
 }
 
-size_t CrashAttribution::rankOf(uint64_t trigger) const
+bool CrashAttribution::isOwner(uint64_t trigger, const std::string& daemon) const
 {
-    const auto weight = hashOf(m_self, trigger);
+    return rankOf(trigger, daemon) < ownersOfTrigger;
+}
+
+bool CrashAttribution::isAddressedTo(const TriggerReport& report, const std::string& daemon) const
+{
+    if (m_daemons.size() <= maxDaemonsToTell || report.isBlocked)
+        return true;
+    const auto it = m_triggers.find(report.trigger);
+    return it == m_triggers.end() || it->second.crashes.size() > 1 || isOwner(report.trigger, daemon);
+}
+
+size_t CrashAttribution::rankOf(uint64_t trigger, const std::string& daemon) const
+{
+    const auto weight = hashOf(daemon, trigger);
     return std::ranges::count_if(m_daemons, [&](const auto& it) { return hashOf(it, trigger) < weight; });
 }
 
@@ -97,7 +114,8 @@
         ++n;
         // One more daemon may send the trial after each report delay, in case those before it have no request
         // with this trigger.
-        due = std::max(due, trialDueAt(it->second) + m_reportDelay * static_cast<int64_t>(rankOf(id)));
+        due = std::max(
+            due, trialDueAt(it->second) + m_reportDelay * static_cast<int64_t>(rankOf(id, m_self)));
     }
     if (n == 0)
         return Verdict::Allowed;
@@ -183,7 +201,7 @@
     trigger.organisation = trigger.organisation.value_or(organisation);
 }
 
-void CrashAttribution::addCrash(Trigger& trigger, Crash crash, TimePoint now)
+void CrashAttribution::addCrash(Trigger& trigger, Crash crash, bool isRelayed, TimePoint now)
 {
     if (trigger.answeredAt && crash.at <= *trigger.answeredAt)
         return;
@@ -196,7 +214,7 @@
         return;
     }
     if (trigger.crashes.size() < maxCrashesPerTrigger) {
-        if (crash.isOwn)
+        if (crash.isOwn || isRelayed)
             trigger.changedAt = now;
         trigger.crashes.push_back(std::move(crash));
     }
@@ -260,6 +278,11 @@
         return true;
     if (now - trigger.changedAt > reportLifetime)
         return false;
+    // An owner keeps the single crash that a peer has told it of.
+    const bool isKept = m_daemons.size() > maxDaemonsToTell && trigger.crashes.size() == 1
+        && !trigger.crashes.front().isOwn && !isKnownSound(id);
+    if (isKept)
+        return false;
     // One crash says little about a trigger that is known to be sound, and most triggers are present at one.
     return trigger.isShared || trigger.crashes.size() >= (isKnownSound(id) ? 2 : 1);
 }
@@ -293,8 +316,9 @@
             .trialAgeMicroseconds = ageOf(trigger.trialAt, now) });
         if (now - trigger.changedAt > reportLifetime)
             continue;
+        const bool relays = m_daemons.size() > maxDaemonsToTell && isOwner(it->first);
         for (const auto& crash : trigger.crashes) {
-            if (crash.isOwn && report.crashes.size() < maxReportedCrashes)
+            if ((crash.isOwn || relays) && report.crashes.size() < maxReportedCrashes)
                 report.crashes.push_back(
                     { .endpoint = crash.endpoint, .ageMicroseconds = ageOf(crash.at, now) });
         }
@@ -321,8 +345,9 @@
     if (hasEvidence)
         addOrganisation(trigger, report.organisation);
     trigger.hasSeveralOrganisations = trigger.hasSeveralOrganisations || report.hasSeveralOrganisations;
+    const bool isRelayed = m_daemons.size() > maxDaemonsToTell && isOwner(report.trigger);
     for (const auto& it : report.crashes)
-        addCrash(trigger, { .endpoint = it.endpoint, .at = timeOf(it.ageMicroseconds) }, now);
+        addCrash(trigger, { .endpoint = it.endpoint, .at = timeOf(it.ageMicroseconds) }, isRelayed, now);
     if (!report.isBlocked)
         return;
     if (!trigger.blockedAt && report.lastCrashAgeMicroseconds >= 0)
@@ -379,7 +404,8 @@
             auto& trigger = entryOf(id, now);
             addOrganisation(trigger, it.request.organisation);
             addCrash(trigger,
-                { .endpoint = crashId(it.endpoint), .at = it.at, .isOwn = true, .name = it.name }, now);
+                { .endpoint = crashId(it.endpoint), .at = it.at, .isOwn = true, .name = it.name }, false,
+                now);
         }
         m_isDirty = true;
         return true;
@@ -534,7 +560,7 @@
     if (m_blocked == 0)
         return out;
     for (const auto& [id, trigger] : m_triggers) {
-        if (trigger.blockedAt && rankOf(id) == 0)
+        if (trigger.blockedAt && rankOf(id, m_self) == 0)
             out.emplace(id,
                 BlockedTrigger { .organisation = trigger.organisation.value_or(0),
                     .hasSeveralOrganisations = trigger.hasSeveralOrganisations,
--- a/packages/Edge/lib/EdgeCrashTriggers.cpp
+++ b/packages/Edge/lib/EdgeCrashTriggers.cpp
@@ -60,6 +60,9 @@
     if (m_state.crashes.suspiciousCrashes() > crashes && m_state.peers.silentDaemons() > 0)
         m_sharedRowFollower->pollNow();
     for (const auto& it : changes) {
+        // The others are told at once: until then they send more of these requests.
+        if (it.kind == TriggerChange::Kind::Blocked && m_state.crashes.isOwner(it.trigger))
+            m_nextHeartbeatAt.clear();
         m_state.metrics.count(counterOf(it.kind));
         logEvent(eventOf(it.kind),
             { { "kind", isWholeRequest(it.trigger) ? "request" : "part" },
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -7,6 +7,7 @@
 #include "lentilbay/Support/SteadyClock.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace lentilbay::edge {
 namespace {
@@ -264,7 +265,6 @@
     for (auto& [name, quota] : m_state.quotas())
         out.quotas.push_back({ .organisation = hashOf(name.text()), .admittedTotal = quota.admittedTotal() });
     out.signals = m_state.endpointRegistry.signalReports(now);
-    out.triggers = m_state.crashes.reports(now);
     m_countsAllUse = m_countsAllUse || now - m_startedAt > m_state.settings.bounds.quotaWindow;
     out.countsAllUse = m_countsAllUse;
     return out;
@@ -283,6 +283,7 @@
     updateCrashTriggers(daemons, now);
     ++m_sequence;
     auto heartbeat = makeHeartbeat(now);
+    const auto triggers = m_state.crashes.reports(now);
     std::erase_if(
         m_nextHeartbeatAt, [&](const auto& it) { return !m_state.peers.peers().contains(it.first); });
     for (const auto& [name, peer] : m_state.peers.peers()) {
@@ -302,6 +303,9 @@
             heartbeat.views = { .era = m_storeEra,
                 .configuration = viewOf(*m_configurationFollower, at),
                 .endpoints = viewOf(*m_endpointFollower, at) };
+        heartbeat.triggers.clear();
+        std::ranges::copy_if(triggers, std::back_inserter(heartbeat.triggers),
+            [&](const auto& it) { return m_state.crashes.isAddressedTo(it, name); });
         heartbeat.levels.clear();
         if (m_countsAllUse && !peer.countsAllUse) {
             for (auto& [organisation, quota] : m_state.quotas())
--- a/packages/Edge/lib/PeerHeartbeat.cpp
+++ b/packages/Edge/lib/PeerHeartbeat.cpp
@@ -1,20 +1,23 @@
 // Serialisation of heartbeats with cereal, and the table of peers.
 #include "lentilbay/Edge/PeerHeartbeat.h"
 
+#include "CompactFields.h"
+
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/optional.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 #include <sstream>
 
 namespace lentilbay::edge {
 
-template <class Archive> void serialize(Archive& archive, PeerLoad& it) { archive(it.endpoint, it.inFlight); }
+template <class Archive> void serialize(Archive& archive, PeerLoad& it)
+{
+    archive(it.endpoint);
+    compact::integerAs(archive, it.inFlight);
+}
 
 template <class Archive> void serialize(Archive& archive, PeerHeartbeat::QuotaUse& it)
 {
-    archive(it.organisation, it.admittedTotal);
+    archive(it.organisation);
+    compact::number(archive, it.admittedTotal);
 }
 
 template <class Archive> void serialize(Archive& archive, PeerHeartbeat::QuotaLevel& it)
@@ -24,43 +27,85 @@
 
 template <class Archive> void serialize(Archive& archive, TableView& it)
 {
-    archive(it.coveredVersion, it.changedVersion, it.ageMicroseconds);
+    compact::integer(archive, it.coveredVersion);
+    compact::integer(archive, it.changedVersion);
+    compact::age(archive, it.ageMicroseconds);
 }
 
 template <class Archive> void serialize(Archive& archive, StoreViews& it)
 {
-    archive(it.era, it.configuration, it.endpoints);
+    compact::integer(archive, it.era);
+    archive(it.configuration, it.endpoints);
 }
 
 template <class Archive> void serialize(Archive& archive, SignalReport& it)
 {
-    archive(it.endpoint, it.startedAtMilliseconds, it.signals.maxRequestsPerSecond, it.signals.isLeaving,
-        it.ageMicroseconds, it.sentAgeMicroseconds);
+    bool hasLimit = it.signals.maxRequestsPerSecond.has_value();
+    compact::flags(archive, hasLimit, it.signals.isLeaving);
+    archive(it.endpoint);
+    compact::integer(archive, it.startedAtMilliseconds);
+    if (hasLimit) {
+        auto limit = it.signals.maxRequestsPerSecond.value_or(0);
+        compact::number(archive, limit);
+        it.signals.maxRequestsPerSecond = limit;
+    }
+    compact::age(archive, it.ageMicroseconds);
+    compact::age(archive, it.sentAgeMicroseconds);
 }
 
 template <class Archive> void serialize(Archive& archive, TriggerReport::Crash& it)
 {
-    archive(it.endpoint, it.ageMicroseconds);
+    archive(it.endpoint);
+    compact::age(archive, it.ageMicroseconds);
 }
 
 template <class Archive> void serialize(Archive& archive, TriggerReport& it)
 {
-    archive(it.trigger, it.organisation, it.hasSeveralOrganisations, it.isBlocked, it.isKnownSound,
-        it.crashes, it.lastCrashAgeMicroseconds, it.answeredAgeMicroseconds, it.trials,
-        it.trialAgeMicroseconds);
+    bool hasOrganisation = it.organisation != 0;
+    bool hasTrials = it.trials != 0;
+    compact::flags(
+        archive, hasOrganisation, hasTrials, it.hasSeveralOrganisations, it.isBlocked, it.isKnownSound);
+    archive(it.trigger);
+    if (hasOrganisation)
+        archive(it.organisation);
+    compact::list(archive, it.crashes, [&](auto& crash) { archive(crash); });
+    compact::age(archive, it.lastCrashAgeMicroseconds);
+    compact::age(archive, it.answeredAgeMicroseconds);
+    if (hasTrials) {
+        compact::integerAs(archive, it.trials);
+        compact::age(archive, it.trialAgeMicroseconds);
+    }
 }
 
 template <class Archive> void serialize(Archive& archive, PeerHeartbeat& it)
 {
-    archive(it.daemon, it.incarnation, it.sequence, it.dataCentre, it.periodMilliseconds, it.isLeaving,
-        it.echoedMicroseconds, it.echoedIncarnation, it.sentMicroseconds, it.views, it.loads, it.quotas,
-        it.levels, it.signals, it.triggers, it.countsAllUse);
+    const auto element = [&](auto& value) { archive(value); };
+    bool hasViews = it.views.has_value();
+    compact::flags(archive, it.isLeaving, it.countsAllUse, hasViews);
+    compact::text(archive, it.daemon);
+    archive(it.incarnation);
+    compact::integer(archive, it.sequence);
+    compact::text(archive, it.dataCentre);
+    compact::integerAs(archive, it.periodMilliseconds);
+    compact::integerAs(archive, it.echoedMicroseconds);
+    archive(it.echoedIncarnation);
+    compact::integerAs(archive, it.sentMicroseconds);
+    if (hasViews) {
+        auto views = it.views.value_or(StoreViews {});
+        archive(views);
+        it.views = views;
+    }
+    compact::list(archive, it.loads, element);
+    compact::list(archive, it.quotas, element);
+    compact::list(archive, it.levels, element);
+    compact::list(archive, it.signals, element);
+    compact::list(archive, it.triggers, element);
 }
 
 namespace {
 
 /// Identifies heartbeat datagrams and their version; changes with the layout.
-constexpr uint32_t magic = 0x4c42'5309;
+constexpr uint32_t magic = 0x4c42'530a;
 /// A peer is silent after this many missing heartbeats in a row.
 constexpr double silentAfterPeriods = 3.5;
 /// Upper bound of the period that a peer may announce.
--- a/packages/Edge/unittests/CrashAttributionTest.cpp
+++ b/packages/Edge/unittests/CrashAttributionTest.cpp
@@ -50,6 +50,7 @@
     void restart(size_t i) { m_daemons[i] = std::make_unique<CrashAttribution>(); }
     void setCut(size_t i, bool isCut) { m_isCut[i] = isCut; }
     TimePoint now() const { return at(m_now); }
+    size_t reports() const { return m_reports; }
 
     void advance(Duration by)
     {
@@ -67,8 +68,12 @@
                 for (size_t to = 0; to < size(); ++to) {
                     if (from == to || m_isCut[from] || m_isCut[to])
                         continue;
-                    for (const auto& it : reports)
+                    for (const auto& it : reports) {
+                        if (!m_daemons[from]->isAddressedTo(it, names[to]))
+                            continue;
+                        ++m_reports;
                         m_daemons[to]->applyReport(it, now(), now());
+                    }
                 }
             }
         }
@@ -104,6 +109,7 @@
     std::vector<bool> m_isCut;
     Duration m_now {};
     int m_crashes = 0;
+    size_t m_reports = 0;
 };
 
 TEST(CrashAttribution, OneCrashForEachDaemonBlocksThePartEverywhere)
@@ -522,5 +528,22 @@
     EXPECT_EQ(table.judge(promptOf({ bad }), at(5s)), Verdict::Blocked);
 }
 
+TEST(CrashAttribution, LargeFleetWasToldOfEveryVictimOfACrash)
+{
+    Fleet fleet(66);
+    fleet.advance(1s);
+    for (uint64_t i = 0; i < 12; ++i)
+        fleet.breakOff(i, requestOf(0x700 + i));
+    fleet.advance(4s);
+    EXPECT_LE(fleet.reports(), 12 * 3 * 16U);
+    // One crash at each of three daemons still blocks a request at all of them.
+    for (size_t i = 0; i < 3; ++i) {
+        fleet.crash(20 * i, requestOf(bad));
+        fleet.advance(200ms);
+    }
+    fleet.advance(1s);
+    EXPECT_TRUE(fleet.isBlockedEverywhere(requestOf(bad)));
+}
+
 } // namespace
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/PeerHeartbeatTest.cpp
+++ b/packages/Edge/unittests/PeerHeartbeatTest.cpp
@@ -26,12 +26,35 @@
 {
     auto sent = heartbeat("a", 1, 2);
     sent.views = { .configuration = { .coveredVersion = 3 }, .endpoints = { .changedVersion = 4 } };
+    sent.triggers = { { .trigger = 9, .crashes = { { .endpoint = 1, .ageMicroseconds = 300 } } },
+        { .trigger = uint64_t { 1 } << 63U,
+            .organisation = 4,
+            .isBlocked = true,
+            .lastCrashAgeMicroseconds = 0,
+            .answeredAgeMicroseconds = INT64_MAX,
+            .trials = 3,
+            .trialAgeMicroseconds = 5 } };
     const auto outcome
         = outcomeOf<PeerHeartbeat>([&] { return decodePeerHeartbeat(encodePeerHeartbeat(sent)); });
     ASSERT_TRUE(std::holds_alternative<PeerHeartbeat>(outcome));
     EXPECT_EQ(std::get<PeerHeartbeat>(outcome), sent);
 }
 
+RC_GTEST_PROP(PeerHeartbeat, AnyNumbersAreReadAsWritten,
+    (uint64_t sequence, int64_t time, double total, uint16_t load, uint32_t period, std::string name))
+{
+    auto sent = heartbeat(name, sequence, sequence);
+    sent.sentMicroseconds = time;
+    sent.periodMilliseconds = period;
+    sent.quotas[0].admittedTotal = total;
+    sent.loads[0].inFlight = load;
+    sent.signals[0].ageMicroseconds = time;
+    const auto outcome
+        = outcomeOf<PeerHeartbeat>([&] { return decodePeerHeartbeat(encodePeerHeartbeat(sent)); });
+    RC_ASSERT(std::holds_alternative<PeerHeartbeat>(outcome));
+    RC_ASSERT(std::get<PeerHeartbeat>(outcome) == sent);
+}
+
 TEST(PeerHeartbeat, RejectsTruncatedDatagrams)
 {
     const auto datagram = encodePeerHeartbeat(heartbeat("a", 1, 2));
