Compare how frequent parts are only if enough requests were counted

Below 16 requests a part counts as not comparable; requests are counted while they are refused, so a sound part that is blocked together with another one is freed soon. The test failed before.

--- a/packages/Edge/lib/CrashAttribution.cpp
+++ b/packages/Edge/lib/CrashAttribution.cpp
@@ -20,6 +20,9 @@
 constexpr Duration breakConfirmation = std::chrono::milliseconds(100);
 /// A blocked trigger explains crashes of triggers that are in at least so many times as many requests.
 constexpr uint64_t leastFrequencyRatio = 4;
+/// A daemon that has counted fewer requests with a part, because it was restarted, cannot tell how frequent
+/// it is.
+constexpr uint64_t minRequestsToCompare = 16;
 /// Crashes this close to each other may have one cause that is not a request, such as a lost host. For a
 /// trigger that is known to be sound they count as one.
 constexpr Duration simultaneous = std::chrono::milliseconds(250);
@@ -431,8 +434,10 @@
         return false;
     if (isKnownSound(id))
         return true;
-    if (!isWholeRequest(culprit))
-        return requestsWith(culprit) * leastFrequencyRatio <= requestsWith(id);
+    if (!isWholeRequest(culprit)) {
+        const auto n = requestsWith(id);
+        return n >= minRequestsToCompare && requestsWith(culprit) * leastFrequencyRatio <= n;
+    }
     // A request with a part that crashes endpoints comes again as well, so it does not clear its parts.
     if (!isWholeRequest(id))
         return false;
--- a/packages/Edge/unittests/CrashAttributionTest.cpp
+++ b/packages/Edge/unittests/CrashAttributionTest.cpp
@@ -196,6 +196,23 @@
     EXPECT_TRUE(fleet.isAllowedEverywhere(promptOf({ first, subject })));
 }
 
+TEST(CrashAttribution, DaemonThatHadCountedFewRequestsFreedACrashingPart)
+{
+    // To a restarted daemon a sound part that is at the same crashes seems to be the rarer one.
+    Fleet fleet(2);
+    for (int i = 0; i < 3; ++i)
+        fleet.crash(0, promptOf({ subject, bad }));
+    fleet[1].recordRequest(promptOf({ subject }));
+    for (int i = 0; i < 4; ++i)
+        fleet[1].recordRequest(promptOf({ bad }));
+    fleet.advance(1s);
+    EXPECT_TRUE(fleet.isBlockedEverywhere(promptOf({ bad })));
+    for (int i = 0; i < 40; ++i)
+        fleet[1].recordRequest(promptOf({ subject }));
+    fleet.advance(400ms);
+    EXPECT_EQ(fleet[1].judge(promptOf({ subject }), fleet.now()), Verdict::Allowed);
+}
+
 TEST(CrashAttribution, RestartedDaemonLearnsWhichPartsAreSound)
 {
     Fleet fleet(3);
