--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -305,7 +305,7 @@
                 .endpoints = viewOf(*m_endpointFollower, at) };
         heartbeat.triggers.clear();
         std::ranges::copy_if(triggers, std::back_inserter(heartbeat.triggers),
-            [&](const auto& it) { return m_state.crashes.isAddressedTo(it, name); });
+            [this, &daemon = name](const auto& it) { return m_state.crashes.isAddressedTo(it, daemon); });
         heartbeat.levels.clear();
         if (m_countsAllUse && !peer.countsAllUse) {
             for (auto& [organisation, quota] : m_state.quotas())
