Adopt the block of a request whatever other requests are blocked

A daemon that had been restarted or cut off took a blocked request for a victim of another one, since it knew more crashes of that one, and did not adopt the block from its peers; it went on sending the request. How many crashes a daemon knows depends on when it was started, so only the daemons that count the crashes compare them. The test failed before.

--- a/packages/Edge/lib/CrashAttribution.cpp
+++ b/packages/Edge/lib/CrashAttribution.cpp
@@ -365,9 +365,11 @@
     const TriggerReport& report, Trigger& trigger, TimePoint lastCrashAt, TimePoint now)
 {
     // A daemon that knows the trigger to be sound, or another one to be to blame, judges recent crashes by
-    // itself; its next answer frees the trigger at the others.
-    const bool isExplained = std::ranges::any_of(m_triggers,
-        [&](const auto& it) { return it.second.blockedAt && explains(it.first, report.trigger); });
+    // itself; its next answer frees the trigger at the others. A count of crashes does not show that: this
+    // daemon may know fewer of them.
+    const bool isExplained = !isWholeRequest(report.trigger)
+        && std::ranges::any_of(m_triggers,
+            [&](const auto& it) { return it.second.blockedAt && explains(it.first, report.trigger); });
     if (isExplained || (isKnownSound(report.trigger) && !report.crashes.empty()))
         return;
     if (trigger.answeredAt && lastCrashAt <= *trigger.answeredAt)
--- a/packages/Edge/lib/EdgeSharedRows.cpp
+++ b/packages/Edge/lib/EdgeSharedRows.cpp
@@ -1,9 +1,9 @@
 // Rows in the platform's store that the daemons share: what has to be known if all of them are restarted at
 // once.
 //
-// The key of a row is its kind and the name of what it describes: "blocked/PART" for a blocked trigger of
-// prompts, "version/SERVICE" for the software version of a service's endpoints. One daemon writes each row;
-// the others learn the same from it directly while they run.
+// The key of a row is its kind and the name of what it describes: "blocked/TRIGGER" for a part of prompts or
+// a request that is blocked, "version/SERVICE" for the software version of a service's endpoints. One daemon
+// writes each row; the others learn the same from it directly while they run.
 #include "EdgeTimes.h"
 #include "lentilbay/Edge/EdgeDaemon.h"
 #include "lentilbay/Support/Hash.h"
--- a/packages/Edge/unittests/CrashAttributionTest.cpp
+++ b/packages/Edge/unittests/CrashAttributionTest.cpp
@@ -477,6 +477,28 @@
         EXPECT_EQ(fleet[i].blockedTriggers(), 2U) << i;
 }
 
+TEST(CrashAttribution, RestartedDaemonDidNotAdoptTheSecondOfTwoBlockedRequests)
+{
+    Fleet fleet(3);
+    for (size_t i = 0; i < 3; ++i) {
+        fleet.crash(i, requestOf(bad + 1));
+        fleet.advance(200ms);
+    }
+    fleet.advance(5s);
+    fleet.restart(0);
+    // It has seen one crash of the one that it adopts first.
+    fleet.crash(0, requestOf(bad));
+    fleet.setCut(0, true);
+    for (size_t i = 0; i < 3; ++i) {
+        fleet.crash(1 + i % 2, requestOf(bad));
+        fleet.advance(200ms);
+    }
+    fleet.advance(5s);
+    fleet.setCut(0, false);
+    fleet.advance(1s);
+    EXPECT_EQ(fleet[0].blockedTriggers(), 2U);
+}
+
 TEST(CrashAttribution, LookupIsNotBlockedWhileEndpointsEndForOtherReasons)
 {
     // All endpoints are reclaimed at once, then one after the other, while the same request comes all the
