Judge rows that may be copies by their content

The number cannot tell the two apart. The configuration is now always passed on, since its own version guards it; an entry of an endpoint is withheld only if it would bring back an endpoint that is leaving or was removed, or an earlier start of it, and for 10 s.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -27,6 +27,8 @@
     void grantInitialQuotas();
     void applyConfigurationRow(const platform::StoreRow& row);
     void applyEndpointRow(const platform::StoreRow& row);
+    /// Whether a row that may be older than the known one may be applied.
+    bool isHarmlessEndpointRow(const platform::StoreRow& row) const;
     void applyDaemonRow(const platform::StoreRow& row);
     /// Records the era of the store. In a later one than before, all tables are read again and what this
     /// daemon has written is written again.
--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -177,6 +177,9 @@
 
     /// Adds an endpoint or updates its entry. Returns whether anything changed.
     bool list(const RoutedEndpoint& endpoint);
+    /// Whether an entry lists as ready an incarnation of the endpoint that is known to be leaving, or an
+    /// endpoint that is not listed or has been started again since.
+    bool wouldReturn(const RoutedEndpoint& endpoint) const;
     /// Removes an endpoint. Returns whether it was listed. Sends in progress may still end.
     bool unlist(const EndpointId& id);
     /// Returns the state, also of an endpoint that was removed while sends to it are in progress; nullptr for
--- a/packages/Edge/include/lentilbay/Edge/TableReplica.h
+++ b/packages/Edge/include/lentilbay/Edge/TableReplica.h
@@ -6,17 +6,20 @@
 // version numbers. Therefore:
 // - The first snapshot of an era replaces nothing that is newer. A row that differs from the known one and
 // has
-//   a lower version number is withheld until it is written again, or for a time after which it has to be
-//   true.
+//   a lower version number may be older, or may have been written again already. Unless its reader can tell
+//   from its content that it does no harm, it is withheld until it is written again, or for a time after
+//   which it has to be true.
 // - A known row that the snapshot lacks is lost, not deleted, and is deleted only if nobody writes it again.
 #pragma once
 
 #include "lentilbay/Support/Time.h"
 #include "lentilbay/platform/StoreCalls.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lentilbay::edge {
@@ -29,6 +32,8 @@
     Duration minOutageToExpire {};
     /// How long a row of an older copy is withheld; zero: such rows are applied at once.
     Duration copiedRowDelay {};
+    /// Whether a row that may be older than the known one does no harm; none: no such row.
+    std::function<bool(const platform::StoreRow&)> isHarmless = {};
     /// Rows that the store has lost are reported as lost only, and not deleted later: the reader of the table
     /// writes them itself.
     bool forgetsLostRows = false;
@@ -53,7 +58,7 @@
 class TableReplica {
 public:
     explicit TableReplica(TableReplicaOptions options)
-        : m_options(options)
+        : m_options(std::move(options))
     {
     }
 
@@ -105,6 +110,7 @@
     const Known* find(const std::string& key) const;
     /// Whether a row of the first snapshot of an era may be older than what is known of it.
     bool mayBeOlder(const platform::StoreRow& row) const;
+    bool isWithheld(const platform::StoreRow& row) const;
     void remove(const std::string& key, StoreVersion version, TimePoint now, std::vector<RowChange>& out);
     void removeNow(const std::string& key, StoreVersion version, TimePoint now, std::vector<RowChange>& out);
 
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -39,7 +39,7 @@
 constexpr int missedHeartbeatsToExpire = 2;
 /// After the store has come back from an older copy, a row of that copy is used after this time if it has not
 /// been written again; an endpoint whose departure the store has lost is gone by then.
-constexpr Duration copiedRowDelay = std::chrono::seconds(30);
+constexpr Duration copiedRowDelay = std::chrono::seconds(10);
 /// The time over which the daemons together write their rows again, and read tables that only some of them
 /// need, after the store has come back from an older copy.
 constexpr Duration rewriteSpread = std::chrono::seconds(2);
@@ -138,7 +138,6 @@
     receiveHeartbeats();
     schedulePeriodic(m_queueTimer, queuePeriod, [this] {
         const auto now = bootNow();
-        m_configurationFollower->applyDueChanges(now);
         m_endpointFollower->applyDueChanges(now);
         m_state.streams.poll(now);
         if (m_state.queue.size() > 0)
@@ -185,7 +184,6 @@
             .wait = longPollWait(),
             .spacing = configurationSpacing,
             .spacingWhilePassive = passiveSpacing(),
-            .replica = { .copiedRowDelay = copiedRowDelay },
             .seed = randomSeed() },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { applyConfigurationRow(row); },
             .deleted = [](const auto&) {},
@@ -205,7 +203,8 @@
             .spacingWhilePassive = passiveSpacing(),
             .replica = { .deletionDelay = lapsedEntryDelay,
                 .minOutageToExpire = m_state.settings.endpointHeartbeat * missedHeartbeatsToExpire,
-                .copiedRowDelay = copiedRowDelay },
+                .copiedRowDelay = copiedRowDelay,
+                .isHarmless = [this](const auto& row) { return isHarmlessEndpointRow(row); } },
             .seed = randomSeed() },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { applyEndpointRow(row); },
             .deleted =
@@ -295,6 +294,15 @@
             { "row_version", static_cast<int64_t>(row.version.number) } });
 }
 
+bool EdgeDaemon::isHarmlessEndpointRow(const platform::StoreRow& row) const
+{
+    const auto decoded
+        = outcomeOf<RoutedEndpoint>([&] { return platform::decodeEndpoint(EndpointId(row.key), row.value); });
+    // An invalid entry removes the endpoint.
+    const auto* endpoint = std::get_if<RoutedEndpoint>(&decoded);
+    return !endpoint || !m_state.endpointRegistry.wouldReturn(*endpoint);
+}
+
 void EdgeDaemon::applyEndpointRow(const platform::StoreRow& row)
 {
     const EndpointId id(row.key);
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -200,6 +200,18 @@
     return true;
 }
 
+bool EndpointRegistry::wouldReturn(const RoutedEndpoint& endpoint) const
+{
+    if (endpoint.isDraining)
+        return false;
+    const auto state = find(endpoint.id);
+    if (!state)
+        return true;
+    const auto& known = state->entry();
+    return endpoint.startedAtMilliseconds < known.startedAtMilliseconds
+        || (isLeaving(*state) && endpoint.startedAtMilliseconds == known.startedAtMilliseconds);
+}
+
 bool EndpointRegistry::unlist(const EndpointId& id)
 {
     const auto it = m_endpoints.find(id);
--- a/packages/Edge/lib/TableReplica.cpp
+++ b/packages/Edge/lib/TableReplica.cpp
@@ -107,6 +107,12 @@
         || std::ranges::find(known->earlierHashes, hashOf(row.value)) != known->earlierHashes.end();
 }
 
+bool TableReplica::isWithheld(const platform::StoreRow& row) const
+{
+    return m_options.copiedRowDelay > Duration::zero() && mayBeOlder(row)
+        && !(m_options.isHarmless && m_options.isHarmless(row));
+}
+
 void TableReplica::applySnapshot(TimePoint now, std::vector<RowChange>& out)
 {
     for (const auto& [key, row] : m_snapshot) {
@@ -123,7 +129,7 @@
                 continue;
             }
         }
-        if (m_options.copiedRowDelay > Duration::zero() && mayBeOlder(row))
+        if (isWithheld(row))
             m_withheld[key] = { .row = row, .until = now + m_options.copiedRowDelay };
         else
             write(row, out);
--- a/packages/Edge/unittests/EndpointRegistryTest.cpp
+++ b/packages/Edge/unittests/EndpointRegistryTest.cpp
@@ -117,6 +117,25 @@
     EXPECT_FALSE(endpointRegistry.hasCandidate(service));
 }
 
+TEST_F(EndpointRegistryTest, OlderEntryBringsNoEndpointBack)
+{
+    auto entry = endpointOf("near", "a");
+    entry.startedAtMilliseconds = 5;
+    endpointRegistry.list(entry);
+    EXPECT_FALSE(endpointRegistry.wouldReturn(entry));
+    auto leaving = entry;
+    leaving.isDraining = true;
+    EXPECT_FALSE(endpointRegistry.wouldReturn(leaving));
+    endpointRegistry.list(leaving);
+    EXPECT_TRUE(endpointRegistry.wouldReturn(entry));
+    entry.startedAtMilliseconds = 4;
+    EXPECT_TRUE(endpointRegistry.wouldReturn(entry)) << "an earlier start";
+    entry.startedAtMilliseconds = 6;
+    EXPECT_FALSE(endpointRegistry.wouldReturn(entry)) << "a later start";
+    endpointRegistry.unlist(EndpointId("near"));
+    EXPECT_TRUE(endpointRegistry.wouldReturn(entry)) << "removed";
+}
+
 TEST_F(EndpointRegistryTest, SuspendsAnEndpointAfterTwoFailuresInARow)
 {
     at("near").recordSend(shortStream, TimePoint(1s));
--- a/packages/Edge/unittests/TableReplicaTest.cpp
+++ b/packages/Edge/unittests/TableReplicaTest.cpp
@@ -86,6 +86,21 @@
     EXPECT_EQ(due(TimePoint(33s)), "e=ready");
 }
 
+TEST_F(TableReplicaTest, DepartureWrittenAgainBeforeTheFirstReadWasWithheld)
+{
+    TableReplica it({ .copiedRowDelay = copiedRowDelay,
+        .isHarmless = [](const auto& row) { return row.value == "leaving"; } });
+    it.enterEra(1);
+    it.apply(
+        { .rows = { row("e", "ready", { 1, 20 }), row("f", "leaving", { 1, 19 }) }, .version = { 1, 20 } },
+        TimePoint(1s));
+    it.enterEra(2);
+    const auto changes = it.apply(
+        { .rows = { row("e", "leaving", { 2, 15 }), row("f", "ready", { 2, 14 }) }, .version = { 2, 15 } },
+        TimePoint(2s));
+    EXPECT_EQ(printed(changes), "e=leaving");
+}
+
 TEST_F(TableReplicaTest, CopyContainedARowThatHadBeenDeleted)
 {
     readDeparture();
