--- a/packages/Edge/unittests/TableReplicaTest.cpp
+++ b/packages/Edge/unittests/TableReplicaTest.cpp
@@ -101,6 +101,18 @@
     EXPECT_EQ(printed(changes), "e=leaving");
 }
 
+TEST_F(TableReplicaTest, ConfigurationWrittenAgainBeforeTheFirstReadWasWithheld)
+{
+    // Its reader compares the configuration's own version.
+    TableReplica it({});
+    it.enterEra(1);
+    it.apply({ .rows = { row("config", "13", { 1, 20 }) }, .version = { 1, 20 } }, TimePoint(1s));
+    it.enterEra(2);
+    const auto changes
+        = it.apply({ .rows = { row("config", "14", { 2, 17 }) }, .version = { 2, 17 } }, TimePoint(2s));
+    EXPECT_EQ(printed(changes), "config=14");
+}
+
 TEST_F(TableReplicaTest, CopyContainedARowThatHadBeenDeleted)
 {
     readDeparture();
