--- a/packages/Edge/include/lentilbay/Edge/CrashAttribution.h
+++ b/packages/Edge/include/lentilbay/Edge/CrashAttribution.h
@@ -39,8 +39,8 @@
 
 /// A request, as far as crashes can be attributed to it.
 struct AttributedRequest {
-    /// The parts of its prompt but the last, which is the request's own, and the whole request: its path,
-    /// organisation and body.
+    /// The parts of its prompt but the last, which is the request's own, and the whole request: a hash of its
+    /// host, path, organisation, body and these parts.
     std::vector<uint64_t> triggers;
     /// hashOf() of the name of the request's organisation; 0 if it has none.
     uint64_t organisation = 0;
@@ -99,7 +99,7 @@
 
     /// Whether a request may be sent now. A trial must be recorded when it is sent.
     Verdict judge(const AttributedRequest& request, TimePoint now) const;
-    /// When the next trial of a blocked part of the prompt is due, or `now`.
+    /// When the next trial of a blocked trigger of the request is due, or `now`.
     TimePoint nextTrialAt(const AttributedRequest& request, TimePoint now) const;
     void recordTrial(const AttributedRequest& request, TimePoint now);
 
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -103,6 +103,7 @@
     const auto organisation = m_organisation ? hashOf(m_organisation->name.text()) : 0;
     m_attributed = { .organisation = organisation };
     const auto& request = m_exchange->request();
+    // Headers differ between the repetitions of a request, the parts of its prompt do not.
     auto fingerprint = hashOf(request.body, hashOf(request.target, hashOf(m_metadata.host, organisation)));
     for (const auto it : m_metadata.promptParts) {
         m_attributed.triggers.push_back(triggerOfPart(it));
