Play configurations that the store loses in the soak

The soak adds organisations, each with a key and a route, and removes them; the fault "gap" is a store that loses a version which daemons had read, an operator who takes seconds to write it again, and daemons that start meanwhile.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -44,6 +44,8 @@
                "configure", "limit", "leave", "busy", "revoke", "herd", "hup", "rewind"]
 # "repeat" repeats a request that crashes each endpoint which runs it.
 CRASH_FAULT_KINDS = ["repeat"]
+# "organisation" adds an organisation and removes it; "gap" is a "rewind" whose lost configuration is written again late.
+CONFIGURATION_FAULT_KINDS = ["organisation", "gap"]
 # Kinds that need --streams: "prompt" sends requests with a part that crashes engines, "release" replaces engines by
 # ones of another software version.
 STREAM_FAULT_KINDS = ["prompt", "release"]
@@ -78,8 +80,12 @@
         self.findings: list = []
         self.counts: dict = {}
         self.config_version = 1
+        # Whether each key is in the newest configuration, and when those that are not were taken away.
         self.keys = {"key-kept": True, "key-revoked": True}
-        self.revoked_at = None
+        self.revoked_at: dict = {}
+        # Organisations that come and go, each with a route and a key, by the name of the route, with the time at which
+        # the configuration with them was acknowledged.
+        self.added: dict = {}
         # Intervals [begin, end] of the faults that affected each daemon, and of each endpoint's draining; end is
         # infinite while they last.
         self.faulted: dict = {i: [] for i in range(self.daemons)}
@@ -99,6 +105,9 @@
         self.prompts = PromptTraffic(self)
         self.releases = 0
         self.is_rewinding = False
+        # The operator writes nothing while this is cleared.
+        self.operator_writes = asyncio.Event()
+        self.operator_writes.set()
 
     def add_finding(self, rule: str, detail: str) -> None:
         self.findings.append(f"{rule}: {detail}")
@@ -138,18 +147,20 @@
         await endpoint.listen(f"{self.network}.20", 7001 + n)
 
     async def configure(self) -> None:
+        await self.operator_writes.wait()
         moved = "llm" if len(self.moves) % 2 else "app"
         services = {"stream": "llm", "long": "llm", "moved": moved}
         routes = [{"Name": kind, "Host": "h", "Prefix": f"/{kind}/", "Type": wire,
                    "TimeoutMs": TIMEOUT_MS.get(kind, 3000), "SloMs": 300,
                    "Service": services.get(kind, "app"), "Attempts": 1 if kind == "once" else 2,
-                   "Resumable": wire == "stream", "Priority": 0} for kind, wire in ROUTES.items()]
+                   "Resumable": wire == "stream", "Priority": 0} for kind, wire in (ROUTES | dict.fromkeys(self.added, "safe")).items()]
         self.config_version += self.rng.randint(1, 3)
         await self.store.put("op", "config", {
             "Version": self.config_version, "Routes": routes,
             "Services": [{"Name": "app", "MaxConns": 100},
                          {"Name": "llm", "MaxConns": 100, "Engine": {"Slots": 6, "Stride": 6}}],
-            "Tenants": [{"Name": "t", "ApiKeys": [key for key, is_valid in self.keys.items() if is_valid]}]})
+            "Tenants": [{"Name": "t", "ApiKeys": [key for key in ("key-kept", "key-revoked") if self.keys[key]]}]
+                       + [{"Name": f"t-{name}", "ApiKeys": [f"key-{name}"]} for name in self.added]})
         self.moves.append((time.monotonic(), moved))
 
     def spawn(self, i: int, first: bool = False) -> None:
@@ -193,6 +204,10 @@
             await asyncio.sleep(rng.uniform(0.01, 0.12))
             kind = rng.choice(list(KINDS))
             key = "key-revoked" if rng.random() < 0.15 else "key-kept"
+            added = [name for name, at in self.added.items() if time.monotonic() - at > CONFIG_SECONDS]
+            if added and rng.random() < 0.3:
+                kind = rng.choice(added)
+                key = f"key-{kind}"
             request = uuid.UUID(int=rng.getrandbits(128)).hex[:16]
             after_faults = self.faults_ended
             if connection is None or rng.random() < 0.1:
@@ -218,7 +233,7 @@
                 if isinstance(error, asyncio.TimeoutError):
                     self.count_outcome(after_faults, "no answer in time")
             self.requests.append((request, kind, key, daemon, sent_at, status))
-            self.check_response(request, kind, key, body, status, headers, text, is_complete, sent_at)
+            self.check_response(request, kind, key, body, status, headers, text, is_complete, daemon, sent_at)
             self.count_outcome(after_faults, str(status) if is_complete or status == 0 else f"{status} cut")
             if not is_complete or headers.get("connection") == "close":
                 connection[1].close()
@@ -250,7 +265,7 @@
         counts = self.counts.setdefault("calm" if after_faults else "faults", {})
         counts[outcome] = counts.get(outcome, 0) + 1
 
-    def check_response(self, request, kind, key, body, status, headers, text, is_complete, sent_at) -> None:
+    def check_response(self, request, kind, key, body, status, headers, text, is_complete, daemon, sent_at) -> None:
         if status == 200:
             if headers.get("x-request-id") != request or "x-served-by-sig" not in headers:
                 self.add_finding("MIXED", f"{request} got the answer of {headers.get('x-request-id')}")
@@ -262,7 +277,12 @@
                     self.add_finding("ORDER", f"{request} got events {events}")
                 if is_complete and len(events) != Endpoint.EVENTS:
                     self.add_finding("ORDER", f"{request} ended as whole after {len(events)} events")
-        elif status in (400, 403, 404, 413, 431) or (status == 401 and self.keys[key]):
+        elif kind in self.added and status in (401, 404):
+            # A store that has lost the configuration allows it, and so does a fault of the daemon.
+            if self.is_in_contact(daemon, sent_at, time.monotonic()):
+                self.add_finding("CONFIG", f"{request} got {status} from daemon {daemon}, "
+                                 f"{sent_at - self.added[kind]:.1f} s after {kind} had been added")
+        elif status in (400, 403, 413, 431) or (status == 404 and kind in KINDS) or (status == 401 and self.keys[key]):
             self.add_finding("DENIED", f"{request} got {status}")
 
     # --- faults ---
@@ -372,17 +392,44 @@
             endpoint.limit = None
         elif kind == "configure":
             await self.configure()
-        elif kind == "rewind" and not self.is_rewinding:
+        elif kind in ("rewind", "gap") and not self.is_rewinding:
             self.is_rewinding = True
-            await self.rewind_store()
+            await self.rewind_store(kind == "gap")
             self.is_rewinding = False
-        elif kind == "revoke" and self.revoked_at is None:
-            self.keys["key-revoked"] = False
-            await self.configure()
-            self.revoked_at = time.monotonic()
+        elif kind == "organisation":
+            await self.add_organisation(self.rng.uniform(3.0, 10.0))
+        elif kind == "revoke" and self.keys["key-revoked"]:
+            await self.revoke("key-revoked")
+
+    async def revoke(self, key: str) -> None:
+        self.keys[key] = False
+        await self.configure()
+        self.revoked_at[key] = time.monotonic()
+
+    async def add_organisation(self, seconds: float) -> None:
+        """An organisation with a route and a key of its own is added, and removed later."""
+        name = f"added-{self.rng.getrandbits(32):08x}"
+        self.keys[f"key-{name}"] = True
+        self.added[name] = float("inf")
+        await self.configure()
+        self.added[name] = time.monotonic()
+        await asyncio.sleep(seconds)
+        del self.added[name]
+        await self.revoke(f"key-{name}")
+
+    async def rewind_store(self, has_gap: bool) -> None:
+        """The store is away and comes back from an older copy; the operator and the endpoints write again.
 
-    async def rewind_store(self) -> None:
-        """The store is away and comes back from an older copy; the operator and the endpoints write again."""
+        With `has_gap`, versions are lost that were acknowledged just before, the operator takes longer, and some
+        daemons start meanwhile.
+        """
+        operator_wrote_at = time.monotonic()
+        if has_gap:
+            asyncio.create_task(self.add_organisation(30.0))
+            await self.configure()
+            self.operator_writes.clear()
+            # A version that no daemon has read is in force once it is written again.
+            await asyncio.sleep(self.rng.uniform(1.0, 3.0))
         fault = [time.monotonic(), float("inf")]
         for faults in self.faulted.values():
             faults.append(fault)
@@ -392,21 +439,39 @@
             self.store.crash()
         await asyncio.sleep(self.rng.uniform(0.1, 3.0))
         seconds = self.rng.uniform(1.0, 10.0)
+        if has_gap:
+            seconds = time.monotonic() - operator_wrote_at
         rewound_to = time.monotonic() - seconds
         lost = await self.store.rewind(seconds)
         version = self.store.version
         if closes:
             await self.store.listen(f"{self.network}.1", 7000)
         self.store.is_away = False
-        keys = [key for key in lost if key[0] in ("op", "servers")]
+        restart = None
+        if has_gap:
+            fault[1] = time.monotonic()
+            n = self.rng.randint(1, self.daemons - 1)
+            restart = asyncio.create_task(self.restart(self.rng.sample(range(self.daemons), n), signal.SIGKILL))
+        tables = ("servers",) if has_gap else ("op", "servers")
+        keys = [key for key in lost if key[0] in tables]
         for key in self.rng.sample(keys, len(keys)):
             await asyncio.sleep(self.rng.uniform(0.0, 1.5) / len(keys))
-            # Unless it has been written meanwhile.
-            if self.store.rows.get(key, (0, None))[0] <= version:
-                await self.store.put(*key, lost[key])
-            if key[0] == "op" and self.revoked_at and self.revoked_at > rewound_to:
-                self.revoked_at = time.monotonic()
-        fault[1] = time.monotonic()
+            await self.write_again(key, lost[key], version, rewound_to)
+        if restart:
+            await restart
+            await asyncio.sleep(self.rng.uniform(4.0, 7.0))
+            if ("op", "config") in lost:
+                await self.write_again(("op", "config"), lost[("op", "config")], version, rewound_to)
+            self.operator_writes.set()
+        else:
+            fault[1] = time.monotonic()
+
+    async def write_again(self, key: tuple, value: str | None, version: int, rewound_to: float) -> None:
+        """Writes a row that the store has lost, unless it has been written meanwhile."""
+        if self.store.rows.get(key, (0, None))[0] <= version:
+            await self.store.put(*key, value)
+        if key[0] == "op":
+            self.revoked_at |= {it: time.monotonic() for it, at in self.revoked_at.items() if at > rewound_to}
 
     async def release(self) -> None:
         """Replaces a part of the engines, one after the other, by ones of another version at the same addresses."""
@@ -558,11 +623,12 @@
                 self.add_finding("TWICE", f"{request} ran {len(executions)} times")
             if kind == "once" and status in (408, 421, 429, 503):
                 self.add_finding("REFUSED", f"{request} got {status} and ran")
-            if key == "key-revoked" and self.revoked_at and sent_at > self.revoked_at + REVOKE_SECONDS:
-                self.add_finding("CONFIG", f"{request} ran {sent_at - self.revoked_at:.1f} s after its key was taken away")
+            revoked_at = self.revoked_at.get(key, float("inf"))
+            if sent_at > revoked_at + REVOKE_SECONDS:
+                self.add_finding("CONFIG", f"{request} ran {sent_at - revoked_at:.1f} s after its key was taken away")
             for executed_at, endpoint, headers, target, body in executions:
                 self.check_bounds(request, kind, daemon, sent_at, executed_at, endpoint)
-                if headers.get("x-tenant") != "t" or "authorization" in headers:
+                if headers.get("x-tenant") != ("t" if kind in KINDS else f"t-{kind}") or "authorization" in headers:
                     self.add_finding("UNASKED", f"{request} arrived with tenant {headers.get('x-tenant')}")
                 if target != f"/{kind}/x" or body != f"body-{request}".encode():
                     self.add_finding("UNASKED", f"{request} arrived as {target} {body!r}")
@@ -609,7 +675,8 @@
     parser.add_argument("--seconds", type=float, default=15, help="duration of fault injection in seconds")
     parser.add_argument("--runs", type=int, default=1, help="number of consecutive seeds to run")
     parser.add_argument("--faults", default=",".join(FAULT_KINDS),
-                        help=f"kinds of faults, drawn with equal probability; also {', '.join(CRASH_FAULT_KINDS + STREAM_FAULT_KINDS)}")
+                        help=f"kinds of faults, drawn with equal probability; also "
+                             f"{', '.join(CRASH_FAULT_KINDS + CONFIGURATION_FAULT_KINDS + STREAM_FAULT_KINDS)}")
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--endpoints", type=int, default=5, help="applications and engines")
     parser.add_argument("--applications", type=int, default=2, help="how many of the endpoints are applications")
