Read the configuration from a peer if the store has lost it

Callers of a daemon that had just been started were served as an older configuration says, although other daemons had the newer one in force: the store had come back from an older copy, and the operator had not yet written again. The daemon compared the store's row with nothing. The same holds for a daemon that had not read a version before the store lost it.

Heartbeats carry the version of the configuration in force. A daemon that learns of a newer one reads it from that peer, over a TCP server on the port of the heartbeats: at once when it starts, and after 1.2 s otherwise, as it is about to read it from the store. A daemon that starts is not ready and refuses requests as not run until it has compared its version with a peer's, or for 0.8 s without one.

--- /dev/null
+++ b/packages/Edge/include/lentilbay/Edge/ConfigurationCatchUp.h
@@ -0,0 +1,55 @@
+// Decides when a daemon reads the configuration from a peer instead of the platform's store.
+//
+// The store may have lost versions that it had acknowledged, until the operator writes them again. Daemons that
+// had read them keep them in force. A daemon that starts in between, or had not read them before, finds an
+// older version in the store and reads the newer one from a peer.
+#pragma once
+
+#include "lentilbay/Support/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace lentilbay::edge {
+
+class ConfigurationCatchUp {
+public:
+    /// `isSettled` is whether no peer can have a newer configuration than the store, because the fleet starts
+    /// for the first time.
+    explicit ConfigurationCatchUp(bool isSettled)
+        : m_isSettled(isSettled)
+    {
+    }
+
+    /// Records that the platform's store has listed the other daemons. `hasOthers` is whether there may be any.
+    void daemonsListed(bool hasOthers, TimePoint now);
+    /// Records the version of the configuration that is in force at a peer; 0 if none is.
+    void recordPeer(const std::string& daemon, uint64_t version, TimePoint now);
+    /// Whether this daemon may use its configuration: it has compared it with a peer's, or has had time to.
+    /// Stays true once it is.
+    bool isSettled(uint64_t ownVersion, TimePoint now);
+    /// The peer to read the configuration from now; std::nullopt if none has a newer one, or this daemon is
+    /// about to read it from the store. At most one call is made in each retry period.
+    std::optional<std::string> nextSource(uint64_t ownVersion, TimePoint now);
+
+private:
+    struct Peer {
+        uint64_t version = 0;
+        TimePoint heardAt {};
+        /// When it was last asked for its configuration.
+        TimePoint askedAt {};
+    };
+    /// The newest version at peers that were heard recently; 0 if there is none.
+    uint64_t newest(TimePoint now) const;
+
+    std::map<std::string, Peer> m_peers;
+    bool m_isSettled;
+    std::optional<TimePoint> m_listedAt;
+    /// When a peer was first known to have a newer version than this daemon.
+    std::optional<TimePoint> m_behindSince;
+    TimePoint m_askedAt {};
+};
+
+} // namespace lentilbay::edge
--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -1,6 +1,7 @@
 // The edge daemon: connects the listeners, store followers, peer heartbeats and signals to EdgeState.
 #pragma once
 
+#include "lentilbay/Edge/ConfigurationCatchUp.h"
 #include "lentilbay/Edge/EdgeState.h"
 #include "lentilbay/Edge/StoreFollower.h"
 #include "lentilbay/Edge/StoreWriter.h"
@@ -26,6 +27,13 @@
     /// Gives the quotas their initial levels after a restart, once the other daemons are known.
     void grantInitialQuotas();
     void applyConfigurationRow(const platform::StoreRow& row);
+    /// Puts a configuration in force unless it is older; `source` is logged.
+    void applyConfiguration(const std::string& document, const std::string& source);
+    /// Reads the configuration from a peer that has a newer one, if it is time to.
+    void catchUpWithPeers(TimePoint now);
+    void readConfigurationFrom(const std::string& daemon);
+    /// Answers the calls of other daemons.
+    void servePeers();
     void applyEndpointRow(const platform::StoreRow& row);
     /// Whether a row that may be older than the known one may be applied.
     bool isHarmlessEndpointRow(const platform::StoreRow& row) const;
@@ -109,13 +117,17 @@
     std::unique_ptr<http::HttpServer> m_callerServer;
     std::unique_ptr<http::HttpServer> m_readinessServer;
     std::unique_ptr<http::HttpServer> m_metricsServer;
+    std::unique_ptr<http::HttpServer> m_peerServer;
     std::unique_ptr<StoreFollower> m_configurationFollower;
     std::unique_ptr<StoreFollower> m_endpointFollower;
     std::unique_ptr<StoreFollower> m_daemonFollower;
     std::unique_ptr<StoreFollower> m_sharedRowFollower;
     uint64_t m_storeEra = 0;
-    /// Of the configuration row that is in force.
-    uint64_t m_configurationHash = 0;
+    /// The configuration in force, as it was read.
+    std::string m_configurationDocument;
+    ConfigurationCatchUp m_catchUp;
+    /// The latest call to a peer for its configuration.
+    std::shared_ptr<http::ClientConnection> m_configurationCall;
     StoreWriter m_sharedRowWriter;
     /// The shared rows in the store, as far as known to this daemon, by key.
     std::map<std::string, std::string> m_sharedRows;
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -39,6 +39,8 @@
     /// Whether the other daemons have been read from the store, or this is the first start of the fleet.
     /// Without them a restarted daemon does not know its share of the quotas.
     bool knowsDaemons = false;
+    /// Whether no peer may have a newer configuration that the store has lost; see ConfigurationCatchUp.
+    bool isConfigurationSettled = true;
     /// When SIGTERM was received.
     std::optional<TimePoint> stopRequestedAt;
     EndpointRegistry endpointRegistry;
--- a/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
@@ -57,6 +57,8 @@
     uint64_t echoedIncarnation = 0;
     /// The send time by the sender's own clock, to be echoed by the receiver.
     int64_t sentMicroseconds = 0;
+    /// The version of the configuration that is in force at the sender; 0 if none is.
+    uint64_t configurationVersion = 0;
     /// Present only between daemons of the same data centre, which read the store for each other.
     std::optional<StoreViews> views;
     std::vector<PeerLoad> loads;
--- /dev/null
+++ b/packages/Edge/lib/ConfigurationCatchUp.cpp
@@ -0,0 +1,81 @@
+// Compares the configuration in force with those of the peers.
+#include "lentilbay/Edge/ConfigurationCatchUp.h"
+
+#include <algorithm>
+
+namespace lentilbay::edge {
+namespace {
+
+/// A daemon that reads the store has read a new version after this time.
+constexpr Duration storeReadDelay = std::chrono::milliseconds(1200);
+/// Time between two calls to peers.
+constexpr Duration retryPeriod = std::chrono::milliseconds(300);
+/// What a peer reported is used for this long.
+constexpr Duration reportLifetime = std::chrono::seconds(2);
+/// How long a daemon that starts waits for the first report of a peer.
+constexpr Duration firstReportTimeout = std::chrono::milliseconds(800);
+/// How long it waits for a newer configuration that a peer has reported.
+constexpr Duration catchUpTimeout = std::chrono::seconds(3);
+
+} // namespace
+
+void ConfigurationCatchUp::daemonsListed(bool hasOthers, TimePoint now)
+{
+    if (!m_listedAt)
+        m_listedAt = now;
+    m_isSettled = m_isSettled || !hasOthers;
+}
+
+void ConfigurationCatchUp::recordPeer(const std::string& daemon, uint64_t version, TimePoint now)
+{
+    auto& peer = m_peers[daemon];
+    peer.version = version;
+    peer.heardAt = now;
+}
+
+uint64_t ConfigurationCatchUp::newest(TimePoint now) const
+{
+    uint64_t out = 0;
+    for (const auto& [daemon, it] : m_peers) {
+        if (now - it.heardAt <= reportLifetime)
+            out = std::max(out, it.version);
+    }
+    return out;
+}
+
+bool ConfigurationCatchUp::isSettled(uint64_t ownVersion, TimePoint now)
+{
+    if (m_isSettled || !m_listedAt)
+        return m_isSettled;
+    const auto known = newest(now);
+    const auto elapsed = now - *m_listedAt;
+    m_isSettled = known == 0 ? elapsed >= firstReportTimeout
+                             : known <= ownVersion || elapsed >= catchUpTimeout;
+    return m_isSettled;
+}
+
+std::optional<std::string> ConfigurationCatchUp::nextSource(uint64_t ownVersion, TimePoint now)
+{
+    std::erase_if(m_peers, [&](const auto& it) { return now - it.second.heardAt > reportLifetime; });
+    const auto known = newest(now);
+    if (known <= ownVersion) {
+        m_behindSince.reset();
+        return std::nullopt;
+    }
+    m_behindSince = m_behindSince.value_or(now);
+    const bool awaitsStore = m_isSettled && now - *m_behindSince < storeReadDelay;
+    if (awaitsStore || now - m_askedAt < retryPeriod)
+        return std::nullopt;
+    // The peer that was asked longest ago comes first, in case one of them does not answer.
+    std::pair<const std::string, Peer>* out = nullptr;
+    for (auto& it : m_peers) {
+        if (it.second.version == known && (!out || it.second.askedAt < out->second.askedAt))
+            out = &it;
+    }
+    if (!out)
+        return std::nullopt;
+    m_askedAt = out->second.askedAt = now;
+    return out->first;
+}
+
+} // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -63,7 +63,7 @@
         return false;
     }
     const auto age = m_state.routesAge(now);
-    if (!m_routes || !m_state.endpointsConfirmedAt || !age) {
+    if (!m_routes || !m_state.endpointsConfirmedAt || !age || !m_state.isConfigurationSettled) {
         refuse(ResultCode::NotConfigured, defaultRetryAfter, now);
         return false;
     }
--- /dev/null
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -0,0 +1,109 @@
+// The configuration in force: from the platform's store, or from a peer that has a newer one.
+#include "lentilbay/Edge/EdgeDaemon.h"
+#include "lentilbay/Support/Log.h"
+#include "lentilbay/Support/SteadyClock.h"
+#include "lentilbay/platform/Documents.h"
+
+#include <fmt/format.h>
+
+namespace lentilbay::edge {
+namespace {
+
+namespace ip = asio::ip;
+
+/// The path at which a daemon serves its configuration to peers.
+constexpr std::string_view configurationPath = "/configuration";
+/// Several times the longest round trip between data centres.
+constexpr Duration connectTimeout = std::chrono::milliseconds(400);
+
+} // namespace
+
+void EdgeDaemon::applyConfigurationRow(const platform::StoreRow& row)
+{
+    if (row.key == platform::configurationKey)
+        applyConfiguration(row.value, fmt::format("store version {}", row.version.number));
+}
+
+void EdgeDaemon::applyConfiguration(const std::string& document, const std::string& source)
+{
+    auto decoded = outcomeOf<RouteTable>([&] { return platform::decodeConfiguration(document); });
+    if (const auto* failure = std::get_if<Failure>(&decoded)) {
+        logEvent(Event::ConfigurationInvalid,
+            { { "code", printed(failure->code) }, { "detail", failure->detail }, { "source", source } });
+        return;
+    }
+    auto& table = std::get<RouteTable>(decoded);
+    if (m_state.routes && table.version() < m_state.routes->version()) {
+        logEvent(Event::ConfigurationOutdated,
+            { { "version", static_cast<int64_t>(table.version()) },
+                { "in_force", static_cast<int64_t>(m_state.routes->version()) }, { "source", source } });
+        return;
+    }
+    if (m_state.routes && table.version() == m_state.routes->version() && document == m_configurationDocument)
+        return;
+    m_configurationDocument = document;
+    m_state.routes = std::make_shared<const RouteTable>(std::move(table));
+    logEvent(Event::ConfigurationInForce,
+        { { "version", static_cast<int64_t>(m_state.routes->version()) },
+            { "routes", static_cast<int64_t>(m_state.routes->routes().size()) }, { "source", source } });
+}
+
+void EdgeDaemon::catchUpWithPeers(TimePoint now)
+{
+    // The store is read first, so that a peer is asked only for what the store lacks.
+    if (!m_configurationFollower->coveredVersion())
+        return;
+    const auto version = m_state.routes ? m_state.routes->version() : 0;
+    if (const auto daemon = m_catchUp.nextSource(version, now))
+        readConfigurationFrom(*daemon);
+    m_state.isConfigurationSettled = m_catchUp.isSettled(version, now);
+}
+
+void EdgeDaemon::readConfigurationFrom(const std::string& daemon)
+{
+    const auto peer = m_state.peers.peers().find(daemon);
+    if (peer == m_state.peers.peers().end())
+        return;
+    std::error_code ec;
+    const auto host = ip::make_address(peer->second.host, ec);
+    if (ec)
+        return;
+    if (m_configurationCall)
+        m_configurationCall->close();
+    m_configurationCall = std::make_shared<http::ClientConnection>(m_context);
+    m_state.metrics.count("configuration_calls_to_peers");
+    m_configurationCall->connect(
+        { host, peer->second.port }, connectTimeout, [this, daemon](bool isConnected) {
+            if (!isConnected)
+                return; // The next call goes to another peer if there is one.
+            auto body = std::make_shared<std::string>();
+            m_configurationCall->exchange(
+                fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", configurationPath, daemon), false,
+                { .head = [](const http::HttpResponseHead& head) { return head.status == 200; },
+                    .body = [body](std::string_view piece) { *body += piece; },
+                    .complete =
+                        [this, body, daemon] {
+                            m_configurationCall->close();
+                            applyConfiguration(*body, daemon);
+                        },
+                    .failed = [](http::FailurePoint) {} });
+        });
+}
+
+void EdgeDaemon::servePeers()
+{
+    const auto& own = m_state.settings;
+    m_peerServer = std::make_unique<http::HttpServer>(m_context,
+        http::HttpServerOptions { .address = { ip::make_address(own.ownHost), own.firstPeerPort },
+            .handler =
+                [this](std::shared_ptr<http::Exchange> exchange) {
+                    const bool isKnown
+                        = exchange->request().path() == configurationPath && m_state.routes != nullptr;
+                    const int status = isKnown ? 200 : 404;
+                    exchange->respond(status, http::reasonPhrase(status), {},
+                        isKnown ? m_configurationDocument : std::string());
+                },
+            .malformed = {} });
+}
+
+} // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -40,6 +40,8 @@
 /// After the store has come back from an older copy, a row of that copy is used after this time if it has not
 /// been written again; an endpoint whose departure the store has lost is gone by then.
 constexpr Duration copiedRowDelay = std::chrono::seconds(10);
+/// The era of a store that has never come back from a copy.
+constexpr uint64_t firstStoreEra = 1;
 /// The time over which the daemons together write their rows again, and read tables that only some of them
 /// need, after the store has come back from an older copy.
 constexpr Duration rewriteSpread = std::chrono::seconds(2);
@@ -92,10 +94,11 @@
     , m_heartbeatTimer(m_context)
     , m_maintenanceTimer(m_context)
     , m_peerSocket(m_context)
+    , m_catchUp(m_state.settings.isFirstStart)
     , m_sharedRowWriter(m_context, tcpEndpoint(m_state.settings.store))
 {
     std::signal(SIGPIPE, SIG_IGN);
-    m_state.knowsDaemons = m_state.settings.isFirstStart;
+    m_state.knowsDaemons = m_state.isConfigurationSettled = m_state.settings.isFirstStart;
     const auto& own = m_state.settings;
     m_callerServer = std::make_unique<http::HttpServer>(m_context,
         http::HttpServerOptions { .address = tcpEndpoint(own.callers),
@@ -120,6 +123,7 @@
     serveMetrics();
     m_peerSocket.open(ip::udp::v4());
     m_peerSocket.bind({ ip::make_address(own.ownHost), own.firstPeerPort });
+    servePeers();
     m_state.streams.setSender(
         [this](const auto& daemon, const auto& message) { sendStreamMessage(daemon, message); });
     followStore();
@@ -232,6 +236,9 @@
             .confirmed =
                 [this](TimePoint) {
                     m_state.knowsDaemons = true;
+                    // A store that has come back from an older copy may lack daemons.
+                    m_catchUp.daemonsListed(
+                        !m_state.peers.peers().empty() || m_storeEra > firstStoreEra, bootNow());
                     grantInitialQuotas();
                 },
             .eraChanged = [this](uint64_t era) { handleStoreEra(era, bootNow()); } });
@@ -270,30 +277,6 @@
     }
 }
 
-void EdgeDaemon::applyConfigurationRow(const platform::StoreRow& row)
-{
-    if (row.key != platform::configurationKey)
-        return;
-    auto decoded = outcomeOf<RouteTable>([&] { return platform::decodeConfiguration(row.value); });
-    if (const auto* failure = std::get_if<Failure>(&decoded)) {
-        logEvent(Event::ConfigurationInvalid,
-            { { "code", printed(failure->code) }, { "detail", failure->detail } });
-        return;
-    }
-    auto& table = std::get<RouteTable>(decoded);
-    const auto hash = hashOf(row.value);
-    if (m_state.routes && table.version() < m_state.routes->version())
-        return;
-    if (m_state.routes && table.version() == m_state.routes->version() && hash == m_configurationHash)
-        return;
-    m_configurationHash = hash;
-    m_state.routes = std::make_shared<const RouteTable>(std::move(table));
-    logEvent(Event::ConfigurationInForce,
-        { { "version", static_cast<int64_t>(m_state.routes->version()) },
-            { "routes", static_cast<int64_t>(m_state.routes->routes().size()) },
-            { "row_version", static_cast<int64_t>(row.version.number) } });
-}
-
 bool EdgeDaemon::isHarmlessEndpointRow(const platform::StoreRow& row) const
 {
     const auto decoded
@@ -394,7 +377,8 @@
             .handler =
                 [this](std::shared_ptr<http::Exchange> exchange) {
                     const bool isReady = !m_state.stopRequestedAt && m_state.endpointsConfirmedAt
-                        && m_state.knowsDaemons && m_state.routes && m_state.canVerifyKeys(bootNow());
+                        && m_state.knowsDaemons && m_state.isConfigurationSettled && m_state.routes
+                        && m_state.canVerifyKeys(bootNow());
                     const int status = isReady ? 200 : 503;
                     exchange->respond(status, http::reasonPhrase(status), {}, "");
                 },
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -122,6 +122,8 @@
         logEvent(Event::PeerSeen,
             { { "daemon", heartbeat.daemon },
                 { "incarnation", static_cast<int64_t>(heartbeat.incarnation) } });
+    m_catchUp.recordPeer(heartbeat.daemon, heartbeat.configurationVersion, now);
+    catchUpWithPeers(now);
     applyPeerViews(heartbeat, now);
     m_state.endpointRegistry.updatePeerLoads(heartbeat.daemon, heartbeat.loads, now);
     applyPeerQuotas(heartbeat, now);
@@ -256,7 +258,8 @@
         .incarnation = m_incarnation,
         .sequence = m_sequence,
         .dataCentre = own.dataCentre.text(),
-        .isLeaving = m_state.stopRequestedAt.has_value() };
+        .isLeaving = m_state.stopRequestedAt.has_value(),
+        .configurationVersion = m_state.routes ? m_state.routes->version() : 0 };
     for (const auto& [id, endpoint] : m_state.endpointRegistry.all()) {
         if (endpoint->ownInFlight() > 0)
             out.loads.push_back({ .endpoint = hashOf(id.text()),
@@ -277,6 +280,7 @@
         logEvent(Event::PeerSilent, { { "daemon", it } });
     m_state.endpointRegistry.dropStaleLoads(now);
     updateSignals(now);
+    catchUpWithPeers(now);
     m_state.versions.update(m_state.endpointRegistry, now);
     const auto daemons = aliveDaemons();
     m_state.streams.setDaemons(m_state.settings.daemon.text(), daemons);
--- a/packages/Edge/lib/PeerHeartbeat.cpp
+++ b/packages/Edge/lib/PeerHeartbeat.cpp
@@ -90,6 +90,7 @@
     compact::integerAs(archive, it.echoedMicroseconds);
     archive(it.echoedIncarnation);
     compact::integerAs(archive, it.sentMicroseconds);
+    compact::integer(archive, it.configurationVersion);
     if (hasViews) {
         auto views = it.views.value_or(StoreViews {});
         archive(views);
@@ -105,7 +106,7 @@
 namespace {
 
 /// Identifies heartbeat datagrams and their version; changes with the layout.
-constexpr uint32_t magic = 0x4c42'530a;
+constexpr uint32_t magic = 0x4c42'530b;
 /// A peer is silent after this many missing heartbeats in a row.
 constexpr double silentAfterPeriods = 3.5;
 /// Upper bound of the period that a peer may announce.
--- /dev/null
+++ b/packages/Edge/unittests/ConfigurationCatchUpTest.cpp
@@ -0,0 +1,74 @@
+// Tests when a daemon reads the configuration from a peer.
+#include "lentilbay/Edge/ConfigurationCatchUp.h"
+
+#include <gtest/gtest.h>
+
+namespace lentilbay::edge {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr TimePoint start { 100s };
+
+TEST(ConfigurationCatchUp, DaemonStartedBeforeTheOperatorHadWrittenAgain)
+{
+    ConfigurationCatchUp it(false);
+    it.daemonsListed(true, start);
+    EXPECT_FALSE(it.isSettled(4, start));
+    EXPECT_FALSE(it.nextSource(4, start));
+    it.recordPeer("b", 7, start + 100ms);
+    EXPECT_FALSE(it.isSettled(4, start + 100ms));
+    EXPECT_EQ(it.nextSource(4, start + 100ms), "b");
+    EXPECT_TRUE(it.isSettled(7, start + 150ms));
+    EXPECT_FALSE(it.nextSource(7, start + 500ms));
+}
+
+TEST(ConfigurationCatchUp, VersionThatThisDaemonHadNotReadWasLost)
+{
+    ConfigurationCatchUp it(true);
+    it.recordPeer("b", 7, start);
+    EXPECT_FALSE(it.nextSource(4, start)) << "it may be about to be read from the store";
+    it.recordPeer("b", 7, start + 1200ms);
+    EXPECT_EQ(it.nextSource(4, start + 1200ms), "b");
+}
+
+TEST(ConfigurationCatchUp, AsksEachPeerInTurn)
+{
+    ConfigurationCatchUp it(false);
+    it.recordPeer("b", 7, start);
+    it.recordPeer("c", 7, start);
+    it.recordPeer("d", 6, start);
+    EXPECT_EQ(it.nextSource(4, start), "b");
+    EXPECT_FALSE(it.nextSource(4, start + 100ms)) << "a call is in progress";
+    EXPECT_EQ(it.nextSource(4, start + 300ms), "c");
+    EXPECT_EQ(it.nextSource(4, start + 600ms), "b");
+}
+
+TEST(ConfigurationCatchUp, SettlesWithoutAPeer)
+{
+    ConfigurationCatchUp alone(false);
+    EXPECT_FALSE(alone.isSettled(4, start)) << "the other daemons are not known";
+    alone.daemonsListed(false, start);
+    EXPECT_TRUE(alone.isSettled(4, start));
+
+    ConfigurationCatchUp silent(false);
+    silent.daemonsListed(true, start);
+    EXPECT_FALSE(silent.isSettled(4, start + 700ms));
+    EXPECT_TRUE(silent.isSettled(4, start + 800ms));
+
+    ConfigurationCatchUp unreachable(false);
+    unreachable.daemonsListed(true, start);
+    unreachable.recordPeer("b", 7, start + 2s);
+    EXPECT_FALSE(unreachable.isSettled(4, start + 2900ms));
+    EXPECT_TRUE(unreachable.isSettled(4, start + 3s));
+}
+
+TEST(ConfigurationCatchUp, ForgetsWhatAPeerReportedLongAgo)
+{
+    ConfigurationCatchUp it(true);
+    it.recordPeer("b", 7, start);
+    EXPECT_FALSE(it.nextSource(4, start + 2100ms));
+}
+
+} // namespace
+} // namespace lentilbay::edge
