--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -25,7 +25,7 @@
 import uuid
 
 from prompts import PromptTraffic
-from standins import Endpoint, Proxy, Store
+from standins import Endpoint, Link, Proxy, Store
 
 REVOKE_SECONDS = 5.0
 GRACE_SECONDS = 8.0
@@ -39,6 +39,11 @@
 STORE_CALLS_PER_SECOND = {"read": 2000, "write": 400}
 # Time-bounded checks hold for a daemon this long after the last fault that affected it.
 CONTACT_SECONDS = 3.0
+# Daemons that are partitioned from all endpoints serve this fraction of what the others do, or fail at most so many
+# requests.
+PARTITION_SHARE = 2 / 3
+PARTITION_FAILURES = 10
+PARTITION_FAILED_SHARE = 1 / 50
 # Those that meet each other most often in practice are drawn twice as often.
 FAULT_KINDS = ["kill", "pause", "term", "store", "store", "endpoint", "drain", "drain", "crash", "configure",
                "configure", "limit", "leave", "busy", "revoke", "herd", "hup", "rewind"]
@@ -46,6 +51,9 @@
 CRASH_FAULT_KINDS = ["repeat"]
 # "organisation" adds an organisation and removes it; "gap" is a "rewind" whose lost configuration is written again late.
 CONFIGURATION_FAULT_KINDS = ["organisation", "gap"]
+# "partition" takes the links to all endpoints from some daemons; needs --links.
+LINK_FAULT_KINDS = ["partition"]
+LINK_MODES = ["hang", "hang", "reset", "refuse", "one_way", "flap"]
 # Kinds that need --streams: "prompt" sends requests with a part that crashes engines, "release" replaces engines by
 # ones of another software version.
 STREAM_FAULT_KINDS = ["prompt", "release"]
@@ -64,6 +72,12 @@
         self.fault_kinds = options.faults.split(",")
         self.daemons, self.endpoint_count, self.streams = options.daemons, options.endpoints, options.streams
         self.clients, self.applications = options.clients, options.applications
+        self.has_links, self.link_modes = options.links, options.link_modes.split(",")
+        # The links of each daemon, the partitions as [begin, end, daemons], and what clients got from each daemon as
+        # (time, daemon, whether the request was served).
+        self.links: dict = {}
+        self.partitions: list = []
+        self.attempts: list = []
         self.rng = random.Random(seed)
         # A loopback network per run, so that concurrent runs do not use the same addresses.
         self.network = f"127.{40 + os.getpid() % 200}.{seed % 250}"
@@ -127,11 +141,23 @@
             await self.store.put("servers", endpoint.name, endpoint.row(self.address_of(i)))
         await self.configure()
         for i in range(self.daemons):
-            proxy = Proxy((f"{self.network}.1", 7000))
+            if self.has_links:
+                await self.create_links(i)
+            proxy = Proxy((f"{self.network}.1", 7100 + i if self.has_links else 7000))
             await proxy.listen(f"{self.network}.60", 7000 + i)
             self.proxies[f"store-{i}"] = proxy
             self.spawn(i, first=True)
 
+    async def create_links(self, i: int) -> None:
+        """Lets a daemon reach the endpoints through links of its own."""
+        self.links[i] = [Link((f"{self.network}.40", 7001 + n), (f"{self.network}.{150 + i}", 7001 + n))
+                         for n in range(self.endpoint_count)]
+        for link in self.links[i]:
+            await link.start()
+        self.store.views[7100 + i] = {self.address_of(n): f"{link.address[0]}:{link.address[1]}"
+                                      for n, link in enumerate(self.links[i])}
+        await asyncio.start_server(self.store.serve, f"{self.network}.1", 7100 + i, backlog=512)
+
     def create_endpoint(self, name: str, service: str, version: str) -> Endpoint:
         endpoint = Endpoint(name, service, self.executions, self.rng)
         endpoint.version = version
@@ -234,6 +260,8 @@
                     self.count_outcome(after_faults, "no answer in time")
             self.requests.append((request, kind, key, daemon, sent_at, status))
             self.check_response(request, kind, key, body, status, headers, text, is_complete, daemon, sent_at)
+            if key == "key-kept":
+                self.attempts.append((sent_at, daemon, status == 200 and is_complete))
             self.count_outcome(after_faults, str(status) if is_complete or status == 0 else f"{status} cut")
             if not is_complete or headers.get("connection") == "close":
                 connection[1].close()
@@ -396,11 +424,36 @@
             self.is_rewinding = True
             await self.rewind_store(kind == "gap")
             self.is_rewinding = False
+        elif kind == "partition":
+            await self.partition(self.rng.choice(self.link_modes), self.rng.uniform(4.0, 9.0))
         elif kind == "organisation":
             await self.add_organisation(self.rng.uniform(3.0, 10.0))
         elif kind == "revoke" and self.keys["key-revoked"]:
             await self.revoke("key-revoked")
 
+    async def partition(self, mode: str, seconds: float) -> None:
+        """Takes the links to all endpoints from some of the daemons."""
+        cut = {i for _, end, daemons in self.partitions if end == float("inf") for i in daemons}
+        others = [i for i in range(self.daemons) if i not in cut]
+        # Some daemons always keep their links.
+        most = min(len(others), self.daemons - 2 - len(cut))
+        if most < 1:
+            return
+        daemons = self.rng.sample(others, self.rng.randint(1, most))
+        links = [link for i in daemons for link in self.links[i]]
+        period = [time.monotonic(), float("inf"), daemons]
+        self.partitions.append(period)
+        is_flapping = mode == "flap"
+        for n in range(int(seconds) if is_flapping else 1):
+            for link in links:
+                link.cut("hang" if is_flapping else mode)
+            await asyncio.sleep(0.5 if is_flapping else seconds)
+            for link in links:
+                await link.restore()
+            if is_flapping and n + 1 < int(seconds):
+                await asyncio.sleep(0.5)
+        period[1] = time.monotonic()
+
     async def revoke(self, key: str) -> None:
         self.keys[key] = False
         await self.configure()
@@ -609,6 +662,23 @@
                     self.add_finding("BUDGET", f"{endpoint.name} got {n} requests from daemon {daemon} in the "
                                      f"{seconds:g} s for which it wanted none")
 
+    def check_partitions(self) -> None:
+        """Checks that daemons without links to the endpoints serve their clients beside the others."""
+        for begin, end, daemons in self.partitions:
+            served, total = [0, 0], [0, 0]
+            for at, daemon, is_served in self.attempts:
+                others_cut = any(daemon in it and since < at < to + CONTACT_SECONDS
+                                 for since, to, it in self.partitions if it is not daemons)
+                if not begin + CONTACT_SECONDS <= at <= end or others_cut or not self.is_in_contact(daemon, at, at):
+                    continue
+                total[daemon in daemons] += 1
+                served[daemon in daemons] += is_served
+            failed = total[True] - served[True]
+            if (served[True] * total[False] < PARTITION_SHARE * served[False] * total[True]
+                    and failed > PARTITION_FAILURES + PARTITION_FAILED_SHARE * total[True]):
+                self.add_finding("RECOVER", f"daemons {daemons} without links served {served[True]} of {total[True]} "
+                                 f"requests, the others {served[False]} of {total[False]}")
+
     def check_executions(self) -> None:
         requests = {request: rest for request, *rest in self.requests}
         daemons = {request: rest[2] for request, rest in requests.items()}
@@ -632,6 +702,7 @@
                     self.add_finding("UNASKED", f"{request} arrived with tenant {headers.get('x-tenant')}")
                 if target != f"/{kind}/x" or body != f"body-{request}".encode():
                     self.add_finding("UNASKED", f"{request} arrived as {target} {body!r}")
+        self.check_partitions()
         self.prompts.check()
         outcomes = self.counts.get("calm", {})
         total = sum(outcomes.values())
@@ -676,12 +747,14 @@
     parser.add_argument("--runs", type=int, default=1, help="number of consecutive seeds to run")
     parser.add_argument("--faults", default=",".join(FAULT_KINDS),
                         help=f"kinds of faults, drawn with equal probability; also "
-                             f"{', '.join(CRASH_FAULT_KINDS + CONFIGURATION_FAULT_KINDS + STREAM_FAULT_KINDS)}")
+                             f"{', '.join(CRASH_FAULT_KINDS + CONFIGURATION_FAULT_KINDS + LINK_FAULT_KINDS + STREAM_FAULT_KINDS)}")
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--endpoints", type=int, default=5, help="applications and engines")
     parser.add_argument("--applications", type=int, default=2, help="how many of the endpoints are applications")
     parser.add_argument("--clients", type=int, default=12, help="clients that send short requests")
     parser.add_argument("--streams", type=int, default=0, help="clients that send long streams with prompts")
+    parser.add_argument("--links", action="store_true", help="give each daemon links of its own to the endpoints")
+    parser.add_argument("--link-modes", default=",".join(LINK_MODES), help="how links are lost")
     parser.add_argument("--keep", default="", help="folder in which to keep the daemons' logs")
     options = parser.parse_args()
     failed = []
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -4,6 +4,7 @@
 import base64
 import json
 import random
+import socket
 import time
 import urllib.parse
 
@@ -88,6 +89,8 @@
         # For each version, oldest first: when it was written, the key, and the row before.
         self.history: list = []
         self.changed = asyncio.Condition()
+        # The addresses of endpoints as the daemon behind a port of the store sees them, by port and address.
+        self.views: dict = {}
 
     async def put(self, table: str, key: str, value: dict | str | None) -> None:
         """Writes a row; None deletes it."""
@@ -115,7 +118,7 @@
             self.changed.notify_all()
         return lost
 
-    def encode_rows(self, table: str, after: int, with_deleted: bool) -> list:
+    def encode_rows(self, table: str, after: int, with_deleted: bool, view: dict) -> list:
         rows = []
         for (name, key), (version, text) in sorted(self.rows.items()):
             if name != table or version <= after or (text is None and not with_deleted):
@@ -124,6 +127,8 @@
             if text is None:
                 row["Deleted"] = True
             else:
+                for address, seen in view.items() if table == "servers" else ():
+                    text = text.replace(f'"{address}"', f'"{seen}"')
                 row["Value"] = base64.b64encode(text.encode()).decode()
             rows.append(row)
         return rows
@@ -137,6 +142,7 @@
             writer.write(build_response(503, b"", {"Store-Era": self.era}))
             return
         status = 200
+        view = self.views.get(writer.get_extra_info("sockname")[1], {})
         if url.path.endswith("rows-tx"):
             for row in json.loads(body)["Write"]:
                 await self.put(row["Table"], row["Key"], base64.b64decode(row["Value"]).decode())
@@ -144,10 +150,10 @@
                 await self.put(row["Table"], row["Key"], None)
             result = {"Ver": self.version, "NowMs": 0}
         elif url.path.endswith("rows-get"):
-            result = {"Rows": self.encode_rows(query["Table"], 0, False), "HasMore": False, "Ver": self.version}
+            result = {"Rows": self.encode_rows(query["Table"], 0, False, view), "HasMore": False, "Ver": self.version}
         else:
             after = int(query["After"])
-            rows = self.encode_rows(query["Table"], after, True)
+            rows = self.encode_rows(query["Table"], after, True, view)
             deadline = time.monotonic() + int(query["WaitMs"]) / 1000
             while not rows and (left := deadline - time.monotonic()) > 0:
                 async with self.changed:
@@ -155,7 +161,7 @@
                         await asyncio.wait_for(self.changed.wait(), left)
                     except asyncio.TimeoutError:
                         pass
-                rows = self.encode_rows(query["Table"], after, True)
+                rows = self.encode_rows(query["Table"], after, True, view)
             result = {"Rows": rows, "Ver": self.version}
             status = 410 if after > self.version else 200
         writer.write(build_response(status, json.dumps(result).encode(),
@@ -317,3 +323,44 @@
             writer.close()
         except (ConnectionError, OSError):
             writer.transport.abort()
+
+
+class Link(Proxy):
+    """The link of one daemon to one endpoint, which can be lost as in a partition."""
+
+    # A listening socket whose queue of new connections is full lets further ones hang.
+    QUEUE = 4
+
+    def __init__(self, target: tuple, address: tuple) -> None:
+        super().__init__(target)
+        self.address = address
+        self.server = None
+        self.blocked: list = []
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self.relay, *self.address, backlog=512)
+
+    def cut(self, mode: str) -> None:
+        """Loses the link: "hang", "reset", "refuse" (new connections only) or "one_way" (answers only)."""
+        self.server.close()
+        if mode in ("hang", "one_way"):
+            self.mode = "silent" if mode == "hang" else "one_way"
+            listener = socket.socket()
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.bind(self.address)
+            listener.listen(0)
+            self.blocked = [listener]
+            for _ in range(self.QUEUE):
+                waiting = socket.socket()
+                waiting.setblocking(False)
+                waiting.connect_ex(self.address)
+                self.blocked.append(waiting)
+        elif mode == "reset":
+            self.set_mode("reset")
+
+    async def restore(self) -> None:
+        for it in self.blocked:
+            it.close()
+        self.blocked = []
+        self.pass_again()
+        await self.start()
