--- a/packages/Edge/include/lentilbay/Edge/ConfigurationCatchUp.h
+++ b/packages/Edge/include/lentilbay/Edge/ConfigurationCatchUp.h
@@ -1,8 +1,8 @@
 // Decides when a daemon reads the configuration from a peer instead of the platform's store.
 //
-// The store may have lost versions that it had acknowledged, until the operator writes them again. Daemons that
-// had read them keep them in force. A daemon that starts in between, or had not read them before, finds an
-// older version in the store and reads the newer one from a peer.
+// The store may have lost versions that it had acknowledged, until the operator writes them again. Daemons
+// that had read them keep them in force. A daemon that starts in between, or had not read them before, finds
+// an older version in the store and reads the newer one from a peer.
 #pragma once
 
 #include "lentilbay/Support/Time.h"
@@ -23,7 +23,8 @@
     {
     }
 
-    /// Records that the platform's store has listed the other daemons. `hasOthers` is whether there may be any.
+    /// Records that the platform's store has listed the other daemons. `hasOthers` is whether there may be
+    /// any.
     void daemonsListed(bool hasOthers, TimePoint now);
     /// Records the version of the configuration that is in force at a peer; 0 if none is.
     void recordPeer(const std::string& daemon, uint64_t version, TimePoint now);
--- a/packages/Edge/include/lentilbay/Edge/CrashAttribution.h
+++ b/packages/Edge/include/lentilbay/Edge/CrashAttribution.h
@@ -110,6 +110,11 @@
         const AttributedRequest& request, TimePoint now);
     /// Records that an endpoint answers a request that was sent to it at `sentAt`. It has not crashed since.
     void recordAlive(uint64_t endpoint, TimePoint sentAt);
+    /// Records that a new connection to the endpoint was established, so that it has not crashed just before.
+    void recordConnected(uint64_t endpoint, TimePoint now);
+    /// Drops the requests that were broken off since then and are not yet known to be due to crashes: the
+    /// links to the endpoints were lost.
+    void dropBreaksSince(TimePoint since);
     /// Records that an answer to this request has begun.
     void recordAnswer(const AttributedRequest& request, TimePoint now);
 
@@ -129,8 +134,9 @@
     void release(uint64_t trigger, TimePoint now);
 
     /// Decides which triggers are blocked, and returns the changes since the previous call. To be called
-    /// regularly.
-    std::vector<TriggerChange> update(TimePoint now);
+    /// regularly. While `areLinksSuspicious`, the links to the endpoints may have been lost instead of
+    /// endpoints.
+    std::vector<TriggerChange> update(TimePoint now, bool areLinksSuspicious = false);
 
     /// The number of crashes that this daemon has observed under triggers that are not known to be sound.
     uint64_t suspiciousCrashes() const { return m_suspiciousCrashes; }
@@ -189,7 +195,7 @@
     /// Whether peers should be told of the trigger now.
     bool isReported(uint64_t id, const Trigger& trigger, TimePoint now) const;
     static TimePoint trialDueAt(const Trigger& trigger);
-    void promoteBreaks(TimePoint now);
+    void promoteBreaks(Duration confirmation, TimePoint now);
     void dropOld(TimePoint now);
     /// The number of crashes that count against a trigger, without those at which a blocked trigger was
     /// present.
--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -32,8 +32,15 @@
     /// Reads the configuration from a peer that has a newer one, if it is time to.
     void catchUpWithPeers(TimePoint now);
     void readConfigurationFrom(const std::string& daemon);
-    /// Answers the calls of other daemons.
+    void serveConfiguration(http::Exchange& exchange) const;
+    /// Answers the calls of other daemons: for the configuration, and requests that they forward.
     void servePeers();
+    /// Limits on what callers may send.
+    http::ServerLimits callerLimits() const;
+    /// Collects evidence of the state of the links to the endpoints.
+    void observeLinks(TimePoint now);
+    /// Determines the state of the links, and acts on a change.
+    void updateLinks(TimePoint now);
     void applyEndpointRow(const platform::StoreRow& row);
     /// Whether a row that may be older than the known one may be applied.
     bool isHarmlessEndpointRow(const platform::StoreRow& row) const;
@@ -123,6 +130,9 @@
     std::unique_ptr<StoreFollower> m_daemonFollower;
     std::unique_ptr<StoreFollower> m_sharedRowFollower;
     uint64_t m_storeEra = 0;
+    /// The revision of the registry of which the links know the endpoints.
+    uint64_t m_linksRevision = 0;
+    LinkState m_linkState = LinkState::Up;
     /// The configuration in force, as it was read.
     std::string m_configurationDocument;
     ConfigurationCatchUp m_catchUp;
--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -1,12 +1,14 @@
 // One caller's request from its arrival to its final answer.
 //
-// admit -> wait -> start -> [retry or resume elsewhere] -> final answer. Only the daemon that received the
-// request sends it to endpoints. An at-most-once request is sent again only if the endpoint stated that it
-// did not execute it, or if no connection was established.
+// admit -> wait -> start -> [retry or resume elsewhere] -> final answer. The daemon that received the request
+// sends it to endpoints, or through a peer if it cannot reach them. An at-most-once request is sent again
+// only if the endpoint stated that it did not execute it, or if no connection was established.
 #pragma once
 
+#include "lentilbay/Edge/ConnectionLoss.h"
 #include "lentilbay/Edge/EdgeState.h"
 #include "lentilbay/Edge/EventSplitter.h"
+#include "lentilbay/Edge/PeerForwarding.h"
 #include "lentilbay/Http/Server.h"
 #include "lentilbay/platform/CallerHeaders.h"
 
@@ -16,7 +18,11 @@
 
 /// The state of one send to an endpoint.
 struct EndpointSend {
+    /// The endpoint, or the peer if the request is sent through one.
     std::shared_ptr<EndpointState> endpoint;
+    bool isThroughPeer = false;
+    /// What the peer states about its answer.
+    ForwardedAnswer peerAnswer;
     /// As of the send; the endpoint may have been started again since.
     EndpointIncarnation incarnation;
     uint64_t version = 0;
@@ -43,7 +49,9 @@
 
 class EdgeRequest : public std::enable_shared_from_this<EdgeRequest> {
 public:
-    EdgeRequest(EdgeState& state, std::shared_ptr<http::Exchange> exchange);
+    /// `forwarded` is set if a peer sends the request through this daemon.
+    EdgeRequest(EdgeState& state, std::shared_ptr<http::Exchange> exchange,
+        std::optional<ForwardedRequest> forwarded = std::nullopt);
 
     /// Validates the request; afterwards it is waiting or has its final answer.
     void admit(TimePoint now);
@@ -51,8 +59,10 @@
     void start(std::shared_ptr<EndpointState> endpoint, TimePoint now);
     /// Called when no endpoint is expected to have room in time.
     void rejectWaiting(Duration retryAfter, TimePoint now);
-    /// Moves the request to another endpoint if its current one has stalled.
+    /// Moves the request elsewhere if its current endpoint or peer has stalled.
     void checkProgress(TimePoint now);
+    /// Sends the request, which has been waiting, through a peer, or refuses it if there is none.
+    void forwardWaiting(TimePoint now);
 
 private:
     bool validate(TimePoint now);
@@ -75,6 +85,24 @@
     void enqueue(TimePoint now);
     WaitingRequest waitingRequest() const;
     bool mayResend(TimePoint now);
+    /// How many endpoints may execute the request.
+    int maxExecutions() const { return m_forwarded ? 1 : m_route->maxAttempts; }
+    /// Whether the request could be sent to another endpoint, or through another peer.
+    bool hasAlternative() const;
+    /// Sends the request through a peer. Returns false if there is none.
+    bool startThroughPeer(TimePoint now);
+    /// Connects to the endpoint or peer of m_send.
+    void connect(TimePoint now);
+    /// How long a connection that is used may have been idle.
+    Duration maxIdleAge() const;
+    void connected(std::shared_ptr<http::ClientConnection> connection, TimePoint now);
+    /// The request as bytes, for the endpoint or peer of m_send.
+    std::string encodedRequest(TimePoint now) const;
+    void logSend(TimePoint now) const;
+    /// Judges a connection that was closed before the answer was complete.
+    ConnectionLoss readLoss(http::FailurePoint at) const;
+    /// Moves the request away from connections that were lost with the links to the endpoints.
+    void leaveLostLinks(TimePoint now);
     /// Sends the request on the established connection.
     void sendNow(TimePoint now);
     bool handleResponseHead(const http::HttpResponseHead& head);
@@ -91,9 +119,11 @@
     void relay(std::string_view piece, TimePoint now);
     void recordAnswerBegun(TimePoint now);
     /// Records that the endpoint broke off its answer.
-    void recordBrokenOff(TimePoint now);
+    void recordBrokenOff(ConnectionLoss loss, TimePoint now);
     void recordFirstAnswer(TimePoint now);
     void beginAnswer();
+    /// The header fields of an endpoint's answer for the caller, or for the peer that forwarded the request.
+    http::Headers answerHeaders(http::Headers headers) const;
     /// Ends the current send and records its outcome for the endpoint.
     void endSend(SendOutcome outcome, TimePoint now);
     void logFailedSend(bool mayHaveExecuted, ResultCode reason) const;
@@ -117,6 +147,7 @@
 
     EdgeState& m_state;
     std::shared_ptr<http::Exchange> m_exchange;
+    std::optional<ForwardedRequest> m_forwarded;
     platform::CallerMetadata m_metadata;
     std::shared_ptr<const RouteTable> m_routes;
     const Route* m_route = nullptr;
@@ -136,6 +167,8 @@
     /// Number of sends that reached an endpoint, executed or not.
     int m_sends = 0;
     int m_staleConnections = 0;
+    /// The return that a peer has planned for the caller.
+    std::optional<Duration> m_peerRetryAfter;
     std::optional<EndpointSend> m_send;
     EventSplitter m_events;
     size_t m_eventsRelayed = 0;
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -6,6 +6,8 @@
 #include "lentilbay/Edge/EdgeMetrics.h"
 #include "lentilbay/Edge/EndpointPools.h"
 #include "lentilbay/Edge/EndpointRegistry.h"
+#include "lentilbay/Edge/LinkMonitor.h"
+#include "lentilbay/Edge/PeerForwarding.h"
 #include "lentilbay/Edge/PeerHeartbeat.h"
 #include "lentilbay/Edge/StreamDirectory.h"
 #include "lentilbay/Edge/VersionHistory.h"
@@ -46,6 +48,8 @@
     EndpointRegistry endpointRegistry;
     WaitingQueue queue;
     EndpointPools pools;
+    LinkMonitor links;
+    PeerRelays relays;
     CrashAttribution crashes;
     StreamDirectory streams;
     VersionHistory versions;
@@ -76,6 +80,8 @@
     QuotaParticipants quotaParticipants() const;
     WindowedRetryBudget& retryBudget(const ServiceId& service) { return m_retryBudgets[service]; }
     WindowedRetryLimits retryLimits() const;
+    /// How requests are sent that need a new connection.
+    SendPath sendPath() const { return edge::sendPath(links.state(), false, relays.size() > 0); }
     /// Logs what an endpoint is now known to state about itself; `source` is the peer that reported it, or
     /// empty.
     void logSignals(const EndpointId& endpoint, const std::string& source) const;
@@ -84,6 +90,9 @@
     void dispatchWaiting(TimePoint now);
 
 private:
+    /// Records that a new connection to an endpoint could or could not be established.
+    void recordConnection(const EndpointState& endpoint, bool isConnected, TimePoint now);
+
     uint64_t m_lastNumber = 0;
     std::map<OrganisationId, SharedQuota> m_quotas;
     std::map<ServiceId, WindowedRetryBudget> m_retryBudgets;
--- a/packages/Edge/include/lentilbay/Edge/EndpointPools.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointPools.h
@@ -26,16 +26,31 @@
 
     /// Calls `done` with an open connection, or with nullptr if none could be established.
     void lease(const LeaseQuery& query, std::function<void(std::shared_ptr<http::ClientConnection>)> done);
+    /// Whether lease() would find an open connection.
+    bool hasIdle(const RoutedEndpoint& endpoint, Duration maxIdleAge, TimePoint now) const;
+    /// Tries a new connection, which is kept for later if it is established.
+    void probe(const RoutedEndpoint& endpoint);
+    /// Called with whether a new connection was established.
+    void setConnectObserver(std::function<void(const EndpointId&, bool isConnected)> observer)
+    {
+        m_connectObserver = std::move(observer);
+    }
     /// Returns a connection to the pool, or closes it if it cannot be reused.
     void release(const RoutedEndpoint& endpoint, std::shared_ptr<http::ClientConnection> connection);
     /// Closes connections that their endpoint is about to close, or whose endpoint was removed.
     void closeExpired(TimePoint now, const std::function<bool(const EndpointId&)>& isListed);
+    /// Closes the idle connections to those endpoints.
+    void closeIdle(const std::function<bool(const EndpointId&)>& isClosed);
     size_t idleConnections() const;
     uint64_t opened() const { return m_opened; }
 
 private:
+    void connect(
+        const RoutedEndpoint& endpoint, std::function<void(std::shared_ptr<http::ClientConnection>)> done);
+
     asio::io_context& m_context;
     std::map<EndpointId, std::vector<std::shared_ptr<http::ClientConnection>>> m_idle;
+    std::function<void(const EndpointId&, bool)> m_connectObserver;
     uint64_t m_opened = 0;
 };
 
--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -86,6 +86,11 @@
     /// Whether this daemon has requests in flight there and none of them has made progress for much longer
     /// than expected.
     bool isStalled(TimePoint now) const;
+    /// How long this daemon's requests in flight there have made no progress; zero if there are none.
+    Duration silence(TimePoint now) const
+    {
+        return m_ownInFlight > 0 ? now - m_lastProgress : Duration::zero();
+    }
 
 private:
     /// Time to process one prompt token; the startup time is expressed in prompt tokens as well.
@@ -115,6 +120,7 @@
     int m_failuresInRow = 0;
     int m_suspensions = 0;
     TimePoint m_suspendedUntil {};
+    TimePoint m_failedAt {};
     /// When any request of this daemon last made progress there, or when the first one was sent.
     TimePoint m_lastProgress {};
 };
@@ -186,6 +192,12 @@
     /// others.
     std::shared_ptr<EndpointState> find(const EndpointId& id) const;
     const std::map<EndpointId, std::shared_ptr<EndpointState>>& all() const { return m_endpoints; }
+    /// Returns nullptr if no endpoint with this hash of its id is listed.
+    std::shared_ptr<EndpointState> findByHash(uint64_t hash) const;
+    /// Changes whenever an entry does.
+    uint64_t revision() const { return m_revision; }
+    /// Ends suspensions because of failures since then, which did not come from the endpoints.
+    void forgetFailuresSince(TimePoint since);
 
     /// Replaces the loads that a daemon reported before.
     void updatePeerLoads(const std::string& daemon, const std::vector<PeerLoad>& loads, TimePoint now);
@@ -266,6 +278,7 @@
     /// Indexes by service and by hashOf() of the id, rebuilt whenever an entry changes.
     std::map<ServiceId, Endpoints> m_byService;
     std::unordered_map<uint64_t, std::shared_ptr<EndpointState>> m_byHash;
+    uint64_t m_revision = 0;
     std::map<std::string, PeerLoads> m_peers;
     EndpointSignalTable m_signals;
 };
--- /dev/null
+++ b/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
@@ -0,0 +1,76 @@
+// Forwarding of requests between daemons: a daemon that cannot reach the endpoints sends a request through a
+// peer.
+//
+// The forwarding daemon keeps the request: it has checked the key and the quota, and it alone sends it again
+// after a failure. The peer sends it to endpoints, and answers with what the endpoint answered; it lets one
+// endpoint execute the request at most, and never forwards it. Both speak HTTP/1.1 on the TCP port whose
+// number is that of the peer's port for heartbeats, with the header fields below beside those of the caller
+// and of the endpoint.
+#pragma once
+
+#include "lentilbay/Edge/EndpointRegistry.h"
+#include "lentilbay/Edge/PeerHeartbeat.h"
+#include "lentilbay/Http/Message.h"
+
+namespace lentilbay::edge {
+
+/// What the forwarding daemon states about a request.
+struct ForwardedRequest {
+    /// The daemon that has received it from a caller.
+    std::string daemon;
+    /// The service that it has chosen among the targets of the route.
+    ServiceId service;
+    /// hashOf() the only software version that may answer the request.
+    std::optional<uint64_t> version;
+
+    bool operator==(const ForwardedRequest&) const = default;
+};
+
+/// What the peer states about its answer.
+struct ForwardedAnswer {
+    /// No endpoint has executed the request, and the peer will not send it to any.
+    bool wasNotExecuted = false;
+    /// The endpoint that answered; empty if none did.
+    std::string endpoint;
+    /// hashOf() that endpoint's software version, if it is known.
+    std::optional<uint64_t> version;
+
+    bool operator==(const ForwardedAnswer&) const = default;
+};
+
+void addForwardingFields(http::Headers& headers, const ForwardedRequest& request);
+void addForwardingFields(http::Headers& headers, const ForwardedAnswer& answer);
+/// Returns std::nullopt if the request was not forwarded.
+std::optional<ForwardedRequest> forwardedRequestOf(const http::Headers& headers);
+ForwardedAnswer forwardedAnswerOf(const http::Headers& headers);
+/// Removes the fields that only daemons set.
+void removeForwardingFields(http::Headers& headers);
+
+/// The peers that requests can be sent through, each as the state of an endpoint.
+class PeerRelays {
+public:
+    explicit PeerRelays(Topology topology)
+        : m_topology(std::move(topology))
+    {
+    }
+
+    /// Takes over which peers are alive and reach endpoints.
+    void update(const PeerTable& peers);
+    /// The number of peers that may be used.
+    size_t size() const;
+    /// The peer to send a request through that has not been sent through any of `tried`, or nullptr.
+    std::shared_ptr<EndpointState> choose(const std::vector<EndpointId>& tried, Random& random) const;
+    /// Whether the peer still runs, as far as this daemon knows.
+    bool isAlive(const EndpointId& peer) const;
+
+private:
+    struct Relay {
+        std::shared_ptr<EndpointState> state;
+        bool isUsable = false;
+    };
+
+    Topology m_topology;
+    std::map<EndpointId, Relay> m_relays;
+};
+
+} // namespace lentilbay::edge
--- a/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
@@ -84,6 +84,8 @@
     std::vector<SignalReport> signals;
     /// Parts of prompts that crash endpoints or may do so; empty for most of the time.
     std::vector<TriggerReport> triggers;
+    /// The sender reaches no endpoint; see LinkMonitor.
+    bool isPartitioned = false;
     /// The sender's quotas account for all use that still matters to them.
     bool countsAllUse = false;
 
@@ -115,6 +117,7 @@
         int64_t sentMicroseconds = 0;
         bool isSilent = true;
         bool isLeaving = false;
+        bool isPartitioned = false;
         bool countsAllUse = true;
     };
 
@@ -135,6 +138,8 @@
     std::vector<SendingDaemon> sendingDaemons(TimePoint now) const;
     /// The number of silent daemons, without those that announced their shutdown and so admit nothing more.
     size_t silentDaemons() const;
+    /// The number of other daemons that reach no endpoint.
+    size_t partitionedDaemons() const;
 
 private:
     std::string m_self;
--- a/packages/Edge/lib/ConfigurationCatchUp.cpp
+++ b/packages/Edge/lib/ConfigurationCatchUp.cpp
@@ -49,8 +49,8 @@
         return m_isSettled;
     const auto known = newest(now);
     const auto elapsed = now - *m_listedAt;
-    m_isSettled = known == 0 ? elapsed >= firstReportTimeout
-                             : known <= ownVersion || elapsed >= catchUpTimeout;
+    m_isSettled
+        = known == 0 ? elapsed >= firstReportTimeout : known <= ownVersion || elapsed >= catchUpTimeout;
     return m_isSettled;
 }
 
--- a/packages/Edge/lib/CrashAttribution.cpp
+++ b/packages/Edge/lib/CrashAttribution.cpp
@@ -18,6 +18,11 @@
 constexpr Duration evidenceDelay = std::chrono::milliseconds(700);
 /// An endpoint that breaks off a single answer goes on with others; after a crash it answers none of them.
 constexpr Duration breakConfirmation = std::chrono::milliseconds(100);
+/// The time after which it is known whether the links to the endpoints were lost.
+constexpr Duration linkConfirmation = std::chrono::seconds(1);
+/// So many endpoints that break off requests within `simultaneous` have not crashed if one of them can be
+/// connected to.
+constexpr size_t minSimultaneousBreaks = 3;
 /// A blocked trigger explains crashes of triggers that are in at least so many times as many requests.
 constexpr uint64_t leastFrequencyRatio = 4;
 /// A daemon that has counted fewer requests with a part, because it was restarted, cannot tell how frequent
@@ -238,6 +243,33 @@
         m_breaks, [&](const auto& it) { return it.endpoint.endpoint == endpoint && sentAt < it.at; });
 }
 
+void CrashAttribution::recordConnected(uint64_t endpoint, TimePoint now)
+{
+    const auto it = std::ranges::find_if(
+        m_breaks, [&](const auto& broken) { return broken.endpoint.endpoint == endpoint; });
+    if (it == m_breaks.end())
+        return;
+    const auto at = it->at;
+    const auto isSimultaneous = [&](const auto& broken) {
+        return broken.at - at <= simultaneous && at - broken.at <= simultaneous;
+    };
+    std::unordered_set<uint64_t> endpoints;
+    for (const auto& broken : m_breaks) {
+        if (isSimultaneous(broken))
+            endpoints.insert(broken.endpoint.endpoint);
+    }
+    const bool wereAllReset = endpoints.size() >= minSimultaneousBreaks;
+    std::erase_if(m_breaks, [&](const auto& broken) {
+        return broken.at <= now
+            && (broken.endpoint.endpoint == endpoint || (wereAllReset && isSimultaneous(broken)));
+    });
+}
+
+void CrashAttribution::dropBreaksSince(TimePoint since)
+{
+    std::erase_if(m_breaks, [&](const auto& it) { return it.at >= since; });
+}
+
 void CrashAttribution::setAnswered(Trigger& trigger, TimePoint at, TimePoint now)
 {
     if (trigger.answeredAt && at <= *trigger.answeredAt)
@@ -398,10 +430,10 @@
     }
 }
 
-void CrashAttribution::promoteBreaks(TimePoint now)
+void CrashAttribution::promoteBreaks(Duration confirmation, TimePoint now)
 {
     std::erase_if(m_breaks, [&](const auto& it) {
-        if (now - it.at < breakConfirmation)
+        if (now - it.at < confirmation)
             return false;
         if (!std::ranges::all_of(it.request.triggers, [&](const auto id) { return isKnownSound(id); }))
             ++m_suspiciousCrashes;
@@ -553,9 +585,9 @@
     m_changes.push_back({ .trigger = id, .kind = TriggerChange::Kind::Freed });
 }
 
-std::vector<TriggerChange> CrashAttribution::update(TimePoint now)
+std::vector<TriggerChange> CrashAttribution::update(TimePoint now, bool areLinksSuspicious)
 {
-    promoteBreaks(now);
+    promoteBreaks(areLinksSuspicious ? linkConfirmation : breakConfirmation, now);
     if (m_isDirty || m_blocked > 0) {
         for (auto& [id, trigger] : m_triggers) {
             if (!trigger.blockedAt || !trigger.answeredAt || trigger.lastCrashAt > *trigger.answeredAt)
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -15,6 +15,9 @@
 constexpr Duration maxAgeForDenial = std::chrono::milliseconds(2200);
 /// Retry-After while this daemon is draining: other daemons can serve the caller immediately.
 constexpr Duration drainingRetryAfter = std::chrono::milliseconds(20);
+/// The least Retry-After while no endpoint can be reached; spread over twice that, as all callers are
+/// refused.
+constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
 /// Expected fraction of the maximum answer tokens if the caller gives no length hint.
 constexpr double expectedAnswerFraction = 0.8;
 std::string hostNameOf(const std::string& host) { return host.substr(0, host.find(':')); }
@@ -39,9 +42,12 @@
         if (!ec)
             self->handleTimeout();
     });
-    m_state.retryBudget(m_service).request(now);
+    // The daemon that forwarded the request has counted it.
+    if (!m_forwarded)
+        m_state.retryBudget(m_service).request(now);
     logEvent(Event::RequestAccepted,
         { { "id", m_metadata.id.text() }, { "route", m_route->name },
+            { "forwarded_by", m_forwarded ? m_forwarded->daemon : std::string() },
             { "version", static_cast<int64_t>(m_routes->version()) },
             { "organisation", m_organisation ? m_organisation->name.text() : std::string() },
             { "prompt_tokens", m_work.promptTokens },
@@ -89,13 +95,20 @@
         if (drawn <= 0)
             break;
     }
+    if (m_forwarded) {
+        m_state.metrics.count("requests_of_peers");
+        m_version = m_forwarded->version;
+        if (std::ranges::find(m_route->targets, m_forwarded->service, &RouteTarget::service)
+            != m_route->targets.end())
+            m_service = m_forwarded->service;
+    }
     const auto maxTokens = static_cast<double>(m_metadata.maxAnswerTokens.value_or(0));
     m_work = { .isStream = m_route->isStream,
         .promptTokens = static_cast<double>(m_metadata.promptTokens.value_or(0)),
         .answerTokens = m_metadata.expectedAnswerTokens
             ? std::min(maxTokens, static_cast<double>(*m_metadata.expectedAnswerTokens))
             : maxTokens * expectedAnswerFraction };
-    return authenticate(now) && checkTriggers(now) && checkQuota(now);
+    return authenticate(now) && checkTriggers(now) && (m_forwarded || checkQuota(now));
 }
 
 bool EdgeRequest::checkTriggers(TimePoint now)
@@ -185,7 +198,7 @@
 
 void EdgeRequest::enqueueOrFindOrigin(TimePoint now)
 {
-    if (!m_route->isResumable || !m_metadata.lastEvent) {
+    if (!m_route->isResumable || !m_metadata.lastEvent || (m_forwarded && m_version)) {
         enqueue(now);
         m_state.dispatchWaiting(now);
         return;
@@ -243,7 +256,22 @@
         refuse(ResultCode::NoEndpoint, defaultRetryAfter, now);
         return;
     }
-    m_state.queue.push(waitingRequest());
+    // A forwarded request is not forwarded again.
+    const auto path = m_state.sendPath();
+    const bool needsPeer = path != SendPath::Direct && m_state.links.state() != LinkState::NoNewConnections;
+    if (!needsPeer) {
+        m_state.queue.push(waitingRequest());
+        return;
+    }
+    if (path == SendPath::ThroughPeer && !m_forwarded && startThroughPeer(now))
+        return;
+    if (m_possibleExecutions > 0) {
+        endAfterExecution(ResultCode::EndpointBroke, now);
+        return;
+    }
+    const auto retryAfter
+        = unreachableRetryAfter + fromSeconds(toSeconds(unreachableRetryAfter) * m_state.random.fraction());
+    refuse(ResultCode::NoEndpoint, std::max(retryAfter, m_peerRetryAfter.value_or(Duration::zero())), now);
 }
 
 WaitingRequest EdgeRequest::waitingRequest() const
--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -90,20 +90,12 @@
         });
 }
 
-void EdgeDaemon::servePeers()
+void EdgeDaemon::serveConfiguration(http::Exchange& exchange) const
 {
-    const auto& own = m_state.settings;
-    m_peerServer = std::make_unique<http::HttpServer>(m_context,
-        http::HttpServerOptions { .address = { ip::make_address(own.ownHost), own.firstPeerPort },
-            .handler =
-                [this](std::shared_ptr<http::Exchange> exchange) {
-                    const bool isKnown
-                        = exchange->request().path() == configurationPath && m_state.routes != nullptr;
-                    const int status = isKnown ? 200 : 404;
-                    exchange->respond(status, http::reasonPhrase(status), {},
-                        isKnown ? m_configurationDocument : std::string());
-                },
-            .malformed = {} });
+    const bool isKnown = exchange.request().path() == configurationPath && m_state.routes != nullptr;
+    const int status = isKnown ? 200 : 404;
+    exchange.respond(
+        status, http::reasonPhrase(status), {}, isKnown ? m_configurationDocument : std::string());
 }
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -102,14 +102,7 @@
     const auto& own = m_state.settings;
     m_callerServer = std::make_unique<http::HttpServer>(m_context,
         http::HttpServerOptions { .address = tcpEndpoint(own.callers),
-            .limits =
-                [this] {
-                    const auto limits = m_state.routes ? m_state.routes->limits() : CallerLimits {};
-                    return http::ServerLimits { .parser
-                        = { .headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes },
-                        .headerTimeout = limits.headerTimeout,
-                        .idleTimeout = limits.idleTimeout };
-                },
+            .limits = [this] { return callerLimits(); },
             .handler =
                 [this](std::shared_ptr<http::Exchange> exchange) {
                     std::make_shared<EdgeRequest>(m_state, std::move(exchange))->admit(bootNow());
@@ -144,6 +137,7 @@
         const auto now = bootNow();
         m_endpointFollower->applyDueChanges(now);
         m_state.streams.poll(now);
+        updateLinks(now);
         if (m_state.queue.size() > 0)
             m_state.dispatchWaiting(now);
     });
@@ -153,8 +147,9 @@
     });
     schedulePeriodic(m_maintenanceTimer, maintenancePeriod, [this] {
         const auto now = bootNow();
-        m_state.pools.closeExpired(
-            now, [this](const EndpointId& id) { return m_state.endpointRegistry.find(id) != nullptr; });
+        m_state.pools.closeExpired(now, [this](const EndpointId& id) {
+            return m_state.endpointRegistry.find(id) != nullptr || m_state.relays.isAlive(id);
+        });
         announce(now);
         storeSharedRows(now);
         if (m_state.stopRequestedAt)
@@ -418,6 +413,8 @@
             number(m_configurationFollower->failures() + m_endpointFollower->failures()
                 + m_daemonFollower->failures()) },
         { "store_era", number(m_storeEra) },
+        { "link_state", number(static_cast<int>(m_state.links.state())) },
+        { "relays", number(m_state.relays.size()) },
         { "crash_triggers_blocked", number(m_state.crashes.blockedTriggers()) },
         { "log_lines_dropped", number(droppedLogLines()) }, { "resident_bytes", residentBytes() } };
     std::set<ServiceId> services;
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -116,12 +116,19 @@
 {
     const auto known = m_state.peers.peers().find(heartbeat.daemon);
     const bool wasSilent = known == m_state.peers.peers().end() || known->second.isSilent;
+    const bool changes = !wasSilent
+        && (known->second.isPartitioned != heartbeat.isPartitioned
+            || known->second.isLeaving != heartbeat.isLeaving);
     if (!m_state.peers.recordHeartbeat(heartbeat, m_sender.address().to_string(), m_sender.port(), now))
         return;
     if (wasSilent)
         logEvent(Event::PeerSeen,
             { { "daemon", heartbeat.daemon },
                 { "incarnation", static_cast<int64_t>(heartbeat.incarnation) } });
+    if (changes) {
+        m_state.relays.update(m_state.peers);
+        m_state.links.setPeers(m_state.relays.size());
+    }
     m_catchUp.recordPeer(heartbeat.daemon, heartbeat.configurationVersion, now);
     catchUpWithPeers(now);
     applyPeerViews(heartbeat, now);
@@ -268,6 +275,8 @@
     for (auto& [name, quota] : m_state.quotas())
         out.quotas.push_back({ .organisation = hashOf(name.text()), .admittedTotal = quota.admittedTotal() });
     out.signals = m_state.endpointRegistry.signalReports(now);
+    const auto links = m_state.links.state();
+    out.isPartitioned = links == LinkState::Partitioned || links == LinkState::NoneReachable;
     m_countsAllUse = m_countsAllUse || now - m_startedAt > m_state.settings.bounds.quotaWindow;
     out.countsAllUse = m_countsAllUse;
     return out;
@@ -279,6 +288,7 @@
     for (const auto& it : m_state.peers.detectSilent(now))
         logEvent(Event::PeerSilent, { { "daemon", it } });
     m_state.endpointRegistry.dropStaleLoads(now);
+    observeLinks(now);
     updateSignals(now);
     catchUpWithPeers(now);
     m_state.versions.update(m_state.endpointRegistry, now);
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -23,6 +23,8 @@
 /// Before its first event, an idempotent request is moved to another endpoint after a silence of this
 /// fraction of the objective.
 constexpr double stallObjectiveFraction = 0.6;
+/// A connection without a sign of life for this long is given up once the links to the endpoints are lost.
+constexpr Duration maxSilenceOfLostLink = std::chrono::milliseconds(300);
 /// After its first event, an idempotent request is moved after a pause of this many times the gap objective.
 constexpr double stallGapFactor = 2;
 /// An endpoint that has written this many events has begun its answer. One that crashes may have written a
@@ -47,14 +49,17 @@
 
 } // namespace
 
-EdgeRequest::EdgeRequest(EdgeState& state, std::shared_ptr<http::Exchange> exchange)
+EdgeRequest::EdgeRequest(
+    EdgeState& state, std::shared_ptr<http::Exchange> exchange, std::optional<ForwardedRequest> forwarded)
     : m_state(state)
     , m_exchange(std::move(exchange))
+    , m_forwarded(std::move(forwarded))
     , m_metadata(platform::decodeCallerMetadata(m_exchange->request()))
     , m_routes(state.routes)
     , m_arrivedAt(m_exchange->arrivedAt())
     , m_timer(state.context)
 {
+    removeForwardingFields(m_exchange->request().headers);
 }
 
 void EdgeRequest::rejectWaiting(Duration retryAfter, TimePoint now)
@@ -69,38 +74,81 @@
 
 void EdgeRequest::start(std::shared_ptr<EndpointState> endpoint, TimePoint now)
 {
+    const auto& entry = endpoint->entry();
+    const bool isForwardable = !m_forwarded && m_state.links.state() == LinkState::NoNewConnections;
+    if (isForwardable
+        && sendPath(m_state.links.state(), m_state.pools.hasIdle(entry, maxIdleAge(), now),
+               m_state.relays.size() > 0)
+            == SendPath::ThroughPeer
+        && startThroughPeer(now)) {
+        endpoint->recordEnd(m_work, SendOutcome::Neutral, false, now);
+        return;
+    }
     m_send.emplace();
     m_send->endpoint = std::move(endpoint);
+    connect(now);
+}
+
+bool EdgeRequest::startThroughPeer(TimePoint now)
+{
+    auto peer = m_state.relays.choose(m_triedEndpoints, m_state.random);
+    if (!peer)
+        return false;
+    peer->recordSend(m_work, now);
+    m_send.emplace();
+    m_send->endpoint = std::move(peer);
+    m_send->isThroughPeer = true;
+    connect(now);
+    return true;
+}
+
+void EdgeRequest::forwardWaiting(TimePoint now)
+{
+    m_state.queue.remove(m_number);
+    if (!m_isOver && !m_send)
+        requeue(now);
+}
+
+Duration EdgeRequest::maxIdleAge() const
+{
+    return m_route->executionSemantics == ExecutionSemantics::AtMostOnce ? maxIdleAgeForAtMostOnce
+                                                                         : maxIdleAgeForOthers;
+}
+
+void EdgeRequest::connect(TimePoint now)
+{
     m_state.metrics.observe(Timing::Wait, m_route->rank, now - m_arrivedAt);
-    m_triedEndpoints.push_back(m_send->endpoint->entry().id);
-    const auto maxIdleAge = m_route->executionSemantics == ExecutionSemantics::AtMostOnce
-        ? maxIdleAgeForAtMostOnce
-        : maxIdleAgeForOthers;
+    const auto& target = m_send->endpoint;
+    m_triedEndpoints.push_back(target->entry().id);
     // The queue's decisions are still being processed, so the request is sent in the callback.
-    m_state.pools.lease({ .endpoint = m_send->endpoint->entry(), .maxIdleAge = maxIdleAge },
-        [self = shared_from_this(), target = m_send->endpoint](
-            std::shared_ptr<http::ClientConnection> connection) {
-            const auto at = bootNow();
-            if (self->m_isOver || !self->m_send || self->m_send->endpoint != target
-                || self->m_send->connection) {
-                if (connection)
-                    self->m_state.pools.release(target->entry(), std::move(connection));
-                return;
-            }
-            if (connection) {
-                self->m_send->connection = std::move(connection);
-                if (self->m_state.endpointRegistry.acceptsRequests(*target, at)
-                    && self->m_version.value_or(target->versionHash()) == target->versionHash())
-                    self->sendNow(at);
-                else
-                    self->withdrawSend(at);
-                return;
-            }
-            self->endSend(SendOutcome::Failed, at);
-            self->sendFailed(false, ResultCode::EndpointUnreachable, at);
+    m_state.pools.lease({ .endpoint = target->entry(), .maxIdleAge = maxIdleAge() },
+        [self = shared_from_this(), target](std::shared_ptr<http::ClientConnection> connection) {
+            if (!self->m_isOver && self->m_send && self->m_send->endpoint == target
+                && !self->m_send->connection)
+                self->connected(std::move(connection), bootNow());
+            else if (connection)
+                self->m_state.pools.release(target->entry(), std::move(connection));
         });
 }
 
+void EdgeRequest::connected(std::shared_ptr<http::ClientConnection> connection, TimePoint now)
+{
+    if (!connection) {
+        endSend(SendOutcome::Failed, now);
+        sendFailed(false, ResultCode::EndpointUnreachable, now);
+        return;
+    }
+    m_send->connection = std::move(connection);
+    const auto& target = *m_send->endpoint;
+    const bool isAcceptable = m_send->isThroughPeer
+        || (m_state.endpointRegistry.acceptsRequests(target, now)
+            && m_version.value_or(target.versionHash()) == target.versionHash());
+    if (isAcceptable)
+        sendNow(now);
+    else
+        withdrawSend(now);
+}
+
 void EdgeRequest::withdrawSend(TimePoint now)
 {
     logEvent(Event::SendWithdrawn,
@@ -138,27 +186,54 @@
     m_send->incarnation = endpoint.incarnation();
     m_send->version = endpoint.versionHash();
     m_send->expectedTimeToFirstEvent = endpoint.expectedTimeToFirstEvent(m_work);
-    logEvent(Event::RequestSent,
-        { { "id", m_metadata.id.text() }, { "endpoint", endpoint.entry().id.text() },
-            { "waited_ms", millisecondsOf(now - m_arrivedAt) }, { "load", endpoint.load() },
-            { "slots", static_cast<int64_t>(endpoint.entry().slots) },
-            { "endpoints_age_ms", millisecondsOf(now - m_state.endpointsConfirmedAt.value_or(now)) },
-            { "expected_first_ms", millisecondsOf(m_send->expectedTimeToFirstEvent) },
-            { "send", static_cast<int64_t>(m_sends) } });
-    platform::SendMetadata metadata { .endpoint = endpoint.entry().id,
-        .organisation = m_organisation ? std::optional(m_organisation->name) : std::nullopt,
-        .timeLeft = m_expiresAt - now,
-        .lastEvent = m_eventsRelayed > 0 ? m_events.lastId() : std::nullopt };
+    logSend(now);
     m_events.discardPartialEvent();
     const auto self = shared_from_this();
     const bool isHead = m_exchange->request().method == "HEAD";
-    m_send->connection->exchange(platform::encodeEndpointRequest(m_exchange->request(), metadata), isHead,
+    m_send->connection->exchange(encodedRequest(now), isHead,
         { .head = [self](const http::HttpResponseHead& head) { return self->handleResponseHead(head); },
             .body = [self](std::string_view piece) { self->handleResponseBody(piece); },
             .complete = [self] { self->handleResponseComplete(); },
             .failed = [self](http::FailurePoint at) { self->handleResponseBroken(at); } });
 }
 
+void EdgeRequest::logSend(TimePoint now) const
+{
+    const auto& endpoint = *m_send->endpoint;
+    const auto waited = millisecondsOf(now - m_arrivedAt);
+    if (m_send->isThroughPeer) {
+        m_state.metrics.count("requests_forwarded");
+        logEvent(Event::RequestForwarded,
+            { { "id", m_metadata.id.text() }, { "peer", endpoint.entry().id.text() }, { "waited_ms", waited },
+                { "in_flight", static_cast<int64_t>(endpoint.ownInFlight()) },
+                { "send", static_cast<int64_t>(m_sends) } });
+        return;
+    }
+    logEvent(Event::RequestSent,
+        { { "id", m_metadata.id.text() }, { "endpoint", endpoint.entry().id.text() }, { "waited_ms", waited },
+            { "load", endpoint.load() }, { "slots", static_cast<int64_t>(endpoint.entry().slots) },
+            { "endpoints_age_ms", millisecondsOf(now - m_state.endpointsConfirmedAt.value_or(now)) },
+            { "expected_first_ms", millisecondsOf(m_send->expectedTimeToFirstEvent) },
+            { "send", static_cast<int64_t>(m_sends) } });
+}
+
+std::string EdgeRequest::encodedRequest(TimePoint now) const
+{
+    platform::SendMetadata metadata { .timeLeft = m_expiresAt - now,
+        .lastEvent = m_eventsRelayed > 0 ? m_events.lastId() : std::nullopt };
+    if (m_send->isThroughPeer) {
+        http::Headers fields;
+        addForwardingFields(fields,
+            ForwardedRequest {
+                .daemon = m_state.settings.daemon.text(), .service = m_service, .version = m_version });
+        return platform::encodePeerRequest(m_exchange->request(), metadata, fields);
+    }
+    metadata.endpoint = m_send->endpoint->entry().id;
+    if (m_organisation)
+        metadata.organisation = m_organisation->name;
+    return platform::encodeEndpointRequest(m_exchange->request(), metadata);
+}
+
 void EdgeRequest::endBlocked(TimePoint now)
 {
     if (m_possibleExecutions == 0)
@@ -182,13 +257,22 @@
         m_state.metrics.count("foreign_answers");
         return false;
     }
-    if (!metadata.isMisdirected)
-        recordSignals(metadata, bootNow());
     m_send->head = head;
-    m_send->wasNotExecuted = metadata.execution == platform::Execution::No;
-    m_send->isMisdirected = metadata.isMisdirected;
     m_send->isGenuine = metadata.isGenuine;
     m_send->isEventStream = m_route->isStream && metadata.isSuccess && metadata.isGenuine;
+    if (m_send->isThroughPeer) {
+        m_send->peerAnswer = forwardedAnswerOf(head.headers);
+        removeForwardingFields(m_send->head.headers);
+        m_send->wasNotExecuted = m_send->peerAnswer.wasNotExecuted;
+        m_peerRetryAfter = metadata.retryAfter;
+        return true;
+    }
+    const auto now = bootNow();
+    if (!metadata.isMisdirected)
+        recordSignals(metadata, now);
+    m_send->wasNotExecuted = metadata.execution == platform::Execution::No;
+    m_send->isMisdirected = metadata.isMisdirected;
+    m_state.links.recordHeard(m_send->endpoint->hash(), now);
     m_state.crashes.recordAlive(m_send->endpoint->hash(), m_send->sentAt);
     return true;
 }
@@ -275,7 +359,10 @@
     }
     m_send->lastEventAt = now;
     m_send->events += events.events;
-    m_state.crashes.recordAlive(endpoint.hash(), m_send->sentAt);
+    if (!m_send->isThroughPeer) {
+        m_state.links.recordHeard(endpoint.hash(), now);
+        m_state.crashes.recordAlive(endpoint.hash(), m_send->sentAt);
+    }
     if (m_send->events >= eventsOfBegunAnswer)
         recordAnswerBegun(now);
     if (m_eventsRelayed == 0) {
@@ -303,11 +390,21 @@
         m_state.crashes.recordAnswer(m_attributed, now);
 }
 
-void EdgeRequest::recordBrokenOff(TimePoint now)
+ConnectionLoss EdgeRequest::readLoss(http::FailurePoint at) const
+{
+    return edge::readLoss({ .isThroughPeer = m_send->isThroughPeer,
+        .isUnsent = at == http::FailurePoint::NothingSent,
+        .isInvalidAnswer = at == http::FailurePoint::InvalidResponse,
+        .wereLinksInterrupted = m_state.links.wereInterruptedSince(m_send->lastEventAt) });
+}
+
+void EdgeRequest::recordBrokenOff(ConnectionLoss loss, TimePoint now)
 {
-    if (m_send->hasBegunAnswer)
+    if (m_send->hasBegunAnswer || !mayBeCausedByRequest(loss))
         return;
     ++m_sendsBroken;
+    if (loss == ConnectionLoss::Peer)
+        return;
     m_state.crashes.recordBreak(m_send->endpoint->entry().id.text(), m_send->incarnation, m_attributed, now);
 }
 
@@ -315,6 +412,13 @@
 {
     if (!m_route->isResumable)
         return;
+    if (m_send->isThroughPeer) {
+        m_isVersionUncertain = !m_send->peerAnswer.version;
+        m_version = m_send->peerAnswer.version;
+        if (m_version)
+            shareOrigin(now);
+        return;
+    }
     // The entry that the endpoint was chosen by may have been that of an engine that was replaced under its
     // id.
     m_isVersionUncertain = m_send->endpoint->versionHash() != m_send->version;
@@ -341,7 +445,18 @@
 void EdgeRequest::beginAnswer()
 {
     const auto& head = m_send->head;
-    m_exchange->begin(head.status, head.reason, forwardedHeaders(head.headers));
+    m_exchange->begin(head.status, head.reason, answerHeaders(head.headers));
+}
+
+http::Headers EdgeRequest::answerHeaders(http::Headers headers) const
+{
+    auto out = forwardedHeaders(std::move(headers));
+    if (m_forwarded)
+        addForwardingFields(out,
+            ForwardedAnswer {
+                .endpoint = m_triedEndpoints.empty() ? std::string() : m_triedEndpoints.back().text(),
+                .version = m_isVersionUncertain ? std::nullopt : m_version });
+    return out;
 }
 
 void EdgeRequest::handleResponseComplete()
@@ -350,7 +465,7 @@
         return;
     const auto now = bootNow();
     if (m_send->wasNotExecuted) {
-        const bool isOther = m_send->isMisdirected;
+        const bool isOther = m_send->isMisdirected || m_send->isThroughPeer;
         endSend(isOther ? SendOutcome::Neutral : SendOutcome::Full, now);
         sendFailed(false, ResultCode::EndpointRefused, now);
         return;
@@ -367,7 +482,7 @@
     // Nothing but its events shows that an answer without a length was whole.
     const bool endsWithConnection = !head.isChunked && !head.contentLength;
     if (m_events.hasPartialEvent() || m_eventsRelayed == 0 || (endsWithConnection && m_send->events == 0)) {
-        recordBrokenOff(now);
+        recordBrokenOff(readLoss(http::FailurePoint::DuringResponse), now);
         endSend(SendOutcome::Failed, now);
         sendFailed(true, ResultCode::EndpointBroke, now);
         return;
@@ -382,7 +497,8 @@
 {
     const int status = m_send->head.status;
     const bool isSuccess = status >= 200 && status < 300;
-    if (isSuccess && !m_send->isGenuine) {
+    // A peer's own error is not an endpoint's answer.
+    if ((isSuccess || m_send->isThroughPeer) && !m_send->isGenuine) {
         endSend(SendOutcome::Failed, now);
         sendFailed(true, ResultCode::EndpointAnswerInvalid, now);
         return;
@@ -413,7 +529,7 @@
     }
     if (isSuccess)
         recordFirstAnswer(now);
-    m_exchange->respond(head.status, head.reason, forwardedHeaders(std::move(head.headers)), body);
+    m_exchange->respond(head.status, head.reason, answerHeaders(std::move(head.headers)), body);
     finish(status >= 500 ? ResultCode::EndpointBroke : ResultCode::Ok, now);
 }
 
@@ -435,12 +551,15 @@
         return;
     }
     const bool wasNotExecuted = m_send->wasNotExecuted;
-    const bool isInvalid = at == http::FailurePoint::InvalidResponse;
-    if (!wasNotExecuted && !isInvalid)
-        recordBrokenOff(now);
-    endSend(SendOutcome::Failed, now);
-    sendFailed(
-        !wasNotExecuted, isInvalid ? ResultCode::EndpointAnswerInvalid : ResultCode::EndpointBroke, now);
+    const auto loss = readLoss(at);
+    if (!m_send->isThroughPeer)
+        m_state.links.recordBroken(m_send->endpoint->hash(), now);
+    if (!wasNotExecuted)
+        recordBrokenOff(loss, now);
+    endSend(sendOutcomeOf(loss), now);
+    sendFailed(!wasNotExecuted,
+        loss == ConnectionLoss::InvalidAnswer ? ResultCode::EndpointAnswerInvalid : ResultCode::EndpointBroke,
+        now);
 }
 
 void EdgeRequest::endSend(SendOutcome outcome, TimePoint now)
@@ -448,6 +567,9 @@
     auto send = std::move(*m_send);
     m_send.reset();
     m_state.bufferedAnswerBytes -= send.bufferedBytes;
+    // Peers are not suspended: heartbeats show which of them are alive.
+    if (send.isThroughPeer)
+        outcome = SendOutcome::Neutral;
     const bool wasSuspended = send.endpoint->isSuspended(now);
     send.endpoint->recordEnd(m_work, outcome, send.hadFirstEvent, now);
     if (outcome == SendOutcome::Failed && !wasSuspended && send.endpoint->isSuspended(now))
@@ -462,7 +584,7 @@
 {
     if (m_eventsRelayed > 0 && m_isVersionUncertain)
         return false;
-    if (m_sends >= maxSends || m_possibleExecutions >= m_route->maxAttempts)
+    if (m_sends >= maxSends || m_possibleExecutions >= maxExecutions())
         return false;
     if (m_sendsBroken >= maxSendsBroken)
         return false;
@@ -482,23 +604,30 @@
 void EdgeRequest::sendFailed(bool mayHaveExecuted, ResultCode reason, TimePoint now)
 {
     logFailedSend(mayHaveExecuted, reason);
-    if (now < m_expiresAt && m_state.endpointRegistry.hasCandidate(m_service, m_triedEndpoints, m_version)
-        && mayResend(now)) {
+    if (now < m_expiresAt && hasAlternative() && mayResend(now)) {
         requeue(now);
         return;
     }
     if (m_possibleExecutions == 0)
         refuse(reason == ResultCode::EndpointUnreachable ? ResultCode::NoEndpoint : ResultCode::QueueShed,
-            defaultRetryAfter, now);
+            std::max(defaultRetryAfter, m_peerRetryAfter.value_or(Duration::zero())), now);
     else
         endAfterExecution(reason, now);
 }
 
+bool EdgeRequest::hasAlternative() const
+{
+    if (!m_forwarded && m_state.links.state() != LinkState::Up
+        && m_state.relays.choose(m_triedEndpoints, m_state.random))
+        return true;
+    return m_state.endpointRegistry.hasCandidate(m_service, m_triedEndpoints, m_version);
+}
+
 void EdgeRequest::endAfterExecution(ResultCode reason, TimePoint now)
 {
     if (m_fallback && m_eventsRelayed == 0) {
         m_exchange->respond(
-            m_fallback->status, m_fallback->reason, forwardedHeaders(m_fallback->headers), m_fallbackBody);
+            m_fallback->status, m_fallback->reason, answerHeaders(m_fallback->headers), m_fallbackBody);
     }
     finish(reason, now);
 }
@@ -523,7 +652,11 @@
     if (m_isOver || !m_send || !m_send->isSent
         || m_route->executionSemantics == ExecutionSemantics::AtMostOnce)
         return;
-    if (!m_send->endpoint->isStalled(now) || m_possibleExecutions + 1 >= m_route->maxAttempts)
+    if (m_send->isThroughPeer || m_state.links.state() == LinkState::Partitioned) {
+        leaveLostLinks(now);
+        return;
+    }
+    if (!m_send->endpoint->isStalled(now) || m_possibleExecutions + 1 >= maxExecutions())
         return;
     const auto silence = now - m_send->lastEventAt;
     const auto tolerated = m_send->hadFirstEvent
@@ -540,6 +673,18 @@
     requeue(now);
 }
 
+void EdgeRequest::leaveLostLinks(TimePoint now)
+{
+    const bool isLost = m_send->isThroughPeer ? !m_state.relays.isAlive(m_send->endpoint->entry().id)
+                                              : now - m_send->lastEventAt >= maxSilenceOfLostLink;
+    if (!isLost || m_possibleExecutions + 1 >= maxExecutions()
+        || !m_state.relays.choose(m_triedEndpoints, m_state.random) || !mayResend(now))
+        return;
+    logFailedSend(true, ResultCode::EndpointStalled);
+    endSend(SendOutcome::Neutral, now);
+    requeue(now);
+}
+
 void EdgeRequest::handleTimeout()
 {
     if (m_isOver)
@@ -583,6 +728,8 @@
         headers = platform::retryAfterHeaders(*retryAfter);
         m_state.metrics.observe(Timing::PromisedReturn, m_route ? m_route->rank : -1, *retryAfter);
     }
+    if (m_forwarded)
+        addForwardingFields(headers, ForwardedAnswer { .wasNotExecuted = m_possibleExecutions == 0 });
     m_exchange->respond(status, http::reasonPhrase(status), headers, printed(code) + "\n");
     finish(code, now);
 }
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -5,6 +5,7 @@
 #include "lentilbay/Edge/EdgeRequest.h"
 #include "lentilbay/Support/Hash.h"
 #include "lentilbay/Support/Log.h"
+#include "lentilbay/Support/SteadyClock.h"
 
 #include <algorithm>
 
@@ -41,10 +42,26 @@
     , endpointRegistry(topology, seed)
     , queue(endpointRegistry)
     , pools(context)
+    , relays(topology)
     , versions(settings.isFirstStart)
     , peers(settings.daemon.text())
     , random(seed + 1)
 {
+    pools.setConnectObserver([this](const EndpointId& id, bool isConnected) {
+        if (const auto endpoint = endpointRegistry.find(id))
+            recordConnection(*endpoint, isConnected, bootNow());
+    });
+}
+
+void EdgeState::recordConnection(const EndpointState& endpoint, bool isConnected, TimePoint now)
+{
+    if (isConnected) {
+        links.recordConnected(endpoint.hash(), now);
+        crashes.recordConnected(endpoint.hash(), now);
+    } else {
+        links.recordConnectFailed(endpoint.hash(), now);
+    }
+    links.update(now);
 }
 
 std::optional<Duration> EdgeState::routesAge(TimePoint now) const
@@ -137,8 +154,9 @@
     m_isDispatching = true;
     const bool isLarge = peers.knownDaemons() > smallFleetSize;
     endpointRegistry.setHeadroom(isLarge ? staleLoadHeadroom : Headroom {});
-    queue.setOptions({ .slotShare = 1.0 / static_cast<double>(peers.knownDaemons()),
-        .maxRetryAfter = settings.bounds.maxRetryAfter });
+    const auto sending = peers.knownDaemons() - peers.partitionedDaemons();
+    queue.setOptions(
+        { .slotShare = 1.0 / static_cast<double>(sending), .maxRetryAfter = settings.bounds.maxRetryAfter });
     for (bool again = true; again;) {
         auto decisions = queue.decide(now);
         again = false;
--- a/packages/Edge/lib/EndpointPools.cpp
+++ b/packages/Edge/lib/EndpointPools.cpp
@@ -39,8 +39,14 @@
         }
         connection->close();
     }
+    connect(query.endpoint, std::move(done));
+}
+
+void EndpointPools::connect(
+    const RoutedEndpoint& endpoint, std::function<void(std::shared_ptr<http::ClientConnection>)> done)
+{
     std::error_code ec;
-    const auto host = asio::ip::make_address(query.endpoint.host, ec);
+    const auto host = asio::ip::make_address(endpoint.host, ec);
     if (ec) {
         // The codec validates addresses, so this is not expected; reported as unreachable.
         asio::post(m_context, [done = std::move(done)] { done(nullptr); });
@@ -48,8 +54,39 @@
     }
     ++m_opened;
     auto connection = std::make_shared<http::ClientConnection>(m_context);
-    connection->connect({ host, query.endpoint.port }, connectTimeout,
-        [connection, done = std::move(done)](bool connected) { done(connected ? connection : nullptr); });
+    connection->connect({ host, endpoint.port }, connectTimeout,
+        [this, id = endpoint.id, connection, done = std::move(done)](bool isConnected) {
+            if (m_connectObserver)
+                m_connectObserver(id, isConnected);
+            done(isConnected ? connection : nullptr);
+        });
+}
+
+bool EndpointPools::hasIdle(const RoutedEndpoint& endpoint, Duration maxIdleAge, TimePoint now) const
+{
+    const auto it = m_idle.find(endpoint.id);
+    return it != m_idle.end() && std::ranges::any_of(it->second, [&](const auto& connection) {
+        const auto age = now - connection->idleSince();
+        return connection->isReusable() && age < maxIdleTimeOf(*connection) && age < maxIdleAge;
+    });
+}
+
+void EndpointPools::probe(const RoutedEndpoint& endpoint)
+{
+    connect(endpoint, [this, endpoint](std::shared_ptr<http::ClientConnection> connection) {
+        if (connection)
+            release(endpoint, std::move(connection));
+    });
+}
+
+void EndpointPools::closeIdle(const std::function<bool(const EndpointId&)>& isClosed)
+{
+    for (auto& [id, idle] : m_idle) {
+        if (!isClosed(id))
+            continue;
+        for (const auto& it : std::exchange(idle, {}))
+            it->close();
+    }
 }
 
 void EndpointPools::release(
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -120,6 +120,7 @@
         break;
     case SendOutcome::Failed:
         m_failureRate.observe(1);
+        m_failedAt = now;
         ++m_failuresInRow;
         if (m_failuresInRow >= failuresToSuspend
             || (m_failureRate.observations() >= minFailureObservations
@@ -223,8 +224,26 @@
     return true;
 }
 
+std::shared_ptr<EndpointState> EndpointRegistry::findByHash(uint64_t hash) const
+{
+    const auto it = m_byHash.find(hash);
+    return it == m_byHash.end() ? nullptr : it->second;
+}
+
+void EndpointRegistry::forgetFailuresSince(TimePoint since)
+{
+    for (const auto& [id, it] : m_endpoints) {
+        if (it->m_failedAt < since)
+            continue;
+        it->m_failureRate = Estimate(0, failureWeight);
+        it->m_failuresInRow = it->m_suspensions = 0;
+        it->m_suspendedUntil = {};
+    }
+}
+
 void EndpointRegistry::rebuildIndexes()
 {
+    ++m_revision;
     m_byService.clear();
     m_byHash.clear();
     for (const auto& [id, it] : m_endpoints) {
--- /dev/null
+++ b/packages/Edge/lib/PeerForwarding.cpp
@@ -0,0 +1,139 @@
+// Header fields between daemons, and the choice of the peer to forward to.
+#include "lentilbay/Edge/PeerForwarding.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <fmt/format.h>
+#include <limits>
+
+namespace lentilbay::edge {
+namespace {
+
+constexpr std::string_view daemonName = "Lentilbay-Forwarded-By";
+constexpr std::string_view serviceName = "Lentilbay-Service";
+constexpr std::string_view versionName = "Lentilbay-Software-Version";
+constexpr std::string_view notExecutedName = "Lentilbay-Not-Executed";
+constexpr std::string_view endpointName = "Lentilbay-Endpoint";
+constexpr std::array<std::string_view, 5> names { daemonName, serviceName, versionName, notExecutedName,
+    endpointName };
+constexpr int hexadecimal = 16;
+/// The requests in flight that make up for the distance to a peer.
+constexpr double otherDataCentreCost = 2;
+constexpr double otherRegionCost = 4;
+
+std::optional<uint64_t> versionOf(const http::Headers& headers)
+{
+    const auto* value = headers.find(versionName);
+    if (!value)
+        return std::nullopt;
+    uint64_t out = 0;
+    const auto* end = value->data() + value->size();
+    const auto parsed = std::from_chars(value->data(), end, out, hexadecimal);
+    return parsed.ec == std::errc() && parsed.ptr == end ? std::optional(out) : std::nullopt;
+}
+
+std::string textOf(const http::Headers& headers, std::string_view name)
+{
+    const auto* value = headers.find(name);
+    return value ? *value : std::string();
+}
+
+void addVersion(http::Headers& headers, std::optional<uint64_t> version)
+{
+    if (version)
+        headers.add(versionName, fmt::format("{:x}", *version));
+}
+
+EndpointId relayId(const std::string& daemon) { return EndpointId("daemon/" + daemon); }
+
+} // namespace
+
+void addForwardingFields(http::Headers& headers, const ForwardedRequest& request)
+{
+    headers.add(daemonName, request.daemon);
+    headers.add(serviceName, request.service.text());
+    addVersion(headers, request.version);
+}
+
+void addForwardingFields(http::Headers& headers, const ForwardedAnswer& answer)
+{
+    if (answer.wasNotExecuted)
+        headers.add(notExecutedName, "1");
+    if (!answer.endpoint.empty())
+        headers.add(endpointName, answer.endpoint);
+    addVersion(headers, answer.version);
+}
+
+std::optional<ForwardedRequest> forwardedRequestOf(const http::Headers& headers)
+{
+    if (!headers.contains(daemonName))
+        return std::nullopt;
+    return ForwardedRequest { .daemon = textOf(headers, daemonName),
+        .service = ServiceId(textOf(headers, serviceName)),
+        .version = versionOf(headers) };
+}
+
+ForwardedAnswer forwardedAnswerOf(const http::Headers& headers)
+{
+    return { .wasNotExecuted = headers.contains(notExecutedName),
+        .endpoint = textOf(headers, endpointName),
+        .version = versionOf(headers) };
+}
+
+void removeForwardingFields(http::Headers& headers)
+{
+    for (const auto it : names)
+        headers.remove(it);
+}
+
+void PeerRelays::update(const PeerTable& peers)
+{
+    std::map<EndpointId, Relay> relays;
+    for (const auto& [name, peer] : peers.peers()) {
+        if (peer.isSilent || peer.incarnation == 0)
+            continue;
+        const auto id = relayId(name);
+        const RoutedEndpoint entry { .id = id,
+            .host = peer.host,
+            .port = peer.port,
+            .dataCentre = DataCentreId(peer.dataCentre),
+            .slots = std::numeric_limits<decltype(RoutedEndpoint::slots)>::max() };
+        const auto it = m_relays.find(id);
+        auto state = it == m_relays.end() ? std::make_shared<EndpointState>(entry) : it->second.state;
+        if (state->entry() != entry)
+            state->updateEntry(entry);
+        relays.emplace(
+            id, Relay { .state = std::move(state), .isUsable = !peer.isLeaving && !peer.isPartitioned });
+    }
+    m_relays = std::move(relays);
+}
+
+size_t PeerRelays::size() const
+{
+    return std::ranges::count_if(m_relays, [](const auto& it) { return it.second.isUsable; });
+}
+
+std::shared_ptr<EndpointState> PeerRelays::choose(const std::vector<EndpointId>& tried, Random& random) const
+{
+    std::shared_ptr<EndpointState> out;
+    double least = 0;
+    for (const auto& [id, it] : m_relays) {
+        if (!it.isUsable || std::ranges::find(tried, id) != tried.end())
+            continue;
+        const auto locality = m_topology.localityOf(it.state->entry().dataCentre);
+        const double distance = locality == Locality::OwnDataCentre ? 0
+            : locality == Locality::OwnRegion                       ? otherDataCentreCost
+                                                                    : otherRegionCost;
+        const double cost = it.state->ownInFlight() + distance + random.fraction();
+        if (!out || cost < least) {
+            out = it.state;
+            least = cost;
+        }
+    }
+    return out;
+}
+
+bool PeerRelays::isAlive(const EndpointId& peer) const { return m_relays.contains(peer); }
+
+} // namespace lentilbay::edge
--- a/packages/Edge/lib/PeerHeartbeat.cpp
+++ b/packages/Edge/lib/PeerHeartbeat.cpp
@@ -81,7 +81,7 @@
 {
     const auto element = [&](auto& value) { archive(value); };
     bool hasViews = it.views.has_value();
-    compact::flags(archive, it.isLeaving, it.countsAllUse, hasViews);
+    compact::flags(archive, it.isLeaving, it.countsAllUse, hasViews, it.isPartitioned);
     compact::text(archive, it.daemon);
     archive(it.incarnation);
     compact::integer(archive, it.sequence);
@@ -178,6 +178,7 @@
         .sentMicroseconds = heartbeat.sentMicroseconds,
         .isSilent = false,
         .isLeaving = heartbeat.isLeaving,
+        .isPartitioned = heartbeat.isPartitioned,
         .countsAllUse = heartbeat.countsAllUse };
     return true;
 }
@@ -202,12 +203,18 @@
 {
     std::vector<SendingDaemon> out;
     for (const auto& [name, peer] : m_peers) {
-        if (!peer.isLeaving && peer.incarnation != 0 && now - peer.lastHeardAt < sendsAfterSilence)
+        if (!peer.isLeaving && !peer.isPartitioned && peer.incarnation != 0
+            && now - peer.lastHeardAt < sendsAfterSilence)
             out.push_back({ .name = name, .dataCentre = DataCentreId(peer.dataCentre) });
     }
     return out;
 }
 
+size_t PeerTable::partitionedDaemons() const
+{
+    return std::ranges::count_if(m_peers, [](const auto& it) { return it.second.isPartitioned; });
+}
+
 size_t PeerTable::silentDaemons() const
 {
     return std::ranges::count_if(
--- a/packages/Edge/unittests/CrashAttributionTest.cpp
+++ b/packages/Edge/unittests/CrashAttributionTest.cpp
@@ -602,5 +602,51 @@
     EXPECT_TRUE(fleet.isBlockedEverywhere(requestOf(bad)));
 }
 
+TEST(CrashAttribution, ConnectionsThatAreResetAtOnceBlameNoRequest)
+{
+    CrashAttribution it;
+    for (int round = 0; round < 5; ++round) {
+        const auto now = at(round * 3s);
+        for (int n = 0; n < 5; ++n)
+            it.recordBreak("e", engine(n), requestOf(1), now);
+        it.recordConnected(hashOf("e3"), now + 20ms);
+        it.update(now + 200ms);
+    }
+    EXPECT_TRUE(it.update(at(20s)).empty());
+    EXPECT_EQ(it.judge(requestOf(1), at(20s)), Verdict::Allowed);
+}
+
+TEST(CrashAttribution, EndpointThatCanBeConnectedToHasNotCrashed)
+{
+    CrashAttribution it;
+    for (int n = 0; n < 4; ++n) {
+        const auto now = at(n * 3s);
+        it.recordBreak("e", engine(n), requestOf(1), now);
+        it.recordConnected(hashOf("e" + std::to_string(n)), now + 20ms);
+        it.update(now + 200ms);
+    }
+    EXPECT_EQ(it.judge(requestOf(1), at(20s)), Verdict::Allowed);
+}
+
+TEST(CrashAttribution, LostLinksBlameNoRequest)
+{
+    CrashAttribution it;
+    for (int n = 0; n < 4; ++n) {
+        const auto now = at(n * 3s);
+        it.recordBreak("e", engine(n), requestOf(1), now);
+        it.update(now + 500ms, true);
+        it.dropBreaksSince(now);
+        it.update(now + 1500ms);
+    }
+    EXPECT_EQ(it.judge(requestOf(1), at(20s)), Verdict::Allowed);
+    // Without that, it is blocked.
+    for (int n = 0; n < 3; ++n) {
+        it.recordBreak("e", engine(n), requestOf(1), at(20s + n * 3s));
+        it.update(at(20s + n * 3s + 500ms), true);
+        it.update(at(20s + n * 3s + 1500ms), true);
+    }
+    EXPECT_EQ(it.judge(requestOf(1), at(28s)), Verdict::Blocked);
+}
+
 } // namespace
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -827,5 +827,222 @@
     EXPECT_EQ(receivedRequests(), 0U);
 }
 
+/// A daemon that has lost its links to the endpoints and knows two peers.
+class PartitionedDaemonTest : public EdgeRequestTest {
+protected:
+    PartitionedDaemonTest()
+    {
+        const auto now = bootNow();
+        // Nobody listens at the endpoints.
+        list("e2", second);
+        first.stopListening();
+        second.stopListening();
+        hear("p1", nearPeer, now);
+        hear("p2", farPeer, now);
+        state.links.setEndpoints({ hashOf("e1"), hashOf("e2") });
+        setPeers();
+        loseLinks(now);
+    }
+
+    void hear(const std::string& daemon, const RawServer& server, TimePoint now)
+    {
+        PeerHeartbeat heartbeat { .daemon = daemon, .incarnation = 1, .sequence = 1 };
+        heartbeat.dataCentre = daemon == "p1" ? "a" : "b";
+        heartbeat.periodMilliseconds = 200;
+        state.peers.recordHeartbeat(heartbeat, "127.0.0.1", server.port(), now);
+    }
+
+    void setPeers()
+    {
+        state.relays.update(state.peers);
+        state.links.setPeers(state.relays.size());
+    }
+
+    void loseLinks(TimePoint now)
+    {
+        for (const auto* it : { "e1", "e2" })
+            state.links.recordConnectFailed(hashOf(it), now);
+        ASSERT_EQ(state.links.update(now), LinkState::Partitioned);
+    }
+
+    RawServer nearPeer { context };
+    RawServer farPeer { context };
+};
+
+TEST_F(PartitionedDaemonTest, SendsThroughAPeer)
+{
+    nearPeer.script(
+        { .bytes = httpResponse(201, "hello", signatureFields + "Lentilbay-Endpoint: e1\r\nX-Own: 1\r\n") });
+    const auto answer = call(
+        "/safe/x", "Authorization: Token k\r\nX-Deadline-Ms: 2000\r\nLentilbay-Forwarded-By: caller\r\n");
+    EXPECT_EQ(answer.status, 201);
+    EXPECT_EQ(answer.body, "hello");
+    EXPECT_TRUE(answer.headers.contains("X-Own"));
+    EXPECT_TRUE(answer.headers.contains("X-Served-By-Sig"));
+    EXPECT_FALSE(answer.headers.contains("Lentilbay-Endpoint"));
+    ASSERT_EQ(nearPeer.requests().size(), 1U);
+    const auto& seen = nearPeer.requests()[0];
+    for (const auto* it : { "Lentilbay-Forwarded-By: d\r\n", "Lentilbay-Service: s\r\n",
+             "Authorization: Token k\r\n", "X-Request-Id: 7\r\n", "X-Deadline-Ms: " })
+        EXPECT_NE(seen.find(it), std::string::npos) << it;
+    EXPECT_EQ(seen.find("Lentilbay-Forwarded-By: caller"), std::string::npos);
+    EXPECT_EQ(farPeer.requests().size(), 0U);
+}
+
+TEST_F(PartitionedDaemonTest, RelaysAStreamAndResumesItThroughAnotherPeer)
+{
+    const auto field = fmt::format("Lentilbay-Software-Version: {:x}\r\n", hashOf(""));
+    auto begun = streamAnswer({ eventOf(1) }, false);
+    begun.insert(begun.find("Content-Type"), field);
+    nearPeer.script({ .bytes = begun, .then = ScriptedResponse::Then::Close });
+    farPeer.script({ .bytes = streamAnswer({ eventOf(2), eventOf(3) }) });
+    const auto answer = call("/stream/x");
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(answer.body, eventOf(1) + eventOf(2) + eventOf(3));
+    ASSERT_EQ(farPeer.requests().size(), 1U);
+    EXPECT_NE(farPeer.requests()[0].find("Last-Event-Id: 1\r\n"), std::string::npos);
+    EXPECT_NE(farPeer.requests()[0].find(field), std::string::npos);
+}
+
+TEST_F(PartitionedDaemonTest, PeerThatDidNotExecuteTheRequestIsFollowedByAnother)
+{
+    nearPeer.script({ .bytes = httpResponse(503, "", "Lentilbay-Not-Executed: 1\r\nRetry-After: 2\r\n") });
+    farPeer.script({ .bytes = httpResponse(200, "far", signatureFields) });
+    EXPECT_EQ(call("/once/x").body, "far");
+}
+
+TEST_F(PartitionedDaemonTest, RequestThatNoPeerExecutedIsRefusedAsNotRun)
+{
+    for (auto* it : { &nearPeer, &farPeer })
+        it->script({ .bytes = httpResponse(401, "", "Lentilbay-Not-Executed: 1\r\n") });
+    const auto answer = call("/once/x");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.headers.contains("Retry-After"));
+}
+
+TEST_F(PartitionedDaemonTest, PeerThatIsLostHalfWayMayHaveSentTheRequestOn)
+{
+    nearPeer.script({ .bytes = "", .then = ScriptedResponse::Then::Close });
+    EXPECT_EQ(call("/once/x").status, 502);
+    EXPECT_EQ(farPeer.requests().size(), 0U);
+}
+
+TEST_F(PartitionedDaemonTest, ErrorOfAPeerIsNotAnEndpointsAnswer)
+{
+    nearPeer.script({ .bytes = httpResponse(502, "LB-5002") });
+    const auto answer = call("/once/x");
+    EXPECT_EQ(answer.status, 502);
+    EXPECT_EQ(answer.headers.find("X-Served-By-Sig"), nullptr);
+    EXPECT_EQ(farPeer.requests().size(), 0U);
+}
+
+TEST_F(PartitionedDaemonTest, RefusesAtOnceIfNoPeerReachesEndpoints)
+{
+    state.peers = PeerTable("d");
+    setPeers();
+    state.links.update(bootNow());
+    const auto answer = call("/safe/x");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.headers.contains("Retry-After"));
+}
+
+TEST_F(PartitionedDaemonTest, WaitingRequestsAreForwarded)
+{
+    state.links.recordConnected(hashOf("e1"), bootNow());
+    ASSERT_EQ(state.links.update(bootNow()), LinkState::Up);
+    state.endpointRegistry.updatePeerLoads("peer",
+        { { .endpoint = hashOf("e1"), .inFlight = 4 }, { .endpoint = hashOf("e2"), .inFlight = 4 } },
+        bootNow());
+    CallerAnswer answer;
+    const auto connection = send("/once/x", answer);
+    runUntil([&] { return state.queue.size() > 0; });
+    nearPeer.script({ .bytes = httpResponse(200, "near", signatureFields) });
+    loseLinks(bootNow());
+    for (const auto requests = state.requests; const auto& [number, request] : requests)
+        request->forwardWaiting(bootNow());
+    runUntil([&] { return answer.hasEnded(); });
+    EXPECT_EQ(answer.body, "near");
+    connection->close();
+}
+
+/// A daemon to which a peer forwards requests.
+class ForwardedRequestTest : public EdgeRequestTest {
+protected:
+    ForwardedRequestTest()
+    {
+        front = std::make_unique<http::HttpServer>(context,
+            http::HttpServerOptions { .address = { asio::ip::make_address("127.0.0.1"), 0 },
+                .limits = [] { return http::ServerLimits {}; },
+                .handler =
+                    [this](std::shared_ptr<http::Exchange> exchange) {
+                        std::make_shared<EdgeRequest>(state, std::move(exchange),
+                            ForwardedRequest { .daemon = "p", .service = ServiceId("s") })
+                            ->admit(bootNow());
+                    },
+                .malformed = {} });
+    }
+};
+
+TEST_F(ForwardedRequestTest, AnswerNamesTheEndpoint)
+{
+    first.script({ .bytes = httpResponse(200, "hello", signatureFields) });
+    const auto answer = call("/safe/x", "Authorization: Token k\r\nLentilbay-Forwarded-By: p\r\n");
+    EXPECT_EQ(answer.body, "hello");
+    ASSERT_TRUE(answer.headers.contains("Lentilbay-Endpoint"));
+    EXPECT_EQ(*answer.headers.find("Lentilbay-Endpoint"), "e1");
+    ASSERT_EQ(first.requests().size(), 1U);
+    EXPECT_EQ(first.requests()[0].find("Lentilbay"), std::string::npos);
+    EXPECT_NE(first.requests()[0].find("X-Tenant: o\r\n"), std::string::npos);
+}
+
+TEST_F(ForwardedRequestTest, OneEndpointExecutesItAtMost)
+{
+    list("e2", second);
+    for (auto* it : { &first, &second })
+        it->setResponder([](const std::string&) {
+            return ScriptedResponse { .bytes = "", .then = ScriptedResponse::Then::Close };
+        });
+    const auto answer = call("/safe/x");
+    EXPECT_EQ(answer.status, 502);
+    EXPECT_FALSE(answer.headers.contains("Lentilbay-Not-Executed"));
+    EXPECT_EQ(receivedRequests(), 1U) << "the peer sends it again";
+}
+
+TEST_F(ForwardedRequestTest, RefusalStatesThatItDidNotRun)
+{
+    const auto answer = call("/safe/x", "Authorization: Token unknown\r\n");
+    EXPECT_EQ(answer.status, 401);
+    EXPECT_TRUE(answer.headers.contains("Lentilbay-Not-Executed"));
+}
+
+TEST_F(ForwardedRequestTest, QuotaIsCountedByThePeer)
+{
+    first.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = httpResponse(200, "a", signatureFields) };
+    });
+    const std::string fields = "Authorization: Token k\r\nX-Token-Usage: 1000,900\r\n";
+    for (int i = 0; i < 4; ++i)
+        EXPECT_EQ(call("/safe/x", fields).status, 200);
+}
+
+TEST_F(ForwardedRequestTest, IsNotForwardedAgain)
+{
+    RawServer peer(context);
+    PeerHeartbeat heartbeat { .daemon = "q", .incarnation = 1, .sequence = 1 };
+    heartbeat.dataCentre = "a";
+    heartbeat.periodMilliseconds = 200;
+    state.peers.recordHeartbeat(heartbeat, "127.0.0.1", peer.port(), bootNow());
+    state.relays.update(state.peers);
+    state.links.setEndpoints({ hashOf("e1"), hashOf("e2") });
+    state.links.setPeers(1);
+    for (const auto* it : { "e1", "e2" })
+        state.links.recordConnectFailed(hashOf(it), bootNow());
+    ASSERT_EQ(state.links.update(bootNow()), LinkState::Partitioned);
+    const auto answer = call("/safe/x");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.headers.contains("Lentilbay-Not-Executed"));
+    EXPECT_EQ(peer.requests().size(), 0U);
+}
+
 } // namespace
 } // namespace lentilbay::edge
