Play endpoints that fail when they reject requests in the soak

Endpoints of a service state Server-Brittle: from 3 s later they let only two requests wait beyond their slots, and one that rejects more requests in a second than it states fails for some seconds. Clients meanwhile repeat refused requests unchanged, and none of them may be refused as if it crashed endpoints.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -51,6 +51,8 @@
 CRASH_FAULT_KINDS = ["repeat"]
 # "organisation" adds an organisation and removes it; "gap" is a "rewind" whose lost configuration is written again late.
 CONFIGURATION_FAULT_KINDS = ["organisation", "gap"]
+# "brittle" lets the endpoints of a service state that rejections make them fail.
+LOAD_FAULT_KINDS = ["brittle"]
 # "partition" takes the links to all endpoints from some daemons; needs --links.
 LINK_FAULT_KINDS = ["partition"]
 LINK_MODES = ["hang", "hang", "reset", "refuse", "one_way", "flap"]
@@ -77,7 +79,11 @@
         # (time, daemon, whether the request was served).
         self.links: dict = {}
         self.partitions: list = []
+        # The periods in which the endpoints of a service stated that they are brittle, as [begin, end, number of
+        # endpoints, times of failures].
+        self.brittle_periods: list = []
         self.attempts: list = []
+        self.bodies: dict = {}
         self.rng = random.Random(seed)
         # A loopback network per run, so that concurrent runs do not use the same addresses.
         self.network = f"127.{40 + os.getpid() % 200}.{seed % 250}"
@@ -225,7 +231,7 @@
     async def client(self, number: int) -> None:
         """Sends requests one after another and reuses the connection while it is open."""
         rng = random.Random(number * 7919 + self.rng.randint(0, 1 << 30))
-        connection = daemon = None
+        connection = daemon = refused = None
         while not self.stopping:
             await asyncio.sleep(rng.uniform(0.01, 0.12))
             kind = rng.choice(list(KINDS))
@@ -248,7 +254,13 @@
                     self.count_outcome(after_faults, "no connection")
                     continue
             sent_at = time.monotonic()
-            body = f"body-{request}"
+            # While endpoints are brittle, clients repeat what was refused, unchanged.
+            if refused and any(end == float("inf") for _, end, _, _ in self.brittle_periods):
+                kind, key, body = refused
+            else:
+                body = f"body-{request}"
+            refused = None
+            self.bodies[request] = body
             connection[1].write((f"POST /{kind}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request}\r\nX-Deadline-Ms: 2500\r\n"
                                  f"Authorization: Token {key}\r\nX-Token-Usage: 100,72\r\n"
                                  f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
@@ -260,6 +272,8 @@
                     self.count_outcome(after_faults, "no answer in time")
             self.requests.append((request, kind, key, daemon, sent_at, status))
             self.check_response(request, kind, key, body, status, headers, text, is_complete, daemon, sent_at)
+            if status == 503:
+                refused = (kind, key, body)
             if key == "key-kept":
                 self.attempts.append((sent_at, daemon, status == 200 and is_complete))
             self.count_outcome(after_faults, str(status) if is_complete or status == 0 else f"{status} cut")
@@ -305,6 +319,8 @@
                     self.add_finding("ORDER", f"{request} got events {events}")
                 if is_complete and len(events) != Endpoint.EVENTS:
                     self.add_finding("ORDER", f"{request} ended as whole after {len(events)} events")
+        elif status == 503 and text.startswith("LB-3015"):
+            self.add_finding("LOST", f"{request} was refused as if it crashed endpoints")
         elif kind in self.added and status in (401, 404):
             # A store that has lost the configuration allows it, and so does a fault of the daemon.
             if self.is_in_contact(daemon, sent_at, time.monotonic()):
@@ -426,6 +442,8 @@
             self.is_rewinding = False
         elif kind == "partition":
             await self.partition(self.rng.choice(self.link_modes), self.rng.uniform(4.0, 9.0))
+        elif kind == "brittle":
+            await self.make_brittle(self.rng.choice(["app", "llm"]), self.rng.uniform(7.0, 12.0))
         elif kind == "organisation":
             await self.add_organisation(self.rng.uniform(3.0, 10.0))
         elif kind == "revoke" and self.keys["key-revoked"]:
@@ -454,6 +472,33 @@
                 await asyncio.sleep(0.5)
         period[1] = time.monotonic()
 
+    async def make_brittle(self, service: str, seconds: float) -> None:
+        endpoints = [it for it in self.endpoints if it.service == service]
+        if any(it.brittle is not None for it in endpoints):
+            return
+        period = [time.monotonic(), float("inf"), len(endpoints), []]
+        self.brittle_periods.append(period)
+        limit = self.rng.choice([1, 3, 20])
+        for it in endpoints:
+            it.brittle, it.brittle_since = limit, period[0]
+            it.fell = lambda endpoint: asyncio.create_task(self.let_fall(endpoint, period))
+        await asyncio.sleep(seconds)
+        period[1] = time.monotonic()
+        for it in endpoints:
+            it.brittle = None
+
+    async def let_fall(self, endpoint: Endpoint, period: list) -> None:
+        """The endpoint fails because of too many rejections, and is back some seconds later."""
+        if endpoint not in self.endpoints or self.endpoints.index(endpoint) in self.crashed:
+            return
+        n = self.endpoints.index(endpoint)
+        self.crashed.add(n)
+        period[3].append(time.monotonic())
+        endpoint.crash()
+        await asyncio.sleep(self.rng.uniform(1.0, 2.5))
+        await self.listen(n, endpoint)
+        self.crashed.discard(n)
+
     async def revoke(self, key: str) -> None:
         self.keys[key] = False
         await self.configure()
@@ -662,6 +707,11 @@
                     self.add_finding("BUDGET", f"{endpoint.name} got {n} requests from daemon {daemon} in the "
                                      f"{seconds:g} s for which it wanted none")
 
+    def check_brittle(self) -> None:
+        for begin, end, n, falls in self.brittle_periods:
+            if len(falls) > 2 + n / 10:
+                self.add_finding("LIMIT", f"{n} brittle endpoints failed {len(falls)} times in {end - begin:.1f} s")
+
     def check_partitions(self) -> None:
         """Checks that daemons without links to the endpoints serve their clients beside the others."""
         for begin, end, daemons in self.partitions:
@@ -700,9 +750,10 @@
                 self.check_bounds(request, kind, daemon, sent_at, executed_at, endpoint)
                 if headers.get("x-tenant") != ("t" if kind in KINDS else f"t-{kind}") or "authorization" in headers:
                     self.add_finding("UNASKED", f"{request} arrived with tenant {headers.get('x-tenant')}")
-                if target != f"/{kind}/x" or body != f"body-{request}".encode():
+                if target != f"/{kind}/x" or body != self.bodies[request].encode():
                     self.add_finding("UNASKED", f"{request} arrived as {target} {body!r}")
         self.check_partitions()
+        self.check_brittle()
         self.prompts.check()
         outcomes = self.counts.get("calm", {})
         total = sum(outcomes.values())
@@ -747,7 +798,7 @@
     parser.add_argument("--runs", type=int, default=1, help="number of consecutive seeds to run")
     parser.add_argument("--faults", default=",".join(FAULT_KINDS),
                         help=f"kinds of faults, drawn with equal probability; also "
-                             f"{', '.join(CRASH_FAULT_KINDS + CONFIGURATION_FAULT_KINDS + LINK_FAULT_KINDS + STREAM_FAULT_KINDS)}")
+                             f"{', '.join(CRASH_FAULT_KINDS + CONFIGURATION_FAULT_KINDS + LINK_FAULT_KINDS + LOAD_FAULT_KINDS + STREAM_FAULT_KINDS)}")
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--endpoints", type=int, default=5, help="applications and engines")
     parser.add_argument("--applications", type=int, default=2, help="how many of the endpoints are applications")
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -181,6 +181,13 @@
     CRASH_DELAY = 0.1
     # The fraction of requests that an endpoint rejects while it states a limit.
     REJECTED_IN_NEED = 0.2
+    SLOTS = 6
+    # Seconds after which the daemons have to know what the endpoint states.
+    CONTACT = 3.0
+    # How long a brittle endpoint works on a request, and how many it lets wait at first and later.
+    BRITTLE_WORK = 0.25
+    QUEUE = 60
+    SHORT_QUEUE = 2
 
     def __init__(self, name: str, service: str, executions: dict, rng: random.Random) -> None:
         super().__init__()
@@ -200,6 +207,14 @@
         # request, seconds).
         self.retry_after: float | None = None
         self.rejections: list = []
+        # The rejections in a second beyond which the endpoint fails, when it stated this first, what to call when it
+        # fails, and when it rejected requests.
+        self.brittle: int | None = None
+        self.brittle_since = 0.0
+        self.fell = None
+        self.rejected: list = []
+        self.admitted = 0
+        self.slots = asyncio.Semaphore(self.SLOTS)
         self.started = 1
         self.arrivals: list = []
         self.told: list = []
@@ -211,13 +226,15 @@
         if self.limit is not None and states_limit:
             self.told.append((time.monotonic(), request))
             headers["Server-Limit"] = f"{self.limit:g}"
+        if self.brittle is not None:
+            headers["Server-Brittle"] = f"{self.brittle}"
         if self.leaving:
             self.told_leaving.append((time.monotonic(), request))
             headers["Server-Leaving"] = "1"
         return headers
 
     def row(self, address: str, state: str = "ready") -> dict:
-        return {"Service": self.service, "Addr": address, "Zone": "a", "Slots": 6, "State": state, "Seq": 1,
+        return {"Service": self.service, "Addr": address, "Zone": "a", "Slots": self.SLOTS, "State": state, "Seq": 1,
                 "Version": self.version, "born": self.started}
 
     async def respond(self, method, target, headers, body, writer) -> None:
@@ -235,6 +252,34 @@
             writer.write(build_response(503, b"", {"X-Not-Executed": "1", "Retry-After": f"{self.retry_after:g}"}
                                         | self.own_headers(request)))
             return
+        if self.brittle is not None:
+            await self.respond_brittle(request, headers, target, body, writer)
+            return
+        await self.execute(request, headers, target, body, writer)
+
+    async def respond_brittle(self, request, headers, target, body, writer) -> None:
+        """Runs a request when a slot is free, or rejects it; too many rejections in a second end the endpoint."""
+        now = time.monotonic()
+        is_fragile = now - self.brittle_since >= self.CONTACT
+        if self.admitted >= self.SLOTS + (self.SHORT_QUEUE if is_fragile else self.QUEUE):
+            self.rejected = [at for at in self.rejected if now - at < 1.0] + [now]
+            writer.write(build_response(503, b"", {"X-Not-Executed": "1", "X-Request-Id": request}
+                                        | self.own_headers(request)))
+            if is_fragile and len(self.rejected) > self.brittle:
+                self.rejected = []
+                self.fell(self)
+            return
+        self.admitted += 1
+        try:
+            async with self.slots:
+                if writer.transport.is_closing():
+                    return
+                await asyncio.sleep(self.BRITTLE_WORK)
+                await self.execute(request, headers, target, body, writer)
+        finally:
+            self.admitted -= 1
+
+    async def execute(self, request, headers, target, body, writer) -> None:
         self.executions.setdefault(request, []).append((time.monotonic(), self, headers, target, body))
         if body.decode() in self.crashing_bodies:
             await asyncio.sleep(self.CRASH_DELAY)
