Divide the slots of endpoints that rejections make fail

Endpoints that state Server-Brittle failed again and again under load: each daemon saw the load of the others up to a second late, so together they sent more than the endpoints had room for, the endpoints rejected the rest, and failed. The attribution of crashes then blamed the requests that were running.

While an endpoint states that, the slots of its service are divided among the daemons by rendezvous hashing, so that they cannot exceed them whatever they know of each other. A share grows only after 1.5 s, when the daemon that had it knows of it; the whole service counts, as an endpoint that is back after a failure has not yet answered. A daemon without a share sends through a peer. Heartbeats report the statement and recent rejections; a failure after a rejection is read as overload, and blames no request. The two limits that endpoints state now have times of their own (StatedLimit).

--- a/packages/Edge/include/lentilbay/Edge/CrashAttribution.h
+++ b/packages/Edge/include/lentilbay/Edge/CrashAttribution.h
@@ -93,6 +93,17 @@
     auto operator<=>(const BlockedTrigger&) const = default;
 };
 
+/// A request that an endpoint broke off before its answer had begun.
+struct BrokenRequest {
+    /// The endpoint's id.
+    std::string name;
+    EndpointIncarnation endpoint;
+    AttributedRequest request;
+    TimePoint at {};
+    /// Peers may report that the endpoint has rejected requests, which make it fail.
+    bool mayBeOverloaded = false;
+};
+
 class CrashAttribution {
 public:
     enum class Verdict : uint8_t { Allowed, Trial, Blocked };
@@ -106,8 +117,7 @@
     /// Counts a request by its triggers.
     void recordRequest(const AttributedRequest& request);
     /// Records that an endpoint broke off a request whose answer had not begun.
-    void recordBreak(const std::string& endpoint, const EndpointIncarnation& incarnation,
-        const AttributedRequest& request, TimePoint now);
+    void recordBreak(BrokenRequest request);
     /// Records that an endpoint answers a request that was sent to it at `sentAt`. It has not crashed since.
     void recordAlive(uint64_t endpoint, TimePoint sentAt);
     /// Records that a new connection to the endpoint was established, so that it has not crashed just before.
@@ -115,6 +125,8 @@
     /// Drops the requests that were broken off since then and are not yet known to be due to crashes: the
     /// links to the endpoints were lost.
     void dropBreaksSince(TimePoint since);
+    /// The same for the requests that an endpoint broke off, which has failed under load.
+    void dropBreaksAt(uint64_t endpoint);
     /// Records that an answer to this request has begun.
     void recordAnswer(const AttributedRequest& request, TimePoint now);
 
@@ -177,14 +189,6 @@
         bool isShared = false;
     };
 
-    /// A request that an endpoint broke off, which is not yet known to be a crash.
-    struct Break {
-        std::string name;
-        EndpointIncarnation endpoint;
-        AttributedRequest request;
-        TimePoint at {};
-    };
-
     Trigger& entryOf(uint64_t id, TimePoint now);
     /// `isRelayed` is whether this daemon has to tell the others of a crash that a peer observed.
     void addCrash(Trigger& trigger, Crash crash, bool isRelayed, TimePoint now);
@@ -222,7 +226,7 @@
     std::vector<std::string> m_daemons;
     Duration m_reportDelay = std::chrono::milliseconds(200);
     std::unordered_map<uint64_t, Trigger> m_triggers;
-    std::vector<Break> m_breaks;
+    std::vector<BrokenRequest> m_breaks;
     std::vector<TriggerChange> m_changes;
     /// Triggers of requests whose answers began, in two generations of bounded size.
     struct SoundTriggers {
--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -133,6 +133,8 @@
     /// The revision of the registry of which the links know the endpoints.
     uint64_t m_linksRevision = 0;
     LinkState m_linkState = LinkState::Up;
+    /// Whether endpoints stated something about themselves when that was last divided among the daemons.
+    bool m_hadSignals = false;
     /// The configuration in force, as it was read.
     std::string m_configurationDocument;
     ConfigurationCatchUp m_catchUp;
--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -121,6 +122,10 @@
     int m_suspensions = 0;
     TimePoint m_suspendedUntil {};
     TimePoint m_failedAt {};
+    /// How many requests this daemon may have in flight there, if the slots are divided among the daemons.
+    std::optional<uint32_t> m_slotShare;
+    /// When a larger share was last computed than the one that applies.
+    std::optional<TimePoint> m_shareGrowsSince;
     /// When any request of this daemon last made progress there, or when the first one was sent.
     TimePoint m_lastProgress {};
 };
@@ -212,6 +217,16 @@
     std::vector<SignalReport> signalReports(TimePoint now) const { return m_signals.reports(now); }
     /// Tells the table of statements which daemons are alive; to be called regularly while it has entries.
     void updateSignals(const std::string& self, std::vector<SendingDaemon> daemons, TimePoint now);
+    /// Whether rejections make endpoints of the service fail, so that their slots are divided among the
+    /// daemons.
+    bool isBrittle(const ServiceId& service) const { return m_brittleServices.contains(service); }
+    /// Whether this daemon may send to endpoints of the service, as far as their slots are divided.
+    bool hasSlotShare(const ServiceId& service) const;
+    /// Whether the endpoint has recently rejected requests, which make it fail.
+    bool isOverloaded(const EndpointState& endpoint, TimePoint now) const
+    {
+        return !m_signals.empty() && m_signals.isOverloaded(endpoint.hash(), now);
+    }
     bool hasSignals() const { return !m_signals.empty(); }
     EndpointSignals signalsOf(const EndpointState& endpoint) const
     {
@@ -259,6 +274,8 @@
     {
         return endpoint.entry().isDraining || (!m_signals.empty() && m_signals.isLeaving(endpoint.hash()));
     }
+    /// Divides the slots of the endpoints that rejections make fail.
+    void divideSlots(TimePoint now);
     using Endpoints = std::vector<std::shared_ptr<EndpointState>>;
     const Endpoints& endpointsOf(const ServiceId& service) const;
     void rebuildIndexes();
@@ -281,6 +298,7 @@
     uint64_t m_revision = 0;
     std::map<std::string, PeerLoads> m_peers;
     EndpointSignalTable m_signals;
+    std::set<ServiceId> m_brittleServices;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/include/lentilbay/Edge/EndpointSignalTable.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointSignalTable.h
@@ -9,6 +9,11 @@
 // confirms the statement, because the selected daemons have no requests for the endpoint, each of the others
 // may send once in turn.
 //
+// An endpoint may also state that rejections make it fail. It then must not get more requests than it has
+// slots for, whatever the daemons know of each other's, so its slots are divided as well: each daemon gets an
+// equal share, and the rest goes to those that come first in rendezvous hashing. What holds for one endpoint
+// of a service is taken to hold for all: one that has failed is back before it has answered.
+//
 // The endpoint wrote a statement at some time between the sending of the request and the receipt of the
 // answer. Of two statements whose times overlap, either may be the newer one, and the lower rate applies. A
 // statement ends with answers to later requests that do not repeat it; answers that reject a request, or are
@@ -21,6 +26,7 @@
 #include "lentilbay/Support/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -45,16 +51,22 @@
 };
 
 /// What a daemon knows of an endpoint's statements, for its heartbeats.
+/// Ages are as of when the report was written; negative: never.
 struct SignalReport {
     /// hashOf() of the endpoint's id.
     uint64_t endpoint = 0;
     /// The incarnation that stated them; see RoutedEndpoint.
     uint64_t startedAtMilliseconds = 0;
     EndpointSignals signals;
-    /// Time since the receipt of the newest answer that stated them, as of when the report was written.
+    /// Time since the receipt of the newest answer that stated the rate, or that the endpoint leaves.
     int64_t ageMicroseconds = 0;
     /// Time since the request was sent to which that was the answer.
     int64_t sentAgeMicroseconds = 0;
+    /// The same for the answer that stated the limit of rejections.
+    int64_t rejectionLimitAgeMicroseconds = -1;
+    int64_t rejectionLimitSentAgeMicroseconds = -1;
+    /// Time since the endpoint, having stated such a limit, rejected a request.
+    int64_t rejectedAgeMicroseconds = -1;
 
     auto operator<=>(const SignalReport&) const = default;
 };
@@ -66,6 +78,8 @@
     /// Whether the endpoint itself answered the request that was sent at `sentAt`, and ran it, so that what
     /// the answer does not state no longer applies.
     bool isConclusive = false;
+    /// Whether the endpoint rejected the request for lack of room.
+    bool isRejection = false;
     TimePoint sentAt {};
 };
 
@@ -97,19 +111,48 @@
     bool maySend(uint64_t endpoint, TimePoint lastSendAt, TimePoint now) const;
     bool isLeaving(uint64_t endpoint) const { return signalsOf(endpoint).isLeaving; }
     bool isPaused(uint64_t endpoint, TimePoint now) const;
+    /// Whether rejections make the endpoint fail.
+    bool isBrittle(uint64_t endpoint) const { return signalsOf(endpoint).maxRejectionsPerSecond.has_value(); }
+    /// Whether such an endpoint has recently rejected requests, at this daemon or at a peer.
+    bool isOverloaded(uint64_t endpoint, TimePoint now) const;
+    /// This daemon's share of the slots of an endpoint that rejections make fail; all of them if no other
+    /// daemon is known.
+    uint32_t slotShare(uint64_t endpoint, uint32_t slots) const;
 
 private:
+    /// A limit that the endpoint stated between two times: when the request was sent and when its answer
+    /// arrived, in the newest such answer; for one that a peer received, no later than that.
+    struct StatedLimit {
+        std::optional<double> value;
+        TimePoint sentAt {};
+        TimePoint statedAt {};
+        /// The number of conclusive answers since then that did not state it.
+        int unstatedAnswers = 0;
+
+        /// Applies a statement unless it is older, and returns whether the value differs.
+        bool apply(std::optional<double> stated, TimePoint requestSentAt, TimePoint receivedAt);
+        /// The same for an answer, whose lack of a value is no statement by itself.
+        bool applyAnswer(std::optional<double> stated, const SignalAnswer& answer, TimePoint now);
+    };
+
     struct Entry {
-        EndpointSignals signals;
+        StatedLimit rate;
+        StatedLimit rejections;
+        bool isLeaving = false;
         DataCentreId dataCentre;
         uint64_t startedAtMilliseconds = 0;
-        /// The endpoint stated `signals` between these times: when the request was sent and when its answer
-        /// arrived, in the newest such answer; for one that a peer received, no later than that.
-        TimePoint sentAt {};
+        /// When anything was stated last.
         TimePoint statedAt {};
-        /// The number of conclusive answers since then that stated nothing.
-        int unstatedAnswers = 0;
+        /// When the endpoint rejected a request while rejections make it fail.
+        TimePoint rejectedAt {};
         TimePoint pausedUntil {};
+
+        EndpointSignals signals() const
+        {
+            return { .maxRequestsPerSecond = rate.value,
+                .maxRejectionsPerSecond = rejections.value,
+                .isLeaving = isLeaving };
+        }
         /// The number of daemons that share the rate.
         size_t senders = 0;
         /// The number of daemons that come before this one in the order in which they are selected.
@@ -120,15 +163,6 @@
         TimePoint selectedAt {};
         TimePoint lastSendAt {};
     };
-    /// What was stated, and the times between which it was written.
-    struct Statement {
-        EndpointSignals signals;
-        TimePoint sentAt {};
-        TimePoint statedAt {};
-    };
-
-    /// Applies a statement unless it is older than that of the entry, and returns whether the signals differ.
-    bool apply(Entry& entry, const Statement& statement, uint64_t endpoint, TimePoint now);
     Entry& entryOf(const EndpointIncarnation& endpoint);
     /// Determines this daemon's share of the rate.
     void divide(uint64_t endpoint, Entry& entry, TimePoint now) const;
--- a/packages/Edge/lib/CrashAttribution.cpp
+++ b/packages/Edge/lib/CrashAttribution.cpp
@@ -18,8 +18,9 @@
 constexpr Duration evidenceDelay = std::chrono::milliseconds(700);
 /// An endpoint that breaks off a single answer goes on with others; after a crash it answers none of them.
 constexpr Duration breakConfirmation = std::chrono::milliseconds(100);
-/// The time after which it is known whether the links to the endpoints were lost.
-constexpr Duration linkConfirmation = std::chrono::seconds(1);
+/// The time after which it is known whether the links to the endpoints were lost, or an endpoint was
+/// overloaded.
+constexpr Duration slowConfirmation = std::chrono::seconds(1);
 /// So many endpoints that break off requests within `simultaneous` have not crashed if one of them can be
 /// connected to.
 constexpr size_t minSimultaneousBreaks = 3;
@@ -228,11 +229,10 @@
     }
 }
 
-void CrashAttribution::recordBreak(const std::string& endpoint, const EndpointIncarnation& incarnation,
-    const AttributedRequest& request, TimePoint now)
+void CrashAttribution::recordBreak(BrokenRequest request)
 {
-    if (!request.triggers.empty() && m_breaks.size() < maxBreaks)
-        m_breaks.push_back({ .name = endpoint, .endpoint = incarnation, .request = request, .at = now });
+    if (!request.request.triggers.empty() && m_breaks.size() < maxBreaks)
+        m_breaks.push_back(std::move(request));
 }
 
 void CrashAttribution::recordAlive(uint64_t endpoint, TimePoint sentAt)
@@ -270,6 +270,11 @@
     std::erase_if(m_breaks, [&](const auto& it) { return it.at >= since; });
 }
 
+void CrashAttribution::dropBreaksAt(uint64_t endpoint)
+{
+    std::erase_if(m_breaks, [&](const auto& it) { return it.endpoint.endpoint == endpoint; });
+}
+
 void CrashAttribution::setAnswered(Trigger& trigger, TimePoint at, TimePoint now)
 {
     if (trigger.answeredAt && at <= *trigger.answeredAt)
@@ -433,7 +438,7 @@
 void CrashAttribution::promoteBreaks(Duration confirmation, TimePoint now)
 {
     std::erase_if(m_breaks, [&](const auto& it) {
-        if (now - it.at < confirmation)
+        if (now - it.at < (it.mayBeOverloaded ? std::max(confirmation, slowConfirmation) : confirmation))
             return false;
         if (!std::ranges::all_of(it.request.triggers, [&](const auto id) { return isKnownSound(id); }))
             ++m_suspiciousCrashes;
@@ -587,7 +592,7 @@
 
 std::vector<TriggerChange> CrashAttribution::update(TimePoint now, bool areLinksSuspicious)
 {
-    promoteBreaks(areLinksSuspicious ? linkConfirmation : breakConfirmation, now);
+    promoteBreaks(areLinksSuspicious ? slowConfirmation : breakConfirmation, now);
     if (m_isDirty || m_blocked > 0) {
         for (auto& [id, trigger] : m_triggers) {
             if (!trigger.blockedAt || !trigger.answeredAt || trigger.lastCrashAt > *trigger.answeredAt)
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -260,6 +260,9 @@
     const auto path = m_state.sendPath();
     const bool needsPeer = path != SendPath::Direct && m_state.links.state() != LinkState::NoNewConnections;
     if (!needsPeer) {
+        // Other daemons have the slots.
+        if (!m_forwarded && !m_state.endpointRegistry.hasSlotShare(m_service) && startThroughPeer(now))
+            return;
         m_state.queue.push(waitingRequest());
         return;
     }
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -145,6 +145,11 @@
         return;
     for (const auto& it : m_state.endpointRegistry.applySignalReports(heartbeat.signals, echoed, now))
         m_state.logSignals(it, heartbeat.daemon);
+    // What failed right after it had rejected requests did not fail because of a request that it ran.
+    for (const auto& it : heartbeat.signals) {
+        if (it.rejectedAgeMicroseconds >= 0)
+            m_state.crashes.dropBreaksAt(it.endpoint);
+    }
 }
 
 std::vector<std::string> EdgeDaemon::aliveDaemons() const
@@ -159,8 +164,9 @@
 
 void EdgeDaemon::updateSignals(TimePoint now)
 {
-    if (!m_state.endpointRegistry.hasSignals())
+    if (!m_state.endpointRegistry.hasSignals() && !m_hadSignals)
         return;
+    m_hadSignals = m_state.endpointRegistry.hasSignals();
     const auto& own = m_state.settings;
     auto daemons = m_state.peers.sendingDaemons(now);
     daemons.push_back({ .name = own.daemon.text(), .dataCentre = own.dataCentre });
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -296,6 +296,7 @@
             { .endpoint = m_send->incarnation,
                 .signals = metadata.signals,
                 .isConclusive = isConclusive,
+                .isRejection = metadata.execution == platform::Execution::No && !metadata.retryAfter,
                 .sentAt = m_send->sentAt },
             now))
         m_state.logSignals(id, {});
@@ -395,7 +396,8 @@
     return edge::readLoss({ .isThroughPeer = m_send->isThroughPeer,
         .isUnsent = at == http::FailurePoint::NothingSent,
         .isInvalidAnswer = at == http::FailurePoint::InvalidResponse,
-        .wereLinksInterrupted = m_state.links.wereInterruptedSince(m_send->lastEventAt) });
+        .wereLinksInterrupted = m_state.links.wereInterruptedSince(m_send->lastEventAt),
+        .isOverloaded = m_state.endpointRegistry.isOverloaded(*m_send->endpoint, bootNow()) });
 }
 
 void EdgeRequest::recordBrokenOff(ConnectionLoss loss, TimePoint now)
@@ -405,7 +407,12 @@
     ++m_sendsBroken;
     if (loss == ConnectionLoss::Peer)
         return;
-    m_state.crashes.recordBreak(m_send->endpoint->entry().id.text(), m_send->incarnation, m_attributed, now);
+    const bool isBrittle = m_state.endpointRegistry.isBrittle(m_service);
+    m_state.crashes.recordBreak({ .name = m_send->endpoint->entry().id.text(),
+        .endpoint = m_send->incarnation,
+        .request = m_attributed,
+        .at = now,
+        .mayBeOverloaded = isBrittle });
 }
 
 void EdgeRequest::recordOrigin(TimePoint now)
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -142,6 +142,7 @@
     logEvent(Event::EndpointSignalsChanged,
         { { "endpoint", endpoint.text() },
             { "requests_per_second", signals.maxRequestsPerSecond.value_or(-1) },
+            { "rejections_per_second", signals.maxRejectionsPerSecond.value_or(-1) },
             { "leaving", static_cast<int64_t>(signals.isLeaving) }, { "load", state->load() },
             { "reported_by", source } });
 }
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -53,6 +53,8 @@
 /// The cost of a request that should avoid fast endpoints is this value minus the expected time, so that
 /// slower endpoints are preferred.
 constexpr double invertedCostBaseSeconds = 10;
+/// The time in which all daemons learn that one of them is back or lost.
+constexpr Duration shareGrowthDelay = std::chrono::milliseconds(1500);
 /// Randomises similar costs, because several daemons decide on the same data.
 constexpr double costJitter = 0.15;
 
@@ -303,6 +305,8 @@
 {
     if (endpoint.isOnProbation() && endpoint.ownInFlight() > 0)
         return false;
+    if (endpoint.m_slotShare)
+        return endpoint.ownInFlight() < *endpoint.m_slotShare;
     const auto locality = localityOf(endpoint);
     const double headroom = locality == Locality::OwnDataCentre ? 0
         : locality == Locality::OwnRegion                       ? m_headroom.sameRegion
@@ -320,7 +324,43 @@
     if (m_signals.empty() && answer.signals == EndpointSignals {})
         return false;
     const bool isCurrent = answer.endpoint.startedAtMilliseconds == endpoint.entry().startedAtMilliseconds;
-    return isCurrent && m_signals.recordAnswer(answer, now);
+    const bool changes = isCurrent && m_signals.recordAnswer(answer, now);
+    if (changes)
+        divideSlots(now);
+    return changes;
+}
+
+void EndpointRegistry::divideSlots(TimePoint now)
+{
+    std::set<ServiceId> services;
+    for (const auto& [id, it] : m_endpoints) {
+        if (m_signals.isBrittle(it->hash()))
+            services.insert(it->entry().service);
+    }
+    if (services.empty() && m_brittleServices.empty())
+        return;
+    m_brittleServices = std::move(services);
+    for (const auto& [id, it] : m_endpoints) {
+        if (!m_brittleServices.contains(it->entry().service)) {
+            it->m_slotShare.reset();
+            continue;
+        }
+        const auto share = m_signals.slotShare(it->hash(), it->entry().slots);
+        const auto known = it->m_slotShare.value_or(share);
+        if (share <= known)
+            it->m_shareGrowsSince.reset();
+        else if (!it->m_shareGrowsSince)
+            it->m_shareGrowsSince = now;
+        // Another daemon may not know yet that its share has become smaller.
+        const bool grows = it->m_shareGrowsSince && now - *it->m_shareGrowsSince >= shareGrowthDelay;
+        it->m_slotShare = grows ? share : std::min(share, known);
+    }
+}
+
+bool EndpointRegistry::hasSlotShare(const ServiceId& service) const
+{
+    return std::ranges::any_of(
+        endpointsOf(service), [](const auto& it) { return it->m_slotShare.value_or(1) > 0; });
 }
 
 std::vector<EndpointId> EndpointRegistry::applySignalReports(
@@ -334,6 +374,8 @@
         if (m_signals.applyReport(it, endpoint->second->incarnation(), at, now))
             out.push_back(endpoint->second->entry().id);
     }
+    if (!out.empty())
+        divideSlots(now);
     return out;
 }
 
@@ -342,6 +384,7 @@
 {
     m_signals.setDaemons(self, std::move(daemons), now);
     m_signals.dropOld(now);
+    divideSlots(now);
 }
 
 double EndpointRegistry::costOf(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now)
--- a/packages/Edge/lib/EndpointSignalTable.cpp
+++ b/packages/Edge/lib/EndpointSignalTable.cpp
@@ -8,6 +8,7 @@
 #include <cmath>
 #include <functional>
 #include <tuple>
+#include <utility>
 
 namespace lentilbay::edge {
 namespace {
@@ -25,6 +26,8 @@
 constexpr Duration reportLifetime = std::chrono::seconds(5);
 /// A statement that no answer has confirmed for this long belongs to an endpoint that is gone.
 constexpr Duration statementLifetime = std::chrono::minutes(10);
+/// An endpoint that fails this soon after it rejected requests may have failed because of them.
+constexpr Duration rejectionLifetime = std::chrono::seconds(2);
 
 /// Whether `a` allows more than `b`.
 bool isHigher(const std::optional<double>& a, const std::optional<double>& b) { return b && (!a || *a > *b); }
@@ -46,7 +49,7 @@
 {
     const bool wasSelected = entry.interval > Duration::zero() && entry.rank < entry.senders;
     entry.interval = {};
-    const auto rate = entry.signals.maxRequestsPerSecond;
+    const auto rate = entry.rate.value;
     if (!rate)
         return;
     assert(std::isfinite(*rate) && *rate >= 0 && "a limit is a finite, non-negative number");
@@ -65,41 +68,51 @@
         entry.selectedAt = now;
 }
 
-bool EndpointSignalTable::apply(Entry& entry, const Statement& statement, uint64_t endpoint, TimePoint now)
-{
-    auto signals = statement.signals;
-    signals.isLeaving = signals.isLeaving || entry.signals.isLeaving;
-    const auto rate = entry.signals.maxRequestsPerSecond;
-    const bool isRaised = isHigher(signals.maxRequestsPerSecond, rate);
-    const bool isLowered = isHigher(rate, signals.maxRequestsPerSecond);
-    if ((isRaised && statement.sentAt <= entry.statedAt)
-        || (isLowered && statement.statedAt <= entry.sentAt)) {
-        signals.maxRequestsPerSecond = rate;
-    } else {
-        entry.sentAt = isRaised || isLowered ? statement.sentAt : std::max(entry.sentAt, statement.sentAt);
-        entry.statedAt = std::max(entry.statedAt, statement.statedAt);
-        entry.unstatedAnswers = 0;
-    }
-    if (entry.signals == signals)
+bool EndpointSignalTable::StatedLimit::apply(
+    std::optional<double> stated, TimePoint requestSentAt, TimePoint receivedAt)
+{
+    const bool isRaised = isHigher(stated, value);
+    const bool isLowered = isHigher(value, stated);
+    if ((isRaised && requestSentAt <= statedAt) || (isLowered && receivedAt <= sentAt))
+        return false;
+    sentAt = isRaised || isLowered ? requestSentAt : std::max(sentAt, requestSentAt);
+    statedAt = std::max(statedAt, receivedAt);
+    unstatedAnswers = 0;
+    value = stated;
+    return isRaised || isLowered;
+}
+
+bool EndpointSignalTable::StatedLimit::applyAnswer(
+    std::optional<double> stated, const SignalAnswer& answer, TimePoint now)
+{
+    if (stated)
+        return apply(stated, answer.sentAt, now);
+    if (!value || !answer.isConclusive || answer.sentAt <= statedAt)
+        return false;
+    if (++unstatedAnswers < answersToWithdraw && now - statedAt < unstatedTime)
         return false;
-    entry.signals = signals;
-    divide(endpoint, entry, now);
-    return true;
+    return apply(stated, answer.sentAt, now);
 }
 
 bool EndpointSignalTable::recordAnswer(const SignalAnswer& answer, TimePoint now)
 {
     const auto endpoint = answer.endpoint.endpoint;
-    const Statement statement { .signals = answer.signals, .sentAt = answer.sentAt, .statedAt = now };
-    if (answer.signals != EndpointSignals {})
-        return apply(entryOf(answer.endpoint), statement, endpoint, now);
-    const auto it = m_entries.find(endpoint);
-    if (it == m_entries.end() || !answer.isConclusive || answer.sentAt <= it->second.statedAt)
+    const bool statesNothing = answer.signals == EndpointSignals {};
+    if (statesNothing && !m_entries.contains(endpoint))
         return false;
-    auto& entry = it->second;
-    if (++entry.unstatedAnswers < answersToWithdraw && now - entry.statedAt < unstatedTime)
-        return false;
-    return apply(entry, statement, endpoint, now);
+    auto& entry = statesNothing ? m_entries.find(endpoint)->second : entryOf(answer.endpoint);
+    if (!statesNothing)
+        entry.statedAt = now;
+    bool changes = answer.signals.isLeaving && !std::exchange(entry.isLeaving, true);
+    changes |= entry.rate.applyAnswer(answer.signals.maxRequestsPerSecond, answer, now);
+    changes |= entry.rejections.applyAnswer(answer.signals.maxRejectionsPerSecond, answer, now);
+    if (answer.isRejection && entry.rejections.value)
+        entry.rejectedAt = now;
+    if (changes) {
+        entry.statedAt = now;
+        divide(endpoint, entry, now);
+    }
+    return changes;
 }
 
 EndpointSignalTable::Entry& EndpointSignalTable::entryOf(const EndpointIncarnation& endpoint)
@@ -140,30 +153,51 @@
 {
     if (report.startedAtMilliseconds != endpoint.startedAtMilliseconds)
         return false;
-    const auto rate = report.signals.maxRequestsPerSecond;
-    if (rate && (!std::isfinite(*rate) || *rate < 0))
+    const auto isValid = [](std::optional<double> it) { return !it || (std::isfinite(*it) && *it >= 0); };
+    if (!isValid(report.signals.maxRequestsPerSecond) || !isValid(report.signals.maxRejectionsPerSecond))
         return false;
-    const Statement statement { .signals = report.signals,
-        .sentAt = at - Duration(report.sentAgeMicroseconds),
-        .statedAt = at - Duration(report.ageMicroseconds) };
+    const auto timeOf = [&](int64_t age) { return age < 0 ? TimePoint {} : at - Duration(age); };
+    const auto statedAt
+        = std::max(timeOf(report.ageMicroseconds), timeOf(report.rejectionLimitAgeMicroseconds));
     if (!m_entries.contains(report.endpoint)
-        && (report.signals == EndpointSignals {} || now - statement.statedAt > statementLifetime))
+        && (report.signals == EndpointSignals {} || now - statedAt > statementLifetime))
         return false;
-    return apply(entryOf(endpoint), statement, report.endpoint, now);
+    auto& entry = entryOf(endpoint);
+    entry.statedAt = std::max(entry.statedAt, statedAt);
+    entry.rejectedAt = std::max(entry.rejectedAt, timeOf(report.rejectedAgeMicroseconds));
+    bool changes = report.signals.isLeaving && !std::exchange(entry.isLeaving, true);
+    if (report.ageMicroseconds >= 0)
+        changes |= entry.rate.apply(report.signals.maxRequestsPerSecond, timeOf(report.sentAgeMicroseconds),
+            timeOf(report.ageMicroseconds));
+    if (report.rejectionLimitAgeMicroseconds >= 0)
+        changes |= entry.rejections.apply(report.signals.maxRejectionsPerSecond,
+            timeOf(report.rejectionLimitSentAgeMicroseconds), timeOf(report.rejectionLimitAgeMicroseconds));
+    if (changes)
+        divide(report.endpoint, entry, now);
+    return changes;
 }
 
 std::vector<SignalReport> EndpointSignalTable::reports(TimePoint now) const
 {
     std::vector<SignalReport> out;
     out.reserve(m_entries.size());
+    const auto ageOf = [&](TimePoint it) { return it == TimePoint {} ? -1 : (now - it).count(); };
     for (const auto& [endpoint, entry] : m_entries) {
-        if (!entry.signals.maxRequestsPerSecond && now - entry.statedAt > reportLifetime)
+        const bool hasLimit = entry.rate.value || entry.rejections.value;
+        if (!hasLimit && now - entry.statedAt > reportLifetime)
             continue;
         out.push_back({ .endpoint = endpoint,
             .startedAtMilliseconds = entry.startedAtMilliseconds,
-            .signals = entry.signals,
-            .ageMicroseconds = (now - entry.statedAt).count(),
-            .sentAgeMicroseconds = (now - entry.sentAt).count() });
+            .signals = entry.signals(),
+            .ageMicroseconds
+            = ageOf(entry.rate.statedAt == TimePoint {} && entry.isLeaving ? entry.statedAt
+                                                                           : entry.rate.statedAt),
+            .sentAgeMicroseconds = ageOf(
+                entry.rate.sentAt == TimePoint {} && entry.isLeaving ? entry.statedAt : entry.rate.sentAt),
+            .rejectionLimitAgeMicroseconds = ageOf(entry.rejections.statedAt),
+            .rejectionLimitSentAgeMicroseconds = ageOf(entry.rejections.sentAt),
+            .rejectedAgeMicroseconds
+            = now - entry.rejectedAt <= rejectionLifetime ? ageOf(entry.rejectedAt) : -1 });
     }
     return out;
 }
@@ -174,14 +208,34 @@
         const auto& entry = it.second;
         return now >= entry.pausedUntil
             && now - entry.statedAt
-            > (entry.signals == EndpointSignals {} ? reportLifetime : statementLifetime);
+            > (entry.signals() == EndpointSignals {} ? reportLifetime : statementLifetime);
     });
 }
 
 EndpointSignals EndpointSignalTable::signalsOf(uint64_t endpoint) const
 {
     const auto it = m_entries.find(endpoint);
-    return it == m_entries.end() ? EndpointSignals {} : it->second.signals;
+    return it == m_entries.end() ? EndpointSignals {} : it->second.signals();
+}
+
+bool EndpointSignalTable::isOverloaded(uint64_t endpoint, TimePoint now) const
+{
+    const auto it = m_entries.find(endpoint);
+    return it != m_entries.end() && it->second.rejectedAt != TimePoint {}
+    && now - it->second.rejectedAt <= rejectionLifetime;
+}
+
+uint32_t EndpointSignalTable::slotShare(uint64_t endpoint, uint32_t slots) const
+{
+    const auto self = std::ranges::find(m_daemons, m_self, &SendingDaemon::name);
+    if (self == m_daemons.end())
+        return slots;
+    const auto keyOf
+        = [&](const SendingDaemon& it) { return std::make_tuple(hashOf(it.name, endpoint), it.name); };
+    const auto rank = std::ranges::count_if(
+        m_daemons, [&, own = keyOf(*self)](const auto& it) { return keyOf(it) < own; });
+    const auto n = static_cast<uint32_t>(m_daemons.size());
+    return slots / n + (static_cast<uint32_t>(rank) < slots % n ? 1 : 0);
 }
 
 bool EndpointSignalTable::maySend(uint64_t endpoint, TimePoint lastSendAt, TimePoint now) const
@@ -190,15 +244,15 @@
     if (it == m_entries.end())
         return true;
     const auto& entry = it->second;
-    if (entry.signals.isLeaving || now < entry.pausedUntil)
+    if (entry.isLeaving || now < entry.pausedUntil)
         return false;
-    if (!entry.signals.maxRequestsPerSecond)
+    if (!entry.rate.value)
         return true;
     const auto lastSend = std::max(lastSendAt, entry.lastSendAt);
     if (entry.rank < entry.senders)
         return now - std::max(lastSend, entry.selectedAt) >= entry.interval;
     const auto others = m_daemons.size() - std::min(m_daemons.size(), entry.senders);
-    const auto turn = std::max(Duration::zero(), now - entry.statedAt) / maxInterval;
+    const auto turn = std::max(Duration::zero(), now - entry.rate.statedAt) / maxInterval;
     if (others == 0 || turn == 0)
         return false;
     return entry.rank - entry.senders == static_cast<size_t>(turn - 1) % others
--- a/packages/Edge/lib/PeerHeartbeat.cpp
+++ b/packages/Edge/lib/PeerHeartbeat.cpp
@@ -41,7 +41,9 @@
 template <class Archive> void serialize(Archive& archive, SignalReport& it)
 {
     bool hasLimit = it.signals.maxRequestsPerSecond.has_value();
-    compact::flags(archive, hasLimit, it.signals.isLeaving);
+    bool hasRejectionLimit = it.signals.maxRejectionsPerSecond.has_value();
+    bool statesRejections = it.rejectionLimitAgeMicroseconds >= 0;
+    compact::flags(archive, hasLimit, it.signals.isLeaving, hasRejectionLimit, statesRejections);
     archive(it.endpoint);
     compact::integer(archive, it.startedAtMilliseconds);
     if (hasLimit) {
@@ -51,6 +53,16 @@
     }
     compact::age(archive, it.ageMicroseconds);
     compact::age(archive, it.sentAgeMicroseconds);
+    if (hasRejectionLimit) {
+        auto limit = it.signals.maxRejectionsPerSecond.value_or(0);
+        compact::number(archive, limit);
+        it.signals.maxRejectionsPerSecond = limit;
+    }
+    if (statesRejections) {
+        compact::age(archive, it.rejectionLimitAgeMicroseconds);
+        compact::age(archive, it.rejectionLimitSentAgeMicroseconds);
+        compact::age(archive, it.rejectedAgeMicroseconds);
+    }
 }
 
 template <class Archive> void serialize(Archive& archive, TriggerReport::Crash& it)
@@ -106,7 +118,7 @@
 namespace {
 
 /// Identifies heartbeat datagrams and their version; changes with the layout.
-constexpr uint32_t magic = 0x4c42'530b;
+constexpr uint32_t magic = 0x4c42'530c;
 /// A peer is silent after this many missing heartbeats in a row.
 constexpr double silentAfterPeriods = 3.5;
 /// Upper bound of the period that a peer may announce.
--- a/packages/Edge/unittests/CrashAttributionTest.cpp
+++ b/packages/Edge/unittests/CrashAttributionTest.cpp
@@ -35,6 +35,12 @@
 
 EndpointIncarnation engine(int n) { return { .endpoint = hashOf("e" + std::to_string(n)) }; }
 
+BrokenRequest brokenOff(
+    std::string name, const EndpointIncarnation& endpoint, const AttributedRequest& request, TimePoint now)
+{
+    return { .name = std::move(name), .endpoint = endpoint, .request = request, .at = now };
+}
+
 /// Daemons that exchange their reports with every heartbeat.
 class Fleet {
 public:
@@ -95,13 +101,15 @@
     {
         ++m_crashes;
         m_daemons[daemon]->recordRequest(prompt);
-        m_daemons[daemon]->recordBreak("e" + std::to_string(m_crashes), engine(m_crashes), prompt, now());
+        m_daemons[daemon]->recordBreak(
+            brokenOff("e" + std::to_string(m_crashes), engine(m_crashes), prompt, now()));
     }
     /// The same engine breaks off the request of another daemon.
     void breakOff(size_t daemon, const AttributedRequest& prompt)
     {
         m_daemons[daemon]->recordRequest(prompt);
-        m_daemons[daemon]->recordBreak("e" + std::to_string(m_crashes), engine(m_crashes), prompt, now());
+        m_daemons[daemon]->recordBreak(
+            brokenOff("e" + std::to_string(m_crashes), engine(m_crashes), prompt, now()));
     }
 
 private:
@@ -367,7 +375,7 @@
 {
     Fleet fleet(1);
     for (int i = 0; i < 9; ++i) {
-        fleet[0].recordBreak("e", engine(i), promptOf({ subject }), fleet.now());
+        fleet[0].recordBreak(brokenOff("e", engine(i), promptOf({ subject }), fleet.now()));
         fleet[0].recordAlive(engine(i).endpoint, fleet.now() - 1s);
         fleet.advance(400ms);
     }
@@ -570,7 +578,7 @@
         table.recordAnswer(request, at(Duration(static_cast<int64_t>(i))));
     }
     for (int i = 1; i <= 3; ++i) {
-        table.recordBreak("e", engine(i), promptOf({ subject, bad }), at(1s + 100ms * i));
+        table.recordBreak(brokenOff("e", engine(i), promptOf({ subject, bad }), at(1s + 100ms * i)));
         table.update(at(1s + 200ms * i));
     }
     table.update(at(4s));
@@ -578,7 +586,7 @@
     EXPECT_EQ(table.judge(promptOf({ bad }), at(4s)), Verdict::Blocked);
     for (int i = 0; i < 10'000; ++i) {
         const auto now = at(5s + Duration(i));
-        table.recordBreak("e", engine(i), requestOf(static_cast<uint64_t>(i)), now);
+        table.recordBreak(brokenOff("e", engine(i), requestOf(static_cast<uint64_t>(i)), now));
         table.update(now + 1s);
         EXPECT_LE(table.reports(at(7s)).size(), 32U);
     }
@@ -608,7 +616,7 @@
     for (int round = 0; round < 5; ++round) {
         const auto now = at(round * 3s);
         for (int n = 0; n < 5; ++n)
-            it.recordBreak("e", engine(n), requestOf(1), now);
+            it.recordBreak(brokenOff("e", engine(n), requestOf(1), now));
         it.recordConnected(hashOf("e3"), now + 20ms);
         it.update(now + 200ms);
     }
@@ -621,7 +629,7 @@
     CrashAttribution it;
     for (int n = 0; n < 4; ++n) {
         const auto now = at(n * 3s);
-        it.recordBreak("e", engine(n), requestOf(1), now);
+        it.recordBreak(brokenOff("e", engine(n), requestOf(1), now));
         it.recordConnected(hashOf("e" + std::to_string(n)), now + 20ms);
         it.update(now + 200ms);
     }
@@ -633,7 +641,7 @@
     CrashAttribution it;
     for (int n = 0; n < 4; ++n) {
         const auto now = at(n * 3s);
-        it.recordBreak("e", engine(n), requestOf(1), now);
+        it.recordBreak(brokenOff("e", engine(n), requestOf(1), now));
         it.update(now + 500ms, true);
         it.dropBreaksSince(now);
         it.update(now + 1500ms);
@@ -641,7 +649,7 @@
     EXPECT_EQ(it.judge(requestOf(1), at(20s)), Verdict::Allowed);
     // Without that, it is blocked.
     for (int n = 0; n < 3; ++n) {
-        it.recordBreak("e", engine(n), requestOf(1), at(20s + n * 3s));
+        it.recordBreak(brokenOff("e", engine(n), requestOf(1), at(20s + n * 3s)));
         it.update(at(20s + n * 3s + 500ms), true);
         it.update(at(20s + n * 3s + 1500ms), true);
     }
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -1044,5 +1044,26 @@
     EXPECT_EQ(peer.requests().size(), 0U);
 }
 
+TEST_F(EdgeRequestTest, EndpointThatFailedUnderLoadDoesNotBlameTheRequest)
+{
+    int n = 0;
+    first.setResponder([&](const std::string&) {
+        // Each failure follows a rejection.
+        const bool rejects = n++ % 2 == 0;
+        return rejects ? ScriptedResponse { .bytes
+            = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: 7\r\nServer-Brittle: 1\r\n") }
+                       : ScriptedResponse { .bytes = "", .then = ScriptedResponse::Then::Reset };
+    });
+    for (int i = 0; i < 10; ++i) {
+        call("/once/x");
+        // The endpoint is not suspended for the next request.
+        context.run_for(450ms);
+        context.restart();
+        state.crashes.update(bootNow() + 10s);
+    }
+    EXPECT_EQ(state.crashes.blockedTriggers(), 0U);
+    EXPECT_EQ(state.crashes.suspiciousCrashes(), 0U);
+}
+
 } // namespace
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/EndpointRegistryTest.cpp
+++ b/packages/Edge/unittests/EndpointRegistryTest.cpp
@@ -245,5 +245,93 @@
     EXPECT_EQ(chosen(), "far") << "the first event would miss the objective behind the long prompt";
 }
 
+/// Two daemons that share the slots of engines, one of which states that rejections make it fail.
+class BrittleEndpointsTest : public testing::Test {
+protected:
+    BrittleEndpointsTest()
+    {
+        list("brittle");
+        list("other");
+        registry.updateSignals("d0", daemons, now);
+        state(1);
+    }
+
+    void list(const std::string& id, uint64_t startedAt = 1)
+    {
+        registry.list({ .id = EndpointId(id),
+            .service = ServiceId("llm"),
+            .dataCentre = DataCentreId("a"),
+            .slots = 4,
+            .startedAtMilliseconds = startedAt });
+    }
+
+    /// `limit` is what the endpoint states.
+    void state(std::optional<double> limit)
+    {
+        const auto endpoint = registry.find(EndpointId("brittle"));
+        for (int i = 0; i < 2; ++i) {
+            now += 10ms;
+            registry.recordSignals(*endpoint,
+                { .endpoint = endpoint->incarnation(),
+                    .signals = { .maxRejectionsPerSecond = limit },
+                    .isConclusive = true,
+                    .sentAt = now },
+                now);
+        }
+    }
+
+    /// How many requests this daemon may have in flight.
+    size_t capacity()
+    {
+        std::vector<std::shared_ptr<EndpointState>> sends;
+        while (const auto it = registry.choose({ .service = ServiceId("llm"), .work = work }, now)) {
+            it->recordSend(work, now);
+            sends.push_back(it);
+        }
+        for (const auto& it : sends)
+            it->recordEnd(work, SendOutcome::Succeeded, false, now);
+        return sends.size();
+    }
+
+    TimePoint now { 10s };
+    EndpointRegistry registry { Topology { .ownDataCentre = DataCentreId("a") }, 1 };
+    const Work work { .isStream = true, .promptTokens = 10, .answerTokens = 10 };
+    const std::vector<SendingDaemon> daemons { { .name = "d0" }, { .name = "d1" } };
+};
+
+TEST_F(BrittleEndpointsTest, SlotsOfTheServiceAreDivided)
+{
+    EXPECT_TRUE(registry.isBrittle(ServiceId("llm")));
+    EXPECT_EQ(capacity(), 4U) << "half of the slots of both";
+}
+
+TEST_F(BrittleEndpointsTest, EndpointThatIsBackAfterAFailureIsNotMetByAll)
+{
+    list("other", 2);
+    registry.unlist(EndpointId("other"));
+    list("other", 3);
+    registry.updateSignals("d0", daemons, now);
+    EXPECT_EQ(capacity(), 4U);
+}
+
+TEST_F(BrittleEndpointsTest, ShareOfALostDaemonIsUsedLater)
+{
+    registry.updateSignals("d0", { { .name = "d0" } }, now);
+    EXPECT_EQ(capacity(), 4U) << "the other daemon may still send";
+    now += 2s;
+    registry.updateSignals("d0", { { .name = "d0" } }, now);
+    EXPECT_EQ(capacity(), 8U);
+    now += 2s;
+    registry.updateSignals("d0", daemons, now);
+    EXPECT_EQ(capacity(), 4U);
+}
+
+TEST_F(BrittleEndpointsTest, AllSlotsAreUsedOnceItIsOver)
+{
+    state(std::nullopt);
+    EXPECT_FALSE(registry.isBrittle(ServiceId("llm")));
+    EXPECT_EQ(capacity(), 8U);
+}
+
 } // namespace
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/EndpointSignalTableTest.cpp
+++ b/packages/Edge/unittests/EndpointSignalTableTest.cpp
@@ -218,5 +218,75 @@
     RC_ASSERT(static_cast<double>(sends.size()) >= std::floor(0.8 * rate * 20));
 }
 
+SignalAnswer brittleAnswer(std::optional<double> rejections, TimePoint sentAt)
+{
+    return { .endpoint = instance(),
+        .signals = { .maxRejectionsPerSecond = rejections },
+        .isConclusive = true,
+        .sentAt = sentAt };
+}
+
+RC_GTEST_PROP(EndpointSignalTable, DaemonsTogetherHoldTheSlotsOfABrittleEndpoint, ())
+{
+    const auto n = *rc::gen::inRange<size_t>(1, 90);
+    const auto slots = *rc::gen::inRange<uint32_t>(1, 64);
+    uint32_t sum = 0;
+    uint32_t most = 0;
+    uint32_t least = slots;
+    for (size_t i = 0; i < n; ++i) {
+        EndpointSignalTable table;
+        table.setDaemons(fmt::format("d{}", i), daemonsOf(n), TimePoint());
+        const auto share = table.slotShare(endpoint, slots);
+        sum += share;
+        most = std::max(most, share);
+        least = std::min(least, share);
+    }
+    RC_ASSERT(sum == slots);
+    RC_ASSERT(most - least <= 1U);
+}
+
+TEST(EndpointSignalTable, DaemonThatKnowsNoOthersHoldsAllSlots)
+{
+    EXPECT_EQ(EndpointSignalTable().slotShare(endpoint, 6), 6U);
+}
+
+TEST(EndpointSignalTable, BrittleEndpointIsKnownUntilItsAnswersDoNotStateIt)
+{
+    EndpointSignalTable table;
+    table.setDaemons("d0", daemonsOf(1), TimePoint());
+    EXPECT_TRUE(table.recordAnswer(brittleAnswer(3, TimePoint(1s)), TimePoint(1s)));
+    EXPECT_TRUE(table.isBrittle(endpoint));
+    EXPECT_TRUE(table.maySend(endpoint, TimePoint(1s), TimePoint(1s))) << "it states no rate";
+    // A statement of another kind is none about this one.
+    table.recordAnswer(answer(2, TimePoint(2s)), TimePoint(2s));
+    EXPECT_TRUE(table.isBrittle(endpoint));
+    EXPECT_FALSE(table.recordAnswer(brittleAnswer(std::nullopt, TimePoint(500ms)), TimePoint(3s)));
+    table.recordAnswer(brittleAnswer(std::nullopt, TimePoint(3s)), TimePoint(3s));
+    table.recordAnswer(brittleAnswer(std::nullopt, TimePoint(3s)), TimePoint(3s));
+    EXPECT_FALSE(table.isBrittle(endpoint));
+}
+
+TEST(EndpointSignalTable, PeersReportBrittleEndpointsAndTheirRejections)
+{
+    EndpointSignalTable table;
+    table.setDaemons("d0", daemonsOf(2), TimePoint());
+    table.recordAnswer(brittleAnswer(3, TimePoint(10s)), TimePoint(10s));
+    auto rejection = brittleAnswer(3, TimePoint(11s));
+    rejection.isRejection = true;
+    rejection.isConclusive = false;
+    table.recordAnswer(rejection, TimePoint(11s));
+    EXPECT_TRUE(table.isOverloaded(endpoint, TimePoint(12s)));
+    EXPECT_FALSE(table.isOverloaded(endpoint, TimePoint(14s)));
+
+    EndpointSignalTable peer;
+    peer.setDaemons("d1", daemonsOf(2), TimePoint());
+    const auto reports = table.reports(TimePoint(12s));
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_TRUE(peer.applyReport(reports[0], instance(), TimePoint(12s), TimePoint(12s)));
+    EXPECT_TRUE(peer.isBrittle(endpoint));
+    EXPECT_TRUE(peer.isOverloaded(endpoint, TimePoint(12s)));
+    EXPECT_FALSE(peer.isBrittle(endpoint + 1));
+}
+
 } // namespace
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/PeerHeartbeatTest.cpp
+++ b/packages/Edge/unittests/PeerHeartbeatTest.cpp
@@ -19,7 +19,14 @@
         .loads = { { .endpoint = 5, .inFlight = 3 } },
         .quotas = { { .organisation = 6, .admittedTotal = 1.5 } },
         .levels = { { .level = 2.5F, .inWindow = 3.5F } },
-        .signals = { { .endpoint = 8, .signals = { .maxRequestsPerSecond = 2.7 }, .ageMicroseconds = 9 } } };
+        .signals = { { .endpoint = 8, .signals = { .maxRequestsPerSecond = 2.7 }, .ageMicroseconds = 9 },
+            { .endpoint = 9,
+                .signals = { .maxRejectionsPerSecond = 3 },
+                .ageMicroseconds = -1,
+                .sentAgeMicroseconds = -1,
+                .rejectionLimitAgeMicroseconds = 5,
+                .rejectionLimitSentAgeMicroseconds = 6,
+                .rejectedAgeMicroseconds = 7 } } };
 }
 
 TEST(PeerHeartbeat, DecodesWhatWasEncoded)
