Play endpoints that are silent for a second in the soak

A sound endpoint may be silent for about a second and go on. The fault "silence" plays that for some or all endpoints, and no request may be sent a second time meanwhile.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -52,7 +52,8 @@
 # "organisation" adds an organisation and removes it; "gap" is a "rewind" whose lost configuration is written again late.
 CONFIGURATION_FAULT_KINDS = ["organisation", "gap"]
 # "brittle" lets the endpoints of a service state that rejections make them fail.
-LOAD_FAULT_KINDS = ["brittle"]
+# "silence" stops some endpoints for about a second.
+LOAD_FAULT_KINDS = ["brittle", "silence"]
 # "partition" takes the links to all endpoints from some daemons; needs --links.
 LINK_FAULT_KINDS = ["partition"]
 LINK_MODES = ["hang", "hang", "reset", "refuse", "one_way", "flap"]
@@ -82,6 +83,8 @@
         # The periods in which the endpoints of a service stated that they are brittle, as [begin, end, number of
         # endpoints, times of failures].
         self.brittle_periods: list = []
+        # When endpoints were silent, as (begin, end, endpoint).
+        self.silences: list = []
         self.attempts: list = []
         self.bodies: dict = {}
         self.rng = random.Random(seed)
@@ -442,6 +445,15 @@
             self.is_rewinding = False
         elif kind == "partition":
             await self.partition(self.rng.choice(self.link_modes), self.rng.uniform(4.0, 9.0))
+        elif kind == "silence":
+            seconds = self.rng.uniform(0.8, 1.3)
+            period = (time.monotonic(), time.monotonic() + seconds)
+            # An endpoint speaks for two seconds before it is silent again.
+            sound = [it for it in self.endpoints if period[0] - it.silent_until > 2.0]
+            for endpoint in self.rng.sample(sound, self.rng.randint(0, len(sound))):
+                self.silences.append((*period, endpoint))
+                endpoint.silent_until = period[1]
+            await asyncio.sleep(seconds + 1.0)
         elif kind == "brittle":
             await self.make_brittle(self.rng.choice(["app", "llm"]), self.rng.uniform(7.0, 12.0))
         elif kind == "organisation":
@@ -712,6 +724,15 @@
             if len(falls) > 2 + n / 10:
                 self.add_finding("LIMIT", f"{n} brittle endpoints failed {len(falls)} times in {end - begin:.1f} s")
 
+    def check_silences(self) -> None:
+        """Checks that requests at an endpoint that is silent for about a second are not sent a second time."""
+        for request, executions in self.executions.items():
+            first, first_endpoint = executions[0][0], executions[0][1]
+            repeated = [at for at, *_ in executions[1:]]
+            if any(begin - 0.1 < first < end and endpoint is first_endpoint and any(begin < at < end for at in repeated)
+                   for begin, end, endpoint in self.silences):
+                self.add_finding("BUDGET", f"{request} was sent a second time while {first_endpoint.name} was silent")
+
     def check_partitions(self) -> None:
         """Checks that daemons without links to the endpoints serve their clients beside the others."""
         for begin, end, daemons in self.partitions:
@@ -754,6 +775,7 @@
                     self.add_finding("UNASKED", f"{request} arrived as {target} {body!r}")
         self.check_partitions()
         self.check_brittle()
+        self.check_silences()
         self.prompts.check()
         outcomes = self.counts.get("calm", {})
         total = sum(outcomes.values())
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -214,6 +214,8 @@
         self.fell = None
         self.rejected: list = []
         self.admitted = 0
+        # The endpoint neither reads nor writes until then.
+        self.silent_until = 0.0
         self.slots = asyncio.Semaphore(self.SLOTS)
         self.started = 1
         self.arrivals: list = []
@@ -237,7 +239,12 @@
         return {"Service": self.service, "Addr": address, "Zone": "a", "Slots": self.SLOTS, "State": state, "Seq": 1,
                 "Version": self.version, "born": self.started}
 
+    async def wait_for_voice(self) -> None:
+        while (left := self.silent_until - time.monotonic()) > 0:
+            await asyncio.sleep(left)
+
     async def respond(self, method, target, headers, body, writer) -> None:
+        await self.wait_for_voice()
         request = headers.get("x-request-id", "")
         if headers.get("x-expect-instance") != self.name:
             writer.write(build_response(421, b"", {"X-Instance-Id": self.name}))
@@ -288,6 +295,7 @@
         signature_headers = {"X-Request-Id": request, "X-Served-By-Sig": f"{self.name}.{request}"}
         if "/stream/" not in target and "/long/" not in target:
             await asyncio.sleep(self.rng.uniform(0.005, 0.05))
+            await self.wait_for_voice()
             signature_headers |= self.own_headers(request)
             writer.write(build_response(200, b"done:" + request.encode() + body, signature_headers))
             return
@@ -306,6 +314,7 @@
         last = self.LONG_EVENTS if is_long else self.EVENTS
         for event in range(int(headers.get("last-event-id", "0")) + 1, last + 1):
             await asyncio.sleep(self.LONG_PAUSE if is_long else 0.02)
+            await self.wait_for_voice()
             chunk = f"id: {event}\ndata: {request} {self.version}\n\n".encode()
             writer.write(f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n")
             await writer.drain()
