Move no request away from an endpoint that is silent for a second

A request that may be repeated was sent a second time after a silence of 0.5 to 0.6 s, while its endpoint was sound and about to go on: the prompt was read twice, and the retry budget was spent. Now it is moved after 1.5 s at the earliest, which is still before callers give a stream up (2 s or more). New requests go elsewhere after 0.5 s, as before. A daemon that has lost its links does not wait for it.

--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -23,6 +23,8 @@
 /// Before its first event, an idempotent request is moved to another endpoint after a silence of this
 /// fraction of the objective.
 constexpr double stallObjectiveFraction = 0.6;
+/// A sound endpoint may be silent for a second and go on, so no request is moved away sooner.
+constexpr Duration minSilenceToMove = std::chrono::milliseconds(1500);
 /// A connection without a sign of life for this long is given up once the links to the endpoints are lost.
 constexpr Duration maxSilenceOfLostLink = std::chrono::milliseconds(300);
 /// After its first event, an idempotent request is moved after a pause of this many times the gap objective.
@@ -666,10 +668,11 @@
     if (!m_send->endpoint->isStalled(now) || m_possibleExecutions + 1 >= maxExecutions())
         return;
     const auto silence = now - m_send->lastEventAt;
-    const auto tolerated = m_send->hadFirstEvent
+    const auto expected = m_send->hadFirstEvent
         ? fromSeconds(toSeconds(m_route->gapObjective) * stallGapFactor)
         : std::max(fromSeconds(toSeconds(m_route->objective) * stallObjectiveFraction),
             2 * m_send->endpoint->expectedTimeToFirstEvent({ .isStream = m_work.isStream }));
+    const auto tolerated = std::max<Duration>(minSilenceToMove, expected);
     // A stall alone does not end a send: the endpoint may recover, and a retry helps only if another endpoint
     // has room.
     if (silence < tolerated || !m_state.endpointRegistry.choose(waitingRequest().query, now)
