Decode the flag of a stream message from a byte of any value

UndefinedBehaviorSanitizer found a bool that cereal's std::optional reads from arbitrary bytes of a datagram. The message uses the flags of the other compact encodings; the magic number changes with the layout.

--- a/packages/Edge/lib/StreamDirectory.cpp
+++ b/packages/Edge/lib/StreamDirectory.cpp
@@ -1,12 +1,12 @@
 // Origins of streams, and the messages about them.
 #include "lentilbay/Edge/StreamDirectory.h"
 
+#include "CompactFields.h"
 #include "lentilbay/Support/Hash.h"
 
 #include <algorithm>
 #include <cassert>
 #include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/optional.hpp>
 #include <sstream>
 #include <utility>
 
@@ -19,13 +19,21 @@
 
 template <class Archive> void serialize(Archive& archive, StreamMessage& it)
 {
-    archive(it.kind, it.stream, it.service, it.origin);
+    // Not cereal's optional, which reads a bool from a byte of any value.
+    bool hasOrigin = it.origin.has_value();
+    compact::flags(archive, hasOrigin);
+    archive(it.kind, it.stream, it.service);
+    if (hasOrigin) {
+        auto origin = it.origin.value_or(StreamOrigin {});
+        archive(origin);
+        it.origin = origin;
+    }
 }
 
 namespace {
 
 /// Identifies the datagrams and their version; changes with the layout.
-constexpr uint32_t magic = 0x4c42'5401;
+constexpr uint32_t magic = 0x4c42'5402;
 /// Several daemons may be lost at once, the one at which the stream began among them.
 constexpr size_t ownersOfStream = 3;
 /// Many round trips between regions; a client that resumes a stream waits for it.
--- a/packages/Edge/unittests/StreamDirectoryTest.cpp
+++ b/packages/Edge/unittests/StreamDirectoryTest.cpp
@@ -147,6 +147,16 @@
     EXPECT_TRUE(fleet[0].known(99'999));
 }
 
+TEST(StreamMessage, FlagOfAnyValueIsDecoded)
+{
+    auto datagram = encodeStreamMessage({ .kind = StreamMessage::Kind::Answer, .stream = 3, .origin = origin });
+    // The byte order, the magic number and the flags come first.
+    datagram[1 + sizeof(uint32_t)] = '\xec';
+    const auto decoded = outcomeOf<StreamMessage>([&] { return decodeStreamMessage(datagram); });
+    ASSERT_TRUE(std::holds_alternative<StreamMessage>(decoded));
+    EXPECT_FALSE(std::get<StreamMessage>(decoded).origin);
+}
+
 RC_GTEST_PROP(StreamMessage, DecodesAnyInputWithoutThrowing, (const std::string& bytes))
 {
     outcomeOf<StreamMessage>([&] { return decodeStreamMessage(bytes); });
