Keep the states of relays over heartbeats, and play the loss of all links

The soak gets partitions of all daemons (--link-modes all), in which there are no others to compare with: requests are refused at once. A test shows that a caller that leaves ends its request at the peer.

--- a/packages/Edge/include/lentilbay/Edge/LinkMonitor.h
+++ b/packages/Edge/include/lentilbay/Edge/LinkMonitor.h
@@ -89,6 +89,8 @@
     /// have been lost with them.
     bool wereInterruptedSince(TimePoint at) const { return m_state != LinkState::Up || m_upAt >= at; }
     LinkEvidence evidence(TimePoint now) const;
+    /// Whether the links may be lost, which is not known yet.
+    bool isSuspicious(TimePoint now) const { return m_hasLosses && edge::isSuspicious(evidence(now)); }
     /// The endpoints to which a new connection is to be tried now.
     std::vector<uint64_t> nextProbes(TimePoint now);
 
--- a/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
@@ -65,8 +65,11 @@
 
 private:
     struct Relay {
+        /// Never nullptr.
         std::shared_ptr<EndpointState> state;
         bool isUsable = false;
+        /// Whether the latest update() has found it.
+        bool isListed = false;
     };
 
     Topology m_topology;
--- a/packages/Edge/lib/EdgeCrashTriggers.cpp
+++ b/packages/Edge/lib/EdgeCrashTriggers.cpp
@@ -55,7 +55,7 @@
     m_state.crashes.setDaemons(m_state.settings.daemon.text(), std::move(daemons),
         (isLarge ? otherRegionHeartbeatPeriod : heartbeatPeriod) * 2);
     const auto crashes = m_state.crashes.suspiciousCrashes();
-    const auto changes = m_state.crashes.update(now, isSuspicious(m_state.links.evidence(now)));
+    const auto changes = m_state.crashes.update(now, m_state.links.isSuspicious(now));
     // Daemons that this one cannot hear may have blocked the trigger already.
     if (m_state.crashes.suspiciousCrashes() > crashes && m_state.peers.silentDaemons() > 0)
         m_sharedRowFollower->pollNow();
--- a/packages/Edge/lib/LinkMonitor.cpp
+++ b/packages/Edge/lib/LinkMonitor.cpp
@@ -185,7 +185,7 @@
 std::vector<uint64_t> LinkMonitor::nextProbes(TimePoint now)
 {
     const bool isUp = m_state == LinkState::Up;
-    if (isUp && (!m_hasLosses || !isSuspicious(evidence(now))))
+    if (isUp && !isSuspicious(now))
         return {};
     if (now - m_probedAt < (isUp ? suspicionProbePeriod : probePeriod))
         return {};
--- a/packages/Edge/lib/PeerForwarding.cpp
+++ b/packages/Edge/lib/PeerForwarding.cpp
@@ -89,24 +89,29 @@
 
 void PeerRelays::update(const PeerTable& peers)
 {
-    std::map<EndpointId, Relay> relays;
+    for (auto& [id, it] : m_relays)
+        it.isListed = false;
     for (const auto& [name, peer] : peers.peers()) {
         if (peer.isSilent || peer.incarnation == 0)
             continue;
         const auto id = relayId(name);
-        const RoutedEndpoint entry { .id = id,
+        auto& relay = m_relays[id];
+        relay.isListed = true;
+        relay.isUsable = !peer.isLeaving && !peer.isPartitioned;
+        if (relay.state && relay.state->entry().host == peer.host && relay.state->entry().port == peer.port
+            && relay.state->entry().dataCentre.text() == peer.dataCentre)
+            continue;
+        RoutedEndpoint entry { .id = id,
             .host = peer.host,
             .port = peer.port,
             .dataCentre = DataCentreId(peer.dataCentre),
             .slots = std::numeric_limits<decltype(RoutedEndpoint::slots)>::max() };
-        const auto it = m_relays.find(id);
-        auto state = it == m_relays.end() ? std::make_shared<EndpointState>(entry) : it->second.state;
-        if (state->entry() != entry)
-            state->updateEntry(entry);
-        relays.emplace(
-            id, Relay { .state = std::move(state), .isUsable = !peer.isLeaving && !peer.isPartitioned });
+        if (relay.state)
+            relay.state->updateEntry(std::move(entry));
+        else
+            relay.state = std::make_shared<EndpointState>(std::move(entry));
     }
-    m_relays = std::move(relays);
+    std::erase_if(m_relays, [](const auto& it) { return !it.second.isListed; });
 }
 
 size_t PeerRelays::size() const
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -936,6 +936,28 @@
     EXPECT_EQ(farPeer.requests().size(), 0U);
 }
 
+TEST_F(PartitionedDaemonTest, CallerThatLeavesEndsTheRequestAtThePeer)
+{
+    bool isClosed = false;
+    http::HttpServer peer(context,
+        { .address = { asio::ip::make_address("127.0.0.1"), 0 },
+            .handler = [&](const std::shared_ptr<http::Exchange>& exchange) {
+                exchange->onClientDisconnect([&] { isClosed = true; });
+            } });
+    state.peers = PeerTable("d");
+    PeerHeartbeat heartbeat { .daemon = "p3", .incarnation = 1, .sequence = 1 };
+    heartbeat.dataCentre = "a";
+    heartbeat.periodMilliseconds = 200;
+    state.peers.recordHeartbeat(heartbeat, "127.0.0.1", peer.port(), bootNow());
+    setPeers();
+    CallerAnswer answer;
+    const auto connection = send("/safe/x", answer);
+    runUntil([&] { return peer.connections() == 1; });
+    connection->close();
+    runUntil([&] { return isClosed; });
+    EXPECT_TRUE(state.requests.empty());
+}
+
 TEST_F(PartitionedDaemonTest, RefusesAtOnceIfNoPeerReachesEndpoints)
 {
     state.peers = PeerTable("d");
--- a/packages/Edge/unittests/StreamDirectoryTest.cpp
+++ b/packages/Edge/unittests/StreamDirectoryTest.cpp
@@ -149,7 +149,8 @@
 
 TEST(StreamMessage, FlagOfAnyValueIsDecoded)
 {
-    auto datagram = encodeStreamMessage({ .kind = StreamMessage::Kind::Answer, .stream = 3, .origin = origin });
+    auto datagram
+        = encodeStreamMessage({ .kind = StreamMessage::Kind::Answer, .stream = 3, .origin = origin });
     // The byte order, the magic number and the flags come first.
     datagram[1 + sizeof(uint32_t)] = '\xec';
     const auto decoded = outcomeOf<StreamMessage>([&] { return decodeStreamMessage(datagram); });
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -465,18 +465,18 @@
         """Takes the links to all endpoints from some of the daemons."""
         cut = {i for _, end, daemons in self.partitions if end == float("inf") for i in daemons}
         others = [i for i in range(self.daemons) if i not in cut]
-        # Some daemons always keep their links.
-        most = min(len(others), self.daemons - 2 - len(cut))
+        # Some daemons keep their links, or none.
+        most = len(others) if mode == "all" else min(len(others), self.daemons - 2 - len(cut))
         if most < 1:
             return
-        daemons = self.rng.sample(others, self.rng.randint(1, most))
+        daemons = self.rng.sample(others, most if mode == "all" else self.rng.randint(1, most))
         links = [link for i in daemons for link in self.links[i]]
         period = [time.monotonic(), float("inf"), daemons]
         self.partitions.append(period)
         is_flapping = mode == "flap"
         for n in range(int(seconds) if is_flapping else 1):
             for link in links:
-                link.cut("hang" if is_flapping else mode)
+                link.cut("hang" if is_flapping or mode == "all" else mode)
             await asyncio.sleep(0.5 if is_flapping else seconds)
             for link in links:
                 await link.restore()
@@ -733,11 +733,20 @@
                    for begin, end, endpoint in self.silences):
                 self.add_finding("BUDGET", f"{request} was sent a second time while {first_endpoint.name} was silent")
 
+    def count_cut(self, at: float) -> int:
+        """The number of daemons that had no links at that time."""
+        return len({i for since, to, daemons in self.partitions if since <= at <= to for i in daemons})
+
     def check_partitions(self) -> None:
         """Checks that daemons without links to the endpoints serve their clients beside the others."""
+        edges = [at for begin, end, _ in self.partitions for at in (begin, end)]
+        # When the last links were lost: then there are no others to compare with.
+        all_lost = [at for at in edges if self.count_cut(at) == self.daemons]
         for begin, end, daemons in self.partitions:
             served, total = [0, 0], [0, 0]
             for at, daemon, is_served in self.attempts:
+                if self.count_cut(at) == self.daemons or any(at - CONTACT_SECONDS < it < at for it in all_lost):
+                    continue
                 others_cut = any(daemon in it and since < at < to + CONTACT_SECONDS
                                  for since, to, it in self.partitions if it is not daemons)
                 if not begin + CONTACT_SECONDS <= at <= end or others_cut or not self.is_in_contact(daemon, at, at):
@@ -827,7 +836,8 @@
     parser.add_argument("--clients", type=int, default=12, help="clients that send short requests")
     parser.add_argument("--streams", type=int, default=0, help="clients that send long streams with prompts")
     parser.add_argument("--links", action="store_true", help="give each daemon links of its own to the endpoints")
-    parser.add_argument("--link-modes", default=",".join(LINK_MODES), help="how links are lost")
+    parser.add_argument("--link-modes", default=",".join(LINK_MODES),
+                        help="how links are lost; also \"all\", which lets those of all daemons hang")
     parser.add_argument("--keep", default="", help="folder in which to keep the daemons' logs")
     options = parser.parse_args()
     failed = []
