--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -47,7 +47,6 @@
         m_state.retryBudget(m_service).request(now);
     logEvent(Event::RequestAccepted,
         { { "id", m_metadata.id.text() }, { "route", m_route->name },
-            { "forwarded_by", m_forwarded ? m_forwarded->daemon : std::string() },
             { "version", static_cast<int64_t>(m_routes->version()) },
             { "organisation", m_organisation ? m_organisation->name.text() : std::string() },
             { "prompt_tokens", m_work.promptTokens },
@@ -97,6 +96,8 @@
     }
     if (m_forwarded) {
         m_state.metrics.count("requests_of_peers");
+        logEvent(Event::ForwardedRequestReceived,
+            { { "id", m_metadata.id.text() }, { "daemon", m_forwarded->daemon } });
         m_version = m_forwarded->version;
         if (std::ranges::find(m_route->targets, m_forwarded->service, &RouteTarget::service)
             != m_route->targets.end())
