--- a/packages/Edge/include/lentilbay/Edge/ConfigurationCatchUp.h
+++ b/packages/Edge/include/lentilbay/Edge/ConfigurationCatchUp.h
@@ -23,9 +23,9 @@
     {
     }
 
-    /// Records that the platform's store has listed the other daemons. `hasOthers` is whether there may be
-    /// any.
-    void daemonsListed(bool hasOthers, TimePoint now);
+    /// Records that the configuration was read from the store. `mayBeOlder` is whether the store has come
+    /// back from an older copy of itself before.
+    void storeRead(bool mayBeOlder, TimePoint now);
     /// Records the version of the configuration that is in force at a peer; 0 if none is.
     void recordPeer(const std::string& daemon, uint64_t version, TimePoint now);
     /// Whether this daemon may use its configuration: it has compared it with a peer's, or has had time to.
@@ -47,7 +47,7 @@
 
     std::map<std::string, Peer> m_peers;
     bool m_isSettled;
-    std::optional<TimePoint> m_listedAt;
+    std::optional<TimePoint> m_readAt;
     /// When a peer was first known to have a newer version than this daemon.
     std::optional<TimePoint> m_behindSince;
     TimePoint m_askedAt {};
--- a/packages/Edge/lib/ConfigurationCatchUp.cpp
+++ b/packages/Edge/lib/ConfigurationCatchUp.cpp
@@ -12,18 +12,18 @@
 constexpr Duration retryPeriod = std::chrono::milliseconds(300);
 /// What a peer reported is used for this long.
 constexpr Duration reportLifetime = std::chrono::seconds(2);
-/// How long a daemon that starts waits for the first report of a peer.
-constexpr Duration firstReportTimeout = std::chrono::milliseconds(800);
+/// How long a daemon that starts waits for the first report of a peer: the other daemons are read from the
+/// store, and each side sends a heartbeat.
+constexpr Duration firstReportTimeout = std::chrono::milliseconds(1200);
 /// How long it waits for a newer configuration that a peer has reported.
 constexpr Duration catchUpTimeout = std::chrono::seconds(3);
 
 } // namespace
 
-void ConfigurationCatchUp::daemonsListed(bool hasOthers, TimePoint now)
+void ConfigurationCatchUp::storeRead(bool mayBeOlder, TimePoint now)
 {
-    if (!m_listedAt)
-        m_listedAt = now;
-    m_isSettled = m_isSettled || !hasOthers;
+    m_readAt = m_readAt.value_or(now);
+    m_isSettled = m_isSettled || !mayBeOlder;
 }
 
 void ConfigurationCatchUp::recordPeer(const std::string& daemon, uint64_t version, TimePoint now)
@@ -45,10 +45,10 @@
 
 bool ConfigurationCatchUp::isSettled(uint64_t ownVersion, TimePoint now)
 {
-    if (m_isSettled || !m_listedAt)
+    if (m_isSettled || !m_readAt)
         return m_isSettled;
     const auto known = newest(now);
-    const auto elapsed = now - *m_listedAt;
+    const auto elapsed = now - *m_readAt;
     m_isSettled
         = known == 0 ? elapsed >= firstReportTimeout : known <= ownVersion || elapsed >= catchUpTimeout;
     return m_isSettled;
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -190,6 +190,9 @@
                 [this](TimePoint at) {
                     if (m_state.routes)
                         m_state.routesConfirmedAt = std::max(at, m_state.routesConfirmedAt.value_or(at));
+                    const auto now = bootNow();
+                    m_catchUp.storeRead(m_storeEra > firstStoreEra, now);
+                    catchUpWithPeers(now);
                 },
             .maySkipPolling = [this](TimePoint now) { return maySkipPolling(*m_configurationFollower, now); },
             .hasOtherReader = [this] { return hasOtherReader(); },
@@ -231,9 +234,6 @@
             .confirmed =
                 [this](TimePoint) {
                     m_state.knowsDaemons = true;
-                    // A store that has come back from an older copy may lack daemons.
-                    m_catchUp.daemonsListed(
-                        !m_state.peers.peers().empty() || m_storeEra > firstStoreEra, bootNow());
                     grantInitialQuotas();
                 },
             .eraChanged = [this](uint64_t era) { handleStoreEra(era, bootNow()); } });
