Spread forwarded requests where a data centre has few daemons with links

Daemons without links prefer peers of their data centre. If most of its daemons have lost theirs, the few others would get the requests of all. The preference for near peers now shrinks with their fraction: in a test with one such peer, 20 daemons without links and five peers elsewhere, the near one gets a sixth.

--- a/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
@@ -74,6 +74,9 @@
 
     Topology m_topology;
     std::map<EndpointId, Relay> m_relays;
+    /// The fraction of the daemons of this data centre that others of it can forward to. Where it is small,
+    /// those few must not get the requests of all.
+    double m_nearFraction = 1;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/PeerForwarding.cpp
+++ b/packages/Edge/lib/PeerForwarding.cpp
@@ -91,6 +91,9 @@
 {
     for (auto& [id, it] : m_relays)
         it.isListed = false;
+    size_t near = 0;
+    // This daemon forwards as well.
+    size_t nearPartitioned = 1;
     for (const auto& [name, peer] : peers.peers()) {
         if (peer.isSilent || peer.incarnation == 0)
             continue;
@@ -98,6 +101,10 @@
         auto& relay = m_relays[id];
         relay.isListed = true;
         relay.isUsable = !peer.isLeaving && !peer.isPartitioned;
+        if (peer.dataCentre == m_topology.ownDataCentre.text()) {
+            near += relay.isUsable ? 1 : 0;
+            nearPartitioned += peer.isPartitioned ? 1 : 0;
+        }
         if (relay.state && relay.state->entry().host == peer.host && relay.state->entry().port == peer.port
             && relay.state->entry().dataCentre.text() == peer.dataCentre)
             continue;
@@ -112,6 +119,7 @@
             relay.state = std::make_shared<EndpointState>(std::move(entry));
     }
     std::erase_if(m_relays, [](const auto& it) { return !it.second.isListed; });
+    m_nearFraction = static_cast<double>(near) / static_cast<double>(near + nearPartitioned);
 }
 
 size_t PeerRelays::size() const
@@ -130,7 +138,7 @@
         const double distance = locality == Locality::OwnDataCentre ? 0
             : locality == Locality::OwnRegion                       ? otherDataCentreCost
                                                                     : otherRegionCost;
-        const double cost = it.state->ownInFlight() + distance + random.fraction();
+        const double cost = it.state->ownInFlight() + distance * m_nearFraction + random.fraction();
         if (!out || cost < least) {
             out = it.state;
             least = cost;
--- a/packages/Edge/unittests/PeerForwardingTest.cpp
+++ b/packages/Edge/unittests/PeerForwardingTest.cpp
@@ -80,6 +80,23 @@
     EXPECT_EQ(chosen({ EndpointId("daemon/far"), EndpointId("daemon/near") }), "");
 }
 
+TEST_F(PeerRelaysTest, LastPeerOfADataCentreDoesNotGetTheRequestsOfAll)
+{
+    hear("near", "a");
+    for (int i = 0; i < 20; ++i)
+        hear(std::to_string(i), "a", false, true);
+    for (int i = 0; i < 5; ++i)
+        hear("far" + std::to_string(i), "c");
+    int near = 0;
+    constexpr int n = 60;
+    for (int i = 0; i < n; ++i) {
+        const auto it = relays.choose({}, random);
+        it->recordSend({}, now);
+        near += it->entry().id.text() == "daemon/near" ? 1 : 0;
+    }
+    EXPECT_LE(near, n / 6 + 1);
+}
+
 TEST_F(PeerRelaysTest, LeavesOutPeersThatCannotServe)
 {
     hear("leaving", "a", true);
