Leave a request alone while its stream's origin is looked up

A daemon that lost its links forwarded every request without a send, also one that was waiting for the origin of the stream that it resumes, which would have been sent without its software version. Found by reading; the test fails before.

A daemon refuses at once what a peer forwards to it for a service of which it has no slots, a rejection with Retry-After counts as one, and the number of relays is no longer counted for each request.

--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -80,8 +80,11 @@
     QuotaParticipants quotaParticipants() const;
     WindowedRetryBudget& retryBudget(const ServiceId& service) { return m_retryBudgets[service]; }
     WindowedRetryLimits retryLimits() const;
-    /// How requests are sent that need a new connection.
-    SendPath sendPath() const { return edge::sendPath(links.state(), false, relays.size() > 0); }
+    /// How a request is sent; `hasConnection` is whether an established connection to the endpoint is idle.
+    SendPath sendPath(bool hasConnection) const
+    {
+        return edge::sendPath(links.state(), hasConnection, relays.size() > 0);
+    }
     /// Logs what an endpoint is now known to state about itself; `source` is the peer that reported it, or
     /// empty.
     void logSignals(const EndpointId& endpoint, const std::string& source) const;
--- a/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
@@ -57,7 +57,7 @@
     /// Takes over which peers are alive and reach endpoints.
     void update(const PeerTable& peers);
     /// The number of peers that may be used.
-    size_t size() const;
+    size_t size() const { return m_usable; }
     /// The peer to send a request through that has not been sent through any of `tried`, or nullptr.
     std::shared_ptr<EndpointState> choose(const std::vector<EndpointId>& tried, Random& random) const;
     /// Whether the peer still runs, as far as this daemon knows.
@@ -74,6 +74,7 @@
 
     Topology m_topology;
     std::map<EndpointId, Relay> m_relays;
+    size_t m_usable = 0;
     /// The fraction of the daemons of this data centre that others of it can forward to. Where it is small,
     /// those few must not get the requests of all.
     double m_nearFraction = 1;
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -258,16 +258,14 @@
         return;
     }
     // A forwarded request is not forwarded again.
-    const auto path = m_state.sendPath();
-    const bool needsPeer = path != SendPath::Direct && m_state.links.state() != LinkState::NoNewConnections;
-    if (!needsPeer) {
-        // Other daemons have the slots.
-        if (!m_forwarded && !m_state.endpointRegistry.hasSlotShare(m_service) && startThroughPeer(now))
-            return;
+    // Whether a connection to the endpoint is idle is known when one has been chosen.
+    const auto path = m_state.sendPath(true);
+    const bool hasSlots = m_state.endpointRegistry.hasSlotShare(m_service);
+    if (path == SendPath::Direct && hasSlots) {
         m_state.queue.push(waitingRequest());
         return;
     }
-    if (path == SendPath::ThroughPeer && !m_forwarded && startThroughPeer(now))
+    if (path != SendPath::None && !m_forwarded && startThroughPeer(now))
         return;
     if (m_possibleExecutions > 0) {
         endAfterExecution(ResultCode::EndpointBroke, now);
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -76,13 +76,8 @@
 
 void EdgeRequest::start(std::shared_ptr<EndpointState> endpoint, TimePoint now)
 {
-    const auto& entry = endpoint->entry();
-    const bool isForwardable = !m_forwarded && m_state.links.state() == LinkState::NoNewConnections;
-    if (isForwardable
-        && sendPath(m_state.links.state(), m_state.pools.hasIdle(entry, maxIdleAge(), now),
-               m_state.relays.size() > 0)
-            == SendPath::ThroughPeer
-        && startThroughPeer(now)) {
+    const bool hasConnection = m_state.pools.hasIdle(endpoint->entry(), maxIdleAge(), now);
+    if (!m_forwarded && m_state.sendPath(hasConnection) == SendPath::ThroughPeer && startThroughPeer(now)) {
         endpoint->recordEnd(m_work, SendOutcome::Neutral, false, now);
         return;
     }
@@ -106,9 +101,10 @@
 
 void EdgeRequest::forwardWaiting(TimePoint now)
 {
+    if (m_isOver || m_send || m_isFindingOrigin)
+        return;
     m_state.queue.remove(m_number);
-    if (!m_isOver && !m_send)
-        requeue(now);
+    requeue(now);
 }
 
 Duration EdgeRequest::maxIdleAge() const
@@ -298,7 +294,7 @@
             { .endpoint = m_send->incarnation,
                 .signals = metadata.signals,
                 .isConclusive = isConclusive,
-                .isRejection = metadata.execution == platform::Execution::No && !metadata.retryAfter,
+                .isRejection = metadata.execution == platform::Execution::No,
                 .sentAt = m_send->sentAt },
             now))
         m_state.logSignals(id, {});
--- a/packages/Edge/lib/PeerForwarding.cpp
+++ b/packages/Edge/lib/PeerForwarding.cpp
@@ -119,14 +119,10 @@
             relay.state = std::make_shared<EndpointState>(std::move(entry));
     }
     std::erase_if(m_relays, [](const auto& it) { return !it.second.isListed; });
+    m_usable = std::ranges::count_if(m_relays, [](const auto& it) { return it.second.isUsable; });
     m_nearFraction = static_cast<double>(near) / static_cast<double>(near + nearPartitioned);
 }
 
-size_t PeerRelays::size() const
-{
-    return std::ranges::count_if(m_relays, [](const auto& it) { return it.second.isUsable; });
-}
-
 std::shared_ptr<EndpointState> PeerRelays::choose(const std::vector<EndpointId>& tried, Random& random) const
 {
     std::shared_ptr<EndpointState> out;
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -1087,5 +1087,25 @@
     EXPECT_EQ(state.crashes.suspiciousCrashes(), 0U);
 }
 
+TEST_F(PartitionedDaemonTest, RequestWhoseOriginIsBeingLookedUpIsNotForwardedYet)
+{
+    // A second software version, so that the origin has to be asked for.
+    list("e2", nearPeer, "v2");
+    state.streams.setDaemons("d", { "p1", "p2" });
+    state.streams.setSender([](const auto&, const auto&) {});
+    state.versions.update(state.endpointRegistry, bootNow());
+    CallerAnswer answer;
+    const auto connection
+        = send("/stream/x", answer, "Authorization: Token k\r\nLast-Event-Id: 4\r\nResumes: 6\r\n");
+    runUntil([&] { return !state.requests.empty(); });
+    ASSERT_EQ(state.streams.openQueries(), 1U);
+    for (const auto requests = state.requests; const auto& [number, request] : requests)
+        request->forwardWaiting(bootNow());
+    context.run_for(20ms);
+    context.restart();
+    EXPECT_EQ(nearPeer.requests().size() + farPeer.requests().size(), 0U);
+    connection->close();
+}
+
 } // namespace
 } // namespace lentilbay::edge
