Divide the slots of a new endpoint of a brittle service when it is listed

An endpoint that is back after a failure under another id had no slot share for up to 0.2 s, in which every daemon could fill it. The soak now lets half of the failed brittle endpoints come back that way. BrittleEndpointsTest: the daemon sent 8 requests where its share is 6, now 6.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -95,6 +95,7 @@
     void connect(TimePoint now);
     /// How long a connection that is used may have been idle.
     Duration maxIdleAge() const;
+    /// Called with the connection to the endpoint or peer of m_send, or with nullptr if there is none.
     void connected(std::shared_ptr<http::ClientConnection> connection, TimePoint now);
     /// The request as bytes, for the endpoint or peer of m_send.
     std::string encodedRequest(TimePoint now) const;
@@ -147,6 +148,7 @@
 
     EdgeState& m_state;
     std::shared_ptr<http::Exchange> m_exchange;
+    /// Set if a peer sends the request through this daemon.
     std::optional<ForwardedRequest> m_forwarded;
     platform::CallerMetadata m_metadata;
     std::shared_ptr<const RouteTable> m_routes;
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -199,6 +199,9 @@
     else
         state = std::make_shared<EndpointState>(endpoint);
     m_signals.endpointListed(state->incarnation());
+    if (m_brittleServices.contains(endpoint.service))
+        state->m_slotShare = std::min(
+            state->m_slotShare.value_or(endpoint.slots), m_signals.slotShare(state->hash(), endpoint.slots));
     rebuildIndexes();
     return true;
 }
--- a/packages/Edge/unittests/EndpointRegistryTest.cpp
+++ b/packages/Edge/unittests/EndpointRegistryTest.cpp
@@ -314,6 +314,12 @@
     EXPECT_EQ(capacity(), 4U);
 }
 
+TEST_F(BrittleEndpointsTest, NewEndpointGetsNoMoreThanItsSlotsFromTheFirstMoment)
+{
+    list("new");
+    EXPECT_EQ(capacity(), 6U);
+}
+
 TEST_F(BrittleEndpointsTest, ShareOfALostDaemonIsUsedLater)
 {
     registry.updateSignals("d0", { { .name = "d0" } }, now);
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -5,11 +5,15 @@
 after the revocation bound; a draining endpoint and an old route get nothing after their bounds; an endpoint that
 states a limit, that it leaves or that it wants a pause gets no more than it allows; no permitted request is denied; a
 graceful stop ends in time; service recovers after the last fault; a part of a prompt that crashes engines, or a
-request that crashes endpoints, reaches no more of them once it is known, while other requests are served; a stream has events from one software version only,
-and is resumed while engines of that version serve. All of that holds also after the store came back from an older copy.
+request that crashes endpoints, reaches no more of them once it is known, while other requests are served; a stream has
+events from one software version only, and is resumed while engines of that version serve; daemons that have lost their
+links to the endpoints serve their clients beside the others; endpoints that fail when they reject requests fail rarely,
+and nobody's requests are blamed for it; a request is not sent a second time while its endpoint is silent for a second.
+All of that holds also after the store came back from an older copy, and at daemons that start before the operator has
+written again what the store has lost.
 
     soak.py --daemon build/bin/lentilbayd [--seed N] [--seconds S] [--runs N] [--daemons N] [--endpoints N]
-        [--applications N] [--clients N] [--streams N]
+        [--applications N] [--clients N] [--streams N] [--links] [--faults KIND,...] [--link-modes MODE,...]
 """
 
 import argparse
@@ -496,8 +500,9 @@
             it.fell = lambda endpoint: asyncio.create_task(self.let_fall(endpoint, period))
         await asyncio.sleep(seconds)
         period[1] = time.monotonic()
-        for it in endpoints:
-            it.brittle = None
+        for it in self.endpoints + self.former_endpoints:
+            if it.service == service:
+                it.brittle = None
 
     async def let_fall(self, endpoint: Endpoint, period: list) -> None:
         """The endpoint fails because of too many rejections, and is back some seconds later."""
@@ -508,8 +513,14 @@
         period[3].append(time.monotonic())
         endpoint.crash()
         await asyncio.sleep(self.rng.uniform(1.0, 2.5))
-        await self.listen(n, endpoint)
-        self.crashed.discard(n)
+        if self.rng.random() < 0.5:
+            await self.listen(n, endpoint)
+            self.crashed.discard(n)
+            return
+        await self.start_replacement(n, endpoint.version)
+        if period[1] == float("inf"):
+            new = self.endpoints[n]
+            new.brittle, new.brittle_since, new.fell = endpoint.brittle, endpoint.brittle_since, endpoint.fell
 
     async def revoke(self, key: str) -> None:
         self.keys[key] = False
