Forward through peers that know which endpoints have left

The sender was not in contact with the store, but what one daemon keeps must hold for both.

A bit in each heartbeat says whether the sender's list of endpoints is older than the bound for departures. Such a peer is chosen only if there is no other: PeerRelaysTest.PeerWithoutTheStoreMightSendToAnEndpointThatHasLeft.

--- a/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
@@ -58,7 +58,8 @@
     void update(const PeerTable& peers);
     /// The number of peers that may be used.
     size_t size() const { return m_usable; }
-    /// The peer to send a request through that has not been sent through any of `tried`, or nullptr.
+    /// The peer to send a request through that has not been sent through any of `tried`, or nullptr. One that
+    /// may send to an endpoint which has left is chosen only if there is no other.
     std::shared_ptr<EndpointState> choose(const std::vector<EndpointId>& tried, Random& random) const;
     /// Whether the peer still runs, as far as this daemon knows.
     bool isAlive(const EndpointId& peer) const;
@@ -68,6 +69,7 @@
         /// Never nullptr.
         std::shared_ptr<EndpointState> state;
         bool isUsable = false;
+        bool isOutdated = false;
         /// Whether the latest update() has found it.
         bool isListed = false;
     };
--- a/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
@@ -86,6 +86,8 @@
     std::vector<TriggerReport> triggers;
     /// The sender reaches no endpoint; see LinkMonitor.
     bool isPartitioned = false;
+    /// The sender may lack departures of endpoints that must be known, because it has lost the store.
+    bool isOutdated = false;
     /// The sender's quotas account for all use that still matters to them.
     bool countsAllUse = false;
 
@@ -118,6 +120,7 @@
         bool isSilent = true;
         bool isLeaving = false;
         bool isPartitioned = false;
+        bool isOutdated = false;
         bool countsAllUse = true;
     };
 
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -283,6 +283,8 @@
     out.signals = m_state.endpointRegistry.signalReports(now);
     const auto links = m_state.links.state();
     out.isPartitioned = links == LinkState::Partitioned || links == LinkState::NoneReachable;
+    const auto confirmedAt = m_state.endpointsConfirmedAt;
+    out.isOutdated = !confirmedAt || now - *confirmedAt > m_state.settings.bounds.endpointDrain;
     m_countsAllUse = m_countsAllUse || now - m_startedAt > m_state.settings.bounds.quotaWindow;
     out.countsAllUse = m_countsAllUse;
     return out;
--- a/packages/Edge/lib/PeerForwarding.cpp
+++ b/packages/Edge/lib/PeerForwarding.cpp
@@ -21,6 +21,8 @@
 /// The requests in flight that make up for the distance to a peer.
 constexpr double otherDataCentreCost = 2;
 constexpr double otherRegionCost = 4;
+/// More than all of them together.
+constexpr double outdatedCost = 1e6;
 
 std::optional<uint64_t> versionOf(const http::Headers& headers)
 {
@@ -101,6 +103,7 @@
         auto& relay = m_relays[id];
         relay.isListed = true;
         relay.isUsable = !peer.isLeaving && !peer.isPartitioned;
+        relay.isOutdated = peer.isOutdated;
         if (peer.dataCentre == m_topology.ownDataCentre.text()) {
             near += relay.isUsable ? 1 : 0;
             nearPartitioned += peer.isPartitioned ? 1 : 0;
@@ -134,7 +137,8 @@
         const double distance = locality == Locality::OwnDataCentre ? 0
             : locality == Locality::OwnRegion                       ? otherDataCentreCost
                                                                     : otherRegionCost;
-        const double cost = it.state->ownInFlight() + distance * m_nearFraction + random.fraction();
+        const double cost = it.state->ownInFlight() + distance * m_nearFraction + random.fraction()
+            + (it.isOutdated ? outdatedCost : 0);
         if (!out || cost < least) {
             out = it.state;
             least = cost;
--- a/packages/Edge/lib/PeerHeartbeat.cpp
+++ b/packages/Edge/lib/PeerHeartbeat.cpp
@@ -93,7 +93,7 @@
 {
     const auto element = [&](auto& value) { archive(value); };
     bool hasViews = it.views.has_value();
-    compact::flags(archive, it.isLeaving, it.countsAllUse, hasViews, it.isPartitioned);
+    compact::flags(archive, it.isLeaving, it.countsAllUse, hasViews, it.isPartitioned, it.isOutdated);
     compact::text(archive, it.daemon);
     archive(it.incarnation);
     compact::integer(archive, it.sequence);
@@ -191,6 +191,7 @@
         .isSilent = false,
         .isLeaving = heartbeat.isLeaving,
         .isPartitioned = heartbeat.isPartitioned,
+        .isOutdated = heartbeat.isOutdated,
         .countsAllUse = heartbeat.countsAllUse };
     return true;
 }
--- a/packages/Edge/unittests/PeerForwardingTest.cpp
+++ b/packages/Edge/unittests/PeerForwardingTest.cpp
@@ -97,6 +97,20 @@
     EXPECT_LE(near, n / 6 + 1);
 }
 
+TEST_F(PeerRelaysTest, PeerWithoutTheStoreMightSendToAnEndpointThatHasLeft)
+{
+    hear("near", "a");
+    hear("far", "c");
+    PeerHeartbeat heartbeat { .daemon = "near", .incarnation = 1, .sequence = ++sequence };
+    heartbeat.dataCentre = "a";
+    heartbeat.periodMilliseconds = 200;
+    heartbeat.isOutdated = true;
+    peers.recordHeartbeat(heartbeat, "127.0.0.1", 1, now);
+    relays.update(peers);
+    EXPECT_EQ(chosen(), "daemon/far");
+    EXPECT_EQ(chosen({ EndpointId("daemon/far") }), "daemon/near");
+}
+
 TEST_F(PeerRelaysTest, LeavesOutPeersThatCannotServe)
 {
     hear("leaving", "a", true);
--- a/packages/Edge/unittests/PeerHeartbeatTest.cpp
+++ b/packages/Edge/unittests/PeerHeartbeatTest.cpp
@@ -16,6 +16,7 @@
         .sequence = sequence,
         .dataCentre = "z",
         .periodMilliseconds = 200,
+        .configurationVersion = 300,
         .loads = { { .endpoint = 5, .inFlight = 3 } },
         .quotas = { { .organisation = 6, .admittedTotal = 1.5 } },
         .levels = { { .level = 2.5F, .inWindow = 3.5F } },
@@ -26,7 +27,9 @@
                 .sentAgeMicroseconds = -1,
                 .rejectionLimitAgeMicroseconds = 5,
                 .rejectionLimitSentAgeMicroseconds = 6,
-                .rejectedAgeMicroseconds = 7 } } };
+                .rejectedAgeMicroseconds = 7 } },
+        .isPartitioned = true,
+        .isOutdated = true };
 }
 
 TEST(PeerHeartbeat, DecodesWhatWasEncoded)
