Play clients that leave and large configurations in the soak

SoakAbandonedRequests: clients leave after 0.4 s while daemons get no processor time.

SoakLargeConfiguration: 1,400 routes, over links to the store of 160 KB/s.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -8,13 +8,15 @@
 request that crashes endpoints, reaches no more of them once it is known, while other requests are served; a stream has
 events from one software version only, and is resumed while engines of that version serve; daemons that have lost their
 links to the endpoints serve their clients beside the others; endpoints that fail when they reject requests fail rarely,
-and nobody's requests are blamed for it; a request is not sent a second time while its endpoint is silent for a second.
+and nobody's requests are blamed for it; a request is not sent a second time while its endpoint is silent for a second;
+requests of clients that have left reach no endpoint, also if the daemon gets no processor time meanwhile; a configuration
+of many routes is in force in time over links of little bandwidth.
 All of that holds also after the store came back from an older copy, and at daemons that start before the operator has
 written again what the store has lost.
 
     soak.py --daemon build/bin/lentilbayd [--seed N] [--seconds S] [--runs N] [--daemons N] [--endpoints N]
-        [--applications N] [--clients N] [--streams N] [--links] [--faults KIND,...] [--link-modes MODE,...]
-        [--other-daemon BINARY]
+        [--applications N] [--clients N] [--streams N] [--leavers N] [--links] [--faults KIND,...]
+        [--link-modes MODE,...] [--config-seconds S] [--other-daemon BINARY]
 
 With --other-daemon, a build of an earlier commit, all daemons begin with that build, and the fault "upgrade" replaces one
 by the other of the two builds, in either direction. All checks hold meanwhile.
@@ -62,6 +64,18 @@
 # "brittle" lets the endpoints of a service state that rejections make them fail.
 # "silence" stops some endpoints for about a second.
 LOAD_FAULT_KINDS = ["brittle", "silence"]
+# "starve" gives a daemon no processor time for a while, several times; "grow" lets the operator write a configuration of
+# many routes, over links to the store of little bandwidth.
+SCARCITY_FAULT_KINDS = ["starve", "grow"]
+MANY_ROUTES = 1400
+STORE_BANDWIDTH = 160_000
+# Seconds between two such configurations.
+GROW_PERIOD = 6.0
+# Clients that leave wait so long for an answer; afterwards their requests reach an endpoint within LEFT_SECONDS, except
+# for a few.
+LEAVE_SECONDS = 0.4
+LEFT_SECONDS = 0.5
+MOST_LATE_SENDS = 3
 # "upgrade" replaces a daemon by one of the other build.
 BUILD_FAULT_KINDS = ["upgrade"]
 # "partition" takes the links to all endpoints from some daemons; needs --links.
@@ -138,6 +152,13 @@
         self.faults_ended = False
         self.stopping = False
         self.contact_seconds = CONTACT_SECONDS
+        self.config_seconds = options.config_seconds
+        self.leavers = options.leavers
+        # When the client of a request left, by request.
+        self.abandoned: dict = {}
+        # Routes that no client uses.
+        self.unused_routes = 0
+        self.is_growing = False
         self.prompts = PromptTraffic(self)
         self.releases = 0
         self.is_rewinding = False
@@ -194,6 +215,11 @@
     async def listen(self, n: int, endpoint: Endpoint) -> None:
         await endpoint.listen(f"{self.network}.20", 7001 + n)
 
+    def route_types(self) -> dict:
+        """The type of each route in the configuration, by name."""
+        unused = (f"unused-{n}-{self.config_version}" for n in range(self.unused_routes))
+        return ROUTES | dict.fromkeys(self.added, "safe") | dict.fromkeys(unused, "safe")
+
     async def configure(self) -> None:
         await self.operator_writes.wait()
         moved = "llm" if len(self.moves) % 2 else "app"
@@ -201,7 +227,7 @@
         routes = [{"Name": kind, "Host": "h", "Prefix": f"/{kind}/", "Type": wire,
                    "TimeoutMs": TIMEOUT_MS.get(kind, 3000), "SloMs": 300,
                    "Service": services.get(kind, "app"), "Attempts": 1 if kind == "once" else 2,
-                   "Resumable": wire == "stream", "Priority": 0} for kind, wire in (ROUTES | dict.fromkeys(self.added, "safe")).items()]
+                   "Resumable": wire == "stream", "Priority": 0} for kind, wire in self.route_types().items()]
         self.config_version += self.rng.randint(1, 3)
         await self.store.put("op", "config", {
             "Version": self.config_version, "Routes": routes,
@@ -218,7 +244,7 @@
             "Listen": {"Frontend": f"{address}:8000", "Ready": f"{address}:8001"}, "InternalPorts": [7600, 7615],
             "Bootstrap": first, "Limits": {"CpuQuota": 1, "MemoryMb": 256},
             "Bounds": {"RevokeMs": REVOKE_SECONDS * 1000, "DrainMs": DRAIN_SECONDS * 1000,
-                       "ConfigDeadlineMs": CONFIG_SECONDS * 1000, "GraceS": GRACE_SECONDS, "RetryBudgetRatio": 0.2,
+                       "ConfigDeadlineMs": self.config_seconds * 1000, "GraceS": GRACE_SECONDS, "RetryBudgetRatio": 0.2,
                        "BudgetSlack": 50, "BudgetWindowS": 10, "QuotaWindowS": 8},
             "Platform": {"Addr": f"{self.network}.60:{7000 + i}"}}
         path = os.path.join(self.folder, f"edge-{i}.json")
@@ -252,7 +278,7 @@
             await asyncio.sleep(rng.uniform(0.01, 0.12))
             kind = rng.choice(list(KINDS))
             key = "key-revoked" if rng.random() < 0.15 else "key-kept"
-            added = [name for name, at in self.added.items() if time.monotonic() - at > CONFIG_SECONDS]
+            added = [name for name, at in self.added.items() if time.monotonic() - at > self.config_seconds]
             if added and rng.random() < 0.3:
                 kind = rng.choice(added)
                 key = f"key-{kind}"
@@ -297,6 +323,27 @@
                 connection[1].close()
                 connection = None
 
+    async def leaver(self, number: int) -> None:
+        """Sends requests on connections of their own, and leaves when an answer takes too long."""
+        rng = random.Random(number * 104729 + self.rng.randint(0, 1 << 30))
+        while not self.stopping:
+            await asyncio.sleep(rng.uniform(0.02, 0.1))
+            request = uuid.UUID(int=rng.getrandbits(128)).hex[:16]
+            host = f"{self.network}.{80 + rng.randrange(self.daemons)}"
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(host, 8000), 1)
+            except (OSError, asyncio.TimeoutError):
+                continue
+            writer.write((f"POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request}\r\nX-Deadline-Ms: 2500\r\n"
+                          f"Authorization: Token key-kept\r\nContent-Length: 0\r\n\r\n").encode())
+            try:
+                await asyncio.wait_for(reader.read(1), LEAVE_SECONDS)
+            except asyncio.TimeoutError:
+                self.abandoned[request] = time.monotonic()
+            except OSError:
+                pass  # The daemon ended.
+            writer.close()
+
     async def read_response(self, reader):
         lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
         headers = {}
@@ -472,6 +519,16 @@
             await asyncio.sleep(seconds + 1.0)
         elif kind == "brittle":
             await self.make_brittle(self.rng.choice(["app", "llm"]), self.rng.uniform(7.0, 12.0))
+        elif kind == "starve":
+            for _ in range(self.rng.randint(1, 3)):
+                self.send_signal(i, signal.SIGSTOP)
+                await asyncio.sleep(self.rng.uniform(1.0, 1.6))
+                self.send_signal(i, signal.SIGCONT)
+                await asyncio.sleep(self.rng.uniform(0.02, 0.3))
+        elif kind == "grow" and not self.is_growing:
+            self.is_growing = True
+            await self.grow()
+            self.is_growing = False
         elif kind == "organisation":
             await self.add_organisation(self.rng.uniform(3.0, 10.0))
         elif kind == "revoke" and self.keys["key-revoked"]:
@@ -534,6 +591,17 @@
             new = self.endpoints[n]
             new.brittle, new.brittle_since, new.fell = endpoint.brittle, endpoint.brittle_since, endpoint.fell
 
+    async def grow(self) -> None:
+        """The operator writes many routes, which reach the daemons over links of little bandwidth."""
+        self.unused_routes = MANY_ROUTES
+        links = [self.proxies[f"store-{i}"] for i in range(self.daemons)]
+        for link in links:
+            link.bandwidth = STORE_BANDWIDTH
+        await self.configure()
+        await asyncio.sleep(GROW_PERIOD)
+        for link in links:
+            link.bandwidth = None
+
     async def revoke(self, key: str) -> None:
         self.keys[key] = False
         await self.configure()
@@ -687,8 +755,8 @@
                 self.add_finding("DRAIN", f"{request} reached {endpoint.name} from daemon {daemon} "
                                  f"{executed_at - since:.2f} s after it had left")
         if kind == "moved":
-            before = [service for at, service in self.moves if at <= sent_at - CONFIG_SECONDS]
-            later = [service for at, service in self.moves if sent_at - CONFIG_SECONDS < at <= executed_at]
+            before = [service for at, service in self.moves if at <= sent_at - self.config_seconds]
+            later = [service for at, service in self.moves if sent_at - self.config_seconds < at <= executed_at]
             if endpoint.service not in before[-1:] + later:
                 self.add_finding("CONFIG", f"{request} ran at {endpoint.service} from daemon {daemon}")
 
@@ -747,6 +815,14 @@
             if len(falls) > 2 + n / 10:
                 self.add_finding("LIMIT", f"{n} brittle endpoints failed {len(falls)} times in {end - begin:.1f} s")
 
+    def check_abandoned(self) -> None:
+        late = [(request, at - self.abandoned[request]) for endpoint in self.endpoints + self.former_endpoints
+                for at, request in endpoint.arrivals
+                if at > self.abandoned.get(request, float("inf")) + LEFT_SECONDS]
+        if len(late) > MOST_LATE_SENDS:
+            self.add_finding("GONE", f"{len(late)} of {len(self.abandoned)} requests were sent on after their clients "
+                             f"had left, up to {max(seconds for _, seconds in late):.1f} s later")
+
     def check_silences(self) -> None:
         """Checks that requests at an endpoint that is silent for about a second are not sent a second time."""
         for request, executions in self.executions.items():
@@ -808,6 +884,7 @@
         self.check_partitions()
         self.check_brittle()
         self.check_silences()
+        self.check_abandoned()
         self.prompts.check()
         outcomes = self.counts.get("calm", {})
         total = sum(outcomes.values())
@@ -827,6 +904,7 @@
         await self.start()
         clients = [asyncio.create_task(self.client(number)) for number in range(self.clients)]
         clients += [asyncio.create_task(self.prompts.client()) for _ in range(self.streams)]
+        clients += [asyncio.create_task(self.leaver(number)) for number in range(self.leavers)]
         await asyncio.sleep(1.5)
         await self.faults()
         await asyncio.sleep(6)
@@ -852,12 +930,15 @@
     parser.add_argument("--runs", type=int, default=1, help="number of consecutive seeds to run")
     parser.add_argument("--faults", default=",".join(FAULT_KINDS),
                         help=f"kinds of faults, drawn with equal probability; also "
-                             f"{', '.join(CRASH_FAULT_KINDS + CONFIGURATION_FAULT_KINDS + LINK_FAULT_KINDS + LOAD_FAULT_KINDS + STREAM_FAULT_KINDS + BUILD_FAULT_KINDS)}")
+                             f"{', '.join(CRASH_FAULT_KINDS + CONFIGURATION_FAULT_KINDS + LINK_FAULT_KINDS + LOAD_FAULT_KINDS + SCARCITY_FAULT_KINDS + STREAM_FAULT_KINDS + BUILD_FAULT_KINDS)}")
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--endpoints", type=int, default=5, help="applications and engines")
     parser.add_argument("--applications", type=int, default=2, help="how many of the endpoints are applications")
     parser.add_argument("--clients", type=int, default=12, help="clients that send short requests")
     parser.add_argument("--streams", type=int, default=0, help="clients that send long streams with prompts")
+    parser.add_argument("--leavers", type=int, default=0, help="clients that leave if an answer takes too long")
+    parser.add_argument("--config-seconds", type=float, default=CONFIG_SECONDS,
+                        help="seconds within which a configuration has to be in force")
     parser.add_argument("--links", action="store_true", help="give each daemon links of its own to the endpoints")
     parser.add_argument("--link-modes", default=",".join(LINK_MODES),
                         help="how links are lost; also \"all\", which lets those of all daemons hang")
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -330,9 +330,16 @@
     After traffic was dropped, pass_again() leaves the open connections silent for good, without a reset.
     """
 
+    # Bytes that a link of limited bandwidth carries at a time.
+    PIECE = 4096
+
     def __init__(self, target: tuple) -> None:
         self.target = target
         self.mode = "pass"
+        # Bytes per second towards the client, all connections together, or None without a limit; and when the link is
+        # free again.
+        self.bandwidth: float | None = None
+        self.free_at = 0.0
         self.writers: set = set()
         self.dead_writers: set = set()
 
@@ -375,12 +382,23 @@
                 # Bytes are dropped, as in a partition whose sender stops retransmitting.
                 if self.mode == "silent" or (self.mode == "one_way" and is_response) or writer in self.dead_writers:
                     continue
+                if self.bandwidth is not None and is_response:
+                    await self.send_slowly(data, writer)
+                    continue
                 writer.write(data)
                 await writer.drain()
             writer.close()
         except (ConnectionError, OSError):
             writer.transport.abort()
 
+    async def send_slowly(self, data: bytes, writer) -> None:
+        for begin in range(0, len(data), self.PIECE):
+            piece = data[begin:begin + self.PIECE]
+            self.free_at = max(self.free_at, time.monotonic()) + len(piece) / (self.bandwidth or float("inf"))
+            await asyncio.sleep(self.free_at - time.monotonic())
+            writer.write(piece)
+            await writer.drain()
+
 
 class Link(Proxy):
     """The link of one daemon to one endpoint, which can be lost as in a partition."""
