Notice clients that have left before their requests are handled

Endpoints worked for clients that had left up to seconds before.

Cause: a connection was read once, and a request in those bytes was dispatched at once; the end of the connection, which was already in the kernel's buffer, was found in a later turn of the event loop. A daemon that was late for whatever reason sent on what nobody waited for. One connection was accepted in each turn, so that requests grew old in the backlog.

Change: a connection is read until nothing is left before its request is handled, and again before a request is sent if the last look was 0.1 s ago or longer, also for retries, resumed streams and requests of peers. All waiting connections, up to 64, are accepted in one turn.

The new tests of ServerTest fail before.

--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -115,6 +115,9 @@
 
 void EdgeRequest::connect(TimePoint now)
 {
+    m_exchange->detectDisconnect(now);
+    if (m_isOver)
+        return;
     m_state.metrics.observe(Timing::Wait, m_route->rank, now - m_arrivedAt);
     const auto& target = m_send->endpoint;
     m_triedEndpoints.push_back(target->entry().id);
@@ -162,6 +165,9 @@
 
 void EdgeRequest::sendNow(TimePoint now)
 {
+    m_exchange->detectDisconnect(now);
+    if (m_isOver)
+        return;
     if (now >= m_expiresAt) {
         handleTimeout();
         return;
--- a/packages/Http/include/lentilbay/Http/Server.h
+++ b/packages/Http/include/lentilbay/Http/Server.h
@@ -38,6 +38,9 @@
 
     /// Called once if the client closes its connection before the response is complete.
     void onClientDisconnect(std::function<void()> callback) { m_clientDisconnected = std::move(callback); }
+    /// Notices a disconnect that has reached this host although the event loop has not come to it yet. The
+    /// callback of onClientDisconnect() may be called.
+    void detectDisconnect(TimePoint now);
     /// Called when the send buffer is empty again after a write that could not complete immediately.
     void onDrained(std::function<void()> callback) { m_drained = std::move(callback); }
 
--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -15,8 +15,15 @@
 
 /// Buffered bytes after the current request beyond which reading stops.
 constexpr size_t maxUnparsedBytes = 65'536;
+/// Reads of one connection in a row, after which other connections get their turn.
+constexpr int maxReadsInARow = 16;
+/// A connection that was read this recently is not read again to find out whether its client has left.
+constexpr Duration maxReadAge = std::chrono::milliseconds(100);
 /// How long a closing connection waits for the client to close its side.
 constexpr Duration lingerTimeout = std::chrono::seconds(1);
+/// Connections accepted in a row. A busy event loop comes to the listening socket rarely, and connections
+/// that wait for it grow old with their requests.
+constexpr int maxAcceptsInARow = 64;
 /// The pause after a failed accept; descriptors become free as requests end.
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 /// Connections that the kernel queues while the process is busy or suspended.
@@ -79,6 +86,12 @@
         connection->responseAborted();
 }
 
+void Exchange::detectDisconnect(TimePoint now)
+{
+    if (const auto connection = m_connection)
+        connection->detectDisconnect(now);
+}
+
 size_t Exchange::unsentBytes() const { return m_connection ? m_connection->unsentBytes() : 0; }
 
 ServerConnection::ServerConnection(HttpServer& server, ip::tcp::socket socket)
@@ -108,27 +121,32 @@
         self->m_isReading = false;
         if (self->m_isClosed)
             return;
-        if (ec)
+        if (ec) {
             self->close();
-        else
-            self->readSome();
+            return;
+        }
+        self->readAvailable(bootNow());
+        if (!self->m_isClosed && !self->m_isClosing && !self->m_exchange)
+            self->parse();
+        self->awaitReadable();
     });
 }
 
-void ServerConnection::readSome()
+void ServerConnection::readAvailable(TimePoint now)
 {
-    auto& buffer = readBuffer();
-    std::error_code ec;
-    const size_t n = m_socket.read_some(asio::buffer(buffer), ec);
-    if (ec == asio::error::would_block || ec == asio::error::try_again) {
-        awaitReadable();
-        return;
-    }
-    if (ec || n == 0) {
-        close();
-        return;
-    }
-    if (!m_isClosing) {
+    m_readAt = now;
+    for (int i = 0; i < maxReadsInARow && m_unparsed.size() <= maxUnparsedBytes; ++i) {
+        auto& buffer = readBuffer();
+        std::error_code ec;
+        const size_t n = m_socket.read_some(asio::buffer(buffer), ec);
+        if (ec == asio::error::would_block || ec == asio::error::try_again)
+            return;
+        if (ec || n == 0) {
+            close();
+            return;
+        }
+        if (m_isClosing)
+            continue;
         const std::string_view bytes(buffer.data(), n);
         if (m_exchange || !m_unparsed.empty()) {
             m_unparsed += bytes;
@@ -136,10 +154,15 @@
             const size_t taken = m_parser.feed(bytes);
             m_unparsed.assign(bytes.substr(taken));
         }
-        if (!m_exchange)
-            parse();
+        if (m_parser.error() != ParseError::None)
+            return;
     }
-    awaitReadable();
+}
+
+void ServerConnection::detectDisconnect(TimePoint now)
+{
+    if (!m_isClosed && now - m_readAt >= maxReadAge)
+        readAvailable(now);
 }
 
 void ServerConnection::parse()
@@ -361,6 +384,7 @@
     m_acceptor.set_option(ip::tcp::acceptor::reuse_address(true));
     m_acceptor.bind(m_options.address);
     m_acceptor.listen(listenBacklog);
+    m_acceptor.non_blocking(true);
     accept();
 }
 
@@ -372,19 +396,26 @@
 
 void HttpServer::accept()
 {
-    m_acceptor.async_accept([this](std::error_code ec, ip::tcp::socket socket) {
+    m_acceptor.async_wait(ip::tcp::acceptor::wait_read, [this](std::error_code ec) {
         if (ec == asio::error::operation_aborted || !m_acceptor.is_open())
             return;
-        if (ec) {
-            // Probably out of file descriptors; retrying immediately would spin.
-            auto timer = std::make_shared<asio::steady_timer>(m_context, acceptRetryDelay);
-            timer->async_wait([this, timer](std::error_code) { accept(); });
+        for (int i = 0; i < maxAcceptsInARow && !ec; ++i) {
+            ip::tcp::socket socket(m_context);
+            m_acceptor.accept(socket, ec);
+            if (ec)
+                break;
+            auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+            m_connections.insert(connection);
+            connection->start();
+        }
+        if (!ec || ec == asio::error::would_block || ec == asio::error::try_again
+            || ec == asio::error::connection_aborted) {
+            accept();
             return;
         }
-        auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
-        m_connections.insert(connection);
-        connection->start();
-        accept();
+        // Probably out of file descriptors; retrying immediately would spin.
+        auto timer = std::make_shared<asio::steady_timer>(m_context, acceptRetryDelay);
+        timer->async_wait([this, timer](std::error_code) { accept(); });
     });
 }
 
--- a/packages/Http/lib/ServerConnection.h
+++ b/packages/Http/lib/ServerConnection.h
@@ -23,12 +23,15 @@
     void sendChunk(std::string_view piece);
     void responseFinished();
     void responseAborted();
+    void detectDisconnect(TimePoint now);
     size_t unsentBytes() const { return m_out.size() - m_outBegin; }
     bool isHead() const { return m_isHead; }
 
 private:
     void awaitReadable();
-    void readSome();
+    /// Reads until nothing is left, so that a client that has sent a request and closed its connection is
+    /// noticed before the request is handled.
+    void readAvailable(TimePoint now);
     /// Parses the buffered bytes up to the end of one request.
     void parse();
     void handleRequest();
@@ -56,6 +59,7 @@
     bool m_isClosed = false;
     bool m_isReading = false;
     bool m_continueSent = false;
+    TimePoint m_readAt {};
 };
 
 } // namespace lentilbay::http
--- a/packages/Http/unittests/ServerTest.cpp
+++ b/packages/Http/unittests/ServerTest.cpp
@@ -2,6 +2,8 @@
 // must be able to tell from complete ones.
 #include "lentilbay/Http/Server.h"
 
+#include "lentilbay/Support/SteadyClock.h"
+
 #include <array>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
@@ -91,6 +93,52 @@
     EXPECT_EQ(server->connections(), 0U);
 }
 
+TEST_F(ServerTest, RequestOfAClientThatHadLeftWasHandled)
+{
+    send(get);
+    client.close();
+    for (int i = 0; i < 50; ++i) {
+        context.run_for(2ms);
+        context.restart();
+    }
+    EXPECT_EQ(exchanges.size(), 0U);
+    EXPECT_EQ(server->connections(), 0U);
+}
+
+TEST_F(ServerTest, DisconnectIsDetectedBeforeTheEventLoopReportsIt)
+{
+    send(get);
+    runUntil([&] { return exchanges.size() == 1; });
+    int disconnects = 0;
+    exchanges[0]->onClientDisconnect([&] { ++disconnects; });
+    exchanges[0]->detectDisconnect(bootNow() + 1s);
+    EXPECT_EQ(disconnects, 0);
+    client.close();
+    exchanges[0]->detectDisconnect(bootNow() + 2s);
+    EXPECT_EQ(disconnects, 1);
+    exchanges[0]->detectDisconnect(bootNow() + 3s);
+    EXPECT_EQ(disconnects, 1);
+}
+
+TEST_F(ServerTest, ConnectionsWereAcceptedOnePerTurnOfABusyEventLoop)
+{
+    // Something else is always ready, as at a host with too little processor time.
+    std::function<void()> spin = [&] { asio::post(context, spin); };
+    spin();
+    std::vector<asio::ip::tcp::socket> clients;
+    constexpr size_t n = 40;
+    for (size_t i = 0; i < n; ++i) {
+        clients.emplace_back(context);
+        clients.back().connect({ asio::ip::make_address("127.0.0.1"), server->port() });
+    }
+    int turns = 0;
+    for (; turns < 100 && server->connections() < n + 1; ++turns)
+        context.poll_one();
+    EXPECT_EQ(server->connections(), n + 1);
+    EXPECT_LT(turns, 20);
+    spin = [] {};
+}
+
 TEST_F(ServerTest, StreamsInChunks)
 {
     send(get);
