Suspend an endpoint at whose address another one answers

An entry of another writer, or one that outlived its endpoint, at the address of an endpoint that serves took most requests: each was answered 421 and sent again, until the retry budget was spent and the rest was refused.

Cause: 421 was recorded as an outcome that shows nothing about the endpoint. Nothing was ever in flight there, so the entry looked idle for ever.

Change: such an endpoint is suspended for 1 s, doubled each time up to 60 s, and then gets one request; a changed address or start time ends that at once.

Measured: EntryAtTheAddressOfAnotherEndpointTookMostRequests (registry and request) fail before and pass.

--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -37,7 +37,9 @@
     Failed,
     /// The endpoint reported that it is at capacity.
     Full,
-    /// Does not reflect on the endpoint: the caller disconnected, or another endpoint has the address.
+    /// Another endpoint has the address, so the entry is wrong or out of date.
+    Misdirected,
+    /// Does not reflect on the endpoint: the caller disconnected, for instance.
     Neutral,
 };
 
@@ -120,6 +122,8 @@
     Estimate m_failureRate;
     int m_failuresInRow = 0;
     int m_suspensions = 0;
+    /// Misdirected sends since the entry last named another address or incarnation.
+    int m_misdirections = 0;
     TimePoint m_suspendedUntil {};
     TimePoint m_failedAt {};
     /// How many requests this daemon may have in flight there, if the slots are divided among the daemons.
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -479,8 +479,7 @@
         return;
     const auto now = bootNow();
     if (m_send->wasNotExecuted) {
-        const bool isOther = m_send->isMisdirected || m_send->isThroughPeer;
-        endSend(isOther ? SendOutcome::Neutral : SendOutcome::Full, now);
+        endSend(m_send->isMisdirected ? SendOutcome::Misdirected : SendOutcome::Full, now);
         sendFailed(false, ResultCode::EndpointRefused, now);
         return;
     }
@@ -586,8 +585,11 @@
         outcome = SendOutcome::Neutral;
     const bool wasSuspended = send.endpoint->isSuspended(now);
     send.endpoint->recordEnd(m_work, outcome, send.hadFirstEvent, now);
-    if (outcome == SendOutcome::Failed && !wasSuspended && send.endpoint->isSuspended(now))
-        logEvent(Event::EndpointSuspected, { { "endpoint", send.endpoint->entry().id.text() } });
+    const bool isSuspect = outcome == SendOutcome::Failed || outcome == SendOutcome::Misdirected;
+    if (isSuspect && !wasSuspended && send.endpoint->isSuspended(now))
+        logEvent(Event::EndpointSuspected,
+            { { "endpoint", send.endpoint->entry().id.text() },
+                { "misdirected", static_cast<int64_t>(outcome == SendOutcome::Misdirected) } });
     if (send.isSent && !send.wasNotExecuted)
         ++m_possibleExecutions;
     if (send.connection)
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -27,6 +27,10 @@
 /// The suspension doubles from the duration of a few answers to that of a restart.
 constexpr Duration minSuspension = std::chrono::milliseconds(400);
 constexpr Duration maxSuspension = std::chrono::seconds(4);
+/// The suspension of an endpoint at whose address another one answers doubles too, to longer times: such an
+/// entry is not expected to become right unless it is written again.
+constexpr Duration minMisdirectedSuspension = std::chrono::seconds(1);
+constexpr Duration maxMisdirectedSuspension = std::chrono::seconds(60);
 /// Suspension of an endpoint that reported that it is at capacity. It has room again once one or two requests
 /// have ended.
 constexpr Duration fullSuspension = std::chrono::milliseconds(60);
@@ -58,6 +62,12 @@
 /// Randomises similar costs, because several daemons decide on the same data.
 constexpr double costJitter = 0.15;
 
+/// The duration doubled that many times, up to the longest one.
+constexpr Duration doubled(Duration duration, int times, Duration longest)
+{
+    return std::min<Duration>(duration * (int64_t { 1 } << std::min(times, 10)), longest);
+}
+
 } // namespace
 
 EndpointState::EndpointState(RoutedEndpoint entry)
@@ -73,6 +83,10 @@
 
 void EndpointState::updateEntry(RoutedEndpoint entry)
 {
+    const bool isElsewhere = entry.host != m_entry.host || entry.port != m_entry.port
+        || entry.startedAtMilliseconds != m_entry.startedAtMilliseconds;
+    if (isElsewhere && std::exchange(m_misdirections, 0) > 0)
+        m_suspendedUntil = {};
     m_entry = std::move(entry);
     m_versionHash = hashOf(m_entry.softwareVersion);
 }
@@ -118,7 +132,7 @@
     case SendOutcome::Succeeded:
         m_failureRate.observe(0);
         m_failuresInRow = 0;
-        m_suspensions = 0;
+        m_suspensions = m_misdirections = 0;
         break;
     case SendOutcome::Failed:
         m_failureRate.observe(1);
@@ -128,11 +142,14 @@
             || (m_failureRate.observations() >= minFailureObservations
                 && m_failureRate.mean() > maxFailureRate)) {
             m_failuresInRow = std::max(m_failuresInRow, failuresToSuspend);
-            const auto pause = minSuspension * (int64_t { 1 } << std::min(m_suspensions, 10));
-            m_suspendedUntil = now + std::min(pause, maxSuspension);
-            ++m_suspensions;
+            m_suspendedUntil = now + doubled(minSuspension, m_suspensions++, maxSuspension);
         }
         break;
+    case SendOutcome::Misdirected:
+        m_failuresInRow = std::max(m_failuresInRow, failuresToSuspend);
+        m_suspendedUntil
+            = now + doubled(minMisdirectedSuspension, m_misdirections++, maxMisdirectedSuspension);
+        break;
     case SendOutcome::Full:
         m_suspendedUntil = std::max(m_suspendedUntil, now + fullSuspension);
         break;
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -117,6 +117,13 @@
         state.versions.update(state.endpointRegistry, bootNow());
     }
 
+    /// Ends the endpoint's suspension; its connections are kept.
+    void relist(const std::string& id, const RawServer& server)
+    {
+        state.endpointRegistry.unlist(EndpointId(id));
+        list(id, server);
+    }
+
     void runUntil(const std::function<bool()>& done)
     {
         constexpr int maxSteps = 2000;
@@ -642,6 +649,21 @@
     EXPECT_EQ(first.requests().size(), 0U);
 }
 
+TEST_F(EdgeRequestTest, EntryAtTheAddressOfAnotherEndpointTookMostRequests)
+{
+    list("another", first);
+    first.setResponder([](const std::string& request) {
+        // The entry looks faster than the endpoint, because nothing is in flight there.
+        const bool isMeant = request.find("X-Expect-Instance: e1\r\n") != std::string::npos;
+        return isMeant ? ScriptedResponse { .bytes = httpResponse(200, "a", signatureFields), .delay = 100ms }
+                       : ScriptedResponse { .bytes = httpResponse(421, "", "X-Instance-Id: e1\r\n") };
+    });
+    constexpr int requests = 12;
+    for (int i = 0; i < requests; ++i)
+        EXPECT_EQ(call("/once/x").status, 200) << i;
+    EXPECT_LE(receivedRequests(), requests + 2U);
+}
+
 TEST_F(EdgeRequestTest, Status503WithoutTheHeaderMayHaveBeenExecuted)
 {
     list("e2", second);
--- a/packages/Edge/unittests/EndpointRegistryTest.cpp
+++ b/packages/Edge/unittests/EndpointRegistryTest.cpp
@@ -55,6 +55,30 @@
     };
 };
 
+TEST_F(EndpointRegistryTest, EntryAtTheAddressOfAnotherEndpointTookMostRequests)
+{
+    // Such an entry looks idle for ever, because nothing is in flight there.
+    endpointRegistry.list(endpointOf("wrong", "a", 100));
+    int sends = 0;
+    for (auto now = TimePoint(1s); now < TimePoint(61s); now += 50ms) {
+        const auto it = endpointRegistry.choose(
+            { .service = service, .work = shortStream, .objectiveAt = now + 800ms }, now);
+        ASSERT_TRUE(it);
+        it->recordSend(shortStream, now);
+        const bool isWrong = it->entry().id.text() == "wrong";
+        sends += isWrong;
+        it->recordEnd(
+            shortStream, isWrong ? SendOutcome::Misdirected : SendOutcome::Succeeded, false, now + 10ms);
+    }
+    EXPECT_LE(sends, 7) << "of 1200";
+    // The endpoint has moved to an address of its own.
+    auto moved = endpointOf("wrong", "a", 100);
+    moved.port = 81;
+    at("wrong").recordEnd(shortStream, SendOutcome::Misdirected, false, TimePoint(61s));
+    endpointRegistry.list(moved);
+    EXPECT_FALSE(at("wrong").isSuspended(TimePoint(61s)));
+}
+
 TEST_F(EndpointRegistryTest, PrefersItsOwnRegionWhileItHasRoom)
 {
     EXPECT_EQ(chosen(), "near");
