Use a connection no longer after an answer without a request id

An endpoint that wrote an earlier refusal once more, while it ran the next request on the same connection, let that request be refused as not run: callers were told to try again, and requests that may run once ran twice.

Cause: an answer without a request id belongs to any request if it is no success, and endpoints that reject a request before they have read it send none.

Change: after such an answer the connection is closed, so that a copy of it never meets another request. An answer with the id of its request keeps the connection.

Measured: AnswerWrittenTwiceWasTakenForThatToTheNextRequest fails before for 503, 421, 500, 502 and 404, and passes.

--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -261,6 +261,9 @@
         m_state.metrics.count("foreign_answers");
         return false;
     }
+    // The endpoint may write such an answer once more, where that to the next request is expected.
+    if (!metadata.isAttributed)
+        m_send->connection->closeAfterResponse();
     m_send->head = head;
     m_send->isGenuine = metadata.isGenuine;
     m_send->isEventStream = m_route->isStream && metadata.isSuccess && metadata.isGenuine;
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -664,6 +664,40 @@
     EXPECT_LE(receivedRequests(), requests + 2U);
 }
 
+TEST_F(EdgeRequestTest, AnswerWrittenTwiceWasTakenForThatToTheNextRequest)
+{
+    // The endpoint writes an answer without a request id once more while it runs the next request.
+    state.endpointRegistry.unlist(EndpointId("e1"));
+    for (const auto& answer :
+        { httpResponse(503, "", "X-Not-Executed: 1\r\n"), httpResponse(421, "", "X-Instance-Id: e2\r\n"),
+            httpResponse(500, "error"), httpResponse(502, "error"), httpResponse(404, "") }) {
+        RawServer endpoint(context);
+        const auto id = fmt::format("e{}", endpoint.port());
+        list(id, endpoint);
+        endpoint.setResponder([&](const std::string&) {
+            const bool isRepeated = endpoint.requests().size() > 1 && endpoint.connections() == 1;
+            const auto served = httpResponse(200, "served", signatureFields);
+            return ScriptedResponse { .bytes = endpoint.requests().size() == 1 ? answer
+                    : isRepeated                                               ? answer + served
+                                                                               : served };
+        });
+        EXPECT_NE(call("/once/x").status, 200);
+        relist(id, endpoint);
+        EXPECT_EQ(call("/once/x").body, "served") << answer;
+        state.endpointRegistry.unlist(EndpointId(id));
+    }
+}
+
+TEST_F(EdgeRequestTest, AnswerWithTheRequestIdKeepsTheConnection)
+{
+    first.script({ .bytes = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: 7\r\n") });
+    first.script({ .bytes = httpResponse(200, "served", signatureFields) });
+    EXPECT_EQ(call("/once/x").status, 503);
+    relist("e1", first);
+    EXPECT_EQ(call("/once/x").status, 200);
+    EXPECT_EQ(first.connections(), 1U);
+}
+
 TEST_F(EdgeRequestTest, Status503WithoutTheHeaderMayHaveBeenExecuted)
 {
     list("e2", second);
--- a/packages/Http/include/lentilbay/Http/ClientConnection.h
+++ b/packages/Http/include/lentilbay/Http/ClientConnection.h
@@ -50,6 +50,8 @@
     void exchange(std::string request, bool isHead, Observer observer);
     /// Closes the connection; the observer is not called any more.
     void close();
+    /// Makes the connection unusable for another exchange.
+    void closeAfterResponse() { m_keepsAlive = false; }
     void pauseReading();
     void resumeReading();
 
