End a resumed stream at an event without an id

An endpoint that goes on with a stream could put the event of an error into it: it was relayed like the others, and the stream ended as if it were whole.

Cause: whatever a successful answer contained between blank lines was relayed.

Change: in an answer that resumes a stream whose events have ids, an event without one, except comments, ends that answer; what comes before it is relayed. Errors with a status, answers without length or chunks, and errors through a peer were kept out before; the tests are new.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -111,13 +111,14 @@
     void handleResponseBody(std::string_view piece);
     /// Keeps a piece of an answer that is not a stream.
     void buffer(std::string_view piece, TimePoint now);
-    /// Breaks off an answer that is longer than it may be.
-    void rejectAnswer(TimePoint now);
+    /// Breaks off an answer that may not be relayed any further, and counts it.
+    void rejectAnswer(std::string_view counter, TimePoint now);
     void handleResponseComplete();
     void completeStream(TimePoint now);
     void completeNonStream(TimePoint now);
     void handleResponseBroken(http::FailurePoint at);
     void relay(std::string_view piece, TimePoint now);
+    void relayEvents(const EventSplitter::Piece& events, TimePoint now);
     void recordAnswerBegun(TimePoint now);
     /// Records that the endpoint broke off its answer.
     void recordBrokenOff(ConnectionLoss loss, TimePoint now);
--- a/packages/Edge/include/lentilbay/Edge/EventSplitter.h
+++ b/packages/Edge/include/lentilbay/Edge/EventSplitter.h
@@ -17,9 +17,13 @@
         /// One or more complete events.
         std::string bytes;
         size_t events = 0;
+        /// An event without an id follows them in an answer that resumes a stream of events with ids: an
+        /// error, for instance.
+        bool isInterrupted = false;
     };
 
-    /// Returns the events that `bytes` completes; empty if there are none.
+    /// Returns the events that `bytes` completes; empty if there are none. After an interruption, the next
+    /// call is beginAnswer().
     Piece feed(std::string_view bytes);
     /// The id of the last complete event that had one.
     const std::optional<std::string>& lastId() const { return m_lastId; }
@@ -27,11 +31,13 @@
     bool hasPartialEvent() const { return !m_partialEvent.empty(); }
     /// Whether the incomplete event is longer than an event may be.
     bool isTooLong() const { return m_partialEvent.size() > maxEventBytes; }
-    /// Drops the incomplete event of the previous answer before a new answer is fed.
-    void discardPartialEvent()
+    /// Prepares for a new answer, which resumes the stream if events were relayed before. Drops the
+    /// incomplete event of the previous answer.
+    void beginAnswer()
     {
         m_partialEvent.clear();
         m_searched = 0;
+        m_requiresIds = m_lastId.has_value();
     }
 
 private:
@@ -39,6 +45,7 @@
     /// The length of the beginning of m_partialEvent that is known to contain no end of an event.
     size_t m_searched = 0;
     std::optional<std::string> m_lastId;
+    bool m_requiresIds = false;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -191,7 +191,7 @@
     m_send->version = endpoint.versionHash();
     m_send->expectedTimeToFirstEvent = endpoint.expectedTimeToFirstEvent(m_work);
     logSend(now);
-    m_events.discardPartialEvent();
+    m_events.beginAnswer();
     const auto self = shared_from_this();
     const bool isHead = m_exchange->request().method == "HEAD";
     m_send->connection->exchange(encodedRequest(now), isHead,
@@ -329,7 +329,7 @@
 void EdgeRequest::buffer(std::string_view piece, TimePoint now)
 {
     if (m_send->body.size() + piece.size() > maxBufferedAnswerBytes || !m_state.mayBuffer(piece.size())) {
-        rejectAnswer(now);
+        rejectAnswer("answers_too_long", now);
         return;
     }
     m_send->body += piece;
@@ -337,9 +337,9 @@
     m_state.bufferedAnswerBytes += piece.size();
 }
 
-void EdgeRequest::rejectAnswer(TimePoint now)
+void EdgeRequest::rejectAnswer(std::string_view counter, TimePoint now)
 {
-    m_state.metrics.count("answers_too_long");
+    m_state.metrics.count(counter);
     // The connection is closed, because it is in the middle of an answer.
     endSend(SendOutcome::Failed, now);
     sendFailed(true, ResultCode::EndpointAnswerInvalid, now);
@@ -349,11 +349,18 @@
 {
     auto events = m_events.feed(piece);
     if (m_events.isTooLong()) {
-        rejectAnswer(now);
+        rejectAnswer("answers_too_long", now);
         return;
     }
-    if (events.events == 0)
-        return;
+    if (events.events > 0)
+        relayEvents(events, now);
+    // What follows is no part of the stream that the caller has begun to read.
+    if (events.isInterrupted && !m_isOver && m_send)
+        rejectAnswer("resumed_streams_interrupted", now);
+}
+
+void EdgeRequest::relayEvents(const EventSplitter::Piece& events, TimePoint now)
+{
     auto& endpoint = *m_send->endpoint;
     if (!m_send->hadFirstEvent) {
         m_send->hadFirstEvent = true;
--- a/packages/Edge/lib/EventSplitter.cpp
+++ b/packages/Edge/lib/EventSplitter.cpp
@@ -27,6 +27,19 @@
     return std::nullopt;
 }
 
+/// Whether the event consists of comments, which some servers send to keep a connection open.
+bool isComment(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto end = event.find('\n');
+        const auto line = event.substr(0, end);
+        event = end == std::string_view::npos ? std::string_view() : event.substr(end + 1);
+        if (!line.empty() && line != "\r" && !line.starts_with(':'))
+            return false;
+    }
+    return true;
+}
+
 /// Whether an event was already relayed: a resumed answer may start with events that the caller has.
 bool isDuplicate(const std::optional<std::string>& id, const std::optional<std::string>& lastId)
 {
@@ -64,6 +77,10 @@
         auto id = idOf(event);
         if (isDuplicate(id, m_lastId))
             continue;
+        if (!id && m_requiresIds && !isComment(event)) {
+            out.isInterrupted = true;
+            break;
+        }
         if (id)
             m_lastId = std::move(id);
         out.bytes += event;
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -698,6 +698,41 @@
     EXPECT_EQ(first.connections(), 1U);
 }
 
+TEST_F(EdgeRequestTest, ErrorOfTheNextEndpointAppearedInAResumedStream)
+{
+    using enum ScriptedResponse::Then;
+    const std::string head = "HTTP/1.1 200 OK\r\n" + signatureFields;
+    const std::string id = "X-Request-Id: 7\r\n";
+    const ScriptedResponse errors[] = { { .bytes = httpResponse(500, "error\n\n", signatureFields) },
+        { .bytes = httpResponse(404, "error\n\n", signatureFields) },
+        { .bytes = httpResponse(503, "error\n\n", "X-Not-Executed: 1\r\n") },
+        { .bytes = httpResponse(200, "error\n\n", signatureFields) },
+        { .bytes = httpResponse(200, "event: error\ndata: error\n\n", signatureFields) },
+        { .bytes = streamAnswer({ "event: error\ndata: error\n\n" }) },
+        { .bytes = head + "\r\nerror\n\n", .then = Close },
+        { .bytes = head + "\r\ndata: error\n\n", .then = Close },
+        { .bytes = "HTTP/1.1 500 Error\r\n" + id + "\r\nerror\n\n", .then = Close } };
+    for (const auto& error : errors) {
+        state.endpointRegistry.unlist(EndpointId("e1"));
+        state.endpointRegistry.unlist(EndpointId("e2"));
+        list("e1", first);
+        list("e2", second);
+        const auto before = receivedRequests();
+        for (auto* it : { &first, &second })
+            it->setResponder([&](const std::string&) {
+                return receivedRequests() == before + 1
+                    ? ScriptedResponse { .bytes = streamAnswer({ eventOf(1), eventOf(2) }, false),
+                          .then = Close }
+                    : error;
+            });
+        const auto answer = call("/stream/x");
+        EXPECT_EQ(receivedRequests(), before + 2);
+        EXPECT_EQ(answer.body, eventOf(1) + eventOf(2)) << error.bytes;
+        EXPECT_TRUE(answer.isBroken) << error.bytes;
+        EXPECT_FALSE(answer.isWhole) << error.bytes;
+    }
+}
+
 TEST_F(EdgeRequestTest, Status503WithoutTheHeaderMayHaveBeenExecuted)
 {
     list("e2", second);
@@ -1000,6 +1035,21 @@
     EXPECT_NE(farPeer.requests()[0].find(field), std::string::npos);
 }
 
+TEST_F(PartitionedDaemonTest, ErrorOfTheNextPeerAppearedInAResumedStream)
+{
+    auto begun = streamAnswer({ eventOf(1) }, false);
+    begun.insert(begun.find("Content-Type"), fmt::format("Lentilbay-Software-Version: {:x}\r\n", hashOf("")));
+    for (const auto& error : { httpResponse(500, "error\n\n", signatureFields),
+             httpResponse(502, "LB-5002\n\n"), streamAnswer({ "event: error\ndata: error\n\n" }) }) {
+        nearPeer.script({ .bytes = begun, .then = ScriptedResponse::Then::Close });
+        farPeer.script({ .bytes = error });
+        const auto answer = call("/stream/x");
+        EXPECT_EQ(answer.body, eventOf(1)) << error;
+        EXPECT_TRUE(answer.isBroken) << error;
+    }
+    EXPECT_EQ(farPeer.requests().size(), 3U);
+}
+
 TEST_F(PartitionedDaemonTest, PeerThatDidNotExecuteTheRequestIsFollowedByAnother)
 {
     nearPeer.script({ .bytes = httpResponse(503, "", "Lentilbay-Not-Executed: 1\r\nRetry-After: 2\r\n") });
--- a/packages/Edge/unittests/EventSplitterTest.cpp
+++ b/packages/Edge/unittests/EventSplitterTest.cpp
@@ -40,7 +40,7 @@
     EXPECT_EQ(splitter.feed(eventOf(1) + "id: 2\nda").bytes, eventOf(1));
     EXPECT_TRUE(splitter.hasPartialEvent());
     EXPECT_EQ(splitter.lastId(), "1");
-    splitter.discardPartialEvent();
+    splitter.beginAnswer();
     EXPECT_EQ(splitter.feed(eventOf(2)).bytes, eventOf(2));
 }
 
@@ -61,6 +61,22 @@
     EXPECT_EQ(splitter.lastId(), "4");
 }
 
+TEST(EventSplitter, ErrorEventInAResumedStreamWasRelayed)
+{
+    EventSplitter splitter;
+    splitter.feed(eventOf(1));
+    splitter.beginAnswer();
+    const std::string error = "event: error\ndata: overloaded\n\n";
+    const auto piece = splitter.feed(": keep-alive\n\n" + eventOf(2) + error + eventOf(3));
+    EXPECT_EQ(piece.bytes, ": keep-alive\n\n" + eventOf(2));
+    EXPECT_TRUE(piece.isInterrupted);
+    EXPECT_EQ(splitter.lastId(), "2");
+    splitter.beginAnswer();
+    const auto rest = splitter.feed(eventOf(3));
+    EXPECT_EQ(rest.bytes, eventOf(3));
+    EXPECT_FALSE(rest.isInterrupted);
+}
+
 TEST(EventSplitter, FindsAnEventThatArrivesByteByByte)
 {
     EventSplitter splitter;
