Measure the delay of the event loop, and bound calls to peers

The record of a daemon that answers late does not show whether its event loop is behind: the gauge event_loop_delay_seconds is how late the latest periodic task ran. A peer that sends its configuration in ever smaller pieces is given up after 20 s.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -172,8 +172,11 @@
     bool m_isConfigurationInvalid = false;
     /// The call to a peer for its configuration, if one is in progress.
     std::shared_ptr<http::ClientConnection> m_configurationCall;
+    TimePoint m_configurationCallStartedAt {};
     /// When that call began, or when the latest bytes of its answer arrived.
     TimePoint m_configurationCallActiveAt {};
+    /// How late the latest periodic task ran.
+    Duration m_eventLoopDelay {};
     StoreWriter m_sharedRowWriter;
     /// The shared rows in the store, as far as known to this daemon, by key.
     std::map<std::string, std::string> m_sharedRows;
--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -17,6 +17,8 @@
 constexpr Duration connectTimeout = std::chrono::milliseconds(400);
 /// A peer that sends nothing for this long is given up.
 constexpr Duration maxAnswerPause = std::chrono::milliseconds(800);
+/// Bounds a call to a peer whose answer arrives in ever smaller pieces.
+constexpr Duration maxCallDuration = std::chrono::seconds(20);
 /// A version that a peer reports was acknowledged at most this long before: the peer has read it, and its
 /// report has arrived. A daemon that is behind has so much less than the bound to put it in force.
 constexpr Duration reportDelay = std::chrono::milliseconds(1500);
@@ -86,7 +88,8 @@
 
 bool EdgeDaemon::isReceivingFromPeer(TimePoint now) const
 {
-    return m_configurationCall && now - m_configurationCallActiveAt < maxAnswerPause;
+    return m_configurationCall && now - m_configurationCallActiveAt < maxAnswerPause
+        && now - m_configurationCallStartedAt < maxCallDuration;
 }
 
 void EdgeDaemon::readConfigurationFrom(const std::string& daemon, TimePoint now)
@@ -101,7 +104,7 @@
     if (m_configurationCall)
         m_configurationCall->close();
     m_configurationCall = std::make_shared<http::ClientConnection>(m_context);
-    m_configurationCallActiveAt = now;
+    m_configurationCallStartedAt = m_configurationCallActiveAt = now;
     m_state.metrics.count("configuration_calls_to_peers");
     m_configurationCall->connect(
         { host, peer->second.port }, connectTimeout, [this, daemon](bool isConnected) {
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -209,6 +209,8 @@
     timer.async_wait([this, &timer, period, action = std::move(action)](std::error_code ec) mutable {
         if (ec)
             return;
+        m_eventLoopDelay
+            = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - timer.expiry());
         action();
         schedulePeriodic(timer, period, std::move(action));
     });
@@ -457,7 +459,7 @@
         { "stream_origin_store_calls", number(m_state.streamOrigins.calls()) },
         { "stream_origin_store_calls_failed", number(m_state.streamOrigins.failures()) },
         { "stream_origins_unwritten", number(m_state.streamOrigins.unwritten()) },
-        { "store_era", number(m_storeEra) },
+        { "store_era", number(m_storeEra) }, { "event_loop_delay_seconds", toSeconds(m_eventLoopDelay) },
         { "link_state", number(static_cast<int>(m_state.links.state())) },
         { "relays", number(m_state.relays.size()) },
         { "crash_triggers_blocked", number(m_state.crashes.blockedTriggers()) },
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -950,6 +950,57 @@
     connection->close();
 }
 
+TEST_F(EdgeRequestTest, EndpointThatSendsBytesButNoCompleteEventIsStalled)
+{
+    // Bytes of an event arrive all the time, but the event never ends.
+    const auto bytes = streamAnswer({ eventOf(1), "id: 2\ndata: " + std::string(10'000, 'x') });
+    const auto begin = streamAnswer({ eventOf(1) }, false).size();
+    first.setResponder([&](const std::string&) {
+        return ScriptedResponse { .bytes = bytes, .pieceBytes = begin, .pieceDelay = 100ms };
+    });
+    CallerAnswer answer;
+    const auto connection = send("/stream/x", answer);
+    runUntil([&] { return answer.body == eventOf(1); });
+    list("e2", second);
+    second.script({ .bytes = streamAnswer({ eventOf(2) }) });
+    runUntil([&] {
+        for (const auto& [number, request] : std::unordered_map(state.requests))
+            request->checkProgress(bootNow());
+        return answer.hasEnded();
+    });
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(answer.body, eventOf(1) + eventOf(2));
+    connection->close();
+}
+
+TEST_F(EdgeRequestTest, SlowStreamIsNotCut)
+{
+    list("e2", second);
+    const auto bytes = streamAnswer({ eventOf(1), eventOf(2), eventOf(3), eventOf(4) });
+    const auto event = bytes.size() - streamAnswer({ eventOf(1), eventOf(2), eventOf(3) }).size();
+    first.setResponder([&](const std::string&) {
+        return ScriptedResponse {
+            .bytes = bytes, .pieceBytes = bytes.size() - 3 * event, .pieceDelay = 600ms
+        };
+    });
+    second.setResponder([](const std::string&) { return ScriptedResponse { .bytes = "", .delay = 10s }; });
+    state.endpointRegistry.updatePeerLoads(
+        "peer", { { .endpoint = hashOf("e2"), .inFlight = 4 } }, bootNow());
+    CallerAnswer answer;
+    const auto connection = send("/stream/x", answer);
+    runUntil([&] { return answer.body == eventOf(1); });
+    state.endpointRegistry.updatePeerLoads("peer", {}, bootNow());
+    runUntil([&] {
+        for (const auto& [number, request] : std::unordered_map(state.requests))
+            request->checkProgress(bootNow());
+        return answer.hasEnded();
+    });
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(answer.body, eventOf(1) + eventOf(2) + eventOf(3) + eventOf(4));
+    EXPECT_EQ(second.requests().size(), 0U);
+    connection->close();
+}
+
 TEST_F(EdgeRequestTest, RefusesNewRequestsLateInAShutdown)
 {
     state.stopRequestedAt = bootNow() - 3s;
