--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <openssl/evp.h>
+#include <thread>
 
 namespace lentilbay::edge {
 namespace {
@@ -222,6 +223,37 @@
     EXPECT_TRUE(answer.headers.contains("Retry-After"));
 }
 
+TEST_F(EdgeRequestTest, OldVersionServedRequestsAlthoughANewerOneWasKnown)
+{
+    state.isConfigurationOutdated = true;
+    const auto refused = call("/once/x");
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_TRUE(refused.body.starts_with("LB-3014")) << refused.body;
+    EXPECT_TRUE(refused.headers.contains("Retry-After"));
+    EXPECT_EQ(receivedRequests(), 0U);
+    state.isConfigurationOutdated = false;
+    first.script({ .bytes = httpResponse(200, "a", signatureFields) });
+    EXPECT_EQ(call("/once/x").status, 200);
+}
+
+TEST_F(EdgeRequestTest, WaitingRequestOfACallerThatHadLeftWasSent)
+{
+    state.endpointRegistry.updatePeerLoads(
+        "peer", { { .endpoint = hashOf("e1"), .inFlight = 4 } }, bootNow());
+    CallerAnswer answer;
+    const auto connection = send("/safe/x", answer);
+    runUntil([&] { return state.queue.size() == 1; });
+    // A slot becomes free before the event loop comes to the end of the caller's connection.
+    std::this_thread::sleep_for(150ms);
+    connection->close();
+    state.endpointRegistry.updatePeerLoads("peer", {}, bootNow());
+    state.dispatchWaiting(bootNow());
+    EXPECT_TRUE(state.requests.empty());
+    context.run_for(50ms);
+    context.restart();
+    EXPECT_EQ(receivedRequests(), 0U);
+}
+
 TEST_F(EdgeRequestTest, RefusesKeyedRequestsBeforeARevokedKeyCouldBeUsed)
 {
     state.routesConfirmedAt = bootNow() - 4700ms;
