--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -10,13 +10,14 @@
 links to the endpoints serve their clients beside the others; endpoints that fail when they reject requests fail rarely,
 and nobody's requests are blamed for it; a request is not sent a second time while its endpoint is silent for a second;
 requests of clients that have left reach no endpoint, also if the daemon gets no processor time meanwhile; a configuration
-of many routes is in force in time over links of little bandwidth.
+of many routes is in force in time over links of little bandwidth; what another writer adds to the endpoints' entries, and
+rejections that an endpoint writes twice, harm nobody.
 All of that holds also after the store came back from an older copy, and at daemons that start before the operator has
 written again what the store has lost.
 
     soak.py --daemon build/bin/lentilbayd [--seed N] [--seconds S] [--runs N] [--daemons N] [--endpoints N]
         [--applications N] [--clients N] [--streams N] [--leavers N] [--links] [--faults KIND,...]
-        [--link-modes MODE,...] [--config-seconds S] [--other-daemon BINARY]
+        [--link-modes MODE,...] [--config-seconds S] [--work S] [--other-daemon BINARY]
 
 With --other-daemon, a build of an earlier commit, all daemons begin with that build, and the fault "upgrade" replaces one
 by the other of the two builds, in either direction. All checks hold meanwhile.
@@ -76,6 +77,13 @@
 LEAVE_SECONDS = 0.4
 LEFT_SECONDS = 0.5
 MOST_LATE_SENDS = 3
+# "rejection" lets an endpoint write rejections twice; "entry" lets another writer add entries to those of the endpoints:
+# unreadable ones, and some at the address of an endpoint that serves.
+WRITER_FAULT_KINDS = ["rejection", "entry"]
+# The share of requests that clients are served in spite of such entries, if nothing else goes wrong, and the share that
+# is sent to such an address.
+SERVED_SHARE_BESIDE_ENTRIES = 0.9
+MISDIRECTED_SHARE = 0.05
 # "upgrade" replaces a daemon by one of the other build.
 BUILD_FAULT_KINDS = ["upgrade"]
 # "partition" takes the links to all endpoints from some daemons; needs --links.
@@ -153,7 +161,7 @@
         self.stopping = False
         self.contact_seconds = CONTACT_SECONDS
         self.config_seconds = options.config_seconds
-        self.leavers = options.leavers
+        self.leavers, self.work = options.leavers, options.work
         # When the client of a request left, by request.
         self.abandoned: dict = {}
         # Routes that no client uses.
@@ -203,7 +211,7 @@
 
     def create_endpoint(self, name: str, service: str, version: str) -> Endpoint:
         endpoint = Endpoint(name, service, self.executions, self.rng)
-        endpoint.version = version
+        endpoint.version, endpoint.work = version, self.work
         endpoint.crashing_parts, endpoint.crashed_by = self.prompts.crashing_parts, self.prompts.engine_crashed
         endpoint.crashing_bodies = self.prompts.crashing_bodies
         return endpoint
@@ -529,6 +537,13 @@
             self.is_growing = True
             await self.grow()
             self.is_growing = False
+        elif kind == "rejection":
+            endpoint = self.rng.choice(self.endpoints)
+            endpoint.repeats_rejections = True
+            await asyncio.sleep(duration)
+            endpoint.repeats_rejections = False
+        elif kind == "entry":
+            await self.add_odd_entry(self.rng.uniform(3.0, 8.0))
         elif kind == "organisation":
             await self.add_organisation(self.rng.uniform(3.0, 10.0))
         elif kind == "revoke" and self.keys["key-revoked"]:
@@ -602,6 +617,17 @@
         for link in links:
             link.bandwidth = None
 
+    async def add_odd_entry(self, seconds: float) -> None:
+        """Another writer adds an entry to those of the endpoints."""
+        name = f"odd-{self.rng.getrandbits(32):08x}"
+        n = self.rng.randrange(len(self.endpoints))
+        sound = self.endpoints[n].row(self.address_of(n)) | {"Slots": 40}
+        odd = [sound, sound, sound | {"Addr": f"{self.network}.40:70000"}, sound | {"Slots": 10 ** 20},
+               sound | {"State": ["ready"]}, "[" * 200_000, '{"Slots":1e999}', "not JSON"]
+        await self.store.put("servers", name, self.rng.choice(odd))
+        await asyncio.sleep(seconds)
+        await self.store.put("servers", name, None)
+
     async def revoke(self, key: str) -> None:
         self.keys[key] = False
         await self.configure()
@@ -823,6 +849,17 @@
             self.add_finding("GONE", f"{len(late)} of {len(self.abandoned)} requests were sent on after their clients "
                              f"had left, up to {max(seconds for _, seconds in late):.1f} s later")
 
+    def check_odd_entries(self) -> None:
+        if set(self.fault_kinds) != {"entry"}:
+            return
+        served = sum(is_served for *_, is_served in self.attempts)
+        if served < SERVED_SHARE_BESIDE_ENTRIES * len(self.attempts):
+            self.add_finding("LOST", f"{served} of {len(self.attempts)} requests were served beside odd entries")
+        misdirected = sum(it.misdirected for it in self.endpoints)
+        if misdirected > MISDIRECTED_SHARE * len(self.attempts):
+            self.add_finding("BUDGET", f"{misdirected} of {len(self.attempts)} requests were sent to the address of "
+                             f"another endpoint")
+
     def check_silences(self) -> None:
         """Checks that requests at an endpoint that is silent for about a second are not sent a second time."""
         for request, executions in self.executions.items():
@@ -885,6 +922,7 @@
         self.check_brittle()
         self.check_silences()
         self.check_abandoned()
+        self.check_odd_entries()
         self.prompts.check()
         outcomes = self.counts.get("calm", {})
         total = sum(outcomes.values())
@@ -930,13 +968,14 @@
     parser.add_argument("--runs", type=int, default=1, help="number of consecutive seeds to run")
     parser.add_argument("--faults", default=",".join(FAULT_KINDS),
                         help=f"kinds of faults, drawn with equal probability; also "
-                             f"{', '.join(CRASH_FAULT_KINDS + CONFIGURATION_FAULT_KINDS + LINK_FAULT_KINDS + LOAD_FAULT_KINDS + SCARCITY_FAULT_KINDS + STREAM_FAULT_KINDS + BUILD_FAULT_KINDS)}")
+                             f"{', '.join(CRASH_FAULT_KINDS + CONFIGURATION_FAULT_KINDS + LINK_FAULT_KINDS + LOAD_FAULT_KINDS + SCARCITY_FAULT_KINDS + WRITER_FAULT_KINDS + STREAM_FAULT_KINDS + BUILD_FAULT_KINDS)}")
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--endpoints", type=int, default=5, help="applications and engines")
     parser.add_argument("--applications", type=int, default=2, help="how many of the endpoints are applications")
     parser.add_argument("--clients", type=int, default=12, help="clients that send short requests")
     parser.add_argument("--streams", type=int, default=0, help="clients that send long streams with prompts")
     parser.add_argument("--leavers", type=int, default=0, help="clients that leave if an answer takes too long")
+    parser.add_argument("--work", type=float, default=0.05, help="longest time in seconds of a short request")
     parser.add_argument("--config-seconds", type=float, default=CONFIG_SECONDS,
                         help="seconds within which a configuration has to be in force")
     parser.add_argument("--links", action="store_true", help="give each daemon links of its own to the endpoints")
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -206,10 +206,18 @@
         # whose answer stated a limit, as (time, request).
         self.limit: float | None = None
         self.leaving = False
+        # The longest time in seconds that it works on a request which is answered at once.
+        self.work = 0.05
+        # The requests that were meant for another endpoint.
+        self.misdirected = 0
         # Seconds for which the endpoint wants no requests from a daemon that it rejects; the rejections as (time,
         # request, seconds).
         self.retry_after: float | None = None
         self.rejections: list = []
+        # The endpoint rejects some requests without a request id, and writes such a rejection once more on its connection
+        # when it runs the next request; the rejections by connection.
+        self.repeats_rejections = False
+        self.written_rejections: dict = {}
         # The rejections in a second beyond which the endpoint fails, when it stated this first, what to call when it
         # fails, and when it rejected requests.
         self.brittle: int | None = None
@@ -250,6 +258,7 @@
         await self.wait_for_voice()
         request = headers.get("x-request-id", "")
         if headers.get("x-expect-instance") != self.name:
+            self.misdirected += 1
             writer.write(build_response(421, b"", {"X-Instance-Id": self.name}))
             return
         self.arrivals.append((time.monotonic(), request))
@@ -265,6 +274,12 @@
         if self.brittle is not None:
             await self.respond_brittle(request, headers, target, body, writer)
             return
+        if self.repeats_rejections and self.rng.random() < self.REJECTED_IN_NEED:
+            self.written_rejections[writer] = build_response(503, b"", {"X-Not-Executed": "1"})
+            writer.write(self.written_rejections[writer])
+            return
+        if rejection := self.written_rejections.pop(writer, None):
+            writer.write(rejection)
         await self.execute(request, headers, target, body, writer)
 
     async def respond_brittle(self, request, headers, target, body, writer) -> None:
@@ -297,7 +312,7 @@
             return
         signature_headers = {"X-Request-Id": request, "X-Served-By-Sig": f"{self.name}.{request}"}
         if "/stream/" not in target and "/long/" not in target:
-            await asyncio.sleep(self.rng.uniform(0.005, 0.05))
+            await asyncio.sleep(self.rng.uniform(0.1, 1.0) * self.work)
             await self.wait_for_voice()
             signature_headers |= self.own_headers(request)
             writer.write(build_response(200, b"done:" + request.encode() + body, signature_headers))
