Refuse requests while a newer configuration arrives late and no peer is heard

Over a full link a daemon hears no reports of its peers, so it does not know that it is behind, and served by the old version while the new one arrived.

Cause: only what peers report counted as evidence of a newer version.

A store that does not answer at all is no such evidence. ConfigurationCatchUp decides both.

Measured: OldVersionStayedInUseWhileTheNewOneArrived.

--- a/packages/Edge/include/lentilbay/Edge/ConfigurationCatchUp.h
+++ b/packages/Edge/include/lentilbay/Edge/ConfigurationCatchUp.h
@@ -38,6 +38,11 @@
     /// For how long a peer has been known to have a newer version in force than this daemon; zero if none
     /// has.
     Duration behindFor(uint64_t ownVersion, TimePoint now) const;
+    /// Whether requests must not be served by a view of this age any more, because a newer version exists:
+    /// peers have it, or no peer is heard and an answer of the store has been arriving for long, which one
+    /// without changes does not. `bound` is the time within which a configuration must be in force.
+    bool isOutdated(
+        uint64_t ownVersion, Duration viewAge, bool isArriving, Duration bound, TimePoint now) const;
     /// The newest version that a peer has reported; 0 if there is none.
     uint64_t newestKnown() const { return m_newestKnown; }
 
--- a/packages/Edge/lib/ConfigurationCatchUp.cpp
+++ b/packages/Edge/lib/ConfigurationCatchUp.cpp
@@ -18,6 +18,13 @@
 /// How long a daemon that starts waits for the first report of a peer: the other daemons are read from the
 /// store, and each side sends a heartbeat.
 constexpr Duration firstReportTimeout = std::chrono::milliseconds(1200);
+/// A version that a peer reports was acknowledged at most this long before: the peer has read it, and its
+/// report has arrived. A daemon that is behind has so much less than the bound to put it in force.
+constexpr Duration reportDelay = std::chrono::milliseconds(1500);
+/// A daemon that is behind for less serves on: in this time it reads most changes.
+constexpr Duration minBehindToRefuse = std::chrono::milliseconds(1200);
+/// While an answer arrives, a view serves until this long before the bound.
+constexpr Duration viewAgeMargin = std::chrono::milliseconds(500);
 /// How long it waits for a newer configuration that a peer has reported.
 constexpr Duration catchUpTimeout = std::chrono::seconds(3);
 
@@ -56,6 +63,16 @@
     return out;
 }
 
+bool ConfigurationCatchUp::isOutdated(
+    uint64_t ownVersion, Duration viewAge, bool isArriving, Duration bound, TimePoint now) const
+{
+    const bool isBehind
+        = behindFor(ownVersion, now) > std::max<Duration>(minBehindToRefuse, bound - reportDelay);
+    const bool hearsPeers = std::ranges::any_of(
+        m_peers, [&](const auto& it) { return now - it.second.heardAt <= reportLifetime; });
+    return isBehind || (isArriving && !hearsPeers && viewAge > bound - viewAgeMargin);
+}
+
 bool ConfigurationCatchUp::isSettled(uint64_t ownVersion, TimePoint now)
 {
     if (m_isSettled || !m_readAt)
--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -19,11 +19,6 @@
 constexpr Duration maxAnswerPause = std::chrono::milliseconds(800);
 /// Bounds a call to a peer whose answer arrives in ever smaller pieces.
 constexpr Duration maxCallDuration = std::chrono::seconds(20);
-/// A version that a peer reports was acknowledged at most this long before: the peer has read it, and its
-/// report has arrived. A daemon that is behind has so much less than the bound to put it in force.
-constexpr Duration reportDelay = std::chrono::milliseconds(1500);
-/// A daemon that is behind for less serves on: in this time it reads most changes.
-constexpr Duration minBehindToRefuse = std::chrono::milliseconds(1200);
 
 } // namespace
 
@@ -74,16 +69,17 @@
 
 void EdgeDaemon::updateOutdated(uint64_t version, TimePoint now)
 {
-    const auto tolerated
-        = std::max<Duration>(minBehindToRefuse, m_state.settings.bounds.configurationAge - reportDelay);
+    const bool isArriving = m_configurationFollower->isReceiving(now);
     // A newer version that cannot be decoded is not waited for.
-    const bool isOutdated = !m_isConfigurationInvalid && m_catchUp.behindFor(version, now) > tolerated;
+    const bool isOutdated = !m_isConfigurationInvalid
+        && m_catchUp.isOutdated(version, m_state.routesAge(now).value_or(Duration::zero()), isArriving,
+            m_state.settings.bounds.configurationAge, now);
     if (std::exchange(m_state.isConfigurationOutdated, isOutdated) == isOutdated)
         return;
     logEvent(isOutdated ? Event::DaemonFenced : Event::DaemonUnfenced,
         { { "version", static_cast<int64_t>(version) },
             { "known", static_cast<int64_t>(m_catchUp.newestKnown()) },
-            { "reading", static_cast<int64_t>(m_configurationFollower->isReceiving(now)) } });
+            { "reading", static_cast<int64_t>(isArriving) } });
 }
 
 bool EdgeDaemon::isReceivingFromPeer(TimePoint now) const
--- a/packages/Edge/unittests/ConfigurationCatchUpTest.cpp
+++ b/packages/Edge/unittests/ConfigurationCatchUpTest.cpp
@@ -96,6 +96,23 @@
     EXPECT_EQ(it.behindFor(4, start + 5s), 4s);
     EXPECT_EQ(it.behindFor(7, start + 5s), 0s);
     EXPECT_EQ(it.behindFor(4, start + 40s), 0s) << "no peer has reported it for long";
+    EXPECT_FALSE(it.isOutdated(4, 0s, false, 4s, start + 3400ms));
+    EXPECT_TRUE(it.isOutdated(4, 0s, false, 4s, start + 3600ms));
+    EXPECT_FALSE(it.isOutdated(7, 0s, false, 4s, start + 3600ms));
+    EXPECT_FALSE(it.isOutdated(4, 0s, false, 2500ms, start + 2100ms));
+    EXPECT_TRUE(it.isOutdated(4, 0s, false, 2500ms, start + 2300ms));
+}
+
+TEST(ConfigurationCatchUp, OldVersionStayedInUseWhileTheNewOneArrived)
+{
+    // A busy link delivers no reports of peers either.
+    ConfigurationCatchUp it(true);
+    EXPECT_FALSE(it.isOutdated(4, 3400ms, true, 4s, start));
+    EXPECT_TRUE(it.isOutdated(4, 3600ms, true, 4s, start));
+    EXPECT_FALSE(it.isOutdated(4, 60s, false, 4s, start)) << "the store is away, and nothing newer is known";
+    it.recordPeer("b", 4, start);
+    EXPECT_FALSE(it.isOutdated(4, 3600ms, true, 4s, start + 1s)) << "no peer has a newer one";
+    EXPECT_TRUE(it.isOutdated(4, 3600ms, true, 4s, start + 3s));
 }
 
 } // namespace
