Answer clients that have closed their sending side

A client that closed its sending side after its request and read on got no answer; neither did one on whose request an endpoint was still working.

Cause: since the end of a client's input is taken for its departure before the request is handled and before it is sent, and it was before while a request was open. It shows only that nothing more is sent. What shows a departure is that the client resets the connection when something is sent to it.

Change: at the end of the input the protocol version, with which each response begins, is sent at once. A client that has closed its connection resets it; one that has not done so within 50 ms stays, and its request is handled or sent then. An answer that has begun needs no such test.

--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -172,6 +172,14 @@
         handleTimeout();
         return;
     }
+    if (m_exchange->isClientUncertain()) {
+        m_exchange->onClientStays([self = shared_from_this(), connection = m_send->connection] {
+            // The endpoint may have left meanwhile.
+            if (!self->m_isOver && self->m_send && self->m_send->connection == connection)
+                self->connected(connection, bootNow());
+        });
+        return;
+    }
     switch (m_state.crashes.judge(m_attributed, now)) {
     case CrashAttribution::Verdict::Blocked:
         endSend(SendOutcome::Neutral, now);
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -6,7 +6,9 @@
 #include "lentilbay/Support/Hash.h"
 #include "lentilbay/Support/SteadyClock.h"
 
+#include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <openssl/evp.h>
@@ -254,6 +256,30 @@
     EXPECT_EQ(receivedRequests(), 0U);
 }
 
+TEST_F(EdgeRequestTest, RequestOfACallerThatClosedItsSendingSideWasNotAnswered)
+{
+    first.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = httpResponse(200, "a", signatureFields) };
+    });
+    asio::ip::tcp::socket caller(context);
+    caller.connect({ asio::ip::make_address("127.0.0.1"), front->port() });
+    asio::write(caller,
+        asio::buffer(std::string(
+            "GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 7\r\nAuthorization: Token k\r\n\r\n")));
+    // The end of the input is noticed right before the request is sent to the endpoint.
+    afterAdmission = [&] {
+        std::this_thread::sleep_for(150ms);
+        caller.shutdown(asio::ip::tcp::socket::shutdown_send);
+    };
+    runUntil([&] { return receivedRequests() == 1; });
+    runUntil([&] { return front->connections() == 0; });
+    std::string received;
+    std::error_code ec;
+    asio::read(caller, asio::dynamic_buffer(received), ec);
+    EXPECT_TRUE(received.starts_with("HTTP/1.1 200 ")) << received;
+    EXPECT_TRUE(received.ends_with("\r\n\r\na")) << received;
+}
+
 TEST_F(EdgeRequestTest, RefusesKeyedRequestsBeforeARevokedKeyCouldBeUsed)
 {
     state.routesConfirmedAt = bootNow() - 4700ms;
--- a/packages/Http/include/lentilbay/Http/Server.h
+++ b/packages/Http/include/lentilbay/Http/Server.h
@@ -41,6 +41,10 @@
     /// Notices a disconnect that has reached this host although the event loop has not come to it yet. The
     /// callback of onClientDisconnect() may be called.
     void detectDisconnect(TimePoint now);
+    /// Whether the client has closed its sending side and is about to show whether it still reads. Afterwards
+    /// the callback of onClientDisconnect() or of onClientStays() is called.
+    bool isClientUncertain() const;
+    void onClientStays(std::function<void()> callback) { m_clientStays = std::move(callback); }
     /// Called when the send buffer is empty again after a write that could not complete immediately.
     void onDrained(std::function<void()> callback) { m_drained = std::move(callback); }
 
@@ -65,6 +69,7 @@
     HttpRequest m_request;
     TimePoint m_arrivedAt;
     std::function<void()> m_clientDisconnected;
+    std::function<void()> m_clientStays;
     std::function<void()> m_drained;
     bool m_hasBegun = false;
     bool m_isDone = false;
--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -7,6 +7,7 @@
 
 #include <asio/buffer.hpp>
 #include <fmt/format.h>
+#include <poll.h>
 
 namespace lentilbay::http {
 namespace {
@@ -19,6 +20,10 @@
 constexpr int maxReadsInARow = 16;
 /// A connection that was read this recently is not read again to find out whether its client has left.
 constexpr Duration maxReadAge = std::chrono::milliseconds(100);
+/// A client that has closed its connection resets it within this time once it is sent something.
+constexpr Duration resetTimeout = std::chrono::milliseconds(50);
+/// The beginning of each response.
+constexpr std::string_view protocolVersion = "HTTP/1.1 ";
 /// How long a closing connection waits for the client to close its side.
 constexpr Duration lingerTimeout = std::chrono::seconds(1);
 /// Connections accepted in a row. A busy event loop comes to the listening socket rarely, and connections
@@ -92,6 +97,8 @@
         connection->detectDisconnect(now);
 }
 
+bool Exchange::isClientUncertain() const { return m_connection && m_connection->isClientUncertain(); }
+
 size_t Exchange::unsentBytes() const { return m_connection ? m_connection->unsentBytes() : 0; }
 
 ServerConnection::ServerConnection(HttpServer& server, ip::tcp::socket socket)
@@ -114,7 +121,7 @@
 
 void ServerConnection::awaitReadable()
 {
-    if (m_isReading || m_isClosed || m_unparsed.size() > maxUnparsedBytes)
+    if (m_isReading || m_isClosed || m_hasInputEnded || m_unparsed.size() > maxUnparsedBytes)
         return;
     m_isReading = true;
     m_socket.async_wait(ip::tcp::socket::wait_read, [self = shared_from_this()](std::error_code ec) {
@@ -134,6 +141,8 @@
 
 void ServerConnection::readAvailable(TimePoint now)
 {
+    if (m_hasInputEnded)
+        return;
     m_readAt = now;
     for (int i = 0; i < maxReadsInARow && m_unparsed.size() <= maxUnparsedBytes; ++i) {
         auto& buffer = readBuffer();
@@ -141,7 +150,11 @@
         const size_t n = m_socket.read_some(asio::buffer(buffer), ec);
         if (ec == asio::error::would_block || ec == asio::error::try_again)
             return;
-        if (ec || n == 0) {
+        if (ec == asio::error::eof) {
+            handleEndOfInput();
+            return;
+        }
+        if (ec) {
             close();
             return;
         }
@@ -159,14 +172,74 @@
     }
 }
 
+void ServerConnection::handleEndOfInput()
+{
+    m_hasInputEnded = true;
+    const bool hasRequest = m_exchange || m_parser.isComplete() || !m_unparsed.empty();
+    if (m_isClosing || !hasRequest) {
+        close();
+        return;
+    }
+    awaitReset();
+    // A response that has begun shows by itself whether the client still reads.
+    if ((m_exchange && m_exchange->hasBegun()) || m_outBegin != m_out.size())
+        return;
+    m_isClientUncertain = true;
+    m_timer.expires_after(resetTimeout);
+    m_timer.async_wait([self = shared_from_this()](std::error_code ec) {
+        if (!ec)
+            self->clientStays();
+    });
+    m_hasSentVersion = true;
+    send(protocolVersion);
+    detectReset();
+}
+
+void ServerConnection::detectReset()
+{
+    if (m_isClosed)
+        return;
+    // Reading returns the end of the input, also after a reset.
+    pollfd state { .fd = m_socket.native_handle(), .events = 0, .revents = 0 };
+    if (poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP)) != 0)
+        close();
+}
+
+void ServerConnection::clientStays()
+{
+    detectReset();
+    if (m_isClosed || !std::exchange(m_isClientUncertain, false))
+        return;
+    if (!m_exchange) {
+        parse();
+        return;
+    }
+    if (const auto callback = std::exchange(m_exchange->m_clientStays, nullptr))
+        callback();
+}
+
+void ServerConnection::awaitReset()
+{
+    m_socket.async_wait(ip::tcp::socket::wait_error, [self = shared_from_this()](std::error_code ec) {
+        if (!ec)
+            self->detectReset();
+    });
+}
+
 void ServerConnection::detectDisconnect(TimePoint now)
 {
-    if (!m_isClosed && now - m_readAt >= maxReadAge)
+    if (m_isClosed)
+        return;
+    if (m_hasInputEnded)
+        detectReset();
+    else if (now - m_readAt >= maxReadAge)
         readAvailable(now);
 }
 
 void ServerConnection::parse()
 {
+    if (m_isClientUncertain)
+        return;
     if (!m_unparsed.empty() && !m_parser.isComplete() && m_parser.error() == ParseError::None) {
         const size_t taken = m_parser.feed(m_unparsed);
         m_unparsed.erase(0, taken);
@@ -181,6 +254,10 @@
         handleRequest();
         return;
     }
+    if (m_hasInputEnded) {
+        closeGracefully();
+        return;
+    }
     if (m_parser.awaitsBody() && !m_continueSent) {
         // A client that sent Expect: 100-continue waits for this interim response before it sends the body.
         m_continueSent = true;
@@ -222,9 +299,10 @@
 void ServerConnection::sendHead(
     int status, std::string_view reason, const Headers& headers, std::optional<size_t> length)
 {
-    if (m_server->m_closesAfterResponses)
+    if (m_server->m_closesAfterResponses || (m_hasInputEnded && m_unparsed.empty()))
         m_keepsAlive = false;
-    std::string head = fmt::format("HTTP/1.1 {} {}\r\n", status, reason);
+    const auto version = std::exchange(m_hasSentVersion, false) ? std::string_view() : protocolVersion;
+    std::string head = fmt::format("{}{} {}\r\n", version, status, reason);
     appendHeaders(head, headers);
     if (!length)
         head += "Transfer-Encoding: chunked\r\n";
@@ -295,6 +373,7 @@
 {
     flush();
     m_exchange.reset();
+    m_isClientUncertain = false;
     if (!m_keepsAlive) {
         closeGracefully();
         return;
@@ -328,6 +407,12 @@
         flush();
     if (m_isWriting)
         return;
+    if (m_hasInputEnded) {
+        // Nothing is left to read, and the kernel sends what has been written. Posted because the caller may
+        // still use its exchange.
+        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->close(); });
+        return;
+    }
     std::error_code ec;
     m_socket.shutdown(ip::tcp::socket::shutdown_send, ec);
     // An error means that the connection is already closed; the next read reports that.
@@ -369,6 +454,7 @@
     if (auto exchange = std::exchange(m_exchange, nullptr)) {
         exchange->m_connection.reset();
         exchange->m_isDone = true;
+        exchange->m_clientStays = nullptr;
         if (auto callback = std::exchange(exchange->m_clientDisconnected, nullptr))
             callback();
     }
--- a/packages/Http/lib/ServerConnection.h
+++ b/packages/Http/lib/ServerConnection.h
@@ -24,6 +24,7 @@
     void responseFinished();
     void responseAborted();
     void detectDisconnect(TimePoint now);
+    bool isClientUncertain() const { return m_isClientUncertain; }
     size_t unsentBytes() const { return m_out.size() - m_outBegin; }
     bool isHead() const { return m_isHead; }
 
@@ -32,6 +33,15 @@
     /// Reads until nothing is left, so that a client that has sent a request and closed its connection is
     /// noticed before the request is handled.
     void readAvailable(TimePoint now);
+    /// The client has closed its sending side. Whether it has left or still reads is shown by sending it the
+    /// first bytes of the response: a client that has closed its connection resets it.
+    void handleEndOfInput();
+    /// Closes the connection if the client has reset it.
+    void detectReset();
+    /// The client has not reset the connection in `resetTimeout`, so it reads.
+    void clientStays();
+    /// Waits for a reset after the end of the input, which is always readable.
+    void awaitReset();
     /// Parses the buffered bytes up to the end of one request.
     void parse();
     void handleRequest();
@@ -58,6 +68,12 @@
     bool m_isClosing = false;
     bool m_isClosed = false;
     bool m_isReading = false;
+    /// The client has closed its sending side, and everything that it sent has been read.
+    bool m_hasInputEnded = false;
+    /// Set until it is known whether a client that has closed its sending side still reads.
+    bool m_isClientUncertain = false;
+    /// The protocol version of the next response has been sent ahead of the rest.
+    bool m_hasSentVersion = false;
     bool m_continueSent = false;
     TimePoint m_readAt {};
 };
