End all requests with an answer before a stopping daemon exits

In a planned stop, requests that came late in the grace period were accepted, sent on, and cut without any answer when it was over, among them requests that may be executed once at most. Requests that still waited were cut as well.

Cause: for 2.4 s after SIGTERM every request was accepted, whatever it might take, and at the end of the grace period the process ended with requests open.

Change: the end of the process is a deadline of every request. A request that may be executed once at most and may take longer is refused as not executed, also while it waits; the callers come to another daemon. Others get what is left as their deadline. What is open then is answered: refused if it has not been sent, 504 if it may have been executed; a stream that has begun is broken off, so that it can be resumed. 0.4 s are left for these answers to be sent, and the end of the stop is looked for every 0.1 s instead of 0.5 s.

Measured: EdgeRequestTest.RequestThatOutlivesTheStopWasAccepted and OpenRequestsWereCutWithoutAnAnswerAtTheEndOfAStop fail without the deadline and pass with it.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -148,6 +148,7 @@
     bool m_isPollIdle = false;
     asio::steady_timer m_heartbeatTimer;
     asio::steady_timer m_maintenanceTimer;
+    asio::steady_timer m_stopTimer;
     asio::ip::udp::socket m_peerSocket;
     std::array<char, 65'536> m_datagram {};
     asio::ip::udp::endpoint m_sender;
--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -63,9 +63,16 @@
     void checkProgress(TimePoint now);
     /// Sends the request, which has been waiting, through a peer, or refuses it if there is none.
     void forwardWaiting(TimePoint now);
+    /// Called when the daemon begins to stop. The request ends before the process does, and is refused now if
+    /// that cannot be ensured any more once it has been sent.
+    void handleStop(TimePoint now);
 
 private:
     bool validate(TimePoint now);
+    /// Ends the request at its deadline, or when the daemon stops.
+    void armTimeout(TimePoint now);
+    /// Whether the request, which may be executed once at most, may still run when the daemon stops.
+    bool outlivesStop() const;
     bool authenticate(TimePoint now);
     /// Refuses a request that crashes endpoints, or has a part in its prompt that does.
     bool checkTriggers(TimePoint now);
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -68,6 +68,8 @@
     std::unordered_map<uint64_t, std::shared_ptr<EdgeRequest>> requests;
 
     uint64_t nextRequestNumber() { return ++m_lastNumber; }
+    /// When all requests must have ended because the daemon stops; std::nullopt while it is not stopping.
+    std::optional<TimePoint> requestsEndAt() const;
     /// Returns the age of the configuration, or std::nullopt if none has been read.
     std::optional<Duration> routesAge(TimePoint now) const;
     /// Whether so many bytes more of endpoints' answers may be kept.
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -13,8 +13,6 @@
 /// A request is refused for an unknown route or key only if the configuration is at most this old: a newer
 /// one may contain it.
 constexpr Duration maxAgeForDenial = std::chrono::milliseconds(2200);
-/// Retry-After while this daemon is draining: other daemons can serve the caller immediately.
-constexpr Duration drainingRetryAfter = std::chrono::milliseconds(20);
 /// The least Retry-After while no endpoint can be reached; spread over twice that, as all callers are
 /// refused.
 constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
@@ -35,13 +33,13 @@
     if (!validate(now))
         return;
     m_expiresAt = m_arrivedAt + std::min(m_route->timeout, m_metadata.deadline.value_or(m_route->timeout));
+    if (outlivesStop()) {
+        refuse(ResultCode::Draining, drainingRetryAfter, now);
+        return;
+    }
     m_state.requests.emplace(m_number, shared_from_this());
     m_exchange->onClientDisconnect([self = shared_from_this()] { self->handleCallerLeft(); });
-    m_timer.expires_after(std::max(Duration::zero(), m_expiresAt - now));
-    m_timer.async_wait([self = shared_from_this()](std::error_code ec) {
-        if (!ec)
-            self->handleTimeout();
-    });
+    armTimeout(now);
     // The daemon that forwarded the request has counted it.
     if (!m_forwarded)
         m_state.retryBudget(m_service).request(now);
@@ -61,6 +59,36 @@
             { "slots", occupancy.slots }, { "load", occupancy.load } });
 }
 
+void EdgeRequest::armTimeout(TimePoint now)
+{
+    const auto stopsAt = m_state.requestsEndAt();
+    if (stopsAt && m_route->executionSemantics != ExecutionSemantics::AtMostOnce)
+        m_expiresAt = std::min(m_expiresAt, *stopsAt);
+    const auto end = std::min(m_expiresAt, stopsAt.value_or(m_expiresAt));
+    m_timer.expires_after(std::max(Duration::zero(), end - now));
+    m_timer.async_wait([self = shared_from_this()](std::error_code ec) {
+        if (!ec)
+            self->handleTimeout();
+    });
+}
+
+bool EdgeRequest::outlivesStop() const
+{
+    const auto stopsAt = m_state.requestsEndAt();
+    return stopsAt && m_expiresAt > *stopsAt
+        && m_route->executionSemantics == ExecutionSemantics::AtMostOnce;
+}
+
+void EdgeRequest::handleStop(TimePoint now)
+{
+    if (m_isOver)
+        return;
+    if (outlivesStop() && !m_send && m_possibleExecutions == 0)
+        refuse(ResultCode::Draining, drainingRetryAfter, now);
+    else
+        armTimeout(now);
+}
+
 bool EdgeRequest::validate(TimePoint now)
 {
     if (m_state.stopRequestedAt && now - *m_state.stopRequestedAt > acceptAfterStop) {
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -56,8 +56,11 @@
 constexpr Duration announceRetry = std::chrono::milliseconds(700);
 /// Idle caller connections are closed this long after SIGTERM; by then the load balancer sends no new ones.
 constexpr Duration closeIdleAfterStop = std::chrono::milliseconds(2000);
-/// The part of the grace period that is reserved for closing the remaining caller connections.
-constexpr Duration stopMargin = std::chrono::milliseconds(700);
+/// How often a daemon that stops checks whether it is done.
+constexpr Duration stopCheckPeriod = std::chrono::milliseconds(100);
+/// The process ends this long before the grace period is over, whatever is still open. The last requests end
+/// earlier, see EdgeState::requestsEndAt().
+constexpr Duration exitMargin = std::chrono::milliseconds(300);
 
 /// Capacity is stated in thousandths of a core.
 constexpr double thousandths = 1000;
@@ -102,6 +105,7 @@
     , m_pollTimer(m_context)
     , m_heartbeatTimer(m_context)
     , m_maintenanceTimer(m_context)
+    , m_stopTimer(m_context)
     , m_peerSocket(m_context)
     , m_catchUp(m_state.settings.isFirstStart)
     , m_sharedRowWriter(m_context, tcpEndpoint(m_state.settings.store))
@@ -155,8 +159,6 @@
         });
         announce(now);
         storeSharedRows(now);
-        if (m_state.stopRequestedAt)
-            checkStop();
     });
     m_configurationFollower->start();
     m_endpointFollower->start();
@@ -501,12 +503,16 @@
     m_state.stopRequestedAt = bootNow();
     m_callerServer->closeAfterResponses();
     logEvent(Event::DrainStarted, { { "open_requests", static_cast<int64_t>(m_state.requests.size()) } });
+    // Iterates over a copy, because a request may end.
+    for (const auto requests = m_state.requests; const auto& [number, request] : requests)
+        request->handleStop(*m_state.stopRequestedAt);
+    schedulePeriodic(m_stopTimer, stopCheckPeriod, [this] { checkStop(); });
 }
 
 void EdgeDaemon::checkStop()
 {
     const auto elapsed = bootNow() - *m_state.stopRequestedAt;
-    const bool isTooLate = elapsed > m_state.settings.bounds.stopGrace - stopMargin;
+    const bool isTooLate = elapsed > m_state.settings.bounds.stopGrace - exitMargin;
     // Callers then open their next connection to another daemon instead of being refused here.
     if (elapsed >= closeIdleAfterStop)
         m_callerServer->closeIdle();
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -172,6 +172,11 @@
         handleTimeout();
         return;
     }
+    if (outlivesStop()) {
+        endSend(SendOutcome::Neutral, now);
+        refuse(ResultCode::Draining, drainingRetryAfter, now);
+        return;
+    }
     if (m_exchange->isClientUncertain()) {
         m_exchange->onClientStays([self = shared_from_this(), connection = m_send->connection] {
             // The endpoint may have left meanwhile.
@@ -730,10 +735,13 @@
         const bool wasStalled = m_send->isSent && m_send->endpoint->isStalled(now);
         endSend(wasStalled ? SendOutcome::Failed : SendOutcome::Neutral, now);
     }
-    if (m_possibleExecutions == 0)
-        refuse(ResultCode::DeadlinePassedWaiting, Duration::zero(), now);
-    else
+    const auto stopsAt = m_state.requestsEndAt();
+    if (m_possibleExecutions > 0)
         endAfterExecution(ResultCode::EndpointTimeout, now);
+    else if (stopsAt && now >= *stopsAt)
+        refuse(ResultCode::Draining, drainingRetryAfter, now);
+    else
+        refuse(ResultCode::DeadlinePassedWaiting, Duration::zero(), now);
 }
 
 void EdgeRequest::handleCallerLeft()
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -67,6 +67,13 @@
     links.update(now);
 }
 
+std::optional<TimePoint> EdgeState::requestsEndAt() const
+{
+    if (!stopRequestedAt)
+        return std::nullopt;
+    return *stopRequestedAt + std::max(acceptAfterStop, settings.bounds.stopGrace - stopMargin);
+}
+
 std::optional<Duration> EdgeState::routesAge(TimePoint now) const
 {
     if (!routes || !routesConfirmedAt)
--- a/packages/Edge/lib/EdgeTimes.h
+++ b/packages/Edge/lib/EdgeTimes.h
@@ -26,6 +26,11 @@
 /// one second apart, before it sends new connections elsewhere; a request that starts later might not
 /// complete before the process must exit.
 constexpr Duration acceptAfterStop = std::chrono::milliseconds(2400);
+/// The part of the grace period after SIGTERM that is left when the last requests have ended, for their
+/// answers to be sent.
+constexpr Duration stopMargin = std::chrono::milliseconds(700);
+/// Retry-After while this daemon is draining: other daemons can serve the caller immediately.
+constexpr Duration drainingRetryAfter = std::chrono::milliseconds(20);
 /// Retry-After of a refusal that is not caused by load.
 constexpr Duration defaultRetryAfter = std::chrono::milliseconds(600);
 
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -1067,6 +1067,69 @@
     EXPECT_EQ(receivedRequests(), 0U);
 }
 
+TEST_F(EdgeRequestTest, RequestThatOutlivesTheStopWasAccepted)
+{
+    // Requests may take 3 s on their routes, and 2.3 s are left for them.
+    state.settings.bounds.stopGrace = 4s;
+    state.stopRequestedAt = bootNow() - 1s;
+    for (const auto* path : { "/once/x", "/streamonce/x" }) {
+        const auto refused = call(path);
+        EXPECT_EQ(refused.status, 503) << path;
+        EXPECT_TRUE(refused.headers.contains("Retry-After")) << path;
+    }
+    EXPECT_EQ(receivedRequests(), 0U);
+    first.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = httpResponse(200, "a", signatureFields) };
+    });
+    EXPECT_EQ(call("/once/x", "Authorization: Token k\r\nX-Deadline-Ms: 2000\r\n").status, 200);
+    EXPECT_EQ(call("/safe/x").status, 200);
+    ASSERT_EQ(receivedRequests(), 2U);
+    const auto& sent = first.requests()[1];
+    const auto at = sent.find("X-Deadline-Ms: ");
+    ASSERT_NE(at, std::string::npos) << sent;
+    EXPECT_LE(std::stoi(sent.substr(at + std::string("X-Deadline-Ms: ").size())), 2300);
+}
+
+TEST_F(EdgeRequestTest, OpenRequestsWereCutWithoutAnAnswerAtTheEndOfAStop)
+{
+    first.setResponder([](const std::string& request) {
+        return ScriptedResponse {
+            .bytes = request.find("/stream/") == std::string::npos ? "" : streamAnswer({ eventOf(1) }, false),
+            .then = ScriptedResponse::Then::KeepOpen
+        };
+    });
+    std::array<CallerAnswer, 3> sent;
+    std::vector<std::shared_ptr<http::ClientConnection>> connections { send("/once/x", sent[0]),
+        send("/safe/x", sent[1]), send("/stream/x", sent[2]) };
+    runUntil([&] { return receivedRequests() == 3 && !sent[2].body.empty(); });
+    state.endpointRegistry.updatePeerLoads(
+        "peer", { { .endpoint = hashOf("e1"), .inFlight = 4 } }, bootNow());
+    std::array<CallerAnswer, 2> waiting;
+    connections.push_back(send("/once/y", waiting[0]));
+    connections.push_back(send("/safe/y", waiting[1]));
+    runUntil([&] { return state.queue.size() == 2; });
+    state.settings.bounds.stopGrace = 3300ms;
+    state.stopRequestedAt = bootNow() - 2300ms;
+    for (const auto& [number, request] : std::unordered_map(state.requests))
+        request->handleStop(bootNow());
+    runUntil([&] {
+        return std::ranges::all_of(sent, &CallerAnswer::hasEnded)
+            && std::ranges::all_of(waiting, &CallerAnswer::hasEnded);
+    });
+    EXPECT_LT(bootNow(), *state.requestsEndAt() + 300ms);
+    EXPECT_TRUE(sent[0].isWhole && sent[1].isWhole);
+    EXPECT_EQ(sent[0].status, 504);
+    EXPECT_EQ(sent[1].status, 504);
+    EXPECT_TRUE(sent[2].isBroken) << "a stream that has begun must not look complete";
+    for (const auto& it : waiting) {
+        EXPECT_EQ(it.status, 503);
+        EXPECT_TRUE(it.headers.contains("Retry-After"));
+    }
+    EXPECT_EQ(receivedRequests(), 3U);
+    for (const auto& it : connections)
+        it->close();
+}
+
 /// A daemon that has lost its links to the endpoints and knows two peers.
 class PartitionedDaemonTest : public EdgeRequestTest {
 protected:
