Read the list of endpoints from a peer if the store turns a daemon away

A daemon that the platform's store turned away kept sending requests to endpoints that had left, for as long as that lasted, and did not know those that had joined.

Cause: nothing but the store could renew its list, and nothing bounds its age. The configuration can be read from a peer, and its age is checked; a daemon that was ready by a recent configuration served by an old list.

Calls to peers for documents are one class now (PeerDocument).

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -3,6 +3,8 @@
 
 #include "lentilbay/Edge/ConfigurationCatchUp.h"
 #include "lentilbay/Edge/EdgeState.h"
+#include "lentilbay/Edge/EndpointCatchUp.h"
+#include "lentilbay/Edge/PeerDocument.h"
 #include "lentilbay/Edge/PeerSummaries.h"
 #include "lentilbay/Edge/StoreFollower.h"
 #include "lentilbay/Edge/StoreWriter.h"
@@ -34,12 +36,11 @@
     /// Reads the configuration from a peer that has a newer one, if it is time to.
     void catchUpWithPeers(TimePoint now);
     void readConfigurationFrom(const std::string& daemon, TimePoint now);
-    /// Whether a peer's configuration is arriving.
-    bool isReceivingFromPeer(TimePoint now) const;
     /// Decides whether requests are refused because a newer version than the one in force is known.
     void updateOutdated(uint64_t version, TimePoint now);
     void serveConfiguration(http::Exchange& exchange) const;
-    /// Answers the calls of other daemons: for the configuration, and requests that they forward.
+    /// Answers the calls of other daemons: for the configuration and the endpoints, and requests that they
+    /// forward.
     void servePeers();
     /// Limits on what callers may send.
     http::ServerLimits callerLimits() const;
@@ -48,6 +49,13 @@
     /// Determines the state of the links, and acts on a change.
     void updateLinks(TimePoint now);
     void applyEndpointRow(const platform::StoreRow& row);
+    /// Called when the list of endpoints is known to be complete as of a time.
+    void endpointsConfirmed(TimePoint at);
+    /// Reads the list of endpoints from a peer if the store does not answer and it is time to.
+    void catchUpEndpoints(TimePoint now);
+    /// Applies a peer's answer to a call that began at `askedAt`.
+    void applyPeerEndpoints(const std::string& daemon, const std::string& document, TimePoint askedAt);
+    void serveEndpoints(http::Exchange& exchange, const EndpointListQuery& query) const;
     /// Whether a row that may be older than the known one may be applied.
     bool isHarmlessEndpointRow(const platform::StoreRow& row) const;
     void applyDaemonRow(const platform::StoreRow& row);
@@ -167,15 +175,14 @@
     /// Whether endpoints stated something about themselves when that was last divided among the daemons.
     bool m_hadSignals = false;
     /// The configuration in force, as it was read.
-    std::string m_configurationDocument;
+    std::string m_configuration;
     ConfigurationCatchUp m_catchUp;
     /// Whether the configuration that was read last could not be decoded.
     bool m_isConfigurationInvalid = false;
-    /// The call to a peer for its configuration, if one is in progress.
-    std::shared_ptr<http::ClientConnection> m_configurationCall;
-    TimePoint m_configurationCallStartedAt {};
-    /// When that call began, or when the latest bytes of its answer arrived.
-    TimePoint m_configurationCallActiveAt {};
+    /// The calls to peers for their configuration and their list of endpoints.
+    PeerDocument m_configurationDocument;
+    PeerDocument m_endpointDocument;
+    EndpointCatchUp m_endpointCatchUp;
     /// How late the latest periodic task ran.
     Duration m_eventLoopDelay {};
     StoreWriter m_sharedRowWriter;
--- a/packages/Edge/include/lentilbay/Edge/TableReplica.h
+++ b/packages/Edge/include/lentilbay/Edge/TableReplica.h
@@ -37,6 +37,8 @@
     /// Rows that the store has lost are reported as lost only, and not deleted later: the reader of the table
     /// writes them itself.
     bool forgetsLostRows = false;
+    /// Whether the values of the rows are kept, so that another daemon can read them from this one.
+    bool keepsValues = false;
 };
 
 /// A change of a row for the reader of the table.
@@ -80,6 +82,11 @@
     /// The view of a peer that is complete up to `covered` and has no change after `changed`, in the current
     /// era. Returns false if it has a change that this replica lacks.
     bool applyPeerView(StoreVersion covered, StoreVersion changed);
+    /// Applies all rows of a peer's replica, in the current era. Returns std::nullopt if they are older than
+    /// this replica.
+    std::optional<std::vector<RowChange>> applyPeerRows(const platform::StoreRows& rows, TimePoint now);
+    /// The rows as they apply at present, and the version up to which they are complete. Needs `keepsValues`.
+    std::optional<platform::StoreRows> rows() const;
     /// Records that the store was reached again, after `outage` in which nobody is known to have read it.
     void reconnected(Duration outage, TimePoint now);
     /// Returns the delayed changes that are due; deletions only if the replica is known to be complete as of
@@ -96,6 +103,8 @@
         /// Of the current value; not set if the row was deleted.
         std::optional<uint64_t> valueHash;
         std::vector<uint64_t> earlierHashes;
+        /// Empty unless values are kept.
+        std::string value;
     };
     struct Withheld {
         platform::StoreRow row;
--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -9,16 +9,8 @@
 namespace lentilbay::edge {
 namespace {
 
-namespace ip = asio::ip;
-
 /// The path at which a daemon serves its configuration to peers.
-constexpr std::string_view configurationPath = "/configuration";
-/// Several times the longest round trip between data centres.
-constexpr Duration connectTimeout = std::chrono::milliseconds(400);
-/// A peer that sends nothing for this long is given up.
-constexpr Duration maxAnswerPause = std::chrono::milliseconds(800);
-/// Bounds a call to a peer whose answer arrives in ever smaller pieces.
-constexpr Duration maxCallDuration = std::chrono::seconds(20);
+constexpr const char* configurationPath = "/configuration";
 
 } // namespace
 
@@ -45,9 +37,9 @@
                 { "in_force", static_cast<int64_t>(m_state.routes->version()) }, { "source", source } });
         return;
     }
-    if (m_state.routes && table.version() == m_state.routes->version() && document == m_configurationDocument)
+    if (m_state.routes && table.version() == m_state.routes->version() && document == m_configuration)
         return;
-    m_configurationDocument = document;
+    m_configuration = document;
     m_state.routes = std::make_shared<const RouteTable>(std::move(table));
     logEvent(Event::ConfigurationInForce,
         { { "version", static_cast<int64_t>(m_state.routes->version()) },
@@ -60,7 +52,7 @@
     if (!m_configurationFollower->coveredVersion())
         return;
     const auto version = m_state.routes ? m_state.routes->version() : 0;
-    const bool isReading = m_configurationFollower->isReceiving(now) || isReceivingFromPeer(now);
+    const bool isReading = m_configurationFollower->isReceiving(now) || m_configurationDocument.isReceiving(now);
     if (const auto daemon = m_catchUp.nextSource(version, isReading, now))
         readConfigurationFrom(*daemon, now);
     m_state.isConfigurationSettled = m_catchUp.isSettled(version, now);
@@ -82,48 +74,16 @@
             { "reading", static_cast<int64_t>(isArriving) } });
 }
 
-bool EdgeDaemon::isReceivingFromPeer(TimePoint now) const
-{
-    return m_configurationCall && now - m_configurationCallActiveAt < maxAnswerPause
-        && now - m_configurationCallStartedAt < maxCallDuration;
-}
-
 void EdgeDaemon::readConfigurationFrom(const std::string& daemon, TimePoint now)
 {
     const auto peer = m_state.peers.peers().find(daemon);
     if (peer == m_state.peers.peers().end())
         return;
-    std::error_code ec;
-    const auto host = ip::make_address(peer->second.host, ec);
-    if (ec)
-        return;
-    if (m_configurationCall)
-        m_configurationCall->close();
-    m_configurationCall = std::make_shared<http::ClientConnection>(m_context);
-    m_configurationCallStartedAt = m_configurationCallActiveAt = now;
     m_state.metrics.count("configuration_calls_to_peers");
-    m_configurationCall->connect(
-        { host, peer->second.port }, connectTimeout, [this, daemon](bool isConnected) {
-            if (!isConnected) {
-                m_configurationCall.reset();
-                return; // The next call goes to another peer if there is one.
-            }
-            auto body = std::make_shared<std::string>();
-            m_configurationCall->exchange(
-                fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", configurationPath, daemon), false,
-                { .head = [](const http::HttpResponseHead& head) { return head.status == 200; },
-                    .body =
-                        [this, body](std::string_view piece) {
-                            m_configurationCallActiveAt = bootNow();
-                            *body += piece;
-                        },
-                    .complete =
-                        [this, body, daemon] {
-                            std::exchange(m_configurationCall, nullptr)->close();
-                            applyConfiguration(*body, daemon);
-                            catchUpWithPeers(bootNow());
-                        },
-                    .failed = [this](http::FailurePoint) { m_configurationCall.reset(); } });
+    m_configurationDocument.read(
+        daemon, peer->second, configurationPath, now, [this, daemon](const std::string& document) {
+            applyConfiguration(document, daemon);
+            catchUpWithPeers(bootNow());
         });
 }
 
@@ -132,7 +92,7 @@
     const bool isKnown = exchange.request().path() == configurationPath && m_state.routes != nullptr;
     const int status = isKnown ? 200 : 404;
     exchange.respond(
-        status, http::reasonPhrase(status), {}, isKnown ? m_configurationDocument : std::string());
+        status, http::reasonPhrase(status), {}, isKnown ? m_configuration : std::string());
 }
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -108,6 +108,10 @@
     , m_stopTimer(m_context)
     , m_peerSocket(m_context)
     , m_catchUp(m_state.settings.isFirstStart)
+    , m_configurationDocument(m_context)
+    , m_endpointDocument(m_context)
+    , m_endpointCatchUp(
+          m_state.settings.daemon.text(), m_state.topology, m_state.settings.bounds.endpointDrain)
     , m_sharedRowWriter(m_context, tcpEndpoint(m_state.settings.store))
 {
     std::signal(SIGPIPE, SIG_IGN);
@@ -250,7 +254,8 @@
             .replica = { .deletionDelay = lapsedEntryDelay,
                 .minOutageToExpire = m_state.settings.endpointHeartbeat * missedHeartbeatsToExpire,
                 .copiedRowDelay = copiedRowDelay,
-                .isHarmless = [this](const auto& row) { return isHarmlessEndpointRow(row); } },
+                .isHarmless = [this](const auto& row) { return isHarmlessEndpointRow(row); },
+                .keepsValues = true },
             .seed = randomSeed() },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { applyEndpointRow(row); },
             .deleted =
@@ -258,11 +263,7 @@
                     if (m_state.endpointRegistry.unlist(EndpointId(key)))
                         logEvent(Event::EndpointUnlisted, { { "endpoint", key } });
                 },
-            .confirmed =
-                [this](TimePoint at) {
-                    m_state.endpointsConfirmedAt = at;
-                    m_state.versions.update(m_state.endpointRegistry, bootNow());
-                },
+            .confirmed = [this](TimePoint at) { endpointsConfirmed(at); },
             .skipPollingFor = [this](TimePoint now) { return skipPollingFor(*m_endpointFollower, now); },
             .hasOtherReader = [this] { return hasOtherReader(); },
             .eraChanged = [this](uint64_t era) { handleStoreEra(era, bootNow()); } });
--- a/packages/Edge/lib/EdgeLinks.cpp
+++ b/packages/Edge/lib/EdgeLinks.cpp
@@ -59,6 +59,8 @@
                     if (forwarded)
                         std::make_shared<EdgeRequest>(m_state, std::move(exchange), std::move(forwarded))
                             ->admit(bootNow());
+                    else if (const auto query = endpointListQueryOf(exchange->request().target))
+                        serveEndpoints(*exchange, *query);
                     else
                         serveConfiguration(*exchange);
                 },
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -336,6 +336,7 @@
         hastenPoll();
     updateSignals(now);
     catchUpWithPeers(now);
+    catchUpEndpoints(now);
     m_state.versions.update(m_state.endpointRegistry, now);
     const auto daemons = aliveDaemons();
     m_state.streams.setDaemons(m_state.settings.daemon.text(), daemons);
--- /dev/null
+++ b/packages/Edge/lib/PeerDocument.cpp
@@ -0,0 +1,62 @@
+// Calls to peers for a document.
+#include "lentilbay/Edge/PeerDocument.h"
+
+#include "lentilbay/Support/SteadyClock.h"
+
+#include <fmt/format.h>
+
+namespace lentilbay::edge {
+namespace {
+
+namespace ip = asio::ip;
+
+/// Several times the longest round trip between data centres.
+constexpr Duration connectTimeout = std::chrono::milliseconds(400);
+/// A peer that sends nothing for this long is given up.
+constexpr Duration maxAnswerPause = std::chrono::milliseconds(800);
+/// Bounds a call to a peer whose answer arrives in ever smaller pieces.
+constexpr Duration maxCallDuration = std::chrono::seconds(20);
+
+} // namespace
+
+bool PeerDocument::isReceiving(TimePoint now) const
+{
+    return m_call && now - m_activeAt < maxAnswerPause && now - m_startedAt < maxCallDuration;
+}
+
+bool PeerDocument::read(const std::string& daemon, const PeerTable::Peer& peer, const std::string& target,
+    TimePoint now, std::function<void(const std::string& document)> done)
+{
+    std::error_code ec;
+    const auto host = ip::make_address(peer.host, ec);
+    if (ec)
+        return false;
+    if (m_call)
+        m_call->close();
+    m_call = std::make_shared<http::ClientConnection>(m_context);
+    m_startedAt = m_activeAt = now;
+    m_call->connect({ host, peer.port }, connectTimeout,
+        [this, daemon, target, done = std::move(done)](bool isConnected) {
+            if (!isConnected) {
+                m_call.reset();
+                return; // The next call goes to another peer if there is one.
+            }
+            auto body = std::make_shared<std::string>();
+            m_call->exchange(fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", target, daemon), false,
+                { .head = [](const http::HttpResponseHead& head) { return head.status == 200; },
+                    .body =
+                        [this, body](std::string_view piece) {
+                            m_activeAt = bootNow();
+                            *body += piece;
+                        },
+                    .complete =
+                        [this, body, done] {
+                            std::exchange(m_call, nullptr)->close();
+                            done(*body);
+                        },
+                    .failed = [this](http::FailurePoint) { m_call.reset(); } });
+        });
+    return true;
+}
+
+} // namespace lentilbay::edge
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -390,4 +390,21 @@
     confirm(at);
 }
 
+bool StoreFollower::applyPeerRows(const platform::StoreRows& rows, TimePoint at)
+{
+    if (rows.version.era != m_replica.era())
+        return false;
+    const bool hadPosition = m_replica.covered().has_value();
+    const auto changes = m_replica.applyPeerRows(rows, bootNow());
+    if (!changes)
+        return false;
+    // The next page of a snapshot does not continue what the replica contains now.
+    if (!hadPosition)
+        m_openCalls.clear();
+    m_isBehind = false;
+    report(*changes);
+    confirm(at);
+    return true;
+}
+
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/TableReplica.cpp
+++ b/packages/Edge/lib/TableReplica.cpp
@@ -83,6 +83,8 @@
         if (known.earlierHashes.size() > maxEarlierValues)
             known.earlierHashes.erase(known.earlierHashes.begin());
     }
+    if (m_options.keepsValues)
+        known.value = row.value;
     m_deletions.erase(row.key);
     m_withheld.erase(row.key);
     m_removed.erase(row.key);
@@ -183,6 +185,7 @@
     if (known.valueHash)
         known.earlierHashes.push_back(*std::exchange(known.valueHash, std::nullopt));
     known.version = std::max(known.version, version);
+    known.value.clear();
     m_rows.erase(key);
     std::erase_if(m_removed, [&](const auto& it) { return now - it.second.at > removedRowLifetime; });
     m_removed[key] = { .known = std::move(known), .at = now };
@@ -198,6 +201,36 @@
     return true;
 }
 
+std::optional<std::vector<RowChange>> TableReplica::applyPeerRows(
+    const platform::StoreRows& rows, TimePoint now)
+{
+    assert(rows.version.era == m_era && "rows of another era say nothing about this one");
+    if (m_covered && rows.version < *m_covered)
+        return std::nullopt;
+    forgetPosition();
+    m_snapshotVersion = rows.version;
+    for (const auto& row : rows.rows)
+        m_snapshot[row.key] = row;
+    std::vector<RowChange> out;
+    applySnapshot(now, out);
+    return out;
+}
+
+std::optional<platform::StoreRows> TableReplica::rows() const
+{
+    assert(m_options.keepsValues && "the values are not known");
+    if (!m_covered)
+        return std::nullopt;
+    platform::StoreRows out { .version = *m_covered };
+    out.rows.reserve(m_rows.size());
+    for (const auto& [key, it] : m_rows) {
+        // A version of a former era is lower than all of this one for a reader that has read neither.
+        const auto version = it.version.era == m_era ? it.version : StoreVersion { .era = m_era };
+        out.rows.push_back({ .key = key, .value = it.value, .version = version });
+    }
+    return out;
+}
+
 void TableReplica::reconnected(Duration outage, TimePoint now)
 {
     m_reconnectedAt = now;
--- a/packages/Edge/unittests/EdgeDaemonTest.cpp
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -249,5 +249,157 @@
     awaitStop();
 }
 
+/// A daemon that the store turns away, beside one that reads it.
+class TurnedAwayDaemonTest : public EdgeDaemonTest {
+protected:
+    struct Row {
+        std::string table;
+        std::string key;
+        std::string document;
+        int version = 0;
+    };
+
+    TurnedAwayDaemonTest()
+    {
+        other = settings;
+        other.daemon = DaemonId("e");
+        other.ownHost = "127.0.0.2";
+        other.callers.port = freePort();
+        other.readiness.port = freePort();
+        other.metrics.port = freePort();
+        other.store.port = otherStore.port();
+        store.setResponder([this](const std::string& request) { return storeResponse(request); });
+        otherStore.setResponder([this](const std::string& request) {
+            return isTurnedAway ? ScriptedResponse { .bytes = httpResponse(503, "") } : storeResponse(request);
+        });
+        for (auto* it : { &endpoint, &secondEndpoint })
+            it->setResponder([](const std::string&) {
+                return ScriptedResponse { .bytes
+                    = httpResponse(200, "served", "X-Request-Id: 7\r\nX-Served-By-Sig: s\r\n") };
+            });
+        put("op", "config",
+            R"({"Version":1,"Routes":[{"Name":"r","Host":"h","Prefix":"/a/","Type":"safe","TimeoutMs":2000,)"
+            R"("Service":"s","Public":true}],"Services":[{"Name":"s"}]})");
+        put("servers", "i-1", entryOf(endpoint, "ready"));
+        put("servers", "i-2", entryOf(secondEndpoint, "ready"));
+        for (const auto* it : { &settings, &other })
+            put("daemons", it->daemon.text(), it->ownHost + ":" + std::to_string(it->firstPeerPort));
+    }
+
+    static std::string entryOf(const RawServer& server, const std::string& state)
+    {
+        return fmt::format(
+            R"({{"Service":"s","Addr":"127.0.0.1:{}","Zone":"a","Version":"v1","Slots":4,"State":"{}"}})",
+            server.port(), state);
+    }
+
+    void put(const std::string& table, const std::string& key, const std::string& document)
+    {
+        std::erase_if(rows, [&](const Row& it) { return it.table == table && it.key == key; });
+        rows.push_back({ table, key, document, ++version });
+    }
+
+    /// What a store with these rows answers; daemons announce themselves in vain, as their rows are there.
+    ScriptedResponse storeResponse(const std::string& request) const
+    {
+        const auto valueOf = [&](const std::string& name) {
+            const auto at = request.find(name + "=");
+            const auto begin = at + name.size() + 1;
+            return at == std::string::npos ? std::string()
+                                           : request.substr(begin, request.find_first_of("& ", begin) - begin);
+        };
+        const auto after = valueOf("After").empty() ? 0 : std::stoi(valueOf("After"));
+        std::string out;
+        for (const auto& it : rows) {
+            if (it.table == valueOf("Table") && it.version > after)
+                out += fmt::format(R"({}{{"Table":"{}","Key":"{}","Ver":{},"Value":"{}"}})",
+                    out.empty() ? "" : ",", it.table, it.key, it.version, encoded(it.document));
+        }
+        const bool waits = request.find("rows-feed") != std::string::npos && out.empty();
+        return { .bytes = httpResponse(
+                     200, fmt::format(R"({{"Rows":[{}],"HasMore":false,"Ver":{},"NowMs":1}})", out, version)),
+            .delay = waits ? 100ms : 0ms };
+    }
+
+    void startBoth()
+    {
+        start();
+        otherThread = std::thread([this] {
+            EdgeDaemon it(other, [] {});
+            it.run();
+        });
+    }
+
+    void runFor(std::chrono::milliseconds duration)
+    {
+        context.run_for(duration);
+        context.restart();
+    }
+
+    bool isServedBy(const platform::ProcessSettings& daemon)
+    {
+        return ask(daemon.callers.port, "GET /a/x HTTP/1.1\r\n" + tail).find("served") != std::string::npos;
+    }
+
+    void stopBoth()
+    {
+        kill(getpid(), SIGTERM);
+        awaitStop();
+        otherThread.join();
+    }
+
+    platform::ProcessSettings other;
+    RawServer otherStore { context };
+    RawServer secondEndpoint { context };
+    std::vector<Row> rows;
+    int version = 0;
+    bool isTurnedAway = false;
+    std::thread otherThread;
+};
+
+TEST_F(TurnedAwayDaemonTest, KeptSendingToAnEndpointThatHadLeft)
+{
+    startBoth();
+    for (int i = 0; i < maxTries && !isServedBy(other); ++i)
+        runFor(20ms);
+    // Both daemons know each other.
+    runFor(2s);
+    isTurnedAway = true;
+    // The endpoint that leaves is the one that was chosen before.
+    const bool isFirst = !endpoint.requests().empty();
+    const auto& leaving = isFirst ? endpoint : secondEndpoint;
+    put("servers", isFirst ? "i-1" : "i-2", entryOf(leaving, "draining"));
+    runFor(std::chrono::duration_cast<std::chrono::milliseconds>(settings.bounds.endpointDrain));
+    const auto before = leaving.requests().size();
+    int served = 0;
+    constexpr int n = 40;
+    for (int i = 0; i < n; ++i)
+        served += isServedBy(other) ? 1 : 0;
+    EXPECT_EQ(leaving.requests().size(), before);
+    EXPECT_EQ(served, n);
+    stopBoth();
+}
+
+TEST_F(TurnedAwayDaemonTest, KnewNoEndpointThatHadJoined)
+{
+    startBoth();
+    for (int i = 0; i < maxTries && !isServedBy(other); ++i)
+        runFor(20ms);
+    runFor(2s);
+    isTurnedAway = true;
+    RawServer joined(context);
+    joined.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes
+            = httpResponse(200, "served", "X-Request-Id: 7\r\nX-Served-By-Sig: s\r\n") };
+    });
+    put("servers", "i-1", entryOf(endpoint, "draining"));
+    put("servers", "i-2", entryOf(secondEndpoint, "draining"));
+    put("servers", "i-3", entryOf(joined, "ready"));
+    runFor(std::chrono::duration_cast<std::chrono::milliseconds>(settings.bounds.endpointDrain));
+    EXPECT_TRUE(isServedBy(other));
+    EXPECT_EQ(joined.requests().size(), 1U);
+    stopBoth();
+}
+
 } // namespace
 } // namespace lentilbay::edge
