Resume streams by a list of endpoints that is as recent as the request

During a release, a daemon that was out of step for up to 3 s could continue a stream at an endpoint of another software version, with nothing in the answer to show it.

Cause: a daemon that knew one version of a service took it for the version of every stream, if its list of endpoints had been complete within the last 3 s. In that time an endpoint of a new version may have joined and begun the stream through another daemon.

Change: that one version is used only if the list is complete as of the arrival of the request that resumes the stream. Otherwise the changes are read from the store at once (StoreFollower::readNow(), at most every 50 ms for all requests together). Without an answer within 150 ms the other daemons and the store's rows are asked, as where several versions are known; an unknown origin is refused.

Measured: EdgeRequestTest.StreamOfAVersionThatThisDaemonHadNotReadWentOnAtAnotherOne fails if the list's age is ignored (the stream goes on at the other version) and passes with the change.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -49,8 +49,6 @@
     /// Determines the state of the links, and acts on a change.
     void updateLinks(TimePoint now);
     void applyEndpointRow(const platform::StoreRow& row);
-    /// Called when the list of endpoints is known to be complete as of a time.
-    void endpointsConfirmed(TimePoint at);
     /// Reads the list of endpoints from a peer if the store does not answer and it is time to.
     void catchUpEndpoints(TimePoint now);
     /// Applies a peer's answer to a call that began at `askedAt`.
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -18,7 +18,9 @@
 #include "lentilbay/Policy/WindowedRetryBudget.h"
 #include "lentilbay/platform/ProcessSettings.h"
 
+#include <asio/steady_timer.hpp>
 #include <functional>
+#include <list>
 #include <unordered_map>
 
 namespace lentilbay::edge {
@@ -39,6 +41,7 @@
     /// The configuration is known to be complete as of this time; never moves backwards.
     std::optional<TimePoint> routesConfirmedAt;
     /// The list of endpoints is known to be complete as of this time; std::nullopt until it has been read.
+    /// Set by confirmEndpoints().
     std::optional<TimePoint> endpointsConfirmedAt;
     /// Whether the other daemons have been read from the store, or this is the first start of the fleet.
     /// Without them a restarted daemon does not know its share of the quotas.
@@ -99,6 +102,16 @@
     /// Starts waiting requests that an endpoint can take and rejects those that cannot start in time, by
     /// calling their EdgeRequests.
     void dispatchWaiting(TimePoint now);
+    /// Records that the list of endpoints is complete as of a time.
+    void confirmEndpoints(TimePoint at, TimePoint now);
+    /// Calls back when the list of endpoints is known to be complete as of `since`, with true, or after a short
+    /// time, with false. The callback may be called immediately.
+    void awaitEndpoints(TimePoint since, std::function<void(bool isCurrent)> done, TimePoint now);
+    /// Sets what is called to read the list of endpoints from the platform's store at once.
+    void setEndpointReader(std::function<void(TimePoint now)> reader)
+    {
+        m_readEndpoints = std::move(reader);
+    }
     /// Sets what is called when there may be work that must be looked at again soon.
     void setPollRequester(std::function<void()> requester) { m_requestPoll = std::move(requester); }
     void requestPoll() const
@@ -114,6 +127,13 @@
     uint64_t m_lastNumber = 0;
     std::map<OrganisationId, SharedQuota> m_quotas;
     std::map<ServiceId, WindowedRetryBudget> m_retryBudgets;
+    struct EndpointWaiter {
+        TimePoint since {};
+        std::function<void(bool isCurrent)> done;
+        asio::steady_timer timeout;
+    };
+    std::list<EndpointWaiter> m_endpointWaiters;
+    std::function<void(TimePoint now)> m_readEndpoints;
     bool m_isDispatching = false;
     std::function<void()> m_requestPoll;
 };
--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -61,6 +61,8 @@
     void start();
     /// Starts the next call now if none is in progress.
     void pollNow();
+    /// Reads the changes now, whoever else reads them, and confirms the view as of now or later.
+    void readNow(TimePoint now);
     /// Applies the delayed changes that are due.
     void applyDueChanges(TimePoint now);
     bool hasDelayedChanges() const { return m_replica.hasDelayedChanges(); }
@@ -125,6 +127,8 @@
     TableReplica m_replica;
     /// A peer has seen a change that this view lacks.
     bool m_isBehind = false;
+    /// The next call is made for readNow().
+    bool m_mustRead = false;
     std::optional<TimePoint> m_confirmedAt;
     /// Until then the store may lack changes of the former era that peers have seen and this daemon has not.
     TimePoint m_incompleteUntil {};
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -242,8 +242,21 @@
             return;
         }
     }
-    const bool hasSoleVersion = std::ranges::all_of(
-        m_route->targets, [&](const auto& it) { return m_state.soleVersion(it.service, now).has_value(); });
+    m_isFindingOrigin = true;
+    // Another daemon may have begun the stream at an endpoint of a version that this daemon has not read yet.
+    m_state.awaitEndpoints(
+        m_arrivedAt, [self = shared_from_this()](bool isCurrent) { self->findOrigin(isCurrent, bootNow()); },
+        now);
+}
+
+void EdgeRequest::findOrigin(bool isListCurrent, TimePoint now)
+{
+    m_isFindingOrigin = false;
+    if (m_isOver)
+        return;
+    const bool hasSoleVersion = isListCurrent && std::ranges::all_of(m_route->targets, [&](const auto& it) {
+        return m_state.soleVersion(it.service, now).has_value();
+    });
     if (hasSoleVersion) {
         originFound(StreamOrigin { .service = hashOf(m_service.text()),
                         .version = *m_state.soleVersion(m_service, now) },
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -134,6 +134,7 @@
     m_peerSocket.open(ip::udp::v4());
     m_peerSocket.bind({ ip::make_address(own.ownHost), own.firstPeerPort });
     servePeers();
+    m_state.setEndpointReader([this](TimePoint now) { m_endpointFollower->readNow(now); });
     m_state.streams.setSender(
         [this](const auto& daemon, const auto& message) { sendStreamMessage(daemon, message); });
     followStore();
@@ -263,7 +264,7 @@
                     if (m_state.endpointRegistry.unlist(EndpointId(key)))
                         logEvent(Event::EndpointUnlisted, { { "endpoint", key } });
                 },
-            .confirmed = [this](TimePoint at) { endpointsConfirmed(at); },
+            .confirmed = [this](TimePoint at) { m_state.confirmEndpoints(at, bootNow()); },
             .skipPollingFor = [this](TimePoint now) { return skipPollingFor(*m_endpointFollower, now); },
             .hasOtherReader = [this] { return hasOtherReader(); },
             .eraChanged = [this](uint64_t era) { handleStoreEra(era, bootNow()); } });
--- a/packages/Edge/lib/EdgeEndpoints.cpp
+++ b/packages/Edge/lib/EdgeEndpoints.cpp
@@ -7,12 +7,6 @@
 
 namespace lentilbay::edge {
 
-void EdgeDaemon::endpointsConfirmed(TimePoint at)
-{
-    m_state.endpointsConfirmedAt = at;
-    m_state.versions.update(m_state.endpointRegistry, bootNow());
-}
-
 void EdgeDaemon::catchUpEndpoints(TimePoint now)
 {
     const auto& follower = *m_endpointFollower;
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -25,6 +25,8 @@
 constexpr double bufferedAnswersFraction = 0.25;
 /// A list of endpoints that is older may lack a new software version.
 constexpr Duration maxAgeForSoleVersion = std::chrono::seconds(3);
+/// Many times the usual response time of the store, and short for a client that resumes a stream.
+constexpr Duration endpointReadTimeout = std::chrono::milliseconds(150);
 
 /// An endpoint that refuses connections if the address cannot be read.
 asio::ip::tcp::endpoint endpointOf(const platform::Address& store)
@@ -67,6 +69,46 @@
     links.update(now);
 }
 
+void EdgeState::confirmEndpoints(TimePoint at, TimePoint now)
+{
+    endpointsConfirmedAt = at;
+    versions.update(endpointRegistry, now);
+    std::list<EndpointWaiter> current;
+    for (auto it = m_endpointWaiters.begin(); it != m_endpointWaiters.end();) {
+        const auto next = std::next(it);
+        if (it->since <= at)
+            current.splice(current.end(), m_endpointWaiters, it);
+        it = next;
+    }
+    for (auto& it : current) {
+        it.timeout.cancel();
+        it.done(true);
+    }
+    if (!m_endpointWaiters.empty() && m_readEndpoints)
+        m_readEndpoints(now);
+}
+
+void EdgeState::awaitEndpoints(TimePoint since, std::function<void(bool isCurrent)> done, TimePoint now)
+{
+    const bool isCurrent = endpointsConfirmedAt && *endpointsConfirmedAt >= since;
+    if (isCurrent || !m_readEndpoints) {
+        done(isCurrent);
+        return;
+    }
+    m_endpointWaiters.push_back(
+        { .since = since, .done = std::move(done), .timeout = asio::steady_timer(context) });
+    const auto it = std::prev(m_endpointWaiters.end());
+    it->timeout.expires_after(endpointReadTimeout);
+    it->timeout.async_wait([this, it](std::error_code ec) {
+        if (ec)
+            return;
+        const auto waiter = std::move(it->done);
+        m_endpointWaiters.erase(it);
+        waiter(false);
+    });
+    m_readEndpoints(now);
+}
+
 std::optional<TimePoint> EdgeState::requestsEndAt() const
 {
     if (!stopRequestedAt)
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -44,6 +44,8 @@
 /// How often at least a follower that skips polling checks whether it must read, and at most.
 constexpr Duration maxPassiveCheckPeriod = std::chrono::milliseconds(400);
 constexpr Duration minPassiveCheckPeriod = std::chrono::milliseconds(20);
+/// The minimum time between the starts of two calls for readNow().
+constexpr Duration immediateSpacing = std::chrono::milliseconds(50);
 /// Within this time after the store has come back from an older copy, what it has lost is written again.
 constexpr Duration rewriteTime = std::chrono::milliseconds(2100);
 
@@ -71,6 +73,8 @@
     /// The connection had carried a call before.
     bool isReused = false;
     asio::steady_timer timeout;
+    /// How long the store may hold the call.
+    Duration wait {};
     TimePoint startedAt {};
     TimePoint sentAt {};
     /// When the latest bytes of the answer arrived.
@@ -106,6 +110,16 @@
         scheduleCall(Duration::zero());
 }
 
+void StoreFollower::readNow(TimePoint now)
+{
+    // A call that is held by the store confirms the view as of when it was sent.
+    const bool isReading = std::ranges::any_of(
+        m_openCalls, [&](const auto& it) { return it->wait == Duration::zero() && it->sentAt >= now; });
+    if (isReading || std::exchange(m_mustRead, true))
+        return;
+    scheduleCall(std::max(Duration::zero(), m_callStarted + immediateSpacing - now));
+}
+
 void StoreFollower::startCall()
 {
     m_callStarted = bootNow();
@@ -115,7 +129,8 @@
     const std::weak_ptr<Call> weak = call;
     m_openCalls.push_back(call);
     call->startedAt = m_callStarted;
-    armTimeout(call, m_isStoreUnreachable ? recoveryAnswerTimeout : answerTimeout + longPollWait());
+    call->wait = std::exchange(m_mustRead, false) ? Duration::zero() : longPollWait();
+    armTimeout(call, m_isStoreUnreachable ? recoveryAnswerTimeout : answerTimeout + call->wait);
     if (m_idleConnection && m_idleConnection->isReusable()
         && m_callStarted - m_idleConnection->idleSince() < maxIdleTime) {
         call->connection = std::move(m_idleConnection);
@@ -178,7 +193,7 @@
     const auto host = hostOf(m_options.store);
     const auto covered = m_replica.covered();
     auto request = covered ? platform::followRowsRequest(host, m_options.table, covered->number,
-                       static_cast<unsigned>(longPollWait() / std::chrono::milliseconds(1)))
+                       static_cast<unsigned>(call->wait / std::chrono::milliseconds(1)))
                            : platform::readRowsRequest(host, m_options.table, m_replica.nextPage());
     call->hasPosition = covered || !m_replica.nextPage().empty();
     call->sentAt = bootNow();
@@ -353,7 +368,7 @@
             ? m_callbacks.skipPollingFor(now)
             : Duration::zero();
         const auto untilRead = m_isBehind ? m_callStarted + m_options.spacingWhilePassive - now : skippedFor;
-        if (std::min(skippedFor, untilRead) > Duration::zero()) {
+        if (!m_mustRead && std::min(skippedFor, untilRead) > Duration::zero()) {
             scheduleCall(
                 std::clamp(std::min(skippedFor, untilRead), minPassiveCheckPeriod, maxPassiveCheckPeriod));
             return;
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -95,6 +95,12 @@
         state.routesConfirmedAt = bootNow();
         state.endpointsConfirmedAt = bootNow();
         state.knowsDaemons = true;
+        state.setEndpointReader([this](TimePoint) {
+            asio::post(context, [this] {
+                if (isListReadable)
+                    state.confirmEndpoints(bootNow(), bootNow());
+            });
+        });
         list("e1", first);
         front = std::make_unique<http::HttpServer>(context,
             http::HttpServerOptions { .address = { asio::ip::make_address("127.0.0.1"), 0 },
@@ -186,6 +192,8 @@
     RawServer first { context };
     RawServer second { context };
     std::unique_ptr<http::HttpServer> front;
+    /// Whether the platform's store answers when the list of endpoints is read.
+    bool isListReadable = true;
     /// Runs while the connection to the endpoint is being established.
     std::function<void()> afterAdmission;
 };
@@ -329,6 +337,35 @@
     EXPECT_EQ(second.requests().size(), 0U);
 }
 
+TEST_F(EdgeRequestTest, StreamOfAVersionThatThisDaemonHadNotReadWentOnAtAnotherOne)
+{
+    // An endpoint of v2 has joined and begun a stream through another daemon; this one's list is a second old.
+    first.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = streamAnswer({ eventOf(2), eventOf(3) }) };
+    });
+    state.endpointsConfirmedAt = bootNow() - 1s;
+    const std::string resume = "Authorization: Token k\r\nLast-Event-Id: 1\r\nResumes: 6\r\n";
+    isListReadable = false;
+    const auto refused = call("/stream/x", resume);
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_TRUE(refused.headers.contains("Retry-After"));
+    EXPECT_EQ(receivedRequests(), 0U);
+    // The store answers, and shows that there is no other version.
+    isListReadable = true;
+    EXPECT_TRUE(call("/stream/x", resume).isWhole);
+    EXPECT_EQ(receivedRequests(), 1U);
+    // It shows the other version.
+    state.endpointsConfirmedAt = bootNow() - 1s;
+    state.setEndpointReader([this](TimePoint) {
+        asio::post(context, [this] {
+            list("e2", second, "v2");
+            state.confirmEndpoints(bootNow(), bootNow());
+        });
+    });
+    EXPECT_EQ(call("/stream/x", "Authorization: Token k\r\nLast-Event-Id: 1\r\nResumes: 5\r\n").status, 503);
+    EXPECT_EQ(receivedRequests(), 1U);
+}
+
 TEST_F(EdgeRequestTest, StreamGoesOnAtItsVersionAfterAllDaemonsWereRestarted)
 {
     // Guards against joining the events of two software versions, and against refusing every stream, when no
