Notice readers of the store that do not read any more

In a data centre whose aggregators were turned away by the store or had lost it, the other daemons read the list of endpoints when it was 0.8 of the age that is allowed, and then again only at that age: 0.8 s of 4 s were left for a call, for a second one if the first failed, and for the requests chosen meanwhile.

Cause: a daemon left reading to a peer that was alive, whether or not that peer reached the store.

Change: reading is left to others only while the newest view that they report is as recent as a reader's (ReaderWatch); otherwise the daemon reads at its own pace until a reader is back.

--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -78,6 +78,10 @@
     bool applyPeerRows(const platform::StoreRows& rows, TimePoint at);
     /// The rows as they apply at present; see TableReplica::rows().
     std::optional<platform::StoreRows> rows() const { return m_replica.rows(); }
+    /// When the newest view that a peer has reported was complete.
+    TimePoint peerContactAt() const { return m_peerContactAt; }
+    /// Changes how long the store may hold a call.
+    void setWait(Duration wait) { m_options.wait = wait; }
     /// Whether a peer has seen a change that this view lacks.
     bool isBehind() const { return m_isBehind; }
     bool isStoreUnreachable() const { return m_isStoreUnreachable; }
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -2,6 +2,7 @@
 #include "EdgeTimes.h"
 #include "lentilbay/Edge/EdgeDaemon.h"
 #include "lentilbay/Edge/EdgeRequest.h"
+#include "lentilbay/Edge/ReaderWatch.h"
 #include "lentilbay/Support/Hash.h"
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/SteadyClock.h"
@@ -14,13 +15,16 @@
 
 namespace ip = asio::ip;
 
-/// A daemon reads the store itself if its view is older than this fraction of the tightest bound. The
-/// reader's own view is up to twice its long-poll wait old, and reporting it takes up to three heartbeat
-/// periods.
+/// A daemon reads the store itself if its view is older than this fraction of the tightest bound, or if the
+/// reader's view is too old: that is up to twice its long-poll wait old, and reporting it takes up to three
+/// heartbeat periods.
 constexpr double maxPassiveAgeFraction = 0.8;
+constexpr Duration maxReportingTime = 3 * heartbeatPeriod;
 /// The store may hold a call for this fraction of the tightest bound: revoked keys and draining endpoints
 /// must be noticed well within it.
 constexpr double longPollFraction = 0.3;
+/// The same in a large fleet, whose few readers make few of the calls.
+constexpr double longPollFractionInLargeFleet = 0.25;
 /// A passive daemon reads changes that peers have seen no more often than this fraction of the tightest
 /// bound: while a fleet starts, entries change all the time.
 constexpr double passiveSpacingFraction = 0.4;
@@ -33,7 +37,8 @@
 
 Duration EdgeDaemon::longPollWait() const
 {
-    return fromSeconds(toSeconds(tightestBound(m_state.settings.bounds)) * longPollFraction);
+    const double fraction = m_summaries.isActive() ? longPollFractionInLargeFleet : longPollFraction;
+    return fromSeconds(toSeconds(tightestBound(m_state.settings.bounds)) * fraction);
 }
 
 Duration EdgeDaemon::passiveSpacing() const
@@ -224,10 +229,14 @@
 
 Duration EdgeDaemon::skipPollingFor(const StoreFollower& follower, TimePoint now) const
 {
-    const auto confirmedAt = follower.confirmedAt();
-    const auto oldest
-        = fromSeconds(toSeconds(tightestBound(m_state.settings.bounds)) * maxPassiveAgeFraction);
-    return confirmedAt && hasOtherReader() ? *confirmedAt + oldest - now : Duration::zero();
+    if (!hasOtherReader())
+        return Duration::zero();
+    const ReaderWatch watch { .maxViewAge
+        = fromSeconds(toSeconds(tightestBound(m_state.settings.bounds)) * maxPassiveAgeFraction),
+        .maxReaderAge = 2 * longPollWait() + maxReportingTime };
+    // No reader may have been heard yet.
+    const auto readerAt = m_awaitsReader ? now : follower.peerContactAt();
+    return watch.passiveTime(follower.confirmedAt(), readerAt, now);
 }
 
 bool EdgeDaemon::hasOtherReader() const
