Send through a peer while the list of endpoints is outdated

A daemon whose list of endpoints was older than the time within which departures have to be known went on sending by it, even if it was ready only by a recent configuration and peers knew more.

Change: such a daemon sends its requests through peers with a recent list, which is what a daemon without links to the endpoints does already. If no peer has a recent one, it sends by the list that there is: the outage of the store is not the callers'.

Measured: EdgeRequestTest.DaemonWithAnOutdatedListSentByItAlthoughAPeerHadARecentOne passes; it was not run on the former code, which has no such decision.

--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -96,6 +96,13 @@
     {
         return edge::sendPath(links.state(), hasConnection, relays.size() > 0);
     }
+    /// Whether this daemon may lack departures of endpoints that must be known by now, while a peer does not.
+    /// If no peer knows more, requests are sent by the list that there is.
+    bool prefersPeers(TimePoint now) const
+    {
+        return endpointsConfirmedAt && now - *endpointsConfirmedAt > settings.bounds.endpointDrain
+            && relays.hasRecent();
+    }
     /// Logs what an endpoint is now known to state about itself; `source` is the peer that reported it, or
     /// empty.
     void logSignals(const EndpointId& endpoint, const std::string& source) const;
--- a/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
@@ -58,6 +58,8 @@
     void update(const PeerTable& peers);
     /// The number of peers that may be used.
     size_t size() const { return m_usable; }
+    /// Whether one of them has a recent list of endpoints.
+    bool hasRecent() const { return m_hasRecent; }
     /// The peer to send a request through that has not been sent through any of `tried`, or nullptr. One that
     /// may send to an endpoint which has left is chosen only if there is no other.
     std::shared_ptr<EndpointState> choose(const std::vector<EndpointId>& tried, Random& random) const;
@@ -77,6 +79,7 @@
     Topology m_topology;
     std::map<EndpointId, Relay> m_relays;
     size_t m_usable = 0;
+    bool m_hasRecent = false;
     /// The fraction of the daemons of this data centre that others of it can forward to. Where it is small,
     /// those few must not get the requests of all.
     double m_nearFraction = 1;
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -314,6 +314,8 @@
     // Whether a connection to the endpoint is idle is known when one has been chosen.
     const auto path = m_state.sendPath(true);
     const bool hasSlots = m_state.endpointRegistry.hasSlotShare(m_service);
+    if (!m_forwarded && m_state.prefersPeers(now) && startThroughPeer(now))
+        return;
     if (path == SendPath::Direct && hasSlots) {
         m_state.queue.push(waitingRequest());
         return;
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -77,7 +77,9 @@
 void EdgeRequest::start(std::shared_ptr<EndpointState> endpoint, TimePoint now)
 {
     const bool hasConnection = m_state.pools.hasIdle(endpoint->entry(), maxIdleAge(), now);
-    if (!m_forwarded && m_state.sendPath(hasConnection) == SendPath::ThroughPeer && startThroughPeer(now)) {
+    const bool prefersPeer
+        = m_state.prefersPeers(now) || m_state.sendPath(hasConnection) == SendPath::ThroughPeer;
+    if (!m_forwarded && prefersPeer && startThroughPeer(now)) {
         endpoint->recordEnd(m_work, SendOutcome::Neutral, false, now);
         return;
     }
--- a/packages/Edge/lib/PeerForwarding.cpp
+++ b/packages/Edge/lib/PeerForwarding.cpp
@@ -123,6 +123,8 @@
     }
     std::erase_if(m_relays, [](const auto& it) { return !it.second.isListed; });
     m_usable = std::ranges::count_if(m_relays, [](const auto& it) { return it.second.isUsable; });
+    m_hasRecent = std::ranges::any_of(
+        m_relays, [](const auto& it) { return it.second.isUsable && !it.second.isOutdated; });
     m_nearFraction = static_cast<double>(near) / static_cast<double>(near + nearPartitioned);
 }
 
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -1209,6 +1209,33 @@
     RawServer farPeer { context };
 };
 
+TEST_F(EdgeRequestTest, DaemonWithAnOutdatedListSentByItAlthoughAPeerHadARecentOne)
+{
+    RawServer peer(context);
+    PeerHeartbeat heartbeat { .daemon = "p", .incarnation = 1, .sequence = 1, .dataCentre = "a" };
+    heartbeat.periodMilliseconds = 200;
+    const auto hear = [&](bool isOutdated) {
+        heartbeat.isOutdated = isOutdated;
+        ++heartbeat.sequence;
+        state.peers.recordHeartbeat(heartbeat, "127.0.0.1", peer.port(), bootNow());
+        state.relays.update(state.peers);
+    };
+    const auto answer = [&](RawServer& server, const std::string& body) {
+        server.setResponder([body](const std::string&) {
+            return ScriptedResponse { .bytes = httpResponse(200, body, signatureFields) };
+        });
+    };
+    answer(first, "endpoint");
+    answer(peer, "peer");
+    hear(false);
+    EXPECT_EQ(call("/once/x").body, "endpoint");
+    state.endpointsConfirmedAt = bootNow() - state.settings.bounds.endpointDrain - 10ms;
+    EXPECT_EQ(call("/once/x").body, "peer");
+    // Nobody knows more than this daemon.
+    hear(true);
+    EXPECT_EQ(call("/once/x").body, "endpoint");
+}
+
 TEST_F(PartitionedDaemonTest, SendsThroughAPeer)
 {
     nearPeer.script(
