--- a/packages/Edge/include/lentilbay/Edge/PeerWire.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerWire.h
@@ -9,6 +9,9 @@
 // - Stream messages (StreamDirectory.cpp): the same, without sections so far.
 // - Forwarded requests (PeerForwarding.cpp): HTTP header fields, of which unknown ones are ignored.
 // - The configuration read from a peer (ConfigurationCatchUp.cpp): the platform's own text.
+// - The list of endpoints read from a peer (EndpointCatchUp.cpp): a line of numbers, then rows in the
+// platform's own text.
+//   Builds that lack it answer 404, and another peer is asked.
 // - Rows of the store's table "shared" (EdgeSharedRows.cpp): rows of unknown kinds are ignored, the value of
 // a
 //   kind keeps its form.
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -371,7 +371,8 @@
 {
     state.setEndpointReader([](TimePoint) {});
     std::vector<bool> called;
-    state.awaitEndpoints(bootNow() + 1ms, [&](bool isCurrent) { called.push_back(isCurrent); }, bootNow());
+    state.awaitEndpoints(
+        bootNow() + 1ms, [&](bool isCurrent) { called.push_back(isCurrent); }, bootNow());
     // Both the timeout and the answer are due when the event loop comes to them.
     std::this_thread::sleep_for(200ms);
     asio::post(context, [&] { state.confirmEndpoints(bootNow(), bootNow()); });
