--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -241,6 +241,12 @@
             return;
         }
     }
+    const bool knowsOneVersion = std::ranges::all_of(m_route->targets,
+        [&](const auto& it) { return m_state.versions.soleVersion(it.service, now).has_value(); });
+    if (!knowsOneVersion) {
+        findOrigin(false, now);
+        return;
+    }
     m_isFindingOrigin = true;
     // Another daemon may have begun the stream at an endpoint of a version that this daemon has not read yet.
     m_state.awaitEndpoints(
