--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Requesters whose machine is killed take up streams of which only the end is missing."""
+"""Most machines are killed at once, and requesters take up their streams at the one that is left."""
 
 import asyncio
 import os
@@ -9,22 +9,24 @@
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "common"))
 
 from deployment import HAS_TROUBLE, KEY, Deployment, Endpoint, SoundRandom, main, new_id  # noqa: E402
-from standins import CHUNK_END  # noqa: E402
 from traffic import ChunkedReader, exchange, require  # noqa: E402
 
-# Requesters at each machine; as many as the site has in a zone.
-REQUESTERS = 34
-EVENTS = 4
+DAEMONS = 4
+REQUESTERS = 14
+EVENTS = 24
+TOKENS_IN, TOKENS_OUT = 1800, 144
+DOWN_SECONDS = 2.0
+# The usage cap, as the site has it: 1.8 times what the tenant usually uses, and a burst of about two seconds of that.
+# 56 requesters send a stream of 1.2 s and pause for 0.2 s: 40 streams a second.
+RATE = 1.8 * 40 * (TOKENS_IN + TOKENS_OUT)
+BURST = 1.8 * RATE
 
 
 class Engine(Endpoint):
-    """A sound engine: four events, and the end of the stream a moment later. It goes on after Last-Event-Id."""
+    """A sound engine. It goes on after Last-Event-Id."""
 
     SLOTS = 12
-    # Shorter than the longest pause in a stream that the site allows.
-    TAIL_SECONDS = 0.28
-    # Six tokens of 3.74 ms.
-    EVENT_SECONDS = 0.022
+    EVENT_SECONDS = 0.05
 
     async def execute(self, request, headers, target, body, writer) -> None:
         last = int(headers.get("last-event-id", "0"))
@@ -34,92 +36,101 @@
                      f"Transfer-Encoding: chunked\r\n\r\n".encode())
         for event in range(last + 1, EVENTS + 1):
             await asyncio.sleep(self.EVENT_SECONDS)
+            if writer.transport.is_closing():
+                return
             chunk = f"id: {event}\ndata: {request}\n\n".encode()
             writer.write(f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n")
-        await asyncio.sleep(self.TAIL_SECONDS)
-        writer.write(CHUNK_END)
-        self.record.write(f"engine {self.name} answers {request} whole: 200, events {last + 1} to {EVENTS}"
-                          if last < EVENTS else f"engine {self.name} answers {request} whole: 200, nothing is left "
-                                                f"after event {last}")
+        writer.write(b"0\r\n\r\n")
 
 
 class Requesters:
-    """Each sends one stream after another, and takes up once, at the other machine, what was interrupted."""
+    """Each sends one stream after another, and takes up once, at daemon 0, what was interrupted at another one."""
 
     def __init__(self, deployment: Deployment, record) -> None:
         self.deployment, self.record = deployment, record
         self.until = float("inf")
-        # (whether it went on), and for new streams at daemon 1 (whether it began).
         self.taken_up: list = []
+        # Whether new streams at daemon 0 began; those at the others before the kill.
         self.new: list = []
+        # (time, tokens) of what ran.
+        self.used: list = []
 
     def fields(self) -> dict:
-        own = new_id()[:8]
-        return {"X-Token-Usage": "1800,24", "X-Model": "m", "X-Prefix-Hash": f"5c1e07a2:60,{own}:1740"}
+        return {"X-Token-Usage": f"{TOKENS_IN},{TOKENS_OUT}", "X-Model": "m",
+                "X-Prefix-Hash": f"5c1e07a2:60,{new_id()[:8]}:{TOKENS_IN - 60}"}
 
     async def requester(self, daemon: int) -> None:
-        # Requesters don't act in step.
-        await asyncio.sleep(self.deployment.rng.uniform(0, 1))
+        await asyncio.sleep(self.deployment.rng.uniform(0, 1.4))
         while time.monotonic() < self.until:
-            await asyncio.sleep(self.deployment.rng.uniform(0, 0.2))
+            await asyncio.sleep(self.deployment.rng.uniform(0.1, 0.3))
             fields = self.fields()
+            sent_at = time.monotonic()
             try:
-                request, answer = await exchange(self.deployment, daemon, "/check/x", 3000, fields=fields)
+                request, answer = await exchange(self.deployment, daemon, "/review/x", 12000, fields=fields)
             except (OSError, asyncio.TimeoutError):
                 return  # The machine is gone; its requesters send nothing new.
-            if daemon == 1:
-                self.new.append(answer.status == 200 and answer.events() != [])
-                if not self.new[-1]:
-                    self.record.write(f"new stream {request} at daemon 1 did not begin: {answer.status} {answer.text[:9]!r}")
-            if daemon == 0 and answer.end != "complete" and answer.events():
-                self.record.write(f"stream {request} at daemon 0: events {answer.events()}, then the channel closed")
-                await asyncio.sleep(self.deployment.rng.uniform(0.02, 0.4))
+            began = answer.status == 200 and answer.events() != []
+            self.new.append(began)
+            if began:
+                self.used.append(sent_at)
+            else:
+                self.record.write(f"new stream {request} at daemon {daemon}: {answer.status} {answer.text[:9]!r}")
+            if daemon != 0 and answer.end != "complete" and answer.events():
+                self.record.write(f"stream {request} at daemon {daemon}: {len(answer.events())} events, then the channel "
+                                  "closed")
+                await asyncio.sleep(self.deployment.rng.uniform(0.7, 1.5))
                 await self.take_up(request, answer, fields)
+                return
 
     async def take_up(self, request: str, answer: ChunkedReader, fields: dict) -> None:
         last = answer.events()[-1]
-        again, rest = await exchange(self.deployment, 1, "/check/x", 3000,
+        again, rest = await exchange(self.deployment, 0, "/review/x", 10000,
                                      fields=fields | {"Last-Event-Id": str(last), "Resumes": request})
         events = answer.events() + rest.events()
         went_on = rest.status == 200 and rest.end == "complete" and events == list(range(1, EVENTS + 1))
-        ran = [it[1].name for it in self.deployment.executions.get(again, [])]
-        self.record.write(f"stream {request}, taken up after event {last} at daemon 1 as {again}: {rest.status} "
-                          f"{rest.text[:9]!r}, ran at {ran}, {'went on' if went_on else 'did not go on'}")
+        self.record.write(f"stream {request}, taken up after event {last} at daemon 0 as {again}: {rest.status} "
+                          f"{rest.text[:9]!r}, {'went on' if went_on else 'did not go on'}")
         self.taken_up.append(went_on)
 
 
 async def run(record) -> list:
-    deployment = Deployment(record, daemons=2)
-    Engine.record = record
+    deployment = Deployment(record, daemons=DAEMONS)
     tasks: list = []
     try:
         await deployment.start_store()
-        for n in range(6):
+        for n in range(8):
             await deployment.add_engine(Engine(f"i-{n}", "llm", deployment.executions, SoundRandom()))
         for it in deployment.engines:
             await deployment.list_engine(it)
         await deployment.configure(
-            [{"Name": "check", "Host": "h", "Prefix": "/check/", "Type": "stream", "Resumable": True, "TimeoutMs": 3000,
-              "SloMs": 1200, "GapTargetMs": 300, "Service": "llm", "Attempts": 2, "Priority": 2}],
-            [{"Name": "llm", "MaxConns": 240, "Engine": {"Slots": 12, "Stride": 6}}], [{"Name": "t", "ApiKeys": [KEY]}])
-        for i in range(2):
+            [{"Name": "review", "Host": "h", "Prefix": "/review/", "Type": "stream", "Resumable": True, "TimeoutMs": 12000,
+              "SloMs": 800, "GapTargetMs": 300, "Service": "llm", "Attempts": 2, "Priority": 1}],
+            [{"Name": "llm", "MaxConns": 240, "Engine": {"Slots": 12, "Stride": 6}}],
+            [{"Name": "t", "ApiKeys": [KEY], "RatePerS": RATE, "Burst": BURST, "Unit": "tokens", "DefaultTokens": 200}])
+        for i in range(DAEMONS):
             deployment.spawn(i)
         await deployment.wait_until_ready()
         requesters = Requesters(deployment, record)
-        tasks = [asyncio.create_task(requesters.requester(n % 2)) for n in range(2 * REQUESTERS)]
-        # All machines have been in touch for ContactMs.
-        await asyncio.sleep(4.0)
+        tasks = [asyncio.create_task(requesters.requester(n % DAEMONS)) for n in range(DAEMONS * REQUESTERS)]
+        await asyncio.sleep(12.0)
         if HAS_TROUBLE:
-            deployment.processes[0].kill()
-            record.write("daemon 0 is killed")
-        await asyncio.sleep(5.0)
+            for i in range(1, DAEMONS):
+                deployment.processes[i].kill()
+            record.write(f"daemons 1 to {DAEMONS - 1} are killed")
+            await asyncio.sleep(DOWN_SECONDS)
+            for i in range(1, DAEMONS):
+                deployment.spawn(i, is_first=False)
+            record.write(f"daemons 1 to {DAEMONS - 1} are started again")
+        await asyncio.sleep(4.0)
         requesters.until = 0
-        await asyncio.wait_for(asyncio.gather(*tasks), 10)
+        await asyncio.wait_for(asyncio.gather(*tasks), 20)
         taken_up, went_on = len(requesters.taken_up), sum(requesters.taken_up)
         new, begun = len(requesters.new), sum(requesters.new)
+        most = max(sum(at <= it < at + 8 for it in requesters.used) for at in requesters.used) * (TOKENS_IN + TOKENS_OUT)
+        record.write(f"at most {most} tokens in 8 s, the cap allows {RATE * 8 + BURST:.0f}")
         summary = f"{went_on} of {taken_up} streams that were taken up went on, {begun} of {new} new ones began"
         record.write(summary)
-        print(summary)
+        print(summary, f"; {most} of {RATE * 8 + BURST:.0f} tokens")
         require(begun > 0, "no new stream began")
         require(taken_up >= 12 or not HAS_TROUBLE, f"only {taken_up} streams were interrupted after an event")
         if taken_up >= 12 and went_on / taken_up < begun / new / 2:
