Let a resumed stream end with its connection

Cause: completeStream() took every answer without events and without a length for one that broke off, 204 among them, and judged the endpoint and the request by it. Each endpoint ends such a request in the same way, so all of them were suspended.

Change: readStreamEnd() tells whole, broken and unconfirmed ends apart. Of an unconfirmed one, another endpoint of the software version is asked. It either goes on, and the first one has failed, or closes the connection as well; if its process still accepts a connection and keeps it, the stream is whole. An answer without events of a stream that nobody has begun stays a broken one, and so does one that ends with comments. 204 needs no confirmation.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -9,6 +9,7 @@
 #include "lentilbay/Edge/EdgeState.h"
 #include "lentilbay/Edge/EventSplitter.h"
 #include "lentilbay/Edge/PeerForwarding.h"
+#include "lentilbay/Edge/StreamEnd.h"
 #include "lentilbay/Http/Server.h"
 #include "lentilbay/platform/CallerHeaders.h"
 
@@ -37,6 +38,8 @@
     /// The endpoint has written enough of the answer to show that the request does not crash it.
     bool hasBegunAnswer = false;
     size_t events = 0;
+    /// Events other than comments.
+    bool hadEvents = false;
     bool wasNotExecuted = false;
     bool isMisdirected = false;
     bool isEventStream = false;
@@ -135,6 +138,12 @@
     void handleAnswersEvicted(TimePoint now);
     void handleResponseComplete();
     void completeStream(TimePoint now);
+    StreamEnd streamEnd() const;
+    /// Asks another endpoint whether anything is left of the stream, or ends it if one has confirmed that
+    /// nothing is.
+    void handleUnconfirmedEnd(TimePoint now);
+    /// Ends the response as an endpoint's whole answer with this head.
+    void deliverEnd(const http::HttpResponseHead& head, TimePoint now);
     void completeNonStream(TimePoint now);
     void handleResponseBroken(http::FailurePoint at);
     void relay(std::string_view piece, TimePoint now);
@@ -146,6 +155,8 @@
     void beginAnswer();
     /// The header fields of an endpoint's answer for the caller, or for the peer that forwarded the request.
     http::Headers answerHeaders(http::Headers headers) const;
+    /// Records that an endpoint has failed after its send had ended.
+    static void recordLateFailure(EndpointState& endpoint, TimePoint now);
     /// Ends the current send and records its outcome for the endpoint.
     void endSend(SendOutcome outcome, TimePoint now);
     void logFailedSend(bool mayHaveExecuted, ResultCode reason) const;
@@ -198,6 +209,12 @@
     std::optional<EndpointSend> m_send;
     EventSplitter m_events;
     size_t m_eventsRelayed = 0;
+    /// Events other than comments were relayed.
+    bool m_hasRelayedEvents = false;
+    /// The endpoint that gave an answer whose end has to be confirmed.
+    std::shared_ptr<EndpointState> m_unconfirmedEndpoint;
+    /// Whether it is being checked that the endpoint which confirmed an end has not failed itself.
+    bool m_isConfirmingEnd = false;
     /// hashOf() the software version that began the stream; only that version may go on with it.
     std::optional<uint64_t> m_version;
     /// The engine that began the stream was replaced under its id, so its version is not known.
--- a/packages/Edge/include/lentilbay/Edge/EndpointPools.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointPools.h
@@ -5,7 +5,9 @@
 #include "lentilbay/Http/ClientConnection.h"
 #include "lentilbay/Model/RoutedEndpoint.h"
 
+#include <functional>
 #include <map>
+#include <memory>
 #include <vector>
 
 namespace lentilbay::edge {
@@ -32,6 +34,9 @@
     bool hasIdle(const RoutedEndpoint& endpoint, Duration maxIdleAge, TimePoint now) const;
     /// Tries a new connection, which is kept for later if it is established.
     void probe(const RoutedEndpoint& endpoint);
+    /// Calls `done` with whether the endpoint's process accepts a new connection and keeps it. A failure is
+    /// not reported to the observer: it may be due to the endpoint's limit of connections.
+    void checkAlive(const RoutedEndpoint& endpoint, std::function<void(bool isAlive)> done);
     /// Called with whether a new connection was established.
     void setConnectObserver(std::function<void(const EndpointId&, bool isConnected)> observer)
     {
@@ -49,6 +54,9 @@
 private:
     void connect(
         const RoutedEndpoint& endpoint, std::function<void(std::shared_ptr<http::ClientConnection>)> done);
+    /// The same without the observer.
+    void open(
+        const RoutedEndpoint& endpoint, std::function<void(std::shared_ptr<http::ClientConnection>)> done);
 
     asio::io_context& m_context;
     std::shared_ptr<MemoryBudget> m_memory;
--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -67,6 +67,8 @@
     void recordProgress(double tokens, Duration elapsed, TimePoint now);
     /// Must match a recordSend(); `hadFirstEvent` is whether recordFirstEvent() was called for it.
     void recordEnd(const Work& work, SendOutcome outcome, bool hadFirstEvent, TimePoint now);
+    /// Records that a send which has ended turned out to have failed.
+    void recordFailure(TimePoint now);
     /// Requests in flight at the endpoint, of all daemons.
     double load() const { return static_cast<double>(m_ownInFlight + m_peerInFlight); }
     uint32_t ownInFlight() const { return m_ownInFlight; }
--- a/packages/Edge/include/lentilbay/Edge/EventSplitter.h
+++ b/packages/Edge/include/lentilbay/Edge/EventSplitter.h
@@ -19,6 +19,8 @@
         /// One or more complete events.
         std::string bytes;
         size_t events = 0;
+        /// Of these events, those that consist of comments.
+        size_t comments = 0;
         /// An event without an id follows them in an answer that resumes a stream of events with ids: an
         /// error, for instance.
         bool isInterrupted = false;
@@ -29,6 +31,8 @@
     Piece feed(std::string_view bytes);
     /// The id of the last complete event that had one.
     const std::optional<std::string>& lastId() const { return m_lastId; }
+    /// The caller has the events up to this id from a former response; they are not relayed again.
+    void skipUntil(std::string id) { m_lastId = std::move(id); }
     /// Whether an incomplete event is buffered.
     bool hasPartialEvent() const { return !m_partialEvent.empty(); }
     /// The memory of the incomplete event.
@@ -42,7 +46,7 @@
     {
         m_partialEvent.clear();
         m_searched = 0;
-        m_requiresIds = m_lastId.has_value();
+        m_requiresIds = m_hadId;
     }
 
 private:
@@ -50,6 +54,8 @@
     /// The length of the beginning of m_partialEvent that is known to contain no end of an event.
     size_t m_searched = 0;
     std::optional<std::string> m_lastId;
+    /// A complete event had an id.
+    bool m_hadId = false;
     bool m_requiresIds = false;
 };
 
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -40,6 +40,8 @@
         refuse(ResultCode::Draining, drainingRetryAfter, now);
         return;
     }
+    if (m_route->isResumable && m_metadata.lastEvent)
+        m_events.skipUntil(*m_metadata.lastEvent);
     m_state.requests.emplace(m_number, shared_from_this());
     m_exchange->onClientDisconnect([self = shared_from_this()] { self->handleCallerLeft(); });
     armTimeout(now);
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -39,6 +39,8 @@
 constexpr size_t maxBufferedAnswerBytes = 4'194'304;
 /// Bytes that a slow caller may leave unread before reading from the endpoint is paused.
 constexpr size_t maxUnsentBytes = 65'536;
+/// Such an answer never has a body.
+constexpr int httpNoContent = 204;
 
 /// The header fields of an endpoint's answer that are forwarded to the caller; the server adds its own
 /// framing.
@@ -49,6 +51,13 @@
     return headers;
 }
 
+void logSuspicion(const EndpointState& endpoint, SendOutcome outcome)
+{
+    logEvent(Event::EndpointSuspected,
+        { { "endpoint", endpoint.entry().id.text() },
+            { "misdirected", static_cast<int64_t>(outcome == SendOutcome::Misdirected) } });
+}
+
 } // namespace
 
 EdgeRequest::EdgeRequest(
@@ -111,7 +120,7 @@
 
 void EdgeRequest::forwardWaiting(TimePoint now)
 {
-    if (m_isOver || m_send || m_isFindingOrigin)
+    if (m_isOver || m_send || m_isFindingOrigin || m_isConfirmingEnd)
         return;
     m_state.queue.remove(m_number);
     requeue(now);
@@ -422,6 +431,10 @@
     }
     m_send->lastEventAt = now;
     m_send->events += events.events;
+    m_send->hadEvents = m_send->hadEvents || events.events > events.comments;
+    // The endpoint that ended the stream before left events out.
+    if (m_send->hadEvents && m_unconfirmedEndpoint)
+        recordLateFailure(*std::exchange(m_unconfirmedEndpoint, nullptr), now);
     if (!m_send->isThroughPeer) {
         m_state.links.recordHeard(endpoint.hash(), now);
         m_state.crashes.recordAlive(endpoint.hash(), m_send->sentAt);
@@ -437,6 +450,7 @@
     }
     m_lastRelayedAt = now;
     m_eventsRelayed += events.events;
+    m_hasRelayedEvents = m_hasRelayedEvents || m_send->hadEvents;
     m_exchange->write(events.bytes);
     if (m_exchange->unsentBytes() <= maxUnsentBytes)
         return;
@@ -553,22 +567,77 @@
 
 void EdgeRequest::completeStream(TimePoint now)
 {
-    const auto& head = m_send->head;
-    // Nothing but its events shows that an answer without a length was whole.
-    const bool endsWithConnection = !head.isChunked && !head.contentLength;
-    // A caller that resumes a stream may have all of its events and lack its end.
-    const bool mayBeEmpty = m_eventsRelayed > 0 || (m_route->isResumable && m_metadata.lastEvent);
-    if (m_events.hasPartialEvent() || !mayBeEmpty || (endsWithConnection && m_send->events == 0)) {
+    switch (streamEnd()) {
+    case StreamEnd::Broken:
         recordBrokenOff(readLoss(http::FailurePoint::DuringResponse), now);
         endSend(SendOutcome::Failed, now);
         sendFailed(true, ResultCode::EndpointBroke, now);
         return;
+    case StreamEnd::Unconfirmed:
+        handleUnconfirmedEnd(now);
+        return;
+    case StreamEnd::Whole:
+        break;
     }
     recordAnswerBegun(now);
-    if (!m_exchange->hasBegun())
-        beginAnswer();
+    const auto head = std::move(m_send->head);
     endSend(SendOutcome::Succeeded, now);
-    m_exchange->finish();
+    deliverEnd(head, now);
+}
+
+StreamEnd EdgeRequest::streamEnd() const
+{
+    const auto& head = m_send->head;
+    const bool hasNoBody = head.status == httpNoContent;
+    return readStreamEnd({ .hasPartialEvent = m_events.hasPartialEvent(),
+        .hasEvents = m_send->hadEvents,
+        .isFramed = head.isChunked || head.contentLength || hasNoBody,
+        .isResumed = m_hasRelayedEvents || (m_route->isResumable && m_metadata.lastEvent) });
+}
+
+void EdgeRequest::handleUnconfirmedEnd(TimePoint now)
+{
+    const auto endpoint = m_send->endpoint;
+    const auto head = std::move(m_send->head);
+    logEvent(Event::StreamEndUnconfirmed,
+        { { "id", m_metadata.id.text() }, { "endpoint", endpoint->entry().id.text() },
+            { "last_event", m_events.lastId().value_or("") },
+            { "confirms",
+                m_unconfirmedEndpoint ? m_unconfirmedEndpoint->entry().id.text() : std::string() } });
+    // It may be a crash, unless the endpoint shows a sign of life.
+    recordBrokenOff(readLoss(http::FailurePoint::DuringResponse), now);
+    endSend(SendOutcome::Neutral, now);
+    if (!m_unconfirmedEndpoint) {
+        m_unconfirmedEndpoint = endpoint;
+        m_state.pools.checkAlive(endpoint->entry(), [](bool) {});
+        sendFailed(true, ResultCode::EndpointBroke, now);
+        return;
+    }
+    m_isConfirmingEnd = true;
+    m_state.pools.checkAlive(endpoint->entry(), [self = shared_from_this(), head](bool isAlive) {
+        self->m_isConfirmingEnd = false;
+        if (self->m_isOver)
+            return;
+        const auto later = bootNow();
+        if (!isAlive) {
+            self->sendFailed(true, ResultCode::EndpointBroke, later);
+            return;
+        }
+        self->m_state.crashes.recordAnswer(self->m_attributed, later);
+        self->deliverEnd(head, later);
+    });
+}
+
+void EdgeRequest::deliverEnd(const http::HttpResponseHead& head, TimePoint now)
+{
+    if (m_exchange->hasBegun()) {
+        m_exchange->finish();
+    } else if (head.status == httpNoContent) {
+        m_exchange->respond(head.status, head.reason, answerHeaders(head.headers), {});
+    } else {
+        m_exchange->begin(head.status, head.reason, answerHeaders(head.headers));
+        m_exchange->finish();
+    }
     finish(ResultCode::Ok, now);
 }
 
@@ -641,6 +710,14 @@
         now);
 }
 
+void EdgeRequest::recordLateFailure(EndpointState& endpoint, TimePoint now)
+{
+    const bool wasSuspended = endpoint.isSuspended(now);
+    endpoint.recordFailure(now);
+    if (!wasSuspended && endpoint.isSuspended(now))
+        logSuspicion(endpoint, SendOutcome::Failed);
+}
+
 void EdgeRequest::endSend(SendOutcome outcome, TimePoint now)
 {
     auto send = std::move(*m_send);
@@ -653,9 +730,7 @@
     send.endpoint->recordEnd(m_work, outcome, send.hadFirstEvent, now);
     const bool isSuspect = outcome == SendOutcome::Failed || outcome == SendOutcome::Misdirected;
     if (isSuspect && !wasSuspended && send.endpoint->isSuspended(now))
-        logEvent(Event::EndpointSuspected,
-            { { "endpoint", send.endpoint->entry().id.text() },
-                { "misdirected", static_cast<int64_t>(outcome == SendOutcome::Misdirected) } });
+        logSuspicion(*send.endpoint, outcome);
     if (send.isSent && !send.wasNotExecuted)
         ++m_possibleExecutions;
     if (send.connection)
--- a/packages/Edge/lib/EndpointPools.cpp
+++ b/packages/Edge/lib/EndpointPools.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
 
 namespace lentilbay::edge {
 namespace {
@@ -15,6 +16,8 @@
 constexpr Duration defaultKeepAlive = std::chrono::seconds(5);
 /// A connection is closed this long before its endpoint would close it.
 constexpr Duration keepAliveMargin = std::chrono::milliseconds(900);
+/// A proxy accepts connections for an endpoint that has failed, and closes them at once.
+constexpr Duration aliveCheckDuration = std::chrono::milliseconds(50);
 
 Duration maxIdleTimeOf(const http::ClientConnection& connection)
 {
@@ -44,6 +47,17 @@
 
 void EndpointPools::connect(
     const RoutedEndpoint& endpoint, std::function<void(std::shared_ptr<http::ClientConnection>)> done)
+{
+    open(endpoint,
+        [this, id = endpoint.id, done = std::move(done)](std::shared_ptr<http::ClientConnection> connection) {
+            if (m_connectObserver)
+                m_connectObserver(id, connection != nullptr);
+            done(std::move(connection));
+        });
+}
+
+void EndpointPools::open(
+    const RoutedEndpoint& endpoint, std::function<void(std::shared_ptr<http::ClientConnection>)> done)
 {
     std::error_code ec;
     const auto host = asio::ip::make_address(endpoint.host, ec);
@@ -55,11 +69,7 @@
     ++m_opened;
     auto connection = std::make_shared<http::ClientConnection>(m_context, m_memory);
     connection->connect({ host, endpoint.port }, connectTimeout,
-        [this, id = endpoint.id, connection, done = std::move(done)](bool isConnected) {
-            if (m_connectObserver)
-                m_connectObserver(id, isConnected);
-            done(isConnected ? connection : nullptr);
-        });
+        [connection, done = std::move(done)](bool isConnected) { done(isConnected ? connection : nullptr); });
 }
 
 bool EndpointPools::hasIdle(const RoutedEndpoint& endpoint, Duration maxIdleAge, TimePoint now) const
@@ -79,6 +89,26 @@
     });
 }
 
+void EndpointPools::checkAlive(const RoutedEndpoint& endpoint, std::function<void(bool isAlive)> done)
+{
+    const auto connected = [this, endpoint, done = std::move(done)](
+                               const std::shared_ptr<http::ClientConnection>& connection) {
+        if (!connection) {
+            done(false);
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(m_context, aliveCheckDuration);
+        timer->async_wait([this, endpoint, done, connection, timer](std::error_code) {
+            const bool isAlive = connection->isOpen();
+            release(endpoint, connection);
+            if (isAlive && m_connectObserver)
+                m_connectObserver(endpoint.id, true);
+            done(isAlive);
+        });
+    };
+    open(endpoint, connected);
+}
+
 void EndpointPools::closeIdle(const std::function<bool(const EndpointId&)>& isClosed)
 {
     for (auto& [id, idle] : m_idle) {
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -135,15 +135,7 @@
         m_suspensions = m_misdirections = 0;
         break;
     case SendOutcome::Failed:
-        m_failureRate.observe(1);
-        m_failedAt = now;
-        ++m_failuresInRow;
-        if (m_failuresInRow >= failuresToSuspend
-            || (m_failureRate.observations() >= minFailureObservations
-                && m_failureRate.mean() > maxFailureRate)) {
-            m_failuresInRow = std::max(m_failuresInRow, failuresToSuspend);
-            m_suspendedUntil = now + doubled(minSuspension, m_suspensions++, maxSuspension);
-        }
+        recordFailure(now);
         break;
     case SendOutcome::Misdirected:
         m_failuresInRow = std::max(m_failuresInRow, failuresToSuspend);
@@ -158,6 +150,19 @@
     }
 }
 
+void EndpointState::recordFailure(TimePoint now)
+{
+    m_failureRate.observe(1);
+    m_failedAt = now;
+    ++m_failuresInRow;
+    const bool failsOften
+        = m_failureRate.observations() >= minFailureObservations && m_failureRate.mean() > maxFailureRate;
+    if (m_failuresInRow < failuresToSuspend && !failsOften)
+        return;
+    m_failuresInRow = std::max(m_failuresInRow, failuresToSuspend);
+    m_suspendedUntil = now + doubled(minSuspension, m_suspensions++, maxSuspension);
+}
+
 bool EndpointState::isStalled(TimePoint now) const
 {
     if (m_ownInFlight == 0)
--- a/packages/Edge/lib/EventSplitter.cpp
+++ b/packages/Edge/lib/EventSplitter.cpp
@@ -28,7 +28,7 @@
 }
 
 /// Whether the event consists of comments, which some servers send to keep a connection open.
-bool isComment(std::string_view event)
+bool consistsOfComments(std::string_view event)
 {
     while (!event.empty()) {
         const auto end = event.find('\n');
@@ -77,14 +77,18 @@
         auto id = idOf(event);
         if (isDuplicate(id, m_lastId))
             continue;
-        if (!id && m_requiresIds && !isComment(event)) {
+        const bool isComment = !id && consistsOfComments(event);
+        if (!id && m_requiresIds && !isComment) {
             out.isInterrupted = true;
             break;
         }
-        if (id)
+        if (id) {
             m_lastId = std::move(id);
+            m_hadId = true;
+        }
         out.bytes += event;
         ++out.events;
+        out.comments += isComment ? 1 : 0;
     }
     m_partialEvent.erase(0, m_partialEvent.size() - rest.size());
     // The end of an event is at most three bytes long.
