Drop the prompt of a request that ended with an error

What callers saw: first events came later the more requests had been answered 4xx or 5xx, because sound endpoints looked busy.

Cause: completeNonStream() marked such an answer as the first event without calling recordFirstEvent(), so that neither it nor recordEnd() took the request's prompt off the tokens that the endpoint still has to process.

Change: only a success counts as the first event.

Measured: ServerErrorsMadeAnEndpointLookSlow fails without the change.

--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -651,11 +651,8 @@
         sendFailed(true, ResultCode::EndpointAnswerInvalid, now);
         return;
     }
-    if (!m_send->hadFirstEvent) {
-        m_send->hadFirstEvent = true;
-        if (isSuccess)
-            m_send->endpoint->recordFirstEvent(m_work, now - m_send->sentAt, now);
-    }
+    if (isSuccess && !std::exchange(m_send->hadFirstEvent, true))
+        m_send->endpoint->recordFirstEvent(m_work, now - m_send->sentAt, now);
     if (isSuccess)
         recordAnswerBegun(now);
     auto head = std::move(m_send->head);
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -949,6 +949,18 @@
     }
 }
 
+TEST_F(EdgeRequestTest, ServerErrorsMadeAnEndpointLookSlow)
+{
+    // The prompt of a request that has ended is not processed any more.
+    for (const int status : { 500, 404 }) {
+        first.setResponder([&](const std::string&) {
+            return ScriptedResponse { .bytes = httpResponse(status, "", signatureFields) };
+        });
+        EXPECT_EQ(call("/stream/x", "Authorization: Token k\r\nX-Token-Usage: 100,10\r\n").status, status);
+        EXPECT_EQ(state.endpointRegistry.find(EndpointId("e1"))->pendingPromptTokens(), 0) << status;
+    }
+}
+
 TEST_F(EdgeRequestTest, ResumedStreamWithoutABodyWasTakenForABrokenAnswer)
 {
     // Guards against a 502 and suspended endpoints where the endpoint has nothing left and says so by 204.
