Tell requests that fail anywhere from endpoints that fail

Answers that are closed early, invalid, unsigned, too slow or 5xx did the same.

Cause: each failed send was held against its endpoint alone. Two in a row suspend an endpoint, and a result that follows the request from endpoint to endpoint suspends all of them.

Change: - FailureSources weighs a failure by what similar requests do at other endpoints: by prompt part, whole request, and organisation with route. Failures at an endpoint that serves others are the requests'; an endpoint's own failures do not count when it is judged, so that one which fails alone is found as soon as before. A failure that repeats at a second endpoint is taken back. - If failures or stalls exclude all endpoints of a service that answered a request a moment ago, they exclude none. Where it may be sent twice and similar requests do get events, another endpoint is asked first, so that callers are served if one endpoint alone answers so.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -50,6 +50,21 @@
     std::string body;
 };
 
+/// How an endpoint failed a request. Requests that fail alike at two endpoints are the cause themselves.
+enum class SendFailure : uint8_t {
+    /// No connection was established.
+    Unreachable,
+    /// The connection ended in the answer, or before it.
+    BrokenOff,
+    /// The bytes received are no answer, or no whole one within the bounds of this daemon.
+    Invalid,
+    Unsigned,
+    ServerError,
+    /// A whole stream without an event.
+    Empty,
+    Stalled,
+};
+
 class EdgeRequest : public std::enable_shared_from_this<EdgeRequest> {
 public:
     /// `forwarded` is set if a peer sends the request through this daemon.
@@ -130,7 +145,7 @@
     /// Keeps a piece of an answer that is not a stream.
     void buffer(std::string_view piece, TimePoint now);
     /// Breaks off an answer that may not be relayed any further, and counts it.
-    void rejectAnswer(std::string_view counter, TimePoint now, SendOutcome outcome = SendOutcome::Failed);
+    void rejectAnswer(std::string_view counter, TimePoint now, bool isFailure = true);
     /// Updates what is kept of endpoints' answers. Breaks the current one off and returns false if it is to
     /// be given up.
     bool chargeAnswers(TimePoint now);
@@ -142,6 +157,9 @@
     /// Asks another endpoint whether anything is left of the stream, or ends it if one has confirmed that
     /// nothing is.
     void handleUnconfirmedEnd(TimePoint now);
+    /// Asks another endpoint for the events of a new stream that has none, or ends the response with the
+    /// empty answer.
+    void handleEmptyStream(TimePoint now);
     /// Ends the response as an endpoint's whole answer with this head.
     void deliverEnd(const http::HttpResponseHead& head, TimePoint now);
     void completeNonStream(TimePoint now);
@@ -155,10 +173,13 @@
     void beginAnswer();
     /// The header fields of an endpoint's answer for the caller, or for the peer that forwarded the request.
     http::Headers answerHeaders(http::Headers headers) const;
+    /// Ends the current send as failed, and decides whether the endpoint or the request is the cause.
+    void failSend(SendFailure failure, TimePoint now);
     /// Records that an endpoint has failed after its send had ended.
     static void recordLateFailure(EndpointState& endpoint, TimePoint now);
     /// Ends the current send and records its outcome for the endpoint.
-    void endSend(SendOutcome outcome, TimePoint now);
+    /// @param evidence of a failure against the endpoint
+    void endSend(SendOutcome outcome, TimePoint now, double evidence = 1);
     void logFailedSend(bool mayHaveExecuted, ResultCode reason) const;
     /// Called after a send without a usable answer: sends again if that is allowed, otherwise ends the
     /// request.
@@ -198,6 +219,17 @@
     AttributedRequest m_attributed;
     /// Number of sends that an endpoint broke off before its answer had begun.
     int m_sendsBroken = 0;
+    /// What the request has in common with others that may fail as it does.
+    std::vector<uint64_t> m_failureKeys;
+    struct FailedSend {
+        std::shared_ptr<EndpointState> endpoint;
+        SendFailure failure = SendFailure::Unreachable;
+        double evidence = 1;
+        TimePoint at {};
+    };
+    std::vector<FailedSend> m_failedSends;
+    /// Of the last failure against its endpoint.
+    double m_failureEvidence = 1;
     std::vector<EndpointId> m_triedEndpoints;
     /// Number of sends that the endpoint may have executed.
     int m_possibleExecutions = 0;
@@ -211,6 +243,8 @@
     size_t m_eventsRelayed = 0;
     /// Events other than comments were relayed.
     bool m_hasRelayedEvents = false;
+    /// The head of a whole answer without an event, which the caller gets if no endpoint gives another one.
+    std::optional<http::HttpResponseHead> m_emptyAnswer;
     /// The endpoint that gave an answer whose end has to be confirmed.
     std::shared_ptr<EndpointState> m_unconfirmedEndpoint;
     /// Whether it is being checked that the endpoint which confirmed an end has not failed itself.
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -14,6 +14,7 @@
 #include "lentilbay/Edge/VersionHistory.h"
 #include "lentilbay/Edge/WaitingQueue.h"
 #include "lentilbay/Model/RouteTable.h"
+#include "lentilbay/Policy/FailureSources.h"
 #include "lentilbay/Policy/SharedQuota.h"
 #include "lentilbay/Policy/WindowedRetryBudget.h"
 #include "lentilbay/platform/ProcessSettings.h"
@@ -65,6 +66,7 @@
     LinkMonitor links;
     PeerRelays relays;
     CrashAttribution crashes;
+    FailureSources failureSources;
     StreamDirectory streams;
     StreamOriginStore streamOrigins;
     VersionHistory versions;
--- a/packages/Edge/include/lentilbay/Edge/EndpointPools.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointPools.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace lentilbay::edge {
@@ -37,6 +38,8 @@
     /// Calls `done` with whether the endpoint's process accepts a new connection and keeps it. A failure is
     /// not reported to the observer: it may be due to the endpoint's limit of connections.
     void checkAlive(const RoutedEndpoint& endpoint, std::function<void(bool isAlive)> done);
+    /// The same for the observer only, unless such a check is in progress.
+    void checkAlive(const RoutedEndpoint& endpoint);
     /// Called with whether a new connection was established.
     void setConnectObserver(std::function<void(const EndpointId&, bool isConnected)> observer)
     {
@@ -62,6 +65,7 @@
     std::shared_ptr<MemoryBudget> m_memory;
     std::map<EndpointId, std::vector<std::shared_ptr<http::ClientConnection>>> m_idle;
     std::function<void(const EndpointId&, bool)> m_connectObserver;
+    std::set<EndpointId> m_checked;
     uint64_t m_opened = 0;
 };
 
--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -33,7 +33,9 @@
 /// The outcome of a send, classified by what it shows about the state of the endpoint.
 enum class SendOutcome : uint8_t {
     Succeeded,
-    /// Connection failure, broken answer, server error or stall.
+    /// No connection was established, which no request can cause.
+    Unreachable,
+    /// Broken answer, server error or stall.
     Failed,
     /// The endpoint reported that it is at capacity.
     Full,
@@ -66,9 +68,13 @@
     /// Records that `tokens` arrived within `elapsed`.
     void recordProgress(double tokens, Duration elapsed, TimePoint now);
     /// Must match a recordSend(); `hadFirstEvent` is whether recordFirstEvent() was called for it.
-    void recordEnd(const Work& work, SendOutcome outcome, bool hadFirstEvent, TimePoint now);
+    /// @param evidence of a failure against the endpoint, from 0 to 1: FailureSources::weightAgainst()
+    void recordEnd(
+        const Work& work, SendOutcome outcome, bool hadFirstEvent, TimePoint now, double evidence = 1);
     /// Records that a send which has ended turned out to have failed.
-    void recordFailure(TimePoint now);
+    void recordFailure(TimePoint now, double evidence = 1);
+    /// Takes back a failure that was recorded then, since the request turned out to be its cause.
+    void retractFailure(double evidence, TimePoint failedAt);
     /// Requests in flight at the endpoint, of all daemons.
     double load() const { return static_cast<double>(m_ownInFlight + m_peerInFlight); }
     uint32_t ownInFlight() const { return m_ownInFlight; }
@@ -85,9 +91,15 @@
     /// Records an answer whose header could not be parsed; returns whether it is the first one.
     bool noteUnreadableHeader() { return !std::exchange(m_hadUnreadableHeader, true); }
     /// Whether the endpoint failed recently and gets no work at present.
-    bool isSuspended(TimePoint now) const { return now < m_suspendedUntil; }
+    bool isSuspended(TimePoint now) const { return now < m_suspendedUntil || isUnusable(now); }
+    /// Whether it is suspended for a reason that no request can cause.
+    bool isUnusable(TimePoint now) const { return now < m_unusableUntil; }
+    /// When a request last succeeded there.
+    TimePoint succeededAt() const { return m_succeededAt; }
     /// Whether the endpoint has not succeeded since it was suspended; it then gets one request at a time.
-    bool isOnProbation() const { return m_failuresInRow >= failuresToSuspend; }
+    bool isOnProbation() const { return m_failureEvidence >= evidenceToSuspend; }
+    /// Whether a failure that no request explains has not been followed by a success.
+    bool isSuspect() const { return m_failureEvidence >= 1; }
     /// Whether this daemon has requests in flight there and none of them has made progress for much longer
     /// than expected.
     bool isStalled(TimePoint now) const;
@@ -101,8 +113,9 @@
     /// Time to process one prompt token; the startup time is expressed in prompt tokens as well.
     double secondsPerPromptToken() const;
 
-    /// A single failure may be caused by the request; two in a row are attributed to the endpoint.
-    static constexpr int failuresToSuspend = 2;
+    /// A single failure may be caused by the request; two in a row are attributed to the endpoint if similar
+    /// requests do not fail elsewhere.
+    static constexpr double evidenceToSuspend = 2;
 
     friend class EndpointRegistry;
 
@@ -122,11 +135,14 @@
     Estimate m_nonStreamSeconds;
     /// Fraction of recent sends that failed.
     Estimate m_failureRate;
-    int m_failuresInRow = 0;
+    /// The sum over the failures since the last success.
+    double m_failureEvidence = 0;
     int m_suspensions = 0;
     /// Misdirected sends since the entry last named another address or incarnation.
     int m_misdirections = 0;
     TimePoint m_suspendedUntil {};
+    TimePoint m_unusableUntil {};
+    TimePoint m_succeededAt {};
     TimePoint m_failedAt {};
     /// How many requests this daemon may have in flight there, if the slots are divided among the daemons.
     std::optional<uint32_t> m_slotShare;
@@ -272,7 +288,14 @@
     {
         return m_topology.localityOf(endpoint.entry().dataCentre);
     }
-    bool hasRoom(const EndpointState& endpoint) const;
+    bool hasRoom(const EndpointState& endpoint, bool excusesFailures) const;
+    /// Whether failures and stalls exclude no endpoint, because they would exclude all of them although
+    /// requests succeed: some requests fail at any endpoint, and the others need one.
+    struct Excuses {
+        bool failures = false;
+        bool stalls = false;
+    };
+    Excuses excusesFor(const ServiceId& service, std::optional<uint64_t> version, TimePoint now) const;
     /// Whether what the endpoint states about itself allows a send now.
     bool isAllowedBySignals(const EndpointState& endpoint, TimePoint now) const;
     /// Whether the endpoint is leaving, according to its entry or to its own answers.
--- a/packages/Edge/include/lentilbay/Edge/StreamEnd.h
+++ b/packages/Edge/include/lentilbay/Edge/StreamEnd.h
@@ -7,6 +7,8 @@
 
 enum class StreamEnd : uint8_t {
     Whole,
+    /// Whole, and without an event.
+    Empty,
     /// Either whole or broken off: another endpoint that ends the request in the same way confirms it.
     Unconfirmed,
     Broken,
@@ -29,6 +31,8 @@
         return StreamEnd::Broken;
     if (it.hasEvents || (it.isFramed && it.isResumed))
         return StreamEnd::Whole;
+    if (it.isFramed)
+        return StreamEnd::Empty;
     // A process that ends closes its connections in order, so a closed one does not show that nothing is
     // left.
     return it.isResumed ? StreamEnd::Unconfirmed : StreamEnd::Broken;
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -157,6 +157,8 @@
         fingerprint = hashOf({ reinterpret_cast<const char*>(&it), sizeof it }, fingerprint);
     }
     m_attributed.triggers.push_back(triggerOfRequest(fingerprint));
+    m_failureKeys = m_attributed.triggers;
+    m_failureKeys.push_back(hashOf(m_route->name, organisation));
     m_state.crashes.recordRequest(m_attributed);
     if (m_state.crashes.judge(m_attributed, now) != CrashAttribution::Verdict::Blocked)
         return true;
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -39,6 +39,11 @@
 constexpr size_t maxBufferedAnswerBytes = 4'194'304;
 /// Bytes that a slow caller may leave unread before reading from the endpoint is paused.
 constexpr size_t maxUnsentBytes = 65'536;
+/// The evidence of a failure from which another endpoint is likely to do better.
+constexpr double minEvidenceToAskAgain = 0.5;
+/// The share of the retry budget for requests that fail at other endpoints as well, so that they leave some
+/// of it to the others.
+constexpr double shareOfFailingRequests = 0.5;
 /// Such an answer never has a body.
 constexpr int httpNoContent = 204;
 
@@ -154,7 +159,7 @@
 void EdgeRequest::connected(std::shared_ptr<http::ClientConnection> connection, TimePoint now)
 {
     if (!connection) {
-        endSend(SendOutcome::Failed, now);
+        failSend(SendFailure::Unreachable, now);
         sendFailed(false, ResultCode::EndpointUnreachable, now);
         return;
     }
@@ -389,14 +394,17 @@
         return;
     // An answer of a sound endpoint may also be given up, because others take the memory.
     const bool isBounded = m_send->head.contentLength.has_value();
-    rejectAnswer("answers_over_memory", now, isBounded ? SendOutcome::Neutral : SendOutcome::Failed);
+    rejectAnswer("answers_over_memory", now, !isBounded);
 }
 
-void EdgeRequest::rejectAnswer(std::string_view counter, TimePoint now, SendOutcome outcome)
+void EdgeRequest::rejectAnswer(std::string_view counter, TimePoint now, bool isFailure)
 {
     m_state.metrics.count(counter);
     // The connection is closed, because it is in the middle of an answer.
-    endSend(outcome, now);
+    if (isFailure)
+        failSend(SendFailure::Invalid, now);
+    else
+        endSend(SendOutcome::Neutral, now);
     sendFailed(true, ResultCode::EndpointAnswerInvalid, now);
 }
 
@@ -483,6 +491,8 @@
     ++m_sendsBroken;
     if (loss == ConnectionLoss::Peer)
         return;
+    // An endpoint that lives has not crashed; with little traffic, nothing else shows it.
+    m_state.pools.checkAlive(m_send->endpoint->entry());
     const bool isBrittle = m_state.endpointRegistry.isBrittle(m_service);
     m_state.crashes.recordBreak({ .name = m_send->endpoint->entry().id.text(),
         .endpoint = m_send->incarnation,
@@ -570,9 +580,12 @@
     switch (streamEnd()) {
     case StreamEnd::Broken:
         recordBrokenOff(readLoss(http::FailurePoint::DuringResponse), now);
-        endSend(SendOutcome::Failed, now);
+        failSend(SendFailure::BrokenOff, now);
         sendFailed(true, ResultCode::EndpointBroke, now);
         return;
+    case StreamEnd::Empty:
+        handleEmptyStream(now);
+        return;
     case StreamEnd::Unconfirmed:
         handleUnconfirmedEnd(now);
         return;
@@ -595,6 +608,23 @@
         .isResumed = m_hasRelayedEvents || (m_route->isResumable && m_metadata.lastEvent) });
 }
 
+void EdgeRequest::handleEmptyStream(TimePoint now)
+{
+    auto head = std::move(m_send->head);
+    const bool isFirst = !m_emptyAnswer;
+    failSend(SendFailure::Empty, now);
+    logFailedSend(true, ResultCode::EndpointAnswerInvalid);
+    // Where such requests give no events anyway, another endpoint would be asked in vain.
+    if (isFirst && m_failureEvidence >= minEvidenceToAskAgain && now < m_expiresAt && hasAlternative()
+        && mayResend(now)) {
+        m_emptyAnswer = std::move(head);
+        requeue(now);
+        return;
+    }
+    m_state.crashes.recordAnswer(m_attributed, now);
+    deliverEnd(head, now);
+}
+
 void EdgeRequest::handleUnconfirmedEnd(TimePoint now)
 {
     const auto endpoint = m_send->endpoint;
@@ -609,7 +639,6 @@
     endSend(SendOutcome::Neutral, now);
     if (!m_unconfirmedEndpoint) {
         m_unconfirmedEndpoint = endpoint;
-        m_state.pools.checkAlive(endpoint->entry(), [](bool) {});
         sendFailed(true, ResultCode::EndpointBroke, now);
         return;
     }
@@ -647,7 +676,7 @@
     const bool isSuccess = status >= 200 && status < 300;
     // A peer's own error is not an endpoint's answer.
     if ((isSuccess || m_send->isThroughPeer) && !m_send->isGenuine) {
-        endSend(SendOutcome::Failed, now);
+        failSend(SendFailure::Unsigned, now);
         sendFailed(true, ResultCode::EndpointAnswerInvalid, now);
         return;
     }
@@ -657,7 +686,10 @@
         recordAnswerBegun(now);
     auto head = std::move(m_send->head);
     auto body = std::move(m_send->body);
-    endSend(status >= 500 ? SendOutcome::Failed : SendOutcome::Succeeded, now);
+    if (status >= 500)
+        failSend(SendFailure::ServerError, now);
+    else
+        endSend(SendOutcome::Succeeded, now);
     if (status >= 500 && m_eventsRelayed > 0) {
         sendFailed(true, ResultCode::EndpointBroke, now);
         return;
@@ -701,12 +733,45 @@
         m_state.links.recordBroken(m_send->endpoint->hash(), now);
     if (!wasNotExecuted)
         recordBrokenOff(loss, now);
-    endSend(sendOutcomeOf(loss), now);
+    if (sendOutcomeOf(loss) == SendOutcome::Failed)
+        failSend(loss == ConnectionLoss::InvalidAnswer ? SendFailure::Invalid : SendFailure::BrokenOff, now);
+    else
+        endSend(sendOutcomeOf(loss), now);
     sendFailed(!wasNotExecuted,
         loss == ConnectionLoss::InvalidAnswer ? ResultCode::EndpointAnswerInvalid : ResultCode::EndpointBroke,
         now);
 }
 
+void EdgeRequest::failSend(SendFailure failure, TimePoint now)
+{
+    const auto endpoint = m_send->endpoint;
+    if (failure == SendFailure::Unreachable || m_send->isThroughPeer) {
+        endSend(SendOutcome::Unreachable, now);
+        return;
+    }
+    const auto former = std::ranges::find_if(
+        m_failedSends, [&](const auto& it) { return it.failure == failure && it.endpoint != endpoint; });
+    if (former != m_failedSends.end() && !endpoint->isSuspect()) {
+        logEvent(Event::FailureFollowsRequest,
+            { { "id", m_metadata.id.text() }, { "endpoint", endpoint->entry().id.text() },
+                { "former", former->endpoint->entry().id.text() } });
+        m_state.metrics.count("failures_of_requests");
+        m_state.failureSources.recordFailureAtBoth(
+            former->endpoint->hash(), endpoint->hash(), m_failureKeys, now);
+        former->endpoint->retractFailure(former->evidence, former->at);
+        m_failureEvidence = 0;
+        endSend(SendOutcome::Neutral, now);
+        return;
+    }
+    m_failureEvidence = m_state.failureSources.weightAgainst(endpoint->hash(), m_failureKeys, now);
+    m_state.failureSources.recordFailure(endpoint->hash(), m_failureKeys, now);
+    m_failedSends.push_back(
+        { .endpoint = endpoint, .failure = failure, .evidence = m_failureEvidence, .at = now });
+    // A signed answer that similar requests get elsewhere, too, is no failure.
+    const bool isUsual = failure == SendFailure::Empty && m_failureEvidence < minEvidenceToAskAgain;
+    endSend(isUsual ? SendOutcome::Neutral : SendOutcome::Failed, now, m_failureEvidence);
+}
+
 void EdgeRequest::recordLateFailure(EndpointState& endpoint, TimePoint now)
 {
     const bool wasSuspended = endpoint.isSuspended(now);
@@ -715,7 +780,7 @@
         logSuspicion(endpoint, SendOutcome::Failed);
 }
 
-void EdgeRequest::endSend(SendOutcome outcome, TimePoint now)
+void EdgeRequest::endSend(SendOutcome outcome, TimePoint now, double evidence)
 {
     auto send = std::move(*m_send);
     m_send.reset();
@@ -724,8 +789,11 @@
     if (send.isThroughPeer)
         outcome = SendOutcome::Neutral;
     const bool wasSuspended = send.endpoint->isSuspended(now);
-    send.endpoint->recordEnd(m_work, outcome, send.hadFirstEvent, now);
-    const bool isSuspect = outcome == SendOutcome::Failed || outcome == SendOutcome::Misdirected;
+    send.endpoint->recordEnd(m_work, outcome, send.hadFirstEvent, now, evidence);
+    if (outcome == SendOutcome::Succeeded)
+        m_state.failureSources.recordSuccess(send.endpoint->hash(), m_failureKeys, now);
+    const bool isSuspect = outcome == SendOutcome::Failed || outcome == SendOutcome::Unreachable
+        || outcome == SendOutcome::Misdirected;
     if (isSuspect && !wasSuspended && send.endpoint->isSuspended(now))
         logSuspicion(*send.endpoint, outcome);
     if (send.isSent && !send.wasNotExecuted)
@@ -744,7 +812,14 @@
         return false;
     if (m_possibleExecutions > 0 && m_route->executionSemantics == ExecutionSemantics::AtMostOnce)
         return false;
-    return m_sends == 0 || m_state.retryBudget(m_service).take(m_state.retryLimits(), now);
+    if (m_sends == 0)
+        return true;
+    auto limits = m_state.retryLimits();
+    if (m_failureEvidence < minEvidenceToAskAgain) {
+        limits.ratio *= shareOfFailingRequests;
+        limits.slack *= shareOfFailingRequests;
+    }
+    return m_state.retryBudget(m_service).take(limits, now);
 }
 
 void EdgeRequest::logFailedSend(bool mayHaveExecuted, ResultCode reason) const
@@ -783,6 +858,10 @@
         m_exchange->respond(
             m_fallback->status, m_fallback->reason, answerHeaders(m_fallback->headers), m_fallbackBody);
     }
+    if (m_emptyAnswer && m_eventsRelayed == 0 && !m_exchange->hasBegun()) {
+        deliverEnd(*m_emptyAnswer, now);
+        return;
+    }
     finish(reason, now);
 }
 
@@ -824,7 +903,7 @@
         || !mayResend(now))
         return;
     logFailedSend(true, ResultCode::EndpointStalled);
-    endSend(SendOutcome::Failed, now);
+    failSend(SendFailure::Stalled, now);
     requeue(now);
 }
 
@@ -848,7 +927,10 @@
     if (m_send) {
         // A stall until the deadline is a failure of the endpoint; a long answer is not.
         const bool wasStalled = m_send->isSent && m_send->endpoint->isStalled(now);
-        endSend(wasStalled ? SendOutcome::Failed : SendOutcome::Neutral, now);
+        if (wasStalled)
+            failSend(SendFailure::Stalled, now);
+        else
+            endSend(SendOutcome::Neutral, now);
     }
     const auto stopsAt = m_state.requestsEndAt();
     if (!isRefusable())
--- a/packages/Edge/lib/EndpointPools.cpp
+++ b/packages/Edge/lib/EndpointPools.cpp
@@ -109,6 +109,12 @@
     open(endpoint, connected);
 }
 
+void EndpointPools::checkAlive(const RoutedEndpoint& endpoint)
+{
+    if (m_checked.insert(endpoint.id).second)
+        checkAlive(endpoint, [this, id = endpoint.id](bool) { m_checked.erase(id); });
+}
+
 void EndpointPools::closeIdle(const std::function<bool(const EndpointId&)>& isClosed)
 {
     for (auto& [id, idle] : m_idle) {
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -47,6 +47,10 @@
 /// expected time.
 constexpr Duration stallTimeout = std::chrono::milliseconds(500);
 constexpr int stallFactor = 3;
+/// How long a success shows that the service works although all of its endpoints seem to fail, or to be
+/// stalled. A loss of all links looks like a stall, and requests that are sent then are lost.
+constexpr Duration excuseOfFailures = std::chrono::seconds(2);
+constexpr Duration excuseOfStalls = std::chrono::milliseconds(500);
 /// Lower bound of the ratio of observed to modelled time to the first event.
 constexpr double minFirstEventRatio = 0.5;
 /// Answers are often longer than expected: an endpoint counts as fast enough only if it could complete an
@@ -86,7 +90,7 @@
     const bool isElsewhere = entry.host != m_entry.host || entry.port != m_entry.port
         || entry.startedAtMilliseconds != m_entry.startedAtMilliseconds;
     if (isElsewhere && std::exchange(m_misdirections, 0) > 0)
-        m_suspendedUntil = {};
+        m_unusableUntil = {};
     m_entry = std::move(entry);
     m_versionHash = hashOf(m_entry.softwareVersion);
 }
@@ -122,7 +126,8 @@
         m_secondsPerToken.observe(toSeconds(elapsed) / tokens);
 }
 
-void EndpointState::recordEnd(const Work& work, SendOutcome outcome, bool hadFirstEvent, TimePoint now)
+void EndpointState::recordEnd(
+    const Work& work, SendOutcome outcome, bool hadFirstEvent, TimePoint now, double evidence)
 {
     if (m_ownInFlight > 0)
         --m_ownInFlight;
@@ -131,38 +136,56 @@
     switch (outcome) {
     case SendOutcome::Succeeded:
         m_failureRate.observe(0);
-        m_failuresInRow = 0;
+        m_failureEvidence = 0;
         m_suspensions = m_misdirections = 0;
+        m_succeededAt = now;
         break;
-    case SendOutcome::Failed:
+    case SendOutcome::Unreachable:
         recordFailure(now);
+        m_unusableUntil = std::max(m_unusableUntil, m_suspendedUntil);
+        break;
+    case SendOutcome::Failed:
+        recordFailure(now, evidence);
         break;
     case SendOutcome::Misdirected:
-        m_failuresInRow = std::max(m_failuresInRow, failuresToSuspend);
-        m_suspendedUntil
+        m_failureEvidence = std::max(m_failureEvidence, evidenceToSuspend);
+        m_unusableUntil
             = now + doubled(minMisdirectedSuspension, m_misdirections++, maxMisdirectedSuspension);
         break;
     case SendOutcome::Full:
-        m_suspendedUntil = std::max(m_suspendedUntil, now + fullSuspension);
+        m_unusableUntil = std::max(m_unusableUntil, now + fullSuspension);
         break;
     case SendOutcome::Neutral:
         break;
     }
 }
 
-void EndpointState::recordFailure(TimePoint now)
+void EndpointState::recordFailure(TimePoint now, double evidence)
 {
-    m_failureRate.observe(1);
+    m_failureRate.observe(evidence);
     m_failedAt = now;
-    ++m_failuresInRow;
+    m_failureEvidence += evidence;
     const bool failsOften
         = m_failureRate.observations() >= minFailureObservations && m_failureRate.mean() > maxFailureRate;
-    if (m_failuresInRow < failuresToSuspend && !failsOften)
+    if (m_failureEvidence < evidenceToSuspend && !failsOften)
         return;
-    m_failuresInRow = std::max(m_failuresInRow, failuresToSuspend);
+    m_failureEvidence = std::max(m_failureEvidence, evidenceToSuspend);
     m_suspendedUntil = now + doubled(minSuspension, m_suspensions++, maxSuspension);
 }
 
+void EndpointState::retractFailure(double evidence, TimePoint failedAt)
+{
+    const bool hasSucceededSince = m_failureEvidence == 0;
+    if (hasSucceededSince)
+        return;
+    m_failureEvidence = std::max(0.0, m_failureEvidence - evidence);
+    m_failureRate.observe(0);
+    if (isOnProbation() || m_suspensions == 0 || m_suspendedUntil < failedAt)
+        return;
+    m_suspendedUntil = {};
+    --m_suspensions;
+}
+
 bool EndpointState::isStalled(TimePoint now) const
 {
     if (m_ownInFlight == 0)
@@ -263,8 +286,9 @@
         if (it->m_failedAt < since)
             continue;
         it->m_failureRate = Estimate(0, failureWeight);
-        it->m_failuresInRow = it->m_suspensions = 0;
-        it->m_suspendedUntil = {};
+        it->m_failureEvidence = 0;
+        it->m_suspensions = 0;
+        it->m_suspendedUntil = it->m_unusableUntil = {};
     }
 }
 
@@ -326,9 +350,9 @@
     return it == m_endpoints.end() ? nullptr : it->second;
 }
 
-bool EndpointRegistry::hasRoom(const EndpointState& endpoint) const
+bool EndpointRegistry::hasRoom(const EndpointState& endpoint, bool excusesFailures) const
 {
-    if (endpoint.isOnProbation() && endpoint.ownInFlight() > 0)
+    if (!excusesFailures && endpoint.isOnProbation() && endpoint.ownInFlight() > 0)
         return false;
     if (endpoint.m_slotShare)
         return endpoint.ownInFlight() < *endpoint.m_slotShare;
@@ -339,6 +363,22 @@
     return endpoint.load() + 1 + headroom <= endpoint.entry().slots;
 }
 
+EndpointRegistry::Excuses EndpointRegistry::excusesFor(
+    const ServiceId& service, std::optional<uint64_t> version, TimePoint now) const
+{
+    TimePoint succeededAt {};
+    for (const auto& it : endpointsOf(service)) {
+        if (isLeaving(*it) || (version && it->versionHash() != *version))
+            continue;
+        if (!it->isSuspended(now) && !it->isStalled(now))
+            return {};
+        succeededAt = std::max(succeededAt, it->succeededAt());
+    }
+    if (succeededAt == TimePoint {})
+        return {};
+    return { .failures = now - succeededAt < excuseOfFailures, .stalls = now - succeededAt < excuseOfStalls };
+}
+
 bool EndpointRegistry::isAllowedBySignals(const EndpointState& endpoint, TimePoint now) const
 {
     return m_signals.empty() || m_signals.maySend(endpoint.hash(), endpoint.m_lastSendAt, now);
@@ -456,16 +496,19 @@
     std::array<Best, 3> best;
     // The best grade that any endpoint would reach if it were idle.
     Grade possible = Any;
+    const auto excuses = excusesFor(query.service, query.version, now);
     for (const auto& it : endpointsOf(query.service)) {
         if (query.version && it->versionHash() != *query.version)
             continue;
-        if (isLeaving(*it) || it->isSuspended(now) || it->isStalled(now) || !isAllowedBySignals(*it, now))
+        const bool isExcluded = excuses.failures ? it->isUnusable(now) : it->isSuspended(now);
+        if (isLeaving(*it) || isExcluded || (!excuses.stalls && it->isStalled(now))
+            || !isAllowedBySignals(*it, now))
             continue;
         const auto gradeWith = [&, isFast = finishesInTime(*it, query, now)](double pendingTokens) {
             return !isFast ? Any : meetsLatencyObjectives(*it, query, pendingTokens, now) ? InTime : Finishes;
         };
         possible = std::min(possible, gradeWith(0));
-        if (!hasRoom(*it))
+        if (!hasRoom(*it, excuses.failures))
             continue;
         if (std::ranges::find(query.tried, it->entry().id) != query.tried.end())
             continue;
@@ -492,7 +535,7 @@
     if (incarnation.startedAtMilliseconds != endpoint.entry().startedAtMilliseconds)
         return;
     m_signals.recordPause(incarnation, until);
-    endpoint.m_failuresInRow = std::max(endpoint.m_failuresInRow, EndpointState::failuresToSuspend);
+    endpoint.m_failureEvidence = std::max(endpoint.m_failureEvidence, EndpointState::evidenceToSuspend);
 }
 
 bool EndpointRegistry::hasCandidate(
@@ -507,9 +550,10 @@
 EndpointRegistry::Occupancy EndpointRegistry::occupancy(const ServiceId& service, TimePoint now) const
 {
     Occupancy out;
+    const bool excusesFailures = excusesFor(service, std::nullopt, now).failures;
     for (const auto& it : endpointsOf(service)) {
         const auto& entry = it->entry();
-        if (isLeaving(*it) || it->isSuspended(now))
+        if (isLeaving(*it) || (excusesFailures ? it->isUnusable(now) : it->isSuspended(now)))
             continue;
         const double load = std::min<double>(entry.slots, it->load());
         out.slots += isAllowedBySignals(*it, now) ? entry.slots : load;
--- a/packages/Edge/unittests/EndpointRegistryTest.cpp
+++ b/packages/Edge/unittests/EndpointRegistryTest.cpp
@@ -177,6 +177,63 @@
     EXPECT_EQ(chosen(TimePoint(10s)), "near");
 }
 
+TEST_F(EndpointRegistryTest, FailuresOfRequestsThatFailElsewhereSuspendedAnEndpoint)
+{
+    // Failures that say little add up.
+    auto& near = at("near");
+    const auto fail = [&](double evidence) {
+        near.recordSend(shortStream, TimePoint(1s));
+        near.recordEnd(shortStream, SendOutcome::Failed, false, TimePoint(1s), evidence);
+    };
+    for (int i = 0; i < 3; ++i)
+        fail(0.5);
+    EXPECT_FALSE(near.isSuspended(TimePoint(1s)));
+    fail(0.5);
+    EXPECT_TRUE(near.isSuspended(TimePoint(1s)));
+    // One of them turns out to be the request's.
+    near.retractFailure(0.5, TimePoint(1s));
+    EXPECT_FALSE(near.isSuspended(TimePoint(1s)));
+    EXPECT_FALSE(near.isOnProbation());
+}
+
+TEST_F(EndpointRegistryTest, FailuresExcludedAllEndpointsOfAServiceThatWorks)
+{
+    const auto fail = [&](SendOutcome outcome, TimePoint now) {
+        for (const auto* id : { "near", "far" }) {
+            for (int i = 0; i < 2; ++i) {
+                at(id).recordSend(shortStream, now);
+                at(id).recordEnd(shortStream, outcome, false, now);
+            }
+        }
+    };
+    fail(SendOutcome::Failed, TimePoint(1s));
+    EXPECT_EQ(chosen(), "none") << "nothing has succeeded";
+    at("far").recordSend(shortStream, TimePoint(2s));
+    at("far").recordEnd(shortStream, SendOutcome::Succeeded, false, TimePoint(2s));
+    fail(SendOutcome::Failed, TimePoint(2s));
+    EXPECT_EQ(chosen(TimePoint(2s)), "near");
+    EXPECT_GT(endpointRegistry.occupancy(service, TimePoint(2s)).slots, 0);
+    EXPECT_EQ(chosen(TimePoint(3900ms)), "near");
+    fail(SendOutcome::Failed, TimePoint(3900ms));
+    EXPECT_EQ(chosen(TimePoint(4100ms)), "none") << "the last success is too long ago";
+    // No request can cause a failure to connect.
+    at("far").recordSend(shortStream, TimePoint(20s));
+    at("far").recordEnd(shortStream, SendOutcome::Succeeded, false, TimePoint(20s));
+    fail(SendOutcome::Unreachable, TimePoint(20s));
+    EXPECT_EQ(chosen(TimePoint(20s)), "none");
+}
+
+TEST_F(EndpointRegistryTest, RequestsThatAreNeverAnsweredExcludedAllEndpoints)
+{
+    for (const auto* id : { "near", "far" })
+        at(id).recordSend(shortStream, TimePoint(1s));
+    EXPECT_EQ(chosen(TimePoint(5s)), "none");
+    at("near").recordSend(shortStream, TimePoint(5s));
+    at("near").recordEnd(shortStream, SendOutcome::Succeeded, false, TimePoint(5s));
+    EXPECT_NE(chosen(TimePoint(5400ms)), "none");
+    EXPECT_EQ(chosen(TimePoint(5600ms)), "none") << "all links may be lost";
+}
+
 TEST_F(EndpointRegistryTest, SuspendsAnEndpointWithAHighFailureRate)
 {
     // Most requests fail, but never two in a row (srv_grey).
