Admit resumed streams before new ones

Cause: a request that resumes a stream, whose caller has waited and has the begin of the answer, was one among many new ones. The bucket of a restarted fleet is empty and refills at the rate that the tolerance allows, so the first to come got it.

Change: requests that resume a stream are the most urgent of their organisation. After a restart of the whole fleet each daemon may admit them ahead of what the bucket holds, up to its share of half the tolerance and only in the first half of the time for which the tolerance is meant; the bucket makes up for it before it admits others, so that the sum in the window is the same.

--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -202,7 +202,10 @@
     auto& shared = m_state.quota(*m_organisation, now);
     const auto limits = m_state.quotaLimits(quota);
     const auto participants = m_state.peers.quotaParticipants(now);
-    if (shared.admit(m_quotaTokens, limits, participants, now, m_route->rank))
+    // Its caller has waited already, and has the begin of the answer.
+    const bool isResumed = m_route->isResumable && m_metadata.lastEvent && m_metadata.resumedRequest;
+    const int rank = isResumed ? SharedQuota::resumingRank : m_route->rank;
+    if (shared.admit(m_quotaTokens, limits, participants, now, rank))
         return true;
     logEvent(Event::QuotaExceeded,
         { { "id", m_metadata.id.text() }, { "organisation", m_organisation->name.text() },
@@ -210,7 +213,7 @@
             { "bucket_size", limits.burstTokens }, { "in_window", shared.admittedInWindow(now) },
             { "window_size", limits.windowTokens },
             { "reserved_for_silent", shared.reservedForSilent(participants, now) },
-            { "rank", static_cast<int64_t>(m_route->rank) }, { "allowance", shared.allowance() },
+            { "rank", static_cast<int64_t>(rank) }, { "allowance", shared.allowance() },
             { "own_in_window", shared.ownInWindow(now) },
             { "report_interval_ms", millisecondsOf(participants.reportInterval) },
             { "daemons", static_cast<int64_t>(participants.known) },
--- a/packages/Policy/include/lentilbay/Policy/SharedQuota.h
+++ b/packages/Policy/include/lentilbay/Policy/SharedQuota.h
@@ -30,7 +30,9 @@
 //   bucket starts empty and refills slowly until what may have been admitted at once has left the window.
 //
 // Once the quota is nearly used up, a small part of it is kept for the more urgent of an organisation's
-// requests.
+// requests. The most urgent ones are those that resume a stream. After a restart of the whole fleet many of
+// them arrive at once, while the bucket is empty: each daemon may then admit its share of a part of what the
+// bucket will be refilled with, and other requests wait until the bucket has made up for it.
 #pragma once
 
 #include "lentilbay/Policy/TokenBucket.h"
@@ -112,13 +114,15 @@
     /// Into how many parts the window is divided for a daemon that adopts the state of another one.
     static constexpr size_t windowPartCount = 8;
     using WindowParts = std::array<double, windowPartCount>;
+    /// The rank of requests that resume a stream.
+    static constexpr int resumingRank = -1;
 
     /// @param startsFull set only if nothing can have been admitted before; otherwise the bucket starts empty
     SharedQuota(
         const QuotaLimits& limits, bool startsFull, const QuotaParticipants& participants, TimePoint now);
 
     /// Counts the tokens and returns true if the quota allows them.
-    /// @param rank the urgency among the organisation's own requests; 0 is the highest
+    /// @param rank the urgency among the organisation's own requests; 0 is the highest of new requests
     bool admit(double tokens, const QuotaLimits& limits, const QuotaParticipants& participants, TimePoint now,
         int rank = 0);
     /// Refills the bucket; called at least as often as reports are sent. Between two calls the bucket refills
@@ -182,6 +186,8 @@
     /// Whether the quota cannot be exceeded by what the peers admit before their next reports, because it is
     /// large compared with the organisation's demand.
     bool isAmple(double tokens, double left, const QuotaParticipants& participants, TimePoint now);
+    /// Whether a request that resumes a stream may be admitted ahead of what the bucket will hold.
+    bool mayAdvance(double tokens, const QuotaParticipants& participants, TimePoint now) const;
     /// The part of the quota that is kept for requests of higher ranks.
     double reserveAbove(int rank, TimePoint now);
     /// What may have been admitted at once before a restart of the whole fleet and count after it.
@@ -220,6 +226,8 @@
     /// all peers.
     bool m_knowsFleetLevel;
     bool m_hasAdopted = false;
+    /// Tokens that this daemon has admitted ahead of what its bucket held.
+    double m_advanced = 0;
     TimePoint m_startedAt;
     double m_admittedTotal = 0;
     std::map<std::string, PeerTotal> m_peers;
--- a/packages/Policy/lib/SharedQuota.cpp
+++ b/packages/Policy/lib/SharedQuota.cpp
@@ -40,6 +40,9 @@
 constexpr double usedExcess = 0.5;
 /// The part of the rest that a restarted fleet without history may use.
 constexpr double restartTolerance = 0.9;
+/// The part of this tolerance that resumed streams may have before the bucket holds it. It is given in the
+/// rest of the time for which the tolerance is meant, so that nothing is added to it.
+constexpr double advancedFraction = 0.5;
 /// A process that was killed is not started again, and has not read the configuration, sooner than this.
 constexpr Duration minDowntime = std::chrono::milliseconds(500);
 /// The bucket holds the promised burst and what is promised in this time, so that uneven traffic passes.
@@ -157,7 +160,7 @@
     refresh(participants, now);
     auto& ownRank = m_ownRanks[rank];
     // After a restart much is refused, which says nothing about the ranks.
-    if (!hasUnknownBurst(now))
+    if (!hasUnknownBurst(now) || rank == resumingRank)
         ownRank.demanded.add(tokens, now);
     const double inWindow = windowLeft(participants, now);
     const double left = std::min(m_bucket.level(now), inWindow);
@@ -169,9 +172,14 @@
     if (tokens > inWindow && !fitsAlone)
         return false;
     const double capacity = limits.burstTokens * m_usableFraction;
-    if (!hasAllowance || left < std::min(tokens, capacity) + reserveAbove(rank, now)
-        || !m_bucket.take(tokens, now))
-        return false;
+    const bool isCovered = hasAllowance && left >= std::min(tokens, capacity) + reserveAbove(rank, now)
+        && m_bucket.take(tokens, now);
+    if (!isCovered) {
+        if (rank != resumingRank || !mayAdvance(tokens, participants, now))
+            return false;
+        m_advanced += tokens;
+        m_bucket.settle(-tokens, now);
+    }
     m_fleetBucket.settle(-tokens, now);
     m_admittedTotal += tokens;
     m_allowance -= tokens;
@@ -182,6 +190,15 @@
     return true;
 }
 
+bool SharedQuota::mayAdvance(double tokens, const QuotaParticipants& participants, TimePoint now) const
+{
+    const double refilledForUnknown = toSeconds(now - m_startedAt) * m_limits.tokensPerSecond;
+    if (refilledForUnknown >= unknownBurst() * (1 - advancedFraction))
+        return false;
+    const auto daemons = static_cast<double>(std::max<size_t>(1, participants.known));
+    return m_advanced + tokens <= m_limits.toleranceTokens * advancedFraction / daemons;
+}
+
 bool SharedQuota::refillAllowance(double left, const QuotaParticipants& participants, TimePoint now)
 {
     const double elapsedIntervals
--- a/packages/Policy/unittests/SharedQuotaTest.cpp
+++ b/packages/Policy/unittests/SharedQuotaTest.cpp
@@ -392,6 +392,18 @@
         }
     }
 
+    /// A caller resumes a stream at some daemon. Returns whether it is admitted.
+    bool resume(double tokens, TimePoint now)
+    {
+        const size_t i = m_random.below(m_daemons.size());
+        if (!m_daemons[i].admit(tokens, m_limits, participantsOf(i), now, SharedQuota::resumingRank))
+            return false;
+        m_recent.emplace_back(now, tokens);
+        m_inWindow += tokens;
+        m_worstWindow = std::max(m_worstWindow, m_inWindow);
+        return true;
+    }
+
     /// Starts to count what is demanded and admitted.
     void startCounting()
     {
@@ -540,6 +552,35 @@
     }
 }
 
+TEST(SharedQuota, ResumedStreamsWereRefusedAfterAllDaemonsRestarted)
+{
+    // Guards against refusals of streams that a kill of all daemons has interrupted, because new requests
+    // take what little the quota holds without a history.
+    for (const uint64_t seed : { 1, 2, 3, 4, 5 }) {
+        const SharedSite& site = sites.front();
+        PromisedFleet fleet(site, seed);
+        constexpr auto restartedAt = 16s;
+        int resumed = 0;
+        int admitted = 0;
+        for (TimePoint now {}; now < TimePoint(30s); now += PromisedFleet::stepLength) {
+            if (now == TimePoint(14s))
+                now = TimePoint(restartedAt);
+            if (now == TimePoint(restartedAt))
+                fleet.restartAll(now);
+            fleet.run(2, now);
+            // Fourteen callers, within a second.
+            const auto since = now - TimePoint(restartedAt);
+            if (since >= 300ms && since < 1300ms && (since / PromisedFleet::stepLength) % 4 == 0) {
+                ++resumed;
+                admitted += fleet.resume(1000, now) ? 1 : 0;
+            }
+        }
+        EXPECT_GE(resumed, 12);
+        EXPECT_GE(admitted, resumed / 2) << seed;
+        EXPECT_LE(fleet.worstWindow(), 1) << seed;
+    }
+}
+
 TEST(SharedQuota, UrgentRequestsOfAnOrganisationGetItsQuotaFirst)
 {
     // Guards against giving the quota to whichever request comes first: the least urgent ones were refused as
