Soak: streams that end with their connection, and requests that always fail

Engines may end streams by a last chunk, by closing the connection or with 204, after a pause; clients check that a stream ends as whole only after its last event. Other clients send requests that fail in one of seven ways at each endpoint, and the requests of the rest are served beside them.

--- a/tools/soak/prompts.py
+++ b/tools/soak/prompts.py
@@ -11,7 +11,7 @@
 import time
 import uuid
 
-from standins import NoAnswer, read_chunk
+from standins import Endpoint, NoAnswer, read_chunk
 
 # After this many crashes, the daemons in contact may send this many more requests with the part.
 CRASHES_KNOWN = 5
@@ -107,6 +107,8 @@
                           f"Authorization: Token key-kept\r\nX-Token-Usage: 100,72\r\n{fields}"
                           f"Content-Length: 2\r\n\r\nok").encode())
             head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 10)
+            # Nothing is left of a resumed stream.
+            stream.is_complete = b" 204 " in head.split(b"\r\n")[0]
             if b" 200 " not in head.split(b"\r\n")[0]:
                 return request, events
             while chunk := await asyncio.wait_for(read_chunk(reader), 10):
@@ -153,9 +155,11 @@
                 is_counted = self.serving_engines(version) >= 2
                 _, events = await self.attempt(daemon, parts, stream)
                 if is_counted and self.serving_engines(version) >= 2:
-                    self.resumed.append((sent_at, daemon, events > 0))
+                    self.resumed.append((sent_at, daemon, events > 0 or stream.is_complete))
             if len(set(stream.versions)) > 1:
                 self.mixed.append(stream.first_attempt)
+            if stream.is_complete and stream.last_event < Endpoint.LONG_EVENTS:
+                self.soak.add_finding("ORDER", f"{stream.first_attempt} ended as whole after event {stream.last_event}")
 
     async def send_crashing_requests(self, seconds: float) -> None:
         """Sends requests with one part that crashes engines to all daemons; their other parts vary."""
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -12,13 +12,15 @@
 requests of clients that have left reach no endpoint, also if the daemon gets no processor time meanwhile; a configuration
 of many routes is in force in time over links of little bandwidth; what another writer adds to the endpoints' entries, and
 rejections that an endpoint writes twice, harm nobody; a daemon that the store turns away knows from others which endpoints
-have left; each request that comes while a daemon stops is answered.
+have left; each request that comes while a daemon stops is answered; a stream ends as whole only after its last event,
+however its engine ends it; requests that fail at each endpoint take none from others.
 All of that holds also after the store came back from an older copy, and at daemons that start before the operator has
 written again what the store has lost.
 
     soak.py --daemon build/bin/lentilbayd [--seed N] [--seconds S] [--runs N] [--daemons N] [--endpoints N]
         [--applications N] [--clients N] [--streams N] [--leavers N] [--links] [--faults KIND,...]
-        [--link-modes MODE,...] [--config-seconds S] [--work S] [--other-daemon BINARY]
+        [--link-modes MODE,...] [--config-seconds S] [--work S] [--other-daemon BINARY] [--odd N] [--endings KIND,...]
+        [--events N] [--tail S]
 
 With --other-daemon, a build of an earlier commit, all daemons begin with that build, and the fault "upgrade" replaces one
 by the other of the two builds, in either direction. All checks hold meanwhile.
@@ -36,6 +38,7 @@
 import time
 import uuid
 
+from odd import OddTraffic
 from prompts import PromptTraffic
 from standins import Endpoint, Link, NoAnswer, Proxy, Store, read_chunk
 
@@ -179,6 +182,8 @@
         self.unused_routes = 0
         self.is_growing = False
         self.prompts = PromptTraffic(self)
+        self.odd, self.odd_clients = OddTraffic(self), options.odd
+        self.endings, self.tail = options.endings.split(","), options.tail
         self.releases = 0
         self.is_rewinding = False
         # The operator writes nothing while this is cleared.
@@ -222,7 +227,9 @@
 
     def create_endpoint(self, name: str, service: str, version: str) -> Endpoint:
         endpoint = Endpoint(name, service, self.executions, self.rng)
-        endpoint.version, endpoint.work = version, self.work
+        endpoint.version, endpoint.work, endpoint.tail = version, self.work, self.tail
+        if service == "llm":
+            endpoint.ending = self.endings[(len(self.endpoints) + len(self.former_endpoints)) % len(self.endings)]
         endpoint.crashing_parts, endpoint.crashed_by = self.prompts.crashing_parts, self.prompts.engine_crashed
         endpoint.crashing_bodies = self.prompts.crashing_bodies
         return endpoint
@@ -1003,6 +1010,8 @@
         self.check_abandoned()
         self.check_odd_entries()
         self.prompts.check()
+        if self.odd_clients:
+            self.odd.check()
         outcomes = self.counts.get("calm", {})
         total = sum(outcomes.values())
         good = outcomes.get("200", 0) + outcomes.get("401", 0)
@@ -1022,6 +1031,7 @@
         clients = [asyncio.create_task(self.client(number)) for number in range(self.clients)]
         clients += [asyncio.create_task(self.prompts.client()) for _ in range(self.streams)]
         clients += [asyncio.create_task(self.leaver(number)) for number in range(self.leavers)]
+        clients += [asyncio.create_task(self.odd.client(number)) for number in range(self.odd_clients)]
         await asyncio.sleep(1.5)
         await self.faults()
         await asyncio.sleep(6)
@@ -1054,6 +1064,11 @@
     parser.add_argument("--clients", type=int, default=12, help="clients that send short requests")
     parser.add_argument("--streams", type=int, default=0, help="clients that send long streams with prompts")
     parser.add_argument("--leavers", type=int, default=0, help="clients that leave if an answer takes too long")
+    parser.add_argument("--odd", type=int, default=0, help="clients whose requests fail at each endpoint")
+    parser.add_argument("--endings", default="chunk",
+                        help="how engines end streams, in turn: chunk, connection, or \"no content\"")
+    parser.add_argument("--events", type=int, default=Endpoint.LONG_EVENTS, help="events of a long stream")
+    parser.add_argument("--tail", type=float, default=0, help="seconds between the last event and the end of a long stream")
     parser.add_argument("--work", type=float, default=0.05, help="longest time in seconds of a short request")
     parser.add_argument("--config-seconds", type=float, default=CONFIG_SECONDS,
                         help="seconds within which a configuration has to be in force")
@@ -1063,6 +1078,7 @@
     parser.add_argument("--other-daemon", default="", help="the lentilbayd binary of another build")
     parser.add_argument("--keep", default="", help="folder in which to keep the daemons' logs")
     options = parser.parse_args()
+    Endpoint.LONG_EVENTS = options.events
     failed = []
     for seed in range(options.seed, options.seed + options.runs):
         folder = os.path.join(options.keep, str(seed)) if options.keep else tempfile.mkdtemp(prefix="soak-")
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -9,6 +9,10 @@
 import urllib.parse
 
 CHUNK_END = b"0\r\n\r\n"
+# How clients can ask an endpoint to fail their requests.
+FAILURES = ["empty", "close", "reset", "invalid", "error", "unsigned", "slow"]
+# Longer than such clients wait.
+SLOW_SECONDS = 4.0
 
 
 async def read_request(reader: asyncio.StreamReader):
@@ -250,6 +254,10 @@
         self.admitted = 0
         # The endpoint neither reads nor writes until then.
         self.silent_until = 0.0
+        # How it ends a stream: by a last chunk, by closing the connection, or, if nothing is left of a resumed one, with
+        # 204; and the pause before the end of a long one.
+        self.ending = "chunk"
+        self.tail = 0.0
         self.slots = asyncio.Semaphore(self.SLOTS)
         self.started = 1
         self.arrivals: list = []
@@ -327,6 +335,23 @@
         finally:
             self.admitted -= 1
 
+    async def fail(self, failure: str, request: str, own: dict, writer) -> None:
+        if failure == "slow":
+            await asyncio.sleep(SLOW_SECONDS)
+        elif failure == "empty":
+            fields = "".join(f"{name}: {value}\r\n" for name, value in own.items())
+            writer.write(f"HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n".encode() + CHUNK_END)
+        elif failure == "error":
+            writer.write(build_response(500, b"error", own))
+        elif failure == "unsigned":
+            writer.write(build_response(200, b"unsigned", {"X-Request-Id": request}))
+        elif failure == "reset":
+            writer.transport.abort()
+        else:
+            if failure == "invalid":
+                writer.write(b"no answer\r\n\r\n")
+            writer.close()
+
     async def execute(self, request, headers, target, body, writer) -> None:
         self.executions.setdefault(request, []).append((time.monotonic(), self, headers, target, body))
         if body.decode() in self.crashing_bodies:
@@ -334,6 +359,9 @@
             self.crashed_by(self, body.decode())
             return
         signature_headers = {"X-Request-Id": request, "X-Served-By-Sig": f"{self.name}.{request}"}
+        if failure := headers.get("x-odd"):
+            await self.fail(failure, request, signature_headers, writer)
+            return
         if "/stream/" not in target and "/long/" not in target:
             slow = self.rng.uniform(*self.SLOW_SECONDS) if "/slow/" in target else 0
             await asyncio.sleep(slow + self.rng.uniform(0.1, 1.0) * self.work)
@@ -343,8 +371,15 @@
             return
         signature_headers |= self.own_headers(request)
         fields = "".join(f"{name}: {value}\r\n" for name, value in signature_headers.items())
-        writer.write(f"HTTP/1.1 200 OK\r\n{fields}Transfer-Encoding: chunked\r\n\r\n".encode())
         is_long = "/long/" in target
+        last = self.LONG_EVENTS if is_long else self.EVENTS
+        begin = int(headers.get("last-event-id", "0")) + 1
+        if self.ending == "no content" and begin > last:
+            writer.write(f"HTTP/1.1 204 No Content\r\n{fields}\r\n".encode())
+            return
+        is_chunked = self.ending != "connection"
+        coding = "Transfer-Encoding: chunked\r\n" if is_chunked else ""
+        writer.write(f"HTTP/1.1 200 OK\r\n{fields}{coding}\r\n".encode())
         if is_long:
             await asyncio.sleep(self.PREFILL_SECONDS)
         if writer.transport.is_closing():
@@ -353,14 +388,18 @@
             if part in self.crashing_parts:
                 self.crashed_by(self, part)
                 return
-        last = self.LONG_EVENTS if is_long else self.EVENTS
-        for event in range(int(headers.get("last-event-id", "0")) + 1, last + 1):
+        for event in range(begin, last + 1):
             await asyncio.sleep(self.LONG_PAUSE if is_long else 0.02)
             await self.wait_for_voice()
             chunk = f"id: {event}\ndata: {request} {self.version}\n\n".encode()
-            writer.write(f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n")
+            writer.write(f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n" if is_chunked else chunk)
             await writer.drain()
-        writer.write(CHUNK_END)
+        if is_long and self.tail:
+            await asyncio.sleep(self.tail)
+        if is_chunked:
+            writer.write(CHUNK_END)
+        else:
+            writer.close()
 
 
 class Proxy:
