Read the next response on a connection whose reading was paused

The review read that a request could get no answer until its deadline, although the endpoint had answered, if the caller of the request before it on the same connection read slowly.

Cause: pauseReading() is undone only by the request that called it. If the bytes at which it pauses hold the end of the response, the request ends and the connection goes back to its pool paused.

Change: the end of a response ends the pause.

Measured: NextResponseWasNotReadAfterAPauseAtTheEnd gets no response without the change.

--- a/packages/Http/lib/ClientConnection.cpp
+++ b/packages/Http/lib/ClientConnection.cpp
@@ -198,6 +198,8 @@
         if (m_sent != m_out.size())
             m_keepsAlive = false;
         m_isComplete = false;
+        // Whoever has paused the reading of this response may not resume it any more.
+        m_isPaused = false;
         m_idleSince = bootNow();
         auto observer = std::exchange(m_observer, nullptr);
         if (!m_keepsAlive)
--- a/packages/Http/unittests/ClientConnectionTest.cpp
+++ b/packages/Http/unittests/ClientConnectionTest.cpp
@@ -67,6 +67,27 @@
     EXPECT_EQ(connection->keepAlive(), Duration(7s));
 }
 
+TEST_F(ClientConnectionTest, NextResponseWasNotReadAfterAPauseAtTheEnd)
+{
+    // Guards against a connection that is reused while its reading is still paused: the end of the response
+    // had arrived together with the bytes at which the reader paused.
+    server.script({ .bytes = httpResponse(200, "hello") });
+    server.script({ .bytes = httpResponse(200, "again") });
+    connect();
+    connection->exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false,
+        { .head = [](const HttpResponseHead&) { return true; },
+            .body = [this](std::string_view) { connection->pauseReading(); },
+            .complete = [this] { isComplete = true; },
+            .failed = [this](FailurePoint at) { brokenAt = at; } });
+    runUntil([&] { return hasEnded(); });
+    ASSERT_TRUE(connection->isReusable());
+    isComplete = false;
+    send();
+    runUntil([&] { return hasEnded(); });
+    EXPECT_EQ(body, "again");
+    EXPECT_TRUE(isComplete);
+}
+
 TEST_F(ClientConnectionTest, HeadThatBreaksOffWasTakenForAWholeResponse)
 {
     const std::string fields = "X-Request-Id: 7\r\nContent-Length: 12\r\n\r\n";
