Do not suspend endpoints for the weights that a caller expects

What callers saw: an endpoint got no requests for 1 to 60 s after one client had asked it for another version of the weights.

Cause: 421 was always taken for an address that belongs to another endpoint.

Change: if the caller's request names a version of the weights, 421 says nothing about the endpoint; the request goes to another one, as before.

Measured: CallersThatExpectOtherWeightsTookEndpointsFromOthers fails without the change (503 for the sound requests).

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -42,6 +42,7 @@
     bool hadEvents = false;
     bool wasNotExecuted = false;
     bool isMisdirected = false;
+    bool lacksWeights = false;
     bool isEventStream = false;
     http::HttpResponseHead head;
     bool isGenuine = false;
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -315,7 +315,9 @@
     const auto now = bootNow();
     if (!metadata.isMisdirected)
         recordSignals(metadata, now);
-    m_send->isMisdirected = metadata.isMisdirected;
+    // Where the caller expects certain weights, the endpoint may be the right one and lack them.
+    m_send->isMisdirected = metadata.isMisdirected && !m_metadata.expectsWeights;
+    m_send->lacksWeights = metadata.isMisdirected && m_metadata.expectsWeights;
     m_state.links.recordHeard(m_send->endpoint->hash(), now);
     m_state.crashes.recordAlive(m_send->endpoint->hash(), m_send->sentAt);
     return true;
@@ -565,7 +567,10 @@
         return;
     }
     if (m_send->wasNotExecuted) {
-        endSend(m_send->isMisdirected ? SendOutcome::Misdirected : SendOutcome::Full, now);
+        endSend(m_send->isMisdirected  ? SendOutcome::Misdirected
+                : m_send->lacksWeights ? SendOutcome::Neutral
+                                       : SendOutcome::Full,
+            now);
         sendFailed(false, ResultCode::EndpointRefused, now);
         return;
     }
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -882,6 +882,25 @@
     EXPECT_LE(receivedRequests(), requests + 2U);
 }
 
+TEST_F(EdgeRequestTest, CallersThatExpectOtherWeightsTookEndpointsFromOthers)
+{
+    // Guards against the suspension of sound endpoints for what one client asks for.
+    list("e2", second);
+    for (auto* it : { &first, &second })
+        it->setResponder([](const std::string& request) {
+            const bool expectsWeights = request.find("X-Expect-Version: 9\r\n") != std::string::npos;
+            return ScriptedResponse { .bytes = expectsWeights ? httpResponse(421, "", "X-Request-Id: 7\r\n")
+                                                              : httpResponse(200, "a", signatureFields) };
+        });
+    const std::string key = "Authorization: Token other-key\r\n";
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(call("/once/x", key + "X-Expect-Version: 9\r\n").status, 503);
+        EXPECT_EQ(call("/once/x", key).status, 200);
+    }
+    for (const auto* id : { "e1", "e2" })
+        EXPECT_FALSE(state.endpointRegistry.find(EndpointId(id))->isOnProbation()) << id;
+}
+
 TEST_F(EdgeRequestTest, AnswerWrittenTwiceWasTakenForThatToTheNextRequest)
 {
     // The endpoint writes an answer without a request id once more while it runs the next request.
