Suspend endpoints that are gone behind a proxy

Cause: a request that fails alike at two such endpoints was taken for the cause, so neither was suspended.

Change: a break is followed by a check whether the endpoint keeps a new connection. One that does not is suspended at once, whatever the request, and its failures are not counted against requests.

Measured: LostEndpointsWereTakenForFailuresOfRequests fails without the change. The stand-ins now reset connections where they said so; asyncio had closed them in order.

--- a/packages/Edge/include/lentilbay/Edge/EndpointPools.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointPools.h
@@ -35,11 +35,16 @@
     bool hasIdle(const RoutedEndpoint& endpoint, Duration maxIdleAge, TimePoint now) const;
     /// Tries a new connection, which is kept for later if it is established.
     void probe(const RoutedEndpoint& endpoint);
-    /// Calls `done` with whether the endpoint's process accepts a new connection and keeps it. A failure is
-    /// not reported to the observer: it may be due to the endpoint's limit of connections.
+    /// Calls `done` with whether the endpoint's process accepts a new connection and keeps it. The observer
+    /// of connections is told of a success only.
     void checkAlive(const RoutedEndpoint& endpoint, std::function<void(bool isAlive)> done);
-    /// The same for the observer only, unless such a check is in progress.
+    /// The same for the observers only, unless such a check is in progress.
     void checkAlive(const RoutedEndpoint& endpoint);
+    /// Called with the endpoints that such a check has found to be gone.
+    void setLossObserver(std::function<void(const EndpointId&)> observer)
+    {
+        m_lossObserver = std::move(observer);
+    }
     /// Called with whether a new connection was established.
     void setConnectObserver(std::function<void(const EndpointId&, bool isConnected)> observer)
     {
@@ -65,6 +70,7 @@
     std::shared_ptr<MemoryBudget> m_memory;
     std::map<EndpointId, std::vector<std::shared_ptr<http::ClientConnection>>> m_idle;
     std::function<void(const EndpointId&, bool)> m_connectObserver;
+    std::function<void(const EndpointId&)> m_lossObserver;
     std::set<EndpointId> m_checked;
     uint64_t m_opened = 0;
 };
--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -73,6 +73,8 @@
         const Work& work, SendOutcome outcome, bool hadFirstEvent, TimePoint now, double evidence = 1);
     /// Records that a send which has ended turned out to have failed.
     void recordFailure(TimePoint now, double evidence = 1);
+    /// Records that the endpoint's process is gone, which suspends it.
+    void recordLost(TimePoint now);
     /// Takes back a failure that was recorded then, since the request turned out to be its cause.
     void retractFailure(double evidence, TimePoint failedAt);
     /// Requests in flight at the endpoint, of all daemons.
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -754,8 +754,9 @@
         endSend(SendOutcome::Unreachable, now);
         return;
     }
-    const auto former = std::ranges::find_if(
-        m_failedSends, [&](const auto& it) { return it.failure == failure && it.endpoint != endpoint; });
+    const auto former = std::ranges::find_if(m_failedSends, [&](const auto& it) {
+        return it.failure == failure && it.endpoint != endpoint && !it.endpoint->isUnusable(now);
+    });
     if (former != m_failedSends.end() && !endpoint->isSuspect()) {
         logEvent(Event::FailureFollowsRequest,
             { { "id", m_metadata.id.text() }, { "endpoint", endpoint->entry().id.text() },
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -65,6 +65,20 @@
         if (const auto endpoint = endpointRegistry.find(id))
             recordConnection(*endpoint, isConnected, bootNow());
     });
+    pools.setLossObserver([this](const EndpointId& id) {
+        if (const auto endpoint = endpointRegistry.find(id))
+            recordLoss(*endpoint, bootNow());
+    });
+}
+
+void EdgeState::recordLoss(EndpointState& endpoint, TimePoint now)
+{
+    const bool wasSuspended = endpoint.isSuspended(now);
+    endpoint.recordLost(now);
+    failureSources.recordLost(endpoint.hash());
+    if (!wasSuspended)
+        logEvent(Event::EndpointSuspected,
+            { { "endpoint", endpoint.entry().id.text() }, { "misdirected", int64_t { 0 } } });
 }
 
 void EdgeState::recordConnection(const EndpointState& endpoint, bool isConnected, TimePoint now)
--- a/packages/Edge/lib/EndpointPools.cpp
+++ b/packages/Edge/lib/EndpointPools.cpp
@@ -91,21 +91,26 @@
 
 void EndpointPools::checkAlive(const RoutedEndpoint& endpoint, std::function<void(bool isAlive)> done)
 {
-    const auto connected = [this, endpoint, done = std::move(done)](
-                               const std::shared_ptr<http::ClientConnection>& connection) {
-        if (!connection) {
-            done(false);
-            return;
-        }
-        auto timer = std::make_shared<asio::steady_timer>(m_context, aliveCheckDuration);
-        timer->async_wait([this, endpoint, done, connection, timer](std::error_code) {
-            const bool isAlive = connection->isOpen();
-            release(endpoint, connection);
-            if (isAlive && m_connectObserver)
-                m_connectObserver(endpoint.id, true);
-            done(isAlive);
-        });
+    const auto finished = [this, id = endpoint.id, done = std::move(done)](bool isAlive) {
+        if (isAlive && m_connectObserver)
+            m_connectObserver(id, true);
+        if (!isAlive && m_lossObserver)
+            m_lossObserver(id);
+        done(isAlive);
     };
+    const auto connected
+        = [this, endpoint, finished](const std::shared_ptr<http::ClientConnection>& connection) {
+              if (!connection) {
+                  finished(false);
+                  return;
+              }
+              auto timer = std::make_shared<asio::steady_timer>(m_context, aliveCheckDuration);
+              timer->async_wait([this, endpoint, finished, connection, timer](std::error_code) {
+                  const bool isAlive = connection->isOpen();
+                  release(endpoint, connection);
+                  finished(isAlive);
+              });
+          };
     open(endpoint, connected);
 }
 
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -173,6 +173,16 @@
     m_suspendedUntil = now + doubled(minSuspension, m_suspensions++, maxSuspension);
 }
 
+void EndpointState::recordLost(TimePoint now)
+{
+    // Several requests may have been lost with it.
+    if (isUnusable(now))
+        return;
+    m_failureEvidence = std::max(m_failureEvidence, evidenceToSuspend - 1);
+    recordFailure(now);
+    m_unusableUntil = std::max(m_unusableUntil, m_suspendedUntil);
+}
+
 void EndpointState::retractFailure(double evidence, TimePoint failedAt)
 {
     const bool hasSucceededSince = m_failureEvidence == 0;
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -1040,6 +1040,32 @@
     EXPECT_EQ(state.crashes.blockedTriggers(), 0U);
 }
 
+TEST_F(EdgeRequestTest, LostEndpointsWereTakenForFailuresOfRequests)
+{
+    // Guards against requests to processes that are gone behind a proxy, which accepts connections and closes
+    // them: several of them fail a request alike.
+    list("e2", second);
+    for (auto* it : { &first, &second })
+        it->setResponder([it](const std::string&) {
+            it->stopListening();
+            return ScriptedResponse { .bytes = "", .then = ScriptedResponse::Then::Close };
+        });
+    EXPECT_EQ(call("/safe/x").status, 502);
+    const auto isUnusable
+        = [&](const char* id) { return state.endpointRegistry.find(EndpointId(id))->isUnusable(bootNow()); };
+    runUntil([&] { return isUnusable("e1") && isUnusable("e2"); });
+    // One that lives is not suspended for a single break.
+    RawServer third(context);
+    list("e3", third);
+    third.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = "", .then = ScriptedResponse::Then::Close };
+    });
+    EXPECT_EQ(call("/once/x").status, 502);
+    context.run_for(100ms);
+    context.restart();
+    EXPECT_FALSE(state.endpointRegistry.find(EndpointId("e3"))->isSuspended(bootNow()));
+}
+
 TEST_F(EdgeRequestTest, ServerErrorsMadeAnEndpointLookSlow)
 {
     // The prompt of a request that has ended is not processed any more.
@@ -1115,7 +1141,7 @@
     // Each endpoint ends while it begins the answer, as its process does, and accepts no connection any more.
     list("e2", second);
     for (auto* it : { &first, &second })
-        it->setResponder([it, this](const std::string&) {
+        it->setResponder([it](const std::string&) {
             it->stopListening();
             return unframedEnd();
         });
--- a/packages/Policy/include/lentilbay/Policy/FailureSources.h
+++ b/packages/Policy/include/lentilbay/Policy/FailureSources.h
@@ -29,6 +29,8 @@
     /// Records that a request failed at both endpoints in the same way. The first of the failures has been
     /// recorded.
     void recordFailureAtBoth(uint64_t first, uint64_t second, std::span<const uint64_t> keys, TimePoint now);
+    /// Records that the endpoint is gone, which explains its recent failures.
+    void recordLost(uint64_t endpoint) { m_unexplained.erase(endpoint); }
     void recordSuccess(uint64_t endpoint, std::span<const uint64_t> keys, TimePoint now);
 
     /// The number of keys that are kept.
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -5,6 +5,7 @@
 import json
 import random
 import socket
+import struct
 import time
 import urllib.parse
 
@@ -60,6 +61,16 @@
     return [part.split(":")[0] for part in headers.get("x-prefix-hash", "").split(",") if part]
 
 
+def reset(writer) -> None:
+    """Resets a connection. Without lingering, asyncio closes it in order, which is the end of an answer without length."""
+    if connected := writer.get_extra_info("socket"):
+        try:
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        except OSError:
+            pass  # It is closed already.
+    writer.transport.abort()
+
+
 class Server:
     """An HTTP server on a loopback address; subclasses answer requests."""
 
@@ -87,7 +98,7 @@
         if self.server:
             self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            reset(writer)
 
     async def respond(self, method, target, headers, body, writer) -> None:
         raise NotImplementedError
@@ -346,7 +357,7 @@
         elif failure == "unsigned":
             writer.write(build_response(200, b"unsigned", {"X-Request-Id": request}))
         elif failure == "reset":
-            writer.transport.abort()
+            reset(writer)
         else:
             if failure == "invalid":
                 writer.write(b"no answer\r\n\r\n")
@@ -428,7 +439,7 @@
         self.mode = mode
         if mode == "reset":
             for writer in list(self.writers):
-                writer.transport.abort()
+                reset(writer)
 
     def pass_again(self) -> None:
         if self.mode in ("silent", "one_way"):
@@ -437,12 +448,12 @@
 
     async def relay(self, reader, writer) -> None:
         if self.mode == "reset":
-            writer.transport.abort()
+            reset(writer)
             return
         try:
             target_reader, target_writer = await asyncio.open_connection(*self.target)
         except OSError:
-            writer.transport.abort()
+            reset(writer)
             return
         self.writers |= {writer, target_writer}
         try:
@@ -467,7 +478,7 @@
                 await writer.drain()
             writer.close()
         except (ConnectionError, OSError):
-            writer.transport.abort()
+            reset(writer)
 
     async def send_slowly(self, data: bytes, writer) -> None:
         for begin in range(0, len(data), self.PIECE):
