--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -431,6 +431,8 @@
         self.free_at = 0.0
         self.writers: set = set()
         self.dead_writers: set = set()
+        # Kept, because a writer that nothing refers to closes its connection.
+        self.silenced: list = []
 
     async def listen(self, host: str, port: int) -> None:
         await asyncio.start_server(self.relay, host, port, backlog=512)
@@ -464,19 +466,25 @@
         self.dead_writers -= {writer, target_writer}
 
     async def pump(self, reader, writer, is_response: bool) -> None:
+        has_dropped = False
         try:
             while data := await reader.read(65536):
                 if self.mode == "delay":
                     await asyncio.sleep(0.15)
                 # Bytes are dropped, as in a partition whose sender stops retransmitting.
                 if self.mode == "silent" or (self.mode == "one_way" and is_response) or writer in self.dead_writers:
+                    has_dropped = True
                     continue
                 if self.bandwidth is not None and is_response:
                     await self.send_slowly(data, writer)
                     continue
                 writer.write(data)
                 await writer.drain()
-            writer.close()
+            # Nothing that follows lost bytes arrives, the end of the connection included.
+            if has_dropped:
+                self.silenced.append(writer)
+            else:
+                writer.close()
         except (ConnectionError, OSError):
             reset(writer)
 
