--- a/packages/Policy/unittests/SharedQuotaTest.cpp
+++ b/packages/Policy/unittests/SharedQuotaTest.cpp
@@ -568,7 +568,7 @@
             if (now == TimePoint(restartedAt))
                 fleet.restartAll(now);
             fleet.run(2, now);
-            // Fourteen callers, within a second.
+            // Thirteen callers, within a second.
             const auto since = now - TimePoint(restartedAt);
             if (since >= 300ms && since < 1300ms && (since / PromisedFleet::stepLength) % 4 == 0) {
                 ++resumed;
