Failing tests: a full link, and an event loop that is late

A daemon that has a new configuration sends it to every peer that asks, as fast as its link can carry it, and all peers ask the same one.

What a late event loop reads counts as just sent, and what the kernel holds of a request that was given up is delivered all the same.

--- a/packages/Edge/unittests/EdgeDaemonTest.cpp
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -76,6 +76,24 @@
             + R"(","Zone":"a","Version":"v1","Slots":2,"State":"ready"})");
     }
 
+    /// Sets the bandwidth of the host as its settings file would.
+    void setLink(double bytesPerSecond)
+    {
+        const auto text = fmt::format(R"({{"Node":"d","Ip":"127.0.0.1","Zone":"a","Region":"r","Zones":{{"a":"r"}},)"
+                                      R"("Listen":{{"Frontend":"127.0.0.1:{}","Ready":"127.0.0.1:{}"}},)"
+                                      R"("InternalPorts":[{},{}],"Limits":{{"LinkMbps":{}}},)"
+                                      R"("Bounds":{{}},"Platform":{{"Addr":"127.0.0.1:{}"}}}})",
+            settings.callers.port, settings.readiness.port, settings.firstPeerPort, settings.firstPeerPort,
+            bytesPerSecond * 8 / 1e6, store.port());
+        const auto decoded = outcomeOf<std::shared_ptr<const platform::ProcessSettings>>(
+            [&] { return platform::decodeSettings(text); });
+        const auto* out = std::get_if<std::shared_ptr<const platform::ProcessSettings>>(&decoded);
+        ASSERT_TRUE(out) << std::get<Failure>(decoded).detail;
+        const auto metrics = settings.metrics;
+        settings = **out;
+        settings.metrics = metrics;
+    }
+
     void start()
     {
         thread = std::thread([this] {
@@ -249,6 +267,64 @@
     awaitStop();
 }
 
+TEST_F(EdgeDaemonTest, DISABLED_LinkWasFilledWithDocumentsForPeers)
+{
+    // Guards against requests that wait for seconds behind a large configuration for many peers.
+    constexpr double linkBytesPerSecond = 2.5e6;
+    std::string routes;
+    for (int i = 0; i < 3000; ++i)
+        routes += fmt::format(R"({}{{"Name":"r{}","Host":"h{}","Prefix":"/a/","Type":"safe","TimeoutMs":2000,)"
+                              R"("Service":"s","Public":true}})",
+            i == 0 ? "" : ",", i, i);
+    const auto document = fmt::format(R"({{"Version":1,"Routes":[{}],"Services":[{{"Name":"s"}}]}})", routes);
+    store.setResponder([&, entry = entryOfEndpoint(), row = encoded(document)](const std::string& request) {
+        if (request.find("rows-get?Table=op") != std::string::npos)
+            return ScriptedResponse { .bytes
+                = rowsAnswer(R"({"Table":"op","Key":"config","Ver":1,"Value":")" + row + "\"}") };
+        const bool waits = request.find("rows-feed") != std::string::npos;
+        return ScriptedResponse { .bytes = storeAnswer(request, entry), .delay = waits ? 50ms : 0ms };
+    });
+    setLink(linkBytesPerSecond);
+    start();
+    std::string readiness;
+    for (int i = 0; i < maxTries && !readiness.starts_with("HTTP/1.1 200"); ++i)
+        readiness = ask(settings.readiness.port, "GET /lentilbay/readyz HTTP/1.1\r\n" + tail);
+
+    constexpr size_t peers = 16;
+    const auto askAll = [&] {
+        std::vector<asio::ip::tcp::socket> sockets;
+        for (size_t i = 0; i < peers; ++i) {
+            auto& it = sockets.emplace_back(context);
+            it.connect({ asio::ip::make_address("127.0.0.1"), settings.firstPeerPort });
+            asio::write(it, asio::buffer("GET /configuration HTTP/1.1\r\n" + tail));
+            it.non_blocking(true);
+        }
+        std::vector<std::string> received(peers);
+        const auto end = std::chrono::steady_clock::now() + 1s;
+        while (std::chrono::steady_clock::now() < end) {
+            for (size_t i = 0; i < peers; ++i) {
+                std::array<char, 65'536> buf {};
+                std::error_code ec;
+                received[i].append(buf.data(), sockets[i].read_some(asio::buffer(buf), ec));
+            }
+            context.run_for(1ms);
+            context.restart();
+        }
+        return received;
+    };
+    size_t bytes = 0;
+    const auto received = askAll();
+    for (const auto& it : received)
+        bytes += it.size();
+    EXPECT_LE(static_cast<double>(bytes), linkBytesPerSecond / 2 + static_cast<double>(document.size()));
+    const auto isWhole = [&](const std::string& it) { return it.find(document) != std::string::npos; };
+    EXPECT_GE(std::ranges::count_if(received, isWhole), 1);
+    // The others have it a little later.
+    EXPECT_GE(std::ranges::count_if(askAll(), isWhole), 1);
+    kill(getpid(), SIGTERM);
+    awaitStop();
+}
+
 /// A daemon that the store turns away, beside one that reads it.
 class TurnedAwayDaemonTest : public EdgeDaemonTest {
 protected:
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -1695,6 +1695,89 @@
     RawServer farPeer { context };
 };
 
+/// A daemon whose event loop comes to a request late.
+class LateEventLoopTest : public EdgeRequestTest {
+protected:
+    LateEventLoopTest()
+    {
+        caller.connect({ asio::ip::make_address("127.0.0.1"), front->port() });
+        for (auto* it : { &first, &second })
+            it->setResponder([](const std::string&) {
+                return ScriptedResponse { .bytes = httpResponse(200, "served", signatureFields) };
+            });
+    }
+
+    /// Calls with this deadline; the daemon does nothing for `stall` after the request has arrived.
+    std::string callLate(std::chrono::milliseconds deadline, std::chrono::milliseconds stall)
+    {
+        asio::write(caller,
+            asio::buffer(fmt::format("GET /safe/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 7\r\n"
+                                     "Authorization: Token k\r\nX-Deadline-Ms: {}\r\n\r\n",
+                deadline.count())));
+        std::this_thread::sleep_for(stall);
+        std::string out;
+        caller.non_blocking(true);
+        runUntil([&] {
+            std::array<char, 4096> buf {};
+            std::error_code ec;
+            out.append(buf.data(), caller.read_some(asio::buffer(buf), ec));
+            return out.find("\r\n\r\n") != std::string::npos;
+        });
+        return out;
+    }
+
+    asio::ip::tcp::socket caller { context };
+};
+
+TEST_F(LateEventLoopTest, DISABLED_RequestWasSentAfterItsDeadline)
+{
+    const auto answer = callLate(300ms, 400ms);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_EQ(receivedRequests(), 0U);
+}
+
+TEST_F(LateEventLoopTest, DISABLED_EndpointWasGivenMoreTimeThanWasLeft)
+{
+    const auto answer = callLate(2000ms, 600ms);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << "a request that can be answered in time: " << answer;
+    ASSERT_EQ(receivedRequests(), 1U);
+    const std::string name = "X-Deadline-Ms: ";
+    const auto& seen = first.requests()[0];
+    const auto at = seen.find(name);
+    ASSERT_NE(at, std::string::npos) << seen;
+    EXPECT_LE(std::stoi(seen.substr(at + name.size())), 1450);
+}
+
+TEST_F(LateEventLoopTest, DISABLED_RequestWasSentByAListThatWasToBeReadAgain)
+{
+    // The departure is in the store, which answers; the daemon has not come to read it.
+    list("e2", second);
+    int reads = 0;
+    state.setEndpointReader([&](TimePoint) {
+        ++reads;
+        asio::post(context, [&] {
+            list("e1", first, "", true);
+            state.confirmEndpoints(bootNow(), bootNow());
+        });
+    });
+    state.endpointsConfirmedAt = bootNow() - state.settings.bounds.endpointDrain;
+    for (int i = 0; i < 4; ++i)
+        EXPECT_EQ(call("/once/x").body, "served");
+    EXPECT_EQ(first.requests().size(), 0U);
+    EXPECT_EQ(second.requests().size(), 4U);
+    EXPECT_EQ(reads, 1);
+}
+
+TEST_F(LateEventLoopTest, DISABLED_RequestThatWaitsForTheListEndsAtItsDeadline)
+{
+    state.endpointsConfirmedAt = bootNow() - state.settings.bounds.endpointDrain;
+    state.setEndpointReader([](TimePoint) {});
+    const auto answer = callLate(500ms, 0ms);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+    EXPECT_EQ(receivedRequests(), 0U);
+    EXPECT_TRUE(state.requests.empty());
+}
+
 TEST_F(EdgeRequestTest, DaemonWithAnOutdatedListSentByItAlthoughAPeerHadARecentOne)
 {
     RawServer peer(context);
--- a/packages/Http/unittests/ClientConnectionTest.cpp
+++ b/packages/Http/unittests/ClientConnectionTest.cpp
@@ -235,6 +235,30 @@
     EXPECT_FALSE(*connected);
 }
 
+TEST_F(ClientConnectionTest, DISABLED_GivenUpRequestWasDeliveredLater)
+{
+    // The server comes to the request after the client has given it up; part of it has not left this host.
+    asio::ip::tcp::acceptor late(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    std::optional<bool> connected;
+    connection->connect({ asio::ip::make_address("127.0.0.1"), late.local_endpoint().port() }, 5s,
+        [&](bool it) { connected = it; });
+    runUntil([&] { return connected.has_value(); });
+    asio::ip::tcp::socket accepted(context);
+    late.accept(accepted);
+    constexpr size_t bytes = 16'000'000;
+    send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n"
+        + std::string(bytes, 'x'));
+    context.run_for(50ms);
+    connection->close();
+    std::string received(bytes, ' ');
+    std::error_code ec;
+    size_t n = 0;
+    while (!ec)
+        n += accepted.read_some(asio::buffer(received), ec);
+    EXPECT_EQ(ec, asio::error::connection_reset);
+    EXPECT_LT(n, bytes);
+}
+
 TEST_F(ClientConnectionTest, CanBeClosedFromItsOwnCallback)
 {
     server.script({ .bytes = chunkedResponse({ "a", "b" }) });
--- a/packages/Http/unittests/ServerTest.cpp
+++ b/packages/Http/unittests/ServerTest.cpp
@@ -8,6 +8,7 @@
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace lentilbay::http {
 namespace {
@@ -156,6 +157,37 @@
     spin = [] {};
 }
 
+TEST_F(ServerTest, DISABLED_RequestThatWaitedForTheEventLoopCountedAsJustSent)
+{
+    constexpr auto stall = 400ms;
+    constexpr auto clockTick = 20ms;
+    // On a new connection, which waits to be accepted as well, and on one that is open.
+    for (size_t n = 1; n <= 2; ++n) {
+        send("GET /a HTTP/1.1\r\n\r\n");
+        const auto sentAt = bootNow();
+        std::this_thread::sleep_for(stall);
+        runUntil([&] { return exchanges.size() == n; });
+        EXPECT_LE(exchanges.back()->arrivedAt(), sentAt + clockTick);
+        EXPECT_GE(exchanges.back()->arrivedAt(), sentAt - clockTick);
+        exchanges.back()->respond(200, "OK", {}, "");
+    }
+}
+
+TEST_F(ServerTest, RequestThatTheEventLoopReadsInTimeCountsAsJustSent)
+{
+    // The connection is idle for a while before each request.
+    for (size_t n = 1; n <= 2; ++n) {
+        std::this_thread::sleep_for(400ms);
+        context.run_for(5ms);
+        context.restart();
+        const auto before = bootNow();
+        send("GET /a HTTP/1.1\r\n\r\n");
+        runUntil([&] { return exchanges.size() == n; });
+        EXPECT_GE(exchanges.back()->arrivedAt(), before - 20ms);
+        exchanges.back()->respond(200, "OK", {}, "");
+    }
+}
+
 TEST_F(ServerTest, StreamsInChunks)
 {
     send(get);
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -81,6 +81,12 @@
 LEAVE_SECONDS = 0.4
 LEFT_SECONDS = 0.5
 MOST_LATE_SENDS = 3
+# How long clients want to wait for an answer. They keep their connection for longer. A request reaches its endpoint at
+# most LATE_ARRIVAL_SECONDS later, and the endpoint is told at most that much more time than is left.
+DEADLINE_SECONDS = 2.5
+LATE_ARRIVAL_SECONDS = 0.5
+# These faults hold requests up on their way to an endpoint, or there.
+DELAYING_FAULT_KINDS = {"endpoint", "partition", "silence", "brittle"}
 # "rejection" lets an endpoint write rejections twice; "entry" lets another writer add entries to those of the endpoints:
 # unreadable ones, and some at the address of an endpoint that serves.
 WRITER_FAULT_KINDS = ["rejection", "entry"]
@@ -329,8 +335,8 @@
                 body = f"body-{request}"
             refused = None
             self.bodies[request] = body
-            connection[1].write((f"POST /{kind}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request}\r\nX-Deadline-Ms: 2500\r\n"
-                                 f"Authorization: Token {key}\r\nX-Token-Usage: 100,72\r\n"
+            connection[1].write((f"POST /{kind}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request}\r\n"
+                                 f"X-Deadline-Ms: {DEADLINE_SECONDS * 1000:.0f}\r\nAuthorization: Token {key}\r\nX-Token-Usage: 100,72\r\n"
                                  f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
             try:
                 status, headers, text, is_complete = await asyncio.wait_for(self.read_response(connection[0]), 4.5)
@@ -872,6 +878,16 @@
             if endpoint.service not in before[-1:] + later:
                 self.add_finding("CONFIG", f"{request} ran at {endpoint.service} from daemon {daemon}")
 
+    def check_deadline(self, request, daemon, sent_at, executed_at, headers) -> None:
+        """Checks that a request runs while its client waits, whatever its daemon was kept from doing."""
+        deadline = sent_at + DEADLINE_SECONDS + LATE_ARRIVAL_SECONDS
+        if executed_at > deadline:
+            self.add_finding("BUDGET", f"{request} was run {executed_at - sent_at:.2f} s after it had been sent to daemon "
+                             f"{daemon}, with a deadline of {DEADLINE_SECONDS} s")
+        elif executed_at + int(headers.get("x-deadline-ms", 10 ** 6)) / 1000 > deadline:
+            self.add_finding("BUDGET", f"{request} was given {headers.get('x-deadline-ms')} ms by daemon {daemon} "
+                             f"{executed_at - sent_at:.2f} s after it had been sent with {DEADLINE_SECONDS} s")
+
     def check_limits(self, daemons: dict) -> None:
         """Checks the arrivals at each endpoint that stated a limit; `daemons` has the daemon of each request."""
         for begin, end, endpoint, limit in self.limited:
@@ -1000,6 +1016,8 @@
                 self.add_finding("CONFIG", f"{request} ran {sent_at - revoked_at:.1f} s after its key was taken away")
             for executed_at, endpoint, headers, target, body in executions:
                 self.check_bounds(request, kind, daemon, sent_at, executed_at, endpoint)
+                if not DELAYING_FAULT_KINDS & set(self.fault_kinds):
+                    self.check_deadline(request, daemon, sent_at, executed_at, headers)
                 if headers.get("x-tenant") != ("t" if kind in KINDS else f"t-{kind}") or "authorization" in headers:
                     self.add_finding("UNASKED", f"{request} arrived with tenant {headers.get('x-tenant')}")
                 if target != f"/{kind}/x" or body != self.bodies[request].encode():
