Read the configuration from the store first, and from different peers

All daemons that lack a configuration asked the same peer for it: the first by name of those that had it, wherever it was.

A peer is asked once the daemon's own call must have been answered, or at once after 1.2 s if the store does not answer it; near peers come first, in an order that differs between daemons, as for the list of endpoints.

AllDaemonsAskedTheSamePeer asked one peer 200 times by construction before; now each of ten is asked 40 times at most. The tests of the order of two peers name the daemon, by which the order is now chosen.

--- a/packages/Edge/include/lentilbay/Edge/ConfigurationCatchUp.h
+++ b/packages/Edge/include/lentilbay/Edge/ConfigurationCatchUp.h
@@ -5,6 +5,7 @@
 // an older version in the store and reads the newer one from a peer.
 #pragma once
 
+#include "lentilbay/Model/Topology.h"
 #include "lentilbay/Support/Time.h"
 
 #include <cstdint>
@@ -14,12 +15,18 @@
 
 namespace lentilbay::edge {
 
+struct ConfigurationCatchUpOptions {
+    /// Spreads the calls of several daemons over their peers.
+    std::string daemon;
+    /// No peer can have a newer configuration than the store, because the fleet starts for the first time.
+    bool isSettled = false;
+};
+
 class ConfigurationCatchUp {
 public:
-    /// `isSettled` is whether no peer can have a newer configuration than the store, because the fleet starts
-    /// for the first time.
-    explicit ConfigurationCatchUp(bool isSettled)
-        : m_isSettled(isSettled)
+    explicit ConfigurationCatchUp(ConfigurationCatchUpOptions options)
+        : m_options(std::move(options))
+        , m_isSettled(m_options.isSettled)
     {
     }
 
@@ -27,7 +34,7 @@
     /// back from an older copy of itself before.
     void storeRead(bool mayBeOlder, TimePoint now);
     /// Records the version of the configuration that is in force at a peer; 0 if none is.
-    void recordPeer(const std::string& daemon, uint64_t version, TimePoint now);
+    void recordPeer(const std::string& daemon, Locality locality, uint64_t version, TimePoint now);
     /// Whether this daemon may use its configuration: it has compared it with a peer's, or has had time to.
     /// Stays true once it is.
     bool isSettled(uint64_t ownVersion, TimePoint now);
@@ -48,6 +55,7 @@
 
 private:
     struct Peer {
+        Locality locality = Locality::OwnDataCentre;
         uint64_t version = 0;
         TimePoint heardAt {};
         /// When it was last asked for its configuration.
@@ -56,6 +64,7 @@
     /// The newest version at peers that were heard recently; 0 if there is none.
     uint64_t newest(TimePoint now) const;
 
+    ConfigurationCatchUpOptions m_options;
     std::map<std::string, Peer> m_peers;
     bool m_isSettled;
     std::optional<TimePoint> m_readAt;
--- a/packages/Edge/lib/ConfigurationCatchUp.cpp
+++ b/packages/Edge/lib/ConfigurationCatchUp.cpp
@@ -1,7 +1,10 @@
 // Compares the configuration in force with those of the peers.
 #include "lentilbay/Edge/ConfigurationCatchUp.h"
 
+#include "lentilbay/Support/Hash.h"
+
 #include <algorithm>
+#include <tuple>
 
 namespace lentilbay::edge {
 namespace {
@@ -36,9 +39,11 @@
     m_isSettled = m_isSettled || !mayBeOlder;
 }
 
-void ConfigurationCatchUp::recordPeer(const std::string& daemon, uint64_t version, TimePoint now)
+void ConfigurationCatchUp::recordPeer(
+    const std::string& daemon, Locality locality, uint64_t version, TimePoint now)
 {
     auto& peer = m_peers[daemon];
+    peer.locality = locality;
     peer.version = version;
     peer.heardAt = now;
     if (version >= m_newestKnown || now - m_newestHeardAt > knownVersionLifetime) {
@@ -97,11 +102,19 @@
     const bool awaitsStore = m_isSettled && now - *m_behindSince < storeReadDelay;
     if (known <= ownVersion || isReading || awaitsStore || now - m_askedAt < retryPeriod)
         return std::nullopt;
-    // The peer that was asked longest ago comes first, in case one of them does not answer.
+    // The near ones come first; among them, the one that was asked longest ago, in case one of them does not
+    // answer. The hash spreads the calls of several daemons.
+    using Rank = std::tuple<Locality, TimePoint, uint64_t>;
     std::pair<const std::string, Peer>* out = nullptr;
+    Rank best;
     for (auto& it : m_peers) {
-        if (it.second.version == known && (!out || it.second.askedAt < out->second.askedAt))
+        if (it.second.version != known)
+            continue;
+        const Rank rank { it.second.locality, it.second.askedAt, hashOf(it.first, hashOf(m_options.daemon)) };
+        if (!out || rank < best) {
             out = &it;
+            best = rank;
+        }
     }
     if (!out)
         return std::nullopt;
--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -11,6 +11,8 @@
 
 /// The path at which a daemon serves its configuration to peers.
 constexpr const char* configurationPath = "/configuration";
+/// From the start of a call to the store to its answer, if the daemon does nothing else.
+constexpr Duration storeReadTime = std::chrono::milliseconds(200);
 
 } // namespace
 
@@ -54,7 +56,11 @@
     const auto version = m_state.routes ? m_state.routes->version() : 0;
     const bool isReading
         = m_configurationFollower->isReceiving(now) || m_configurationDocument.isReceiving(now);
-    if (const auto daemon = m_catchUp.nextSource(version, isReading, now))
+    // The store has more bandwidth than any peer.
+    const bool readsStoreSoon = m_state.isConfigurationSettled
+        && !m_configurationFollower->isStoreUnreachable()
+        && m_catchUp.behindFor(version, now) < passiveSpacing() + storeReadTime;
+    if (const auto daemon = m_catchUp.nextSource(version, isReading || readsStoreSoon, now))
         readConfigurationFrom(*daemon, now);
     m_state.isConfigurationSettled = m_catchUp.isSettled(version, now);
     updateOutdated(version, now);
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -108,7 +108,7 @@
     , m_maintenanceTimer(m_context)
     , m_stopTimer(m_context)
     , m_peerSocket(m_context)
-    , m_catchUp(m_state.settings.isFirstStart)
+    , m_catchUp({ .daemon = m_state.settings.daemon.text(), .isSettled = m_state.settings.isFirstStart })
     , m_configurationDocument(m_context)
     , m_endpointDocument(m_context)
     , m_endpointCatchUp(
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -153,7 +153,9 @@
     }
     // Version 0 of a build that states it says that none is in force there.
     if (heartbeat.revision >= WireRevision::ConfigurationVersion) {
-        m_catchUp.recordPeer(heartbeat.daemon, heartbeat.configurationVersion, now);
+        m_catchUp.recordPeer(heartbeat.daemon,
+            m_state.topology.localityOf(DataCentreId(heartbeat.dataCentre)), heartbeat.configurationVersion,
+            now);
         catchUpWithPeers(now);
     }
     applyPeerViews(heartbeat, now);
--- a/packages/Edge/lib/EdgeSummaries.cpp
+++ b/packages/Edge/lib/EdgeSummaries.cpp
@@ -58,7 +58,8 @@
                     { { "daemon", it.daemon }, { "incarnation", static_cast<int64_t>(it.incarnation) },
                         { "wire_revision", static_cast<int64_t>(it.revision) },
                         { "reported_by", heartbeat.daemon } });
-            m_catchUp.recordPeer(it.daemon, it.configurationVersion, now);
+            m_catchUp.recordPeer(it.daemon, m_state.topology.localityOf(DataCentreId(dataCentre)),
+                it.configurationVersion, now);
             if (m_summaries.isSummarised({ .dataCentre = dataCentre, .revision = it.revision }, now))
                 m_summarisedPeers.insert(it.daemon);
         }
--- a/packages/Edge/unittests/ConfigurationCatchUpTest.cpp
+++ b/packages/Edge/unittests/ConfigurationCatchUpTest.cpp
@@ -9,14 +9,16 @@
 using namespace std::chrono_literals;
 
 constexpr TimePoint start { 100s };
+constexpr auto near = Locality::OwnDataCentre;
+constexpr const char* own = "y";
 
 TEST(ConfigurationCatchUp, DaemonStartedBeforeTheOperatorHadWrittenAgain)
 {
-    ConfigurationCatchUp it(false);
+    ConfigurationCatchUp it({ .daemon = own });
     it.storeRead(true, start);
     EXPECT_FALSE(it.isSettled(4, start));
     EXPECT_FALSE(it.nextSource(4, false, start));
-    it.recordPeer("b", 7, start + 100ms);
+    it.recordPeer("b", near, 7, start + 100ms);
     EXPECT_FALSE(it.isSettled(4, start + 100ms));
     EXPECT_EQ(it.nextSource(4, false, start + 100ms), "b");
     EXPECT_TRUE(it.isSettled(7, start + 150ms));
@@ -25,56 +27,86 @@
 
 TEST(ConfigurationCatchUp, VersionThatThisDaemonHadNotReadWasLost)
 {
-    ConfigurationCatchUp it(true);
-    it.recordPeer("b", 7, start);
+    ConfigurationCatchUp it({ .daemon = own, .isSettled = true });
+    it.recordPeer("b", near, 7, start);
     EXPECT_FALSE(it.nextSource(4, false, start)) << "it may be about to be read from the store";
-    it.recordPeer("b", 7, start + 1200ms);
+    it.recordPeer("b", near, 7, start + 1200ms);
     EXPECT_EQ(it.nextSource(4, false, start + 1200ms), "b");
 }
 
 TEST(ConfigurationCatchUp, AsksEachPeerInTurn)
 {
-    ConfigurationCatchUp it(false);
-    it.recordPeer("b", 7, start);
-    it.recordPeer("c", 7, start);
-    it.recordPeer("d", 6, start);
+    ConfigurationCatchUp it({ .daemon = own });
+    it.recordPeer("b", near, 7, start);
+    it.recordPeer("c", near, 7, start);
+    it.recordPeer("d", near, 6, start);
     EXPECT_EQ(it.nextSource(4, false, start), "b");
     EXPECT_FALSE(it.nextSource(4, false, start + 100ms)) << "a call is in progress";
     EXPECT_EQ(it.nextSource(4, false, start + 300ms), "c");
     EXPECT_EQ(it.nextSource(4, false, start + 600ms), "b");
 }
 
+TEST(ConfigurationCatchUp, AllDaemonsAskedTheSamePeer)
+{
+    constexpr int peers = 10;
+    constexpr int daemons = 200;
+    std::map<std::string, int> calls;
+    for (int i = 0; i < daemons; ++i) {
+        ConfigurationCatchUp it({ .daemon = "daemon-" + std::to_string(i) });
+        for (int n = 0; n < peers; ++n)
+            it.recordPeer("peer-" + std::to_string(n), near, 7, start);
+        const auto source = it.nextSource(4, false, start);
+        ASSERT_TRUE(source);
+        ++calls[*source];
+    }
+    for (const auto& [peer, n] : calls)
+        EXPECT_LE(n, 2 * daemons / peers) << peer;
+}
+
+TEST(ConfigurationCatchUp, AsksNearPeersFirst)
+{
+    for (const auto* daemon : { "x", "y", "z" }) {
+        ConfigurationCatchUp it({ .daemon = daemon });
+        it.recordPeer("a", Locality::OtherRegion, 7, start);
+        it.recordPeer("b", Locality::OwnRegion, 7, start);
+        it.recordPeer("c", near, 6, start);
+        EXPECT_EQ(it.nextSource(4, false, start), "b") << "the near one is not up to date";
+        it.recordPeer("c", near, 7, start + 300ms);
+        EXPECT_EQ(it.nextSource(4, false, start + 300ms), "c");
+    }
+}
+
 TEST(ConfigurationCatchUp, SettlesWithoutAPeer)
 {
-    ConfigurationCatchUp sound(false);
+    ConfigurationCatchUp sound({ .daemon = own });
     EXPECT_FALSE(sound.isSettled(4, start)) << "the store has not been read";
     sound.storeRead(false, start);
     EXPECT_TRUE(sound.isSettled(4, start)) << "the store has lost nothing";
 
-    ConfigurationCatchUp silent(false);
+    ConfigurationCatchUp silent({ .daemon = own });
     silent.storeRead(true, start);
     EXPECT_FALSE(silent.isSettled(4, start + 1100ms));
     EXPECT_TRUE(silent.isSettled(4, start + 1200ms));
 
-    ConfigurationCatchUp unreachable(false);
+    ConfigurationCatchUp unreachable({ .daemon = own });
     unreachable.storeRead(true, start);
-    unreachable.recordPeer("b", 7, start + 2s);
+    unreachable.recordPeer("b", near, 7, start + 2s);
     EXPECT_FALSE(unreachable.isSettled(4, start + 2900ms));
     EXPECT_TRUE(unreachable.isSettled(4, start + 3s));
 }
 
 TEST(ConfigurationCatchUp, ForgetsWhatAPeerReportedLongAgo)
 {
-    ConfigurationCatchUp it(true);
-    it.recordPeer("b", 7, start);
+    ConfigurationCatchUp it({ .daemon = own, .isSettled = true });
+    it.recordPeer("b", near, 7, start);
     EXPECT_FALSE(it.nextSource(4, false, start + 2100ms));
 }
 
 TEST(ConfigurationCatchUp, ConfigurationWasAskedForAgainWhileItArrived)
 {
-    ConfigurationCatchUp it(true);
-    it.recordPeer("b", 7, start);
-    it.recordPeer("c", 7, start);
+    ConfigurationCatchUp it({ .daemon = own, .isSettled = true });
+    it.recordPeer("b", near, 7, start);
+    it.recordPeer("c", near, 7, start);
     EXPECT_FALSE(it.nextSource(4, true, start));
     EXPECT_FALSE(it.nextSource(4, true, start + 1500ms)) << "it arrives from the store";
     EXPECT_EQ(it.nextSource(4, false, start + 1600ms), "b");
@@ -84,11 +116,11 @@
 
 TEST(ConfigurationCatchUp, OldVersionStayedInUseAlthoughANewerOneWasKnown)
 {
-    ConfigurationCatchUp it(true);
-    it.recordPeer("b", 4, start);
+    ConfigurationCatchUp it({ .daemon = own, .isSettled = true });
+    it.recordPeer("b", near, 4, start);
     EXPECT_FALSE(it.nextSource(4, false, start));
     EXPECT_EQ(it.behindFor(4, start + 1s), 0s);
-    it.recordPeer("b", 7, start + 1s);
+    it.recordPeer("b", near, 7, start + 1s);
     EXPECT_FALSE(it.nextSource(4, false, start + 1s));
     EXPECT_EQ(it.behindFor(4, start + 3s), 2s);
     // Nothing is heard from peers over a busy link; the version exists all the same.
@@ -106,11 +138,11 @@
 TEST(ConfigurationCatchUp, OldVersionStayedInUseWhileTheNewOneArrived)
 {
     // A busy link delivers no reports of peers either.
-    ConfigurationCatchUp it(true);
+    ConfigurationCatchUp it({ .daemon = own, .isSettled = true });
     EXPECT_FALSE(it.isOutdated(4, 3400ms, true, 4s, start));
     EXPECT_TRUE(it.isOutdated(4, 3600ms, true, 4s, start));
     EXPECT_FALSE(it.isOutdated(4, 60s, false, 4s, start)) << "the store is away, and nothing newer is known";
-    it.recordPeer("b", 4, start);
+    it.recordPeer("b", near, 4, start);
     EXPECT_FALSE(it.isOutdated(4, 3600ms, true, 4s, start + 1s)) << "no peer has a newer one";
     EXPECT_TRUE(it.isOutdated(4, 3600ms, true, 4s, start + 3s));
 }
