--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -104,7 +104,11 @@
 
 void EdgeDaemon::serveDocument(http::Exchange& exchange, const std::string& document)
 {
-    if (!m_transferBudget.admit(document.size(), bootNow())) {
+    const bool isAdmitted = m_transferBudget.admit(document.size(), bootNow());
+    logEvent(Event::PeerDocumentServed,
+        { { "target", exchange.request().target }, { "bytes", static_cast<int64_t>(document.size()) },
+            { "admitted", static_cast<int64_t>(isAdmitted) } });
+    if (!isAdmitted) {
         m_state.metrics.count("peer_documents_refused");
         exchange.respond(503, http::reasonPhrase(503), {}, "");
         return;
