Take only a checked connection for a sign that an endpoint has not crashed

Any new connection to an endpoint cleared the request that it had broken off just before; a proxy accepts connections for an endpoint that is gone, so the next request to it did that.

Only the check after a break, which sees whether a new connection is kept, now says that the endpoint lives. Connections still count as evidence for the links.

CrashWasForgottenWhenAProxyAcceptedAnotherConnection fails without the change (0 crashes recorded of 1).

--- a/packages/Edge/include/lentilbay/Edge/CrashAttribution.h
+++ b/packages/Edge/include/lentilbay/Edge/CrashAttribution.h
@@ -120,7 +120,7 @@
     void recordBreak(BrokenRequest request);
     /// Records that an endpoint answers a request that was sent to it at `sentAt`. It has not crashed since.
     void recordAlive(uint64_t endpoint, TimePoint sentAt);
-    /// Records that a new connection to the endpoint was established, so that it has not crashed just before.
+    /// Records that the endpoint keeps a new connection, so that it has not crashed just before.
     void recordConnected(uint64_t endpoint, TimePoint now);
     /// Drops the requests that were broken off since then and are not yet known to be due to crashes: the
     /// links to the endpoints were lost.
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -150,8 +150,8 @@
 private:
     /// Records that a new connection to an endpoint could or could not be established.
     void recordConnection(const EndpointState& endpoint, bool isConnected, TimePoint now);
-    /// Records that an endpoint which broke off an answer is gone.
-    void recordLoss(EndpointState& endpoint, TimePoint now);
+    /// Records whether an endpoint which broke off an answer keeps a new connection, or is gone.
+    void recordAliveCheck(EndpointState& endpoint, bool isAlive, TimePoint now);
 
     uint64_t m_lastNumber = 0;
     std::map<OrganisationId, SharedQuota> m_quotas;
--- a/packages/Edge/include/lentilbay/Edge/EndpointPools.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointPools.h
@@ -40,12 +40,13 @@
     void checkAlive(const RoutedEndpoint& endpoint, std::function<void(bool isAlive)> done);
     /// The same for the observers only, unless such a check is in progress.
     void checkAlive(const RoutedEndpoint& endpoint);
-    /// Called with the endpoints that such a check has found to be gone.
-    void setLossObserver(std::function<void(const EndpointId&)> observer)
+    /// Called with what such a check has found.
+    void setAliveObserver(std::function<void(const EndpointId&, bool isAlive)> observer)
     {
-        m_lossObserver = std::move(observer);
+        m_aliveObserver = std::move(observer);
     }
-    /// Called with whether a new connection was established.
+    /// Called with whether a new connection was established, which a proxy may do for an endpoint that is
+    /// gone.
     void setConnectObserver(std::function<void(const EndpointId&, bool isConnected)> observer)
     {
         m_connectObserver = std::move(observer);
@@ -70,7 +71,7 @@
     std::shared_ptr<MemoryBudget> m_memory;
     std::map<EndpointId, std::vector<std::shared_ptr<http::ClientConnection>>> m_idle;
     std::function<void(const EndpointId&, bool)> m_connectObserver;
-    std::function<void(const EndpointId&)> m_lossObserver;
+    std::function<void(const EndpointId&, bool)> m_aliveObserver;
     std::set<EndpointId> m_checked;
     uint64_t m_opened = 0;
 };
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -65,14 +65,19 @@
         if (const auto endpoint = endpointRegistry.find(id))
             recordConnection(*endpoint, isConnected, bootNow());
     });
-    pools.setLossObserver([this](const EndpointId& id) {
+    pools.setAliveObserver([this](const EndpointId& id, bool isAlive) {
         if (const auto endpoint = endpointRegistry.find(id))
-            recordLoss(*endpoint, bootNow());
+            recordAliveCheck(*endpoint, isAlive, bootNow());
     });
 }
 
-void EdgeState::recordLoss(EndpointState& endpoint, TimePoint now)
+void EdgeState::recordAliveCheck(EndpointState& endpoint, bool isAlive, TimePoint now)
 {
+    if (isAlive) {
+        crashes.recordConnected(endpoint.hash(), now);
+        recordConnection(endpoint, true, now);
+        return;
+    }
     const bool wasSuspended = endpoint.isSuspended(now);
     endpoint.recordLost(now);
     failureSources.recordLost(endpoint.hash());
@@ -85,7 +90,6 @@
 {
     if (isConnected) {
         links.recordConnected(endpoint.hash(), now);
-        crashes.recordConnected(endpoint.hash(), now);
     } else {
         links.recordConnectFailed(endpoint.hash(), now);
         requestPoll();
--- a/packages/Edge/lib/EndpointPools.cpp
+++ b/packages/Edge/lib/EndpointPools.cpp
@@ -92,10 +92,8 @@
 void EndpointPools::checkAlive(const RoutedEndpoint& endpoint, std::function<void(bool isAlive)> done)
 {
     const auto finished = [this, id = endpoint.id, done = std::move(done)](bool isAlive) {
-        if (isAlive && m_connectObserver)
-            m_connectObserver(id, true);
-        if (!isAlive && m_lossObserver)
-            m_lossObserver(id);
+        if (m_aliveObserver)
+            m_aliveObserver(id, isAlive);
         done(isAlive);
     };
     const auto connected
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -1066,6 +1066,40 @@
     EXPECT_FALSE(state.endpointRegistry.find(EndpointId("e3"))->isSuspended(bootNow()));
 }
 
+TEST_F(EdgeRequestTest, CrashWasForgottenWhenAProxyAcceptedAnotherConnection)
+{
+    // Guards against requests that crash endpoints behind a proxy, which accepts connections for those that
+    // are gone and closes them: the next request to the same endpoint cleared the one that had crashed it.
+    asio::ip::tcp::acceptor proxy(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    std::function<void()> accept = [&] {
+        proxy.async_accept([&](std::error_code ec, asio::ip::tcp::socket socket) {
+            if (ec)
+                return;
+            // The first one reaches the endpoint, which crashes as it reads the request.
+            auto shared = std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+            auto timer = std::make_shared<asio::steady_timer>(context, 10ms);
+            timer->async_wait([shared, timer](std::error_code) { shared->close(); });
+            accept();
+        });
+    };
+    accept();
+    const RoutedEndpoint entry { .id = EndpointId("e1"),
+        .service = ServiceId("s"),
+        .host = "127.0.0.1",
+        .port = proxy.local_endpoint().port(),
+        .dataCentre = DataCentreId("a"),
+        .slots = 4 };
+    state.endpointRegistry.unlist(entry.id);
+    state.endpointRegistry.list(entry);
+    EXPECT_EQ(call("/once/x").status, 502);
+    // Another request.
+    state.pools.probe(entry);
+    context.run_for(150ms);
+    context.restart();
+    state.crashes.update(bootNow());
+    EXPECT_EQ(state.crashes.suspiciousCrashes(), 1U);
+}
+
 TEST_F(EdgeRequestTest, ServerErrorsMadeAnEndpointLookSlow)
 {
     // The prompt of a request that has ended is not processed any more.
