Read the table of daemons again after a late announcement

A daemon whose announcement the store refuses reads the table of daemons all the same, and read it again a minute later. Of daemons that start together, those that were refused never saw each other, and daemons of other data centres do not answer them.

The table is read again once the announcement has succeeded.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -68,6 +68,7 @@
     void announce(TimePoint now);
     void announcementFailed(const std::string& reason);
     void startDaemonFollower();
+    void readDaemonsAfterAnnouncement();
     void receiveHeartbeats();
     void handleHeartbeat(const PeerHeartbeat& heartbeat, TimePoint now);
     void sendHeartbeats();
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -434,10 +434,8 @@
                 .complete =
                     [this] {
                         m_announcement->close();
-                        // The daemons are read after this daemon's row has been written: of two daemons that
-                        // start at the same time, at least one sees the other.
                         if (m_isAnnounced)
-                            startDaemonFollower();
+                            readDaemonsAfterAnnouncement();
                         else
                             announcementFailed("refused");
                     },
@@ -455,6 +453,16 @@
     startDaemonFollower();
 }
 
+void EdgeDaemon::readDaemonsAfterAnnouncement()
+{
+    // Of two daemons that start at the same time, at least one sees the other, if both read the table after
+    // they have written their rows to it.
+    if (m_isDaemonFollowerStarted)
+        m_daemonFollower->readNow(bootNow());
+    else
+        startDaemonFollower();
+}
+
 void EdgeDaemon::startDaemonFollower()
 {
     if (!std::exchange(m_isDaemonFollowerStarted, true))
--- a/packages/Edge/unittests/EdgeDaemonTest.cpp
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -481,5 +481,60 @@
     stopBoth();
 }
 
+/// Two daemons that start at the same time with a store that keeps their rows.
+class AnnouncementTest : public TurnedAwayDaemonTest {
+protected:
+    /// @param refused how many writes the store refuses
+    void keepRows(int refused)
+    {
+        std::erase_if(rows, [](const Row& it) { return it.table == "daemons"; });
+        for (auto* it : { &store, &otherStore })
+            it->setResponder([this, left = std::make_shared<int>(refused)](const std::string& request) {
+                if (request.find("rows-tx") == std::string::npos)
+                    return storeResponse(request);
+                if ((*left)-- > 0)
+                    return ScriptedResponse { .bytes = httpResponse(429, "") };
+                for (const auto* daemon : { &settings, &other }) {
+                    const auto name = daemon->daemon.text();
+                    if (request.find("\"Key\":\"" + name + "\"") != std::string::npos)
+                        put("daemons", name, daemon->ownHost + ":" + std::to_string(daemon->firstPeerPort));
+                }
+                return ScriptedResponse { .bytes = httpResponse(200, R"({"Ver":1,"NowMs":1})") };
+            });
+    }
+
+    bool hearsPeer(const platform::ProcessSettings& daemon)
+    {
+        const auto metrics = ask(daemon.metrics.port, "GET /metrics HTTP/1.1\r\n" + tail);
+        return metrics.find("\nlentilbay_peers 1\n") != std::string::npos
+            && metrics.find("\nlentilbay_peers_silent 0\n") != std::string::npos;
+    }
+
+    void expectBothHearEachOther()
+    {
+        startBoth();
+        bool isHeard = false;
+        for (int i = 0; i < maxTries && !isHeard; ++i) {
+            runFor(20ms);
+            isHeard = hearsPeer(settings) && hearsPeer(other);
+        }
+        EXPECT_TRUE(isHeard);
+        stopBoth();
+    }
+};
+
+TEST_F(AnnouncementTest, DaemonWhoseFirstAnnouncementWasRefusedHeardNoPeer)
+{
+    // Guards against daemons that have read the table of daemons before their rows are in it, and not again.
+    keepRows(1);
+    expectBothHearEachOther();
+}
+
+TEST_F(AnnouncementTest, DaemonsThatStartTogetherHearEachOther)
+{
+    keepRows(0);
+    expectBothHearEachOther();
+}
+
 } // namespace
 } // namespace lentilbay::edge
