--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -12,7 +12,8 @@
 requests of clients that have left reach no endpoint, also if the daemon gets no processor time meanwhile; a configuration
 of many routes is in force in time over links of little bandwidth; what another writer adds to the endpoints' entries, and
 rejections that an endpoint writes twice, harm nobody; a daemon that the store turns away knows from others which endpoints
-have left; each request that comes while a daemon stops is answered; a stream ends as whole only after its last event,
+have left; each request that comes while a daemon stops is answered; a request runs while its client waits, whatever its
+daemon was kept from doing; a stream ends as whole only after its last event,
 however its engine ends it; requests that fail at each endpoint take none from others.
 All of that holds also after the store came back from an older copy, and at daemons that start before the operator has
 written again what the store has lost.
@@ -337,7 +338,8 @@
             refused = None
             self.bodies[request] = body
             connection[1].write((f"POST /{kind}/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: {request}\r\n"
-                                 f"X-Deadline-Ms: {DEADLINE_SECONDS * 1000:.0f}\r\nAuthorization: Token {key}\r\nX-Token-Usage: 100,72\r\n"
+                                 f"X-Deadline-Ms: {DEADLINE_SECONDS * 1000:.0f}\r\n"
+                                 f"Authorization: Token {key}\r\nX-Token-Usage: 100,72\r\n"
                                  f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
             try:
                 status, headers, text, is_complete = await asyncio.wait_for(self.read_response(connection[0]), 4.5)
