Do not judge deadlines in the soak while the soak itself is stalled

Traced: all daemons sent them within 2 ms of their arrival, and all of their answers came within 0.1 s of each other 0.95 s later; the endpoints are in the process of the soak, which got no processor time.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -87,6 +87,9 @@
 # requests: a daemon may be stopped between looking at the clock and sending.
 DEADLINE_SECONDS = 2.5
 LATE_ARRIVAL_SECONDS = 0.5
+# What happens while this process itself gets no processor time for so long is not judged by these bounds: the endpoints
+# are part of it, and read late what the daemons have sent in time.
+STALL_SECONDS = 0.15
 # These faults hold requests up on their way to an endpoint, or there.
 DELAYING_FAULT_KINDS = {"endpoint", "partition", "silence", "brittle"}
 # "rejection" lets an endpoint write rejections twice; "entry" lets another writer add entries to those of the endpoints:
@@ -141,6 +144,8 @@
         # When endpoints were silent, as (begin, end, endpoint).
         self.silences: list = []
         self.attempts: list = []
+        # When this process got no processor time, as (begin, end).
+        self.stalls: list = []
         self.bodies: dict = {}
         self.rng = random.Random(seed)
         # A loopback network per run, so that concurrent runs do not use the same addresses.
@@ -360,6 +365,16 @@
                 connection[1].close()
                 connection = None
 
+    async def watch_stalls(self) -> None:
+        while True:
+            began_at = time.monotonic()
+            await asyncio.sleep(0.02)
+            if time.monotonic() - began_at > 0.02 + STALL_SECONDS:
+                self.stalls.append((began_at, time.monotonic()))
+
+    def was_stalled(self, begin: float, end: float) -> bool:
+        return any(since < end and to > begin for since, to in self.stalls)
+
     async def leaver(self, number: int) -> None:
         """Sends requests on connections of their own, and leaves when an answer takes too long."""
         rng = random.Random(number * 104729 + self.rng.randint(0, 1 << 30))
@@ -889,6 +904,8 @@
         late, told = [], []
         for request, executions in self.executions.items():
             for executed_at, _, headers, _, _ in executions if request in sent else ():
+                if self.was_stalled(sent[request], executed_at):
+                    continue
                 left = sent[request] + DEADLINE_SECONDS - executed_at
                 given = int(headers.get("x-deadline-ms", 10 ** 6)) / 1000
                 if left < -LATE_ARRIVAL_SECONDS:
@@ -1057,6 +1074,7 @@
 
     async def run(self) -> None:
         await self.start()
+        watch = asyncio.create_task(self.watch_stalls())
         clients = [asyncio.create_task(self.client(number)) for number in range(self.clients)]
         clients += [asyncio.create_task(self.prompts.client()) for _ in range(self.streams)]
         clients += [asyncio.create_task(self.leaver(number)) for number in range(self.leavers)]
@@ -1068,6 +1086,7 @@
         await asyncio.sleep(4)
         self.stopping = True
         await asyncio.wait(clients, timeout=6)
+        watch.cancel()
         self.check_executions()
 
     def clean_up(self) -> None:
