--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -132,6 +132,9 @@
     void announceAgain(TimePoint now);
     /// Counts and logs a response that was dropped because another one had begun.
     void recordSecondResponse(const http::HttpRequest& request, int status);
+    /// Counts how a connection ended, and logs it if something was left to answer. `peer` is who had opened
+    /// it.
+    void recordConnectionEnd(const http::ConnectionEnd& end, std::string_view peer);
     void serveReadiness();
     void serveMetrics();
     /// Does what is due at short intervals.
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -84,6 +84,27 @@
     return in >> all >> resident ? resident * static_cast<double>(sysconf(_SC_PAGESIZE)) : -1;
 }
 
+std::string_view nameOf(http::CloseReason reason)
+{
+    switch (reason) {
+    case http::CloseReason::Client:
+        return "client";
+    case http::CloseReason::LastResponse:
+        return "last_response";
+    case http::CloseReason::InvalidRequest:
+        return "invalid_request";
+    case http::CloseReason::MemoryExhausted:
+        return "memory_exhausted";
+    case http::CloseReason::Aborted:
+        return "aborted";
+    case http::CloseReason::IdleTimeout:
+        return "idle_timeout";
+    case http::CloseReason::Stop:
+        break;
+    }
+    return "stop";
+}
+
 ip::tcp::endpoint tcpEndpoint(const platform::Address& address)
 {
     return { ip::make_address(address.host), address.port };
@@ -136,6 +157,7 @@
                     logEvent(Event::RequestMalformed, { { "error", static_cast<int64_t>(error) } });
                 },
             .repeated = [this](const auto& request, int status) { recordSecondResponse(request, status); },
+            .closed = [this](const auto& end) { recordConnectionEnd(end, "client"); },
             .requestMemory = m_state.requestMemory,
             .responseMemory = m_state.answerMemory });
     serveReadiness();
@@ -476,6 +498,24 @@
         { { "target", request.target }, { "status", static_cast<int64_t>(status) } });
 }
 
+void EdgeDaemon::recordConnectionEnd(const http::ConnectionEnd& end, std::string_view peer)
+{
+    m_state.metrics.count(fmt::format("connections_ended_{}", nameOf(end.reason)));
+    const bool isLost = end.reason != http::CloseReason::Client
+        && (end.unansweredBytes > 0 || end.unsentBytes > 0 || end.hadOpenRequest);
+    if (isLost)
+        m_state.metrics.count("connections_ended_unanswered");
+    if (!isLost && end.reason != http::CloseReason::Stop)
+        return;
+    logEvent(Event::ConnectionEnded,
+        { { "reason", std::string(nameOf(end.reason)) }, { "peer", std::string(peer) },
+            { "requests", static_cast<int64_t>(end.requests) },
+            { "unanswered_bytes", static_cast<int64_t>(end.unansweredBytes) },
+            { "unsent_bytes", static_cast<int64_t>(end.unsentBytes) },
+            { "open_request", static_cast<int64_t>(end.hadOpenRequest) },
+            { "loop_delay_ms", millisecondsOf(m_loopWatch.delay()) } });
+}
+
 void EdgeDaemon::serveReadiness()
 {
     m_readinessServer = std::make_unique<http::HttpServer>(m_context,
--- a/packages/Edge/lib/EdgeLinks.cpp
+++ b/packages/Edge/lib/EdgeLinks.cpp
@@ -67,6 +67,7 @@
                 },
             .malformed = {},
             .repeated = [this](const auto& request, int status) { recordSecondResponse(request, status); },
+            .closed = [this](const auto& end) { recordConnectionEnd(end, "daemon"); },
             .requestMemory = m_state.requestMemory,
             .responseMemory = m_state.answerMemory });
 }
--- a/packages/Http/include/lentilbay/Http/Server.h
+++ b/packages/Http/include/lentilbay/Http/Server.h
@@ -82,6 +82,36 @@
     bool m_isDone = false;
 };
 
+/// Why a connection was closed.
+enum class CloseReason : uint8_t {
+    /// The client closed or reset it, or it could not be written to.
+    Client,
+    /// It was announced with the last response.
+    LastResponse,
+    /// A request was malformed, too large or took too long to arrive.
+    InvalidRequest,
+    /// The server ran out of memory for requests, or for responses that the client does not read.
+    MemoryExhausted,
+    /// A response was aborted.
+    Aborted,
+    IdleTimeout,
+    /// The server is stopping.
+    Stop,
+};
+
+/// How a connection ended; for logs only.
+struct ConnectionEnd {
+    CloseReason reason = CloseReason::Client;
+    /// Requests that were passed to the handler.
+    size_t requests = 0;
+    /// Bytes from the client that belong to none of these requests.
+    size_t unansweredBytes = 0;
+    /// Bytes of responses that were not passed to the kernel.
+    size_t unsentBytes = 0;
+    /// The response to a request was not complete.
+    bool hadOpenRequest = false;
+};
+
 /// The bound of the age of input if nothing is known about the event loop.
 constexpr Duration unknownInputAge = std::chrono::hours(1);
 
@@ -98,6 +128,8 @@
     /// Called when a handler responds to a request whose response has begun, with the status of the second
     /// response; for logs only.
     std::function<void(const HttpRequest&, int status)> repeated;
+    /// Called for each connection when it has been closed; for logs only.
+    std::function<void(const ConnectionEnd&)> closed;
     /// Bounds what is kept of requests; nullptr for no bound. An unfinished one that is evicted is refused
     /// with status 503, one that is being handled is not evicted.
     std::shared_ptr<MemoryBudget> requestMemory;
--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -146,7 +146,7 @@
         m_outBegin = 0;
         asio::post(m_socket.get_executor(), [weak = weak_from_this()] {
             if (const auto self = weak.lock())
-                self->close();
+                self->close(CloseReason::MemoryExhausted);
         });
     })
 {
@@ -173,7 +173,7 @@
         if (self->m_isClosed)
             return;
         if (ec) {
-            self->close();
+            self->close(CloseReason::Client);
             return;
         }
         self->readAvailable(bootNow());
@@ -200,11 +200,13 @@
             return;
         }
         if (ec) {
-            close();
+            close(CloseReason::Client);
             return;
         }
-        if (m_isClosing)
+        if (m_isClosing) {
+            m_droppedBytes += n;
             continue;
+        }
         m_receivedAt = now - age;
         const std::string_view bytes(buffer.data(), n);
         if (m_exchange || !m_unparsed.empty()) {
@@ -236,7 +238,7 @@
     m_hasInputEnded = true;
     const bool hasRequest = m_exchange || m_parser.isComplete() || !m_unparsed.empty();
     if (m_isClosing || !hasRequest) {
-        close();
+        close(CloseReason::Client);
         return;
     }
     awaitReset();
@@ -261,7 +263,7 @@
     // Reading returns the end of the input, also after a reset.
     pollfd state { .fd = m_socket.native_handle(), .events = 0, .revents = 0 };
     if (poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP)) != 0)
-        close();
+        close(CloseReason::Client);
 }
 
 void ServerConnection::clientStays()
@@ -314,7 +316,7 @@
         return;
     }
     if (m_hasInputEnded) {
-        closeGracefully();
+        closeGracefully(CloseReason::LastResponse);
         return;
     }
     if (m_parser.awaitsBody() && !m_continueSent) {
@@ -333,6 +335,7 @@
     m_parser.setLimits(m_server->m_options.limits().parser);
     m_isHead = request.method == "HEAD";
     m_continueSent = false;
+    ++m_requests;
     m_timer.cancel();
     // The body is copied when it is sent on.
     m_handledBytes = memoryOf(request.headers) + 2 * request.body.size();
@@ -368,7 +371,7 @@
     Headers headers;
     headers.add("Retry-After", evictedRetryAfterSeconds);
     sendHead(503, reasonPhrase(503), headers, 0);
-    closeGracefully();
+    closeGracefully(CloseReason::MemoryExhausted);
 }
 
 void ServerConnection::rejectMalformed()
@@ -383,7 +386,7 @@
     m_keepsAlive = false;
     m_isHead = false;
     sendHead(status, reasonPhrase(status), {}, 0);
-    closeGracefully();
+    closeGracefully(CloseReason::InvalidRequest);
 }
 
 void ServerConnection::sendHead(
@@ -427,7 +430,8 @@
         = m_socket.write_some(asio::buffer(m_out.data() + m_outBegin, m_out.size() - m_outBegin), ec);
     if (ec && ec != asio::error::would_block && ec != asio::error::try_again) {
         // Closing is posted because the caller may still be using the exchange that close() ends.
-        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->close(); });
+        asio::post(
+            m_socket.get_executor(), [self = shared_from_this()] { self->close(CloseReason::Client); });
         return;
     }
     m_outBegin += n;
@@ -451,7 +455,7 @@
         if (self->m_isClosed)
             return;
         if (ec) {
-            self->close();
+            self->close(CloseReason::Client);
             return;
         }
         self->flush();
@@ -460,7 +464,7 @@
                 drained();
         }
         if (!self->m_isWriting && self->m_isClosing)
-            self->closeGracefully();
+            self->closeGracefully(CloseReason::LastResponse);
     });
 }
 
@@ -471,7 +475,7 @@
     releaseRequest();
     m_isClientUncertain = false;
     if (!m_keepsAlive) {
-        closeGracefully();
+        closeGracefully(CloseReason::LastResponse);
         return;
     }
     if (m_unparsed.empty()) {
@@ -497,14 +501,17 @@
 {
     m_exchange.reset();
     releaseRequest();
-    asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->close(); });
+    asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->close(CloseReason::Aborted); });
 }
 
-void ServerConnection::closeGracefully()
+void ServerConnection::closeGracefully(CloseReason reason)
 {
     if (m_isClosed)
         return;
+    if (!m_closeReason)
+        m_closeReason = reason;
     m_isClosing = true;
+    m_droppedBytes += m_unparsed.size();
     m_unparsed.clear();
     if (m_outBegin != m_out.size())
         flush();
@@ -513,7 +520,8 @@
     if (m_hasInputEnded) {
         // Nothing is left to read, and the kernel sends what has been written. Posted because the caller may
         // still use its exchange.
-        asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->close(); });
+        asio::post(
+            m_socket.get_executor(), [self = shared_from_this()] { self->close(CloseReason::Client); });
         return;
     }
     std::error_code ec;
@@ -522,7 +530,7 @@
     m_timer.expires_after(lingerTimeout);
     m_timer.async_wait([self = shared_from_this()](std::error_code cancelled) {
         if (!cancelled)
-            self->close();
+            self->close(CloseReason::Client);
     });
     awaitReadable();
 }
@@ -538,19 +546,32 @@
         if (self->m_parser.isMidRequest()) {
             self->m_keepsAlive = false;
             self->sendHead(408, reasonPhrase(408), {}, 0);
-            self->closeGracefully();
+            self->closeGracefully(CloseReason::InvalidRequest);
         } else {
-            self->close();
+            self->close(CloseReason::IdleTimeout);
         }
     });
 }
 
-void ServerConnection::close()
+size_t ServerConnection::unreadBytes() const
+{
+    std::error_code ec;
+    const size_t n = m_socket.available(ec);
+    return ec ? 0 : n;
+}
+
+void ServerConnection::close(CloseReason reason)
 {
     if (m_isClosed)
         return;
     m_isClosed = true;
     const auto self = shared_from_this();
+    if (m_server->m_options.closed)
+        m_server->m_options.closed({ .reason = m_closeReason.value_or(reason),
+            .requests = m_requests,
+            .unansweredBytes = m_droppedBytes + m_parser.heldBytes() + m_unparsed.size() + unreadBytes(),
+            .unsentBytes = unsentBytes(),
+            .hadOpenRequest = m_exchange != nullptr });
     std::error_code ec;
     m_requestCharge.release();
     m_responseCharge.release();
@@ -582,7 +603,7 @@
 HttpServer::~HttpServer()
 {
     for (const auto connections = m_connections; const auto& it : connections)
-        it->close();
+        it->close(CloseReason::Stop);
 }
 
 void HttpServer::accept()
@@ -616,7 +637,7 @@
 {
     for (const auto connections = m_connections; const auto& it : connections) {
         if (it->isIdle())
-            it->close();
+            it->close(CloseReason::Stop);
     }
 }
 
--- a/packages/Http/lib/ServerConnection.h
+++ b/packages/Http/lib/ServerConnection.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <asio/steady_timer.hpp>
+#include <optional>
 
 namespace lentilbay::http {
 
@@ -13,8 +14,9 @@
     ServerConnection(HttpServer& server, asio::ip::tcp::socket socket);
 
     void start();
-    /// Closes the connection; an unfinished exchange is told that its client has disconnected.
-    void close();
+    /// Closes the connection; an unfinished exchange is told that its client has disconnected. Reports the
+    /// reason, unless closeGracefully() has been called with another one before.
+    void close(CloseReason reason);
     bool isIdle() const { return !m_exchange && !m_parser.isMidRequest() && m_out.empty(); }
 
     // Called by the current Exchange.
@@ -60,7 +62,9 @@
     void armTimer();
     /// Shuts down the sending side and reads on until the client closes or `lingerTimeout` passes: closing
     /// with unread input would reset the connection, and the client could lose the end of the last response.
-    void closeGracefully();
+    void closeGracefully(CloseReason reason);
+    /// Bytes that have arrived on the socket and were not read.
+    size_t unreadBytes() const;
 
     HttpServer* m_server;
     asio::ip::tcp::socket m_socket;
@@ -84,6 +88,11 @@
     /// The protocol version of the next response has been sent ahead of the rest.
     bool m_hasSentVersion = false;
     bool m_continueSent = false;
+    /// Set once the connection is closing.
+    std::optional<CloseReason> m_closeReason;
+    size_t m_requests = 0;
+    /// Bytes of the client that were dropped because the connection was closing.
+    size_t m_droppedBytes = 0;
     TimePoint m_readAt {};
     TimePoint m_acceptedAt;
     /// The client connected at this time or later.
--- a/packages/Http/unittests/ServerTest.cpp
+++ b/packages/Http/unittests/ServerTest.cpp
@@ -27,6 +27,7 @@
                 .malformed = [this](ParseError) { ++malformed; },
                 .repeated = [this](const HttpRequest& it,
                                 int status) { repeated.push_back(it.target + ' ' + std::to_string(status)); },
+                .closed = [this](const ConnectionEnd& it) { ends.push_back(it); },
                 .requestMemory = requestMemory,
                 .responseMemory = responseMemory });
         client.connect({ asio::ip::make_address("127.0.0.1"), server->port() });
@@ -69,6 +70,7 @@
     std::shared_ptr<MemoryBudget> requestMemory = std::make_shared<MemoryBudget>();
     std::shared_ptr<MemoryBudget> responseMemory = std::make_shared<MemoryBudget>();
     ServerLimits limits;
+    std::vector<ConnectionEnd> ends;
     std::unique_ptr<HttpServer> server;
     asio::ip::tcp::socket client { context };
     std::vector<std::shared_ptr<Exchange>> exchanges;
@@ -385,6 +387,32 @@
     EXPECT_NE(received.find("late"), std::string::npos);
 }
 
+TEST_F(ServerTest, EndOfAConnectionStatesItsReasonAndWhatWasLeft)
+{
+    limits.idleTimeout = 30ms;
+    send(get);
+    runUntil([&] { return exchanges.size() == 1; });
+    exchanges[0]->respond(200, "OK", {}, "answer");
+    runUntil([&] { return !ends.empty(); });
+    EXPECT_EQ(ends[0].reason, CloseReason::IdleTimeout);
+    EXPECT_EQ(ends[0].requests, 1U);
+    EXPECT_EQ(ends[0].unansweredBytes, 0U);
+
+    const auto aborted = clientThatSent(get + "GET /b");
+    runUntil([&] { return exchanges.size() == 2; });
+    exchanges[1]->abort();
+    runUntil([&] { return ends.size() == 2; });
+    EXPECT_EQ(ends[1].reason, CloseReason::Aborted);
+    EXPECT_EQ(ends[1].unansweredBytes, std::string("GET /b").size());
+
+    const auto gone = clientThatSent(get);
+    runUntil([&] { return exchanges.size() == 3; });
+    server.reset();
+    ASSERT_EQ(ends.size(), 3U);
+    EXPECT_EQ(ends[2].reason, CloseReason::Stop);
+    EXPECT_TRUE(ends[2].hadOpenRequest);
+}
+
 TEST_F(ServerTest, AStoppingServerAnnouncesTheCloseAndStillResponds)
 {
     send(get);
