Failing tests: requests that a late event loop has not read

A request unread in its socket is reset by closeIdle() and by the idle timeout, 100 of 100 that wait to be accepted are reset with the listener, a pipelined one is dropped, a head whose rest has arrived gets 408, and a timer that has expired closes a connection that was just used.

--- /dev/null
+++ b/packages/Http/unittests/LateServerTest.cpp
@@ -0,0 +1,276 @@
+// Tests of HttpServer on an event loop that is late: what has arrived on a connection is answered before the
+// connection is closed, whether or not the loop has come to it.
+#include "lentilbay/Http/Server.h"
+
+#include "lentilbay/Support/SteadyClock.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <gtest/gtest.h>
+#include <list>
+#include <thread>
+
+namespace lentilbay::http {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A client that records what it receives and how its connection ends.
+struct Client {
+    Client(asio::io_context& context, uint16_t port)
+        : socket(context)
+    {
+        socket.connect({ asio::ip::make_address("127.0.0.1"), port });
+        socket.non_blocking(true);
+    }
+
+    void send(const std::string& text) { asio::write(socket, asio::buffer(text)); }
+
+    void readSome()
+    {
+        std::array<char, 4096> buf {};
+        std::error_code ec;
+        received.append(buf.data(), socket.read_some(asio::buffer(buf), ec));
+        if (ec && ec != asio::error::would_block)
+            end = ec;
+    }
+
+    size_t answers(std::string_view statusLine) const
+    {
+        size_t n = 0;
+        for (size_t at = received.find(statusLine); at != std::string::npos;
+             at = received.find(statusLine, at + 1))
+            ++n;
+        return n;
+    }
+
+    asio::ip::tcp::socket socket;
+    std::string received;
+    std::error_code end;
+};
+
+class LateServerTest : public testing::Test {
+protected:
+    LateServerTest()
+    {
+        server = std::make_unique<HttpServer>(context,
+            HttpServerOptions { .address = { asio::ip::make_address("127.0.0.1"), 0 },
+                .limits = [this] { return limits; },
+                .handler =
+                    [this](const std::shared_ptr<Exchange>& it) {
+                        targets.push_back(it->request().target);
+                        if (respondsAtOnce)
+                            it->respond(200, "OK", {}, "answer");
+                        else
+                            open.push_back(it);
+                    },
+                .malformed = {},
+                .closed = [this](const ConnectionEnd& it) { ends.push_back(it); } });
+    }
+
+    Client& connect() { return clients.emplace_back(context, server->port()); }
+
+    /// A client whose first request has been answered.
+    Client& connectIdle()
+    {
+        auto& client = connect();
+        client.send(get);
+        runUntil([&] { return client.answers("HTTP/1.1 200") == 1; });
+        client.received.clear();
+        return client;
+    }
+
+    void runFor(Duration time)
+    {
+        const auto end = bootNow() + time;
+        while (bootNow() < end) {
+            context.run_for(1ms);
+            context.restart();
+            for (auto& it : clients)
+                it.readSome();
+        }
+    }
+
+    void runUntil(const std::function<bool()>& done)
+    {
+        const auto end = bootNow() + 5s;
+        while (!done() && bootNow() < end)
+            runFor(2ms);
+        ASSERT_TRUE(done());
+    }
+
+    /// Lets the event loop be late: it comes to everything that is due or has arrived after `delay` in one
+    /// turn, in which `action` comes first.
+    void runLate(Duration delay, const std::function<void()>& action)
+    {
+        asio::steady_timer first(context, 1us);
+        first.async_wait([&](std::error_code) { action(); });
+        std::this_thread::sleep_for(delay);
+        runFor(50ms);
+    }
+
+    asio::io_context context;
+    ServerLimits limits;
+    std::vector<std::string> targets;
+    std::vector<std::shared_ptr<Exchange>> open;
+    std::vector<ConnectionEnd> ends;
+    bool respondsAtOnce = true;
+    std::unique_ptr<HttpServer> server;
+    std::list<Client> clients;
+};
+
+TEST_F(LateServerTest, RequestThatLayUnreadWasResetWithItsIdleConnection)
+{
+    auto& client = connectIdle();
+    client.send(get);
+    server->closeAfterResponses();
+    server->closeIdle();
+    runUntil([&] { return client.end != std::error_code(); });
+    EXPECT_EQ(client.answers("HTTP/1.1 200"), 1U);
+    EXPECT_NE(client.received.find("Connection: close"), std::string::npos);
+    EXPECT_EQ(client.end, asio::error::eof);
+}
+
+TEST_F(LateServerTest, HeadOfWhichAPartLayUnreadWasResetWithItsIdleConnection)
+{
+    auto& client = connectIdle();
+    client.send("GET /a HTTP/1.1\r\nHo");
+    server->closeAfterResponses();
+    server->closeIdle();
+    runFor(10ms);
+    client.send("st: h\r\n\r\n");
+    runUntil([&] { return client.end != std::error_code(); });
+    EXPECT_EQ(client.answers("HTTP/1.1 200"), 1U);
+}
+
+TEST_F(LateServerTest, RequestThatCrossedTheCloseOfItsConnectionCausedAReset)
+{
+    auto& client = connectIdle();
+    server->closeAfterResponses();
+    server->closeIdle();
+    client.send(get);
+    runUntil([&] { return client.end != std::error_code(); });
+    EXPECT_EQ(client.end, asio::error::eof);
+    EXPECT_EQ(targets.size(), 1U) << "the client has been told that the connection ends";
+}
+
+TEST_F(LateServerTest, RequestThatLayUnreadWasResetAtTheIdleTimeout)
+{
+    limits.idleTimeout = 20ms;
+    auto& client = connectIdle();
+    runLate(30ms, [&] { client.send(get); });
+    EXPECT_EQ(client.answers("HTTP/1.1 200"), 1U);
+}
+
+TEST_F(LateServerTest, HeadWhoseRestLayUnreadTimedOut)
+{
+    limits.headerTimeout = 20ms;
+    auto& client = connect();
+    client.send("GET /a HTTP/1.1\r\nHo");
+    runFor(5ms);
+    runLate(30ms, [&] { client.send("st: h\r\n\r\n"); });
+    EXPECT_EQ(client.answers("HTTP/1.1 200"), 1U);
+    EXPECT_EQ(client.answers("HTTP/1.1 408"), 0U);
+}
+
+TEST_F(LateServerTest, TimerThatExpiredAsARequestWasReadClosedItsConnection)
+{
+    limits.idleTimeout = 20ms;
+    auto& client = connectIdle();
+    client.send(get);
+    std::this_thread::sleep_for(30ms);
+    limits.idleTimeout = 10s;
+    runFor(20ms);
+    EXPECT_EQ(client.answers("HTTP/1.1 200"), 1U);
+    EXPECT_EQ(client.end, std::error_code());
+}
+
+TEST_F(LateServerTest, ConnectionWasClosedByAnIdleTimeoutThatIsNoLongerInForce)
+{
+    limits.idleTimeout = 30ms;
+    auto& client = connectIdle();
+    limits.idleTimeout = 300ms;
+    runFor(100ms);
+    EXPECT_EQ(client.end, std::error_code());
+    runUntil([&] { return client.end != std::error_code(); });
+    EXPECT_EQ(client.end, asio::error::eof);
+}
+
+TEST_F(LateServerTest, RequestsThatWaitedToBeAcceptedWereResetWithTheListener)
+{
+    constexpr size_t n = 100;
+    for (size_t i = 0; i < n; ++i)
+        connect().send(get);
+    server->closeAfterResponses();
+    server->stopAccepting();
+    server->closeIdle();
+    runUntil([&] { return std::ranges::all_of(clients, [](const auto& it) { return !!it.end; }); });
+    EXPECT_EQ(targets.size(), n);
+    for (const auto& it : clients) {
+        ASSERT_EQ(it.answers("HTTP/1.1 200"), 1U);
+        EXPECT_EQ(it.end, asio::error::eof);
+    }
+}
+
+TEST_F(LateServerTest, PipelinedRequestWasDroppedWithTheLastResponse)
+{
+    respondsAtOnce = false;
+    auto& client = connect();
+    client.send(get + get);
+    runUntil([&] { return open.size() == 1; });
+    server->closeAfterResponses();
+    respondsAtOnce = true;
+    open[0]->respond(200, "OK", {}, "answer");
+    server->closeIdle();
+    runUntil([&] { return client.end != std::error_code(); });
+    EXPECT_EQ(client.answers("HTTP/1.1 200"), 2U);
+    EXPECT_TRUE(client.received.ends_with("answer"));
+}
+
+TEST_F(LateServerTest, ClientThatPipelinesWithoutEndDoesNotKeepAStoppingServer)
+{
+    auto& client = connectIdle();
+    server->closeAfterResponses();
+    const auto end = bootNow() + 5s;
+    while (!client.end && bootNow() < end) {
+        std::error_code ec;
+        for (int i = 0; i < 100 && !ec; ++i)
+            asio::write(client.socket, asio::buffer(get), ec);
+        runFor(2ms);
+        server->closeIdle();
+    }
+    EXPECT_TRUE(client.end);
+    runUntil([&] { return server->connections() == 0; });
+    EXPECT_LT(targets.size(), 200U);
+}
+
+TEST_F(LateServerTest, IdleConnectionIsClosedByAStopAndReportsIt)
+{
+    auto& client = connectIdle();
+    server->closeAfterResponses();
+    server->closeIdle();
+    runUntil([&] { return client.end != std::error_code(); });
+    EXPECT_EQ(client.end, asio::error::eof);
+    client.socket.close();
+    runUntil([&] { return server->connections() == 0; });
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].reason, CloseReason::Stop);
+    EXPECT_EQ(ends[0].unansweredBytes, 0U);
+}
+
+TEST_F(LateServerTest, ClientThatIgnoresTheEndOfItsConnectionDoesNotKeepAStoppingServer)
+{
+    connectIdle();
+    server->closeAfterResponses();
+    server->closeIdle();
+    const auto since = bootNow();
+    runUntil([&] { return server->connections() == 0; });
+    EXPECT_LT(bootNow() - since, 1500ms);
+}
+
+} // namespace
+} // namespace lentilbay::http
