Read what has arrived before a connection is closed as idle

Cause: a connection was idle if the process had read no request. While the event loop is late, a request waits in the socket; closeIdle() (from 2 s after SIGTERM, every 100 ms), the idle timeout and the header timeout closed the connection with it. A timer handler that was already queued when its connection was used again was not cancelled, and closed it as well. An idle timeout that was raised meanwhile did not count. Change: closeIfIdle() and handleTimeout() read the socket first, and what has arrived is handled. The close itself shuts down the sending side and reads on, so that what crosses it gets an end and not a reset; it waits for the client to acknowledge what was sent. A timer's handler does nothing once the timer has been set again.

--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -628,11 +628,11 @@
     const bool isTooLate = elapsed > m_state.settings.bounds.stopGrace - exitMargin;
     // Callers then open their next connection to another daemon instead of being refused here.
     if (elapsed >= closeIdleAfterStop)
-        m_callerServer->closeIdle();
+        m_callerServer->closeIdle(bootNow());
     if (elapsed < acceptAfterStop || (!m_state.requests.empty() && !isTooLate))
         return;
     m_callerServer->stopAccepting();
-    m_callerServer->closeIdle();
+    m_callerServer->closeIdle(bootNow());
     if (m_callerServer->connections() > 0 && !isTooLate)
         return;
     m_context.stop();
--- a/packages/Http/include/lentilbay/Http/Server.h
+++ b/packages/Http/include/lentilbay/Http/Server.h
@@ -145,8 +145,12 @@
 
     /// From now on each response closes its connection.
     void closeAfterResponses();
-    /// Closes the connections that have no request being read or handled.
-    void closeIdle();
+    /// Closes the connections on which no request is being handled and none has begun to arrive. What has
+    /// arrived is read first, also if the event loop has not come to it yet.
+    void closeIdle(TimePoint now);
+    /// Responds to requests that have arrived in part with status 503 and these headers. Complete ones are
+    /// handled, also if the event loop has not come to them yet.
+    void refuseUnfinished(const Headers& headers, TimePoint now);
     void stopAccepting();
     /// The port listened on; chosen by the system if the address has port 0.
     uint16_t port() const { return m_acceptor.local_endpoint().port(); }
@@ -156,6 +160,8 @@
     friend class ServerConnection;
 
     void accept();
+    /// Accepts up to `n` connections. Returns why there are not so many.
+    std::error_code acceptWaiting(int n);
 
     asio::io_context& m_context;
     HttpServerOptions m_options;
--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -8,7 +8,9 @@
 
 #include <asio/buffer.hpp>
 #include <fmt/format.h>
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 namespace lentilbay::http {
 namespace {
@@ -30,6 +32,8 @@
 constexpr std::string_view protocolVersion = "HTTP/1.1 ";
 /// How long a closing connection waits for the client to close its side.
 constexpr Duration lingerTimeout = std::chrono::seconds(1);
+/// How many times longer it waits for a client that has not yet received everything.
+constexpr int maxExtraLingers = 9;
 /// Connections accepted in a row. A busy event loop comes to the listening socket rarely, and connections
 /// that wait for it grow old with their requests.
 constexpr int maxAcceptsInARow = 64;
@@ -208,6 +212,7 @@
             continue;
         }
         m_receivedAt = now - age;
+        m_receivedBytes += n;
         const std::string_view bytes(buffer.data(), n);
         if (m_exchange || !m_unparsed.empty()) {
             m_unparsed += bytes;
@@ -246,11 +251,7 @@
     if ((m_exchange && m_exchange->hasBegun()) || m_outBegin != m_out.size())
         return;
     m_isClientUncertain = true;
-    m_timer.expires_after(resetTimeout);
-    m_timer.async_wait([self = shared_from_this()](std::error_code ec) {
-        if (!ec)
-            self->clientStays();
-    });
+    setTimer(resetTimeout, [this] { clientStays(); });
     m_hasSentVersion = true;
     send(protocolVersion);
     detectReset();
@@ -297,6 +298,39 @@
         readAvailable(now);
 }
 
+bool ServerConnection::takeArrived(TimePoint now)
+{
+    if (m_isClosed || m_isClosing || m_exchange)
+        return false;
+    const auto before = m_receivedBytes;
+    readAvailable(now);
+    const bool hasArrived = m_isClosed || m_receivedBytes != before || !m_unparsed.empty();
+    if (hasArrived && !m_isClosed)
+        parse();
+    return hasArrived;
+}
+
+void ServerConnection::closeIfIdle(CloseReason reason, TimePoint now)
+{
+    const bool isIdle = !m_isClosed && !m_isClosing && !m_exchange && !m_parser.isMidRequest()
+        && !m_parser.isComplete() && m_out.empty();
+    if (isIdle && !takeArrived(now))
+        closeGracefully(reason);
+}
+
+void ServerConnection::refuseUnfinished(const Headers& headers, TimePoint now)
+{
+    if (m_isClientUncertain)
+        clientStays();
+    takeArrived(now);
+    if (m_isClosed || m_isClosing || m_exchange || !m_parser.isMidRequest())
+        return;
+    m_keepsAlive = false;
+    m_isHead = false;
+    sendHead(503, reasonPhrase(503), headers, 0);
+    closeGracefully(CloseReason::Stop);
+}
+
 void ServerConnection::parse()
 {
     if (m_isClientUncertain || m_requestCharge.isEvicted())
@@ -336,7 +370,7 @@
     m_isHead = request.method == "HEAD";
     m_continueSent = false;
     ++m_requests;
-    m_timer.cancel();
+    cancelTimer();
     // The body is copied when it is sent on.
     m_handledBytes = memoryOf(request.headers) + 2 * request.body.size();
     m_requestCharge.setEvictable(false);
@@ -527,32 +561,70 @@
     std::error_code ec;
     m_socket.shutdown(ip::tcp::socket::shutdown_send, ec);
     // An error means that the connection is already closed; the next read reports that.
-    m_timer.expires_after(lingerTimeout);
-    m_timer.async_wait([self = shared_from_this()](std::error_code cancelled) {
-        if (!cancelled)
-            self->close(CloseReason::Client);
-    });
+    linger(maxExtraLingers);
     awaitReadable();
 }
 
+void ServerConnection::linger(int n)
+{
+    setTimer(lingerTimeout, [this, n] {
+        // Closing with unread input would reset the connection.
+        readAvailable(bootNow());
+        if (n > 0 && unacknowledgedBytes() > 0)
+            linger(n - 1);
+        else
+            close(CloseReason::Client);
+    });
+}
+
 void ServerConnection::armTimer()
+{
+    m_waitsSince = bootNow();
+    setTimer(waitTimeout(), [this] { handleTimeout(bootNow()); });
+}
+
+Duration ServerConnection::waitTimeout() const
 {
     const auto limits = m_server->m_options.limits();
-    const auto timeout = m_parser.isMidRequest() ? limits.headerTimeout : limits.idleTimeout;
-    m_timer.expires_after(timeout);
-    m_timer.async_wait([self = shared_from_this()](std::error_code ec) {
-        if (ec || self->m_exchange || self->m_isClosed)
-            return;
-        if (self->m_parser.isMidRequest()) {
-            self->m_keepsAlive = false;
-            self->sendHead(408, reasonPhrase(408), {}, 0);
-            self->closeGracefully(CloseReason::InvalidRequest);
-        } else {
-            self->close(CloseReason::IdleTimeout);
-        }
+    return m_parser.isMidRequest() ? limits.headerTimeout : limits.idleTimeout;
+}
+
+void ServerConnection::handleTimeout(TimePoint now)
+{
+    // A late event loop comes to the timer before it comes to what has arrived meanwhile.
+    if (m_exchange || takeArrived(now))
+        return;
+    // The limits may have changed since the timer was set, and clients go by those in force.
+    const auto left = m_waitsSince + waitTimeout() - now;
+    if (left > Duration::zero()) {
+        setTimer(left, [this] { handleTimeout(bootNow()); });
+        return;
+    }
+    if (!m_parser.isMidRequest()) {
+        closeGracefully(CloseReason::IdleTimeout);
+        return;
+    }
+    m_keepsAlive = false;
+    sendHead(408, reasonPhrase(408), {}, 0);
+    closeGracefully(CloseReason::InvalidRequest);
+}
+
+void ServerConnection::setTimer(Duration delay, std::function<void()> expired)
+{
+    m_timer.expires_after(delay);
+    m_timer.async_wait([self = shared_from_this(), expired = std::move(expired), setting = ++m_timerSettings](
+                           std::error_code ec) {
+        if (!ec && setting == self->m_timerSettings && !self->m_isClosed)
+            expired();
     });
 }
 
+void ServerConnection::cancelTimer()
+{
+    ++m_timerSettings;
+    m_timer.cancel();
+}
+
 size_t ServerConnection::unreadBytes() const
 {
     std::error_code ec;
@@ -560,6 +632,12 @@
     return ec ? 0 : n;
 }
 
+size_t ServerConnection::unacknowledgedBytes()
+{
+    int n = 0;
+    return ioctl(m_socket.native_handle(), SIOCOUTQ, &n) == 0 && n > 0 ? static_cast<size_t>(n) : 0;
+}
+
 void ServerConnection::close(CloseReason reason)
 {
     if (m_isClosed)
@@ -575,7 +653,7 @@
     std::error_code ec;
     m_requestCharge.release();
     m_responseCharge.release();
-    m_timer.cancel();
+    cancelTimer();
     m_socket.close(ec);
     if (auto exchange = std::exchange(m_exchange, nullptr)) {
         exchange->m_connection.reset();
@@ -611,15 +689,8 @@
     m_acceptor.async_wait(ip::tcp::acceptor::wait_read, [this](std::error_code ec) {
         if (ec == asio::error::operation_aborted || !m_acceptor.is_open())
             return;
-        for (int i = 0; i < maxAcceptsInARow && !ec; ++i) {
-            ip::tcp::socket socket(m_context);
-            m_acceptor.accept(socket, ec);
-            if (ec)
-                break;
-            auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
-            m_connections.insert(connection);
-            connection->start();
-        }
+        if (!ec)
+            ec = acceptWaiting(maxAcceptsInARow);
         if (!ec || ec == asio::error::would_block || ec == asio::error::try_again
             || ec == asio::error::connection_aborted) {
             accept();
@@ -631,14 +702,33 @@
     });
 }
 
+std::error_code HttpServer::acceptWaiting(int n)
+{
+    std::error_code ec;
+    for (int i = 0; i < n && !ec; ++i) {
+        ip::tcp::socket socket(m_context);
+        m_acceptor.accept(socket, ec);
+        if (ec)
+            break;
+        auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+        m_connections.insert(connection);
+        connection->start();
+    }
+    return ec;
+}
+
 void HttpServer::closeAfterResponses() { m_closesAfterResponses = true; }
 
-void HttpServer::closeIdle()
+void HttpServer::closeIdle(TimePoint now)
 {
-    for (const auto connections = m_connections; const auto& it : connections) {
-        if (it->isIdle())
-            it->close(CloseReason::Stop);
-    }
+    for (const auto connections = m_connections; const auto& it : connections)
+        it->closeIfIdle(CloseReason::Stop, now);
+}
+
+void HttpServer::refuseUnfinished(const Headers& headers, TimePoint now)
+{
+    for (const auto connections = m_connections; const auto& it : connections)
+        it->refuseUnfinished(headers, now);
 }
 
 void HttpServer::stopAccepting()
--- a/packages/Http/lib/ServerConnection.h
+++ b/packages/Http/lib/ServerConnection.h
@@ -17,7 +17,12 @@
     /// Closes the connection; an unfinished exchange is told that its client has disconnected. Reports the
     /// reason, unless closeGracefully() has been called with another one before.
     void close(CloseReason reason);
-    bool isIdle() const { return !m_exchange && !m_parser.isMidRequest() && m_out.empty(); }
+    /// Closes the connection if no request is being handled and none has begun to arrive, whether or not the
+    /// event loop has come to it.
+    void closeIfIdle(CloseReason reason, TimePoint now);
+    /// Responds to the request that is being read that it is not handled, and closes the connection. What has
+    /// arrived is read first; a request that is complete is handled.
+    void refuseUnfinished(const Headers& headers, TimePoint now);
 
     // Called by the current Exchange.
     void sendHead(int status, std::string_view reason, const Headers& headers, std::optional<size_t> length);
@@ -36,6 +41,8 @@
     /// Reads until nothing is left, so that a client that has sent a request and closed its connection is
     /// noticed before the request is handled.
     void readAvailable(TimePoint now);
+    /// Reads and handles what has arrived, if no request is being handled. Returns whether something had.
+    bool takeArrived(TimePoint now);
     /// How long the input that has just been read had waited for the event loop.
     Duration inputAge(TimePoint now);
     /// The client has closed its sending side. Whether it has left or still reads is shown by sending it the
@@ -60,11 +67,24 @@
     void flush();
     void awaitWritable();
     void armTimer();
+    /// How long the connection may wait for the client to go on.
+    Duration waitTimeout() const;
+    /// Called when it has waited for so long.
+    void handleTimeout(TimePoint now);
+    /// Calls `expired` after a time, unless the timer is set again or cancelled meanwhile. (A handler that is
+    /// already queued cannot be cancelled by the timer itself.)
+    void setTimer(Duration delay, std::function<void()> expired);
+    void cancelTimer();
     /// Shuts down the sending side and reads on until the client closes or `lingerTimeout` passes: closing
     /// with unread input would reset the connection, and the client could lose the end of the last response.
     void closeGracefully(CloseReason reason);
+    /// Closes the connection once the client has acknowledged what was sent, or `n` more times
+    /// `lingerTimeout` have passed.
+    void linger(int n);
     /// Bytes that have arrived on the socket and were not read.
     size_t unreadBytes() const;
+    /// Bytes that were passed to the kernel and that the client's host has not acknowledged.
+    size_t unacknowledgedBytes();
 
     HttpServer* m_server;
     asio::ip::tcp::socket m_socket;
@@ -91,9 +111,13 @@
     /// Set once the connection is closing.
     std::optional<CloseReason> m_closeReason;
     size_t m_requests = 0;
+    size_t m_receivedBytes = 0;
     /// Bytes of the client that were dropped because the connection was closing.
     size_t m_droppedBytes = 0;
     TimePoint m_readAt {};
+    /// Since when the connection has waited for the client to begin or go on with a request.
+    TimePoint m_waitsSince {};
+    uint64_t m_timerSettings = 0;
     TimePoint m_acceptedAt;
     /// The client connected at this time or later.
     TimePoint m_connectedSince;
--- a/packages/Http/unittests/LateServerTest.cpp
+++ b/packages/Http/unittests/LateServerTest.cpp
@@ -128,7 +128,7 @@
     auto& client = connectIdle();
     client.send(get);
     server->closeAfterResponses();
-    server->closeIdle();
+    server->closeIdle(bootNow());
     runUntil([&] { return client.end != std::error_code(); });
     EXPECT_EQ(client.answers("HTTP/1.1 200"), 1U);
     EXPECT_NE(client.received.find("Connection: close"), std::string::npos);
@@ -140,7 +140,7 @@
     auto& client = connectIdle();
     client.send("GET /a HTTP/1.1\r\nHo");
     server->closeAfterResponses();
-    server->closeIdle();
+    server->closeIdle(bootNow());
     runFor(10ms);
     client.send("st: h\r\n\r\n");
     runUntil([&] { return client.end != std::error_code(); });
@@ -151,7 +151,7 @@
 {
     auto& client = connectIdle();
     server->closeAfterResponses();
-    server->closeIdle();
+    server->closeIdle(bootNow());
     client.send(get);
     runUntil([&] { return client.end != std::error_code(); });
     EXPECT_EQ(client.end, asio::error::eof);
@@ -207,7 +207,7 @@
         connect().send(get);
     server->closeAfterResponses();
     server->stopAccepting();
-    server->closeIdle();
+    server->closeIdle(bootNow());
     runUntil([&] { return std::ranges::all_of(clients, [](const auto& it) { return !!it.end; }); });
     EXPECT_EQ(targets.size(), n);
     for (const auto& it : clients) {
@@ -225,7 +225,7 @@
     server->closeAfterResponses();
     respondsAtOnce = true;
     open[0]->respond(200, "OK", {}, "answer");
-    server->closeIdle();
+    server->closeIdle(bootNow());
     runUntil([&] { return client.end != std::error_code(); });
     EXPECT_EQ(client.answers("HTTP/1.1 200"), 2U);
     EXPECT_TRUE(client.received.ends_with("answer"));
@@ -241,7 +241,7 @@
         for (int i = 0; i < 100 && !ec; ++i)
             asio::write(client.socket, asio::buffer(get), ec);
         runFor(2ms);
-        server->closeIdle();
+        server->closeIdle(bootNow());
     }
     EXPECT_TRUE(client.end);
     runUntil([&] { return server->connections() == 0; });
@@ -252,7 +252,7 @@
 {
     auto& client = connectIdle();
     server->closeAfterResponses();
-    server->closeIdle();
+    server->closeIdle(bootNow());
     runUntil([&] { return client.end != std::error_code(); });
     EXPECT_EQ(client.end, asio::error::eof);
     client.socket.close();
@@ -266,7 +266,7 @@
 {
     connectIdle();
     server->closeAfterResponses();
-    server->closeIdle();
+    server->closeIdle(bootNow());
     const auto since = bootNow();
     runUntil([&] { return server->connections() == 0; });
     EXPECT_LT(bootNow() - since, 1500ms);
--- a/packages/Http/unittests/ServerTest.cpp
+++ b/packages/Http/unittests/ServerTest.cpp
@@ -418,7 +418,7 @@
     send(get);
     runUntil([&] { return exchanges.size() == 1; });
     server->closeAfterResponses();
-    server->closeIdle();
+    server->closeIdle(bootNow());
     exchanges[0]->respond(200, "OK", {}, "last");
     runUntil([&] { return isClosed; });
     EXPECT_NE(received.find("Connection: close\r\n"), std::string::npos);
