Accept the connections that wait before the listener ends

Symptoms: a client whose connection the kernel had accepted, and which had sent its request, got a reset when a daemon stopped. Cause: stopAccepting() closed the listener with its queue; a late event loop leaves connections there for as long as it is late. Change: the queue is emptied first; what has arrived on these connections is handled, as on all others. Measured: LateServerTest.RequestsThatWaitedToBeAcceptedWereResetWithTheListener: 100 of 100 requests were reset on, all are answered now.

--- a/packages/Http/include/lentilbay/Http/Server.h
+++ b/packages/Http/include/lentilbay/Http/Server.h
@@ -151,6 +151,7 @@
     /// Responds to requests that have arrived in part with status 503 and these headers. Complete ones are
     /// handled, also if the event loop has not come to them yet.
     void refuseUnfinished(const Headers& headers, TimePoint now);
+    /// Accepts the connections that wait for it, and no others.
     void stopAccepting();
     /// The port listened on; chosen by the system if the address has port 0.
     uint16_t port() const { return m_acceptor.local_endpoint().port(); }
--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -733,6 +733,10 @@
 
 void HttpServer::stopAccepting()
 {
+    if (!m_acceptor.is_open())
+        return;
+    // Connections that wait to be accepted, and the requests on them, would be reset with the listener.
+    acceptWaiting(listenBacklog);
     std::error_code ec;
     m_acceptor.close(ec);
 }
