Answer pipelined requests of a server that stops

Symptoms: of two requests sent at once on a connection of a stopping daemon, the second got no answer. Cause: each response of a stopping server closes its connection, and what had been read after its request was dropped. Change: a response closes the connection only if no further request has begun to arrive; 16 requests of one connection at most are handled once the server is stopping, so that a client that never waits for responses does not keep it.

--- a/packages/Http/include/lentilbay/Http/Server.h
+++ b/packages/Http/include/lentilbay/Http/Server.h
@@ -143,7 +143,7 @@
     HttpServer(asio::io_context& context, HttpServerOptions options);
     ~HttpServer();
 
-    /// From now on each response closes its connection.
+    /// From now on a response closes its connection, unless a further request has arrived on it.
     void closeAfterResponses();
     /// Closes the connections on which no request is being handled and none has begun to arrive. What has
     /// arrived is read first, also if the event loop has not come to it yet.
--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -34,6 +34,9 @@
 constexpr Duration lingerTimeout = std::chrono::seconds(1);
 /// How many times longer it waits for a client that has not yet received everything.
 constexpr int maxExtraLingers = 9;
+/// The requests of one connection that are handled once the server is stopping, if the client sends them
+/// without waiting for responses.
+constexpr size_t maxRequestsSinceStop = 16;
 /// Connections accepted in a row. A busy event loop comes to the listening socket rarely, and connections
 /// that wait for it grow old with their requests.
 constexpr int maxAcceptsInARow = 64;
@@ -331,6 +334,12 @@
     closeGracefully(CloseReason::Stop);
 }
 
+bool ServerConnection::isLastRequest() const
+{
+    return m_server->m_closesAfterResponses
+        && (m_requestsSinceStop >= maxRequestsSinceStop || !hasNextRequest());
+}
+
 void ServerConnection::parse()
 {
     if (m_isClientUncertain || m_requestCharge.isEvicted())
@@ -370,6 +379,8 @@
     m_isHead = request.method == "HEAD";
     m_continueSent = false;
     ++m_requests;
+    if (m_server->m_closesAfterResponses)
+        ++m_requestsSinceStop;
     cancelTimer();
     // The body is copied when it is sent on.
     m_handledBytes = memoryOf(request.headers) + 2 * request.body.size();
@@ -426,7 +437,7 @@
 void ServerConnection::sendHead(
     int status, std::string_view reason, const Headers& headers, std::optional<size_t> length)
 {
-    if (m_server->m_closesAfterResponses || (m_hasInputEnded && m_unparsed.empty()))
+    if (isLastRequest() || (m_hasInputEnded && m_unparsed.empty()))
         m_keepsAlive = false;
     const auto version = std::exchange(m_hasSentVersion, false) ? std::string_view() : protocolVersion;
     std::string head = fmt::format("{}{} {}\r\n", version, status, reason);
--- a/packages/Http/lib/ServerConnection.h
+++ b/packages/Http/lib/ServerConnection.h
@@ -43,6 +43,10 @@
     void readAvailable(TimePoint now);
     /// Reads and handles what has arrived, if no request is being handled. Returns whether something had.
     bool takeArrived(TimePoint now);
+    /// Whether requests have begun to arrive after the one that is being handled.
+    bool hasNextRequest() const { return !m_unparsed.empty() || unreadBytes() > 0; }
+    /// Whether the last request is being handled, because the server is stopping.
+    bool isLastRequest() const;
     /// How long the input that has just been read had waited for the event loop.
     Duration inputAge(TimePoint now);
     /// The client has closed its sending side. Whether it has left or still reads is shown by sending it the
@@ -111,6 +115,8 @@
     /// Set once the connection is closing.
     std::optional<CloseReason> m_closeReason;
     size_t m_requests = 0;
+    /// Requests handled since the server began to stop.
+    size_t m_requestsSinceStop = 0;
     size_t m_receivedBytes = 0;
     /// Bytes of the client that were dropped because the connection was closing.
     size_t m_droppedBytes = 0;
