End a stop by the grace period, whatever the event loop's delay

Cause: SIGTERM was dated when the event loop came to it, and the checks of the stop were 100 ms apart by its timers. The last requests had 0.7 s and the process 0.3 s, whatever the loop's delay. What was left was dropped with the event loop. Change: the grace period ends earlier by the delay that the loop shows (EventLoopWatch::expectedDelay), and the last check that is sure to come within it ends all requests, with an answer where none has begun. From 2.4 s on, when all requests are refused, a request that has arrived in part is refused as well instead of being waited for, so that a client that writes slowly or without end does not hold the stop up. Peers' connections end like those of clients.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -146,8 +146,13 @@
     void hastenPoll();
     void schedulePeriodic(asio::steady_timer& timer, Duration period, std::function<void()> action);
     void awaitSignal();
-    void stop();
-    void checkStop();
+    void stop(TimePoint now);
+    /// Ends the process if nothing is left to answer, or if the grace period is about to end.
+    void checkStop(TimePoint now);
+    /// Whether this is the last time that checkStop() is sure to be called within the grace period.
+    bool isLastStopCheck(TimePoint now) const;
+    /// Ends all requests.
+    void endRequests(TimePoint now);
 
     asio::io_context m_context { 1 };
     EdgeState m_state;
--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -85,6 +85,8 @@
     /// Called when the daemon begins to stop. The request ends before the process does, and is refused now if
     /// that cannot be ensured any more once it has been sent.
     void handleStop(TimePoint now);
+    /// Ends the request, because the process ends before it could be answered otherwise.
+    void endForStop(TimePoint now);
 
 private:
     bool validate(TimePoint now);
@@ -197,6 +199,8 @@
     Duration blockedRetryAfter(TimePoint now) const;
     void requeue(TimePoint now);
     void handleTimeout();
+    /// Ends the request whatever its state; `refusal` states why if it has not been executed.
+    void end(ResultCode refusal, std::optional<Duration> retryAfter, TimePoint now);
     void handleCallerLeft();
     /// Whether a refusal, which states that the request was not executed, would be true, and would be the
     /// first answer.
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -53,8 +53,11 @@
     /// Whether a newer version than the one in force has been known for so long that requests must not be
     /// served by the latter.
     bool isConfigurationOutdated = false;
-    /// When SIGTERM was received.
+    /// When SIGTERM was handled; set together with `graceEndsAt`.
     std::optional<TimePoint> stopRequestedAt;
+    /// When the process may be killed: the grace period after SIGTERM, which may have waited for the event
+    /// loop.
+    std::optional<TimePoint> graceEndsAt;
     /// Bounds what is kept of requests: those of callers and peers that are being read or handled.
     std::shared_ptr<MemoryBudget> requestMemory;
     /// Bounds what is kept of answers: heads, bodies and events of endpoints and peers until they are
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -203,7 +203,12 @@
     m_sharedRowFollower->start();
     announce(bootNow());
     m_context.run();
-    logEvent(Event::DaemonStopped, { { "open_requests", static_cast<int64_t>(m_state.requests.size()) } });
+    const auto graceLeft
+        = m_state.graceEndsAt ? millisecondsOf(*m_state.graceEndsAt - bootNow()) : int64_t { -1 };
+    logEvent(Event::DaemonStopped,
+        { { "open_requests", static_cast<int64_t>(m_state.requests.size()) },
+            { "connections", static_cast<int64_t>(m_callerServer->connections()) },
+            { "grace_left_ms", graceLeft } });
 }
 
 void EdgeDaemon::poll(TimePoint now)
@@ -602,40 +607,70 @@
         if (signal == SIGHUP)
             m_reload();
         else
-            stop();
+            stop(bootNow());
         awaitSignal();
     });
 }
 
-void EdgeDaemon::stop()
+void EdgeDaemon::stop(TimePoint now)
 {
     if (m_state.stopRequestedAt)
         return;
-    m_state.stopRequestedAt = bootNow();
-    m_callerServer->closeAfterResponses();
-    logEvent(Event::DrainStarted, { { "open_requests", static_cast<int64_t>(m_state.requests.size()) } });
+    m_state.stopRequestedAt = now;
+    // The signal has waited for the event loop.
+    m_state.graceEndsAt
+        = now + m_state.settings.bounds.stopGrace - m_loopWatch.expectedDelay(now, heartbeatPeriod);
+    for (auto* server : { m_callerServer.get(), m_peerServer.get() })
+        server->closeAfterResponses();
+    logEvent(Event::DrainStarted,
+        { { "open_requests", static_cast<int64_t>(m_state.requests.size()) },
+            { "grace_left_ms", millisecondsOf(*m_state.graceEndsAt - now) } });
     if (const auto own = m_roster.ownRow())
         deleteDaemonRow(*own);
     // Iterates over a copy, because a request may end.
     for (const auto requests = m_state.requests; const auto& [number, request] : requests)
-        request->handleStop(*m_state.stopRequestedAt);
-    schedulePeriodic(m_stopTimer, stopCheckPeriod, [this] { checkStop(); });
+        request->handleStop(now);
+    schedulePeriodic(m_stopTimer, stopCheckPeriod, [this] { checkStop(bootNow()); });
+    checkStop(now);
 }
 
-void EdgeDaemon::checkStop()
+bool EdgeDaemon::isLastStopCheck(TimePoint now) const
 {
-    const auto elapsed = bootNow() - *m_state.stopRequestedAt;
-    const bool isTooLate = elapsed > m_state.settings.bounds.stopGrace - exitMargin;
+    const auto next = now + stopCheckPeriod + m_loopWatch.expectedDelay(now, stopCheckPeriod);
+    return next > *m_state.graceEndsAt - exitMargin;
+}
+
+void EdgeDaemon::checkStop(TimePoint now)
+{
+    const auto elapsed = now - *m_state.stopRequestedAt;
+    const bool isLast = isLastStopCheck(now);
     // Callers then open their next connection to another daemon instead of being refused here.
     if (elapsed >= closeIdleAfterStop)
-        m_callerServer->closeIdle(bootNow());
-    if (elapsed < acceptAfterStop || (!m_state.requests.empty() && !isTooLate))
+        m_callerServer->closeIdle(now);
+    if (elapsed < acceptAfterStop && !isLast)
         return;
-    m_callerServer->stopAccepting();
-    m_callerServer->closeIdle(bootNow());
-    if (m_callerServer->connections() > 0 && !isTooLate)
+    if (isLast)
+        endRequests(now);
+    // From now on each request is refused, so that there is no reason to wait for the rest of one.
+    for (auto* server : { m_callerServer.get(), m_peerServer.get() })
+        server->refuseUnfinished(platform::retryAfterHeaders(drainingRetryAfter), now);
+    if (!m_state.requests.empty() && !isLast)
+        return;
+    for (auto* server : { m_callerServer.get(), m_peerServer.get() }) {
+        server->stopAccepting();
+        server->closeIdle(now);
+    }
+    if (m_callerServer->connections() > 0 && !isLast)
         return;
+    if (isLast)
+        endRequests(now);
     m_context.stop();
 }
 
+void EdgeDaemon::endRequests(TimePoint now)
+{
+    for (const auto requests = m_state.requests; const auto& [number, request] : requests)
+        request->endForStop(now);
+}
+
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -950,6 +950,21 @@
     if (m_isOver)
         return;
     const auto now = bootNow();
+    const auto stopsAt = m_state.requestsEndAt();
+    if (stopsAt && now >= *stopsAt)
+        endForStop(now);
+    else
+        end(ResultCode::DeadlinePassedWaiting, Duration::zero(), now);
+}
+
+void EdgeRequest::endForStop(TimePoint now)
+{
+    if (!m_isOver)
+        end(ResultCode::Draining, drainingRetryAfter, now);
+}
+
+void EdgeRequest::end(ResultCode refusal, std::optional<Duration> retryAfter, TimePoint now)
+{
     if (m_send) {
         // A stall until the deadline is a failure of the endpoint; a long answer is not.
         const bool wasStalled = m_send->isSent && m_send->endpoint->isStalled(now);
@@ -958,13 +973,10 @@
         else
             endSend(SendOutcome::Neutral, now);
     }
-    const auto stopsAt = m_state.requestsEndAt();
-    if (!isRefusable())
-        endAfterExecution(ResultCode::EndpointTimeout, now);
-    else if (stopsAt && now >= *stopsAt)
-        refuse(ResultCode::Draining, drainingRetryAfter, now);
+    if (isRefusable())
+        refuse(refusal, retryAfter, now);
     else
-        refuse(ResultCode::DeadlinePassedWaiting, Duration::zero(), now);
+        endAfterExecution(ResultCode::EndpointTimeout, now);
 }
 
 void EdgeRequest::handleCallerLeft()
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -142,7 +142,8 @@
 {
     if (!stopRequestedAt)
         return std::nullopt;
-    return *stopRequestedAt + std::max(acceptAfterStop, settings.bounds.stopGrace - stopMargin);
+    const auto graceEnd = graceEndsAt.value_or(*stopRequestedAt + settings.bounds.stopGrace);
+    return std::max(*stopRequestedAt + acceptAfterStop, graceEnd - stopMargin);
 }
 
 std::optional<Duration> EdgeState::routesAge(TimePoint now) const
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -1623,6 +1623,17 @@
     connection->close();
 }
 
+TEST_F(EdgeRequestTest, EndOfAStopWasDatedByTheEventLoop)
+{
+    // The signal has waited for 2 s.
+    state.settings.bounds.stopGrace = 8s;
+    state.stopRequestedAt = bootNow();
+    state.graceEndsAt = *state.stopRequestedAt + 6s;
+    EXPECT_LE(*state.requestsEndAt(), *state.graceEndsAt - 500ms);
+    state.graceEndsAt = *state.stopRequestedAt + 8s;
+    EXPECT_GT(*state.requestsEndAt(), *state.stopRequestedAt + 7s);
+}
+
 TEST_F(EdgeRequestTest, RefusesNewRequestsLateInAShutdown)
 {
     state.stopRequestedAt = bootNow() - 3s;
--- a/packages/Support/include/lentilbay/Support/EventLoopWatch.h
+++ b/packages/Support/include/lentilbay/Support/EventLoopWatch.h
@@ -6,6 +6,8 @@
 
 #include "lentilbay/Support/Time.h"
 
+#include <algorithm>
+
 namespace lentilbay {
 
 class EventLoopWatch {
@@ -26,6 +28,10 @@
         m_wasOnTime = isOnTime;
         m_lastDue = due;
         m_delay = now - due;
+        if (m_delay >= m_longestDelay || now - m_longestDelayAt > delayWindow) {
+            m_longestDelay = m_delay;
+            m_longestDelayAt = now;
+        }
     }
 
     /// The longest time for which input that is read at `now` may have waited. At most the period of the
@@ -33,13 +39,22 @@
     Duration maxInputAge(TimePoint now) const { return now - m_inputSince; }
     /// How late the latest timer ran.
     Duration delay() const { return m_delay; }
+    /// How late the loop has to be expected to come to anything: by the timers of the last `delayWindow`, and
+    /// by the next one of a timer with this period, which may be overdue.
+    Duration expectedDelay(TimePoint now, Duration period) const
+    {
+        return std::max(m_longestDelay, now - m_lastDue - period);
+    }
 
     static constexpr Duration maxTimerDelay = std::chrono::milliseconds(50);
+    static constexpr Duration delayWindow = std::chrono::seconds(2);
 
 private:
     TimePoint m_inputSince;
     TimePoint m_lastDue;
     Duration m_delay {};
+    Duration m_longestDelay {};
+    TimePoint m_longestDelayAt {};
     bool m_wasOnTime = false;
 };
 
--- a/packages/Support/unittests/EventLoopWatchTest.cpp
+++ b/packages/Support/unittests/EventLoopWatchTest.cpp
@@ -49,6 +49,22 @@
     EXPECT_EQ(watch.delay(), turn - period);
 }
 
+TEST(EventLoopWatchTest, DelayIsExpectedByTheTimersOfTheLastSeconds)
+{
+    EventLoopWatch watch(at(0ms));
+    watch.recordTimer(at(period), at(period));
+    EXPECT_EQ(watch.expectedDelay(at(period), period), 0ms);
+    watch.recordTimer(at(2 * period), at(2 * period + 450ms));
+    watch.recordTimer(at(2 * period + 450ms), at(2 * period + 500ms));
+    EXPECT_EQ(watch.expectedDelay(at(2 * period + 500ms), period), 450ms)
+        << "also if the latest one ran earlier";
+    // A turn that has not yet come to its timers.
+    EXPECT_EQ(watch.expectedDelay(at(2 * period + 450ms + period + 900ms), period), 900ms);
+    const auto later = 2 * period + 500ms + EventLoopWatch::delayWindow + period;
+    watch.recordTimer(at(later), at(later));
+    EXPECT_EQ(watch.expectedDelay(at(later), period), 0ms);
+}
+
 TEST(EventLoopWatchTest, NothingArrivesBeforeTheStart)
 {
     EventLoopWatch watch(at(0ms));
