Send nothing on an idle connection whose end lies unread

Symptoms: none seen from outside. The same cause as that of the lost requests, on the other side: a pooled connection to an endpoint, the store or a peer was idle by what the process had read. Cause: while the event loop is late, the end of an idle connection, or a 408 that precedes it, waits in its socket. The next request was sent on it: one that may run once at most was then answered 502 although it had not run, and a 408 that the endpoint had written before was taken for the answer. Change: ClientConnection looks at the socket before a request is sent on a connection that was used before, and reports NothingSent, after which the request is sent on another one. Measured: ClientConnectionTest.RequestWasSentOnAnIdleConnectionWhoseEndLayUnread failed in both forms before; HttpTests (51) and EdgeTests (326) passed.

--- a/packages/Http/include/lentilbay/Http/ClientConnection.h
+++ b/packages/Http/include/lentilbay/Http/ClientConnection.h
@@ -48,7 +48,8 @@
     /// Calls `done` with whether the connection was established within the timeout.
     void connect(const asio::ip::tcp::endpoint& address, Duration timeout, std::function<void(bool)> done);
     /// Sends a request (head and body) and reads its response. The observer is called asynchronously, never
-    /// from within this call.
+    /// from within this call. Nothing is sent on a connection that was idle and on which something has
+    /// arrived: its end, or bytes that are no response to this request.
     void exchange(std::string request, bool isHead, Observer observer);
     /// Closes the connection; the observer is not called any more. What has been sent of a request without an
     /// answer is withdrawn as far as possible: the connection is reset, so that what the host still holds of
@@ -67,6 +68,8 @@
     std::optional<Duration> keepAlive() const { return m_keepAlive; }
 
 private:
+    /// Whether input or the end of the connection has arrived, also if the event loop has not come to it.
+    bool hasInput();
     void awaitReadable();
     void readSome();
     void flush();
@@ -94,6 +97,8 @@
     /// Whether the current exchange has sent or received any byte.
     bool m_hasSentBytes = false;
     bool m_hasReceivedBytes = false;
+    /// A response has been completed before.
+    bool m_wasUsed = false;
     /// Whether the observer accepted the response that is being read.
     bool m_isExpectedResponse = false;
     bool m_isComplete = false;
--- a/packages/Http/lib/ClientConnection.cpp
+++ b/packages/Http/lib/ClientConnection.cpp
@@ -8,6 +8,7 @@
 #include <asio/post.hpp>
 #include <charconv>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace lentilbay::http {
@@ -95,7 +96,7 @@
     m_sent = 0;
     m_hasSentBytes = m_hasReceivedBytes = m_isExpectedResponse = m_isComplete = false;
     m_parser.expectNoBody(isHead);
-    if (!m_isOpen) {
+    if (!m_isOpen || (m_wasUsed && hasInput())) {
         asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(); });
         return;
     }
@@ -103,6 +104,12 @@
     awaitReadable();
 }
 
+bool ClientConnection::hasInput()
+{
+    pollfd state { .fd = m_socket.native_handle(), .events = POLLIN, .revents = 0 };
+    return poll(&state, 1, 0) > 0;
+}
+
 void ClientConnection::flush()
 {
     if (m_isWriting || !m_isOpen || m_sent == m_out.size())
@@ -201,6 +208,7 @@
         // Whoever has paused the reading of this response may not resume it any more.
         m_isPaused = false;
         m_idleSince = bootNow();
+        m_wasUsed = true;
         auto observer = std::exchange(m_observer, nullptr);
         if (!m_keepsAlive)
             close();
--- a/packages/Http/unittests/ClientConnectionTest.cpp
+++ b/packages/Http/unittests/ClientConnectionTest.cpp
@@ -67,6 +67,32 @@
     EXPECT_EQ(connection->keepAlive(), Duration(7s));
 }
 
+TEST_F(ClientConnectionTest, RequestWasSentOnAnIdleConnectionWhoseEndLayUnread)
+{
+    const std::string timeout = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n";
+    for (const auto& last : { std::string(), timeout }) {
+        asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+        asio::ip::tcp::socket peer(context);
+        connection = std::make_shared<ClientConnection>(context);
+        connection->connect(acceptor.local_endpoint(), 5s, [](bool) {});
+        acceptor.accept(peer);
+        runUntil([&] { return connection->isOpen(); });
+        send();
+        asio::write(peer, asio::buffer(httpResponse(200, "hello")));
+        runUntil([&] { return isComplete; });
+        ASSERT_TRUE(connection->isReusable());
+        isComplete = false;
+        if (!last.empty())
+            asio::write(peer, asio::buffer(last));
+        peer.shutdown(asio::ip::tcp::socket::shutdown_send);
+        send();
+        runUntil([&] { return hasEnded(); });
+        EXPECT_FALSE(isComplete) << "the response came before the request";
+        EXPECT_EQ(brokenAt, FailurePoint::NothingSent);
+        brokenAt.reset();
+    }
+}
+
 TEST_F(ClientConnectionTest, NextResponseWasNotReadAfterAPauseAtTheEnd)
 {
     // Guards against a connection that is reused while its reading is still paused: the end of the response
