Block signals once a daemon has stopped

Cause: EdgeDaemon's destructor restores the signals' default actions. Change: they are blocked once the daemon has run.

--- a/tools/lentilbayd/main/EdgeMode.cpp
+++ b/tools/lentilbayd/main/EdgeMode.cpp
@@ -48,6 +48,15 @@
         logEvent(Event::SettingsReloaded);
 }
 
+void blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGHUP);
+    sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
 } // namespace
 
 int runOnPlatform(const EdgeModeOptions& options)
@@ -71,6 +80,9 @@
     try {
         edge::EdgeDaemon daemon(*std::get<SettingsPointer>(outcome), reloadSettings);
         daemon.run();
+        // EdgeDaemon's destructor restores the default actions, by which a further signal would end the
+        // process.
+        blockSignals();
         return 0;
     } catch (const std::exception& error) {
         logEvent(Event::InternalFault, { { "detail", std::string(error.what()) } });
