Do not announce the end of a connection with the head of a stream

Cause: a stopping server announced the end of the connection with the head of a response, when nothing more had arrived. A stream goes on for seconds after its head. Change: only responses with a length announce it. The connection of a stream is closed once it is idle, after what has arrived has been read.

--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -437,7 +437,10 @@
 void ServerConnection::sendHead(
     int status, std::string_view reason, const Headers& headers, std::optional<size_t> length)
 {
-    if (isLastRequest() || (m_hasInputEnded && m_unparsed.empty()))
+    // While a response without length is being sent, further requests may arrive; the connection is closed
+    // once it is idle.
+    const bool endsWithResponse = length && isLastRequest();
+    if (endsWithResponse || (m_hasInputEnded && m_unparsed.empty()))
         m_keepsAlive = false;
     const auto version = std::exchange(m_hasSentVersion, false) ? std::string_view() : protocolVersion;
     std::string head = fmt::format("{}{} {}\r\n", version, status, reason);
--- a/packages/Http/unittests/LateServerTest.cpp
+++ b/packages/Http/unittests/LateServerTest.cpp
@@ -231,6 +231,41 @@
     EXPECT_TRUE(client.received.ends_with("answer"));
 }
 
+TEST_F(LateServerTest, RequestThatArrivedDuringAStreamWasDroppedWithItsEnd)
+{
+    respondsAtOnce = false;
+    auto& client = connect();
+    client.send(get);
+    runUntil([&] { return open.size() == 1; });
+    server->closeAfterResponses();
+    respondsAtOnce = true;
+    open[0]->begin(200, "OK", {});
+    open[0]->write("event");
+    runFor(5ms);
+    client.send(get);
+    runFor(5ms);
+    open[0]->finish();
+    runUntil([&] { return client.end != std::error_code(); });
+    EXPECT_EQ(client.answers("HTTP/1.1 200"), 2U);
+    EXPECT_TRUE(client.received.ends_with("answer"));
+}
+
+TEST_F(LateServerTest, ConnectionOfAStreamIsClosedByAStopOnceItIsIdle)
+{
+    respondsAtOnce = false;
+    auto& client = connect();
+    client.send(get);
+    runUntil([&] { return open.size() == 1; });
+    server->closeAfterResponses();
+    open[0]->begin(200, "OK", {});
+    server->closeIdle(bootNow());
+    open[0]->finish();
+    server->closeIdle(bootNow());
+    runUntil([&] { return client.end != std::error_code(); });
+    EXPECT_TRUE(client.received.ends_with("0\r\n\r\n"));
+    EXPECT_EQ(client.end, asio::error::eof);
+}
+
 TEST_F(LateServerTest, ClientThatPipelinesWithoutEndDoesNotKeepAStoppingServer)
 {
     auto& client = connectIdle();
