Bound how long a closing connection waits, and let nothing follow an aborted response

Cause: closeGracefully() set no timer while a write was pending; lingering went on while anything was unacknowledged, the end of the connection included; responseAborted() left the connection open to the next request until its posted close. Change: a closing connection always has a timer, and waits beyond a second only while the client goes on to read; it is closing as soon as its response is aborted.

--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -316,7 +316,7 @@
 void ServerConnection::closeIfIdle(CloseReason reason, TimePoint now)
 {
     const bool isIdle = !m_isClosed && !m_isClosing && !m_exchange && !m_parser.isMidRequest()
-        && !m_parser.isComplete() && m_out.empty();
+        && !m_parser.isComplete() && m_out.empty() && !m_requestCharge.isEvicted();
     if (isIdle && !takeArrived(now))
         closeGracefully(reason);
 }
@@ -326,12 +326,17 @@
     if (m_isClientUncertain)
         clientStays();
     takeArrived(now);
-    if (m_isClosed || m_isClosing || m_exchange || !m_parser.isMidRequest())
-        return;
+    if (!m_isClosed && !m_isClosing && !m_exchange && m_parser.isMidRequest())
+        refuse(503, headers, CloseReason::Stop);
+}
+
+void ServerConnection::refuse(int status, const Headers& headers, CloseReason reason)
+{
     m_keepsAlive = false;
     m_isHead = false;
-    sendHead(503, reasonPhrase(503), headers, 0);
-    closeGracefully(CloseReason::Stop);
+    m_isRefused = true;
+    sendHead(status, reasonPhrase(status), headers, 0);
+    closeGracefully(reason);
 }
 
 bool ServerConnection::isLastRequest() const
@@ -411,12 +416,9 @@
     if (m_server->m_options.malformed)
         m_server->m_options.malformed(ParseError::MemoryExhausted);
     m_requestCharge.release();
-    m_keepsAlive = false;
-    m_isHead = false;
     Headers headers;
     headers.add("Retry-After", evictedRetryAfterSeconds);
-    sendHead(503, reasonPhrase(503), headers, 0);
-    closeGracefully(CloseReason::MemoryExhausted);
+    refuse(503, headers, CloseReason::MemoryExhausted);
 }
 
 void ServerConnection::rejectMalformed()
@@ -428,10 +430,7 @@
         status = 413;
     if (m_server->m_options.malformed)
         m_server->m_options.malformed(m_parser.error());
-    m_keepsAlive = false;
-    m_isHead = false;
-    sendHead(status, reasonPhrase(status), {}, 0);
-    closeGracefully(CloseReason::InvalidRequest);
+    refuse(status, {}, CloseReason::InvalidRequest);
 }
 
 void ServerConnection::sendHead(
@@ -547,6 +546,9 @@
 
 void ServerConnection::responseAborted()
 {
+    // Nothing may follow what has been sent of the response.
+    m_isClosing = true;
+    m_closeReason = CloseReason::Aborted;
     m_exchange.reset();
     releaseRequest();
     asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->close(CloseReason::Aborted); });
@@ -563,6 +565,7 @@
     m_unparsed.clear();
     if (m_outBegin != m_out.size())
         flush();
+    linger(maxExtraLingers, remainingBytes());
     if (m_isWriting)
         return;
     if (m_hasInputEnded) {
@@ -575,17 +578,19 @@
     std::error_code ec;
     m_socket.shutdown(ip::tcp::socket::shutdown_send, ec);
     // An error means that the connection is already closed; the next read reports that.
-    linger(maxExtraLingers);
     awaitReadable();
 }
 
-void ServerConnection::linger(int n)
+void ServerConnection::linger(int n, size_t before)
 {
-    setTimer(lingerTimeout, [this, n] {
+    setTimer(lingerTimeout, [this, n, before] {
         // Closing with unread input would reset the connection.
         readAvailable(bootNow());
-        if (n > 0 && unacknowledgedBytes() > 0)
-            linger(n - 1);
+        if (m_isClosed)
+            return;
+        const auto remaining = remainingBytes();
+        if (n > 0 && remaining > 0 && remaining < before)
+            linger(n - 1, remaining);
         else
             close(CloseReason::Client);
     });
@@ -606,7 +611,7 @@
 void ServerConnection::handleTimeout(TimePoint now)
 {
     // A late event loop comes to the timer before it comes to what has arrived meanwhile.
-    if (m_exchange || takeArrived(now))
+    if (m_exchange || m_requestCharge.isEvicted() || takeArrived(now))
         return;
     // The limits may have changed since the timer was set, and clients go by those in force.
     const auto left = m_waitsSince + waitTimeout() - now;
@@ -618,9 +623,7 @@
         closeGracefully(CloseReason::IdleTimeout);
         return;
     }
-    m_keepsAlive = false;
-    sendHead(408, reasonPhrase(408), {}, 0);
-    closeGracefully(CloseReason::InvalidRequest);
+    refuse(408, {}, CloseReason::InvalidRequest);
 }
 
 void ServerConnection::setTimer(Duration delay, std::function<void()> expired)
@@ -646,10 +649,12 @@
     return ec ? 0 : n;
 }
 
-size_t ServerConnection::unacknowledgedBytes()
+size_t ServerConnection::remainingBytes()
 {
     int n = 0;
-    return ioctl(m_socket.native_handle(), SIOCOUTQ, &n) == 0 && n > 0 ? static_cast<size_t>(n) : 0;
+    const bool isKnown = ioctl(m_socket.native_handle(), SIOCOUTQ, &n) == 0;
+    // The end of the connection counts as one byte.
+    return unsentBytes() + (isKnown && n > 1 ? static_cast<size_t>(n) : 0);
 }
 
 void ServerConnection::close(CloseReason reason)
@@ -658,10 +663,11 @@
         return;
     m_isClosed = true;
     const auto self = shared_from_this();
+    const auto leftBytes = m_droppedBytes + m_parser.heldBytes() + m_unparsed.size() + unreadBytes();
     if (m_server->m_options.closed)
         m_server->m_options.closed({ .reason = m_closeReason.value_or(reason),
             .requests = m_requests,
-            .unansweredBytes = m_droppedBytes + m_parser.heldBytes() + m_unparsed.size() + unreadBytes(),
+            .unansweredBytes = m_isRefused ? 0 : leftBytes,
             .unsentBytes = unsentBytes(),
             .hadOpenRequest = m_exchange != nullptr });
     std::error_code ec;
--- a/packages/Http/lib/ServerConnection.h
+++ b/packages/Http/lib/ServerConnection.h
@@ -20,8 +20,8 @@
     /// Closes the connection if no request is being handled and none has begun to arrive, whether or not the
     /// event loop has come to it.
     void closeIfIdle(CloseReason reason, TimePoint now);
-    /// Responds to the request that is being read that it is not handled, and closes the connection. What has
-    /// arrived is read first; a request that is complete is handled.
+    /// Refuses the request that is being read. What has arrived is read first; a request that is then
+    /// complete is handled.
     void refuseUnfinished(const Headers& headers, TimePoint now);
 
     // Called by the current Exchange.
@@ -62,6 +62,8 @@
     void parse();
     void handleRequest();
     void rejectMalformed();
+    /// Responds to the request that is being read that it is not handled, and closes the connection.
+    void refuse(int status, const Headers& headers, CloseReason reason);
     /// Refuses the request that is being read, because its charge was evicted.
     void rejectEvicted();
     /// Updates what the requests of this connection keep. Returns false if they are to be given up.
@@ -82,13 +84,13 @@
     /// Shuts down the sending side and reads on until the client closes or `lingerTimeout` passes: closing
     /// with unread input would reset the connection, and the client could lose the end of the last response.
     void closeGracefully(CloseReason reason);
-    /// Closes the connection once the client has acknowledged what was sent, or `n` more times
-    /// `lingerTimeout` have passed.
-    void linger(int n);
+    /// Closes the connection after `lingerTimeout`, or up to `n` times later while the client goes on to read
+    /// what remains of the responses; `before` is how much that is now.
+    void linger(int n, size_t before);
     /// Bytes that have arrived on the socket and were not read.
     size_t unreadBytes() const;
-    /// Bytes that were passed to the kernel and that the client's host has not acknowledged.
-    size_t unacknowledgedBytes();
+    /// Bytes of responses that the client's host has not acknowledged.
+    size_t remainingBytes();
 
     HttpServer* m_server;
     asio::ip::tcp::socket m_socket;
@@ -112,6 +114,8 @@
     /// The protocol version of the next response has been sent ahead of the rest.
     bool m_hasSentVersion = false;
     bool m_continueSent = false;
+    /// The last request was answered without being handled.
+    bool m_isRefused = false;
     /// Set once the connection is closing.
     std::optional<CloseReason> m_closeReason;
     size_t m_requests = 0;
--- a/packages/Http/unittests/LateServerTest.cpp
+++ b/packages/Http/unittests/LateServerTest.cpp
@@ -64,7 +64,7 @@
                     [this](const std::shared_ptr<Exchange>& it) {
                         targets.push_back(it->request().target);
                         if (respondsAtOnce)
-                            it->respond(200, "OK", {}, "answer");
+                            it->respond(200, "OK", {}, answer);
                         else
                             open.push_back(it);
                     },
@@ -119,6 +119,7 @@
     std::vector<std::shared_ptr<Exchange>> open;
     std::vector<ConnectionEnd> ends;
     bool respondsAtOnce = true;
+    std::string answer = "answer";
     std::unique_ptr<HttpServer> server;
     std::list<Client> clients;
 };
@@ -307,5 +308,91 @@
     EXPECT_LT(bootNow() - since, 1500ms);
 }
 
+TEST_F(LateServerTest, ClientThatStoppedReadingWasNotClosedAtTheIdleTimeout)
+{
+    limits.idleTimeout = 30ms;
+    answer = std::string(32'000'000, 'x');
+    auto& client = clients.emplace_back(context, server->port());
+    client.send(get);
+    const auto end = bootNow() + 4s;
+    while (ends.empty() && bootNow() < end) {
+        context.run_for(5ms);
+        context.restart();
+    }
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].reason, CloseReason::IdleTimeout);
+    EXPECT_GT(ends[0].unsentBytes, 0U);
+}
+
+TEST_F(LateServerTest, ClientThatReadsNothingHeldAStopUp)
+{
+    answer = std::string(4'000'000, 'x');
+    auto& client = clients.emplace_back(context, server->port());
+    server->closeAfterResponses();
+    client.send(get);
+    const auto since = bootNow();
+    while ((targets.empty() || server->connections() > 0) && bootNow() < since + 5s) {
+        context.run_for(5ms);
+        context.restart();
+    }
+    EXPECT_LT(bootNow() - since, 3s);
+}
+
+TEST_F(LateServerTest, SlowReaderReceivesItsWholeAnswer)
+{
+    answer = std::string(8'000'000, 'x');
+    auto& client = clients.emplace_back(context, server->port());
+    server->closeAfterResponses();
+    client.send(get);
+    const auto since = bootNow();
+    while (!client.end && bootNow() < since + 9s) {
+        context.run_for(5ms);
+        context.restart();
+        // About 2.5 MB a second.
+        for (int i = 0; i < 3; ++i)
+            client.readSome();
+    }
+    EXPECT_GT(bootNow() - since, 1500ms);
+    EXPECT_EQ(client.end, asio::error::eof);
+    EXPECT_TRUE(client.received.ends_with(answer));
+}
+
+TEST_F(LateServerTest, RefusalFollowedAnAbortedResponse)
+{
+    respondsAtOnce = false;
+    auto& client = connect();
+    client.send(get + "GET /b");
+    runUntil([&] { return open.size() == 1; });
+    open[0]->begin(200, "OK", {});
+    open[0]->write("piece");
+    server->closeAfterResponses();
+    open[0]->abort();
+    server->refuseUnfinished({}, bootNow());
+    server->closeIdle(bootNow());
+    runUntil([&] { return client.end != std::error_code(); });
+    EXPECT_TRUE(client.received.ends_with("5\r\npiece\r\n")) << client.received;
+    EXPECT_EQ(targets.size(), 1U);
+}
+
+TEST_F(LateServerTest, UnfinishedRequestIsRefusedAndACompleteOneHandled)
+{
+    auto& unfinished = connect();
+    unfinished.send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf");
+    runFor(10ms);
+    auto& complete = connect();
+    complete.send("GET /a HTTP/1.1\r\nHo");
+    runFor(10ms);
+    complete.send("st: h\r\n\r\n");
+    server->closeAfterResponses();
+    Headers headers;
+    headers.add("Retry-After", "0.02");
+    server->refuseUnfinished(headers, bootNow());
+    runUntil([&] { return unfinished.end && complete.end; });
+    EXPECT_EQ(unfinished.answers("HTTP/1.1 503"), 1U);
+    EXPECT_NE(unfinished.received.find("Retry-After: 0.02"), std::string::npos);
+    EXPECT_EQ(complete.answers("HTTP/1.1 200"), 1U);
+    EXPECT_EQ(targets, std::vector<std::string> { "/a" });
+}
+
 } // namespace
 } // namespace lentilbay::http
