--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -149,8 +149,6 @@
     void stop(TimePoint now);
     /// Ends the process if nothing is left to answer, or if the grace period is about to end.
     void checkStop(TimePoint now);
-    /// Whether this is the last time that checkStop() is sure to be called within the grace period.
-    bool isLastStopCheck(TimePoint now) const;
     /// Ends all requests.
     void endRequests(TimePoint now);
 
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -3,6 +3,7 @@
 
 #include "EdgeTimes.h"
 #include "lentilbay/Edge/EdgeRequest.h"
+#include "lentilbay/Edge/StopSchedule.h"
 #include "lentilbay/Support/Hash.h"
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/SteadyClock.h"
@@ -57,11 +58,6 @@
 constexpr Duration rowDeletionRetry = std::chrono::seconds(10);
 /// Idle caller connections are closed this long after SIGTERM; by then the load balancer sends no new ones.
 constexpr Duration closeIdleAfterStop = std::chrono::milliseconds(2000);
-/// How often a daemon that stops checks whether it is done.
-constexpr Duration stopCheckPeriod = std::chrono::milliseconds(100);
-/// The process ends this long before the grace period is over, whatever is still open. The last requests end
-/// earlier, see EdgeState::requestsEndAt().
-constexpr Duration exitMargin = std::chrono::milliseconds(300);
 
 /// Capacity is stated in thousandths of a core.
 constexpr double thousandths = 1000;
@@ -619,7 +615,7 @@
     m_state.stopRequestedAt = now;
     // The signal has waited for the event loop.
     m_state.graceEndsAt
-        = now + m_state.settings.bounds.stopGrace - m_loopWatch.expectedDelay(now, heartbeatPeriod);
+        = now + m_state.settings.bounds.stopGrace - m_loopWatch.overdueTime(now, heartbeatPeriod);
     for (auto* server : { m_callerServer.get(), m_peerServer.get() })
         server->closeAfterResponses();
     logEvent(Event::DrainStarted,
@@ -634,33 +630,36 @@
     checkStop(now);
 }
 
-bool EdgeDaemon::isLastStopCheck(TimePoint now) const
-{
-    const auto next = now + stopCheckPeriod + m_loopWatch.expectedDelay(now, stopCheckPeriod);
-    return next > *m_state.graceEndsAt - exitMargin;
-}
-
 void EdgeDaemon::checkStop(TimePoint now)
 {
     const auto elapsed = now - *m_state.stopRequestedAt;
-    const bool isLast = isLastStopCheck(now);
+    const StopSchedule schedule { .grace = m_state.settings.bounds.stopGrace,
+        .graceEndsAt = *m_state.graceEndsAt,
+        .expectedDelay = m_loopWatch.expectedDelay() };
+    const bool isLast = schedule.isLastCheck(now);
     // Callers then open their next connection to another daemon instead of being refused here.
-    if (elapsed >= closeIdleAfterStop)
-        m_callerServer->closeIdle(now);
+    const std::array servers { m_callerServer.get(), m_peerServer.get() };
+    if (elapsed >= closeIdleAfterStop) {
+        for (auto* it : servers)
+            it->closeIdle(now);
+    }
     if (elapsed < acceptAfterStop && !isLast)
         return;
     if (isLast)
         endRequests(now);
     // From now on each request is refused, so that there is no reason to wait for the rest of one.
-    for (auto* server : { m_callerServer.get(), m_peerServer.get() })
-        server->refuseUnfinished(platform::retryAfterHeaders(drainingRetryAfter), now);
+    auto headers = platform::retryAfterHeaders(drainingRetryAfter);
+    m_callerServer->refuseUnfinished(headers, now);
+    addForwardingFields(headers, ForwardedAnswer { .wasNotExecuted = true });
+    m_peerServer->refuseUnfinished(headers, now);
     if (!m_state.requests.empty() && !isLast)
         return;
-    for (auto* server : { m_callerServer.get(), m_peerServer.get() }) {
-        server->stopAccepting();
-        server->closeIdle(now);
+    for (auto* it : servers) {
+        it->stopAccepting();
+        it->closeIdle(now);
     }
-    if (m_callerServer->connections() > 0 && !isLast)
+    const bool isConnected = std::ranges::any_of(servers, [](auto* it) { return it->connections() > 0; });
+    if (isConnected && !isLast)
         return;
     if (isLast)
         endRequests(now);
--- a/packages/Support/include/lentilbay/Support/EventLoopWatch.h
+++ b/packages/Support/include/lentilbay/Support/EventLoopWatch.h
@@ -28,10 +28,12 @@
         m_wasOnTime = isOnTime;
         m_lastDue = due;
         m_delay = now - due;
-        if (m_delay >= m_longestDelay || now - m_longestDelayAt > delayWindow) {
-            m_longestDelay = m_delay;
-            m_longestDelayAt = now;
+        if (now - m_windowSince > delayWindow) {
+            m_longestDelayBefore = now - m_windowSince > 2 * delayWindow ? Duration::zero() : m_longestDelay;
+            m_longestDelay = Duration::zero();
+            m_windowSince = now;
         }
+        m_longestDelay = std::max(m_longestDelay, m_delay);
     }
 
     /// The longest time for which input that is read at `now` may have waited. At most the period of the
@@ -39,11 +41,12 @@
     Duration maxInputAge(TimePoint now) const { return now - m_inputSince; }
     /// How late the latest timer ran.
     Duration delay() const { return m_delay; }
-    /// How late the loop has to be expected to come to anything: by the timers of the last `delayWindow`, and
-    /// by the next one of a timer with this period, which may be overdue.
-    Duration expectedDelay(TimePoint now, Duration period) const
+    /// How late the next timer has to be expected to run, by those of the last `delayWindow` or more.
+    Duration expectedDelay() const { return std::max(m_longestDelay, m_longestDelayBefore); }
+    /// For how long the next run of a timer with this period has been due at `now`.
+    Duration overdueTime(TimePoint now, Duration period) const
     {
-        return std::max(m_longestDelay, now - m_lastDue - period);
+        return std::max(Duration::zero(), now - m_lastDue - period);
     }
 
     static constexpr Duration maxTimerDelay = std::chrono::milliseconds(50);
@@ -53,8 +56,10 @@
     TimePoint m_inputSince;
     TimePoint m_lastDue;
     Duration m_delay {};
+    /// Of the timers that have run since `m_windowSince`, and in the window before.
     Duration m_longestDelay {};
-    TimePoint m_longestDelayAt {};
+    Duration m_longestDelayBefore {};
+    TimePoint m_windowSince {};
     bool m_wasOnTime = false;
 };
 
--- a/packages/Support/unittests/EventLoopWatchTest.cpp
+++ b/packages/Support/unittests/EventLoopWatchTest.cpp
@@ -53,16 +53,26 @@
 {
     EventLoopWatch watch(at(0ms));
     watch.recordTimer(at(period), at(period));
-    EXPECT_EQ(watch.expectedDelay(at(period), period), 0ms);
+    EXPECT_EQ(watch.expectedDelay(), 0ms);
     watch.recordTimer(at(2 * period), at(2 * period + 450ms));
     watch.recordTimer(at(2 * period + 450ms), at(2 * period + 500ms));
-    EXPECT_EQ(watch.expectedDelay(at(2 * period + 500ms), period), 450ms)
-        << "also if the latest one ran earlier";
-    // A turn that has not yet come to its timers.
-    EXPECT_EQ(watch.expectedDelay(at(2 * period + 450ms + period + 900ms), period), 900ms);
+    EXPECT_EQ(watch.expectedDelay(), 450ms) << "also if the latest one ran earlier";
+    // The window has ended, and the one before it still counts.
     const auto later = 2 * period + 500ms + EventLoopWatch::delayWindow + period;
-    watch.recordTimer(at(later), at(later));
-    EXPECT_EQ(watch.expectedDelay(at(later), period), 0ms);
+    watch.recordTimer(at(later), at(later + 440ms));
+    EXPECT_EQ(watch.expectedDelay(), 450ms);
+    const auto muchLater = later + 3 * EventLoopWatch::delayWindow;
+    watch.recordTimer(at(muchLater), at(muchLater));
+    EXPECT_EQ(watch.expectedDelay(), 0ms);
+}
+
+TEST(EventLoopWatchTest, TimerIsOverdueInATurnThatHasNotComeToIt)
+{
+    EventLoopWatch watch(at(0ms));
+    watch.recordTimer(at(period), at(period + 600ms));
+    EXPECT_EQ(watch.overdueTime(at(period + 600ms), period), 600ms - period);
+    watch.recordTimer(at(period + 600ms), at(period + 600ms));
+    EXPECT_EQ(watch.overdueTime(at(period + 700ms), period), 0ms) << "an earlier delay does not count";
 }
 
 TEST(EventLoopWatchTest, NothingArrivesBeforeTheStart)
