--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -206,6 +206,9 @@
     def add_finding(self, rule: str, detail: str) -> None:
         self.findings.append(f"{rule}: {detail}")
 
+    def create_loop(self):
+        return asyncio.new_event_loop()
+
     # --- deployment ---
 
     async def start(self) -> None:
@@ -1110,8 +1113,8 @@
                 process.wait()
 
 
-def main() -> int:
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+def create_parser(description: str) -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(description=description, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--daemon", required=True, help="the lentilbayd binary")
     parser.add_argument("--seed", type=int, default=int(time.time()) % 100000)
     parser.add_argument("--seconds", type=float, default=15, help="duration of fault injection in seconds")
@@ -1138,15 +1141,20 @@
                         help="how links are lost; also \"all\", which lets those of all daemons hang")
     parser.add_argument("--other-daemon", default="", help="the lentilbayd binary of another build")
     parser.add_argument("--keep", default="", help="folder in which to keep the daemons' logs")
-    options = parser.parse_args()
+    return parser
+
+
+def play(options: argparse.Namespace, create) -> int:
+    """Plays one seed after the other; `create` makes a Soak of the options, a seed and a folder."""
     Endpoint.LONG_EVENTS = options.events
     failed = []
     for seed in range(options.seed, options.seed + options.runs):
         folder = os.path.join(options.keep, str(seed)) if options.keep else tempfile.mkdtemp(prefix="soak-")
         os.makedirs(folder, exist_ok=True)
-        soak = Soak(options, seed, folder)
+        soak = create(options, seed, folder)
         try:
-            asyncio.run(soak.run())
+            with asyncio.Runner(loop_factory=soak.create_loop) as runner:
+                runner.run(soak.run())
         finally:
             soak.clean_up()
         print(f"seed {seed}: {len(soak.requests)} requests, {soak.counts}, {len(soak.findings)} findings", flush=True)
@@ -1159,5 +1167,9 @@
     return 1 if failed else 0
 
 
+def main() -> int:
+    return play(create_parser(__doc__).parse_args(), Soak)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -220,7 +220,8 @@
     SLOW_SECONDS = (5.0, 7.0)
     # Seconds between the begin of a request that crashes the endpoint and its end.
     CRASH_DELAY = 0.1
-    # The fraction of requests that an endpoint rejects while it states a limit.
+    # The fraction of requests that an endpoint rejects, and that it rejects while it states a limit.
+    REJECTED = 0.02
     REJECTED_IN_NEED = 0.2
     SLOTS = 6
     # Seconds after which the daemons have to know what the endpoint states.
@@ -272,6 +273,8 @@
         self.slots = asyncio.Semaphore(self.SLOTS)
         self.started = 1
         self.arrivals: list = []
+        # When the endpoint had written its answer to a request that it ran, by request.
+        self.answered: dict = {}
         self.told: list = []
         self.told_leaving: list = []
 
@@ -304,7 +307,7 @@
             writer.write(build_response(421, b"", {"X-Instance-Id": self.name}))
             return
         self.arrivals.append((time.monotonic(), request))
-        if self.refuses or self.rng.random() < (0.02 if self.limit is None else self.REJECTED_IN_NEED):
+        if self.refuses or self.rng.random() < (self.REJECTED if self.limit is None else self.REJECTED_IN_NEED):
             fields = {"X-Not-Executed": "1", "X-Request-Id": request}
             writer.write(build_response(503, b"", fields | self.own_headers(request, states_limit=False)))
             return
@@ -323,6 +326,7 @@
         if rejection := self.written_rejections.pop(writer, None):
             writer.write(rejection)
         await self.execute(request, headers, target, body, writer)
+        self.answered[request] = time.monotonic()
 
     async def respond_brittle(self, request, headers, target, body, writer) -> None:
         """Runs a request when a slot is free, or rejects it; too many rejections in a second end the endpoint."""
