A probe of a former process was held against the restarted one

Cause: an open probe was known by the name of the daemon alone. A suspected daemon is still probed, so one that restarts soon after it was declared dead comes back while a probe of its former process is open. When that probe timed out, the new incarnation was suspected, and was reported as alive twice once it had refuted this; FleetProcesses waits for exactly one report.

Change: a probe has the incarnation that it was sent to, and is dropped without a conclusion when another one is known.

Measured: ARestartedDaemonWasSuspectedForAProbeOfItsFormerProcess failed before and passes now; ARestartWasReportedAsAliveTwice failed in 20 of 100 seeds before, now in none. The opposite, ARestartedDaemonThatDoesNotAnswerItsOwnProbesIsSuspectedAndDies, passes before and now, and fails if all probes are taken for those of the first incarnation.

--- a/packages/Control/lib/MembershipProbes.cpp
+++ b/packages/Control/lib/MembershipProbes.cpp
@@ -49,7 +49,10 @@
     const auto target = nextProbeTarget();
     if (!target)
         return;
-    outstandingProbe = OutstandingProbe { .sequence = ++lastSequence, .target = *target, .sentAt = now };
+    outstandingProbe = OutstandingProbe { .sequence = ++lastSequence,
+        .target = *target,
+        .incarnation = table.find(*target)->update.incarnation,
+        .sentAt = now };
     ++counters.probesSent;
     send(*target, "", Probe { .sequence = outstandingProbe->sequence, .updates = updatesFor(*target) });
 }
@@ -59,12 +62,16 @@
     std::erase_if(relays, [now](const auto& it) { return it.second.expires <= now; });
     if (!outstandingProbe)
         return;
+    const auto* record = table.find(outstandingProbe->target);
+    if (record == nullptr || record->update.incarnation != outstandingProbe->incarnation) {
+        outstandingProbe.reset();
+        return;
+    }
     const auto age = now - outstandingProbe->sentAt;
     if (age >= options.probePeriod) {
         const auto target = outstandingProbe->target;
         outstandingProbe.reset();
-        const auto* record = table.find(target);
-        if (record == nullptr || record->update.health != MemberHealth::Alive)
+        if (record->update.health != MemberHealth::Alive)
             return;
         auto update = record->update;
         update.health = MemberHealth::Suspect;
--- a/packages/Control/lib/MembershipState.h
+++ b/packages/Control/lib/MembershipState.h
@@ -19,6 +19,8 @@
     struct OutstandingProbe {
         uint64_t sequence = 0;
         DaemonId target;
+        /// Of the process that was probed; a later process of the same name is not judged by this probe.
+        uint64_t incarnation = 0;
         TimePoint sentAt {};
         bool indirectRequested = false;
     };
--- a/packages/Control/unittests/MembershipTest.cpp
+++ b/packages/Control/unittests/MembershipTest.cpp
@@ -3,6 +3,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <utility>
+#include <variant>
+
 namespace lentilbay {
 namespace {
 
@@ -153,6 +157,104 @@
     EXPECT_EQ(network.statusAt("a-0", "a-9"), MemberStatus::Alive);
 }
 
+/// One controller whose only peer, d1, is played by the test.
+struct ProbingDaemon {
+    ProbingDaemon()
+    {
+        blackboard.self = DaemonId("d0");
+        blackboard.region = RegionId("r");
+        blackboard.dataCentre = DataCentreId("a");
+        membership = std::make_unique<MembershipController>(
+            blackboard, MembershipOptions { .seed = 1, .address = "addr:d0" }, now);
+    }
+
+    /// A process of d1 reports itself.
+    void hear(uint64_t incarnation)
+    {
+        const MemberUpdate update { .id = DaemonId("d1"),
+            .region = blackboard.region,
+            .dataCentre = blackboard.dataCentre,
+            .address = "addr:d1",
+            .incarnation = incarnation };
+        membership->receive(update.id, update.address, StateExchange { .members = { update } }, now);
+    }
+
+    /// Steps at each wake until `end`; returns whether a probe was sent.
+    bool runUntil(TimePoint end)
+    {
+        while (membership->nextWake() <= end) {
+            now = std::max(now, membership->nextWake());
+            membership->step(now);
+        }
+        now = end;
+        bool probed = false;
+        for (const auto& it : std::exchange(blackboard.outbox, {}))
+            probed = probed || std::holds_alternative<Probe>(it.message);
+        return probed;
+    }
+
+    MemberStatus status() { return blackboard.members.at(DaemonId("d1")).status; }
+
+    Blackboard blackboard;
+    TimePoint now { 1000s };
+    std::unique_ptr<MembershipController> membership;
+};
+
+TEST(Membership, ARestartedDaemonWasSuspectedForAProbeOfItsFormerProcess)
+{
+    ProbingDaemon daemon;
+    daemon.hear(1);
+    while (!daemon.runUntil(daemon.now + 1ms)) { }
+    const auto probed = daemon.now;
+    daemon.runUntil(probed + 197ms);
+    daemon.hear(2);
+    daemon.runUntil(probed + 210ms);
+    EXPECT_EQ(daemon.status(), MemberStatus::Alive);
+    EXPECT_EQ(daemon.membership->counters().suspicions, 0U);
+}
+
+TEST(Membership, ARestartedDaemonThatDoesNotAnswerItsOwnProbesIsSuspectedAndDies)
+{
+    ProbingDaemon daemon;
+    daemon.hear(1);
+    while (!daemon.runUntil(daemon.now + 1ms)) { }
+    const auto probed = daemon.now;
+    daemon.runUntil(probed + 197ms);
+    daemon.hear(2);
+    // The new process is probed at 200 ms.
+    daemon.runUntil(probed + 410ms);
+    EXPECT_EQ(daemon.status(), MemberStatus::Suspect);
+    EXPECT_EQ(daemon.blackboard.members.at(DaemonId("d1")).incarnation, 2U);
+    daemon.runUntil(probed + 1410ms);
+    EXPECT_EQ(daemon.status(), MemberStatus::Dead);
+}
+
+/// A probe sent to a daemon while it is only suspected is still unanswered when that daemon is back.
+TEST(Membership, ARestartWasReportedAsAliveTwice)
+{
+    for (uint64_t seed = 1; seed <= 100; ++seed) {
+        MemberNetwork network({ .seed = seed });
+        startDataCentre(network, "r", "a", 3);
+        network.run(5s + Duration(seed * 7000));
+        network.node("a-2").running = false;
+        const auto hasDied = [&](int observer) {
+            return network.statusAt(nameOf("a", observer), "a-2") == MemberStatus::Dead;
+        };
+        while (!hasDied(0) || !hasDied(1))
+            network.run(10ms);
+        network.start("a-2", "r", "a", { "a-0" }, 2);
+        network.run(3s);
+        for (int i = 0; i < 2; ++i) {
+            const auto changes = network.node(nameOf("a", i)).membership->takeChanges();
+            const auto count = [&](Event event) {
+                return std::count(changes.begin(), changes.end(), MembershipChange { event, "a-2" });
+            };
+            EXPECT_EQ(count(Event::DaemonAlive), 2) << "seed " << seed << " observer " << i;
+            EXPECT_EQ(count(Event::DaemonSuspected), 1) << "seed " << seed << " observer " << i;
+        }
+    }
+}
+
 TEST(Membership, AResumedDaemonCausesNoFalseDeaths)
 {
     MemberNetwork network({ .seed = 7 });
