--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -32,8 +32,8 @@
 constexpr std::string_view protocolVersion = "HTTP/1.1 ";
 /// How long a closing connection waits for the client to close its side.
 constexpr Duration lingerTimeout = std::chrono::seconds(1);
-/// How many times longer it waits for a client that has not yet received everything.
-constexpr int maxExtraLingers = 9;
+/// How long a client may stop reading its last answer while the server is stopping.
+constexpr Duration maxStallOfStop = std::chrono::seconds(3);
 /// The requests of one connection that are handled once the server is stopping, if the client sends them
 /// without waiting for responses.
 constexpr size_t maxRequestsSinceStop = 16;
@@ -565,7 +565,7 @@
     m_unparsed.clear();
     if (m_outBegin != m_out.size())
         flush();
-    linger(maxExtraLingers, remainingBytes());
+    linger(remainingBytes(), bootNow());
     if (m_isWriting)
         return;
     if (m_hasInputEnded) {
@@ -581,21 +581,29 @@
     awaitReadable();
 }
 
-void ServerConnection::linger(int n, size_t before)
+void ServerConnection::linger(size_t before, TimePoint stalledSince)
 {
-    setTimer(lingerTimeout, [this, n, before] {
+    setTimer(lingerTimeout, [this, before, stalledSince] {
+        const auto now = bootNow();
         // Closing with unread input would reset the connection.
-        readAvailable(bootNow());
+        readAvailable(now);
         if (m_isClosed)
             return;
         const auto remaining = remainingBytes();
-        if (n > 0 && remaining > 0 && remaining < before)
-            linger(n - 1, remaining);
+        if (remaining > 0 && remaining < before)
+            linger(remaining, now);
+        else if (unsentBytes() > 0 && now - stalledSince < maxStall())
+            linger(remaining, stalledSince);
         else
             close(CloseReason::Client);
     });
 }
 
+Duration ServerConnection::maxStall() const
+{
+    return m_server->m_closesAfterResponses ? maxStallOfStop : m_server->m_options.limits().idleTimeout;
+}
+
 void ServerConnection::armTimer()
 {
     m_waitsSince = bootNow();
--- a/packages/Http/lib/ServerConnection.h
+++ b/packages/Http/lib/ServerConnection.h
@@ -84,9 +84,11 @@
     /// Shuts down the sending side and reads on until the client closes or `lingerTimeout` passes: closing
     /// with unread input would reset the connection, and the client could lose the end of the last response.
     void closeGracefully(CloseReason reason);
-    /// Closes the connection after `lingerTimeout`, or up to `n` times later while the client goes on to read
-    /// what remains of the responses; `before` is how much that is now.
-    void linger(int n, size_t before);
+    /// Closes the connection after `lingerTimeout`, or later if the client goes on to read its last response.
+    /// `before` is how much of it remained, and the client has read nothing since `stalledSince`.
+    void linger(size_t before, TimePoint stalledSince);
+    /// How long the client may read nothing of a response that is not yet passed to the kernel.
+    Duration maxStall() const;
     /// Bytes that have arrived on the socket and were not read.
     size_t unreadBytes() const;
     /// Bytes of responses that the client's host has not acknowledged.
