Close a used connection as soon as its end is noticed before a send

Cause: the failure was posted behind the reading, which then found a request to answer. Change: the connection counts as closed from then on. A request that was not sent at all no longer counts as one of the sends.

--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -744,6 +744,7 @@
     if (at == http::FailurePoint::NothingSent) {
         // The endpoint had closed an idle connection, which says nothing about its health.
         m_send->wasNotExecuted = true;
+        --m_sends;
         m_triedEndpoints.pop_back();
         endSend(SendOutcome::Neutral, now);
         if (now < m_expiresAt && ++m_staleConnections <= maxStaleConnections) {
--- a/packages/Http/lib/ClientConnection.cpp
+++ b/packages/Http/lib/ClientConnection.cpp
@@ -97,6 +97,8 @@
     m_hasSentBytes = m_hasReceivedBytes = m_isExpectedResponse = m_isComplete = false;
     m_parser.expectNoBody(isHead);
     if (!m_isOpen || (m_wasUsed && hasInput())) {
+        // The input may already be due to be read, and is no response to this request.
+        m_isOpen = m_keepsAlive = false;
         asio::post(m_socket.get_executor(), [self = shared_from_this()] { self->fail(); });
         return;
     }
--- a/packages/Http/unittests/ClientConnectionTest.cpp
+++ b/packages/Http/unittests/ClientConnectionTest.cpp
@@ -4,8 +4,10 @@
 
 #include "RawServer.h"
 
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace lentilbay::http {
 namespace {
@@ -85,7 +87,43 @@
         if (!last.empty())
             asio::write(peer, asio::buffer(last));
         peer.shutdown(asio::ip::tcp::socket::shutdown_send);
+        // In one turn with the reading of what has arrived, before and after it.
+        asio::steady_timer timer(context, 1us);
+        timer.async_wait([&](std::error_code) {
+            if (connection->isReusable())
+                send();
+            else
+                brokenAt = FailurePoint::NothingSent;
+        });
+        std::this_thread::sleep_for(5ms);
+        runUntil([&] { return hasEnded(); });
+        EXPECT_FALSE(isComplete) << "the response came before the request";
+        EXPECT_EQ(brokenAt, FailurePoint::NothingSent);
+        brokenAt.reset();
+    }
+    for (const auto& last : { std::string(), timeout }) {
+        asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+        asio::ip::tcp::socket peer(context);
+        connection = std::make_shared<ClientConnection>(context);
+        connection->connect(acceptor.local_endpoint(), 5s, [](bool) {});
+        acceptor.accept(peer);
+        runUntil([&] { return connection->isOpen(); });
         send();
+        asio::write(peer, asio::buffer(httpResponse(200, "hello")));
+        runUntil([&] { return isComplete; });
+        isComplete = false;
+        // Its handler is queued before that of the connection.
+        asio::ip::tcp::socket other(context);
+        asio::ip::tcp::socket otherPeer(context);
+        other.connect(acceptor.local_endpoint());
+        acceptor.accept(otherPeer);
+        other.async_wait(asio::ip::tcp::socket::wait_read, [&](std::error_code) { send(); });
+        context.poll();
+        context.restart();
+        asio::write(otherPeer, asio::buffer(std::string("x")));
+        if (!last.empty())
+            asio::write(peer, asio::buffer(last));
+        peer.shutdown(asio::ip::tcp::socket::shutdown_send);
         runUntil([&] { return hasEnded(); });
         EXPECT_FALSE(isComplete) << "the response came before the request";
         EXPECT_EQ(brokenAt, FailurePoint::NothingSent);
