Bound the time by which a late signal shortens the grace period

Cause: the time for which a timer was overdue was taken for the signal's wait without a bound. Change: half the grace period at most; a grace period of zero ends at the first check.

--- a/packages/Edge/include/lentilbay/Edge/StopSchedule.h
+++ b/packages/Edge/include/lentilbay/Edge/StopSchedule.h
@@ -27,7 +27,7 @@
     bool isLastCheck(TimePoint now) const
     {
         const Duration longest = grace / shareOfLastCheck;
-        return now + std::min(longest, exitMargin + stopCheckPeriod + expectedDelay) > graceEndsAt;
+        return now + std::min(longest, exitMargin + stopCheckPeriod + expectedDelay) >= graceEndsAt;
     }
 };
 
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -614,8 +614,9 @@
         return;
     m_state.stopRequestedAt = now;
     // The signal has waited for the event loop.
+    const auto& grace = m_state.settings.bounds.stopGrace;
     m_state.graceEndsAt
-        = now + m_state.settings.bounds.stopGrace - m_loopWatch.overdueTime(now, heartbeatPeriod);
+        = now + grace - std::min<Duration>(grace / 2, m_loopWatch.overdueTime(now, heartbeatPeriod));
     for (auto* server : { m_callerServer.get(), m_peerServer.get() })
         server->closeAfterResponses();
     logEvent(Event::DrainStarted,
