--- a/packages/Http/unittests/LateServerTest.cpp
+++ b/packages/Http/unittests/LateServerTest.cpp
@@ -313,7 +313,7 @@
 TEST_F(LateServerTest, ClientThatStoppedReadingWasNotClosedAtTheIdleTimeout)
 {
     limits.idleTimeout = 30ms;
-    answer = std::string(32'000'000, 'x');
+    answer.assign(32'000'000, 'x');
     auto& client = clients.emplace_back(context, server->port());
     client.send(get);
     const auto end = bootNow() + 4s;
@@ -328,7 +328,7 @@
 
 TEST_F(LateServerTest, ClientThatReadsNothingHeldAStopUp)
 {
-    answer = std::string(4'000'000, 'x');
+    answer.assign(4'000'000, 'x');
     auto& client = clients.emplace_back(context, server->port());
     server->closeAfterResponses();
     client.send(get);
@@ -342,7 +342,7 @@
 
 TEST_F(LateServerTest, ClientThatStoppedReadingForAMomentLostTheEndOfItsAnswer)
 {
-    answer = std::string(32'000'000, 'x');
+    answer.assign(32'000'000, 'x');
     auto& client = clients.emplace_back(context, server->port());
     client.send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     const auto since = bootNow();
@@ -361,7 +361,7 @@
 
 TEST_F(LateServerTest, ClientThatEndedItsInputLostTheEndOfItsLastAnswer)
 {
-    answer = std::string(32'000'000, 'x');
+    answer.assign(32'000'000, 'x');
     auto& client = clients.emplace_back(context, server->port());
     client.send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
     runUntil([&] { return !client.received.empty(); });
@@ -372,7 +372,7 @@
 
 TEST_F(LateServerTest, SlowReaderReceivesItsWholeAnswer)
 {
-    answer = std::string(8'000'000, 'x');
+    answer.assign(8'000'000, 'x');
     auto& client = clients.emplace_back(context, server->port());
     server->closeAfterResponses();
     client.send(get);
@@ -428,7 +428,7 @@
 
 TEST_F(LateServerTest, ClientThatReadsNothingOfAFormerAnswerHeldAStopUp)
 {
-    answer = std::string(4'000'000, 'x');
+    answer.assign(4'000'000, 'x');
     auto& client = clients.emplace_back(context, server->port());
     client.send(get);
     const auto since = bootNow();
