--- a/tools/soak/stops.py
+++ b/tools/soak/stops.py
@@ -3,8 +3,8 @@
 A request that a client has sent as a whole gets a complete answer: its connection does not end without one after the
 request was passed on to an endpoint, or later than LOSS_SLACK_SECONDS after its last byte was sent. Clients keep their
 connections or open new ones, and send bodies in pieces, in chunks, after 100 Continue, on half-closed connections and
-two at once. A stop ends by itself within the grace period, and within QUICK_STOP_SECONDS at full speed while no request
-takes long, whatever idle clients, slow writers and endless writers do. A request that is refused has not run, and is
+two at once. A stop ends by itself within the grace period, also beside clients that write slowly or without end, and
+within QUICK_STOP_SECONDS at full speed beside idle clients while no request takes long. A request that is refused has not run, and is
 told when to come again. Daemons that no planned work affects serve each request.
 
     stops.py --daemon build/bin/lentilbayd [--seed N] [--seconds S] [--runs N] [--daemons N] [--clients N]
