State delayed deletions in the lists of endpoints for peers

Lists state which entries are deleted and after which time; the reader delays them for as long. An entry of a peer's list that is not newer than its deletion, applied or delayed, does not undo it, so that lists of daemons of earlier versions do no harm either. These read the new lists as before.

--- a/packages/Edge/include/lentilbay/Edge/EndpointCatchUp.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointCatchUp.h
@@ -22,6 +22,8 @@
     /// All entries, or none if the peer has them already. `rows.version` is the version up to which the list
     /// is complete.
     platform::StoreRows rows;
+    /// By key, after which time each entry is removed that the store has deleted already.
+    std::map<std::string, Duration> delayedDeletions;
     /// The version of the newest change in the list.
     StoreVersion changed;
     /// Time since the list was known to be complete, as of when the answer was written.
--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -75,9 +75,9 @@
     void peerConfirmed(StoreVersion covered, StoreVersion changed, TimePoint at);
     /// Applies all rows of a peer's view, which was complete no earlier than `at`. Returns whether they are
     /// at least as new as this view.
-    bool applyPeerRows(const platform::StoreRows& rows, TimePoint at);
-    /// The rows as they apply at present; see TableReplica::rows().
-    std::optional<platform::StoreRows> rows() const { return m_replica.rows(); }
+    bool applyPeerRows(const ReplicaRows& peer, TimePoint at);
+    /// The rows as they apply at `now`; see TableReplica::rows().
+    std::optional<ReplicaRows> rows(TimePoint now) const { return m_replica.rows(now); }
     /// When the newest view that a peer has reported was complete.
     TimePoint peerContactAt() const { return m_peerContactAt; }
     /// Changes how long the store may hold a call.
--- a/packages/Edge/include/lentilbay/Edge/TableReplica.h
+++ b/packages/Edge/include/lentilbay/Edge/TableReplica.h
@@ -57,6 +57,16 @@
     auto operator<=>(const RowChange&) const = default;
 };
 
+/// The rows of a replica for another daemon.
+struct ReplicaRows {
+    /// With those that the store has deleted, but whose deletion is delayed.
+    platform::StoreRows rows;
+    /// By key, after which time each of those is deleted.
+    std::map<std::string, Duration> delayedDeletions;
+
+    bool operator==(const ReplicaRows&) const = default;
+};
+
 class TableReplica {
 public:
     explicit TableReplica(TableReplicaOptions options)
@@ -84,9 +94,9 @@
     bool applyPeerView(StoreVersion covered, StoreVersion changed);
     /// Applies all rows of a peer's replica, in the current era. Returns std::nullopt if they are older than
     /// this replica.
-    std::optional<std::vector<RowChange>> applyPeerRows(const platform::StoreRows& rows, TimePoint now);
-    /// The rows as they apply at present, and the version up to which they are complete. Needs `keepsValues`.
-    std::optional<platform::StoreRows> rows() const;
+    std::optional<std::vector<RowChange>> applyPeerRows(const ReplicaRows& peer, TimePoint now);
+    /// The rows as they apply at `now`, and the version up to which they are complete. Needs `keepsValues`.
+    std::optional<ReplicaRows> rows(TimePoint now) const;
     /// Records that the store was reached again, after `outage` in which nobody is known to have read it.
     void reconnected(Duration outage, TimePoint now);
     /// Returns the delayed changes that are due; deletions only if the replica is known to be complete as of
--- a/packages/Edge/lib/EdgeEndpoints.cpp
+++ b/packages/Edge/lib/EdgeEndpoints.cpp
@@ -41,11 +41,13 @@
     const auto at = askedAt - list.age;
     if (list.isUnchanged)
         m_endpointFollower->peerConfirmed(list.rows.version, list.changed, at);
-    else if (!m_endpointFollower->applyPeerRows(list.rows, at))
+    else if (!m_endpointFollower->applyPeerRows(
+                 { .rows = list.rows, .delayedDeletions = list.delayedDeletions }, at))
         return;
     logEvent(Event::EndpointsReadFromPeer,
         { { "peer", daemon }, { "version", static_cast<int64_t>(list.rows.version.number) },
             { "entries", static_cast<int64_t>(list.rows.rows.size()) },
+            { "delayed_deletions", static_cast<int64_t>(list.delayedDeletions.size()) },
             { "peer_age_ms", millisecondsOf(list.age) }, { "former_age_ms", formerAge } });
 }
 
@@ -62,8 +64,11 @@
         .changed = m_endpointFollower->changedVersion(),
         .age = now - *confirmedAt };
     out.isUnchanged = query.covered && query.covered->era == covered->era && out.changed <= *query.covered;
-    if (!out.isUnchanged)
-        out.rows = m_endpointFollower->rows().value_or(out.rows);
+    if (!out.isUnchanged) {
+        auto all = m_endpointFollower->rows(now).value_or(ReplicaRows { .rows = out.rows });
+        out.rows = std::move(all.rows);
+        out.delayedDeletions = std::move(all.delayedDeletions);
+    }
     serveDocument(exchange, encodeEndpointList(out));
 }
 
--- a/packages/Edge/lib/EndpointCatchUp.cpp
+++ b/packages/Edge/lib/EndpointCatchUp.cpp
@@ -4,10 +4,11 @@
 #include "lentilbay/Support/Hash.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <fmt/format.h>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 namespace lentilbay::edge {
 namespace {
@@ -22,6 +23,12 @@
 constexpr std::string_view listPath = "/endpoints";
 constexpr std::string_view afterQuery = "?after=";
 
+/// Reads a number that the text begins with.
+bool readNumber(std::string_view text, auto& value)
+{
+    return std::from_chars(text.data(), text.data() + text.size(), value).ec == std::errc();
+}
+
 /// Reads "<era>.<number>".
 std::optional<StoreVersion> parseVersion(std::string_view text)
 {
@@ -38,34 +45,53 @@
 
 std::string encodeEndpointList(const EndpointList& list)
 {
-    return fmt::format("{}.{} {} {} {}\n{}", list.rows.version.era, list.rows.version.number,
-        list.changed.number, list.age.count(), list.isUnchanged ? 1 : 0, platform::encodeRows(list.rows));
+    auto out = fmt::format("{}.{} {} {} {}", list.rows.version.era, list.rows.version.number,
+        list.changed.number, list.age.count(), list.isUnchanged ? 1 : 0);
+    // Daemons of earlier versions read four fields, and take these entries for ones that are not deleted.
+    for (size_t i = 0; i < list.rows.rows.size(); ++i) {
+        const auto it = list.delayedDeletions.find(list.rows.rows[i].key);
+        if (it != list.delayedDeletions.end())
+            out += fmt::format(" {}:{}", i, it->second.count());
+    }
+    return out + '\n' + platform::encodeRows(list.rows);
 }
 
 Result<EndpointList> decodeEndpointList(std::string_view text)
 {
     const auto endOfHead = text.find('\n');
-    std::array<std::string_view, 4> fields;
     auto rest = text.substr(0, endOfHead);
-    for (auto& it : fields) {
-        it = rest.substr(0, rest.find(' '));
-        rest.remove_prefix(std::min(rest.size(), it.size() + 1));
-    }
-    EndpointList out;
-    const auto version = parseVersion(fields[0]);
-    const auto read = [](std::string_view field, auto& value) {
-        return std::from_chars(field.data(), field.data() + field.size(), value).ec == std::errc();
+    const auto nextField = [&] {
+        const auto out = rest.substr(0, rest.find(' '));
+        rest.remove_prefix(std::min(rest.size(), out.size() + 1));
+        return out;
     };
+    EndpointList out;
+    const auto version = parseVersion(nextField());
     int64_t age = 0;
     int isUnchanged = 0;
-    if (endOfHead == std::string_view::npos || !version || !read(fields[1], out.changed.number)
-        || !read(fields[2], age) || age < 0 || !read(fields[3], isUnchanged))
+    bool isValid = endOfHead != std::string_view::npos && version
+        && readNumber(nextField(), out.changed.number) && readNumber(nextField(), age) && age >= 0
+        && readNumber(nextField(), isUnchanged);
+    std::vector<std::pair<size_t, int64_t>> delayed;
+    while (isValid && !rest.empty()) {
+        const auto field = nextField();
+        const auto colon = field.find(':');
+        auto& [index, left] = delayed.emplace_back();
+        isValid = colon != std::string_view::npos && readNumber(field.substr(0, colon), index)
+            && readNumber(field.substr(colon + 1), left) && left >= 0;
+    }
+    if (!isValid)
         return fail(ResultCode::MalformedRequest, "a peer's list of endpoints has an unknown form");
     out.changed.era = version->era;
     out.age = Duration(age);
     out.isUnchanged = isUnchanged != 0;
     BOOST_LEAF_AUTO(rows, platform::decodeRows(text.substr(endOfHead + 1), version->era));
     out.rows = std::move(rows);
+    for (const auto& [index, left] : delayed) {
+        if (index >= out.rows.rows.size())
+            return fail(ResultCode::MalformedRequest, "a peer's list of endpoints lacks a deleted entry");
+        out.delayedDeletions[out.rows.rows[index].key] = Duration(left);
+    }
     return out;
 }
 
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -412,12 +412,12 @@
     confirm(at);
 }
 
-bool StoreFollower::applyPeerRows(const platform::StoreRows& rows, TimePoint at)
+bool StoreFollower::applyPeerRows(const ReplicaRows& peer, TimePoint at)
 {
-    if (rows.version.era != m_replica.era())
+    if (peer.rows.version.era != m_replica.era())
         return false;
     const bool hadPosition = m_replica.covered().has_value();
-    const auto changes = m_replica.applyPeerRows(rows, bootNow());
+    const auto changes = m_replica.applyPeerRows(peer, bootNow());
     if (!changes)
         return false;
     // The next page of a snapshot does not continue what the replica contains now.
--- a/packages/Edge/lib/TableReplica.cpp
+++ b/packages/Edge/lib/TableReplica.cpp
@@ -201,33 +201,48 @@
     return true;
 }
 
-std::optional<std::vector<RowChange>> TableReplica::applyPeerRows(
-    const platform::StoreRows& rows, TimePoint now)
+std::optional<std::vector<RowChange>> TableReplica::applyPeerRows(const ReplicaRows& peer, TimePoint now)
 {
+    const auto& rows = peer.rows;
     assert(rows.version.era == m_era && "rows of another era say nothing about this one");
     if (m_covered && rows.version < *m_covered)
         return std::nullopt;
     forgetPosition();
     m_snapshotVersion = rows.version;
-    for (const auto& row : rows.rows)
-        m_snapshot[row.key] = row;
+    // The peer may delay deletions that this replica knows of. A row that is not newer does not undo them.
+    const auto deletions = m_deletions;
+    for (const auto& row : rows.rows) {
+        const auto it = m_removed.find(row.key);
+        if (it == m_removed.end() || it->second.known.version < row.version)
+            m_snapshot[row.key] = row;
+    }
     std::vector<RowChange> out;
     applySnapshot(now, out);
+    for (const auto& [key, deletion] : deletions) {
+        if (const auto it = m_rows.find(key); it != m_rows.end() && it->second.version <= deletion.version)
+            m_deletions.try_emplace(key, deletion);
+    }
+    for (const auto& [key, left] : peer.delayedDeletions) {
+        if (m_rows.contains(key))
+            m_deletions.try_emplace(key, Deletion { .version = rows.version, .dueAt = now + left });
+    }
     return out;
 }
 
-std::optional<platform::StoreRows> TableReplica::rows() const
+std::optional<ReplicaRows> TableReplica::rows(TimePoint now) const
 {
     assert(m_options.keepsValues && "the values are not known");
     if (!m_covered)
         return std::nullopt;
-    platform::StoreRows out { .version = *m_covered };
-    out.rows.reserve(m_rows.size());
+    ReplicaRows out { .rows = { .version = *m_covered } };
+    out.rows.rows.reserve(m_rows.size());
     for (const auto& [key, it] : m_rows) {
         // A version of a former era is lower than all of this one for a reader that has read neither.
         const auto version = it.version.era == m_era ? it.version : StoreVersion { .era = m_era };
-        out.rows.push_back({ .key = key, .value = it.value, .version = version });
+        out.rows.rows.push_back({ .key = key, .value = it.value, .version = version });
     }
+    for (const auto& [key, it] : m_deletions)
+        out.delayedDeletions[key] = std::max(Duration::zero(), it.dueAt - now);
     return out;
 }
 
--- a/packages/Edge/unittests/EndpointCatchUpTest.cpp
+++ b/packages/Edge/unittests/EndpointCatchUpTest.cpp
@@ -72,6 +72,7 @@
         .changed = { .era = 2, .number = 7 },
         .age = 1500us,
         .isUnchanged = false };
+    EXPECT_EQ(encodeEndpointList(list).substr(0, 13), "2.9 7 1500 0\n") << "as earlier versions read it";
     const auto decoded
         = outcomeOf<EndpointList>([&] { return decodeEndpointList(encodeEndpointList(list)); });
     ASSERT_TRUE(std::holds_alternative<EndpointList>(decoded));
@@ -81,13 +82,30 @@
     EXPECT_EQ(read.changed, list.changed);
     EXPECT_EQ(read.age, list.age);
     EXPECT_FALSE(read.isUnchanged);
+    EXPECT_TRUE(read.delayedDeletions.empty());
+}
+
+TEST(EndpointList, EntryThatTheStoreHadDeletedWasGivenAsOneThatRemains)
+{
+    const EndpointList list { .rows = { .rows = { { .key = "i 1", .value = "{}", .version = { 2, 4 } },
+                                            { .key = "i 2", .value = "{}", .version = { 2, 5 } } },
+                                  .version = { 2, 9 } },
+        .delayedDeletions = { { "i 2", 1200ms } },
+        .changed = { 2, 9 } };
+    const auto decoded
+        = outcomeOf<EndpointList>([&] { return decodeEndpointList(encodeEndpointList(list)); });
+    ASSERT_TRUE(std::holds_alternative<EndpointList>(decoded));
+    const auto& read = std::get<EndpointList>(decoded);
+    EXPECT_EQ(read.rows.rows, list.rows.rows);
+    EXPECT_EQ(read.delayedDeletions, list.delayedDeletions);
 }
 
 TEST(EndpointList, RejectsTextOfAnotherForm)
 {
     for (const std::string text : { "", "\n", "1.2 3 4 0", "1.2 3 4 0\n", "1 3 4 0\n{\"Rows\":[],\"Ver\":2}",
              "1.2 3 -4 0\n{\"Rows\":[],\"Ver\":2}", "{\"Rows\":[],\"Ver\":2}",
-             "1.2 3 4\n{\"Rows\":[],\"Ver\":2}" }) {
+             "1.2 3 4\n{\"Rows\":[],\"Ver\":2}", "1.2 3 4 0 0:1\n{\"Rows\":[],\"Ver\":2}",
+             "1.2 3 4 0 x\n{\"Rows\":[],\"Ver\":2}" }) {
         const auto decoded = outcomeOf<EndpointList>([&] { return decodeEndpointList(text); });
         EXPECT_TRUE(std::holds_alternative<Failure>(decoded)) << text;
     }
--- a/packages/Edge/unittests/TableReplicaTest.cpp
+++ b/packages/Edge/unittests/TableReplicaTest.cpp
@@ -69,13 +69,86 @@
     replica.enterEra(1);
     EXPECT_EQ(apply({ row("e", "ready", { 1, 3 }), row("f", "ready", { 1, 9 }) }, { 1, 9 }, TimePoint(1s)),
         "e=ready f=ready");
-    const auto changes = replica.applyPeerRows(*peer.rows(), TimePoint(2s));
+    const auto changes = replica.applyPeerRows(*peer.rows(TimePoint(2s)), TimePoint(2s));
     ASSERT_TRUE(changes);
     EXPECT_EQ(printed(*changes), "e=leaving g=ready -f");
     EXPECT_EQ(replica.covered(), (StoreVersion { 1, 12 }));
     // The store answers again, from that version on.
     EXPECT_EQ(apply({ deletion("e", { 1, 14 }) }, { 1, 15 }, TimePoint(3s)), "-e");
-    EXPECT_FALSE(replica.applyPeerRows(*peer.rows(), TimePoint(4s))) << "the peer knows less by now";
+    EXPECT_FALSE(replica.applyPeerRows(*peer.rows(TimePoint(4s)), TimePoint(4s)))
+        << "the peer knows less by now";
+}
+
+/// A daemon that was cut off from the store until 4 s, has read the deletion of "e" since then, and delays it
+/// until 6 s.
+TableReplica peerThatDelaysADeletion()
+{
+    TableReplica out { { .deletionDelay = rewriteDelay, .keepsValues = true } };
+    out.enterEra(1);
+    out.apply({ .rows = { row("e", "ready", { 1, 3 }) }, .version = { 1, 5 } }, TimePoint(1s));
+    out.reconnected(3s, TimePoint(4s));
+    EXPECT_TRUE(
+        out.apply({ .rows = { deletion("e", { 1, 8 }) }, .version = { 1, 10 } }, TimePoint(4s)).empty());
+    return out;
+}
+
+TEST_F(TableReplicaTest, DeletionWasUndoneByAPeerThatDelaysIt)
+{
+    const auto peer = peerThatDelaysADeletion();
+    replica.enterEra(1);
+    apply({ row("e", "ready", { 1, 3 }) }, { 1, 5 }, TimePoint(1s));
+    EXPECT_EQ(apply({ deletion("e", { 1, 8 }) }, { 1, 9 }, TimePoint(2s)), "-e");
+    const auto changes = replica.applyPeerRows(*peer.rows(TimePoint(4s)), TimePoint(4s));
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(printed(*changes), "");
+    EXPECT_EQ(replica.covered(), (StoreVersion { 1, 10 }));
+    // The opposite: the row is written again.
+    EXPECT_EQ(apply({ row("e", "again", { 1, 11 }) }, { 1, 11 }, TimePoint(5s)), "e=again");
+}
+
+TEST_F(TableReplicaTest, DeletionThatAPeerDelayedWasNeverLearned)
+{
+    const auto peer = peerThatDelaysADeletion();
+    replica.enterEra(1);
+    apply({ row("e", "ready", { 1, 3 }) }, { 1, 5 }, TimePoint(1s));
+    ASSERT_TRUE(replica.applyPeerRows(*peer.rows(TimePoint(5s)), TimePoint(5s)));
+    EXPECT_EQ(replica.covered(), (StoreVersion { 1, 10 }));
+    EXPECT_EQ(due(TimePoint(5900ms)), "") << "no sooner than at the peer";
+    EXPECT_EQ(due(TimePoint(6s)), "-e");
+}
+
+TEST_F(TableReplicaTest, RowWrittenAgainAfterADelayedDeletionRemains)
+{
+    const auto peer = peerThatDelaysADeletion();
+    replica.enterEra(1);
+    apply({ row("e", "ready", { 1, 3 }) }, { 1, 5 }, TimePoint(1s));
+    ASSERT_TRUE(replica.applyPeerRows(*peer.rows(TimePoint(5s)), TimePoint(5s)));
+    EXPECT_EQ(apply({ row("e", "again", { 1, 12 }) }, { 1, 12 }, TimePoint(5500ms)), "e=again");
+    EXPECT_EQ(due(TimePoint(7s)), "");
+}
+
+TEST_F(TableReplicaTest, OwnDelayedDeletionWasUndoneByAPeer)
+{
+    auto own = peerThatDelaysADeletion();
+    // A daemon of an earlier version does not state which deletions it delays.
+    const ReplicaRows listed { .rows = own.rows(TimePoint(5s))->rows };
+    const auto changes = own.applyPeerRows(listed, TimePoint(5s));
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(printed(*changes), "");
+    EXPECT_EQ(printed(own.takeDue(TimePoint::max(), TimePoint(6s))), "-e");
+}
+
+TEST_F(TableReplicaTest, RowWrittenAgainIsReadFromAPeer)
+{
+    auto peer = peerThatDelaysADeletion();
+    replica.enterEra(1);
+    apply({ row("e", "ready", { 1, 3 }) }, { 1, 5 }, TimePoint(1s));
+    EXPECT_EQ(apply({ deletion("e", { 1, 8 }) }, { 1, 9 }, TimePoint(2s)), "-e");
+    peer.apply({ .rows = { row("e", "again", { 1, 12 }) }, .version = { 1, 12 } }, TimePoint(5s));
+    const auto changes = replica.applyPeerRows(*peer.rows(TimePoint(5s)), TimePoint(5s));
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(printed(*changes), "e=again");
+    EXPECT_EQ(due(TimePoint(9s)), "");
 }
 
 TEST_F(TableReplicaTest, RowWrittenAgainAtALowerVersionWasPassedOver)
