Date the end of an outage of the store by the first daemon that reaches it

A daemon that the store had turned away took the time until its own next answer for an outage in which entries expire, and delayed the deletions that it then read for 2.1 s more. With peers that read the store all the while, nothing had expired; and after a real outage the endpoints write their entries again from its end on, not from this daemon's first answer.

The end of an outage and its length follow from the last and the next contact of any daemon of which this one knows.

RemovalWasDelayedAfterAnOutageOfOneDaemon and RemovalAfterAnOutageOfAllDaemonsIsDelayedFromItsEnd fail with the former calculation (2.6 s instead of less than 1 s, 3.1 s instead of 2.1 s to 2.4 s). The opposite, that deletions after an outage of all daemons are delayed, is tested by the latter and by EntryRemovedDuringASilentOutageStayedInUse.

--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -117,6 +117,8 @@
     Duration retryDelay(TimePoint now);
     /// Whether a peer has reached the store since this daemon found it unreachable.
     bool isReachedByPeer(TimePoint now) const;
+    /// Records that the store answered a daemon at `at`.
+    void recordContact(TimePoint at);
     void confirm(TimePoint at);
 
     asio::io_context& m_context;
@@ -141,7 +143,8 @@
     /// The time of the newest view that a peer has reported.
     TimePoint m_peerContactAt {};
     int m_failuresInRow = 0;
-    TimePoint m_lastAnswerAt {};
+    /// When the store was last known to answer this daemon or a peer.
+    TimePoint m_contactAt {};
     TimePoint m_callStarted {};
     uint64_t m_calls = 0;
     uint64_t m_failures = 0;
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -256,15 +256,14 @@
         handleFailure(call, failure->detail);
         return;
     }
+    recordContact(now);
     if (m_isStoreUnreachable) {
         m_isStoreUnreachable = false;
-        m_replica.reconnected(now - std::max(m_lastAnswerAt, m_confirmedAt.value_or(m_lastAnswerAt)), now);
         logEvent(Event::PlatformBack,
             { { "table", m_options.table },
                 { "view_age_ms", m_confirmedAt ? (now - *m_confirmedAt) / std::chrono::milliseconds(1) : -1 },
                 { "failures", static_cast<int64_t>(m_failuresInRow) } });
     }
-    m_lastAnswerAt = now;
     m_failuresInRow = 0;
     m_isBehind = false;
     endCalls(call);
@@ -353,6 +352,15 @@
     return m_peerContactAt > m_unreachableSince && now - m_peerContactAt < peerContactLifetime;
 }
 
+void StoreFollower::recordContact(TimePoint at)
+{
+    // A call that the store holds is no outage, so contact is missed only while calls fail. An outage ends
+    // with the first contact of any daemon: endpoints write their entries again from then on.
+    if (m_isStoreUnreachable && at - m_contactAt >= m_options.replica.minOutageToExpire)
+        m_replica.reconnected(at - m_contactAt, at);
+    m_contactAt = std::max(m_contactAt, at);
+}
+
 Duration StoreFollower::retryDelay(TimePoint now)
 {
     const bool isReached = isReachedByPeer(now);
@@ -400,6 +408,7 @@
     const auto now = bootNow();
     const bool wasReachedByPeer = isReachedByPeer(now);
     m_peerContactAt = std::max(m_peerContactAt, at);
+    recordContact(at);
     if (m_isStoreUnreachable && !wasReachedByPeer && isReachedByPeer(now))
         scheduleCall(Duration::zero());
     if (!m_replica.covered() || covered.era != m_replica.era())
@@ -416,6 +425,7 @@
 {
     if (peer.rows.version.era != m_replica.era())
         return false;
+    recordContact(at);
     const bool hadPosition = m_replica.covered().has_value();
     const auto changes = m_replica.applyPeerRows(peer, bootNow());
     if (!changes)
--- a/packages/Edge/unittests/StoreRecoveryTest.cpp
+++ b/packages/Edge/unittests/StoreRecoveryTest.cpp
@@ -193,5 +193,41 @@
     EXPECT_EQ(seen, "+a+b-a");
 }
 
+TEST_F(StoreRecovery, RemovalWasDelayedAfterAnOutageOfOneDaemon)
+{
+    // Peers had read the store all the while, so no entry had expired.
+    start();
+    server.setResponder([](const std::string&) { return ScriptedResponse { .delay = 1h }; });
+    const auto lostAt = bootNow();
+    runUntil([&] {
+        follower->peerConfirmed({ .number = 8 }, { .number = 8 }, bootNow());
+        return bootNow() - lostAt > minOutageToExpire + 1s && follower->failures() >= 2;
+    });
+    server.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = answer(row("a", 8, true), 9), .delay = 4ms };
+    });
+    returnedAt = bootNow();
+    runUntil([this] { return seen == "+a+b-a"; });
+    EXPECT_LT(bootNow() - returnedAt, 1s);
+}
+
+TEST_F(StoreRecovery, RemovalAfterAnOutageOfAllDaemonsIsDelayedFromItsEnd)
+{
+    start();
+    server.setResponder([](const std::string&) { return ScriptedResponse { .delay = 1h }; });
+    runUntil([this] { return follower->failures() >= 3; });
+    runUntil([this, lostAt = bootNow()] { return bootNow() - lostAt > minOutageToExpire; });
+    // A peer is the first that reaches the store.
+    const auto endedAt = bootNow();
+    follower->peerConfirmed({ .number = 8 }, { .number = 8 }, endedAt);
+    runUntil([&] { return bootNow() - endedAt > 600ms; });
+    server.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = answer(row("a", 8, true), 9), .delay = 4ms };
+    });
+    runUntil([this] { return seen == "+a+b-a"; });
+    EXPECT_GE(bootNow() - endedAt, lapsedEntryDelay);
+    EXPECT_LT(bootNow() - endedAt, lapsedEntryDelay + 300ms) << "not from the first answer to this daemon";
+}
+
 } // namespace
 } // namespace lentilbay::edge
