Reserve the ports of the daemons in EdgeDaemonTest

The tests chose a port by binding a socket to it and closing it, so that until the daemon listened, the system could give it to another socket, also one of the same test. The exception of the daemon's thread then aborted the process.

--- a/packages/Edge/unittests/EdgeDaemonTest.cpp
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -40,13 +40,23 @@
     return rowsAnswer("");
 }
 
-uint16_t freePort()
-{
-    asio::io_context context;
-    return asio::ip::tcp::acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 })
-        .local_endpoint()
-        .port();
-}
+/// A port that the system gives to no other socket while this object exists. A server of any local address
+/// can listen on it, because this socket does not.
+class ReservedPort {
+public:
+    ReservedPort()
+    {
+        m_socket.open(asio::ip::tcp::v4());
+        m_socket.set_option(asio::socket_base::reuse_address(true));
+        m_socket.bind({ asio::ip::tcp::v4(), 0 });
+    }
+
+    uint16_t port() const { return m_socket.local_endpoint().port(); }
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::socket m_socket { m_context };
+};
 
 /// The base64 form of a document, as in a row of the store.
 std::string encoded(const std::string& document)
@@ -63,11 +73,11 @@
         settings.daemon = DaemonId("d");
         settings.dataCentre = DataCentreId("a");
         settings.ownHost = "127.0.0.1";
-        settings.callers = { .host = "127.0.0.1", .port = freePort() };
-        settings.readiness = { .host = "127.0.0.1", .port = freePort() };
+        settings.callers = { .host = "127.0.0.1", .port = callerPort.port() };
+        settings.readiness = { .host = "127.0.0.1", .port = readinessPort.port() };
         settings.store = { .host = "127.0.0.1", .port = store.port() };
-        settings.firstPeerPort = freePort();
-        settings.metrics = { .host = "127.0.0.1", .port = freePort() };
+        settings.firstPeerPort = peerPort.port();
+        settings.metrics = { .host = "127.0.0.1", .port = metricsPort.port() };
     }
 
     std::string entryOfEndpoint() const
@@ -145,6 +155,10 @@
     asio::io_context context;
     RawServer store { context };
     RawServer endpoint { context };
+    ReservedPort callerPort;
+    ReservedPort readinessPort;
+    ReservedPort peerPort;
+    ReservedPort metricsPort;
     platform::ProcessSettings settings;
     std::atomic<bool> hasStopped = false;
     std::thread thread;
@@ -342,9 +356,9 @@
         other = settings;
         other.daemon = DaemonId("e");
         other.ownHost = "127.0.0.2";
-        other.callers.port = freePort();
-        other.readiness.port = freePort();
-        other.metrics.port = freePort();
+        other.callers.port = otherCallerPort.port();
+        other.readiness.port = otherReadinessPort.port();
+        other.metrics.port = otherMetricsPort.port();
         other.store.port = otherStore.port();
         store.setResponder([this](const std::string& request) { return storeResponse(request); });
         otherStore.setResponder([this](const std::string& request) {
@@ -428,6 +442,9 @@
         otherThread.join();
     }
 
+    ReservedPort otherCallerPort;
+    ReservedPort otherReadinessPort;
+    ReservedPort otherMetricsPort;
     platform::ProcessSettings other;
     RawServer otherStore { context };
     RawServer secondEndpoint { context };
