Let a begun stream go on until the latest deadline of its caller

The request was read 0 to 3 ms after its arrival and cut 9.5 s later, 0.2 s before its deadline. Of the uncertainty of an arrival 0.4 s at most were added to the end. Change: a stream that has begun ends, and its endpoint is told to end, by the latest arrival without that limit. That is never more than the caller has stated, and the caller leaves by itself. An answer that has not begun keeps the limit, and nothing is sent after the earliest deadline. Measured: EdgeRequestTest.BegunStreamWasCutBeforeItsDeadlineAsItsArrivalWasHardlyKnown failed before and passes, with the opposite in it.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -92,6 +92,9 @@
     bool validate(TimePoint now);
     /// Ends the request at its deadline, or when the daemon stops.
     void armTimeout(TimePoint now);
+    /// When the request ends if nothing changes: an answer that has begun goes on for as long as its caller
+    /// may wait.
+    TimePoint currentEnd() const;
     /// Whether an endpoint has been given the request, and its answer is not complete.
     bool isAtEndpoint() const { return m_send && m_send->isSent; }
     /// Whether the request, which may be executed once at most, may still run when the daemon stops.
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -21,8 +21,8 @@
 constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
 /// Expected fraction of the maximum answer tokens if the caller gives no length hint.
 constexpr double expectedAnswerFraction = 0.8;
-/// An answer may end this long after the deadline that follows from the earliest time at which its request
-/// may have arrived; less than the time by which a late answer harms its caller.
+/// An answer that has not begun may end this long after the deadline that follows from the earliest time at
+/// which its request may have arrived; less than the time by which a late answer harms its caller.
 constexpr Duration maxEndDelay = std::chrono::milliseconds(400);
 std::string hostNameOf(const std::string& host) { return host.substr(0, host.find(':')); }
 
@@ -41,7 +41,8 @@
         return;
     m_expiresAt = m_arrivedAt + std::min(m_route->timeout, m_metadata.deadline.value_or(m_route->timeout));
     const auto& arrival = m_exchange->arrival();
-    m_endsAt = m_expiresAt + std::min(arrival.latest - arrival.earliest, maxEndDelay);
+    const auto uncertainty = arrival.latest - arrival.earliest;
+    m_endsAt = m_expiresAt + (m_route->isStream ? uncertainty : std::min(uncertainty, maxEndDelay));
     if (now >= m_expiresAt) {
         refuse(ResultCode::DeadlinePassedWaiting, Duration::zero(), now);
         return;
@@ -74,14 +75,21 @@
             { "slots", occupancy.slots }, { "load", occupancy.load } });
 }
 
+TimePoint EdgeRequest::currentEnd() const
+{
+    if (!isAtEndpoint())
+        return std::min(m_expiresAt, m_endsAt);
+    // A caller that receives an answer leaves by itself at its deadline.
+    return m_exchange->hasBegun() ? m_endsAt : std::min(m_endsAt, m_expiresAt + maxEndDelay);
+}
+
 void EdgeRequest::armTimeout(TimePoint now)
 {
     const auto stopsAt = m_state.requestsEndAt();
     if (stopsAt && m_route->executionSemantics != ExecutionSemantics::AtMostOnce)
         m_expiresAt = std::min(m_expiresAt, *stopsAt);
     m_endsAt = std::min(m_endsAt, stopsAt.value_or(m_endsAt));
-    const auto end = isAtEndpoint() ? m_endsAt : std::min(m_expiresAt, m_endsAt);
-    m_timer.expires_after(std::max(Duration::zero(), end - now));
+    m_timer.expires_after(std::max(Duration::zero(), currentEnd() - now));
     m_timer.async_wait([self = shared_from_this()](std::error_code ec) {
         if (!ec)
             self->handleTimeout();
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -952,7 +952,7 @@
     if (m_isOver)
         return;
     const auto now = bootNow();
-    if (isAtEndpoint() && now < m_endsAt) {
+    if (isAtEndpoint() && now < currentEnd()) {
         armTimeout(now);
         return;
     }
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -1659,6 +1659,51 @@
     EXPECT_GT(std::stoi(sent.substr(at + std::string("X-Deadline-Ms: ").size())), 700);
 }
 
+TEST_F(EdgeRequestTest, BegunStreamWasCutBeforeItsDeadlineAsItsArrivalWasHardlyKnown)
+{
+    const auto bytes = streamAnswer({ eventOf(1), eventOf(2) });
+    first.setResponder([&](const std::string& request) {
+        const bool isSilent = request.find("/stream/silent") != std::string::npos;
+        return ScriptedResponse { .bytes = bytes,
+            .delay = isSilent ? 1000ms : 0ms,
+            .pieceBytes = bytes.size() - eventOf(2).size(),
+            .pieceDelay = 600ms };
+    });
+    const auto call = [&](const std::string& target) {
+        http::HttpRequest request { .method = "POST", .target = target };
+        request.headers.add("Host", "h");
+        request.headers.add("X-Request-Id", "7");
+        request.headers.add("Authorization", "Token k");
+        request.headers.add("X-Deadline-Ms", "800");
+        const auto begin = bootNow();
+        const auto exchange = std::make_shared<http::Exchange>(
+            nullptr, std::move(request), http::ArrivalTime { .earliest = begin - 700ms, .latest = begin });
+        std::make_shared<EdgeRequest>(state, exchange)->admit(bootNow());
+        runUntil([&] { return exchange->isDone(); });
+        return bootNow() - begin;
+    };
+    const auto served = [&] {
+        const auto text = state.metrics.text({});
+        return text.find(printed(ResultCode::Ok)) != std::string::npos;
+    };
+    call("/stream/x");
+    EXPECT_TRUE(served());
+    // The opposite: an answer that has not begun ends by the earliest arrival.
+    EXPECT_LT(call("/stream/silent"), 700ms);
+    first.setResponder([](const std::string&) { return ScriptedResponse { .bytes = "" }; });
+    EXPECT_LT(call("/safe/x"), 700ms);
+    ASSERT_EQ(first.requests().size(), 3U);
+    const auto deadlineOf = [&](size_t i) {
+        const auto& sent = first.requests()[i];
+        const auto at = sent.find("X-Deadline-Ms: ");
+        return at == std::string::npos ? -1
+                                       : std::stoi(sent.substr(at + std::string("X-Deadline-Ms: ").size()));
+    };
+    EXPECT_GT(deadlineOf(0), 700);
+    EXPECT_LE(deadlineOf(0), 800) << "no more than the caller has stated";
+    EXPECT_LE(deadlineOf(2), 500);
+}
+
 TEST_F(EdgeRequestTest, RequestThatMayHaveExpiredIsNotSent)
 {
     http::HttpRequest request { .method = "POST", .target = "/safe/x" };
