Date SIGTERM by its arrival, not by when the event loop handles it

Cause: the delay was estimated from the timers. In a turn that is late they may run before the handler of the signal, and do not show the delay then. Change: SignalTime puts a handler before that of the signal set, which notes the time. The timers are still consulted for the time before, in which the process may have stood still.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -12,6 +12,7 @@
 #include "lentilbay/Edge/TransferBudget.h"
 #include "lentilbay/Http/Server.h"
 #include "lentilbay/Support/EventLoopWatch.h"
+#include "lentilbay/Support/SignalTime.h"
 
 #include <array>
 #include <asio/ip/udp.hpp>
@@ -170,6 +171,8 @@
     /// The peers whose use of quotas was last counted as part of a sum.
     std::set<std::string> m_summarisedPeers;
     asio::signal_set m_signals;
+    /// After `m_signals`, whose handler it passes signals on to.
+    SignalTime m_signalTime;
     asio::steady_timer m_pollTimer;
     /// Whether the next poll() is an idle period away.
     bool m_isPollIdle = false;
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -613,10 +613,11 @@
     if (m_state.stopRequestedAt)
         return;
     m_state.stopRequestedAt = now;
-    // The signal has waited for the event loop.
+    // The signal has waited for the event loop, and before that for a process that stood still.
+    const auto signalledAt = std::min(now, m_signalTime.first().value_or(now));
     const auto& grace = m_state.settings.bounds.stopGrace;
-    m_state.graceEndsAt
-        = now + grace - std::min<Duration>(grace / 2, m_loopWatch.overdueTime(now, heartbeatPeriod));
+    m_state.graceEndsAt = signalledAt + grace
+        - std::min<Duration>(grace / 2, m_loopWatch.overdueTime(signalledAt, heartbeatPeriod));
     for (auto* server : { m_callerServer.get(), m_peerServer.get() })
         server->closeAfterResponses();
     logEvent(Event::DrainStarted,
--- a/packages/Edge/unittests/EdgeDaemonTest.cpp
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -98,7 +98,7 @@
     void start()
     {
         thread = std::thread([this] {
-            EdgeDaemon it(settings, [] {});
+            EdgeDaemon it(settings, reload);
             it.run();
             hasStopped = true;
         });
@@ -146,6 +146,8 @@
     RawServer store { context };
     RawServer endpoint { context };
     platform::ProcessSettings settings;
+    /// What the daemon does after SIGHUP.
+    std::function<void()> reload = [] {};
     std::atomic<bool> hasStopped = false;
     std::thread thread;
 };
@@ -183,6 +185,57 @@
     awaitStop();
 }
 
+TEST_F(EdgeDaemonTest, GracePeriodWasCountedFromWhenTheEventLoopCameToTheSignal)
+{
+    const auto configuration
+        = encoded(R"({"Version":1,"Routes":[{"Name":"r","Host":"h","Prefix":"/a/","Type":"safe",)"
+                  R"("TimeoutMs":9000,"Service":"s","Public":true}],"Services":[{"Name":"s"}]})");
+    store.setResponder([&, entry = entryOfEndpoint()](const std::string& request) {
+        if (request.find("rows-get?Table=op") != std::string::npos)
+            return ScriptedResponse { .bytes
+                = rowsAnswer(R"({"Table":"op","Key":"config","Ver":1,"Value":")" + configuration + "\"}") };
+        const bool waits = request.find("rows-feed") != std::string::npos;
+        return ScriptedResponse { .bytes = storeAnswer(request, entry), .delay = waits ? 50ms : 0ms };
+    });
+    endpoint.setResponder([](const std::string&) { return ScriptedResponse { .bytes = "" }; });
+    settings.bounds.stopGrace = 5s;
+    std::atomic<bool> isLate = false;
+    reload = [&] {
+        isLate = true;
+        std::this_thread::sleep_for(1200ms);
+    };
+    start();
+    std::string readiness;
+    for (int i = 0; i < maxTries && !readiness.starts_with("HTTP/1.1 200"); ++i)
+        readiness = ask(settings.readiness.port, "GET /lentilbay/readyz HTTP/1.1\r\n" + tail);
+    const auto serve = [&](auto isDone) {
+        const auto end = std::chrono::steady_clock::now() + 8s;
+        while (!isDone() && std::chrono::steady_clock::now() < end) {
+            context.run_for(5ms);
+            context.restart();
+        }
+        EXPECT_TRUE(isDone());
+    };
+    asio::ip::tcp::socket caller(context);
+    caller.connect({ asio::ip::make_address("127.0.0.1"), settings.callers.port });
+    asio::write(caller, asio::buffer("GET /a/x HTTP/1.1\r\n" + tail));
+    caller.non_blocking(true);
+    serve([&] { return !endpoint.requests().empty(); });
+    kill(getpid(), SIGHUP);
+    serve([&] { return isLate.load(); });
+    const auto signalledAt = std::chrono::steady_clock::now();
+    kill(getpid(), SIGTERM);
+    std::error_code ec;
+    serve([&] {
+        std::array<char, 4096> buf {};
+        return caller.read_some(asio::buffer(buf), ec) > 0 || ec == asio::error::eof;
+    });
+    const auto elapsed = std::chrono::steady_clock::now() - signalledAt;
+    EXPECT_LT(elapsed, 4600ms);
+    EXPECT_GT(elapsed, 3800ms) << "not sooner than the grace period requires";
+    awaitStop();
+}
+
 TEST_F(EdgeDaemonTest, IdleDaemonPollsRarelyAndRejectsAWaitingRequestInTime)
 {
     // Each daemon of an idle fleet looked at its empty queue 25 times a second.
