--- a/packages/Edge/include/lentilbay/Edge/TableReplica.h
+++ b/packages/Edge/include/lentilbay/Edge/TableReplica.h
@@ -63,8 +63,6 @@
     platform::StoreRows rows;
     /// By key, after which time each of those is deleted.
     std::map<std::string, Duration> delayedDeletions;
-
-    bool operator==(const ReplicaRows&) const = default;
 };
 
 class TableReplica {
--- a/packages/Edge/unittests/StoreRecoveryTest.cpp
+++ b/packages/Edge/unittests/StoreRecoveryTest.cpp
@@ -216,7 +216,7 @@
     start();
     server.setResponder([](const std::string&) { return ScriptedResponse { .delay = 1h }; });
     runUntil([this] { return follower->failures() >= 3; });
-    runUntil([this, lostAt = bootNow()] { return bootNow() - lostAt > minOutageToExpire; });
+    runUntil([lostAt = bootNow()] { return bootNow() - lostAt > minOutageToExpire; });
     // A peer is the first that reaches the store.
     const auto endedAt = bootNow();
     follower->peerConfirmed({ .number = 8 }, { .number = 8 }, endedAt);
