Date the end of an outage by when the report of a peer arrives

The view of a peer is as old as the call that it answers, which may have been sent before the store was back. Dated by that time, the delay of deletions would end before endpoints have written their entries again, by up to the time for which a call is held.

--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -117,8 +117,8 @@
     Duration retryDelay(TimePoint now);
     /// Whether a peer has reached the store since this daemon found it unreachable.
     bool isReachedByPeer(TimePoint now) const;
-    /// Records that the store answered a daemon at `at`.
-    void recordContact(TimePoint at);
+    /// Records that a daemon has read the store with a call that was sent at `at` or later.
+    void recordContact(TimePoint at, TimePoint now);
     void confirm(TimePoint at);
 
     asio::io_context& m_context;
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -256,7 +256,7 @@
         handleFailure(call, failure->detail);
         return;
     }
-    recordContact(now);
+    recordContact(now, now);
     if (m_isStoreUnreachable) {
         m_isStoreUnreachable = false;
         logEvent(Event::PlatformBack,
@@ -352,12 +352,13 @@
     return m_peerContactAt > m_unreachableSince && now - m_peerContactAt < peerContactLifetime;
 }
 
-void StoreFollower::recordContact(TimePoint at)
+void StoreFollower::recordContact(TimePoint at, TimePoint now)
 {
     // A call that the store holds is no outage, so contact is missed only while calls fail. An outage ends
-    // with the first contact of any daemon: endpoints write their entries again from then on.
+    // with the first contact of any daemon: endpoints write their entries again from then on. The view of a
+    // peer is dated by its call, which may have been sent before the end.
     if (m_isStoreUnreachable && at - m_contactAt >= m_options.replica.minOutageToExpire)
-        m_replica.reconnected(at - m_contactAt, at);
+        m_replica.reconnected(at - m_contactAt, now);
     m_contactAt = std::max(m_contactAt, at);
 }
 
@@ -408,7 +409,7 @@
     const auto now = bootNow();
     const bool wasReachedByPeer = isReachedByPeer(now);
     m_peerContactAt = std::max(m_peerContactAt, at);
-    recordContact(at);
+    recordContact(at, now);
     if (m_isStoreUnreachable && !wasReachedByPeer && isReachedByPeer(now))
         scheduleCall(Duration::zero());
     if (!m_replica.covered() || covered.era != m_replica.era())
@@ -425,9 +426,10 @@
 {
     if (peer.rows.version.era != m_replica.era())
         return false;
-    recordContact(at);
+    const auto now = bootNow();
+    recordContact(at, now);
     const bool hadPosition = m_replica.covered().has_value();
-    const auto changes = m_replica.applyPeerRows(peer, bootNow());
+    const auto changes = m_replica.applyPeerRows(peer, now);
     if (!changes)
         return false;
     // The next page of a snapshot does not continue what the replica contains now.
--- a/packages/Edge/unittests/StoreRecoveryTest.cpp
+++ b/packages/Edge/unittests/StoreRecoveryTest.cpp
@@ -219,7 +219,7 @@
     runUntil([lostAt = bootNow()] { return bootNow() - lostAt > minOutageToExpire; });
     // A peer is the first that reaches the store.
     const auto endedAt = bootNow();
-    follower->peerConfirmed({ .number = 8 }, { .number = 8 }, endedAt);
+    follower->peerConfirmed({ .number = 8 }, { .number = 8 }, endedAt - untilPeerReports);
     runUntil([&] { return bootNow() - endedAt > 600ms; });
     server.setResponder([](const std::string&) {
         return ScriptedResponse { .bytes = answer(row("a", 8, true), 9), .delay = 4ms };
