Recognise an outage whose end a peer reports before this daemon's calls fail

A daemon that leaves reading to a peer finds out late that its own connection is dead. The latest gap in contact is kept now, whether or not this daemon's calls had failed by then.

--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -145,6 +145,13 @@
     int m_failuresInRow = 0;
     /// When the store was last known to answer this daemon or a peer.
     TimePoint m_contactAt {};
+    /// The latest time in which no daemon is known to have read the store, if it was long enough for entries
+    /// to expire.
+    struct Outage {
+        Duration length {};
+        TimePoint endedAt {};
+    };
+    Outage m_outage;
     TimePoint m_callStarted {};
     uint64_t m_calls = 0;
     uint64_t m_failures = 0;
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -256,14 +256,16 @@
         handleFailure(call, failure->detail);
         return;
     }
-    recordContact(now, now);
     if (m_isStoreUnreachable) {
+        recordContact(now, now);
+        m_replica.reconnected(m_outage.length, m_outage.endedAt);
         m_isStoreUnreachable = false;
         logEvent(Event::PlatformBack,
             { { "table", m_options.table },
                 { "view_age_ms", m_confirmedAt ? (now - *m_confirmedAt) / std::chrono::milliseconds(1) : -1 },
                 { "failures", static_cast<int64_t>(m_failuresInRow) } });
     }
+    m_contactAt = std::max(m_contactAt, now);
     m_failuresInRow = 0;
     m_isBehind = false;
     endCalls(call);
@@ -354,12 +356,17 @@
 
 void StoreFollower::recordContact(TimePoint at, TimePoint now)
 {
-    // A call that the store holds is no outage, so contact is missed only while calls fail. An outage ends
-    // with the first contact of any daemon: endpoints write their entries again from then on. The view of a
-    // peer is dated by its call, which may have been sent before the end.
-    if (m_isStoreUnreachable && at - m_contactAt >= m_options.replica.minOutageToExpire)
-        m_replica.reconnected(at - m_contactAt, now);
+    // A call that the store holds is no outage. Whether calls of this daemon fail may show only after a peer
+    // has reached the store again.
+    const auto gap = at - m_contactAt;
     m_contactAt = std::max(m_contactAt, at);
+    if (gap < m_options.replica.minOutageToExpire)
+        return;
+    // An outage ends with the first contact of any daemon: endpoints write their entries again from then on.
+    // The view of a peer is dated by its call, which may have been sent before the end.
+    m_outage = { .length = gap, .endedAt = now };
+    if (m_isStoreUnreachable)
+        m_replica.reconnected(gap, now);
 }
 
 Duration StoreFollower::retryDelay(TimePoint now)
--- a/packages/Edge/unittests/StoreRecoveryTest.cpp
+++ b/packages/Edge/unittests/StoreRecoveryTest.cpp
@@ -211,6 +211,23 @@
     EXPECT_LT(bootNow() - returnedAt, 1s);
 }
 
+TEST_F(StoreRecovery, OutageThatAPeerSawEndFirstDelaysRemovals)
+{
+    // This daemon left reading to a peer, and finds out only after the outage that its connection is dead.
+    maySkipPolling = true;
+    start();
+    const auto startedAt = bootNow();
+    follower->peerConfirmed({ .number = 7 }, { .number = 7 }, startedAt);
+    runUntil([&] { return bootNow() - startedAt > minOutageToExpire + 100ms; });
+    server.script({ .bytes = "", .delay = 1h });
+    server.script({ .bytes = answer(row("a", 8, true), 9) });
+    server.script({ .bytes = answer("", 9) });
+    const auto endedAt = bootNow();
+    follower->peerConfirmed({ .number = 9 }, { .number = 8 }, endedAt);
+    runUntil([this] { return seen == "+a+b-a"; });
+    EXPECT_GE(bootNow() - endedAt, lapsedEntryDelay);
+}
+
 TEST_F(StoreRecovery, RemovalAfterAnOutageOfAllDaemonsIsDelayedFromItsEnd)
 {
     start();
