Keep deletions of a former era when a peer delays them

A peer lists a row of a former era as one of the lowest version of the present one, so that a replica that had deleted the row took it for a newer one, withheld it for 10 s and then listed it. A row that the peer itself states as deleted does not undo a deletion now. A list that is older than what has been read, after the history was lost, deletes nothing newer. Numbers in the head of a list have to be numbers as a whole.

--- a/packages/Edge/include/lentilbay/Edge/EndpointCatchUp.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointCatchUp.h
@@ -22,7 +22,7 @@
     /// All entries, or none if the peer has them already. `rows.version` is the version up to which the list
     /// is complete.
     platform::StoreRows rows;
-    /// By key, after which time each entry is removed that the store has deleted already.
+    /// Entries that the store has deleted already: by key, the time left until their deletion is applied.
     std::map<std::string, Duration> delayedDeletions;
     /// The version of the newest change in the list.
     StoreVersion changed;
--- a/packages/Edge/include/lentilbay/Edge/TableReplica.h
+++ b/packages/Edge/include/lentilbay/Edge/TableReplica.h
@@ -61,7 +61,7 @@
 struct ReplicaRows {
     /// With those that the store has deleted, but whose deletion is delayed.
     platform::StoreRows rows;
-    /// By key, after which time each of those is deleted.
+    /// By key, the time left until each of those is deleted.
     std::map<std::string, Duration> delayedDeletions;
 };
 
--- a/packages/Edge/lib/EndpointCatchUp.cpp
+++ b/packages/Edge/lib/EndpointCatchUp.cpp
@@ -23,10 +23,12 @@
 constexpr std::string_view listPath = "/endpoints";
 constexpr std::string_view afterQuery = "?after=";
 
-/// Reads a number that the text begins with.
+/// Reads a text that is a number.
 bool readNumber(std::string_view text, auto& value)
 {
-    return std::from_chars(text.data(), text.data() + text.size(), value).ec == std::errc();
+    const auto* end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, value);
+    return read.ec == std::errc() && read.ptr == end;
 }
 
 /// Reads "<era>.<number>".
--- a/packages/Edge/lib/TableReplica.cpp
+++ b/packages/Edge/lib/TableReplica.cpp
@@ -209,11 +209,14 @@
         return std::nullopt;
     forgetPosition();
     m_snapshotVersion = rows.version;
-    // The peer may delay deletions that this replica knows of. A row that is not newer does not undo them.
+    // The peer may list rows whose deletion this replica has applied or delays, because the peer delays it.
+    // Such a row does not undo the deletion unless it is newer.
     const auto deletions = m_deletions;
     for (const auto& row : rows.rows) {
         const auto it = m_removed.find(row.key);
-        if (it == m_removed.end() || it->second.known.version < row.version)
+        const bool isRemoved = it != m_removed.end()
+            && (row.version <= it->second.known.version || peer.delayedDeletions.contains(row.key));
+        if (!isRemoved)
             m_snapshot[row.key] = row;
     }
     std::vector<RowChange> out;
@@ -223,7 +226,8 @@
             m_deletions.try_emplace(key, deletion);
     }
     for (const auto& [key, left] : peer.delayedDeletions) {
-        if (m_rows.contains(key))
+        // After the history was lost, a list may be older than what has been read.
+        if (const auto it = m_rows.find(key); it != m_rows.end() && it->second.version <= rows.version)
             m_deletions.try_emplace(key, Deletion { .version = rows.version, .dueAt = now + left });
     }
     return out;
--- a/packages/Edge/unittests/EndpointCatchUpTest.cpp
+++ b/packages/Edge/unittests/EndpointCatchUpTest.cpp
@@ -92,6 +92,7 @@
                                   .version = { 2, 9 } },
         .delayedDeletions = { { "i 2", 1200ms } },
         .changed = { 2, 9 } };
+    EXPECT_EQ(encodeEndpointList(list).substr(0, 20), "2.9 9 0 0 1:1200000\n");
     const auto decoded
         = outcomeOf<EndpointList>([&] { return decodeEndpointList(encodeEndpointList(list)); });
     ASSERT_TRUE(std::holds_alternative<EndpointList>(decoded));
@@ -105,7 +106,7 @@
     for (const std::string text : { "", "\n", "1.2 3 4 0", "1.2 3 4 0\n", "1 3 4 0\n{\"Rows\":[],\"Ver\":2}",
              "1.2 3 -4 0\n{\"Rows\":[],\"Ver\":2}", "{\"Rows\":[],\"Ver\":2}",
              "1.2 3 4\n{\"Rows\":[],\"Ver\":2}", "1.2 3 4 0 0:1\n{\"Rows\":[],\"Ver\":2}",
-             "1.2 3 4 0 x\n{\"Rows\":[],\"Ver\":2}" }) {
+             "1.2 3 4 0 x\n{\"Rows\":[],\"Ver\":2}", "1.2 3 4 0y\n{\"Rows\":[],\"Ver\":2}" }) {
         const auto decoded = outcomeOf<EndpointList>([&] { return decodeEndpointList(text); });
         EXPECT_TRUE(std::holds_alternative<Failure>(decoded)) << text;
     }
--- a/packages/Edge/unittests/TableReplicaTest.cpp
+++ b/packages/Edge/unittests/TableReplicaTest.cpp
@@ -127,6 +127,22 @@
     EXPECT_EQ(due(TimePoint(7s)), "");
 }
 
+TEST_F(TableReplicaTest, DeletionOfAFormerEraWasUndoneByAPeerThatDelaysIt)
+{
+    auto peer = peerThatDelaysADeletion();
+    replica.enterEra(1);
+    apply({ row("e", "ready", { 1, 3 }) }, { 1, 5 }, TimePoint(1s));
+    EXPECT_EQ(apply({ deletion("e", { 1, 8 }) }, { 1, 9 }, TimePoint(2s)), "-e");
+    // The copy of the store lacks the row, so the peer takes it for lost.
+    peer.enterEra(2);
+    peer.apply({ .version = { 2, 4 } }, TimePoint(5s));
+    replica.enterEra(2);
+    const auto changes = replica.applyPeerRows(*peer.rows(TimePoint(5s)), TimePoint(5s));
+    ASSERT_TRUE(changes);
+    EXPECT_EQ(printed(*changes), "");
+    EXPECT_EQ(due(TimePoint(60s)), "");
+}
+
 TEST_F(TableReplicaTest, OwnDelayedDeletionWasUndoneByAPeer)
 {
     auto own = peerThatDelaysADeletion();
