End a begun stream at the timeout of its route

Since a begun stream whose arrival was hardly known ran past the timeout of its route by the whole uncertainty. The caller leaves at its own deadline, but does not know that timeout: beyond it 0.4 s are allowed, as before. The test of a begun stream has longer times, and expects a deadline in each request that is sent on.

--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -39,10 +39,15 @@
     }
     if (!validate(now))
         return;
-    m_expiresAt = m_arrivedAt + std::min(m_route->timeout, m_metadata.deadline.value_or(m_route->timeout));
+    const auto deadline = m_metadata.deadline.value_or(m_route->timeout);
+    m_expiresAt = m_arrivedAt + std::min(m_route->timeout, deadline);
     const auto& arrival = m_exchange->arrival();
     const auto uncertainty = arrival.latest - arrival.earliest;
-    m_endsAt = m_expiresAt + (m_route->isStream ? uncertainty : std::min(uncertainty, maxEndDelay));
+    const auto endDelay = std::min(uncertainty, maxEndDelay);
+    // A caller leaves by itself at its own deadline, but does not know the timeout of the route.
+    const bool isBounded = !m_route->isStream || !m_metadata.deadline;
+    m_endsAt = m_arrivedAt
+        + std::min(m_route->timeout + endDelay, deadline + (isBounded ? endDelay : uncertainty));
     if (now >= m_expiresAt) {
         refuse(ResultCode::DeadlinePassedWaiting, Duration::zero(), now);
         return;
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -1665,19 +1665,19 @@
     first.setResponder([&](const std::string& request) {
         const bool isSilent = request.find("/stream/silent") != std::string::npos;
         return ScriptedResponse { .bytes = bytes,
-            .delay = isSilent ? 1000ms : 0ms,
+            .delay = isSilent ? 1500ms : 0ms,
             .pieceBytes = bytes.size() - eventOf(2).size(),
-            .pieceDelay = 600ms };
+            .pieceDelay = 1200ms };
     });
     const auto call = [&](const std::string& target) {
         http::HttpRequest request { .method = "POST", .target = target };
         request.headers.add("Host", "h");
         request.headers.add("X-Request-Id", "7");
         request.headers.add("Authorization", "Token k");
-        request.headers.add("X-Deadline-Ms", "800");
+        request.headers.add("X-Deadline-Ms", "1700");
         const auto begin = bootNow();
         const auto exchange = std::make_shared<http::Exchange>(
-            nullptr, std::move(request), http::ArrivalTime { .earliest = begin - 700ms, .latest = begin });
+            nullptr, std::move(request), http::ArrivalTime { .earliest = begin - 1200ms, .latest = begin });
         std::make_shared<EdgeRequest>(state, exchange)->admit(bootNow());
         runUntil([&] { return exchange->isDone(); });
         return bootNow() - begin;
@@ -1689,9 +1689,9 @@
     call("/stream/x");
     EXPECT_TRUE(served());
     // The opposite: an answer that has not begun ends by the earliest arrival.
-    EXPECT_LT(call("/stream/silent"), 700ms);
+    EXPECT_LT(call("/stream/silent"), 1300ms);
     first.setResponder([](const std::string&) { return ScriptedResponse { .bytes = "" }; });
-    EXPECT_LT(call("/safe/x"), 700ms);
+    EXPECT_LT(call("/safe/x"), 1300ms);
     ASSERT_EQ(first.requests().size(), 3U);
     const auto deadlineOf = [&](size_t i) {
         const auto& sent = first.requests()[i];
@@ -1699,9 +1699,30 @@
         return at == std::string::npos ? -1
                                        : std::stoi(sent.substr(at + std::string("X-Deadline-Ms: ").size()));
     };
-    EXPECT_GT(deadlineOf(0), 700);
-    EXPECT_LE(deadlineOf(0), 800) << "no more than the caller has stated";
-    EXPECT_LE(deadlineOf(2), 500);
+    EXPECT_GT(deadlineOf(0), 1300);
+    EXPECT_LE(deadlineOf(0), 1700) << "no more than the caller has stated";
+    EXPECT_GT(deadlineOf(2), 0);
+    EXPECT_LE(deadlineOf(2), 900);
+}
+
+TEST_F(EdgeRequestTest, TimeoutOfTheRouteEndsABegunStreamWhoseArrivalIsHardlyKnown)
+{
+    const auto bytes = streamAnswer({ eventOf(1), eventOf(2) });
+    first.setResponder([&](const std::string&) {
+        return ScriptedResponse {
+            .bytes = bytes, .pieceBytes = bytes.size() - eventOf(2).size(), .pieceDelay = 5s
+        };
+    });
+    http::HttpRequest request { .method = "POST", .target = "/stream/x" };
+    request.headers.add("Host", "h");
+    request.headers.add("X-Request-Id", "7");
+    request.headers.add("Authorization", "Token k");
+    const auto begin = bootNow();
+    const auto exchange = std::make_shared<http::Exchange>(
+        nullptr, std::move(request), http::ArrivalTime { .earliest = begin - 1200ms, .latest = begin });
+    std::make_shared<EdgeRequest>(state, exchange)->admit(bootNow());
+    runUntil([&] { return exchange->isDone(); });
+    EXPECT_LT(bootNow() - begin, 2600ms) << "the timeout is 3 s";
 }
 
 TEST_F(EdgeRequestTest, RequestThatMayHaveExpiredIsNotSent)
