--- a/packages/Edge/unittests/StreamOriginStoreTest.cpp
+++ b/packages/Edge/unittests/StreamOriginStoreTest.cpp
@@ -66,7 +66,7 @@
         context.run_for(std::chrono::duration_cast<std::chrono::milliseconds>(time));
     }
 
-    /// Runs until the call that is in progress has been answered, or for as long as no call takes.
+    /// Runs until the call that is in progress has been answered; the test fails if that takes very long.
     void awaitCall(const StreamOriginStore& store)
     {
         constexpr int maxSteps = 1000;
