--- a/packages/Control/unittests/EntryControllerTest.cpp
+++ b/packages/Control/unittests/EntryControllerTest.cpp
@@ -3,6 +3,9 @@
 
 #include <gmock/gmock.h>
 
+#include <string>
+#include <vector>
+
 namespace lentilbay {
 namespace {
 
@@ -240,5 +243,153 @@
     EXPECT_EQ(m_blackboard.findEndpointState(EndpointId("e1"))->inFlightTotal(), 0U);
 }
 
+/// The fixture with eight slots at each engine, of which e1 is the nearer one.
+class EntryBreakerTest : public EntryFixture {
+protected:
+    EntryBreakerTest()
+    {
+        auto next = configuration();
+        for (auto& it : next.endpoints)
+            it.slots = 8;
+        applyConfiguration(m_blackboard, std::make_shared<Configuration>(next));
+        grantAll(8, at(1h));
+        m_entry.step(at(0s));
+    }
+
+    /// Lets a new request arrive and returns its endpoint, or nothing if it waits.
+    std::string endpointOfNext(TimePoint now)
+    {
+        m_last = "r" + std::to_string(++m_count);
+        m_entry.arrive(arrival(m_last), now);
+        for (const auto& it : commands()) {
+            if (it.starts_with(m_last + "@"))
+                return it.substr(m_last.size() + 1);
+        }
+        return "";
+    }
+
+    /// Sends 20 requests in 0.5 s, one after the other, while e1 breaks each answer after so many tokens;
+    /// returns the number of broken answers.
+    int brokenOfTwenty(uint32_t tokens)
+    {
+        int broken = 0;
+        for (int i = 0; i < 20; ++i) {
+            const auto now = at(i * 25ms);
+            const auto endpoint = endpointOfNext(now);
+            EXPECT_NE(endpoint, "");
+            EXPECT_TRUE(dispatch(m_last, now));
+            if (const auto n = endpoint == "e1" ? tokens : 5; n > 0)
+                m_entry.tokensArrived(RequestId(m_last), n, now);
+            broken += endpoint == "e1" ? 1 : 0;
+            end(m_last, endpoint == "e1" ? AnswerEnd::Broken : AnswerEnd::Whole, now + 10ms);
+        }
+        return broken;
+    }
+
+    /// Opens the breaker of e1, the only engine that may be used.
+    void breakThreeAnswers()
+    {
+        m_blackboard.endpoints[1].leaving = true;
+        for (int i = 0; i < 3; ++i) {
+            ASSERT_EQ(endpointOfNext(at(0s)), "e1");
+            ASSERT_TRUE(dispatch(m_last, at(0s)));
+            end(m_last, AnswerEnd::Broken, at(0s));
+        }
+        commands();
+    }
+
+    std::string m_last;
+    int m_count = 0;
+};
+
+// Regression tests: a connection that stood was recorded as a success, and a broken answer not at all, so an
+// engine that broke every answer at once had free slots and got every request.
+TEST_F(EntryBreakerTest, EngineThatBrokeEveryAnswerWasChosenLikeASoundOne)
+{
+    EXPECT_EQ(brokenOfTwenty(0), 4);
+}
+
+TEST_F(EntryBreakerTest, EngineThatBrokeEveryAnswerAfterItsFirstTokensWasChosenLikeASoundOne)
+{
+    EXPECT_EQ(brokenOfTwenty(2), 4);
+}
+
+TEST_F(EntryBreakerTest, SoundEnginesWithLongStreamsStayChosen)
+{
+    m_blackboard.endpoints[1].leaving = true;
+    std::vector<std::string> streams;
+    for (int i = 0; i < 7; ++i) {
+        ASSERT_EQ(endpointOfNext(at(1s)), "e1");
+        ASSERT_TRUE(dispatch(m_last, at(1s)));
+        m_entry.tokensArrived(RequestId(m_last), 1, at(1s));
+        streams.push_back(m_last);
+    }
+    // Callers that leave before the dispatch, before the first token and within the stream.
+    for (int i = 0; i < 12; ++i) {
+        const auto now = at(2s + i * 100ms);
+        ASSERT_EQ(endpointOfNext(now), "e1") << i;
+        if (i % 3 > 0) {
+            ASSERT_TRUE(dispatch(m_last, now));
+        }
+        if (i % 3 > 1)
+            m_entry.tokensArrived(RequestId(m_last), 1, now);
+        m_entry.callerLeft(RequestId(m_last), now);
+        // A cancelled answer may be reported as broken.
+        end(m_last, i < 6 ? AnswerEnd::Cancelled : AnswerEnd::Broken, now);
+    }
+    EXPECT_EQ(endpointOfNext(at(4s)), "e1");
+    for (const auto& it : streams)
+        end(it, AnswerEnd::Whole, at(5s));
+}
+
+TEST_F(EntryBreakerTest, EngineThatRecoversIsFilledWithStreamsBeforeOneHasEnded)
+{
+    breakThreeAnswers();
+    EXPECT_EQ(endpointOfNext(at(100ms)), "");
+    m_entry.callerLeft(RequestId(m_last), at(100ms));
+    for (int i = 0; i < 8; ++i) {
+        ASSERT_EQ(endpointOfNext(at(1s)), "e1") << i;
+        ASSERT_TRUE(dispatch(m_last, at(1s)));
+        m_entry.tokensArrived(RequestId(m_last), 1, at(1s));
+    }
+}
+
+TEST_F(EntryBreakerTest, ProbeWithoutAStreamDelaysTheNextRequestByOnePauseOnly)
+{
+    breakThreeAnswers();
+    ASSERT_EQ(endpointOfNext(at(1s)), "e1");
+    ASSERT_TRUE(dispatch(m_last, at(1s)));
+    EXPECT_EQ(endpointOfNext(at(1s)), "");
+    m_entry.step(at(1500ms));
+    EXPECT_THAT(commands(), ElementsAre(m_last + "@e1"));
+}
+
+TEST_F(EntryBreakerTest, CancellingTheProbeAllowsTheNextOne)
+{
+    breakThreeAnswers();
+    ASSERT_EQ(endpointOfNext(at(1s)), "e1");
+    ASSERT_TRUE(dispatch(m_last, at(1s)));
+    m_entry.callerLeft(RequestId(m_last), at(1s));
+    EXPECT_EQ(endpointOfNext(at(1s)), "e1");
+}
+
+// Regression test: a probe that was withdrawn while it connected was waited for without end.
+TEST_F(EntryControllerTest, CallerThatLeftWhileItsProbeConnectedBlockedTheEndpoint)
+{
+    m_blackboard.endpoints[1].leaving = true;
+    m_entry.arrive(arrival("r1"), at(0s));
+    for (int i = 0; i < 3; ++i) {
+        m_entry.connectFailed(RequestId("r1"), at(i * 10ms));
+        m_entry.step(at(i * 10ms + 10ms));
+    }
+    m_entry.callerLeft(RequestId("r1"), at(50ms));
+    EXPECT_THAT(commands(), ElementsAre("r1@e1", "r1@e1", "r1@e1"));
+    m_entry.arrive(arrival("r2"), at(1s));
+    EXPECT_THAT(commands(), ElementsAre("r2@e1"));
+    m_entry.callerLeft(RequestId("r2"), at(1s));
+    m_entry.arrive(arrival("r3"), at(1s));
+    EXPECT_THAT(commands(), ElementsAre("r3@e1"));
+}
+
 } // namespace
 } // namespace lentilbay
