--- a/packages/Control/lib/Entry/Dispatcher.cpp
+++ b/packages/Control/lib/Entry/Dispatcher.cpp
@@ -92,7 +92,7 @@
     takeSlot(request, endpoint);
     if (request.failedConnections == 0)
         endpoint.retries->firstAttempt(now);
-    request.attempt = endpoint.breaker.sent(now);
+    endpoint.breaker.sent(now);
     request.queuedPrefillSeconds = toSeconds(std::max(endpoint.prefillEndsAt - now, Duration::zero()));
     const double prefill = request.expected.promptTokens * (1 - request.cachedFraction);
     endpoint.prefillEndsAt
--- a/packages/Control/lib/Entry/EntryState.h
+++ b/packages/Control/lib/Entry/EntryState.h
@@ -42,11 +42,6 @@
     void countWaiting(const OpenRequest& request, bool isAdded);
     void takeSlot(OpenRequest& request, EndpointRuntime& endpoint);
     void releaseSlot(OpenRequest& request);
-    /// Report the outcome of the request at its endpoint to the breaker, once.
-    void attemptSucceeded(OpenRequest& request);
-    void attemptFailed(OpenRequest& request, TimePoint now);
-    /// The request was withdrawn from its endpoint, or the outcome follows from its cancellation.
-    void attemptAbandoned(OpenRequest& request);
     void finish(OpenRequest& request, ResultCode code, Executed ran, TimePoint now);
     void refuse(OpenRequest& request, Failure failure, Executed ran, TimePoint now);
     void cancel(OpenRequest& request, Failure reason);
--- a/packages/Control/lib/Entry/Lifecycle.cpp
+++ b/packages/Control/lib/Entry/Lifecycle.cpp
@@ -96,27 +96,8 @@
         ++pool->served[request.rank];
 }
 
-void EntryController::State::attemptSucceeded(OpenRequest& request)
-{
-    if (const auto attempt = std::exchange(request.attempt, std::nullopt))
-        request.endpoint->breaker.succeeded(*attempt);
-}
-
-void EntryController::State::attemptFailed(OpenRequest& request, TimePoint now)
-{
-    if (const auto attempt = std::exchange(request.attempt, std::nullopt))
-        request.endpoint->breaker.failed(*attempt, now, random);
-}
-
-void EntryController::State::attemptAbandoned(OpenRequest& request)
-{
-    if (const auto attempt = std::exchange(request.attempt, std::nullopt))
-        request.endpoint->breaker.abandoned(*attempt);
-}
-
 void EntryController::State::releaseSlot(OpenRequest& request)
 {
-    attemptAbandoned(request);
     auto* endpoint = std::exchange(request.endpoint, nullptr);
     if (!endpoint)
         return;
@@ -184,7 +165,6 @@
             --pool->served[request.rank];
     }
     request.phase = RequestPhase::Cancelling;
-    attemptAbandoned(request);
     request.cancelReason = reason;
     setTimer(request, TimePoint::max());
     commands.emplace_back(CancelCommand { .id = request.arrival.id, .reason = std::move(reason) });
--- a/packages/Control/lib/Entry/Prediction.cpp
+++ b/packages/Control/lib/Entry/Prediction.cpp
@@ -134,8 +134,6 @@
     if (!request.firstTokenAt) {
         auto& endpoint = *request.endpoint;
         request.firstTokenAt = now;
-        if (request.attempt)
-            endpoint.breaker.progressed(*request.attempt);
         request.prefillStartedAt = std::max(request.dispatchedAt, endpoint.lastFirstTokenAt);
         endpoint.lastFirstTokenAt = now;
         const bool isLast = std::all_of(endpoint.activeRequests.begin(), endpoint.activeRequests.end(),
--- a/packages/Control/lib/Entry/RequestTable.h
+++ b/packages/Control/lib/Entry/RequestTable.h
@@ -3,7 +3,6 @@
 
 #include "lentilbay/Control/Commands.h"
 #include "lentilbay/Model/Request.h"
-#include "lentilbay/Policy/Retry.h"
 #include "lentilbay/Policy/Routing.h"
 #include "lentilbay/Support/Time.h"
 
@@ -64,8 +63,6 @@
     /// Preempted by a higher tier while connecting; mayDispatch() denies the dispatch.
     bool isRevoked = false;
     uint32_t failedConnections = 0;
-    /// Its attempt at the breaker of its endpoint, while the outcome is not known.
-    std::optional<CircuitBreaker::Attempt> attempt;
     /// The next check, which is also its key in State::timers; max if none is scheduled.
     TimePoint timerAt = TimePoint::max();
     /// Counted in PoolState::urgent: close to its latest feasible start, and no request here can be
--- a/packages/Control/lib/EntryController.cpp
+++ b/packages/Control/lib/EntryController.cpp
@@ -89,9 +89,11 @@
         && request->rank <= state->grant.lowestRank;
     if (!isGranted || request->isRevoked || m_state->blackboard.mustNotStartWork(now)) {
         m_state->releaseSlot(*request);
+        endpoint.breaker.abandoned();
         m_state->enqueue(*request, now);
         return false;
     }
+    endpoint.breaker.succeeded();
     m_state->runtime.prefixes.sent(request->arrival.prefixHashes, endpoint.number, now);
     request->phase = RequestPhase::Running;
     request->dispatchedAt = now;
@@ -106,7 +108,7 @@
     if (!request || request->phase != RequestPhase::Connecting)
         return;
     auto& endpoint = *request->endpoint;
-    m_state->attemptFailed(*request, now);
+    endpoint.breaker.failed(now, m_state->random);
     request->failedEndpoint = &endpoint;
     ++request->failedConnections;
     const bool mayRetry = request->failedConnections < maxFailedConnections
@@ -150,19 +152,15 @@
         return;
     switch (end) {
     case AnswerEnd::Whole:
-        m_state->attemptSucceeded(*request);
         m_state->observeEnd(*request, now);
         m_state->finish(
             *request, request->callerGone ? ResultCode::CallerLeft : ResultCode::Ok, Executed::Partly, now);
         break;
     case AnswerEnd::Broken:
-        m_state->attemptFailed(*request, now);
         m_state->refuse(*request, { .code = ResultCode::EndpointBroke, .detail = "the answer broke off" },
             request->firstTokenAt ? Executed::Partly : Executed::Unknown, now);
         break;
     case AnswerEnd::Refused:
-        // A refusal is a complete answer.
-        m_state->attemptSucceeded(*request);
         m_state->refuse(*request,
             { .code = ResultCode::EndpointRefused, .detail = "the endpoint refused the request" },
             Executed::No, now);
