Probe endpoints that have not failed before links count as lost

Change: while endpoints are heard, the loss of new connections is assumed only after four probes to endpoints that had not failed have failed; probes go to such endpoints first, four at a time.

--- a/packages/Edge/include/lentilbay/Edge/LinkMonitor.h
+++ b/packages/Edge/include/lentilbay/Edge/LinkMonitor.h
@@ -6,6 +6,10 @@
 // connections may also be reset, or all endpoints be silent for a moment, without a partition, a failure to
 // establish a new connection is needed as well; the daemon tries one as soon as it has a suspicion.
 //
+// Where endpoints are still heard, failures to connect alone show nothing: when many endpoints crash at once,
+// the daemon opens new connections mostly to them, as its connections to the others live on. Only failed
+// probes count then, which are sent to endpoints that have not failed.
+//
 // Requests are then sent through peers. New connections are tried at intervals until one is established.
 #pragma once
 
@@ -49,6 +53,8 @@
     size_t endpoints = 0;
     /// Those that could not be connected to since a connection was established to any endpoint.
     size_t unconnectable = 0;
+    /// Of these, the ones that had not failed when they were probed.
+    size_t failedProbes = 0;
     /// Those that broke off a connection, do not answer, or cannot be connected to, and have not been heard
     /// since.
     size_t lost = 0;
@@ -104,6 +110,10 @@
         /// The latest loss; not set if the endpoint has been heard, or connected to, since.
         std::optional<TimePoint> lostAt;
         TimePoint probedAt {};
+        /// A probe to the endpoint, which had not failed before, has not ended yet.
+        bool isProbed = false;
+        /// The probe has failed; not set if a connection has been established since.
+        bool hasFailedProbe = false;
     };
 
     void recordLost(Endpoint& endpoint, TimePoint now);
--- a/packages/Edge/lib/LinkMonitor.cpp
+++ b/packages/Edge/lib/LinkMonitor.cpp
@@ -2,12 +2,17 @@
 #include "lentilbay/Edge/LinkMonitor.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lentilbay::edge {
 namespace {
 
 /// So many endpoints, or all if there are fewer, must be lost at once.
 constexpr size_t endpointsOfPartition = 3;
+/// So many probes to endpoints that had not failed, or all if there are fewer, must fail before the loss of
+/// new connections alone is assumed: if a quarter of the endpoints has crashed, this happens by chance in 4
+/// of 1,000 cases.
+constexpr size_t failedProbesOfPartition = 4;
 /// Losses and failures to connect are evidence for this long.
 constexpr Duration evidenceLifetime = std::chrono::seconds(2);
 /// On a daemon with traffic, some endpoint is heard within this time.
@@ -16,7 +21,7 @@
 constexpr Duration suspicionProbePeriod = std::chrono::milliseconds(200);
 constexpr Duration probePeriod = std::chrono::milliseconds(500);
 /// The number of endpoints that are tried at a time. If no daemon reaches any, they may be back one by one.
-constexpr size_t suspicionProbes = 2;
+constexpr size_t suspicionProbes = 4;
 constexpr size_t probes = 1;
 constexpr size_t probesOfNoneReachable = 4;
 /// Links that go down again within this time must be up for longer before they are used again.
@@ -51,7 +56,9 @@
         return LinkState::Up;
     if (evidence.heard == 0 && evidence.lost >= lossThreshold(evidence))
         return evidence.peers > 0 ? LinkState::Partitioned : LinkState::NoneReachable;
-    return evidence.unconnectable >= lossThreshold(evidence) ? LinkState::NoNewConnections : LinkState::Up;
+    const bool probesFail = evidence.failedProbes >= std::min(failedProbesOfPartition, evidence.endpoints);
+    return probesFail && evidence.unconnectable >= lossThreshold(evidence) ? LinkState::NoNewConnections
+                                                                           : LinkState::Up;
 }
 
 bool isSuspicious(const LinkEvidence& evidence)
@@ -80,6 +87,7 @@
         return;
     it->second.lostAt.reset();
     it->second.connectFailedAt.reset();
+    it->second.isProbed = it->second.hasFailedProbe = false;
 }
 
 void LinkMonitor::recordConnectFailed(uint64_t endpoint, TimePoint now)
@@ -89,6 +97,7 @@
     if (it == m_endpoints.end())
         return;
     it->second.connectFailedAt = now;
+    it->second.hasFailedProbe = std::exchange(it->second.isProbed, false) || it->second.hasFailedProbe;
     recordLost(it->second, now);
 }
 
@@ -126,10 +135,10 @@
         const bool isLost = it.lostAt && now - *it.lostAt <= evidenceLifetime;
         out.lost += isLost ? 1 : 0;
         out.heard += !isLost && it.heardAt != TimePoint {} && now - it.heardAt <= heardLifetime ? 1 : 0;
-        out.unconnectable += it.connectFailedAt && now - *it.connectFailedAt <= evidenceLifetime
-                && *it.connectFailedAt > m_connectedAt
-            ? 1
-            : 0;
+        const bool isUnconnectable = it.connectFailedAt && now - *it.connectFailedAt <= evidenceLifetime
+            && *it.connectFailedAt > m_connectedAt;
+        out.unconnectable += isUnconnectable ? 1 : 0;
+        out.failedProbes += isUnconnectable && it.hasFailedProbe ? 1 : 0;
     }
     return out;
 }
@@ -150,6 +159,7 @@
     for (auto& [id, it] : m_endpoints) {
         it.lostAt.reset();
         it.connectFailedAt.reset();
+        it.isProbed = it.hasFailedProbe = false;
     }
 }
 
@@ -194,9 +204,16 @@
         : m_state == LinkState::NoneReachable ? probesOfNoneReachable
                                               : probes;
     std::vector<uint64_t> out;
+    // While there is only a suspicion, endpoints that have not failed show more than those that have.
+    const auto hasFailed = [](const Endpoint& it) { return it.connectFailedAt || it.lostAt; };
     while (out.size() < std::min(n, m_endpoints.size())) {
-        auto it = std::ranges::min_element(
-            m_endpoints, {}, [](const auto& endpoint) { return endpoint.second.probedAt; });
+        auto it = std::ranges::min_element(m_endpoints, {}, [&](const auto& endpoint) {
+            return std::pair(isUp && hasFailed(endpoint.second), endpoint.second.probedAt);
+        });
+        // All that have not failed are being probed already.
+        if (it->second.probedAt == now)
+            break;
+        it->second.isProbed = !hasFailed(it->second);
         it->second.probedAt = now;
         out.push_back(it->first);
     }
