Share failures to connect to endpoints between the daemons

Each of 85 daemons found each failing endpoint by itself, by two failed sends, and tried it again after 0.4, 0.8 and 1.6 s. Under load an endpoint that is gone is the only one that seems to have room, so it got most of the sends.

Heartbeats now report endpoints that accept no connection (wire revision 6), aggregators sum the reports up, and two daemons of each data centre check such an endpoint by connecting to it. An endpoint is excluded for a data centre if two of its daemons fail and none of it receives anything, and for the fleet if daemons of two data centres fail and nobody receives anything. What is new is sent at once.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -5,6 +5,7 @@
 #include "lentilbay/Edge/DaemonRoster.h"
 #include "lentilbay/Edge/EdgeState.h"
 #include "lentilbay/Edge/EndpointCatchUp.h"
+#include "lentilbay/Edge/EndpointReportExchange.h"
 #include "lentilbay/Edge/PeerDocument.h"
 #include "lentilbay/Edge/PeerSummaries.h"
 #include "lentilbay/Edge/StoreFollower.h"
@@ -141,7 +142,7 @@
     /// Does what is due at short intervals.
     void poll(TimePoint now);
     /// Whether something waits that poll() must look at soon.
-    bool hasUrgentWork() const;
+    bool hasUrgentWork();
     void schedulePoll(Duration delay);
     /// Brings the next poll() forward.
     void hastenPoll();
@@ -166,6 +167,7 @@
     bool m_hasInitialQuotas = false;
     std::map<std::string, TimePoint> m_nextHeartbeatAt;
     PeerSummaries m_summaries;
+    EndpointReportExchange m_endpointReports { m_state };
     /// The daemon has started so recently that it may not have heard the one that reads the store for it.
     bool m_awaitsReader = true;
     /// The peers whose use of quotas was last counted as part of a sum.
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -119,6 +119,8 @@
         return m_readEndpoints && endpointsConfirmedAt && now - *endpointsConfirmedAt > maxEndpointsAge()
             && !(m_isStoreUnreachable && m_isStoreUnreachable());
     }
+    /// Records that something was received from an endpoint to which a request was sent at that time.
+    void recordHeard(const EndpointIncarnation& endpoint, TimePoint sentAt, TimePoint now);
     /// Logs what an endpoint is now known to state about itself; `source` is the peer that reported it, or
     /// empty.
     void logSignals(const EndpointId& endpoint, const std::string& source) const;
@@ -153,6 +155,8 @@
 private:
     /// Records that a new connection to an endpoint could or could not be established.
     void recordConnection(const EndpointState& endpoint, bool isConnected, TimePoint now);
+    /// Records for the other daemons that an endpoint accepts no connection.
+    void recordGone(const EndpointState& endpoint, TimePoint now);
     /// Records whether an endpoint which broke off an answer keeps a new connection, or is gone.
     void recordAliveCheck(EndpointState& endpoint, bool isAlive, TimePoint now);
 
--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -7,6 +7,7 @@
 #include "lentilbay/Edge/EndpointSignalTable.h"
 #include "lentilbay/Model/RoutedEndpoint.h"
 #include "lentilbay/Model/Topology.h"
+#include "lentilbay/Policy/EndpointFailureReports.h"
 #include "lentilbay/Policy/Estimate.h"
 #include "lentilbay/Support/Random.h"
 #include "lentilbay/Support/Time.h"
@@ -75,6 +76,11 @@
     void recordFailure(TimePoint now, double evidence = 1);
     /// Records that the endpoint's process is gone, which suspends it.
     void recordLost(TimePoint now);
+    /// Ends a suspension, because another daemon has reached the endpoint since. It gets one request at a
+    /// time until one succeeds.
+    void endSuspension() { m_suspendedUntil = m_unusableUntil = {}; }
+    /// When a request last failed there.
+    TimePoint failedAt() const { return m_failedAt; }
     /// Takes back a failure that was recorded then, since the request turned out to be its cause.
     void retractFailure(double evidence, TimePoint failedAt);
     /// Requests in flight at the endpoint, of all daemons.
@@ -228,6 +234,13 @@
     /// Ends suspensions because of failures since then, which did not come from the endpoints.
     void forgetFailuresSince(TimePoint since);
 
+    /// Endpoints that fail, as all daemons report them.
+    EndpointFailureReports& failureReports() { return m_failureReports; }
+    EndpointUse useOf(const EndpointState& endpoint, TimePoint now) const
+    {
+        return m_failureReports.use(endpoint.hash(), endpoint.entry().startedAtMilliseconds, now);
+    }
+
     /// Replaces the loads that a daemon reported before.
     void updatePeerLoads(const std::string& daemon, const std::vector<PeerLoad>& loads, TimePoint now);
     /// Drops loads that were reported too long ago.
@@ -290,13 +303,16 @@
     {
         return m_topology.localityOf(endpoint.entry().dataCentre);
     }
-    bool hasRoom(const EndpointState& endpoint, bool excusesFailures) const;
+    bool hasRoom(const EndpointState& endpoint, bool isLimitedToOne) const;
     /// Whether failures and stalls exclude no endpoint, because they would exclude all of them although
     /// requests succeed: some requests fail at any endpoint, and the others need one.
     struct Excuses {
         bool failures = false;
         bool stalls = false;
+        /// Whether all endpoints are excluded, so that the other daemons' reports exclude none.
+        bool reports = false;
     };
+    bool isExcluded(const EndpointState& endpoint, const Excuses& excuses, TimePoint now) const;
     Excuses excusesFor(const ServiceId& service, std::optional<uint64_t> version, TimePoint now) const;
     /// Whether what the endpoint states about itself allows a send now.
     bool isAllowedBySignals(const EndpointState& endpoint, TimePoint now) const;
@@ -329,6 +345,7 @@
     uint64_t m_revision = 0;
     std::map<std::string, PeerLoads> m_peers;
     EndpointSignalTable m_signals;
+    EndpointFailureReports m_failureReports;
     std::set<ServiceId> m_brittleServices;
 };
 
--- a/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
@@ -6,6 +6,7 @@
 #include "lentilbay/Edge/CrashAttribution.h"
 #include "lentilbay/Edge/EndpointRegistry.h"
 #include "lentilbay/Edge/PeerWire.h"
+#include "lentilbay/Policy/EndpointFailureReports.h"
 #include "lentilbay/Policy/SharedQuota.h"
 #include "lentilbay/Support/Result.h"
 #include "lentilbay/Support/Time.h"
@@ -143,6 +144,8 @@
     };
     /// Daemons that the sender hears or knows to be heard; not necessarily all.
     std::vector<DataCentreMembers> members;
+    /// Endpoints that fail; empty for most of the time. Of the daemons in the summary, if there is one.
+    std::vector<EndpointFailureReport> failures;
 
     auto operator<=>(const PeerHeartbeat&) const = default;
 };
--- a/packages/Edge/include/lentilbay/Edge/PeerWire.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerWire.h
@@ -40,9 +40,11 @@
     Summaries = 4,
     /// Heartbeats to restarted daemons state when the use of quotas was counted.
     WindowParts = 5,
+    /// Heartbeats report endpoints that fail.
+    EndpointReports = 6,
 };
 
-constexpr WireRevision newestWireRevision = WireRevision::WindowParts;
+constexpr WireRevision newestWireRevision = WireRevision::EndpointReports;
 
 /// Whether a daemon sends summaries and understands those of others.
 constexpr bool usesSummaries(WireRevision revision) { return revision >= WireRevision::Summaries; }
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -214,13 +214,18 @@
     m_state.streams.poll(now);
     m_state.streamOrigins.poll(m_state.peers.knownDaemons(), now);
     updateLinks(now);
+    if (m_endpointReports.isRoundDue(m_summaries.isAggregator(), now)) {
+        m_nextHeartbeatAt.clear();
+        sendHeartbeats();
+    }
     if (m_state.queue.size() > 0)
         m_state.dispatchWaiting(now);
 }
 
-bool EdgeDaemon::hasUrgentWork() const
+bool EdgeDaemon::hasUrgentWork()
 {
-    return m_state.queue.size() > 0 || m_state.streams.hasQueries() || m_state.links.isUnsettled()
+    return m_endpointReports.hasNews(m_summaries.isAggregator()) || m_state.queue.size() > 0
+        || m_state.streams.hasQueries() || m_state.links.isUnsettled()
         || m_endpointFollower->hasDelayedChanges();
 }
 
@@ -581,6 +586,7 @@
     for (const auto& [revision, n] : m_state.peers.daemonsByRevision())
         out.emplace_back(
             fmt::format("peers_by_wire_revision{{revision=\"{}\"}}", static_cast<int>(revision)), number(n));
+    out.emplace_back("endpoints_excluded", number(m_endpointReports.excluded()));
     for (const auto& [source, sumAge] : m_summaries.ages(now))
         out.emplace_back(fmt::format("summary_age_seconds{{source=\"{}\"}}", source), toSeconds(sumAge));
     std::set<ServiceId> services;
--- a/packages/Edge/lib/EdgeLinks.cpp
+++ b/packages/Edge/lib/EdgeLinks.cpp
@@ -114,6 +114,7 @@
         // What was lost with the links says nothing about the endpoints and the requests.
         m_state.crashes.dropBreaksSince(now - lossDetectionTime);
         m_state.endpointRegistry.forgetFailuresSince(now - lossDetectionTime);
+        m_state.endpointRegistry.failureReports().forgetFailuresSince(now - lossDetectionTime);
         // The other daemons forward to this one, or stop doing so.
         m_nextHeartbeatAt.clear();
     }
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -169,7 +169,10 @@
     }
     applyPeerQuotas(heartbeat, !heartbeat.hasSummary && !isSummarised, now);
     applyPeerSignals(heartbeat, now);
+    m_endpointReports.apply(heartbeat, m_incarnation, now);
     applyPeerCrashTriggers(heartbeat, now);
+    if (m_endpointReports.hasNews(m_summaries.isAggregator()))
+        hastenPoll();
 }
 
 void EdgeDaemon::applyPeerSignals(const PeerHeartbeat& heartbeat, TimePoint now)
@@ -363,6 +366,7 @@
     if (hasUrgentWork())
         hastenPoll();
     updateSignals(now);
+    m_endpointReports.update(now);
     catchUpWithPeers(now);
     catchUpEndpoints(now);
     m_state.versions.update(m_state.endpointRegistry, now);
@@ -380,6 +384,7 @@
     std::erase_if(
         m_nextHeartbeatAt, [&](const auto& it) { return !m_state.peers.peers().contains(it.first); });
     std::map<PeerSummaries::Content, std::string> sections;
+    std::map<PeerSummaries::Content, std::vector<EndpointFailureReport>> failures;
     for (const auto& [name, peer] : m_state.peers.peers()) {
         std::vector<TriggerReport> addressed;
         std::ranges::copy_if(triggers, std::back_inserter(addressed),
@@ -397,6 +402,10 @@
         auto heartbeat = own;
         heartbeat.periodMilliseconds = static_cast<uint32_t>(route->period / std::chrono::milliseconds(1));
         heartbeat.triggers = std::move(addressed);
+        const auto [reported, isFirst] = failures.try_emplace(route->content);
+        if (isFirst)
+            reported->second = m_endpointReports.reports(route->content, now);
+        heartbeat.failures = reported->second;
         addressHeartbeat(heartbeat, peer, bootNow());
         std::string_view shared;
         if (route->content != PeerSummaries::Content::Own) {
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -339,8 +339,7 @@
     // Where the caller expects certain weights, the endpoint may be the right one and lack them.
     m_send->isMisdirected = metadata.isMisdirected && !m_metadata.expectsWeights;
     m_send->lacksWeights = metadata.isMisdirected && m_metadata.expectsWeights;
-    m_state.links.recordHeard(m_send->endpoint->hash(), now);
-    m_state.crashes.recordAlive(m_send->endpoint->hash(), m_send->sentAt);
+    m_state.recordHeard(m_send->incarnation, m_send->sentAt, now);
     return true;
 }
 
@@ -466,10 +465,8 @@
     // The endpoint that ended the stream before left events out.
     if (m_send->hadEvents && m_unconfirmedEndpoint)
         recordLateFailure(*std::exchange(m_unconfirmedEndpoint, nullptr), now);
-    if (!m_send->isThroughPeer) {
-        m_state.links.recordHeard(endpoint.hash(), now);
-        m_state.crashes.recordAlive(endpoint.hash(), m_send->sentAt);
-    }
+    if (!m_send->isThroughPeer)
+        m_state.recordHeard(m_send->incarnation, m_send->sentAt, now);
     if (m_send->events >= eventsOfBegunAnswer)
         recordAnswerBegun(now);
     if (m_eventsRelayed == 0) {
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -81,17 +81,37 @@
     const bool wasSuspended = endpoint.isSuspended(now);
     endpoint.recordLost(now);
     failureSources.recordLost(endpoint.hash());
+    recordGone(endpoint, now);
     if (!wasSuspended)
         logEvent(Event::EndpointSuspected,
             { { "endpoint", endpoint.entry().id.text() }, { "misdirected", int64_t { 0 } } });
 }
 
+void EdgeState::recordHeard(const EndpointIncarnation& endpoint, TimePoint sentAt, TimePoint now)
+{
+    links.recordHeard(endpoint.endpoint, now);
+    crashes.recordAlive(endpoint.endpoint, sentAt);
+    endpointRegistry.failureReports().recordHeard(endpoint.endpoint, endpoint.startedAtMilliseconds, now);
+}
+
+void EdgeState::recordGone(const EndpointState& endpoint, TimePoint now)
+{
+    if (links.state() != LinkState::Up)
+        return;
+    endpointRegistry.failureReports().recordFailure(
+        endpoint.hash(), endpoint.entry().startedAtMilliseconds, now);
+    requestPoll();
+}
+
 void EdgeState::recordConnection(const EndpointState& endpoint, bool isConnected, TimePoint now)
 {
     if (isConnected) {
         links.recordConnected(endpoint.hash(), now);
+        endpointRegistry.failureReports().recordHeard(
+            endpoint.hash(), endpoint.entry().startedAtMilliseconds, now);
     } else {
         links.recordConnectFailed(endpoint.hash(), now);
+        recordGone(endpoint, now);
         requestPoll();
     }
     links.update(now);
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -360,9 +360,15 @@
     return it == m_endpoints.end() ? nullptr : it->second;
 }
 
-bool EndpointRegistry::hasRoom(const EndpointState& endpoint, bool excusesFailures) const
+bool EndpointRegistry::isExcluded(const EndpointState& endpoint, const Excuses& excuses, TimePoint now) const
 {
-    if (!excusesFailures && endpoint.isOnProbation() && endpoint.ownInFlight() > 0)
+    return (excuses.failures ? endpoint.isUnusable(now) : endpoint.isSuspended(now))
+        || (!excuses.reports && useOf(endpoint, now) == EndpointUse::Excluded);
+}
+
+bool EndpointRegistry::hasRoom(const EndpointState& endpoint, bool isLimitedToOne) const
+{
+    if (isLimitedToOne && endpoint.ownInFlight() > 0)
         return false;
     if (endpoint.m_slotShare)
         return endpoint.ownInFlight() < *endpoint.m_slotShare;
@@ -380,13 +386,14 @@
     for (const auto& it : endpointsOf(service)) {
         if (isLeaving(*it) || (version && it->versionHash() != *version))
             continue;
-        if (!it->isSuspended(now) && !it->isStalled(now))
+        if (!isExcluded(*it, {}, now) && !it->isStalled(now))
             return {};
         succeededAt = std::max(succeededAt, it->succeededAt());
     }
-    if (succeededAt == TimePoint {})
-        return {};
-    return { .failures = now - succeededAt < excuseOfFailures, .stalls = now - succeededAt < excuseOfStalls };
+    const bool hasSucceeded = succeededAt != TimePoint {};
+    return { .failures = hasSucceeded && now - succeededAt < excuseOfFailures,
+        .stalls = hasSucceeded && now - succeededAt < excuseOfStalls,
+        .reports = true };
 }
 
 bool EndpointRegistry::isAllowedBySignals(const EndpointState& endpoint, TimePoint now) const
@@ -510,15 +517,16 @@
     for (const auto& it : endpointsOf(query.service)) {
         if (query.version && it->versionHash() != *query.version)
             continue;
-        const bool isExcluded = excuses.failures ? it->isUnusable(now) : it->isSuspended(now);
-        if (isLeaving(*it) || isExcluded || (!excuses.stalls && it->isStalled(now))
+        if (isLeaving(*it) || isExcluded(*it, excuses, now) || (!excuses.stalls && it->isStalled(now))
             || !isAllowedBySignals(*it, now))
             continue;
         const auto gradeWith = [&, isFast = finishesInTime(*it, query, now)](double pendingTokens) {
             return !isFast ? Any : meetsLatencyObjectives(*it, query, pendingTokens, now) ? InTime : Finishes;
         };
         possible = std::min(possible, gradeWith(0));
-        if (!hasRoom(*it, excuses.failures))
+        const bool isLimitedToOne
+            = !excuses.failures && (it->isOnProbation() || useOf(*it, now) == EndpointUse::ProbeOnly);
+        if (!hasRoom(*it, isLimitedToOne))
             continue;
         if (std::ranges::find(query.tried, it->entry().id) != query.tried.end())
             continue;
@@ -560,10 +568,10 @@
 EndpointRegistry::Occupancy EndpointRegistry::occupancy(const ServiceId& service, TimePoint now) const
 {
     Occupancy out;
-    const bool excusesFailures = excusesFor(service, std::nullopt, now).failures;
+    const auto excuses = excusesFor(service, std::nullopt, now);
     for (const auto& it : endpointsOf(service)) {
         const auto& entry = it->entry();
-        if (isLeaving(*it) || (excusesFailures ? it->isUnusable(now) : it->isSuspended(now)))
+        if (isLeaving(*it) || isExcluded(*it, excuses, now))
             continue;
         const double load = std::min<double>(entry.slots, it->load());
         out.slots += isAllowedBySignals(*it, now) ? entry.slots : load;
--- a/packages/Edge/lib/PeerHeartbeat.cpp
+++ b/packages/Edge/lib/PeerHeartbeat.cpp
@@ -97,6 +97,32 @@
     }
 }
 
+template <class Archive> void witness(Archive& archive, EndpointWitness& it)
+{
+    bool hasFailed = it.daemons > 0;
+    bool isHeard = it.heardAge >= 0;
+    bool hasBadAnswers = it.badAnswerAge >= 0;
+    compact::flags(archive, hasFailed, isHeard, hasBadAnswers);
+    if (hasFailed) {
+        compact::integerAs(archive, it.daemons);
+        compact::integerAs(archive, it.dataCentres);
+        compact::age(archive, it.failureAge);
+        compact::age(archive, it.streakAge);
+    }
+    if (isHeard)
+        compact::age(archive, it.heardAge);
+    if (hasBadAnswers)
+        compact::age(archive, it.badAnswerAge);
+}
+
+template <class Archive> void failureReport(Archive& archive, EndpointFailureReport& it)
+{
+    archive(it.endpoint);
+    compact::integer(archive, it.startedAtMilliseconds);
+    witness(archive, it.nearby);
+    witness(archive, it.elsewhere);
+}
+
 template <class Archive> void serialize(Archive& archive, TriggerReport::Crash& it)
 {
     archive(it.endpoint);
@@ -181,6 +207,7 @@
     Members = 5,
     /// QuotaLevel::inParts of each level in the body.
     WindowParts = 6,
+    EndpointReports = 7,
 };
 
 template <class Archive> void writeSection(Archive& archive, Section tag, std::string content)
@@ -255,6 +282,11 @@
                 contents(it.inParts);
         });
         break;
+    case Section::EndpointReports:
+        decodeContent(content, [&](auto& contents) {
+            compact::list(contents, out.failures, [&](auto& value) { failureReport(contents, value); });
+        });
+        break;
     }
 }
 
@@ -312,6 +344,10 @@
                 for (auto& it : body.levels)
                     contents(it.inParts);
             }));
+        if (receiver >= WireRevision::EndpointReports && !body.failures.empty())
+            writeSection(archive, Section::EndpointReports, encoded([&](auto& contents) {
+                compact::list(contents, body.failures, [&](auto& value) { failureReport(contents, value); });
+            }));
         if (usesSummaries(receiver)) {
             if (heartbeat.capacity != 0)
                 writeSection(archive, Section::Capacity, encodedNumber(heartbeat.capacity));
--- a/packages/Edge/unittests/EndpointRegistryTest.cpp
+++ b/packages/Edge/unittests/EndpointRegistryTest.cpp
@@ -55,6 +55,28 @@
     };
 };
 
+TEST_F(EndpointRegistryTest, ReportsExcludedAllEndpointsOfAService)
+{
+    const TimePoint now(1s);
+    const auto report = [&](const std::vector<std::string>& ids) {
+        std::vector<EndpointFailureReport> reports;
+        for (const auto& it : ids)
+            reports.push_back({ .endpoint = hashOf(it),
+                .nearby = { .daemons = 1, .dataCentres = 1, .failureAge = 10, .streakAge = 10 } });
+        for (const auto* peer : { "p1", "p2" })
+            endpointRegistry.failureReports().apply(
+                { .name = peer, .dataCentre = "a" }, ReportScope::Daemon, reports, now);
+    };
+    endpointRegistry.failureReports().setDaemons({ .name = "self", .dataCentre = "a" }, {});
+    report({ "near" });
+    EXPECT_EQ(chosen(now), "far");
+    EXPECT_EQ(endpointRegistry.occupancy(service, now).slots, 2);
+    report({ "near", "far" });
+    EXPECT_EQ(chosen(now), "near");
+    report({});
+    EXPECT_EQ(chosen(now), "near");
+}
+
 TEST_F(EndpointRegistryTest, EntryAtTheAddressOfAnotherEndpointTookMostRequests)
 {
     // Such an entry looks idle for ever, because nothing is in flight there.
--- a/packages/Edge/unittests/PeerHeartbeatTest.cpp
+++ b/packages/Edge/unittests/PeerHeartbeatTest.cpp
@@ -155,6 +155,17 @@
     }
     if (revision >= WireRevision::WindowParts)
         out.levels[0].inParts = { 1.5F, 2 };
+    if (revision >= WireRevision::EndpointReports)
+        out.failures = { { .endpoint = 15,
+                             .startedAtMilliseconds = 300,
+                             .nearby = { .daemons = 2, .dataCentres = 1, .failureAge = 20, .streakAge = 400 },
+                             .elsewhere = { .daemons = 1,
+                                 .dataCentres = 3,
+                                 .failureAge = 0,
+                                 .streakAge = 5,
+                                 .heardAge = 1000,
+                                 .badAnswerAge = 7 } },
+            { .endpoint = 16, .nearby = { .heardAge = 0 } } };
     return out;
 }
 
@@ -195,6 +206,15 @@
         "0000000000ad020200030601010506200000c03f00000040000000000000000000000000000000000000000000000000"
         "0202f4030402ab02031803010a0000000000000014010600000000000000c08a82"
         "07052a010162d804010508656467652d622d310831302e302e302e31b03b0d00000000000000ac029003057804" },
+    RecordedHeartbeat { WireRevision::EndpointReports,
+        "010c53424c1f08656467652d612d31efcdab8967452301ac020161d804959aef3a2a00000000000000b1d1f9d603ac"
+        "020203020b040400010500000000000000ac02010600000000000000bff00301000020400000604002030800000000"
+        "0000004dc00c0a0c0c0900000000000000000000c010060708010b0900000000000000040000000000000001010000"
+        "0000000000ad020200030601010606200000c03f00000040000000000000000000000000000000000000000000000000"
+        "0725020f00000000000000ac020102011591030701030106e9070810000000000000000002"
+        "0100"
+        "0202f4030402ab02031803010a0000000000000014010600000000000000c08a82"
+        "07052a010162d804010508656467652d622d310831302e302e302e31b03b0d00000000000000ac029003057804" },
 };
 
 std::string bytesOf(std::string_view digits)
--- /dev/null
+++ b/packages/Policy/unittests/EndpointFailureReportsTest.cpp
@@ -0,0 +1,258 @@
+// Tests which endpoints are excluded because of reports, and by whom.
+#include "lentilbay/Policy/EndpointFailureReports.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <map>
+#include <set>
+
+namespace lentilbay {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr uint64_t endpoint = 11;
+constexpr uint64_t started = 5;
+
+/// Daemons that exchange reports directly, as those of a small fleet do.
+class EndpointFailureReportsTest : public testing::Test {
+protected:
+    using Daemon = EndpointFailureReports::Daemon;
+
+    EndpointFailureReportsTest()
+    {
+        for (const auto* dataCentre : { "x", "y", "z" }) {
+            for (const auto* number : { "1", "2", "3", "4" })
+                all.push_back({ .name = std::string(dataCentre) + number, .dataCentre = dataCentre });
+        }
+        for (const auto& it : all)
+            daemons[it.name].setDaemons(it, all);
+    }
+
+    /// Each daemon sends its reports to all others.
+    void exchange(Duration delay = 20ms)
+    {
+        std::map<std::string, std::vector<EndpointFailureReport>> sent;
+        for (const auto& it : all)
+            sent[it.name] = daemons[it.name].reports(ReportScope::Daemon, now);
+        now += delay;
+        for (const auto& from : all) {
+            for (const auto& to : all) {
+                if (from.name != to.name)
+                    daemons[to.name].apply(from, ReportScope::Daemon, sent[from.name], now);
+            }
+        }
+    }
+
+    /// The daemons that are to check the endpoint do so; those in `unable` cannot connect to it.
+    size_t check(const std::set<std::string>& unable)
+    {
+        size_t n = 0;
+        for (const auto& it : all) {
+            for (const auto hash : daemons[it.name].nextProbes(now)) {
+                ++n;
+                if (unable.contains(it.name))
+                    fail(it.name, hash);
+                else
+                    daemons[it.name].recordHeard(hash, started, now);
+            }
+        }
+        return n;
+    }
+
+    void fail(const std::string& daemon, uint64_t hash = endpoint)
+    {
+        daemons[daemon].recordFailure(hash, started, now);
+    }
+
+    std::set<std::string> excludedAt() const
+    {
+        std::set<std::string> out;
+        for (const auto& [name, it] : daemons) {
+            if (it.use(endpoint, started, now) == EndpointUse::Excluded)
+                out.insert(name);
+        }
+        return out;
+    }
+
+    std::set<std::string> namesIn(const std::string& dataCentres) const
+    {
+        std::set<std::string> out;
+        for (const auto& it : all) {
+            if (dataCentres.find(it.dataCentre) != std::string::npos)
+                out.insert(it.name);
+        }
+        return out;
+    }
+
+    std::vector<Daemon> all;
+    std::map<std::string, EndpointFailureReports> daemons;
+    TimePoint now { 10s };
+};
+
+TEST_F(EndpointFailureReportsTest, EachDaemonFoundAFailureForItself)
+{
+    // One failed send is enough: the others check the endpoint by connecting to it.
+    const auto everybody = namesIn("xyz");
+    fail("x1");
+    exchange();
+    EXPECT_EQ(check(everybody), 6U) << "two daemons of each data centre";
+    exchange();
+    EXPECT_EQ(excludedAt(), everybody);
+}
+
+TEST_F(EndpointFailureReportsTest, DaemonWithoutItsOwnLinkExcludesTheEndpointForNobody)
+{
+    for (int round = 0; round < 30; ++round) {
+        if (round % 4 == 0)
+            fail("x1");
+        exchange();
+        check({ "x1" });
+        exchange();
+        EXPECT_TRUE(excludedAt().empty()) << round;
+        now += 160ms;
+    }
+    EXPECT_EQ(daemons["y1"].use(endpoint, started, now), EndpointUse::Usable);
+}
+
+TEST_F(EndpointFailureReportsTest, DataCentreThatIsCutOffExcludesTheEndpointForItselfOnly)
+{
+    const auto cutOff = namesIn("x");
+    fail("x1");
+    for (int round = 0; round < 30; ++round) {
+        exchange();
+        check(cutOff);
+        exchange();
+        if (round > 0) {
+            EXPECT_EQ(excludedAt(), cutOff) << round;
+        }
+        now += 160ms;
+    }
+}
+
+TEST_F(EndpointFailureReportsTest, FormerIncarnationExcludesNoNewOne)
+{
+    fail("x1");
+    exchange();
+    check(namesIn("xyz"));
+    exchange();
+    ASSERT_EQ(excludedAt().size(), all.size());
+    for (auto& [name, it] : daemons)
+        EXPECT_EQ(it.use(endpoint, started + 1, now), EndpointUse::Usable) << name;
+}
+
+TEST_F(EndpointFailureReportsTest, EndpointThatIsBackIsUsedWithinASecond)
+{
+    const auto everybody = namesIn("xyz");
+    fail("x1");
+    for (int round = 0; round < 20; ++round) {
+        exchange();
+        check(everybody);
+        now += 180ms;
+    }
+    ASSERT_EQ(excludedAt(), everybody);
+    const auto backAt = now;
+    while (!excludedAt().empty() && now - backAt < 5s) {
+        check({});
+        exchange();
+        now += 180ms;
+    }
+    EXPECT_LE(now - backAt, 1s);
+    EXPECT_TRUE(daemons["x1"].hasRecovered(endpoint, started, backAt - 300ms))
+        << "the daemon's own suspension must end, too";
+}
+
+TEST_F(EndpointFailureReportsTest, ExclusionEndsIfNobodyChecksTheEndpoint)
+{
+    fail("x1");
+    exchange();
+    check(namesIn("xyz"));
+    exchange();
+    ASSERT_FALSE(excludedAt().empty());
+    now += 2100ms;
+    EXPECT_TRUE(excludedAt().empty());
+}
+
+TEST_F(EndpointFailureReportsTest, FailuresOfADaemonsOwnLinksAreForgotten)
+{
+    // Guards against reporting what failed before the daemon noticed that its links were lost.
+    fail("x1");
+    now += 300ms;
+    daemons["x1"].forgetFailuresSince(now - 2s);
+    EXPECT_TRUE(daemons["x1"].reports(ReportScope::Daemon, now).empty());
+    EXPECT_TRUE(daemons["x1"].empty());
+}
+
+TEST_F(EndpointFailureReportsTest, BadAnswersLimitOthersToOneRequestAndAreTakenBack)
+{
+    // Guards against excluding an endpoint for failures that requests have caused.
+    daemons["x1"].recordBadAnswers(endpoint, started, now);
+    exchange();
+    EXPECT_EQ(daemons["y1"].use(endpoint, started, now), EndpointUse::ProbeOnly);
+    daemons["x1"].forgetBadAnswers();
+    exchange();
+    EXPECT_EQ(daemons["y1"].use(endpoint, started, now), EndpointUse::Usable);
+}
+
+TEST_F(EndpointFailureReportsTest, CalmDaemonReportsNothing)
+{
+    daemons["x1"].recordHeard(endpoint, started, now);
+    EXPECT_TRUE(daemons["x1"].empty());
+    fail("x1");
+    daemons["x1"].recordHeard(endpoint, started, now + 1s);
+    daemons["x1"].dropOld(now + 20s);
+    EXPECT_TRUE(daemons["x1"].empty());
+}
+
+TEST_F(EndpointFailureReportsTest, NewestReportsAreKept)
+{
+    // Guards against heartbeats that do not fit into a datagram.
+    for (uint64_t i = 0; i < 200; ++i) {
+        now += 1ms;
+        fail("x1", i);
+    }
+    const auto reports = daemons["x1"].reports(ReportScope::Daemon, now);
+    ASSERT_EQ(reports.size(), EndpointFailureReports::maxReports);
+    EXPECT_EQ(reports.front().endpoint, 199U);
+    EXPECT_TRUE(std::ranges::all_of(reports, [](const auto& it) { return it.endpoint >= 136; }));
+}
+
+TEST_F(EndpointFailureReportsTest, SumsOfAggregatorsGiveTheSameDecisions)
+{
+    // x1 and y1 sum up; x2 hears only x1. Guards against a data centre that counts a cut of another one.
+    for (const auto* it : { "y1", "y2" })
+        fail(it);
+    daemons["y1"].apply(all[5], ReportScope::Daemon, daemons["y2"].reports(ReportScope::Daemon, now), now);
+    ASSERT_EQ(daemons["y1"].use(endpoint, started, now), EndpointUse::Excluded);
+    daemons["x1"].apply(
+        all[4], ReportScope::DataCentre, daemons["y1"].reports(ReportScope::DataCentre, now), now);
+    daemons["x2"].apply(all[0], ReportScope::Fleet, daemons["x1"].reports(ReportScope::Fleet, now), now);
+    EXPECT_EQ(daemons["x1"].use(endpoint, started, now), EndpointUse::ProbeOnly);
+    EXPECT_EQ(daemons["x2"].use(endpoint, started, now), EndpointUse::ProbeOnly);
+    now += 50ms;
+    daemons["x3"].recordFailure(endpoint, started, now);
+    daemons["x1"].apply(all[2], ReportScope::Daemon, daemons["x3"].reports(ReportScope::Daemon, now), now);
+    daemons["x2"].apply(all[0], ReportScope::Fleet, daemons["x1"].reports(ReportScope::Fleet, now), now);
+    EXPECT_EQ(daemons["x2"].use(endpoint, started, now), EndpointUse::Excluded) << "two data centres";
+    now += 400ms;
+    daemons["x4"].apply(all[0], ReportScope::Fleet, daemons["x1"].reports(ReportScope::Fleet, now), now);
+    daemons["x4"].recordHeard(endpoint, started, now);
+    EXPECT_EQ(daemons["x4"].use(endpoint, started, now), EndpointUse::Usable) << "it has heard the endpoint";
+}
+
+TEST_F(EndpointFailureReportsTest, SenderOfWildNumbersDoesNoHarm)
+{
+    EndpointWitness wild { .daemons = UINT32_MAX,
+        .dataCentres = UINT32_MAX,
+        .failureAge = INT64_MAX,
+        .streakAge = INT64_MIN,
+        .heardAge = INT64_MAX,
+        .badAnswerAge = INT64_MIN };
+    daemons["x1"].apply(all[1], ReportScope::Fleet,
+        { { .endpoint = endpoint, .startedAtMilliseconds = started, .nearby = wild, .elsewhere = wild } },
+        now);
+    EXPECT_EQ(daemons["x1"].use(endpoint, started, now), EndpointUse::Usable);
+}
+
+} // namespace
+} // namespace lentilbay
