Go on with a request that no endpoint has run until its deadline

836 requests that no endpoint had run ended with a failure, some after four sends within 58 ms: four rejections, or four idle connections of an endpoint that was gone, ended a request whatever time it had left.

RequestAttempts, taken out of EdgeRequest, decides now. Sends without a connection cost nothing, each further arrival at an endpoint takes a retry from the budget, and there is no other limit until the deadline. A request that several endpoints rejected, and none ran, waits in the queue with its arrival time. After an idle connection that was closed, a new one is used; if that is closed, too, the endpoint counts as unreachable.

A request that is rejected five times within its deadline is served (RequestThatAllEndpointsRejectedWasRefusedAtOnce); with a budget of four retries it ends after five sends.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -11,6 +11,7 @@
 #include "lentilbay/Edge/PeerForwarding.h"
 #include "lentilbay/Edge/StreamEnd.h"
 #include "lentilbay/Http/Server.h"
+#include "lentilbay/Policy/RequestAttempts.h"
 #include "lentilbay/platform/CallerHeaders.h"
 
 #include <asio/steady_timer.hpp>
@@ -129,13 +130,13 @@
     /// How many endpoints may execute the request.
     int maxExecutions() const { return m_forwarded ? 1 : m_route->maxAttempts; }
     /// Whether the request could be sent to another endpoint, or through another peer.
-    bool hasAlternative() const;
+    bool hasAlternative();
     /// Sends the request through a peer. Returns false if there is none.
     bool startThroughPeer(TimePoint now);
     /// Connects to the endpoint or peer of m_send.
     void connect(TimePoint now);
-    /// How long a connection that is used may have been idle.
-    Duration maxIdleAge() const;
+    /// How long a connection to the endpoint that is used may have been idle.
+    Duration maxIdleAge(const EndpointId& endpoint) const;
     /// Called with the connection to the endpoint or peer of m_send, or with nullptr if there is none.
     void connected(std::shared_ptr<http::ClientConnection> connection, TimePoint now);
     /// Puts off the send until the list of endpoints has been read again, or the store is found not to
@@ -175,6 +176,8 @@
     void deliverEnd(const http::HttpResponseHead& head, TimePoint now);
     void completeNonStream(TimePoint now);
     void handleResponseBroken(http::FailurePoint at);
+    /// Called when a connection was closed before any byte of the request was sent on it.
+    void handleClosedUnsent(TimePoint now);
     void relay(std::string_view piece, TimePoint now);
     void relayEvents(const EventSplitter::Piece& events, TimePoint now);
     void recordAnswerBegun(TimePoint now);
@@ -209,7 +212,7 @@
     void handleCallerLeft();
     /// Whether a refusal, which states that the request was not executed, would be true, and would be the
     /// first answer.
-    bool isRefusable() const { return m_possibleExecutions == 0 && !m_exchange->hasBegun(); }
+    bool isRefusable() const { return m_attempts.possibleExecutions() == 0 && !m_exchange->hasBegun(); }
     /// Ends the request with a refusal, or as endAfterExecution() does if it is not refusable.
     void refuse(ResultCode code, std::optional<Duration> retryAfter, TimePoint now);
     void finish(ResultCode code, TimePoint now);
@@ -236,8 +239,6 @@
     Work m_work;
     double m_quotaTokens = 0;
     AttributedRequest m_attributed;
-    /// Number of sends that an endpoint broke off before its answer had begun.
-    int m_sendsBroken = 0;
     /// What the request has in common with others that may fail as it does.
     std::vector<uint64_t> m_failureKeys;
     struct FailedSend {
@@ -249,12 +250,7 @@
     std::vector<FailedSend> m_failedSends;
     /// Of the last failure against its endpoint.
     double m_failureEvidence = 1;
-    std::vector<EndpointId> m_triedEndpoints;
-    /// Number of sends that the endpoint may have executed.
-    int m_possibleExecutions = 0;
-    /// Number of sends that reached an endpoint, executed or not.
-    int m_sends = 0;
-    int m_staleConnections = 0;
+    RequestAttempts m_attempts;
     /// The return that a peer has planned for the caller.
     std::optional<Duration> m_peerRetryAfter;
     std::optional<EndpointSend> m_send;
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -111,7 +111,7 @@
 {
     if (m_isOver)
         return;
-    if (outlivesStop() && !m_send && m_possibleExecutions == 0)
+    if (outlivesStop() && !m_send && m_attempts.possibleExecutions() == 0)
         refuse(ResultCode::Draining, drainingRetryAfter, now);
     else
         armTimeout(now);
@@ -385,7 +385,7 @@
     // Whether a connection to the endpoint is idle is known when one has been chosen.
     const auto path = m_state.sendPath(true);
     const bool hasEndpoint = m_state.endpointRegistry.hasSlotShare(m_service)
-        && m_state.endpointRegistry.hasCandidate(m_service, m_triedEndpoints, m_version);
+        && m_state.endpointRegistry.hasCandidate(m_service, m_attempts.tried(), m_version);
     if (!m_forwarded && m_state.prefersPeers(now) && startThroughPeer(now))
         return;
     if (path == SendPath::Direct && hasEndpoint) {
@@ -404,7 +404,7 @@
     const auto* service = m_routes->findService(m_service);
     return { .number = m_number,
         .rank = m_route->rank,
-        .hasBegun = m_possibleExecutions > 0,
+        .hasBegun = m_attempts.possibleExecutions() > 0,
         .query = { .service = m_service,
             .work = m_work,
             .objectiveAt = m_arrivedAt + m_route->objective,
@@ -412,7 +412,7 @@
             .gapObjective = m_route->isStream ? m_route->gapObjective : Duration::zero(),
             .tokensPerEvent = service && service->engine ? service->engine->tokensPerEvent : 1.0,
             .version = m_version,
-            .tried = m_triedEndpoints },
+            .tried = m_attempts.tried() },
         .arrivedAt = m_arrivedAt,
         .expiresAt = m_expiresAt };
 }
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -12,10 +12,6 @@
 namespace lentilbay::edge {
 namespace {
 
-/// Upper bound of the sends of one request, including those that endpoints refuse.
-constexpr int maxSends = 4;
-/// How many reused connections may turn out to be closed during one request.
-constexpr int maxStaleConnections = 4;
 /// A connection that has been idle for longer may be in the course of being closed by its endpoint; an
 /// at-most-once request does not take that risk.
 constexpr Duration maxIdleAgeForAtMostOnce = std::chrono::milliseconds(700);
@@ -32,18 +28,10 @@
 /// An endpoint that has written this many events has begun its answer. One that crashes may have written a
 /// first one.
 constexpr size_t eventsOfBegunAnswer = 2;
-/// A request that so many endpoints broke off before they had begun an answer may have crashed them, and is
-/// not sent to another one.
-constexpr int maxSendsBroken = 2;
 /// Upper bound of an answer that is not a stream.
 constexpr size_t maxBufferedAnswerBytes = 4'194'304;
 /// Bytes that a slow caller may leave unread before reading from the endpoint is paused.
 constexpr size_t maxUnsentBytes = 65'536;
-/// The evidence of a failure from which another endpoint is likely to do better.
-constexpr double minEvidenceToAskAgain = 0.5;
-/// The share of the retry budget for requests that fail at other endpoints as well, so that they leave some
-/// of it to the others.
-constexpr double shareOfFailingRequests = 0.5;
 /// Such an answer never has a body.
 constexpr int httpNoContent = 204;
 
@@ -98,7 +86,8 @@
 
 void EdgeRequest::start(std::shared_ptr<EndpointState> endpoint, TimePoint now)
 {
-    const bool hasConnection = m_state.pools.hasIdle(endpoint->entry(), maxIdleAge(), now);
+    const bool hasConnection
+        = m_state.pools.hasIdle(endpoint->entry(), maxIdleAge(endpoint->entry().id), now);
     const bool prefersPeer
         = m_state.prefersPeers(now) || m_state.sendPath(hasConnection) == SendPath::ThroughPeer;
     if (!m_forwarded && prefersPeer && startThroughPeer(now)) {
@@ -112,7 +101,7 @@
 
 bool EdgeRequest::startThroughPeer(TimePoint now)
 {
-    auto peer = m_state.relays.choose(m_triedEndpoints, m_state.random);
+    auto peer = m_state.relays.choose(m_attempts.tried(), m_state.random);
     if (!peer)
         return false;
     peer->recordSend(m_work, now);
@@ -131,8 +120,10 @@
     requeue(now);
 }
 
-Duration EdgeRequest::maxIdleAge() const
+Duration EdgeRequest::maxIdleAge(const EndpointId& endpoint) const
 {
+    if (m_attempts.needsNewConnection(endpoint))
+        return Duration::zero();
     return m_route->executionSemantics == ExecutionSemantics::AtMostOnce ? maxIdleAgeForAtMostOnce
                                                                          : maxIdleAgeForOthers;
 }
@@ -144,9 +135,9 @@
         return;
     m_state.metrics.observe(Timing::Wait, m_route->rank, now - m_arrivedAt);
     const auto& target = m_send->endpoint;
-    m_triedEndpoints.push_back(target->entry().id);
+    m_attempts.begin(target->entry().id);
     // The queue's decisions are still being processed, so the request is sent in the callback.
-    m_state.pools.lease({ .endpoint = target->entry(), .maxIdleAge = maxIdleAge() },
+    m_state.pools.lease({ .endpoint = target->entry(), .maxIdleAge = maxIdleAge(target->entry().id) },
         [self = shared_from_this(), target](std::shared_ptr<http::ClientConnection> connection) {
             if (!self->m_isOver && self->m_send && self->m_send->endpoint == target
                 && !self->m_send->connection)
@@ -198,7 +189,7 @@
     logEvent(Event::SendWithdrawn,
         { { "id", m_metadata.id.text() }, { "endpoint", m_send->endpoint->entry().id.text() } });
     endSend(SendOutcome::Neutral, now);
-    if (m_state.endpointRegistry.hasCandidate(m_service, m_triedEndpoints, m_version))
+    if (m_state.endpointRegistry.hasCandidate(m_service, m_attempts.tried(), m_version))
         requeue(now);
     else
         refuse(ResultCode::NoEndpoint, defaultRetryAfter, now);
@@ -237,7 +228,7 @@
     case CrashAttribution::Verdict::Allowed:
         break;
     }
-    ++m_sends;
+    m_attempts.recordArrival();
     m_send->isSent = true;
     m_send->sentAt = m_send->lastEventAt = now;
     const auto& endpoint = *m_send->endpoint;
@@ -264,7 +255,7 @@
         logEvent(Event::RequestForwarded,
             { { "id", m_metadata.id.text() }, { "peer", endpoint.entry().id.text() }, { "waited_ms", waited },
                 { "in_flight", static_cast<int64_t>(endpoint.ownInFlight()) },
-                { "send", static_cast<int64_t>(m_sends) } });
+                { "send", static_cast<int64_t>(m_attempts.arrivals()) } });
         return;
     }
     logEvent(Event::RequestSent,
@@ -273,7 +264,7 @@
             { "slots", static_cast<int64_t>(endpoint.entry().slots) },
             { "endpoints_age_ms", millisecondsOf(now - m_state.endpointsConfirmedAt.value_or(now)) },
             { "expected_first_ms", millisecondsOf(m_send->expectedTimeToFirstEvent) },
-            { "send", static_cast<int64_t>(m_sends) } });
+            { "send", static_cast<int64_t>(m_attempts.arrivals()) } });
 }
 
 std::string EdgeRequest::encodedRequest(TimePoint now) const
@@ -508,7 +499,7 @@
 {
     if (m_send->hasBegunAnswer || !mayBeCausedByRequest(loss))
         return;
-    ++m_sendsBroken;
+    m_attempts.recordBroken();
     if (loss == ConnectionLoss::Peer)
         return;
     // An endpoint that lives has not crashed; with little traffic, nothing else shows it.
@@ -569,8 +560,7 @@
     auto out = forwardedHeaders(std::move(headers));
     if (m_forwarded)
         addForwardingFields(out,
-            ForwardedAnswer {
-                .endpoint = m_triedEndpoints.empty() ? std::string() : m_triedEndpoints.back().text(),
+            ForwardedAnswer { .endpoint = m_attempts.last().text(),
                 .version = m_isVersionUncertain ? std::nullopt : m_version });
     return out;
 }
@@ -585,6 +575,8 @@
         return;
     }
     if (m_send->wasNotExecuted) {
+        if (!m_send->isMisdirected && !m_send->lacksWeights && !m_send->isThroughPeer)
+            m_attempts.recordRejection();
         endSend(m_send->isMisdirected  ? SendOutcome::Misdirected
                 : m_send->lacksWeights ? SendOutcome::Neutral
                                        : SendOutcome::Full,
@@ -638,8 +630,8 @@
     failSend(SendFailure::Empty, now);
     logFailedSend(true, ResultCode::EndpointAnswerInvalid);
     // Where such requests give no events anyway, another endpoint would be asked in vain.
-    if (isFirst && m_failureEvidence >= minEvidenceToAskAgain && now < m_expiresAt && hasAlternative()
-        && mayResend(now)) {
+    if (isFirst && m_failureEvidence >= RequestAttempts::minEvidenceToAskAgain && now < m_expiresAt
+        && hasAlternative() && mayResend(now)) {
         m_emptyAnswer = std::move(head);
         requeue(now);
         return;
@@ -739,16 +731,7 @@
         return;
     const auto now = bootNow();
     if (at == http::FailurePoint::NothingSent) {
-        // The endpoint had closed an idle connection, which says nothing about its health.
-        m_send->wasNotExecuted = true;
-        --m_sends;
-        m_triedEndpoints.pop_back();
-        endSend(SendOutcome::Neutral, now);
-        if (now < m_expiresAt && ++m_staleConnections <= maxStaleConnections) {
-            requeue(now);
-            return;
-        }
-        refuse(ResultCode::NoEndpoint, defaultRetryAfter, now);
+        handleClosedUnsent(now);
         return;
     }
     const bool wasNotExecuted = m_send->wasNotExecuted;
@@ -766,6 +749,22 @@
         now);
 }
 
+void EdgeRequest::handleClosedUnsent(TimePoint now)
+{
+    m_send->wasNotExecuted = true;
+    if (m_attempts.recordClosedUnsent()) {
+        failSend(SendFailure::Unreachable, now);
+        sendFailed(false, ResultCode::EndpointUnreachable, now);
+        return;
+    }
+    // The endpoint had closed an idle connection, which says nothing about its health.
+    endSend(SendOutcome::Neutral, now);
+    if (now < m_expiresAt)
+        requeue(now);
+    else
+        refuse(ResultCode::NoEndpoint, defaultRetryAfter, now);
+}
+
 void EdgeRequest::failSend(SendFailure failure, TimePoint now)
 {
     const auto endpoint = m_send->endpoint;
@@ -793,7 +792,8 @@
     m_failedSends.push_back(
         { .endpoint = endpoint, .failure = failure, .evidence = m_failureEvidence, .at = now });
     // A signed answer that similar requests get elsewhere, too, is no failure.
-    const bool isUsual = failure == SendFailure::Empty && m_failureEvidence < minEvidenceToAskAgain;
+    const bool isUsual
+        = failure == SendFailure::Empty && m_failureEvidence < RequestAttempts::minEvidenceToAskAgain;
     endSend(isUsual ? SendOutcome::Neutral : SendOutcome::Failed, now, m_failureEvidence);
 }
 
@@ -822,7 +822,7 @@
     if (isSuspect && !wasSuspended && send.endpoint->isSuspended(now))
         logSuspicion(*send.endpoint, outcome);
     if (send.isSent && !send.wasNotExecuted)
-        ++m_possibleExecutions;
+        m_attempts.recordPossibleExecution();
     if (send.connection)
         m_state.pools.release(send.endpoint->entry(), std::move(send.connection));
 }
@@ -831,26 +831,18 @@
 {
     if (m_eventsRelayed > 0 && m_isVersionUncertain)
         return false;
-    if (m_sends >= maxSends || m_possibleExecutions >= maxExecutions())
-        return false;
-    if (m_sendsBroken >= maxSendsBroken)
-        return false;
-    if (m_possibleExecutions > 0 && m_route->executionSemantics == ExecutionSemantics::AtMostOnce)
-        return false;
-    if (m_sends == 0)
-        return true;
-    auto limits = m_state.retryLimits();
-    if (m_failureEvidence < minEvidenceToAskAgain) {
-        limits.ratio *= shareOfFailingRequests;
-        limits.slack *= shareOfFailingRequests;
-    }
-    return m_state.retryBudget(m_service).take(limits, now);
+    return m_attempts.maySendAgain(
+        { .maxExecutions = maxExecutions(),
+            .isAtMostOnce = m_route->executionSemantics == ExecutionSemantics::AtMostOnce,
+            .failureEvidence = m_failureEvidence,
+            .budget = m_state.retryLimits() },
+        m_state.retryBudget(m_service), now);
 }
 
 void EdgeRequest::logFailedSend(bool mayHaveExecuted, ResultCode reason) const
 {
     logEvent(Event::SendFailed,
-        { { "id", m_metadata.id.text() }, { "endpoint", m_triedEndpoints.back().text() },
+        { { "id", m_metadata.id.text() }, { "endpoint", m_attempts.last().text() },
             { "code", printed(reason) }, { "may_have_run", static_cast<int64_t>(mayHaveExecuted) },
             { "events", static_cast<int64_t>(m_eventsRelayed) } });
 }
@@ -869,12 +861,17 @@
             std::max(defaultRetryAfter, m_peerRetryAfter.value_or(Duration::zero())), now);
 }
 
-bool EdgeRequest::hasAlternative() const
+bool EdgeRequest::hasAlternative()
 {
     if (!m_forwarded && m_state.links.state() != LinkState::Up
-        && m_state.relays.choose(m_triedEndpoints, m_state.random))
+        && m_state.relays.choose(m_attempts.tried(), m_state.random))
         return true;
-    return m_state.endpointRegistry.hasCandidate(m_service, m_triedEndpoints, m_version);
+    const auto& registry = m_state.endpointRegistry;
+    if (registry.hasCandidate(m_service, m_attempts.tried(), m_version))
+        return true;
+    // Endpoints that reject requests get room again, unless rejections make them fail.
+    return !registry.isBrittle(m_service) && m_attempts.reconsiderRejections()
+        && registry.hasCandidate(m_service, m_attempts.tried(), m_version);
 }
 
 void EdgeRequest::endAfterExecution(ResultCode reason, TimePoint now)
@@ -914,7 +911,7 @@
         leaveLostLinks(now);
         return;
     }
-    if (!m_send->endpoint->isStalled(now) || m_possibleExecutions + 1 >= maxExecutions())
+    if (!m_send->endpoint->isStalled(now) || m_attempts.possibleExecutions() + 1 >= maxExecutions())
         return;
     const auto silence = now - m_send->lastEventAt;
     const auto expected = m_send->hadFirstEvent
@@ -936,8 +933,8 @@
 {
     const bool isLost = m_send->isThroughPeer ? !m_state.relays.isAlive(m_send->endpoint->entry().id)
                                               : now - m_send->lastEventAt >= maxSilenceOfLostLink;
-    if (!isLost || m_possibleExecutions + 1 >= maxExecutions()
-        || !m_state.relays.choose(m_triedEndpoints, m_state.random) || !mayResend(now))
+    if (!isLost || m_attempts.possibleExecutions() + 1 >= maxExecutions()
+        || !m_state.relays.choose(m_attempts.tried(), m_state.random) || !mayResend(now))
         return;
     logFailedSend(true, ResultCode::EndpointStalled);
     endSend(SendOutcome::Neutral, now);
@@ -1039,9 +1036,9 @@
     if (m_eventsRelayed > 1)
         m_state.metrics.observe(Timing::LongestPause, rank, m_longestPause);
     logEvent(Event::RequestEnded,
-        { { "id", m_metadata.id.text() }, { "code", printed(code) },
-            { "endpoint", m_triedEndpoints.empty() ? std::string() : m_triedEndpoints.back().text() },
-            { "sends", static_cast<int64_t>(m_sends) }, { "events", static_cast<int64_t>(m_eventsRelayed) },
+        { { "id", m_metadata.id.text() }, { "code", printed(code) }, { "endpoint", m_attempts.last().text() },
+            { "sends", static_cast<int64_t>(m_attempts.arrivals()) },
+            { "events", static_cast<int64_t>(m_eventsRelayed) },
             { "first_ms", m_timeToFirstEvent ? millisecondsOf(*m_timeToFirstEvent) : -1 },
             { "longest_pause_ms", millisecondsOf(m_longestPause) },
             { "total_ms", millisecondsOf(now - m_arrivedAt) } });
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -755,6 +755,48 @@
     EXPECT_EQ(receivedRequests(), 2U);
 }
 
+TEST_F(EdgeRequestTest, RequestThatAllEndpointsRejectedWasRefusedAtOnce)
+{
+    list("e2", second);
+    for (auto* it : { &first, &second })
+        it->setResponder([this](const std::string&) {
+            return receivedRequests() <= 5
+                ? ScriptedResponse { .bytes
+                      = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: 7\r\n") }
+                : ScriptedResponse { .bytes = httpResponse(200, "ran", signatureFields) };
+        });
+    CallerAnswer answer;
+    const auto connection = send("/once/x", answer);
+    runUntil([&] {
+        state.dispatchWaiting(bootNow());
+        return answer.hasEnded();
+    });
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_EQ(receivedRequests(), 6U) << "four sends were the limit";
+    connection->close();
+}
+
+TEST_F(EdgeRequestTest, RejectedRequestEndsWithTheRetryBudget)
+{
+    list("e2", second);
+    state.settings.bounds.retryRatio = 0;
+    state.settings.bounds.retrySlack = 5;
+    for (auto* it : { &first, &second })
+        it->setResponder([](const std::string&) {
+            return ScriptedResponse { .bytes
+                = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: 7\r\n") };
+        });
+    CallerAnswer answer;
+    const auto connection = send("/once/x", answer);
+    runUntil([&] {
+        state.dispatchWaiting(bootNow());
+        return answer.hasEnded();
+    });
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_EQ(receivedRequests(), 5U) << "the first send, and four fifths of the budget";
+    connection->close();
+}
+
 TEST_F(EdgeRequestTest, EndpointThatStatedALimitGotMoreRequests)
 {
     list("e2", second);
--- a/packages/Edge/unittests/EndpointRegistryTest.cpp
+++ b/packages/Edge/unittests/EndpointRegistryTest.cpp
@@ -60,6 +60,7 @@
     const TimePoint now(1s);
     const auto report = [&](const std::vector<std::string>& ids) {
         std::vector<EndpointFailureReport> reports;
+        reports.reserve(ids.size());
         for (const auto& it : ids)
             reports.push_back({ .endpoint = hashOf(it),
                 .nearby = { .daemons = 1, .dataCentres = 1, .failureAge = 10, .streakAge = 10 } });
