Confirm the configuration and verify keys through peers

Cause: a daemon that the store does not answer read the newest configuration from a peer, but its position in the table stayed before the change.

Change: a peer states its view of the store (era, covered and changed version, age) in a header field of the answer to a call for its configuration, without a document if the caller has the same. ConfigurationViews keeps what the configuration in force contains by such views, apart from the table's position, and decides when which peer is asked; peers of other data centres if the own one is cut off as a whole. Views are dated by when the call began. A daemon that still cannot verify a key sends the request through a peer that is current; the peer verifies the key and counts the quota (wire revision 6). If there is none, Retry-After is half of the time since the store answered.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "lentilbay/Edge/ConfigurationCatchUp.h"
+#include "lentilbay/Edge/ConfigurationViews.h"
 #include "lentilbay/Edge/DaemonRoster.h"
 #include "lentilbay/Edge/EdgeState.h"
 #include "lentilbay/Edge/EndpointCatchUp.h"
@@ -36,7 +37,18 @@
     void grantInitialQuotas();
     void applyConfigurationRow(const platform::StoreRow& row);
     /// Puts a configuration in force unless it is older; `source` is logged.
-    void applyConfiguration(const std::string& document, const std::string& source);
+    /// @param replacesEqual whether it replaces another document of the same version
+    /// Returns whether the configuration in force contains what the document does.
+    bool applyConfiguration(const std::string& document, const std::string& source, bool replacesEqual);
+    /// Records that the configuration in force was complete at `at`.
+    void confirmConfiguration(TimePoint at);
+    /// Applies a peer's answer to a call that began at `askedAt`; no document if it has the same.
+    void applyPeerConfiguration(const std::string& daemon, const std::string& document,
+        const std::optional<ConfigurationView>& view, TimePoint askedAt);
+    /// Reads the view from a peer if it is about to become too old to verify keys.
+    void catchUpConfigurationView(TimePoint now);
+    /// The newest view of the configuration's table, read from the store or from a peer.
+    TableView configurationView(TimePoint now) const;
     /// Reads the configuration from a peer that has a newer one, if it is time to.
     void catchUpWithPeers(TimePoint now);
     void readConfigurationFrom(const std::string& daemon, TimePoint now);
@@ -44,7 +56,8 @@
     void updateOutdated(uint64_t version, TimePoint now);
     void serveConfiguration(http::Exchange& exchange);
     /// Responds with a document, or refuses it for now if the link has to carry others first.
-    void serveDocument(http::Exchange& exchange, const std::string& document);
+    void serveDocument(
+        http::Exchange& exchange, const std::string& document, const http::Headers& headers = {});
     /// Answers the calls of other daemons: for the configuration and the endpoints, and requests that they
     /// forward.
     void servePeers();
@@ -199,6 +212,7 @@
     /// The configuration in force, as it was read.
     std::string m_configuration;
     ConfigurationCatchUp m_catchUp;
+    ConfigurationViews m_configurationViews;
     /// Whether the configuration that was read last could not be decoded.
     bool m_isConfigurationInvalid = false;
     /// The calls to peers for their configuration and their list of endpoints.
--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -100,6 +100,13 @@
     /// Whether the request, which may be executed once at most, may still run when the daemon stops.
     bool outlivesStop() const;
     bool authenticate(TimePoint now);
+    /// Leaves the key to a peer, or refuses the request if none can verify it.
+    bool leaveKeyToPeer(TimePoint now);
+    /// Whether this daemon counts the quota of the request: it has verified its key.
+    bool countsQuota() const { return m_forwarded ? m_forwarded->isUnverified : !m_isUnverified; }
+    /// The refusal for which a peer that verified the key has not executed the request; std::nullopt if
+    /// another peer may serve it.
+    std::optional<ResultCode> verdictOfPeer() const;
     /// Refuses a request that crashes endpoints, or has a part in its prompt that does.
     bool checkTriggers(TimePoint now);
     bool checkQuota(TimePoint now);
@@ -223,6 +230,11 @@
     std::shared_ptr<const RouteTable> m_routes;
     const Route* m_route = nullptr;
     const RoutedOrganisation* m_organisation = nullptr;
+    /// The key could not be verified, so the request is sent through peers only. The organisation is that of
+    /// an outdated configuration, or not known.
+    bool m_isUnverified = false;
+    /// The peer that was asked last could not verify the key either.
+    bool m_isUnverifiedByPeer = false;
     uint64_t m_number = 0;
     /// The caller's deadline counts from here, however late the event loop has come to the request. The
     /// earliest time if it is not known exactly, so that nothing is begun too late.
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -142,6 +142,10 @@
     {
         m_isStoreUnreachable = std::move(isUnreachable);
     }
+    /// Sets what says when the platform's store has last answered this daemon.
+    void setStoreContact(std::function<TimePoint()> reachedAt) { m_storeReachedAt = std::move(reachedAt); }
+    /// The time after which a caller whose key cannot be verified may retry.
+    Duration keysRetryAfter(TimePoint now) const;
     /// Sets what is called when there may be work that must be looked at again soon.
     void setPollRequester(std::function<void()> requester) { m_requestPoll = std::move(requester); }
     void requestPoll() const
@@ -169,6 +173,7 @@
     uint64_t m_lastWaiter = 0;
     std::function<void(TimePoint now)> m_readEndpoints;
     std::function<bool()> m_isStoreUnreachable;
+    std::function<TimePoint()> m_storeReachedAt;
     bool m_isDispatching = false;
     std::function<void()> m_requestPoll;
 };
--- a/packages/Edge/include/lentilbay/Edge/PeerDocument.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerDocument.h
@@ -17,10 +17,12 @@
     {
     }
 
-    /// Asks the peer for the document at `target`, and drops the call in progress. `done` is called with the
-    /// document, and not at all if the call fails. Returns false if the peer's address cannot be read.
+    /// Called with the document and the header fields of the answer.
+    using Done = std::function<void(const std::string& document, const http::Headers& headers)>;
+    /// Asks the peer for the document at `target`, and drops the call in progress. `done` is not called if
+    /// the call fails. Returns false if the peer's address cannot be read.
     bool read(const std::string& daemon, const PeerTable::Peer& peer, const std::string& target,
-        TimePoint now, std::function<void(const std::string& document)> done);
+        TimePoint now, Done done);
     /// Whether a document is arriving, or may still begin to.
     bool isReceiving(TimePoint now) const;
 
--- a/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
@@ -2,7 +2,8 @@
 // peer.
 //
 // The forwarding daemon keeps the request: it has checked the key and the quota, and it alone sends it again
-// after a failure. The peer sends it to endpoints, and answers with what the endpoint answered; it lets one
+// after a failure. A daemon whose configuration is too old to verify the key leaves key and quota to the
+// peer. The peer sends it to endpoints, and answers with what the endpoint answered; it lets one
 // endpoint execute the request at most, and never forwards it. Both speak HTTP/1.1 on the TCP port whose
 // number is that of the peer's port for heartbeats, with the header fields below beside those of the caller
 // and of the endpoint.
@@ -22,6 +23,8 @@
     ServiceId service;
     /// hashOf() the only software version that may answer the request.
     std::optional<uint64_t> version;
+    /// The daemon could not verify the key; the peer verifies it and counts the quota.
+    bool isUnverified = false;
 
     bool operator==(const ForwardedRequest&) const = default;
 };
@@ -62,7 +65,9 @@
     bool hasRecent() const { return m_hasRecent; }
     /// The peer to send a request through that has not been sent through any of `tried`, or nullptr. One that
     /// may send to an endpoint which has left is chosen only if there is no other.
-    std::shared_ptr<EndpointState> choose(const std::vector<EndpointId>& tried, Random& random) const;
+    /// @param verifiesKeys whether the peer has to verify the key
+    std::shared_ptr<EndpointState> choose(
+        const std::vector<EndpointId>& tried, Random& random, bool verifiesKeys = false) const;
     /// Whether the peer still runs, as far as this daemon knows.
     bool isAlive(const EndpointId& peer) const;
 
@@ -72,6 +77,7 @@
         std::shared_ptr<EndpointState> state;
         bool isUsable = false;
         bool isOutdated = false;
+        bool verifiesKeys = false;
         /// Whether the latest update() has found it.
         bool isListed = false;
     };
--- a/packages/Edge/include/lentilbay/Edge/PeerWire.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerWire.h
@@ -8,7 +8,8 @@
 // of a section keeps its layout as well; what is to be added to it goes into another section.
 // - Stream messages (StreamDirectory.cpp): the same, without sections so far.
 // - Forwarded requests (PeerForwarding.cpp): HTTP header fields, of which unknown ones are ignored.
-// - The configuration read from a peer (ConfigurationCatchUp.cpp): the platform's own text.
+// - The configuration read from a peer (ConfigurationCatchUp.cpp): the platform's own text. The peer's view
+// of the store is a header field of the answer (ConfigurationViews.cpp); builds that lack it answer without.
 // - The list of endpoints read from a peer (EndpointCatchUp.cpp): a line of numbers, then rows in the
 // platform's own text.
 //   Builds that lack it answer 404, and another peer is asked.
@@ -40,9 +41,12 @@
     Summaries = 4,
     /// Heartbeats to restarted daemons state when the use of quotas was counted.
     WindowParts = 5,
+    /// Daemons state their view of the store with their configuration, and verify the keys of requests for
+    /// peers that cannot.
+    ConfigurationViews = 6,
 };
 
-constexpr WireRevision newestWireRevision = WireRevision::WindowParts;
+constexpr WireRevision newestWireRevision = WireRevision::ConfigurationViews;
 
 /// Whether a daemon sends summaries and understands those of others.
 constexpr bool usesSummaries(WireRevision revision) { return revision >= WireRevision::Summaries; }
@@ -53,4 +57,17 @@
     return revision >= WireRevision::RejectionLimits;
 }
 
+/// Whether a daemon states its view of the store with its configuration.
+constexpr bool statesConfigurationView(WireRevision revision)
+{
+    return revision >= WireRevision::ConfigurationViews;
+}
+
+/// Whether a daemon verifies the key of a request that a peer forwards, and counts its quota. Older builds do
+/// not count it.
+constexpr bool verifiesForwardedKeys(WireRevision revision)
+{
+    return revision >= WireRevision::ConfigurationViews;
+}
+
 } // namespace lentilbay::edge
--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -85,6 +85,8 @@
     /// Whether a peer has seen a change that this view lacks.
     bool isBehind() const { return m_isBehind; }
     bool isStoreUnreachable() const { return m_isStoreUnreachable; }
+    /// When the store last answered this daemon.
+    TimePoint answeredAt() const { return m_answeredAt; }
     /// Reads the table again if the era is later than the known one.
     void enterEra(uint64_t era, TimePoint now);
     /// Whether an answer is arriving.
@@ -140,6 +142,7 @@
     TimePoint m_incompleteUntil {};
     bool m_isStoreUnreachable = false;
     TimePoint m_unreachableSince {};
+    TimePoint m_answeredAt {};
     /// The time of the newest view that a peer has reported.
     TimePoint m_peerContactAt {};
     int m_failuresInRow = 0;
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -155,6 +155,8 @@
         m_state.metrics.count("requests_of_peers");
         logEvent(Event::ForwardedRequestReceived,
             { { "id", m_metadata.id.text() }, { "daemon", m_forwarded->daemon } });
+        if (m_forwarded->isUnverified)
+            m_state.metrics.count("requests_of_peers_unverified");
         m_version = m_forwarded->version;
         if (std::ranges::find(m_route->targets, m_forwarded->service, &RouteTarget::service)
             != m_route->targets.end())
@@ -166,7 +168,7 @@
         .answerTokens = m_metadata.expectedAnswerTokens
             ? std::min(maxTokens, static_cast<double>(*m_metadata.expectedAnswerTokens))
             : maxTokens * expectedAnswerFraction };
-    return authenticate(now) && checkTriggers(now) && (m_forwarded || checkQuota(now));
+    return authenticate(now) && checkTriggers(now) && (!countsQuota() || checkQuota(now));
 }
 
 bool EdgeRequest::checkTriggers(TimePoint now)
@@ -194,10 +196,8 @@
 {
     if (!m_route->needsKey)
         return true;
-    if (!m_state.canVerifyKeys(now)) {
-        refuse(ResultCode::KeysUnverifiable, defaultRetryAfter, now);
-        return false;
-    }
+    if (!m_state.canVerifyKeys(now))
+        return leaveKeyToPeer(now);
     m_organisation = m_metadata.key ? m_routes->findOrganisation(*m_metadata.key) : nullptr;
     if (m_organisation)
         return true;
@@ -207,10 +207,21 @@
     else if (isRecent)
         refuse(ResultCode::UnknownKey, std::nullopt, now);
     else
-        refuse(ResultCode::KeysUnverifiable, defaultRetryAfter, now);
+        return leaveKeyToPeer(now);
     return false;
 }
 
+bool EdgeRequest::leaveKeyToPeer(TimePoint now)
+{
+    if (m_forwarded || !m_state.relays.choose({}, m_state.random, true)) {
+        refuse(ResultCode::KeysUnverifiable, m_state.keysRetryAfter(now), now);
+        return false;
+    }
+    m_isUnverified = true;
+    m_organisation = m_metadata.key ? m_routes->findOrganisation(*m_metadata.key) : nullptr;
+    return true;
+}
+
 bool EdgeRequest::checkQuota(TimePoint now)
 {
     if (!m_organisation || !m_organisation->quota)
@@ -266,7 +277,8 @@
 
 void EdgeRequest::enqueueOrFindOrigin(TimePoint now)
 {
-    if (!m_route->isResumable || !m_metadata.lastEvent || (m_forwarded && m_version)) {
+    // The peer that verifies the key looks up the origin.
+    if (!m_route->isResumable || !m_metadata.lastEvent || (m_forwarded && m_version) || m_isUnverified) {
         enqueue(now);
         m_state.dispatchWaiting(now);
         return;
@@ -377,6 +389,11 @@
 
 void EdgeRequest::enqueue(TimePoint now)
 {
+    if (m_isUnverified) {
+        if (!startThroughPeer(now))
+            refuse(ResultCode::KeysUnverifiable, m_state.keysRetryAfter(now), now);
+        return;
+    }
     if (!m_state.endpointRegistry.hasCandidate(m_service, {}, m_version)) {
         refuse(ResultCode::NoEndpoint, defaultRetryAfter, now);
         return;
--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -1,5 +1,7 @@
 // The configuration in force: from the platform's store, or from a peer that has a newer one.
+#include "EdgeTimes.h"
 #include "lentilbay/Edge/EdgeDaemon.h"
+#include "lentilbay/Support/Hash.h"
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/SteadyClock.h"
 #include "lentilbay/platform/Documents.h"
@@ -10,7 +12,7 @@
 namespace {
 
 /// The path at which a daemon serves its configuration to peers.
-constexpr const char* configurationPath = "/configuration";
+constexpr std::string_view configurationPath = "/configuration";
 /// From the start of a call to the store to its answer, if the daemon does nothing else.
 constexpr Duration storeReadTime = std::chrono::milliseconds(200);
 
@@ -19,10 +21,11 @@
 void EdgeDaemon::applyConfigurationRow(const platform::StoreRow& row)
 {
     if (row.key == platform::configurationKey)
-        applyConfiguration(row.value, fmt::format("store version {}", row.version.number));
+        applyConfiguration(row.value, fmt::format("store version {}", row.version.number), true);
 }
 
-void EdgeDaemon::applyConfiguration(const std::string& document, const std::string& source)
+bool EdgeDaemon::applyConfiguration(
+    const std::string& document, const std::string& source, bool replacesEqual)
 {
     auto decoded = outcomeOf<RouteTable>([&] { return platform::decodeConfiguration(document); });
     const auto* failure = std::get_if<Failure>(&decoded);
@@ -30,22 +33,33 @@
     if (failure) {
         logEvent(Event::ConfigurationInvalid,
             { { "code", printed(failure->code) }, { "detail", failure->detail }, { "source", source } });
-        return;
+        return false;
     }
     auto& table = std::get<RouteTable>(decoded);
     if (m_state.routes && table.version() < m_state.routes->version()) {
         logEvent(Event::ConfigurationOutdated,
             { { "version", static_cast<int64_t>(table.version()) },
                 { "in_force", static_cast<int64_t>(m_state.routes->version()) }, { "source", source } });
-        return;
+        return true;
+    }
+    if (m_state.routes && table.version() == m_state.routes->version()) {
+        if (document == m_configuration)
+            return true;
+        if (!replacesEqual)
+            return false;
     }
-    if (m_state.routes && table.version() == m_state.routes->version() && document == m_configuration)
-        return;
     m_configuration = document;
     m_state.routes = std::make_shared<const RouteTable>(std::move(table));
     logEvent(Event::ConfigurationInForce,
         { { "version", static_cast<int64_t>(m_state.routes->version()) },
             { "routes", static_cast<int64_t>(m_state.routes->routes().size()) }, { "source", source } });
+    return true;
+}
+
+void EdgeDaemon::confirmConfiguration(TimePoint at)
+{
+    if (m_state.routes)
+        m_state.routesConfirmedAt = std::max(at, m_state.routesConfirmedAt.value_or(at));
 }
 
 void EdgeDaemon::catchUpWithPeers(TimePoint now)
@@ -87,22 +101,90 @@
     if (peer == m_state.peers.peers().end())
         return;
     m_state.metrics.count("configuration_calls_to_peers");
-    m_configurationDocument.read(
-        daemon, peer->second, configurationPath, now, [this, daemon](const std::string& document) {
-            applyConfiguration(document, daemon);
+    m_configurationDocument.read(daemon, peer->second, configurationTarget(hashOf(m_configuration)), now,
+        [this, daemon, askedAt = now](const std::string& document, const http::Headers& headers) {
+            applyPeerConfiguration(daemon, document, configurationViewOf(headers), askedAt);
             catchUpWithPeers(bootNow());
         });
 }
 
+void EdgeDaemon::applyPeerConfiguration(const std::string& daemon, const std::string& document,
+    const std::optional<ConfigurationView>& view, TimePoint askedAt)
+{
+    if (view)
+        handleStoreEra(view->covered.era, bootNow());
+    const bool isOfEra = view && view->covered.era == m_storeEra;
+    // Of two documents of the same version, that of the newer view is in force.
+    const auto own = std::max(m_configurationFollower->coveredVersion(), m_configurationViews.covered());
+    const bool replacesEqual = isOfEra && view->covered >= own;
+    // The peer sends no document if it has the same.
+    if (!document.empty() && !applyConfiguration(document, daemon, replacesEqual))
+        return;
+    // While a peer is known to have a newer version, another peer's view confirms nothing: after the store
+    // has come back from an older copy, it may lack that version.
+    if (!isOfEra || !m_state.routes || m_state.routes->version() < m_catchUp.newestKnown())
+        return;
+    const auto formerAge = millisecondsOf(askedAt - m_state.routesConfirmedAt.value_or(m_startedAt));
+    m_configurationViews.recordAnswer(*view, askedAt);
+    confirmConfiguration(m_configurationViews.confirmedAt());
+    m_state.metrics.count("configuration_views_read_from_peers");
+    logEvent(Event::ConfigurationViewRead,
+        { { "peer", daemon }, { "version", static_cast<int64_t>(m_state.routes->version()) },
+            { "store_version", static_cast<int64_t>(view->covered.number) },
+            { "bytes", static_cast<int64_t>(document.size()) }, { "peer_age_ms", millisecondsOf(view->age) },
+            { "former_age_ms", formerAge } });
+}
+
+void EdgeDaemon::catchUpConfigurationView(TimePoint now)
+{
+    if (!m_state.routes || m_configurationFollower->isReceiving(now)
+        || m_configurationDocument.isReceiving(now))
+        return;
+    const ConfigurationViews::Own own { .version = m_state.routes->version(),
+        .age = m_state.routesAge(now).value_or(now - m_startedAt),
+        .isStoreUnreachable = m_configurationFollower->isStoreUnreachable(),
+        .nearAge = now - m_configurationFollower->peerContactAt() };
+    if (const auto daemon = m_configurationViews.nextSource(m_state.peers.peers(), own, now))
+        readConfigurationFrom(*daemon, now);
+}
+
+TableView EdgeDaemon::configurationView(TimePoint now) const
+{
+    const auto followed = viewOf(*m_configurationFollower, now);
+    const auto& read = m_configurationViews;
+    const auto age = now - read.confirmedAt();
+    // A view that was read from a peer says as much about the store as this daemon's own.
+    if (!read.covered() || read.covered()->era != m_storeEra
+        || (followed.ageMicroseconds >= 0 && followed.ageMicroseconds <= age.count()))
+        return followed;
+    return { .coveredVersion = read.covered()->number,
+        .changedVersion = read.changed().number,
+        .ageMicroseconds = age.count() };
+}
+
 void EdgeDaemon::serveConfiguration(http::Exchange& exchange)
 {
-    if (exchange.request().path() == configurationPath && m_state.routes)
-        serveDocument(exchange, m_configuration);
-    else
+    if (exchange.request().path() != configurationPath || !m_state.routes) {
         exchange.respond(404, http::reasonPhrase(404), {}, "");
+        return;
+    }
+    http::Headers headers;
+    const auto view = configurationView(bootNow());
+    if (view.ageMicroseconds >= 0)
+        addConfigurationView(headers,
+            { .covered = { .era = m_storeEra, .number = view.coveredVersion },
+                .changed = { .era = m_storeEra, .number = view.changedVersion },
+                .age = Duration(view.ageMicroseconds) });
+    if (ownHashOf(exchange.request().target) != hashOf(m_configuration)) {
+        serveDocument(exchange, m_configuration, headers);
+        return;
+    }
+    m_state.metrics.count("configuration_views_served");
+    exchange.respond(200, http::reasonPhrase(200), headers, "");
 }
 
-void EdgeDaemon::serveDocument(http::Exchange& exchange, const std::string& document)
+void EdgeDaemon::serveDocument(
+    http::Exchange& exchange, const std::string& document, const http::Headers& headers)
 {
     const bool isAdmitted = m_transferBudget.admit(document.size(), bootNow());
     logEvent(Event::PeerDocumentServed,
@@ -114,7 +196,7 @@
         return;
     }
     m_state.metrics.count("peer_document_bytes_sent", document.size());
-    exchange.respond(200, http::reasonPhrase(200), {}, document);
+    exchange.respond(200, http::reasonPhrase(200), headers, document);
 }
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -127,6 +127,8 @@
     , m_stopTimer(m_context)
     , m_peerSocket(m_context)
     , m_catchUp({ .daemon = m_state.settings.daemon.text(), .isSettled = m_state.settings.isFirstStart })
+    , m_configurationViews(
+          m_state.settings.daemon.text(), m_state.topology, m_state.settings.bounds.keyRevocation)
     , m_configurationDocument(m_context)
     , m_endpointDocument(m_context)
     , m_transferBudget(m_state.settings.linkBytesPerSecond)
@@ -163,6 +165,8 @@
     servePeers();
     m_state.setEndpointReader([this](TimePoint now) { m_endpointFollower->readNow(now); });
     m_state.setStoreStatus([this] { return m_endpointFollower->isStoreUnreachable(); });
+    m_state.setStoreContact(
+        [this] { return std::max(m_configurationFollower->answeredAt(), m_endpointFollower->answeredAt()); });
     m_state.streams.setSender(
         [this](const auto& daemon, const auto& message) { sendStreamMessage(daemon, message); });
     followStore();
@@ -271,8 +275,7 @@
             .deleted = [](const auto&) {},
             .confirmed =
                 [this](TimePoint at) {
-                    if (m_state.routes)
-                        m_state.routesConfirmedAt = std::max(at, m_state.routesConfirmedAt.value_or(at));
+                    confirmConfiguration(at);
                     const auto now = bootNow();
                     m_catchUp.storeRead(m_storeEra > firstStoreEra, now);
                     catchUpWithPeers(now);
--- a/packages/Edge/lib/EdgeEndpoints.cpp
+++ b/packages/Edge/lib/EdgeEndpoints.cpp
@@ -22,8 +22,9 @@
     m_state.metrics.count("endpoint_lists_read_from_peers");
     m_endpointDocument.read(*daemon, m_state.peers.peers().at(*daemon),
         endpointListTarget({ .covered = follower.coveredVersion() }), now,
-        [this, daemon = *daemon, askedAt = now](
-            const std::string& document) { applyPeerEndpoints(daemon, document, askedAt); });
+        [this, daemon = *daemon, askedAt = now](const std::string& document, const http::Headers&) {
+            applyPeerEndpoints(daemon, document, askedAt);
+        });
 }
 
 void EdgeDaemon::applyPeerEndpoints(const std::string& daemon, const std::string& document, TimePoint askedAt)
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -283,6 +283,11 @@
                 { .era = era, .number = view.changedVersion }, echoed - Duration(view.ageMicroseconds));
     };
     take(*m_configurationFollower, heartbeat.views->configuration);
+    const auto& view = heartbeat.views->configuration;
+    if (const auto at = echoed - Duration(view.ageMicroseconds); view.ageMicroseconds >= 0
+        && m_configurationViews.recordView(
+            { .era = era, .number = view.coveredVersion }, { .era = era, .number = view.changedVersion }, at))
+        confirmConfiguration(at);
     take(*m_endpointFollower, heartbeat.views->endpoints);
 }
 
@@ -324,7 +329,9 @@
     const auto links = m_state.links.state();
     out.isPartitioned = links == LinkState::Partitioned || links == LinkState::NoneReachable;
     const auto confirmedAt = m_state.endpointsConfirmedAt;
-    out.isOutdated = !confirmedAt || now - *confirmedAt > m_state.settings.bounds.endpointDrain;
+    // Peers then send neither requests nor keys to be verified through this daemon.
+    out.isOutdated = !confirmedAt || now - *confirmedAt > m_state.settings.bounds.endpointDrain
+        || !m_state.canVerifyKeys(now + maxReportingTime);
     m_countsAllUse = m_countsAllUse || now - m_startedAt > m_state.settings.bounds.quotaWindow;
     out.countsAllUse = m_countsAllUse;
     out.capacity = m_summaries.capacity();
@@ -339,7 +346,7 @@
     heartbeat.views.reset();
     if (m_state.topology.localityOf(DataCentreId(peer.dataCentre)) == Locality::OwnDataCentre)
         heartbeat.views = { .era = m_storeEra,
-            .configuration = viewOf(*m_configurationFollower, now),
+            .configuration = configurationView(now),
             .endpoints = viewOf(*m_endpointFollower, now) };
     heartbeat.levels.clear();
     if (m_countsAllUse && !peer.countsAllUse) {
@@ -365,6 +372,7 @@
     updateSignals(now);
     catchUpWithPeers(now);
     catchUpEndpoints(now);
+    catchUpConfigurationView(now);
     m_state.versions.update(m_state.endpointRegistry, now);
     const auto daemons = aliveDaemons();
     m_state.streams.setDaemons(m_state.settings.daemon.text(), daemons);
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -56,6 +56,9 @@
     return headers;
 }
 
+/// The body of a refusal, from which a daemon that forwarded the request learns the reason.
+std::string refusalBody(ResultCode code) { return printed(code) + "\n"; }
+
 void logSuspicion(const EndpointState& endpoint, SendOutcome outcome)
 {
     logEvent(Event::EndpointSuspected,
@@ -112,7 +115,7 @@
 
 bool EdgeRequest::startThroughPeer(TimePoint now)
 {
-    auto peer = m_state.relays.choose(m_triedEndpoints, m_state.random);
+    auto peer = m_state.relays.choose(m_triedEndpoints, m_state.random, m_isUnverified);
     if (!peer)
         return false;
     peer->recordSend(m_work, now);
@@ -261,9 +264,12 @@
     const auto waited = millisecondsOf(now - m_arrivedAt);
     if (m_send->isThroughPeer) {
         m_state.metrics.count("requests_forwarded");
+        if (m_isUnverified)
+            m_state.metrics.count("requests_forwarded_unverified");
         logEvent(Event::RequestForwarded,
             { { "id", m_metadata.id.text() }, { "peer", endpoint.entry().id.text() }, { "waited_ms", waited },
                 { "in_flight", static_cast<int64_t>(endpoint.ownInFlight()) },
+                { "unverified", static_cast<int64_t>(m_isUnverified) },
                 { "send", static_cast<int64_t>(m_sends) } });
         return;
     }
@@ -284,8 +290,10 @@
     if (m_send->isThroughPeer) {
         http::Headers fields;
         addForwardingFields(fields,
-            ForwardedRequest {
-                .daemon = m_state.settings.daemon.text(), .service = m_service, .version = m_version });
+            ForwardedRequest { .daemon = m_state.settings.daemon.text(),
+                .service = m_service,
+                .version = m_version,
+                .isUnverified = m_isUnverified });
         return platform::encodePeerRequest(m_exchange->request(), metadata, fields);
     }
     metadata.endpoint = m_send->endpoint->entry().id;
@@ -588,11 +596,16 @@
         return;
     }
     if (m_send->wasNotExecuted) {
+        const auto verdict = verdictOfPeer();
+        m_isUnverifiedByPeer = m_isUnverified && m_send->body == refusalBody(ResultCode::KeysUnverifiable);
         endSend(m_send->isMisdirected  ? SendOutcome::Misdirected
                 : m_send->lacksWeights ? SendOutcome::Neutral
                                        : SendOutcome::Full,
             now);
-        sendFailed(false, ResultCode::EndpointRefused, now);
+        if (verdict)
+            refuse(*verdict, m_peerRetryAfter, now);
+        else
+            sendFailed(false, ResultCode::EndpointRefused, now);
         return;
     }
     if (m_send->isEventStream)
@@ -601,6 +614,17 @@
         completeNonStream(now);
 }
 
+std::optional<ResultCode> EdgeRequest::verdictOfPeer() const
+{
+    if (!m_isUnverified)
+        return std::nullopt;
+    for (const auto code : { ResultCode::MissingKey, ResultCode::UnknownKey, ResultCode::TokenRateLimit }) {
+        if (m_send->body == refusalBody(code))
+            return code;
+    }
+    return std::nullopt;
+}
+
 void EdgeRequest::completeStream(TimePoint now)
 {
     switch (streamEnd()) {
@@ -867,6 +891,8 @@
     }
     if (!isRefusable())
         endAfterExecution(reason, now);
+    else if (m_isUnverifiedByPeer || (m_isUnverified && reason == ResultCode::EndpointUnreachable))
+        refuse(ResultCode::KeysUnverifiable, m_state.keysRetryAfter(now), now);
     else
         refuse(reason == ResultCode::EndpointUnreachable ? ResultCode::NoEndpoint : ResultCode::QueueShed,
             std::max(defaultRetryAfter, m_peerRetryAfter.value_or(Duration::zero())), now);
@@ -874,6 +900,8 @@
 
 bool EdgeRequest::hasAlternative() const
 {
+    if (m_isUnverified)
+        return m_state.relays.choose(m_triedEndpoints, m_state.random, true) != nullptr;
     if (!m_forwarded && m_state.links.state() != LinkState::Up
         && m_state.relays.choose(m_triedEndpoints, m_state.random))
         return true;
@@ -940,7 +968,7 @@
     const bool isLost = m_send->isThroughPeer ? !m_state.relays.isAlive(m_send->endpoint->entry().id)
                                               : now - m_send->lastEventAt >= maxSilenceOfLostLink;
     if (!isLost || m_possibleExecutions + 1 >= maxExecutions()
-        || !m_state.relays.choose(m_triedEndpoints, m_state.random) || !mayResend(now))
+        || !m_state.relays.choose(m_triedEndpoints, m_state.random, m_isUnverified) || !mayResend(now))
         return;
     logFailedSend(true, ResultCode::EndpointStalled);
     endSend(SendOutcome::Neutral, now);
@@ -1017,7 +1045,7 @@
     }
     if (m_forwarded)
         addForwardingFields(headers, ForwardedAnswer { .wasNotExecuted = true });
-    m_exchange->respond(status, http::reasonPhrase(status), headers, printed(code) + "\n");
+    m_exchange->respond(status, http::reasonPhrase(status), headers, refusalBody(code));
     finish(code, now);
 }
 
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -15,6 +15,9 @@
 /// Subtracted from the revocation bound: covers the time from verifying a key to the start at the endpoint,
 /// and late timers.
 constexpr Duration revocationMargin = std::chrono::milliseconds(400);
+/// The bounds of the Retry-After of a request whose key no daemon can verify.
+constexpr Duration minKeysRetryAfter = std::chrono::milliseconds(50);
+constexpr Duration maxKeysRetryAfter = std::chrono::seconds(1);
 /// In a large fleet the loads reported from other data centres are up to a second old, which is the duration
 /// of a whole answer: all daemons see the same free slot and send to it at once.
 constexpr Headroom staleLoadHeadroom { .sameRegion = 2, .otherRegion = 3 };
@@ -176,6 +179,14 @@
     return age && *age < settings.bounds.keyRevocation - revocationMargin;
 }
 
+Duration EdgeState::keysRetryAfter(TimePoint now) const
+{
+    // A daemon that has stood still reads the store at once. Otherwise another daemon is likely to answer.
+    if (!m_storeReachedAt || !m_isStoreUnreachable || !m_isStoreUnreachable())
+        return minKeysRetryAfter;
+    return std::clamp<Duration>((now - m_storeReachedAt()) / 2, minKeysRetryAfter, maxKeysRetryAfter);
+}
+
 SharedQuota& EdgeState::quota(const RoutedOrganisation& organisation, TimePoint now)
 {
     // Each heartbeat looks up all organisations; counting the participants takes time for each peer.
--- a/packages/Edge/lib/PeerDocument.cpp
+++ b/packages/Edge/lib/PeerDocument.cpp
@@ -27,7 +27,7 @@
 }
 
 bool PeerDocument::read(const std::string& daemon, const PeerTable::Peer& peer, const std::string& target,
-    TimePoint now, std::function<void(const std::string& document)> done)
+    TimePoint now, Done done)
 {
     std::error_code ec;
     const auto host = ip::make_address(peer.host, ec);
@@ -49,9 +49,11 @@
                 return; // The next call goes to another peer if there is one.
             }
             auto body = std::make_shared<std::string>();
+            auto headers = std::make_shared<http::Headers>();
             current->exchange(fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", target, daemon), false,
                 { .head =
-                        [this](const http::HttpResponseHead& head) {
+                        [this, headers](const http::HttpResponseHead& head) {
+                            *headers = head.headers;
                             // The peer has no document, or its link is busy; another one may be asked.
                             if (head.status != 200 && m_call)
                                 std::exchange(m_call, nullptr)->close();
@@ -66,10 +68,10 @@
                                 std::exchange(m_call, nullptr)->close();
                         },
                     .complete =
-                        [this, body, done] {
+                        [this, body, headers, done] {
                             if (m_call)
                                 std::exchange(m_call, nullptr)->close();
-                            done(*body);
+                            done(*body, *headers);
                         },
                     .failed = [this](http::FailurePoint) { m_call.reset(); } });
         });
--- a/packages/Edge/lib/PeerForwarding.cpp
+++ b/packages/Edge/lib/PeerForwarding.cpp
@@ -15,8 +15,9 @@
 constexpr std::string_view versionName = "Lentilbay-Software-Version";
 constexpr std::string_view notExecutedName = "Lentilbay-Not-Executed";
 constexpr std::string_view endpointName = "Lentilbay-Endpoint";
-constexpr std::array<std::string_view, 5> names { daemonName, serviceName, versionName, notExecutedName,
-    endpointName };
+constexpr std::string_view unverifiedName = "Lentilbay-Unverified";
+constexpr std::array<std::string_view, 6> names { daemonName, serviceName, versionName, notExecutedName,
+    endpointName, unverifiedName };
 constexpr int hexadecimal = 16;
 /// The requests in flight that make up for the distance to a peer.
 constexpr double otherDataCentreCost = 2;
@@ -56,6 +57,8 @@
     headers.add(daemonName, request.daemon);
     headers.add(serviceName, request.service.text());
     addVersion(headers, request.version);
+    if (request.isUnverified)
+        headers.add(unverifiedName, "1");
 }
 
 void addForwardingFields(http::Headers& headers, const ForwardedAnswer& answer)
@@ -73,7 +76,8 @@
         return std::nullopt;
     return ForwardedRequest { .daemon = textOf(headers, daemonName),
         .service = ServiceId(textOf(headers, serviceName)),
-        .version = versionOf(headers) };
+        .version = versionOf(headers),
+        .isUnverified = headers.contains(unverifiedName) };
 }
 
 ForwardedAnswer forwardedAnswerOf(const http::Headers& headers)
@@ -104,6 +108,7 @@
         relay.isListed = true;
         relay.isUsable = !peer.isLeaving && !peer.isPartitioned && servesForwardedRequests(peer.revision);
         relay.isOutdated = peer.isOutdated;
+        relay.verifiesKeys = !peer.isOutdated && verifiesForwardedKeys(peer.revision);
         if (peer.dataCentre == m_topology.ownDataCentre.text()) {
             near += relay.isUsable ? 1 : 0;
             nearPartitioned += peer.isPartitioned ? 1 : 0;
@@ -128,12 +133,13 @@
     m_nearFraction = static_cast<double>(near) / static_cast<double>(near + nearPartitioned);
 }
 
-std::shared_ptr<EndpointState> PeerRelays::choose(const std::vector<EndpointId>& tried, Random& random) const
+std::shared_ptr<EndpointState> PeerRelays::choose(
+    const std::vector<EndpointId>& tried, Random& random, bool verifiesKeys) const
 {
     std::shared_ptr<EndpointState> out;
     double least = 0;
     for (const auto& [id, it] : m_relays) {
-        if (!it.isUsable || std::ranges::find(tried, id) != tried.end())
+        if (!it.isUsable || (verifiesKeys && !it.verifiesKeys) || std::ranges::find(tried, id) != tried.end())
             continue;
         const auto locality = m_topology.localityOf(it.state->entry().dataCentre);
         const double distance = locality == Locality::OwnDataCentre ? 0
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -266,6 +266,7 @@
                 { "failures", static_cast<int64_t>(m_failuresInRow) } });
     }
     m_contactAt = std::max(m_contactAt, now);
+    m_answeredAt = now;
     m_failuresInRow = 0;
     m_isBehind = false;
     endCalls(call);
--- a/packages/Edge/unittests/EdgeDaemonTest.cpp
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -551,6 +551,121 @@
     stopBoth();
 }
 
+/// Two daemons of which the store turns one or both away, while keys are withdrawn.
+class KeysDuringACutTest : public TurnedAwayDaemonTest {
+protected:
+    KeysDuringACutTest()
+    {
+        store.setResponder([this](const std::string& request) {
+            return areBothTurnedAway ? ScriptedResponse { .bytes = httpResponse(503, "") }
+                                     : storeResponse(request);
+        });
+        settings.regions = other.regions
+            = { { DataCentreId("a"), RegionId("r") }, { DataCentreId("b"), RegionId("s") } };
+        putKeys({ "kept", "withdrawn" });
+    }
+
+    void putKeys(const std::vector<std::string>& keys)
+    {
+        std::string list;
+        for (const auto& it : keys)
+            list += (list.empty() ? "\"" : ",\"") + it + "\"";
+        put("op", "config",
+            fmt::format(R"({{"Version":{},"Routes":[{{"Name":"r","Host":"h","Prefix":"/a/","Type":"safe",)"
+                        R"("TimeoutMs":2000,"Service":"s"}}],"Services":[{{"Name":"s"}}],)"
+                        R"("Tenants":[{{"Name":"o","ApiKeys":[{}]}}]}})",
+                ++configurationVersion, list));
+    }
+
+    std::string askWithKey(const platform::ProcessSettings& daemon, const std::string& key)
+    {
+        return ask(daemon.callers.port, "GET /a/x HTTP/1.1\r\nAuthorization: Token " + key + "\r\n" + tail);
+    }
+    bool accepts(const platform::ProcessSettings& daemon, const std::string& key)
+    {
+        return askWithKey(daemon, key).find("served") != std::string::npos;
+    }
+
+    void startAndMeet()
+    {
+        startBoth();
+        for (int i = 0; i < maxTries && !(accepts(other, "kept") && accepts(settings, "kept")); ++i)
+            runFor(20ms);
+        // Both daemons know each other.
+        runFor(2s);
+    }
+
+    /// Withdraws a key during the cut, and calls the daemon that is cut off for some time.
+    void playWithdrawal()
+    {
+        startAndMeet();
+        isTurnedAway = true;
+        runFor(1s);
+        putKeys({ "kept" });
+        const auto withdrawnAt = std::chrono::steady_clock::now();
+        const auto elapsed = [&] { return std::chrono::steady_clock::now() - withdrawnAt; };
+        int refused = 0;
+        int calls = 0;
+        while (elapsed() < 9s) {
+            const bool isLate = elapsed() > settings.bounds.keyRevocation;
+            EXPECT_FALSE(accepts(other, "withdrawn") && isLate);
+            const auto answer = askWithKey(other, "kept");
+            ++calls;
+            if (answer.find("served") == std::string::npos && ++refused == 1)
+                ADD_FAILURE() << "after " << elapsed() / 1ms << " ms: " << answer;
+            // Another row of the table changes, as that of a rollout does.
+            put("op", "rollout/s", "{}");
+            runFor(250ms);
+        }
+        EXPECT_EQ(refused, 0) << "of " << calls;
+        EXPECT_NE(askWithKey(other, "withdrawn").find("401"), std::string::npos);
+        stopBoth();
+    }
+
+    bool areBothTurnedAway = false;
+    int configurationVersion = 0;
+};
+
+TEST_F(KeysDuringACutTest, DaemonThatHadReadTheConfigurationFromAPeerRefusedAllKeys)
+{
+    // Guards against the refusals LB-3013 of 30 daemons for 12 s, after a change that they had read from a
+    // peer.
+    playWithdrawal();
+}
+
+TEST_F(KeysDuringACutTest, DataCentreThatIsCutOffRefusedAllKeys)
+{
+    other.dataCentre = DataCentreId("b");
+    playWithdrawal();
+}
+
+TEST_F(KeysDuringACutTest, DaemonsThatAreAllCutOffAcceptNoWithdrawnKey)
+{
+    // Guards against daemons that confirm outdated configurations for each other.
+    startAndMeet();
+    isTurnedAway = areBothTurnedAway = true;
+    // Calls that the store has accepted already see nothing newer.
+    runFor(200ms);
+    putKeys({ "kept" });
+    runFor(std::chrono::duration_cast<std::chrono::milliseconds>(settings.bounds.keyRevocation));
+    for (int i = 0; i < 8; ++i) {
+        for (const auto* it : { &settings, &other }) {
+            const auto answer = askWithKey(*it, "withdrawn");
+            EXPECT_NE(answer.find("LB-3013"), std::string::npos) << answer;
+            EXPECT_NE(answer.find("Retry-After: 1"), std::string::npos) << answer;
+        }
+        runFor(250ms);
+    }
+    // One of them is back, and the other verifies keys through it.
+    areBothTurnedAway = false;
+    std::string answer;
+    for (int i = 0; i < maxTries && answer.find("served") == std::string::npos; ++i)
+        answer = askWithKey(other, "kept");
+    EXPECT_NE(answer.find("served"), std::string::npos) << answer;
+    EXPECT_NE(askWithKey(other, "withdrawn").find("401"), std::string::npos);
+    stopBoth();
+}
+
 /// Two daemons that start at the same time with a store that keeps their rows.
 class AnnouncementTest : public TurnedAwayDaemonTest {
 protected:
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -2164,8 +2164,7 @@
                 .limits = [] { return http::ServerLimits {}; },
                 .handler =
                     [this](std::shared_ptr<http::Exchange> exchange) {
-                        std::make_shared<EdgeRequest>(state, std::move(exchange),
-                            ForwardedRequest { .daemon = "p", .service = ServiceId("s") })
+                        std::make_shared<EdgeRequest>(state, std::move(exchange), forwarded)
                             ->admit(bootNow());
                     },
                 .malformed = {},
@@ -2174,6 +2173,8 @@
                         ADD_FAILURE() << "second response to " << request.target << ": " << status;
                     } });
     }
+
+    ForwardedRequest forwarded { .daemon = "p", .service = ServiceId("s") };
 };
 
 TEST_F(ForwardedRequestTest, AnswerNamesTheEndpoint)
@@ -2218,6 +2219,143 @@
         EXPECT_EQ(call("/safe/x", fields).status, 200);
 }
 
+TEST_F(ForwardedRequestTest, KeyAndQuotaOfAnUnverifiedRequestAreCheckedHere)
+{
+    // Guards against requests that count against no quota, because each daemon leaves it to the other.
+    forwarded.isUnverified = true;
+    first.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = httpResponse(200, "a", signatureFields) };
+    });
+    const std::string usage = "X-Token-Usage: 1000,900\r\n";
+    EXPECT_EQ(call("/safe/x", "Authorization: Token k\r\n" + usage).status, 200);
+    const auto refused = call("/safe/x", "Authorization: Token k\r\n" + usage);
+    EXPECT_EQ(refused.status, 429);
+    EXPECT_TRUE(refused.headers.contains("Lentilbay-Not-Executed"));
+    EXPECT_EQ(call("/safe/x", "Authorization: Token withdrawn\r\n").status, 401);
+    EXPECT_EQ(receivedRequests(), 1U);
+    state.routesConfirmedAt = bootNow() - 4700ms;
+    const auto unverifiable = call("/safe/x", "Authorization: Token other-key\r\n");
+    EXPECT_EQ(unverifiable.status, 503);
+    EXPECT_TRUE(unverifiable.headers.contains("Lentilbay-Not-Executed"));
+    EXPECT_EQ(unverifiable.body, "LB-3013\n");
+    EXPECT_EQ(receivedRequests(), 1U);
+}
+
+/// A daemon whose configuration is too old to verify keys, with two peers.
+class UnverifiedKeyTest : public EdgeRequestTest {
+protected:
+    UnverifiedKeyTest()
+    {
+        state.routesConfirmedAt = bootNow() - 4700ms;
+        hear("p1", nearPeer, {});
+        hear("p2", farPeer, {});
+    }
+
+    void hear(const std::string& daemon, const RawServer& server, PeerHeartbeat heartbeat)
+    {
+        heartbeat.daemon = daemon;
+        heartbeat.incarnation = 1;
+        heartbeat.sequence = ++sequence;
+        heartbeat.dataCentre = daemon == "p1" ? "a" : "b";
+        heartbeat.periodMilliseconds = 200;
+        state.peers.recordHeartbeat(heartbeat, "127.0.0.1", server.port(), bootNow());
+        state.relays.update(state.peers);
+    }
+
+    static ScriptedResponse refusal(int status, const std::string& code)
+    {
+        return { .bytes = httpResponse(status, code + "\n", "Lentilbay-Not-Executed: 1\r\n") };
+    }
+
+    RawServer nearPeer { context };
+    RawServer farPeer { context };
+    uint64_t sequence = 0;
+};
+
+TEST_F(UnverifiedKeyTest, RequestIsSentThroughAPeerThatVerifiesTheKey)
+{
+    nearPeer.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = httpResponse(200, "served", signatureFields) };
+    });
+    // More than the quota: the peer counts it. A key that only a newer configuration contains.
+    const std::string usage = "X-Token-Usage: 1000,900\r\n";
+    for (const auto* key : { "k", "k", "k", "new" })
+        EXPECT_EQ(
+            call("/safe/x", std::string("Authorization: Token ") + key + "\r\n" + usage).body, "served");
+    EXPECT_EQ(receivedRequests(), 0U) << "an endpoint got a request whose key was not verified";
+    ASSERT_EQ(nearPeer.requests().size(), 4U);
+    for (const auto* it : { "Lentilbay-Unverified: 1\r\n", "Authorization: Token new\r\n" })
+        EXPECT_NE(nearPeer.requests()[3].find(it), std::string::npos) << nearPeer.requests()[3];
+    // A key that this daemon verifies is not left to the peer.
+    state.routesConfirmedAt = bootNow();
+    first.script({ .bytes = httpResponse(200, "own", signatureFields) });
+    EXPECT_EQ(call("/safe/x").body, "own");
+}
+
+TEST_F(UnverifiedKeyTest, RequestWithAnUnknownKeyWasRefusedAlthoughAPeerKnewIt)
+{
+    // A configuration of 3 s verifies the keys that it contains, and denies none.
+    state.routesConfirmedAt = bootNow() - 3s;
+    nearPeer.script({ .bytes = httpResponse(200, "served", signatureFields) });
+    EXPECT_EQ(call("/safe/x", "Authorization: Token new\r\n").body, "served");
+    first.script({ .bytes = httpResponse(200, "own", signatureFields) });
+    EXPECT_EQ(call("/safe/x").body, "own");
+}
+
+TEST_F(UnverifiedKeyTest, VerdictOfThePeerIsFinal)
+{
+    for (const auto& [status, code] :
+        { std::pair(401, ResultCode::UnknownKey), std::pair(429, ResultCode::TokenRateLimit) }) {
+        nearPeer.script(refusal(status, printed(code)));
+        const auto answer = call("/safe/x");
+        EXPECT_EQ(answer.status, status);
+        EXPECT_EQ(answer.body, printed(code) + "\n");
+        EXPECT_FALSE(answer.headers.contains("Lentilbay-Not-Executed"));
+    }
+    EXPECT_EQ(farPeer.requests().size(), 0U);
+}
+
+TEST_F(UnverifiedKeyTest, PeerThatCannotVerifyTheKeyIsFollowedByAnother)
+{
+    nearPeer.script(refusal(503, printed(ResultCode::KeysUnverifiable)));
+    farPeer.script({ .bytes = httpResponse(200, "far", signatureFields) });
+    EXPECT_EQ(call("/once/x").body, "far");
+    nearPeer.script(refusal(503, printed(ResultCode::KeysUnverifiable)));
+    farPeer.script(refusal(503, printed(ResultCode::KeysUnverifiable)));
+    const auto answer = call("/once/x");
+    EXPECT_EQ(answer.body, printed(ResultCode::KeysUnverifiable) + "\n");
+    EXPECT_EQ(receivedRequests(), 0U);
+}
+
+TEST_F(UnverifiedKeyTest, PeerThatIsCutOffOrCountsNoQuotaGetsNoSuchRequest)
+{
+    hear("p1", nearPeer, { .isOutdated = true });
+    hear("p2", farPeer, { .revision = WireRevision::WindowParts });
+    const auto answer = call("/safe/x");
+    EXPECT_EQ(answer.body, printed(ResultCode::KeysUnverifiable) + "\n");
+    EXPECT_EQ(nearPeer.requests().size() + farPeer.requests().size(), 0U);
+}
+
+TEST_F(UnverifiedKeyTest, RefusalStatesHalfOfTheTimeSinceTheStoreWasReached)
+{
+    hear("p1", nearPeer, { .isOutdated = true });
+    hear("p2", farPeer, { .isOutdated = true });
+    bool isUnreachable = true;
+    Duration age = 1200ms;
+    state.setStoreStatus([&] { return isUnreachable; });
+    state.setStoreContact([&] { return bootNow() - age; });
+    const auto retryAfter = [&] { return std::stod(*call("/safe/x").headers.find("Retry-After")); };
+    EXPECT_NEAR(retryAfter(), 0.6, 0.06);
+    age = 7s;
+    EXPECT_DOUBLE_EQ(retryAfter(), 1);
+    age = 20ms;
+    EXPECT_NEAR(retryAfter(), 0.05, 0.01);
+    // The daemon has stood still, and reads the store at once.
+    age = 7s;
+    isUnreachable = false;
+    EXPECT_NEAR(retryAfter(), 0.05, 0.01);
+}
+
 TEST_F(ForwardedRequestTest, IsNotForwardedAgain)
 {
     RawServer peer(context);
--- a/packages/Edge/unittests/PeerForwardingTest.cpp
+++ b/packages/Edge/unittests/PeerForwardingTest.cpp
@@ -11,7 +11,7 @@
 TEST(PeerForwarding, FieldsOfARequestSurvive)
 {
     const ForwardedRequest request {
-        .daemon = "edge-1", .service = ServiceId("s"), .version = 0xabcdef0123456789
+        .daemon = "edge-1", .service = ServiceId("s"), .version = 0xabcdef0123456789, .isUnverified = true
     };
     http::Headers headers;
     headers.add("X-Own", "1");
@@ -111,6 +111,24 @@
     EXPECT_EQ(chosen({ EndpointId("daemon/far") }), "daemon/near");
 }
 
+TEST_F(PeerRelaysTest, OnlyCurrentPeersOfThisBuildVerifyKeys)
+{
+    const auto hearWith = [&](bool isOutdated, WireRevision revision) {
+        PeerHeartbeat heartbeat { .daemon = "near", .incarnation = 1, .sequence = ++sequence };
+        heartbeat.dataCentre = "a";
+        heartbeat.periodMilliseconds = 200;
+        heartbeat.isOutdated = isOutdated;
+        heartbeat.revision = revision;
+        peers.recordHeartbeat(heartbeat, "127.0.0.1", 1, now);
+        relays.update(peers);
+        return relays.choose({}, random, true) != nullptr;
+    };
+    EXPECT_TRUE(hearWith(false, newestWireRevision));
+    EXPECT_FALSE(hearWith(true, newestWireRevision));
+    EXPECT_FALSE(hearWith(false, WireRevision::WindowParts)) << "it would count no quota";
+    EXPECT_EQ(chosen(), "daemon/near") << "for a request whose key was verified";
+}
+
 TEST_F(PeerRelaysTest, LeavesOutPeersThatCannotServe)
 {
     hear("leaving", "a", true);
