Reject responses with a status that HTTP does not have

Cause: the parser took 000, 00 and 099 for interim responses, so that the caller waited until the route's timeout and got 504, and passed 600 and 999 on. 101, for which no request asks, was an interim response as well.

Change: a response whose status is 101 or outside 100 to 599 is invalid; the connection is closed and the send fails (502 if no other endpoint answers). The end of the input completes an unframed response only if the request has been sent completely. Invalid answers are counted (answers_invalid).

A real 100 and 103 still precede the final answer.

--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -780,6 +780,8 @@
     }
     const bool wasNotExecuted = m_send->wasNotExecuted;
     const auto loss = readLoss(at);
+    if (at == http::FailurePoint::InvalidResponse)
+        m_state.metrics.count("answers_invalid");
     if (!m_send->isThroughPeer)
         m_state.links.recordBroken(m_send->endpoint->hash(), now);
     if (!wasNotExecuted)
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -539,6 +539,126 @@
     EXPECT_LT(bootNow() - begunAt, 1s);
 }
 
+/// Statuses that no valid response has. 101 answers a request to change the protocol, which is never made.
+const std::vector<std::string> invalidStatuses { "000", "00", "099", "101", "600", "999" };
+
+std::string answerWithStatus(const std::string& status)
+{
+    return "HTTP/1.1 " + status + " Text\r\n" + signatureFields + "Content-Length: 2\r\n\r\nok";
+}
+
+/// Answers 200 at the first bytes of a request whose body is longer than the sockets hold, and resets the
+/// connection while the body is being written.
+class EarlyAnswer {
+public:
+    EarlyAnswer(asio::io_context& context, std::string bytes)
+        : m_bytes(std::move(bytes))
+        , m_acceptor(context)
+        , m_timer(context)
+    {
+        m_acceptor.open(asio::ip::tcp::v4());
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(16'384));
+        m_acceptor.bind({ asio::ip::make_address("127.0.0.1"), 0 });
+        m_acceptor.listen();
+        accept();
+    }
+
+    uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](std::error_code ec, asio::ip::tcp::socket socket) {
+            if (ec)
+                return;
+            auto peer = std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+            peer->async_wait(asio::ip::tcp::socket::wait_read, [this, peer](std::error_code) {
+                asio::write(*peer, asio::buffer(m_bytes));
+                m_timer.expires_after(30ms);
+                m_timer.async_wait([peer](std::error_code) {
+                    peer->set_option(asio::socket_base::linger(true, 0));
+                    peer->close();
+                });
+            });
+            accept();
+        });
+    }
+
+    std::string m_bytes;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_timer;
+};
+
+TEST_F(EdgeRequestTest, InvalidStatusWasReadUntilTheTimeoutOrReachedTheCaller)
+{
+    const std::string withoutQuota = "Authorization: Token other-key\r\n";
+    for (const auto& status : invalidStatuses) {
+        for (const auto* path : { "/once/x", "/safe/x", "/streamonce/x", "/stream/x" }) {
+            for (const auto* fields : { "", "Expect: 100-continue\r\n" }) {
+                first.script({ .bytes = answerWithStatus(status) });
+                const auto begunAt = bootNow();
+                const auto answer = call(path, withoutQuota + fields);
+                EXPECT_EQ(answer.status, 502) << status << path << fields;
+                EXPECT_LT(bootNow() - begunAt, 1s) << status << path << fields;
+                relist("e1", first);
+                state.crashes.dropBreaksAt(hashOf("e1"));
+            }
+        }
+    }
+}
+
+TEST_F(EdgeRequestTest, RequestWithAnInvalidAnswerIsSentToAnotherEndpoint)
+{
+    const std::string withoutQuota = "Authorization: Token other-key\r\n";
+    for (const auto& status : invalidStatuses) {
+        int sends = 0;
+        const auto respond = [&](const std::string&) {
+            return ScriptedResponse { .bytes
+                = sends++ == 0 ? answerWithStatus(status) : httpResponse(200, "served", signatureFields) };
+        };
+        first.setResponder(respond);
+        second.setResponder(respond);
+        list("e2", second);
+        EXPECT_EQ(call("/safe/x", withoutQuota).body, "served") << status;
+        EXPECT_EQ(sends, 2) << status;
+        relist("e1", first);
+        relist("e2", second);
+    }
+}
+
+TEST_F(EdgeRequestTest, InterimResponsesPrecedeTheFinalOne)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    for (const auto* fields : { "", "Expect: 100-continue\r\n" }) {
+        first.script({ .bytes = interim + httpResponse(200, "served", signatureFields) });
+        const auto answer = call("/once/x", std::string("Authorization: Token other-key\r\n") + fields);
+        EXPECT_EQ(answer.body, "served") << fields;
+        EXPECT_FALSE(answer.headers.contains("Link"));
+    }
+    first.script({ .bytes = interim + streamAnswer({ eventOf(1) }) });
+    EXPECT_EQ(call("/streamonce/x").body, eventOf(1));
+}
+
+TEST_F(EdgeRequestTest, AnswerThatIsResetDuringTheUploadIsNeverWhole)
+{
+    requestBody = std::string(4'000'000, 'u');
+    const auto head = "HTTP/1.1 200 OK\r\n" + signatureFields;
+    for (const auto& bytes : { head + "\r\npart", head + "Content-Length: 900\r\n\r\npart",
+             head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n" }) {
+        EarlyAnswer early(context, bytes);
+        state.endpointRegistry.unlist(EndpointId("e1"));
+        state.endpointRegistry.list({ .id = EndpointId("e1"),
+            .service = ServiceId("s"),
+            .host = "127.0.0.1",
+            .port = early.port(),
+            .dataCentre = DataCentreId("a"),
+            .slots = 4 });
+        const auto answer = call("/once/x", "Authorization: Token other-key\r\n");
+        EXPECT_EQ(answer.status, 502) << bytes;
+        EXPECT_EQ(answer.body.find("part"), std::string::npos) << bytes;
+    }
+}
+
 TEST_F(EdgeRequestTest, AnswerWithoutEndEndedASoundOneBesideIt)
 {
     state.answerMemory->setLimit(1'000'000);
@@ -2071,6 +2191,18 @@
     connection->close();
 }
 
+TEST_F(PartitionedDaemonTest, InvalidStatusOfAPeerWasReadUntilTheTimeout)
+{
+    for (const auto& status : invalidStatuses) {
+        for (const auto* path : { "/once/x", "/streamonce/x" }) {
+            nearPeer.script({ .bytes = answerWithStatus(status) });
+            const auto begunAt = bootNow();
+            EXPECT_EQ(call(path, "Authorization: Token other-key\r\n").status, 502) << status << path;
+            EXPECT_LT(bootNow() - begunAt, 1s) << status << path;
+        }
+    }
+}
+
 TEST_F(PartitionedDaemonTest, PeerThatDidNotExecuteTheRequestIsFollowedByAnother)
 {
     nearPeer.script({ .bytes = httpResponse(503, "", "Lentilbay-Not-Executed: 1\r\nRetry-After: 2\r\n") });
--- a/packages/Http/include/lentilbay/Http/ClientConnection.h
+++ b/packages/Http/include/lentilbay/Http/ClientConnection.h
@@ -26,7 +26,8 @@
     BeforeResponse,
     /// The response was truncated.
     DuringResponse,
-    /// The response is not valid HTTP, or its head or framing has no end.
+    /// The response is not valid HTTP or has a status that no response has, or its head or framing has no
+    /// end.
     InvalidResponse,
 };
 
--- a/packages/Http/lib/ClientConnection.cpp
+++ b/packages/Http/lib/ClientConnection.cpp
@@ -236,7 +236,9 @@
 void ClientConnection::handleEndOfStream()
 {
     m_keepsAlive = false;
-    if (m_observer && m_parser.finishAtEof() && m_isComplete) {
+    // Before the request is sent, the end may be that of a reset: a write that failed has taken its error.
+    const bool isRequestSent = m_sent == m_out.size();
+    if (m_observer && isRequestSent && m_parser.finishAtEof() && m_isComplete) {
         auto observer = std::exchange(m_observer, nullptr);
         close();
         observer->complete();
--- a/packages/Http/lib/MessageParser.cpp
+++ b/packages/Http/lib/MessageParser.cpp
@@ -88,6 +88,10 @@
 
 std::string_view viewOf(const char* at, size_t length) { return { at, length }; }
 
+/// Whether a response to a request of this client may have the status. 101 answers a request to change the
+/// protocol, which is never made.
+bool isValidStatus(unsigned status) { return status >= 100 && status < 600 && status != 101; }
+
 /// Installs the header callbacks, which are the same for requests and responses.
 template <class State> void collectHeaders(http_parser_settings& settings)
 {
@@ -286,7 +290,8 @@
     int onHeadersComplete()
     {
         isHeadComplete = true;
-        if (!headers.isValid() || !isFramedUnambiguously(headers.headers()) || parser.http_major != 1)
+        if (!headers.isValid() || !isFramedUnambiguously(headers.headers()) || parser.http_major != 1
+            || !isValidStatus(parser.status_code))
             return -1;
         head.status = static_cast<int>(parser.status_code);
         isInterim = head.status < 200;
--- a/packages/Http/unittests/ClientConnectionTest.cpp
+++ b/packages/Http/unittests/ClientConnectionTest.cpp
@@ -275,6 +275,42 @@
     EXPECT_FALSE(connection->isReusable());
 }
 
+TEST_F(ClientConnectionTest, ResetDuringTheRequestCompletesNoResponse)
+{
+    // Guards against an unframed response that is taken for whole: a write that fails may take the error of
+    // the reset, and the next read then finds the end of the input.
+    constexpr size_t large = 64U << 20U;
+    const auto request
+        = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 67108864\r\n\r\n" + std::string(large, 'a');
+    for (const auto* framing : { "\r\n", "Content-Length: 900\r\n\r\n" }) {
+        for (const auto wait : { 0ms, 1ms, 20ms }) {
+            asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+            asio::ip::tcp::socket peer(context);
+            asio::steady_timer timer(context);
+            acceptor.async_accept(peer, [&](std::error_code) {
+                peer.async_wait(asio::ip::tcp::socket::wait_read, [&](std::error_code) {
+                    asio::write(peer, asio::buffer(std::string("HTTP/1.1 200 OK\r\n") + framing + "part"));
+                    timer.expires_after(wait);
+                    timer.async_wait([&](std::error_code) {
+                        peer.set_option(asio::socket_base::linger(true, 0));
+                        peer.close();
+                    });
+                });
+            });
+            connection = std::make_shared<ClientConnection>(context);
+            std::optional<bool> connected;
+            connection->connect(acceptor.local_endpoint(), 5s, [&](bool it) { connected = it; });
+            runUntil([&] { return connected.has_value(); });
+            isComplete = false;
+            brokenAt.reset();
+            send(request);
+            runUntil([&] { return hasEnded(); });
+            EXPECT_FALSE(isComplete) << framing << wait.count();
+            EXPECT_NE(brokenAt, FailurePoint::NothingSent);
+        }
+    }
+}
+
 TEST_F(ClientConnectionTest, ReportsNothingSentOnAClosedConnection)
 {
     server.script({ .bytes = httpResponse(200, "own") + "stray" });
--- a/packages/Http/unittests/MessageParserTest.cpp
+++ b/packages/Http/unittests/MessageParserTest.cpp
@@ -161,6 +161,30 @@
     EXPECT_TRUE(nonsense.parser.hasFailed());
 }
 
+TEST(ResponseParser, StatusOutsideOfHttpWasTakenForAnInterimOrFinalResponse)
+{
+    // 101 answers a request to change the protocol, which this client never makes.
+    for (const auto* status : { "0", "00", "000", "099", "101", "600", "999", "1000" }) {
+        Response response;
+        response.parser.feed(std::string("HTTP/1.1 ") + status + " Text\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_TRUE(response.parser.hasFailed()) << status;
+        EXPECT_EQ(response.heads, 0) << status;
+        EXPECT_EQ(response.ends, 0) << status;
+    }
+    for (const auto* status : { "200", "299", "404", "500", "599" }) {
+        Response response;
+        response.parser.feed(std::string("HTTP/1.1 ") + status + " Text\r\nContent-Length: 0\r\n\r\n");
+        EXPECT_FALSE(response.parser.hasFailed()) << status;
+        EXPECT_EQ(response.ends, 1) << status;
+    }
+    Response interim;
+    interim.parser.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_FALSE(interim.parser.hasFailed());
+    EXPECT_EQ(interim.heads, 1);
+    EXPECT_EQ(interim.ends, 1);
+}
+
 TEST(ResponseParser, FailsOnHeadersAndFramingWithoutEnd)
 {
     const std::string ok = "HTTP/1.1 200 OK\r\n";
