--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -44,6 +44,9 @@
     return headers;
 }
 
+/// The body of a refusal, from which a daemon that forwarded the request learns the reason.
+std::string refusalBody(ResultCode code) { return printed(code) + "\n"; }
+
 void logSuspicion(const EndpointState& endpoint, SendOutcome outcome)
 {
     logEvent(Event::EndpointSuspected,
@@ -101,7 +104,7 @@
 
 bool EdgeRequest::startThroughPeer(TimePoint now)
 {
-    auto peer = m_state.relays.choose(m_attempts.tried(), m_state.random);
+    auto peer = m_state.relays.choose(m_attempts.tried(), m_state.random, m_isUnverified);
     if (!peer)
         return false;
     peer->recordSend(m_work, now);
@@ -252,9 +255,12 @@
     const auto waited = millisecondsOf(now - m_arrivedAt);
     if (m_send->isThroughPeer) {
         m_state.metrics.count("requests_forwarded");
+        if (m_isUnverified)
+            m_state.metrics.count("requests_forwarded_unverified");
         logEvent(Event::RequestForwarded,
             { { "id", m_metadata.id.text() }, { "peer", endpoint.entry().id.text() }, { "waited_ms", waited },
                 { "in_flight", static_cast<int64_t>(endpoint.ownInFlight()) },
+                { "unverified", static_cast<int64_t>(m_isUnverified) },
                 { "send", static_cast<int64_t>(m_attempts.arrivals()) } });
         return;
     }
@@ -275,8 +281,10 @@
     if (m_send->isThroughPeer) {
         http::Headers fields;
         addForwardingFields(fields,
-            ForwardedRequest {
-                .daemon = m_state.settings.daemon.text(), .service = m_service, .version = m_version });
+            ForwardedRequest { .daemon = m_state.settings.daemon.text(),
+                .service = m_service,
+                .version = m_version,
+                .isUnverified = m_isUnverified });
         return platform::encodePeerRequest(m_exchange->request(), metadata, fields);
     }
     metadata.endpoint = m_send->endpoint->entry().id;
@@ -577,11 +585,16 @@
     if (m_send->wasNotExecuted) {
         if (!m_send->isMisdirected && !m_send->lacksWeights && !m_send->isThroughPeer)
             m_attempts.recordRejection();
+        const auto verdict = verdictOfPeer();
+        m_isUnverifiedByPeer = m_isUnverified && m_send->body == refusalBody(ResultCode::KeysUnverifiable);
         endSend(m_send->isMisdirected  ? SendOutcome::Misdirected
                 : m_send->lacksWeights ? SendOutcome::Neutral
                                        : SendOutcome::Full,
             now);
-        sendFailed(false, ResultCode::EndpointRefused, now);
+        if (verdict)
+            refuse(*verdict, m_peerRetryAfter, now);
+        else
+            sendFailed(false, ResultCode::EndpointRefused, now);
         return;
     }
     if (m_send->isEventStream)
@@ -590,6 +603,17 @@
         completeNonStream(now);
 }
 
+std::optional<ResultCode> EdgeRequest::verdictOfPeer() const
+{
+    if (!m_isUnverified)
+        return std::nullopt;
+    for (const auto code : { ResultCode::MissingKey, ResultCode::UnknownKey, ResultCode::TokenRateLimit }) {
+        if (m_send->body == refusalBody(code))
+            return code;
+    }
+    return std::nullopt;
+}
+
 void EdgeRequest::completeStream(TimePoint now)
 {
     switch (streamEnd()) {
@@ -736,6 +760,8 @@
     }
     const bool wasNotExecuted = m_send->wasNotExecuted;
     const auto loss = readLoss(at);
+    if (at == http::FailurePoint::InvalidResponse)
+        m_state.metrics.count("answers_invalid");
     if (!m_send->isThroughPeer)
         m_state.links.recordBroken(m_send->endpoint->hash(), now);
     if (!wasNotExecuted)
@@ -856,6 +882,8 @@
     }
     if (!isRefusable())
         endAfterExecution(reason, now);
+    else if (m_isUnverifiedByPeer || (m_isUnverified && reason == ResultCode::EndpointUnreachable))
+        refuse(ResultCode::KeysUnverifiable, m_state.keysRetryAfter(now), now);
     else
         refuse(reason == ResultCode::EndpointUnreachable ? ResultCode::NoEndpoint : ResultCode::QueueShed,
             std::max(defaultRetryAfter, m_peerRetryAfter.value_or(Duration::zero())), now);
@@ -863,6 +891,8 @@
 
 bool EdgeRequest::hasAlternative()
 {
+    if (m_isUnverified)
+        return m_state.relays.choose(m_attempts.tried(), m_state.random, true) != nullptr;
     if (!m_forwarded && m_state.links.state() != LinkState::Up
         && m_state.relays.choose(m_attempts.tried(), m_state.random))
         return true;
@@ -934,7 +964,7 @@
     const bool isLost = m_send->isThroughPeer ? !m_state.relays.isAlive(m_send->endpoint->entry().id)
                                               : now - m_send->lastEventAt >= maxSilenceOfLostLink;
     if (!isLost || m_attempts.possibleExecutions() + 1 >= maxExecutions()
-        || !m_state.relays.choose(m_attempts.tried(), m_state.random) || !mayResend(now))
+        || !m_state.relays.choose(m_attempts.tried(), m_state.random, m_isUnverified) || !mayResend(now))
         return;
     logFailedSend(true, ResultCode::EndpointStalled);
     endSend(SendOutcome::Neutral, now);
@@ -1011,7 +1041,7 @@
     }
     if (m_forwarded)
         addForwardingFields(headers, ForwardedAnswer { .wasNotExecuted = true });
-    m_exchange->respond(status, http::reasonPhrase(status), headers, printed(code) + "\n");
+    m_exchange->respond(status, http::reasonPhrase(status), headers, refusalBody(code));
     finish(code, now);
 }
 
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -539,6 +539,126 @@
     EXPECT_LT(bootNow() - begunAt, 1s);
 }
 
+/// Statuses that no valid response has. 101 answers a request to change the protocol, which is never made.
+const std::vector<std::string> invalidStatuses { "000", "00", "099", "101", "600", "999" };
+
+std::string answerWithStatus(const std::string& status)
+{
+    return "HTTP/1.1 " + status + " Text\r\n" + signatureFields + "Content-Length: 2\r\n\r\nok";
+}
+
+/// Answers 200 at the first bytes of a request whose body is longer than the sockets hold, and resets the
+/// connection while the body is being written.
+class EarlyAnswer {
+public:
+    EarlyAnswer(asio::io_context& context, std::string bytes)
+        : m_bytes(std::move(bytes))
+        , m_acceptor(context)
+        , m_timer(context)
+    {
+        m_acceptor.open(asio::ip::tcp::v4());
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(16'384));
+        m_acceptor.bind({ asio::ip::make_address("127.0.0.1"), 0 });
+        m_acceptor.listen();
+        accept();
+    }
+
+    uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](std::error_code ec, asio::ip::tcp::socket socket) {
+            if (ec)
+                return;
+            auto peer = std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+            peer->async_wait(asio::ip::tcp::socket::wait_read, [this, peer](std::error_code) {
+                asio::write(*peer, asio::buffer(m_bytes));
+                m_timer.expires_after(30ms);
+                m_timer.async_wait([peer](std::error_code) {
+                    peer->set_option(asio::socket_base::linger(true, 0));
+                    peer->close();
+                });
+            });
+            accept();
+        });
+    }
+
+    std::string m_bytes;
+    asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_timer;
+};
+
+TEST_F(EdgeRequestTest, InvalidStatusWasReadUntilTheTimeoutOrReachedTheCaller)
+{
+    const std::string withoutQuota = "Authorization: Token other-key\r\n";
+    for (const auto& status : invalidStatuses) {
+        for (const auto* path : { "/once/x", "/safe/x", "/streamonce/x", "/stream/x" }) {
+            for (const auto* fields : { "", "Expect: 100-continue\r\n" }) {
+                first.script({ .bytes = answerWithStatus(status) });
+                const auto begunAt = bootNow();
+                const auto answer = call(path, withoutQuota + fields);
+                EXPECT_EQ(answer.status, 502) << status << path << fields;
+                EXPECT_LT(bootNow() - begunAt, 1s) << status << path << fields;
+                relist("e1", first);
+                state.crashes.dropBreaksAt(hashOf("e1"));
+            }
+        }
+    }
+}
+
+TEST_F(EdgeRequestTest, RequestWithAnInvalidAnswerIsSentToAnotherEndpoint)
+{
+    const std::string withoutQuota = "Authorization: Token other-key\r\n";
+    for (const auto& status : invalidStatuses) {
+        int sends = 0;
+        const auto respond = [&](const std::string&) {
+            return ScriptedResponse { .bytes
+                = sends++ == 0 ? answerWithStatus(status) : httpResponse(200, "served", signatureFields) };
+        };
+        first.setResponder(respond);
+        second.setResponder(respond);
+        list("e2", second);
+        EXPECT_EQ(call("/safe/x", withoutQuota).body, "served") << status;
+        EXPECT_EQ(sends, 2) << status;
+        relist("e1", first);
+        relist("e2", second);
+    }
+}
+
+TEST_F(EdgeRequestTest, InterimResponsesPrecedeTheFinalOne)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    for (const auto* fields : { "", "Expect: 100-continue\r\n" }) {
+        first.script({ .bytes = interim + httpResponse(200, "served", signatureFields) });
+        const auto answer = call("/once/x", std::string("Authorization: Token other-key\r\n") + fields);
+        EXPECT_EQ(answer.body, "served") << fields;
+        EXPECT_FALSE(answer.headers.contains("Link"));
+    }
+    first.script({ .bytes = interim + streamAnswer({ eventOf(1) }) });
+    EXPECT_EQ(call("/streamonce/x").body, eventOf(1));
+}
+
+TEST_F(EdgeRequestTest, AnswerThatIsResetDuringTheUploadIsNeverWhole)
+{
+    requestBody = std::string(4'000'000, 'u');
+    const auto head = "HTTP/1.1 200 OK\r\n" + signatureFields;
+    for (const auto& bytes : { head + "\r\npart", head + "Content-Length: 900\r\n\r\npart",
+             head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n" }) {
+        EarlyAnswer early(context, bytes);
+        state.endpointRegistry.unlist(EndpointId("e1"));
+        state.endpointRegistry.list({ .id = EndpointId("e1"),
+            .service = ServiceId("s"),
+            .host = "127.0.0.1",
+            .port = early.port(),
+            .dataCentre = DataCentreId("a"),
+            .slots = 4 });
+        const auto answer = call("/once/x", "Authorization: Token other-key\r\n");
+        EXPECT_EQ(answer.status, 502) << bytes;
+        EXPECT_EQ(answer.body.find("part"), std::string::npos) << bytes;
+    }
+}
+
 TEST_F(EdgeRequestTest, AnswerWithoutEndEndedASoundOneBesideIt)
 {
     state.answerMemory->setLimit(1'000'000);
@@ -2113,6 +2233,18 @@
     connection->close();
 }
 
+TEST_F(PartitionedDaemonTest, InvalidStatusOfAPeerWasReadUntilTheTimeout)
+{
+    for (const auto& status : invalidStatuses) {
+        for (const auto* path : { "/once/x", "/streamonce/x" }) {
+            nearPeer.script({ .bytes = answerWithStatus(status) });
+            const auto begunAt = bootNow();
+            EXPECT_EQ(call(path, "Authorization: Token other-key\r\n").status, 502) << status << path;
+            EXPECT_LT(bootNow() - begunAt, 1s) << status << path;
+        }
+    }
+}
+
 TEST_F(PartitionedDaemonTest, PeerThatDidNotExecuteTheRequestIsFollowedByAnother)
 {
     nearPeer.script({ .bytes = httpResponse(503, "", "Lentilbay-Not-Executed: 1\r\nRetry-After: 2\r\n") });
@@ -2206,8 +2338,7 @@
                 .limits = [] { return http::ServerLimits {}; },
                 .handler =
                     [this](std::shared_ptr<http::Exchange> exchange) {
-                        std::make_shared<EdgeRequest>(state, std::move(exchange),
-                            ForwardedRequest { .daemon = "p", .service = ServiceId("s") })
+                        std::make_shared<EdgeRequest>(state, std::move(exchange), forwarded)
                             ->admit(bootNow());
                     },
                 .malformed = {},
@@ -2216,6 +2347,8 @@
                         ADD_FAILURE() << "second response to " << request.target << ": " << status;
                     } });
     }
+
+    ForwardedRequest forwarded { .daemon = "p", .service = ServiceId("s") };
 };
 
 TEST_F(ForwardedRequestTest, AnswerNamesTheEndpoint)
@@ -2260,6 +2393,143 @@
         EXPECT_EQ(call("/safe/x", fields).status, 200);
 }
 
+TEST_F(ForwardedRequestTest, KeyAndQuotaOfAnUnverifiedRequestAreCheckedHere)
+{
+    // Guards against requests that count against no quota, because each daemon leaves it to the other.
+    forwarded.isUnverified = true;
+    first.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = httpResponse(200, "a", signatureFields) };
+    });
+    const std::string usage = "X-Token-Usage: 1000,900\r\n";
+    EXPECT_EQ(call("/safe/x", "Authorization: Token k\r\n" + usage).status, 200);
+    const auto refused = call("/safe/x", "Authorization: Token k\r\n" + usage);
+    EXPECT_EQ(refused.status, 429);
+    EXPECT_TRUE(refused.headers.contains("Lentilbay-Not-Executed"));
+    EXPECT_EQ(call("/safe/x", "Authorization: Token withdrawn\r\n").status, 401);
+    EXPECT_EQ(receivedRequests(), 1U);
+    state.routesConfirmedAt = bootNow() - 4700ms;
+    const auto unverifiable = call("/safe/x", "Authorization: Token other-key\r\n");
+    EXPECT_EQ(unverifiable.status, 503);
+    EXPECT_TRUE(unverifiable.headers.contains("Lentilbay-Not-Executed"));
+    EXPECT_EQ(unverifiable.body, "LB-3013\n");
+    EXPECT_EQ(receivedRequests(), 1U);
+}
+
+/// A daemon whose configuration is too old to verify keys, with two peers.
+class UnverifiedKeyTest : public EdgeRequestTest {
+protected:
+    UnverifiedKeyTest()
+    {
+        state.routesConfirmedAt = bootNow() - 4700ms;
+        hear("p1", nearPeer, {});
+        hear("p2", farPeer, {});
+    }
+
+    void hear(const std::string& daemon, const RawServer& server, PeerHeartbeat heartbeat)
+    {
+        heartbeat.daemon = daemon;
+        heartbeat.incarnation = 1;
+        heartbeat.sequence = ++sequence;
+        heartbeat.dataCentre = daemon == "p1" ? "a" : "b";
+        heartbeat.periodMilliseconds = 200;
+        state.peers.recordHeartbeat(heartbeat, "127.0.0.1", server.port(), bootNow());
+        state.relays.update(state.peers);
+    }
+
+    static ScriptedResponse refusal(int status, const std::string& code)
+    {
+        return { .bytes = httpResponse(status, code + "\n", "Lentilbay-Not-Executed: 1\r\n") };
+    }
+
+    RawServer nearPeer { context };
+    RawServer farPeer { context };
+    uint64_t sequence = 0;
+};
+
+TEST_F(UnverifiedKeyTest, RequestIsSentThroughAPeerThatVerifiesTheKey)
+{
+    nearPeer.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = httpResponse(200, "served", signatureFields) };
+    });
+    // More than the quota: the peer counts it. A key that only a newer configuration contains.
+    const std::string usage = "X-Token-Usage: 1000,900\r\n";
+    for (const auto* key : { "k", "k", "k", "new" })
+        EXPECT_EQ(
+            call("/safe/x", std::string("Authorization: Token ") + key + "\r\n" + usage).body, "served");
+    EXPECT_EQ(receivedRequests(), 0U) << "an endpoint got a request whose key was not verified";
+    ASSERT_EQ(nearPeer.requests().size(), 4U);
+    for (const auto* it : { "Lentilbay-Unverified: 1\r\n", "Authorization: Token new\r\n" })
+        EXPECT_NE(nearPeer.requests()[3].find(it), std::string::npos) << nearPeer.requests()[3];
+    // A key that this daemon verifies is not left to the peer.
+    state.routesConfirmedAt = bootNow();
+    first.script({ .bytes = httpResponse(200, "own", signatureFields) });
+    EXPECT_EQ(call("/safe/x").body, "own");
+}
+
+TEST_F(UnverifiedKeyTest, RequestWithAnUnknownKeyWasRefusedAlthoughAPeerKnewIt)
+{
+    // A configuration of 3 s verifies the keys that it contains, and denies none.
+    state.routesConfirmedAt = bootNow() - 3s;
+    nearPeer.script({ .bytes = httpResponse(200, "served", signatureFields) });
+    EXPECT_EQ(call("/safe/x", "Authorization: Token new\r\n").body, "served");
+    first.script({ .bytes = httpResponse(200, "own", signatureFields) });
+    EXPECT_EQ(call("/safe/x").body, "own");
+}
+
+TEST_F(UnverifiedKeyTest, VerdictOfThePeerIsFinal)
+{
+    for (const auto& [status, code] :
+        { std::pair(401, ResultCode::UnknownKey), std::pair(429, ResultCode::TokenRateLimit) }) {
+        nearPeer.script(refusal(status, printed(code)));
+        const auto answer = call("/safe/x");
+        EXPECT_EQ(answer.status, status);
+        EXPECT_EQ(answer.body, printed(code) + "\n");
+        EXPECT_FALSE(answer.headers.contains("Lentilbay-Not-Executed"));
+    }
+    EXPECT_EQ(farPeer.requests().size(), 0U);
+}
+
+TEST_F(UnverifiedKeyTest, PeerThatCannotVerifyTheKeyIsFollowedByAnother)
+{
+    nearPeer.script(refusal(503, printed(ResultCode::KeysUnverifiable)));
+    farPeer.script({ .bytes = httpResponse(200, "far", signatureFields) });
+    EXPECT_EQ(call("/once/x").body, "far");
+    nearPeer.script(refusal(503, printed(ResultCode::KeysUnverifiable)));
+    farPeer.script(refusal(503, printed(ResultCode::KeysUnverifiable)));
+    const auto answer = call("/once/x");
+    EXPECT_EQ(answer.body, printed(ResultCode::KeysUnverifiable) + "\n");
+    EXPECT_EQ(receivedRequests(), 0U);
+}
+
+TEST_F(UnverifiedKeyTest, PeerThatIsCutOffOrCountsNoQuotaGetsNoSuchRequest)
+{
+    hear("p1", nearPeer, { .isOutdated = true });
+    hear("p2", farPeer, { .revision = WireRevision::WindowParts });
+    const auto answer = call("/safe/x");
+    EXPECT_EQ(answer.body, printed(ResultCode::KeysUnverifiable) + "\n");
+    EXPECT_EQ(nearPeer.requests().size() + farPeer.requests().size(), 0U);
+}
+
+TEST_F(UnverifiedKeyTest, RefusalStatesHalfOfTheTimeSinceTheStoreWasReached)
+{
+    hear("p1", nearPeer, { .isOutdated = true });
+    hear("p2", farPeer, { .isOutdated = true });
+    bool isUnreachable = true;
+    Duration age = 1200ms;
+    state.setStoreStatus([&] { return isUnreachable; });
+    state.setStoreContact([&] { return bootNow() - age; });
+    const auto retryAfter = [&] { return std::stod(*call("/safe/x").headers.find("Retry-After")); };
+    EXPECT_NEAR(retryAfter(), 0.6, 0.06);
+    age = 7s;
+    EXPECT_DOUBLE_EQ(retryAfter(), 1);
+    age = 20ms;
+    EXPECT_NEAR(retryAfter(), 0.05, 0.01);
+    // The daemon has stood still, and reads the store at once.
+    age = 7s;
+    isUnreachable = false;
+    EXPECT_NEAR(retryAfter(), 0.05, 0.01);
+}
+
 TEST_F(ForwardedRequestTest, IsNotForwardedAgain)
 {
     RawServer peer(context);
