--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -11,6 +11,7 @@
 #include "lentilbay/Edge/PeerForwarding.h"
 #include "lentilbay/Edge/StreamEnd.h"
 #include "lentilbay/Http/Server.h"
+#include "lentilbay/Policy/RequestAttempts.h"
 #include "lentilbay/platform/CallerHeaders.h"
 
 #include <asio/steady_timer.hpp>
@@ -100,6 +101,13 @@
     /// Whether the request, which may be executed once at most, may still run when the daemon stops.
     bool outlivesStop() const;
     bool authenticate(TimePoint now);
+    /// Leaves the key to a peer, or refuses the request if none can verify it.
+    bool leaveKeyToPeer(TimePoint now);
+    /// Whether this daemon counts the quota of the request: it has verified its key.
+    bool countsQuota() const { return m_forwarded ? m_forwarded->isUnverified : !m_isUnverified; }
+    /// The refusal for which a peer that verified the key has not executed the request; std::nullopt if
+    /// another peer may serve it.
+    std::optional<ResultCode> verdictOfPeer() const;
     /// Refuses a request that crashes endpoints, or has a part in its prompt that does.
     bool checkTriggers(TimePoint now);
     bool checkQuota(TimePoint now);
@@ -129,13 +137,13 @@
     /// How many endpoints may execute the request.
     int maxExecutions() const { return m_forwarded ? 1 : m_route->maxAttempts; }
     /// Whether the request could be sent to another endpoint, or through another peer.
-    bool hasAlternative() const;
+    bool hasAlternative();
     /// Sends the request through a peer. Returns false if there is none.
     bool startThroughPeer(TimePoint now);
     /// Connects to the endpoint or peer of m_send.
     void connect(TimePoint now);
-    /// How long a connection that is used may have been idle.
-    Duration maxIdleAge() const;
+    /// How long a connection to the endpoint that is used may have been idle.
+    Duration maxIdleAge(const EndpointId& endpoint) const;
     /// Called with the connection to the endpoint or peer of m_send, or with nullptr if there is none.
     void connected(std::shared_ptr<http::ClientConnection> connection, TimePoint now);
     /// Puts off the send until the list of endpoints has been read again, or the store is found not to
@@ -175,6 +183,8 @@
     void deliverEnd(const http::HttpResponseHead& head, TimePoint now);
     void completeNonStream(TimePoint now);
     void handleResponseBroken(http::FailurePoint at);
+    /// Called when a connection was closed before any byte of the request was sent on it.
+    void handleClosedUnsent(TimePoint now);
     void relay(std::string_view piece, TimePoint now);
     void relayEvents(const EventSplitter::Piece& events, TimePoint now);
     void recordAnswerBegun(TimePoint now);
@@ -209,7 +219,7 @@
     void handleCallerLeft();
     /// Whether a refusal, which states that the request was not executed, would be true, and would be the
     /// first answer.
-    bool isRefusable() const { return m_possibleExecutions == 0 && !m_exchange->hasBegun(); }
+    bool isRefusable() const { return m_attempts.possibleExecutions() == 0 && !m_exchange->hasBegun(); }
     /// Ends the request with a refusal, or as endAfterExecution() does if it is not refusable.
     void refuse(ResultCode code, std::optional<Duration> retryAfter, TimePoint now);
     void finish(ResultCode code, TimePoint now);
@@ -223,6 +233,11 @@
     std::shared_ptr<const RouteTable> m_routes;
     const Route* m_route = nullptr;
     const RoutedOrganisation* m_organisation = nullptr;
+    /// The key could not be verified, so the request is sent through peers only. The organisation is that of
+    /// an outdated configuration, or not known.
+    bool m_isUnverified = false;
+    /// The peer that was asked last could not verify the key either.
+    bool m_isUnverifiedByPeer = false;
     uint64_t m_number = 0;
     /// The caller's deadline counts from here, however late the event loop has come to the request. The
     /// earliest time if it is not known exactly, so that nothing is begun too late.
@@ -236,8 +251,6 @@
     Work m_work;
     double m_quotaTokens = 0;
     AttributedRequest m_attributed;
-    /// Number of sends that an endpoint broke off before its answer had begun.
-    int m_sendsBroken = 0;
     /// What the request has in common with others that may fail as it does.
     std::vector<uint64_t> m_failureKeys;
     struct FailedSend {
@@ -249,12 +262,7 @@
     std::vector<FailedSend> m_failedSends;
     /// Of the last failure against its endpoint.
     double m_failureEvidence = 1;
-    std::vector<EndpointId> m_triedEndpoints;
-    /// Number of sends that the endpoint may have executed.
-    int m_possibleExecutions = 0;
-    /// Number of sends that reached an endpoint, executed or not.
-    int m_sends = 0;
-    int m_staleConnections = 0;
+    RequestAttempts m_attempts;
     /// The return that a peer has planned for the caller.
     std::optional<Duration> m_peerRetryAfter;
     std::optional<EndpointSend> m_send;
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -119,6 +119,8 @@
         return m_readEndpoints && endpointsConfirmedAt && now - *endpointsConfirmedAt > maxEndpointsAge()
             && !(m_isStoreUnreachable && m_isStoreUnreachable());
     }
+    /// Records that something was received from an endpoint to which a request was sent at that time.
+    void recordHeard(const EndpointIncarnation& endpoint, TimePoint sentAt, TimePoint now);
     /// Logs what an endpoint is now known to state about itself; `source` is the peer that reported it, or
     /// empty.
     void logSignals(const EndpointId& endpoint, const std::string& source) const;
@@ -142,6 +144,10 @@
     {
         m_isStoreUnreachable = std::move(isUnreachable);
     }
+    /// Sets what says when the platform's store has last answered this daemon.
+    void setStoreContact(std::function<TimePoint()> reachedAt) { m_storeReachedAt = std::move(reachedAt); }
+    /// The time after which a caller whose key cannot be verified may retry.
+    Duration keysRetryAfter(TimePoint now) const;
     /// Sets what is called when there may be work that must be looked at again soon.
     void setPollRequester(std::function<void()> requester) { m_requestPoll = std::move(requester); }
     void requestPoll() const
@@ -153,6 +159,8 @@
 private:
     /// Records that a new connection to an endpoint could or could not be established.
     void recordConnection(const EndpointState& endpoint, bool isConnected, TimePoint now);
+    /// Records for the other daemons that an endpoint accepts no connection.
+    void recordGone(const EndpointState& endpoint, TimePoint now);
     /// Records whether an endpoint which broke off an answer keeps a new connection, or is gone.
     void recordAliveCheck(EndpointState& endpoint, bool isAlive, TimePoint now);
 
@@ -169,6 +177,7 @@
     uint64_t m_lastWaiter = 0;
     std::function<void(TimePoint now)> m_readEndpoints;
     std::function<bool()> m_isStoreUnreachable;
+    std::function<TimePoint()> m_storeReachedAt;
     bool m_isDispatching = false;
     std::function<void()> m_requestPoll;
 };
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -127,6 +127,8 @@
     , m_stopTimer(m_context)
     , m_peerSocket(m_context)
     , m_catchUp({ .daemon = m_state.settings.daemon.text(), .isSettled = m_state.settings.isFirstStart })
+    , m_configurationViews(
+          m_state.settings.daemon.text(), m_state.topology, m_state.settings.bounds.keyRevocation)
     , m_configurationDocument(m_context)
     , m_endpointDocument(m_context)
     , m_transferBudget(m_state.settings.linkBytesPerSecond)
@@ -163,6 +165,8 @@
     servePeers();
     m_state.setEndpointReader([this](TimePoint now) { m_endpointFollower->readNow(now); });
     m_state.setStoreStatus([this] { return m_endpointFollower->isStoreUnreachable(); });
+    m_state.setStoreContact(
+        [this] { return std::max(m_configurationFollower->answeredAt(), m_endpointFollower->answeredAt()); });
     m_state.streams.setSender(
         [this](const auto& daemon, const auto& message) { sendStreamMessage(daemon, message); });
     followStore();
@@ -214,13 +218,18 @@
     m_state.streams.poll(now);
     m_state.streamOrigins.poll(m_state.peers.knownDaemons(), now);
     updateLinks(now);
+    if (m_endpointReports.isRoundDue(m_summaries.isAggregator(), now)) {
+        m_nextHeartbeatAt.clear();
+        sendHeartbeats();
+    }
     if (m_state.queue.size() > 0)
         m_state.dispatchWaiting(now);
 }
 
-bool EdgeDaemon::hasUrgentWork() const
+bool EdgeDaemon::hasUrgentWork()
 {
-    return m_state.queue.size() > 0 || m_state.streams.hasQueries() || m_state.links.isUnsettled()
+    return m_endpointReports.hasNews(m_summaries.isAggregator()) || m_state.queue.size() > 0
+        || m_state.streams.hasQueries() || m_state.links.isUnsettled()
         || m_endpointFollower->hasDelayedChanges();
 }
 
@@ -271,8 +280,7 @@
             .deleted = [](const auto&) {},
             .confirmed =
                 [this](TimePoint at) {
-                    if (m_state.routes)
-                        m_state.routesConfirmedAt = std::max(at, m_state.routesConfirmedAt.value_or(at));
+                    confirmConfiguration(at);
                     const auto now = bootNow();
                     m_catchUp.storeRead(m_storeEra > firstStoreEra, now);
                     catchUpWithPeers(now);
@@ -581,6 +589,7 @@
     for (const auto& [revision, n] : m_state.peers.daemonsByRevision())
         out.emplace_back(
             fmt::format("peers_by_wire_revision{{revision=\"{}\"}}", static_cast<int>(revision)), number(n));
+    out.emplace_back("endpoints_excluded", number(m_endpointReports.excluded()));
     for (const auto& [source, sumAge] : m_summaries.ages(now))
         out.emplace_back(fmt::format("summary_age_seconds{{source=\"{}\"}}", source), toSeconds(sumAge));
     std::set<ServiceId> services;
