State in refusals when the caller's part of the quota is due

Change: timeUntil() counts all that refuses; RetryReservations assigns refused tokens the next free part of what the quota will admit for this daemon's callers, by rank; a time beyond a third of what the caller has left is cut to it. A refusal for lack of capacity states the time at the measured service rate of the queue, with a jitter of a tenth.

PolicyTests and EdgeTests pass.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -103,6 +103,8 @@
     /// Refuses a request that crashes endpoints, or has a part in its prompt that does.
     bool checkTriggers(TimePoint now);
     bool checkQuota(TimePoint now);
+    /// How long the caller waits before it retries, if it is told to wait longer.
+    Duration longestWait(TimePoint now) const;
     /// Queues the request, after its stream's origin has been looked up if it resumes one.
     void enqueueOrFindOrigin(TimePoint now);
     /// Looks up where the resumed stream began; `isListCurrent` is whether each endpoint is known that may
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -16,6 +16,7 @@
 #include "lentilbay/Model/RouteTable.h"
 #include "lentilbay/Policy/FailureSources.h"
 #include "lentilbay/Policy/QuotaCheckpoint.h"
+#include "lentilbay/Policy/RetryReservations.h"
 #include "lentilbay/Policy/SharedQuota.h"
 #include "lentilbay/Policy/WindowedRetryBudget.h"
 #include "lentilbay/platform/ProcessSettings.h"
@@ -98,6 +99,10 @@
     SharedQuota& quota(const RoutedOrganisation& organisation, TimePoint now);
     QuotaLimits quotaLimits(const TokenQuota& quota) const;
     std::map<OrganisationId, SharedQuota>& quotas() { return m_quotas; }
+    RetryReservations& retryReservations(const OrganisationId& organisation)
+    {
+        return m_retryReservations[organisation];
+    }
     /// What a checkpoint states of the quotas, by the time of this process.
     struct QuotaHistory {
         std::unordered_map<uint64_t, QuotaUse> uses;
@@ -172,6 +177,7 @@
 
     std::map<OrganisationId, SharedQuota> m_quotas;
     std::optional<QuotaHistory> m_quotaHistory;
+    std::map<OrganisationId, RetryReservations> m_retryReservations;
     std::map<ServiceId, WindowedRetryBudget> m_retryBudgets;
     struct EndpointWaiter {
         TimePoint since {};
--- a/packages/Edge/include/lentilbay/Edge/WaitingQueue.h
+++ b/packages/Edge/include/lentilbay/Edge/WaitingQueue.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "lentilbay/Edge/EndpointRegistry.h"
+#include "lentilbay/Policy/WindowSum.h"
 
 #include <list>
 
@@ -73,6 +74,8 @@
 
 private:
     void shed(const ServiceId& service, const ServiceLatency& latency, TimePoint now, Decisions& out);
+    /// At which rate the service's requests have been started, in seconds of a slot's work per second.
+    double serviceRate(const ServiceId& service, double slots, TimePoint now);
 
     double meanPrompt(const ServiceId& service) const;
 
@@ -81,6 +84,13 @@
     /// Mean prompt tokens of the requests, by service.
     std::map<ServiceId, Estimate> m_prompts;
     std::list<WaitingRequest> m_requests;
+    struct Service {
+        /// The work of the requests that were started, in seconds of a slot.
+        WindowSum started;
+        /// Since when requests have waited without interruption.
+        std::optional<TimePoint> waitingSince;
+    };
+    std::map<ServiceId, Service> m_services;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -24,6 +24,9 @@
 /// An answer that has not begun may end this long after the deadline that follows from the earliest time at
 /// which its request may have arrived; less than the time by which a late answer harms its caller.
 constexpr Duration maxEndDelay = std::chrono::milliseconds(400);
+/// A caller that is refused waits for the stated time, but no longer than this fraction of what it has left.
+constexpr double waitedFraction = 1.0 / 3;
+
 std::string hostNameOf(const std::string& host) { return host.substr(0, host.find(':')); }
 
 } // namespace
@@ -242,11 +245,25 @@
             { "report_interval_ms", millisecondsOf(participants.reportInterval) },
             { "daemons", static_cast<int64_t>(participants.known) },
             { "silent", static_cast<int64_t>(participants.silent) } });
-    refuse(ResultCode::TokenRateLimit,
-        std::max(defaultRetryAfter, shared.timeUntil(m_quotaTokens, participants, now)), now);
+    const RefusedTokens refused { .tokens = m_quotaTokens,
+        .rank = rank,
+        .earliest = shared.timeUntil(m_quotaTokens, participants, now, rank),
+        .tokensPerSecond = shared.ownTokensPerSecond(participants, now),
+        .maxWait = std::min(longestWait(now), m_state.settings.bounds.maxRetryAfter) };
+    m_state.metrics.count(
+        refused.earliest > refused.maxWait ? "quota_retries_too_late" : "quota_retries_stated");
+    refuse(ResultCode::TokenRateLimit, m_state.retryReservations(m_organisation->name).reserve(refused, now),
+        now);
     return false;
 }
 
+Duration EdgeRequest::longestWait(TimePoint now) const
+{
+    const auto deadline = m_metadata.deadline.value_or(m_route->timeout);
+    const auto left = m_arrivedAt + std::min(m_route->timeout, deadline) - now;
+    return std::max(Duration::zero(), fromSeconds(toSeconds(left) * waitedFraction));
+}
+
 uint64_t EdgeRequest::streamHash(const RequestId& firstRequest) const
 {
     // An organisation cannot resume the streams of another one.
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -63,6 +63,9 @@
             { "misdirected", static_cast<int64_t>(outcome == SendOutcome::Misdirected) } });
 }
 
+/// Callers that are refused together don't all retry at the same time.
+constexpr double retryJitter = 0.1;
+
 } // namespace
 
 EdgeRequest::EdgeRequest(
@@ -92,8 +95,12 @@
 
 void EdgeRequest::rejectWaiting(Duration retryAfter, TimePoint now)
 {
-    if (!m_isOver)
-        refuse(ResultCode::QueueShed, std::max(retryAfter, defaultRetryAfter), now);
+    if (m_isOver)
+        return;
+    // Nothing is known of the queue if the request's time ran out.
+    const auto base = retryAfter > Duration::zero() ? retryAfter : defaultRetryAfter;
+    const double jitter = 1 + retryJitter * m_state.random.fraction();
+    refuse(ResultCode::QueueShed, fromSeconds(toSeconds(base) * jitter), now);
 }
 
 void EdgeRequest::start(std::shared_ptr<EndpointState> endpoint, TimePoint now)
--- a/packages/Edge/lib/WaitingQueue.cpp
+++ b/packages/Edge/lib/WaitingQueue.cpp
@@ -21,12 +21,25 @@
 /// traffic.
 constexpr double promptWeight = 0.01;
 
+/// The service rate is measured over this time, once requests have waited for at least the shorter one;
+/// before, it is that of the slots.
+constexpr Duration measuredTime = std::chrono::seconds(2);
+constexpr Duration minMeasuredTime = std::chrono::milliseconds(500);
+/// The least that is taken for the service rate, as a fraction of the slots: endpoints that were silent for a
+/// while serve again.
+constexpr double minRateFraction = 0.1;
+/// A caller that retries sooner would find the same queue.
+constexpr double minRetrySeconds = 0.05;
+
 } // namespace
 
 void WaitingQueue::push(WaitingRequest request)
 {
     m_prompts.try_emplace(request.query.service, 0, promptWeight)
         .first->second.observe(request.query.work.promptTokens);
+    const auto& service = request.query.service;
+    if (std::ranges::none_of(m_requests, [&](const auto& it) { return it.query.service == service; }))
+        m_services[service].waitingSince.reset();
     m_requests.push_back(std::move(request));
 }
 
@@ -79,6 +92,8 @@
         }
         if (auto endpoint = m_endpointRegistry.choose(it->query, now)) {
             endpoint->recordSend(it->query.work, now);
+            m_services[it->query.service].started.add(
+                toSeconds(latencies.at(it->query.service).totalTime(it->query.work)), now);
             out.started.push_back({ .number = it->number, .endpoint = std::move(endpoint) });
             it = m_requests.erase(it);
             continue;
@@ -90,11 +105,22 @@
     return out;
 }
 
+double WaitingQueue::serviceRate(const ServiceId& service, double slots, TimePoint now)
+{
+    auto& measured = m_services[service];
+    const auto waited = measured.waitingSince ? now - *measured.waitingSince : Duration::zero();
+    if (waited < minMeasuredTime)
+        return slots;
+    const auto window = std::min(waited, measuredTime);
+    return std::max(measured.started.within(window, now) / toSeconds(window), slots * minRateFraction);
+}
+
 void WaitingQueue::shed(
     const ServiceId& service, const ServiceLatency& latency, TimePoint now, Decisions& out)
 {
     const double slots
         = std::max(1.0, m_endpointRegistry.occupancy(service, now).slots * m_options.slotShare);
+    const double rate = serviceRate(service, slots, now);
     double queuedSeconds = 0;
     for (auto it = m_requests.begin(); it != m_requests.end();) {
         if (it->query.service != service) {
@@ -106,13 +132,19 @@
         if (!it->hasBegun
             && (queuedSeconds > m_options.maxQueuedSeconds || start + minUsefulTime >= it->expiresAt)) {
             out.rejected.push_back({ .number = it->number,
-                .retryAfter = std::min(m_options.maxRetryAfter, fromSeconds(std::max(0.2, queuedSeconds))) });
+                .retryAfter = std::min(m_options.maxRetryAfter,
+                    fromSeconds(std::max(minRetrySeconds, queuedSeconds * slots / rate))) });
             it = m_requests.erase(it);
             continue;
         }
         queuedSeconds += ownSeconds;
         ++it;
     }
+    auto& waitingSince = m_services[service].waitingSince;
+    if (queuedSeconds <= 0)
+        waitingSince.reset();
+    else if (!waitingSince)
+        waitingSince = now;
 }
 
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -332,6 +332,28 @@
     EXPECT_EQ(call("/safe/x").status, 200) << "a small request still fits";
 }
 
+TEST_F(EdgeRequestTest, RefusalByQuotaStatesWhenItAdmits)
+{
+    // Guards against 0.6 s in each refusal, whatever the state of the quota.
+    const auto retryAfter = [&](const std::string& fields) {
+        const auto refused = call("/safe/x", "Authorization: Token k\r\n" + fields);
+        EXPECT_EQ(refused.status, 429);
+        const auto* value = refused.headers.find("Retry-After");
+        return value ? std::stod(*value) : -1;
+    };
+    first.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = httpResponse(200, "a", signatureFields) };
+    });
+    const std::string large = "X-Token-Usage: 1000,1900\r\n";
+    EXPECT_EQ(call("/safe/x", "Authorization: Token k\r\n" + large).status, 200);
+    const double alone = retryAfter("X-Token-Usage: 200,300\r\n");
+    EXPECT_GT(alone, 0);
+    EXPECT_GT(retryAfter("X-Token-Usage: 200,300\r\n"), alone) << "the next part of the quota";
+    const double cut = retryAfter(large + "X-Deadline-Ms: 600\r\n");
+    EXPECT_LE(cut, 0.2) << "a third of what the caller has left";
+    EXPECT_GE(cut, 0.05);
+}
+
 TEST_F(EdgeRequestTest, StreamGoesOnOnlyAtTheSoftwareVersionThatBeganIt)
 {
     RawServer third(context);
--- a/packages/Edge/unittests/WaitingQueueTest.cpp
+++ b/packages/Edge/unittests/WaitingQueueTest.cpp
@@ -89,6 +89,46 @@
     EXPECT_GT(queue.size(), 0U) << "requests that can start soon wait";
 }
 
+TEST_F(WaitingQueueTest, RetryTimeFollowsTheMeasuredServiceRate)
+{
+    // Guards against times that follow from estimates of the endpoints alone: one that has stopped to serve
+    // is expected to have room as soon as one that serves.
+    const auto timeAfter = [](Duration betweenEnds) {
+        EndpointRegistry registry { { .ownDataCentre = DataCentreId("a") }, 1 };
+        registry.list({ .id = EndpointId("e"),
+            .service = service,
+            .host = "10.0.0.1",
+            .port = 80,
+            .dataCentre = DataCentreId("a"),
+            .slots = 2 });
+        const auto endpoint = registry.find(EndpointId("e"));
+        WaitingQueue waiting(registry);
+        uint64_t number = 0;
+        Duration out {};
+        TimePoint nextEnd = TimePoint(1s) + betweenEnds;
+        for (TimePoint now(1s); now < TimePoint(4s); now += 100ms) {
+            for (int i = 0; i < 5; ++i)
+                waiting.push({ .number = ++number,
+                    .query = { .service = service, .work = edit, .objectiveAt = now + 800ms },
+                    .arrivedAt = now,
+                    .expiresAt = now + 30s });
+            if (now >= nextEnd) {
+                endpoint->recordEnd(edit, SendOutcome::Neutral, false, now);
+                nextEnd += betweenEnds;
+            }
+            for (const auto& it : waiting.decide(now).rejected)
+                out = it.retryAfter;
+        }
+        return out;
+    };
+    const auto fast = timeAfter(300ms);
+    const auto slow = timeAfter(1s);
+    const auto stopped = timeAfter(1h);
+    EXPECT_GT(fast, Duration::zero());
+    EXPECT_GT(slow, fast * 2);
+    EXPECT_GT(stopped, slow);
+}
+
 TEST_F(WaitingQueueTest, RejectsTheLeastUrgentFirst)
 {
     for (uint64_t i = 1; i <= 10; ++i)
--- a/packages/Policy/include/lentilbay/Policy/SharedQuota.h
+++ b/packages/Policy/include/lentilbay/Policy/SharedQuota.h
@@ -131,9 +131,12 @@
     /// at the rate of the earlier one, which is a fraction of the quota while peers are silent or after a
     /// restart.
     void refresh(const QuotaParticipants& participants, TimePoint now);
-    /// The time until bucket and window hold the tokens, provided that no other request takes them and the
-    /// same peers stay silent.
-    Duration timeUntil(double tokens, const QuotaParticipants& participants, TimePoint now);
+    /// The time until admit() allows the tokens, provided that no other request takes them, the same peers
+    /// stay silent and what is kept for higher ranks stays the same.
+    Duration timeUntil(double tokens, const QuotaParticipants& participants, TimePoint now, int rank = 0);
+    /// What the quota admits for the requests that arrive at this daemon, in proportion to its share of the
+    /// organisation's recent use.
+    double ownTokensPerSecond(const QuotaParticipants& participants, TimePoint now);
     /// The level, in tokens, of the bucket from which this daemon may take.
     double level(TimePoint now) { return m_bucket.level(now); }
     /// The level of the bucket of all daemons, as far as known to this one.
@@ -191,6 +194,10 @@
 
     /// What the window may still hold, as far as known to this daemon; infinite without a window.
     double windowLeft(const QuotaParticipants& participants, TimePoint now) const;
+    /// The part of the quota that the requests of this daemon get.
+    double ownShare(const QuotaParticipants& participants, TimePoint now);
+    /// The time until some of the allowance is left, when `left` tokens are.
+    Duration timeUntilAllowance(double left, const QuotaParticipants& participants, TimePoint now);
     /// Refills the allowance and returns whether any of it is left.
     bool refillAllowance(double left, const QuotaParticipants& participants, TimePoint now);
     /// Whether the quota cannot be exceeded by what the peers admit before their next reports, because it is
--- a/packages/Policy/lib/SharedQuota.cpp
+++ b/packages/Policy/lib/SharedQuota.cpp
@@ -204,6 +204,21 @@
     return m_advanced + tokens <= m_limits.toleranceTokens * advancedFraction / daemons;
 }
 
+double SharedQuota::ownShare(const QuotaParticipants& participants, TimePoint now)
+{
+    if (participants.known <= participants.silent + 1)
+        return 1;
+    const double equalShare = 1 / static_cast<double>(participants.known - participants.silent);
+    const double fleetTokens = m_fleetAdmissions.within(m_limits.window, now);
+    const double recent = fleetTokens > 0 ? m_ownAdmissions.within(m_limits.window, now) / fleetTokens : 1;
+    return std::max(equalShare, std::min(1.0, recent));
+}
+
+double SharedQuota::ownTokensPerSecond(const QuotaParticipants& participants, TimePoint now)
+{
+    return bucketOptions(now).rate * m_usableFraction * ownShare(participants, now);
+}
+
 bool SharedQuota::refillAllowance(double left, const QuotaParticipants& participants, TimePoint now)
 {
     const double elapsedIntervals
@@ -211,10 +226,7 @@
     m_allowanceRefilledAt = now;
     if (participants.known <= participants.silent + 1)
         return true;
-    const double equalShare = 1 / static_cast<double>(participants.known - participants.silent);
-    const double fleetTokens = m_fleetAdmissions.within(m_limits.window, now);
-    const double ownShare = fleetTokens > 0 ? m_ownAdmissions.within(m_limits.window, now) / fleetTokens : 1;
-    const double perInterval = std::max(equalShare, std::min(1.0, ownShare)) * std::max(0.0, left);
+    const double perInterval = ownShare(participants, now) * std::max(0.0, left);
     if (now - m_lastAdmittedAt >= intervalsUntilKnown * participants.reportInterval)
         m_allowance = std::max(m_allowance, 0.0);
     m_allowance = std::min(m_allowance + perInterval * elapsedIntervals, perInterval * maxAllowanceIntervals);
@@ -252,11 +264,29 @@
     return std::max(reserve, std::min(refused, m_limits.windowTokens * maxReservedAfterRefusals));
 }
 
-Duration SharedQuota::timeUntil(double tokens, const QuotaParticipants& participants, TimePoint now)
+Duration SharedQuota::timeUntilAllowance(double left, const QuotaParticipants& participants, TimePoint now)
+{
+    if (m_allowance > 0 || participants.known <= participants.silent + 1)
+        return Duration::zero();
+    const double perInterval = ownShare(participants, now) * left;
+    // When the peers know of the last admission, the allowance starts again at zero.
+    const auto untilKnown = m_lastAdmittedAt + intervalsUntilKnown * participants.reportInterval - now;
+    if (perInterval <= 0)
+        return std::max(untilKnown, Duration::zero());
+    // One token is enough.
+    const auto refilled
+        = fromSeconds(toSeconds(participants.reportInterval) * (1 - m_allowance) / perInterval);
+    return std::max(std::min(untilKnown, refilled), Duration::zero());
+}
+
+Duration SharedQuota::timeUntil(double tokens, const QuotaParticipants& participants, TimePoint now, int rank)
 {
-    const auto refilled = m_bucket.timeUntil(tokens, now);
+    const double reserve = reserveAbove(rank, now);
+    const double needed = std::min(tokens, m_limits.burstTokens * m_usableFraction) + reserve;
+    const auto refilled = m_bucket.timeUntil(needed, now);
     if (m_limits.windowTokens <= 0)
         return refilled;
+    const double neededInWindow = std::max(tokens, needed);
     // As use leaves the window, more room appears than is to be reserved in addition, so the time can be
     // bisected.
     using std::chrono::milliseconds;
@@ -264,9 +294,12 @@
     Duration out = m_limits.window;
     while (out - tooEarly > milliseconds(1)) {
         const auto wait = tooEarly + (out - tooEarly) / 2;
-        (windowLeft(participants, now + wait) < tokens ? tooEarly : out) = wait;
+        (windowLeft(participants, now + wait) < neededInWindow ? tooEarly : out) = wait;
     }
-    return std::max(refilled, std::max(out, Duration::zero()));
+    const double left
+        = std::max(neededInWindow, std::min(m_bucket.level(now), windowLeft(participants, now)));
+    return std::max(
+        { refilled, std::max(out, Duration::zero()), timeUntilAllowance(left, participants, now) });
 }
 
 SharedQuota::WindowParts SharedQuota::windowParts(TimePoint now) const
