--- a/packages/Policy/lib/SharedQuota.cpp
+++ b/packages/Policy/lib/SharedQuota.cpp
@@ -104,7 +104,9 @@
     m_knowsFleetLevel = true;
 }
 
-double SharedQuota::unknownBurst() const
+double SharedQuota::unknownBurst() const { return m_restoredUntil ? 0 : burstBeforeRestart(); }
+
+double SharedQuota::burstBeforeRestart() const
 {
     if (m_startedFull || m_hasAdopted || m_limits.windowTokens <= 0)
         return 0;
@@ -137,7 +139,10 @@
     const auto share = [&](double common) {
         return std::max(0.0, m_limits.windowTokens - common) / static_cast<double>(participants.known);
     };
-    double out = static_cast<double>(participants.silent - participants.silentSince.size()) * share(0);
+    const double knownToAll
+        = m_restoredUntil ? m_fleetAdmissions.withinUntil(*m_restoredUntil, m_limits.window, now) : 0;
+    double out
+        = static_cast<double>(participants.silent - participants.silentSince.size()) * share(knownToAll);
     // Reports that crossed the last one of the peer are taken to have reached it.
     for (const auto since : participants.silentSince)
         out += share(
@@ -193,12 +198,27 @@
 bool SharedQuota::mayAdvance(double tokens, const QuotaParticipants& participants, TimePoint now) const
 {
     const double refilledForUnknown = toSeconds(now - m_startedAt) * m_limits.tokensPerSecond;
-    if (refilledForUnknown >= unknownBurst() * (1 - advancedFraction))
+    if (refilledForUnknown >= burstBeforeRestart() * (1 - advancedFraction))
         return false;
     const auto daemons = static_cast<double>(std::max<size_t>(1, participants.known));
     return m_advanced + tokens <= m_limits.toleranceTokens * advancedFraction / daemons;
 }
 
+double SharedQuota::ownShare(const QuotaParticipants& participants, TimePoint now)
+{
+    if (participants.known <= participants.silent + 1)
+        return 1;
+    const double equalShare = 1 / static_cast<double>(participants.known - participants.silent);
+    const double fleetTokens = m_fleetAdmissions.within(m_limits.window, now);
+    const double recent = fleetTokens > 0 ? m_ownAdmissions.within(m_limits.window, now) / fleetTokens : 1;
+    return std::max(equalShare, std::min(1.0, recent));
+}
+
+double SharedQuota::ownTokensPerSecond(const QuotaParticipants& participants, TimePoint now)
+{
+    return bucketOptions(now).rate * m_usableFraction * ownShare(participants, now);
+}
+
 bool SharedQuota::refillAllowance(double left, const QuotaParticipants& participants, TimePoint now)
 {
     const double elapsedIntervals
@@ -206,10 +226,7 @@
     m_allowanceRefilledAt = now;
     if (participants.known <= participants.silent + 1)
         return true;
-    const double equalShare = 1 / static_cast<double>(participants.known - participants.silent);
-    const double fleetTokens = m_fleetAdmissions.within(m_limits.window, now);
-    const double ownShare = fleetTokens > 0 ? m_ownAdmissions.within(m_limits.window, now) / fleetTokens : 1;
-    const double perInterval = std::max(equalShare, std::min(1.0, ownShare)) * std::max(0.0, left);
+    const double perInterval = ownShare(participants, now) * std::max(0.0, left);
     if (now - m_lastAdmittedAt >= intervalsUntilKnown * participants.reportInterval)
         m_allowance = std::max(m_allowance, 0.0);
     m_allowance = std::min(m_allowance + perInterval * elapsedIntervals, perInterval * maxAllowanceIntervals);
@@ -247,11 +264,29 @@
     return std::max(reserve, std::min(refused, m_limits.windowTokens * maxReservedAfterRefusals));
 }
 
-Duration SharedQuota::timeUntil(double tokens, const QuotaParticipants& participants, TimePoint now)
+Duration SharedQuota::timeUntilAllowance(double left, const QuotaParticipants& participants, TimePoint now)
+{
+    if (m_allowance > 0 || participants.known <= participants.silent + 1)
+        return Duration::zero();
+    const double perInterval = ownShare(participants, now) * left;
+    // When the peers know of the last admission, the allowance starts again at zero.
+    const auto untilKnown = m_lastAdmittedAt + intervalsUntilKnown * participants.reportInterval - now;
+    if (perInterval <= 0)
+        return std::max(untilKnown, Duration::zero());
+    // One token is enough.
+    const auto refilled
+        = fromSeconds(toSeconds(participants.reportInterval) * (1 - m_allowance) / perInterval);
+    return std::max(std::min(untilKnown, refilled), Duration::zero());
+}
+
+Duration SharedQuota::timeUntil(double tokens, const QuotaParticipants& participants, TimePoint now, int rank)
 {
-    const auto refilled = m_bucket.timeUntil(tokens, now);
+    const double reserve = reserveAbove(rank, now);
+    const double needed = std::min(tokens, m_limits.burstTokens * m_usableFraction) + reserve;
+    const auto refilled = m_bucket.timeUntil(needed, now);
     if (m_limits.windowTokens <= 0)
         return refilled;
+    const double neededInWindow = std::max(tokens, needed);
     // As use leaves the window, more room appears than is to be reserved in addition, so the time can be
     // bisected.
     using std::chrono::milliseconds;
@@ -259,9 +294,12 @@
     Duration out = m_limits.window;
     while (out - tooEarly > milliseconds(1)) {
         const auto wait = tooEarly + (out - tooEarly) / 2;
-        (windowLeft(participants, now + wait) < tokens ? tooEarly : out) = wait;
+        (windowLeft(participants, now + wait) < neededInWindow ? tooEarly : out) = wait;
     }
-    return std::max(refilled, std::max(out, Duration::zero()));
+    const double left
+        = std::max(neededInWindow, std::min(m_bucket.level(now), windowLeft(participants, now)));
+    return std::max(
+        { refilled, std::max(out, Duration::zero()), timeUntilAllowance(left, participants, now) });
 }
 
 SharedQuota::WindowParts SharedQuota::windowParts(TimePoint now) const
@@ -289,6 +327,38 @@
         m_fleetAdmissions.add(parts[i], now - m_limits.window * (n - 1 - i) / n);
 }
 
+void SharedQuota::restore(
+    double level, const WindowParts& parts, TimePoint checkpointAt, TimePoint restartedAt, TimePoint now)
+{
+    const auto endedAt = std::max(checkpointAt, restartedAt - minDowntime);
+    const double admittedSince = admittedInWindow(now);
+    const auto n = std::ssize(parts);
+    double inWindow = 0;
+    for (std::ptrdiff_t i = 0; i < n; ++i) {
+        const auto countedAt = checkpointAt - m_limits.window * (n - 1 - i) / n;
+        m_fleetAdmissions.addAt(parts[i], countedAt);
+        inWindow += endedAt - countedAt <= m_limits.window ? parts[i] : 0;
+    }
+    const double refilled = m_limits.tokensPerSecond * toSeconds(endedAt - checkpointAt);
+    // While reports were late, the predecessors may have exceeded bucket and window by their recent use.
+    const double late = std::min(parts.back(), m_limits.toleranceTokens);
+    const double fromBucket = std::min(level, m_limits.burstTokens) + refilled;
+    const double unseen = std::max(0.0, std::min(fromBucket, m_limits.windowTokens - inWindow) + late);
+    m_fleetAdmissions.addAt(unseen, endedAt);
+    m_restoredUntil = endedAt + minDowntime;
+    // The bucket of the predecessors may have been empty at their end, and was refilled before the restart.
+    const double initial = std::clamp(
+        m_limits.tokensPerSecond * toSeconds(minDowntime) - admittedSince, 0.0, m_limits.burstTokens);
+    const auto reset = [&](TokenBucket& bucket, double to) {
+        const double present = bucket.level(now);
+        if (present > 0 || to > 0)
+            bucket.settle(to - present, now);
+    };
+    reset(m_bucket, initial * m_usableFraction);
+    reset(m_fleetBucket, initial);
+    m_allowance = std::max(m_allowance, initial * m_usableFraction);
+}
+
 void SharedQuota::raiseLevelTo(double level, TimePoint now)
 {
     m_allowance = std::max(m_allowance, level);
