--- a/fuzz/PlatformFuzz.cpp
+++ b/fuzz/PlatformFuzz.cpp
@@ -1,4 +1,5 @@
 // Fuzzes the platform's decoders: any text yields a value or a failure with the decoder's result code.
+#include "lentilbay/platform/ConfigurationCheck.h"
 #include "lentilbay/platform/Documents.h"
 #include "lentilbay/platform/ProcessSettings.h"
 #include "lentilbay/platform/StoreCalls.h"
@@ -20,6 +21,21 @@
     }
 }
 
+/// A document is checked if and only if it can be decoded, and differs from itself in nothing but its
+/// version.
+void checkFindings(const std::string& text)
+{
+    const auto checked = platform::checkConfiguration(text);
+    const auto outcome = outcomeOf<RouteTable>([&] { return platform::decodeConfiguration(text); });
+    const bool isDecoded = std::holds_alternative<RouteTable>(outcome);
+    const bool isConsistent = isDecoded == checked.table.has_value()
+        && (!checked.table || platform::compareConfigurations(*checked.table, *checked.table).size() == 1);
+    if (!isConsistent || (!isDecoded && checked.findings.empty())) {
+        std::cerr << "a check does not agree with the decoder\n";
+        std::abort();
+    }
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
@@ -33,5 +49,6 @@
         [&] { return platform::decodeEndpoint(EndpointId("i"), text); }, ResultCode::PlatformDocumentInvalid);
     check<platform::StoreRows>(
         [&] { return platform::decodeRows(text, 0); }, ResultCode::PlatformAnswerInvalid);
+    checkFindings(text);
     return 0;
 }
--- a/packages/Model/include/lentilbay/Model/RouteTable.h
+++ b/packages/Model/include/lentilbay/Model/RouteTable.h
@@ -134,6 +134,14 @@
     /// The organisation with the key, or nullptr.
     const RoutedOrganisation* findOrganisation(const std::string& key) const;
     const RoutedService* findService(const ServiceId& name) const;
+    /// The number of keys of each organisation.
+    std::vector<size_t> keyCounts() const;
+    /// Calls a function with each key and its organisation, in no particular order.
+    template <class F> void forEachKey(F&& function) const
+    {
+        for (const auto& [key, i] : m_parts.keys)
+            function(key, m_parts.organisations[i]);
+    }
 
 private:
     Parts m_parts;
--- a/packages/Model/lib/RouteTable.cpp
+++ b/packages/Model/lib/RouteTable.cpp
@@ -34,6 +34,14 @@
     return it == m_parts.keys.end() ? nullptr : &m_parts.organisations[it->second];
 }
 
+std::vector<size_t> RouteTable::keyCounts() const
+{
+    std::vector<size_t> out(m_parts.organisations.size());
+    for (const auto& [key, i] : m_parts.keys)
+        ++out[i];
+    return out;
+}
+
 const RoutedService* RouteTable::findService(const ServiceId& name) const
 {
     auto it = std::ranges::find(m_parts.services, name, &RoutedService::name);
