--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -153,6 +153,8 @@
     /// Counts how a connection ended, and logs it if something was left to answer. `peer` is who had opened
     /// it.
     void recordConnectionEnd(const http::ConnectionEnd& end, std::string_view peer);
+    /// Whether the load balancer should send new connections to this daemon.
+    bool isReady(TimePoint now) const;
     void serveReadiness();
     void serveMetrics();
     /// Does what is due at short intervals.
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -96,6 +96,9 @@
     /// Whether API keys can be verified: the configuration is recent enough that no key in it can have been
     /// revoked for longer than the revocation bound allows.
     bool canVerifyKeys(TimePoint now) const;
+    /// Whether a configuration that was known to be complete then contains all keys that may have been
+    /// revoked for longer than the bound allows.
+    bool verifiesKeysAsOf(TimePoint confirmedAt, TimePoint now) const;
     SharedQuota& quota(const RoutedOrganisation& organisation, TimePoint now);
     QuotaLimits quotaLimits(const TokenQuota& quota) const;
     std::map<OrganisationId, SharedQuota>& quotas() { return m_quotas; }
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -527,17 +527,23 @@
             { "loop_delay_ms", millisecondsOf(m_loopWatch.delay()) } });
 }
 
+bool EdgeDaemon::isReady(TimePoint now) const
+{
+    // A daemon that verifies keys only by what it reads from peers serves the requests that it gets, but the
+    // load balancer should send new connections to daemons that follow the store.
+    const auto followedAt = m_configurationFollower->confirmedAt();
+    return !m_state.stopRequestedAt && m_state.endpointsConfirmedAt && m_state.knowsDaemons
+        && m_state.isConfigurationSettled && !m_state.isConfigurationOutdated && m_state.canVerifyKeys(now)
+        && followedAt && m_state.verifiesKeysAsOf(*followedAt, now);
+}
+
 void EdgeDaemon::serveReadiness()
 {
     m_readinessServer = std::make_unique<http::HttpServer>(m_context,
         http::HttpServerOptions { .address = tcpEndpoint(m_state.settings.readiness),
             .handler =
                 [this](std::shared_ptr<http::Exchange> exchange) {
-                    const bool isReady = !m_state.stopRequestedAt && m_state.endpointsConfirmedAt
-                        && m_state.knowsDaemons && m_state.isConfigurationSettled
-                        && !m_state.isConfigurationOutdated && m_state.routes
-                        && m_state.canVerifyKeys(bootNow());
-                    const int status = isReady ? 200 : 503;
+                    const int status = isReady(bootNow()) ? 200 : 503;
                     exchange->respond(status, http::reasonPhrase(status), {}, "");
                 },
             .malformed = {} });
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -195,8 +195,12 @@
 
 bool EdgeState::canVerifyKeys(TimePoint now) const
 {
-    const auto age = routesAge(now);
-    return age && *age < settings.bounds.keyRevocation - revocationMargin;
+    return routes && routesConfirmedAt && verifiesKeysAsOf(*routesConfirmedAt, now);
+}
+
+bool EdgeState::verifiesKeysAsOf(TimePoint confirmedAt, TimePoint now) const
+{
+    return now - confirmedAt < settings.bounds.keyRevocation - revocationMargin;
 }
 
 Duration EdgeState::keysRetryAfter(TimePoint now) const
