--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -9,6 +9,7 @@
 #include "lentilbay/Edge/EndpointReportExchange.h"
 #include "lentilbay/Edge/PeerDocument.h"
 #include "lentilbay/Edge/PeerSummaries.h"
+#include "lentilbay/Edge/QuotaCheckpoints.h"
 #include "lentilbay/Edge/StoreFollower.h"
 #include "lentilbay/Edge/StoreWriter.h"
 #include "lentilbay/Edge/TransferBudget.h"
@@ -135,6 +136,8 @@
     Duration skipPollingFor(const StoreFollower& follower, TimePoint now) const;
     /// Whether another daemon of this data centre is the one that reads the store for it.
     bool hasOtherReader() const;
+    /// Whether this daemon is the one of its data centre that writes the checkpoints of the quotas.
+    bool writesCheckpoints() const;
     Duration longPollWait() const;
     Duration passiveSpacing() const;
     void applyPeerViews(const PeerHeartbeat& heartbeat, TimePoint now);
@@ -150,6 +153,8 @@
     /// Counts how a connection ended, and logs it if something was left to answer. `peer` is who had opened
     /// it.
     void recordConnectionEnd(const http::ConnectionEnd& end, std::string_view peer);
+    /// Whether the load balancer should send new connections to this daemon.
+    bool isReady(TimePoint now) const;
     void serveReadiness();
     void serveMetrics();
     /// Does what is due at short intervals.
@@ -178,6 +183,7 @@
     /// daemon has run for longer than the quota window.
     bool m_countsAllUse;
     bool m_hasInitialQuotas = false;
+    QuotaCheckpoints m_quotaCheckpoints;
     std::map<std::string, TimePoint> m_nextHeartbeatAt;
     PeerSummaries m_summaries;
     EndpointReportExchange m_endpointReports { m_state };
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -15,6 +15,8 @@
 #include "lentilbay/Edge/WaitingQueue.h"
 #include "lentilbay/Model/RouteTable.h"
 #include "lentilbay/Policy/FailureSources.h"
+#include "lentilbay/Policy/QuotaCheckpoint.h"
+#include "lentilbay/Policy/RetryReservations.h"
 #include "lentilbay/Policy/SharedQuota.h"
 #include "lentilbay/Policy/WindowedRetryBudget.h"
 #include "lentilbay/platform/ProcessSettings.h"
@@ -48,6 +50,8 @@
     /// Whether the other daemons have been read from the store, or this is the first start of the fleet.
     /// Without them a restarted daemon does not know its share of the quotas.
     bool knowsDaemons = false;
+    /// Whether what was admitted of the quotas before this process started may still be read in time.
+    bool awaitsQuotaHistory = false;
     /// Whether no peer may have a newer configuration that the store has lost; see ConfigurationCatchUp.
     bool isConfigurationSettled = true;
     /// Whether a newer version than the one in force has been known for so long that requests must not be
@@ -92,9 +96,24 @@
     /// Whether API keys can be verified: the configuration is recent enough that no key in it can have been
     /// revoked for longer than the revocation bound allows.
     bool canVerifyKeys(TimePoint now) const;
+    /// Whether a configuration that was known to be complete then contains all keys that may have been
+    /// revoked for longer than the bound allows.
+    bool verifiesKeysAsOf(TimePoint confirmedAt, TimePoint now) const;
     SharedQuota& quota(const RoutedOrganisation& organisation, TimePoint now);
     QuotaLimits quotaLimits(const TokenQuota& quota) const;
     std::map<OrganisationId, SharedQuota>& quotas() { return m_quotas; }
+    RetryReservations& retryReservations(const OrganisationId& organisation)
+    {
+        return m_retryReservations[organisation];
+    }
+    /// What a checkpoint states of the quotas, by the time of this process.
+    struct QuotaHistory {
+        std::unordered_map<uint64_t, QuotaUse> uses;
+        TimePoint takenAt {};
+        TimePoint restartedAt {};
+    };
+    /// Restores the quotas, also those that are used for the first time later.
+    void restoreQuotas(QuotaHistory history, TimePoint now);
     WindowedRetryBudget& retryBudget(const ServiceId& service) { return m_retryBudgets[service]; }
     WindowedRetryLimits retryLimits() const;
     /// How a request is sent; `hasConnection` is whether an established connection to the endpoint is idle.
@@ -165,7 +184,11 @@
     void recordAliveCheck(EndpointState& endpoint, bool isAlive, TimePoint now);
 
     uint64_t m_lastNumber = 0;
+    void restoreQuota(const OrganisationId& organisation, SharedQuota& quota, TimePoint now) const;
+
     std::map<OrganisationId, SharedQuota> m_quotas;
+    std::optional<QuotaHistory> m_quotaHistory;
+    std::map<OrganisationId, RetryReservations> m_retryReservations;
     std::map<ServiceId, WindowedRetryBudget> m_retryBudgets;
     struct EndpointWaiter {
         TimePoint since {};
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -115,6 +115,7 @@
     , m_startedAt(bootNow())
     , m_loopWatch(m_startedAt)
     , m_countsAllUse(m_state.settings.isFirstStart)
+    , m_quotaCheckpoints(m_state, m_incarnation, m_startedAt)
     , m_summaries({ .daemon = m_state.settings.daemon.text(),
           .topology = m_state.topology,
           .capacity = static_cast<uint32_t>(m_state.settings.cpuShare * thousandths),
@@ -201,6 +202,7 @@
     m_configurationFollower->start();
     m_endpointFollower->start();
     m_sharedRowFollower->start();
+    m_quotaCheckpoints.update(m_countsAllUse, false, bootNow());
     announce(bootNow());
     m_context.run();
     const auto graceLeft
@@ -525,17 +527,23 @@
             { "loop_delay_ms", millisecondsOf(m_loopWatch.delay()) } });
 }
 
+bool EdgeDaemon::isReady(TimePoint now) const
+{
+    // A daemon that verifies keys only by what it reads from peers serves the requests that it gets, but the
+    // load balancer should send new connections to daemons that follow the store.
+    const auto followedAt = m_configurationFollower->confirmedAt();
+    return !m_state.stopRequestedAt && m_state.endpointsConfirmedAt && m_state.knowsDaemons
+        && m_state.isConfigurationSettled && !m_state.isConfigurationOutdated && m_state.canVerifyKeys(now)
+        && followedAt && m_state.verifiesKeysAsOf(*followedAt, now);
+}
+
 void EdgeDaemon::serveReadiness()
 {
     m_readinessServer = std::make_unique<http::HttpServer>(m_context,
         http::HttpServerOptions { .address = tcpEndpoint(m_state.settings.readiness),
             .handler =
                 [this](std::shared_ptr<http::Exchange> exchange) {
-                    const bool isReady = !m_state.stopRequestedAt && m_state.endpointsConfirmedAt
-                        && m_state.knowsDaemons && m_state.isConfigurationSettled
-                        && !m_state.isConfigurationOutdated && m_state.routes
-                        && m_state.canVerifyKeys(bootNow());
-                    const int status = isReady ? 200 : 503;
+                    const int status = isReady(bootNow()) ? 200 : 503;
                     exchange->respond(status, http::reasonPhrase(status), {}, "");
                 },
             .malformed = {} });
@@ -577,7 +585,10 @@
         { "stream_origin_store_calls", number(m_state.streamOrigins.calls()) },
         { "stream_origin_store_calls_failed", number(m_state.streamOrigins.failures()) },
         { "stream_origins_unwritten", number(m_state.streamOrigins.unwritten()) },
-        { "store_era", number(m_storeEra) }, { "event_loop_delay_seconds", toSeconds(m_loopWatch.delay()) },
+        { "quota_checkpoint_store_calls", number(m_quotaCheckpoints.calls()) },
+        { "quota_checkpoint_store_calls_failed", number(m_quotaCheckpoints.failures()) },
+        { "quotas_restored", number(m_quotaCheckpoints.isRestored()) }, { "store_era", number(m_storeEra) },
+        { "event_loop_delay_seconds", toSeconds(m_loopWatch.delay()) },
         { "request_memory_bytes", number(m_state.requestMemory->usedBytes()) },
         { "requests_evicted", number(m_state.requestMemory->evictions()) },
         { "answer_memory_bytes", number(m_state.answerMemory->usedBytes()) },
