Move the reading of a peer's refusal to PeerForwarding

What the body of a refusal states is part of the protocol between daemons, and belongs with its header fields.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -104,9 +104,6 @@
     bool leaveKeyToPeer(TimePoint now);
     /// Whether this daemon counts the quota of the request: it has verified its key.
     bool countsQuota() const { return m_forwarded ? m_forwarded->isUnverified : !m_isUnverified; }
-    /// The refusal for which a peer that verified the key has not executed the request; std::nullopt if
-    /// another peer may serve it.
-    std::optional<ResultCode> verdictOfPeer() const;
     /// Refuses a request that crashes endpoints, or has a part in its prompt that does.
     bool checkTriggers(TimePoint now);
     bool checkQuota(TimePoint now);
--- a/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
@@ -12,6 +12,7 @@
 #include "lentilbay/Edge/EndpointRegistry.h"
 #include "lentilbay/Edge/PeerHeartbeat.h"
 #include "lentilbay/Http/Message.h"
+#include "lentilbay/Support/ResultCode.h"
 
 namespace lentilbay::edge {
 
@@ -46,6 +47,11 @@
 /// Returns std::nullopt if the request was not forwarded.
 std::optional<ForwardedRequest> forwardedRequestOf(const http::Headers& headers);
 ForwardedAnswer forwardedAnswerOf(const http::Headers& headers);
+/// The body of a refusal. A daemon that forwarded the request reads the reason from it.
+std::string refusalBody(ResultCode code);
+/// Why a peer that was to verify the key has refused the request: a reason that concerns the key or the
+/// quota, or std::nullopt.
+std::optional<ResultCode> keyRefusalOf(std::string_view body);
 /// Removes the fields that only daemons set.
 void removeForwardingFields(http::Headers& headers);
 
--- a/packages/Edge/include/lentilbay/Edge/PeerWire.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerWire.h
@@ -7,7 +7,8 @@
 // - Heartbeats (PeerHeartbeat.cpp): a body whose layout no longer changes, then tagged sections. The content
 // of a section keeps its layout as well; what is to be added to it goes into another section.
 // - Stream messages (StreamDirectory.cpp): the same, without sections so far.
-// - Forwarded requests (PeerForwarding.cpp): HTTP header fields, of which unknown ones are ignored.
+// - Forwarded requests (PeerForwarding.cpp): HTTP header fields, of which unknown ones are ignored. The body
+// of a refusal is the result code, which the sender of an unverified request reads.
 // - The configuration read from a peer (ConfigurationCatchUp.cpp): the platform's own text. The peer's view
 // of the store is a header field of the answer (ConfigurationViews.cpp); builds that lack it answer without.
 // - The list of endpoints read from a peer (EndpointCatchUp.cpp): a line of numbers, then rows in the
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -56,9 +56,6 @@
     return headers;
 }
 
-/// The body of a refusal, from which a daemon that forwarded the request learns the reason.
-std::string refusalBody(ResultCode code) { return printed(code) + "\n"; }
-
 void logSuspicion(const EndpointState& endpoint, SendOutcome outcome)
 {
     logEvent(Event::EndpointSuspected,
@@ -596,14 +593,14 @@
         return;
     }
     if (m_send->wasNotExecuted) {
-        const auto verdict = verdictOfPeer();
-        m_isUnverifiedByPeer = m_isUnverified && m_send->body == refusalBody(ResultCode::KeysUnverifiable);
+        const auto keyRefusal = m_isUnverified ? keyRefusalOf(m_send->body) : std::nullopt;
+        m_isUnverifiedByPeer = keyRefusal == ResultCode::KeysUnverifiable;
         endSend(m_send->isMisdirected  ? SendOutcome::Misdirected
                 : m_send->lacksWeights ? SendOutcome::Neutral
                                        : SendOutcome::Full,
             now);
-        if (verdict)
-            refuse(*verdict, m_peerRetryAfter, now);
+        if (keyRefusal && !m_isUnverifiedByPeer)
+            refuse(*keyRefusal, m_peerRetryAfter, now);
         else
             sendFailed(false, ResultCode::EndpointRefused, now);
         return;
@@ -614,17 +611,6 @@
         completeNonStream(now);
 }
 
-std::optional<ResultCode> EdgeRequest::verdictOfPeer() const
-{
-    if (!m_isUnverified)
-        return std::nullopt;
-    for (const auto code : { ResultCode::MissingKey, ResultCode::UnknownKey, ResultCode::TokenRateLimit }) {
-        if (m_send->body == refusalBody(code))
-            return code;
-    }
-    return std::nullopt;
-}
-
 void EdgeRequest::completeStream(TimePoint now)
 {
     switch (streamEnd()) {
--- a/packages/Edge/lib/PeerForwarding.cpp
+++ b/packages/Edge/lib/PeerForwarding.cpp
@@ -87,6 +87,18 @@
         .version = versionOf(headers) };
 }
 
+std::string refusalBody(ResultCode code) { return printed(code) + "\n"; }
+
+std::optional<ResultCode> keyRefusalOf(std::string_view body)
+{
+    for (const auto code : { ResultCode::MissingKey, ResultCode::UnknownKey, ResultCode::TokenRateLimit,
+             ResultCode::KeysUnverifiable }) {
+        if (body == refusalBody(code))
+            return code;
+    }
+    return std::nullopt;
+}
+
 void removeForwardingFields(http::Headers& headers)
 {
     for (const auto it : names)
--- a/packages/Edge/unittests/PeerForwardingTest.cpp
+++ b/packages/Edge/unittests/PeerForwardingTest.cpp
@@ -32,6 +32,17 @@
     }
 }
 
+TEST(PeerForwarding, ReasonOfARefusalIsReadFromItsBody)
+{
+    for (const auto code : { ResultCode::MissingKey, ResultCode::UnknownKey, ResultCode::TokenRateLimit,
+             ResultCode::KeysUnverifiable })
+        EXPECT_EQ(keyRefusalOf(refusalBody(code)), code);
+    // Recorded: other builds write and read these.
+    EXPECT_EQ(refusalBody(ResultCode::KeysUnverifiable), "LB-3013\n");
+    for (const auto* it : { "", "LB-3013", "LB-3006\n", "LB-30131\n" })
+        EXPECT_EQ(keyRefusalOf(it), std::nullopt) << it;
+}
+
 TEST(PeerForwarding, VersionThatCannotBeReadIsUnknown)
 {
     http::Headers headers;
