Divide the slots of endpoints among the daemons of large fleets

Loads that daemons report are 0.4 to 0.8 s old, about as long as a request takes, so all daemons chose the same endpoints, the fastest ones, and were rejected. The two or three free slots that were required at remote endpoints did not prevent it.

SlotAssignment assigns each slot to a daemon by rendezvous hashing, preferably to a near one, and lends free ones to a selection of daemons that changes every 0.4 s. It applies above 16 daemons.

--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -127,6 +127,8 @@
     /// Starts waiting requests that an endpoint can take and rejects those that cannot start in time, by
     /// calling their EdgeRequests.
     void dispatchWaiting(TimePoint now);
+    /// Divides the slots of the endpoints among the daemons of a large fleet; to be called regularly.
+    void assignSlots(TimePoint now);
     /// Records that the list of endpoints is complete as of a time.
     void confirmEndpoints(TimePoint at, TimePoint now);
     /// Covers the way of a request to its endpoint.
--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -9,6 +9,7 @@
 #include "lentilbay/Model/Topology.h"
 #include "lentilbay/Policy/EndpointFailureReports.h"
 #include "lentilbay/Policy/Estimate.h"
+#include "lentilbay/Policy/SlotAssignment.h"
 #include "lentilbay/Support/Random.h"
 #include "lentilbay/Support/Time.h"
 
@@ -270,6 +271,14 @@
         return m_signals.signalsOf(endpoint.hash());
     }
 
+    /// Divides the slots among the daemons of a large fleet; the headroom then does not apply.
+    void assignSlots(const std::string& self, std::vector<SlotAssignment::Daemon> daemons)
+    {
+        m_assignment.setDaemons(m_topology, self, std::move(daemons));
+    }
+    bool areSlotsDivided() const { return m_assignment.isActive(); }
+    /// The slots that are assigned to this daemon; 0 if they are not divided.
+    size_t assignedSlots() const;
     void setHeadroom(Headroom headroom) { m_headroom = headroom; }
     /// Returns the endpoint to send the work to now, or nullptr if none has room.
     std::shared_ptr<EndpointState> choose(const ChoiceQuery& query, TimePoint now);
@@ -303,7 +312,8 @@
     {
         return m_topology.localityOf(endpoint.entry().dataCentre);
     }
-    bool hasRoom(const EndpointState& endpoint, bool isLimitedToOne) const;
+    static SlotAssignment::Endpoint assignable(const EndpointState& endpoint);
+    bool hasRoom(const EndpointState& endpoint, bool isLimitedToOne, TimePoint now) const;
     /// Whether failures and stalls exclude no endpoint, because they would exclude all of them although
     /// requests succeed: some requests fail at any endpoint, and the others need one.
     struct Excuses {
@@ -337,6 +347,7 @@
 
     Topology m_topology;
     Headroom m_headroom;
+    SlotAssignment m_assignment;
     Random m_random;
     std::map<EndpointId, std::shared_ptr<EndpointState>> m_endpoints;
     /// Indexes by service and by hashOf() of the id, rebuilt whenever an entry changes.
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -586,6 +586,7 @@
     for (const auto& [revision, n] : m_state.peers.daemonsByRevision())
         out.emplace_back(
             fmt::format("peers_by_wire_revision{{revision=\"{}\"}}", static_cast<int>(revision)), number(n));
+    out.emplace_back("slots_assigned", number(m_state.endpointRegistry.assignedSlots()));
     out.emplace_back("endpoints_excluded", number(m_endpointReports.excluded()));
     for (const auto& [source, sumAge] : m_summaries.ages(now))
         out.emplace_back(fmt::format("summary_age_seconds{{source=\"{}\"}}", source), toSeconds(sumAge));
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -238,6 +238,22 @@
             { "reported_by", source } });
 }
 
+void EdgeState::assignSlots(TimePoint now)
+{
+    std::vector<SlotAssignment::Daemon> daemons;
+    if (peers.knownDaemons() > smallFleetSize) {
+        for (const auto& it : peers.sendingDaemons(now))
+            daemons.push_back({ .name = it.name, .dataCentre = it.dataCentre });
+        daemons.push_back({ .name = settings.daemon.text(), .dataCentre = settings.dataCentre });
+    }
+    // A daemon that hears few others does not know which slots they take.
+    if (daemons.size() <= smallFleetSize)
+        daemons.clear();
+    if (endpointRegistry.areSlotsDivided() == daemons.empty())
+        logEvent(Event::SlotsDivided, { { "daemons", static_cast<int64_t>(daemons.size()) } });
+    endpointRegistry.assignSlots(settings.daemon.text(), std::move(daemons));
+}
+
 void EdgeState::dispatchWaiting(TimePoint now)
 {
     // Starting a request may end it immediately and call this function again.
--- a/packages/Edge/lib/EdgeSummaries.cpp
+++ b/packages/Edge/lib/EdgeSummaries.cpp
@@ -24,6 +24,7 @@
     const auto outdated = m_summaries.update(m_state.peers, m_state.stopRequestedAt.has_value());
     for (const auto& it : outdated)
         m_state.endpointRegistry.updatePeerLoads(it, {}, now);
+    m_state.assignSlots(now);
     for (auto* it : { m_configurationFollower.get(), m_endpointFollower.get() })
         it->setWait(longPollWait());
     if (wasAggregator != m_summaries.isAggregator())
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -366,12 +366,14 @@
         || (!excuses.reports && useOf(endpoint, now) == EndpointUse::Excluded);
 }
 
-bool EndpointRegistry::hasRoom(const EndpointState& endpoint, bool isLimitedToOne) const
+bool EndpointRegistry::hasRoom(const EndpointState& endpoint, bool isLimitedToOne, TimePoint now) const
 {
     if (isLimitedToOne && endpoint.ownInFlight() > 0)
         return false;
     if (endpoint.m_slotShare)
         return endpoint.ownInFlight() < *endpoint.m_slotShare;
+    if (m_assignment.isActive())
+        return m_assignment.mayTake(assignable(endpoint), endpoint.ownInFlight(), endpoint.load(), now);
     const auto locality = localityOf(endpoint);
     const double headroom = locality == Locality::OwnDataCentre ? 0
         : locality == Locality::OwnRegion                       ? m_headroom.sameRegion
@@ -379,6 +381,20 @@
     return endpoint.load() + 1 + headroom <= endpoint.entry().slots;
 }
 
+SlotAssignment::Endpoint EndpointRegistry::assignable(const EndpointState& endpoint)
+{
+    const auto& entry = endpoint.entry();
+    return { .hash = endpoint.hash(), .dataCentre = entry.dataCentre, .slots = entry.slots };
+}
+
+size_t EndpointRegistry::assignedSlots() const
+{
+    size_t out = 0;
+    for (const auto& [id, it] : m_endpoints)
+        out += m_assignment.isActive() ? m_assignment.assigned(assignable(*it)) : 0;
+    return out;
+}
+
 EndpointRegistry::Excuses EndpointRegistry::excusesFor(
     const ServiceId& service, std::optional<uint64_t> version, TimePoint now) const
 {
@@ -526,7 +542,7 @@
         possible = std::min(possible, gradeWith(0));
         const bool isLimitedToOne
             = !excuses.failures && (it->isOnProbation() || useOf(*it, now) == EndpointUse::ProbeOnly);
-        if (!hasRoom(*it, isLimitedToOne))
+        if (!hasRoom(*it, isLimitedToOne, now))
             continue;
         if (std::ranges::find(query.tried, it->entry().id) != query.tried.end())
             continue;
--- a/packages/Edge/unittests/EndpointReportsFleetTest.cpp
+++ b/packages/Edge/unittests/EndpointReportsFleetTest.cpp
@@ -69,6 +69,10 @@
         std::vector<uint64_t> hashes;
         for (const auto& [hash, i] : m_indexes)
             hashes.push_back(hash);
+        std::vector<SlotAssignment::Daemon> assignedTo;
+        for (size_t i = 0; i < daemonCount; ++i)
+            assignedTo.push_back(
+                { .name = fmt::format("edge-{}", i), .dataCentre = DataCentreId(dataCentreOf(i)) });
         for (size_t i = 0; i < daemonCount; ++i) {
             m_all.push_back({ .name = fmt::format("edge-{}", i), .dataCentre = dataCentreOf(i) });
             topology.ownDataCentre = DataCentreId(dataCentreOf(i));
@@ -83,7 +87,7 @@
                     .dataCentre = DataCentreId(dataCentreOf(k)),
                     .slots = slots,
                     .startedAtMilliseconds = 1 });
-            daemon.registry.setHeadroom({ .sameRegion = 2, .otherRegion = 3 });
+            daemon.registry.assignSlots(m_all[i].name, assignedTo);
             daemon.links.setEndpoints(hashes);
             daemon.links.setPeers(daemonCount - 1);
         }
--- /dev/null
+++ b/packages/Policy/unittests/SlotAssignmentTest.cpp
@@ -0,0 +1,130 @@
+// Tests that each slot belongs to one daemon, and that those that are free are not taken by all of them.
+#include "lentilbay/Policy/SlotAssignment.h"
+
+#include "lentilbay/Support/Hash.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <numeric>
+
+namespace lentilbay {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr size_t daemonCount = 85;
+constexpr uint32_t slots = 8;
+
+class SlotAssignmentTest : public testing::Test {
+protected:
+    SlotAssignmentTest()
+    {
+        for (size_t i = 0; i < 6; ++i)
+            topology.regions[dataCentreOf(i)] = RegionId("r" + std::to_string(i / 2));
+        for (size_t i = 0; i < daemonCount; ++i)
+            daemons.push_back({ .name = "edge-" + std::to_string(i), .dataCentre = dataCentreOf(i) });
+        setDaemons();
+    }
+
+    void setDaemons()
+    {
+        assignments.resize(daemons.size());
+        for (size_t i = 0; i < daemons.size(); ++i) {
+            topology.ownDataCentre = daemons[i].dataCentre;
+            assignments[i].setDaemons(topology, daemons[i].name, daemons);
+        }
+    }
+
+    static DataCentreId dataCentreOf(size_t i) { return DataCentreId("dc-" + std::to_string(i % 6)); }
+    static SlotAssignment::Endpoint endpointOf(size_t i)
+    {
+        return {
+            .hash = hashOf("engine-" + std::to_string(i)), .dataCentre = dataCentreOf(i), .slots = slots
+        };
+    }
+    std::vector<uint32_t> assignedOf(size_t endpoint) const
+    {
+        std::vector<uint32_t> out;
+        out.reserve(assignments.size());
+        for (const auto& it : assignments)
+            out.push_back(it.assigned(endpointOf(endpoint)));
+        return out;
+    }
+
+    Topology topology;
+    std::vector<SlotAssignment::Daemon> daemons;
+    std::vector<SlotAssignment> assignments;
+    TimePoint now { 10s };
+};
+
+TEST_F(SlotAssignmentTest, EachSlotBelongsToOneDaemon)
+{
+    size_t near = 0;
+    for (size_t endpoint = 0; endpoint < 90; ++endpoint) {
+        const auto assigned = assignedOf(endpoint);
+        EXPECT_EQ(std::accumulate(assigned.begin(), assigned.end(), 0U), slots);
+        for (size_t i = 0; i < daemonCount; ++i)
+            near += i % 6 == endpoint % 6 ? assigned[i] : 0;
+    }
+    EXPECT_GT(near, 90 * slots * 3 / 10) << "a sixth of the daemons is in the endpoint's data centre";
+}
+
+TEST_F(SlotAssignmentTest, LossOfADaemonMovesOnlyItsSlots)
+{
+    std::vector<std::vector<uint32_t>> before;
+    for (size_t endpoint = 0; endpoint < 90; ++endpoint)
+        before.push_back(assignedOf(endpoint));
+    daemons.pop_back();
+    setDaemons();
+    for (size_t endpoint = 0; endpoint < 90; ++endpoint) {
+        const auto after = assignedOf(endpoint);
+        for (size_t i = 0; i < after.size(); ++i)
+            EXPECT_GE(after[i], before[endpoint][i]);
+    }
+}
+
+TEST_F(SlotAssignmentTest, AllDaemonsTookTheSameFreeSlot)
+{
+    size_t borrowers = 0;
+    for (size_t endpoint = 0; endpoint < 90; ++endpoint) {
+        const auto it = endpointOf(endpoint);
+        for (const auto& assignment : assignments)
+            borrowers += assignment.mayTake(it, slots, 5, now) ? 1 : 0;
+    }
+    const double perEndpoint = static_cast<double>(borrowers) / 90;
+    EXPECT_GT(perEndpoint, 4.5) << "three slots are free";
+    EXPECT_LT(perEndpoint, 7.5);
+}
+
+TEST_F(SlotAssignmentTest, SelectionOfEndpointsChanges)
+{
+    // Guards against a daemon that never gets a slot of the endpoints that it needs.
+    std::vector<bool> selected(90);
+    for (; now < TimePoint(70s); now += 400ms) {
+        for (size_t endpoint = 0; endpoint < 90; ++endpoint)
+            selected[endpoint]
+                = selected[endpoint] || assignments[0].mayTake(endpointOf(endpoint), slots, 4, now);
+    }
+    EXPECT_GT(std::ranges::count(selected, true), 85);
+}
+
+TEST_F(SlotAssignmentTest, AssignedSlotsAreUsedWhateverIsReported)
+{
+    for (size_t endpoint = 0; endpoint < 90; ++endpoint) {
+        const auto it = endpointOf(endpoint);
+        const auto own = assignments[0].assigned(it);
+        if (own > 0) {
+            EXPECT_TRUE(assignments[0].mayTake(it, own - 1, slots, now));
+        }
+        EXPECT_FALSE(assignments[0].mayTake(it, own, slots - 1, now)) << "one must be left free";
+    }
+}
+
+TEST_F(SlotAssignmentTest, NearlyIdleEndpointsOfTheOwnDataCentreAreUsedByAll)
+{
+    for (const auto& it : assignments)
+        EXPECT_TRUE(it.mayTake(endpointOf(static_cast<size_t>(&it - assignments.data())), 1, 1, now));
+}
+
+} // namespace
+} // namespace lentilbay
