--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -139,6 +139,10 @@
         m_assignment.setDaemons(m_topology, self, std::move(daemons));
     }
     bool areSlotsDivided() const { return m_assignment.isActive(); }
+    /// Whether the slots of this service are divided: there must be several for each daemon.
+    bool areSlotsDivided(const ServiceId& service) const;
+    /// Records that an endpoint is used again that several daemons could not reach.
+    void recordReadmitted(const EndpointId& id, TimePoint now);
     /// The slots that are assigned to this daemon; 0 if they are not divided.
     size_t assignedSlots() const;
     void setHeadroom(Headroom headroom) { m_headroom = headroom; }
@@ -174,7 +178,7 @@
     {
         return m_topology.localityOf(endpoint.entry().dataCentre);
     }
-    static SlotAssignment::Endpoint assignable(const EndpointState& endpoint);
+    static SlotAssignment::Endpoint assignable(const EndpointState& endpoint, TimePoint now);
     bool hasRoom(const EndpointState& endpoint, bool isLimitedToOne, TimePoint now) const;
     /// Whether failures and stalls exclude no endpoint, because they would exclude all of them although
     /// requests succeed: some requests fail at any endpoint, and the others need one.
@@ -216,6 +220,7 @@
     std::map<ServiceId, Endpoints> m_byService;
     std::unordered_map<uint64_t, std::shared_ptr<EndpointState>> m_byHash;
     uint64_t m_revision = 0;
+    std::map<ServiceId, size_t> m_slotsByService;
     std::map<std::string, PeerLoads> m_peers;
     EndpointSignalTable m_signals;
     EndpointFailureReports m_failureReports;
--- a/packages/Edge/include/lentilbay/Edge/EndpointState.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointState.h
@@ -150,6 +150,8 @@
     std::optional<uint32_t> m_slotShare;
     /// When a larger share was last computed than the one that applies.
     std::optional<TimePoint> m_shareGrowsSince;
+    /// From when on the reported loads include what the daemons have sent since the endpoint was readmitted.
+    TimePoint m_loadKnownFrom {};
     /// When any request of this daemon last made progress there, or when the first one was sent.
     TimePoint m_lastProgress {};
 };
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -35,6 +35,10 @@
 constexpr Duration shareGrowthDelay = std::chrono::milliseconds(1500);
 /// Randomises similar costs, because several daemons decide on the same data.
 constexpr double costJitter = 0.15;
+/// With fewer slots, most daemons would be assigned none near them, and requests would go to other regions.
+constexpr size_t minSlotsPerDaemon = 2;
+/// After this time, the loads that the daemons of a large fleet report include what they have sent.
+constexpr Duration loadReportTime = std::chrono::milliseconds(800);
 
 } // namespace
 
@@ -104,7 +108,9 @@
     ++m_revision;
     m_byService.clear();
     m_byHash.clear();
+    m_slotsByService.clear();
     for (const auto& [id, it] : m_endpoints) {
+        m_slotsByService[it->entry().service] += it->entry().slots;
         m_byService[it->entry().service].push_back(it);
         m_byHash.emplace(it->hash(), it);
     }
@@ -169,8 +175,8 @@
         return false;
     if (endpoint.m_slotShare)
         return endpoint.ownInFlight() < *endpoint.m_slotShare;
-    if (m_assignment.isActive())
-        return m_assignment.mayTake(assignable(endpoint), endpoint.ownInFlight(), endpoint.load(), now);
+    if (areSlotsDivided(endpoint.entry().service))
+        return m_assignment.mayTake(assignable(endpoint, now), endpoint.ownInFlight(), endpoint.load(), now);
     const auto locality = localityOf(endpoint);
     const double headroom = locality == Locality::OwnDataCentre ? 0
         : locality == Locality::OwnRegion                       ? m_headroom.sameRegion
@@ -178,17 +184,33 @@
     return endpoint.load() + 1 + headroom <= endpoint.entry().slots;
 }
 
-SlotAssignment::Endpoint EndpointRegistry::assignable(const EndpointState& endpoint)
+SlotAssignment::Endpoint EndpointRegistry::assignable(const EndpointState& endpoint, TimePoint now)
 {
     const auto& entry = endpoint.entry();
-    return { .hash = endpoint.hash(), .dataCentre = entry.dataCentre, .slots = entry.slots };
+    return { .hash = endpoint.hash(),
+        .dataCentre = entry.dataCentre,
+        .slots = entry.slots,
+        .isLoadKnown = now >= endpoint.m_loadKnownFrom };
+}
+
+bool EndpointRegistry::areSlotsDivided(const ServiceId& service) const
+{
+    const auto it = m_slotsByService.find(service);
+    return m_assignment.isActive() && it != m_slotsByService.end()
+        && it->second >= minSlotsPerDaemon * m_assignment.daemons();
+}
+
+void EndpointRegistry::recordReadmitted(const EndpointId& id, TimePoint now)
+{
+    if (const auto endpoint = find(id))
+        endpoint->m_loadKnownFrom = now + loadReportTime;
 }
 
 size_t EndpointRegistry::assignedSlots() const
 {
     size_t out = 0;
     for (const auto& [id, it] : m_endpoints)
-        out += m_assignment.isActive() ? m_assignment.assigned(assignable(*it)) : 0;
+        out += areSlotsDivided(it->entry().service) ? m_assignment.assigned(assignable(*it, {})) : 0;
     return out;
 }
 
--- a/packages/Edge/lib/EndpointReportExchange.cpp
+++ b/packages/Edge/lib/EndpointReportExchange.cpp
@@ -100,8 +100,10 @@
             logEvent(Event::EndpointExcluded, { { "endpoint", it } });
     }
     for (const auto& it : m_excluded) {
-        if (!excluded.contains(it))
-            logEvent(Event::EndpointReadmitted, { { "endpoint", it } });
+        if (excluded.contains(it))
+            continue;
+        logEvent(Event::EndpointReadmitted, { { "endpoint", it } });
+        m_state.endpointRegistry.recordReadmitted(EndpointId(it), now);
     }
     m_excluded = std::move(excluded);
 }
--- a/packages/Edge/unittests/QuotaCheckpointsTest.cpp
+++ b/packages/Edge/unittests/QuotaCheckpointsTest.cpp
@@ -118,6 +118,25 @@
     EXPECT_GE(quotaOf(*after).admittedInWindow(bootNow()), 2500) << "also for a quota first used later";
 }
 
+TEST_F(QuotaCheckpointsTest, CheckpointFromBeforeAnOutageRefusedAllUseForAWindow)
+{
+    // Guards against a fleet that counts 5 s of the greatest possible use, because the store was away before
+    // all daemons were killed, and refuses organisations far below their quota.
+    {
+        const auto before = makeState(true);
+        QuotaCheckpoints checkpoints(*before, 1, bootNow());
+        EXPECT_TRUE(admit(*before, 2500));
+        run(checkpoints, 3s, true);
+    }
+    ASSERT_TRUE(rows.contains("use/a"));
+    const auto after = makeState(false);
+    QuotaCheckpoints checkpoints(*after, 2, bootNow() + 5s);
+    run(checkpoints, 300ms);
+    EXPECT_FALSE(after->awaitsQuotaHistory);
+    EXPECT_FALSE(checkpoints.isRestored());
+    EXPECT_EQ(quotaOf(*after).admittedInWindow(bootNow()), 0);
+}
+
 TEST_F(QuotaCheckpointsTest, IsReadWhenTheStoreIsBack)
 {
     {
--- a/packages/Policy/include/lentilbay/Policy/SlotAssignment.h
+++ b/packages/Policy/include/lentilbay/Policy/SlotAssignment.h
@@ -33,12 +33,16 @@
         uint64_t hash = 0;
         DataCentreId dataCentre;
         uint32_t slots = 0;
+        /// Whether the reported loads are recent enough to lend slots by; not right after the endpoint was
+        /// excluded, when all daemons have requests waiting and no load has been reported yet.
+        bool isLoadKnown = true;
     };
 
     /// Sets the daemons that send to endpoints; `self` is this one and must be among them. Without any, the
     /// slots are not divided.
     void setDaemons(const Topology& topology, const std::string& self, std::vector<Daemon> daemons);
     bool isActive() const { return !m_daemons.empty(); }
+    size_t daemons() const { return m_daemons.size(); }
     /// The number of the endpoint's slots that are assigned to this daemon.
     uint32_t assigned(const Endpoint& endpoint) const;
     /// Whether this daemon may send one more request to the endpoint.
--- a/packages/Policy/lib/SlotAssignment.cpp
+++ b/packages/Policy/lib/SlotAssignment.cpp
@@ -96,6 +96,8 @@
 {
     if (own < assigned(endpoint))
         return true;
+    if (!endpoint.isLoadKnown)
+        return false;
     const double free = endpoint.slots - load;
     if (free < 1 + slotsLeftFree)
         return false;
--- a/packages/Policy/unittests/SlotAssignmentTest.cpp
+++ b/packages/Policy/unittests/SlotAssignmentTest.cpp
@@ -126,5 +126,21 @@
         EXPECT_TRUE(it.mayTake(endpointOf(static_cast<size_t>(&it - assignments.data())), 1, 1, now));
 }
 
+TEST_F(SlotAssignmentTest, ReadmittedEndpointIsNotFilledByAllDaemonsAtOnce)
+{
+    // Guards against the rejections of endpoints that came back from a crash: every daemon saw an idle
+    // endpoint and had requests waiting.
+    for (size_t endpoint = 0; endpoint < 90; ++endpoint) {
+        auto it = endpointOf(endpoint);
+        it.isLoadKnown = false;
+        uint32_t taken = 0;
+        for (const auto& assignment : assignments) {
+            for (uint32_t own = 0; assignment.mayTake(it, own, own, now); ++own)
+                ++taken;
+        }
+        EXPECT_EQ(taken, slots);
+    }
+}
+
 } // namespace
 } // namespace lentilbay
