--- a/packages/Edge/lib/WaitingQueue.cpp
+++ b/packages/Edge/lib/WaitingQueue.cpp
@@ -128,7 +128,9 @@
             continue;
         }
         const double ownSeconds = toSeconds(latency.totalTime(it->query.work)) / slots;
-        const auto start = now + fromSeconds(queuedSeconds);
+        // By the measured rate: a request that is held until it expires costs its caller more than an early
+        // refusal.
+        const auto start = now + fromSeconds(queuedSeconds * slots / rate);
         if (!it->hasBegun
             && (queuedSeconds > m_options.maxQueuedSeconds || start + minUsefulTime >= it->expiresAt)) {
             out.rejected.push_back({ .number = it->number,
--- a/packages/Edge/unittests/WaitingQueueTest.cpp
+++ b/packages/Edge/unittests/WaitingQueueTest.cpp
@@ -153,6 +153,20 @@
     EXPECT_EQ(queue.size(), 0U);
 }
 
+TEST_F(WaitingQueueTest, RequestsWereHeldUntilTheyExpiredBehindAQueueThatHardlyAdvanced)
+{
+    // Guards against predictions that follow from the estimates of the endpoints alone, while other daemons
+    // take most of the slots.
+    for (int i = 0; i < 2; ++i)
+        endpointRegistry.find(EndpointId("e"))->recordSend(edit, TimePoint(1s));
+    push(1, 0, TimePoint(1s), 30s);
+    for (TimePoint now(1s); now < TimePoint(3s); now += 100ms)
+        EXPECT_TRUE(queue.decide(now).rejected.empty());
+    push(2, 0, TimePoint(3s), 4s);
+    EXPECT_EQ(numbersOf(queue.decide(TimePoint(3s)).rejected), (Numbers { 2 }));
+    EXPECT_EQ(queue.size(), 1U);
+}
+
 TEST_F(WaitingQueueTest, BegunRequestsGoFirstAndAreNotRejected)
 {
     for (uint64_t i = 1; i <= 100; ++i)
