--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "lentilbay/Edge/EndpointSignalTable.h"
+#include "lentilbay/Edge/VersionRule.h"
 #include "lentilbay/Model/RoutedEndpoint.h"
 #include "lentilbay/Model/Topology.h"
 #include "lentilbay/Policy/Estimate.h"
@@ -176,8 +177,8 @@
     bool mayWait = false;
     /// Whether to leave fast endpoints to other requests if a slower one meets the objectives.
     bool avoidsFastEndpoints = false;
-    /// hashOf() the only software version that may answer the request; set if it resumes a stream.
-    std::optional<uint64_t> version = std::nullopt;
+    /// The software versions that may answer the request.
+    VersionRule versions = {};
     /// Endpoints that the request was already sent to.
     std::vector<EndpointId> tried;
 };
@@ -266,10 +267,14 @@
     /// Whether the endpoint is listed, not leaving and not paused. To be asked again right before a send, as
     /// choose() may have returned the endpoint some time before.
     bool acceptsRequests(const EndpointState& endpoint, TimePoint now) const;
-    /// Whether the service has an endpoint that is not leaving, not in `tried` and of the software version,
-    /// if one is given.
+    /// Whether the service has an endpoint that is not leaving, not in `tried` and allowed by the rule.
     bool hasCandidate(const ServiceId& service, const std::vector<EndpointId>& tried = {},
-        std::optional<uint64_t> version = std::nullopt) const;
+        const VersionRule& versions = {}) const;
+    /// Sets the software versions that serve most requests of each service. Occupancy and latency are those
+    /// of their endpoints; services that are not named have no such rule.
+    void setUsualVersions(std::map<ServiceId, VersionRule> versions) { m_usualVersions = std::move(versions); }
+    /// hashOf() the ids of the service's endpoints of this software version that are not leaving.
+    std::set<uint64_t> endpointsOfVersion(const ServiceId& service, uint64_t version) const;
     /// The slots of the service's endpoints that accept work, and the requests in flight there.
     struct Occupancy {
         double slots = 0;
@@ -297,7 +302,8 @@
         bool failures = false;
         bool stalls = false;
     };
-    Excuses excusesFor(const ServiceId& service, std::optional<uint64_t> version, TimePoint now) const;
+    Excuses excusesFor(const ServiceId& service, const VersionRule& versions, TimePoint now) const;
+    const VersionRule& usualVersions(const ServiceId& service) const;
     /// Whether what the endpoint states about itself allows a send now.
     bool isAllowedBySignals(const EndpointState& endpoint, TimePoint now) const;
     /// Whether the endpoint is leaving, according to its entry or to its own answers.
@@ -330,6 +336,7 @@
     std::map<std::string, PeerLoads> m_peers;
     EndpointSignalTable m_signals;
     std::set<ServiceId> m_brittleServices;
+    std::map<ServiceId, VersionRule> m_usualVersions;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -374,11 +374,11 @@
 }
 
 EndpointRegistry::Excuses EndpointRegistry::excusesFor(
-    const ServiceId& service, std::optional<uint64_t> version, TimePoint now) const
+    const ServiceId& service, const VersionRule& versions, TimePoint now) const
 {
     TimePoint succeededAt {};
     for (const auto& it : endpointsOf(service)) {
-        if (isLeaving(*it) || (version && it->versionHash() != *version))
+        if (isLeaving(*it) || !versions.allows(it->versionHash(), it->hash()))
             continue;
         if (!it->isSuspended(now) && !it->isStalled(now))
             return {};
@@ -506,9 +506,9 @@
     std::array<Best, 3> best;
     // The best grade that any endpoint would reach if it were idle.
     Grade possible = Any;
-    const auto excuses = excusesFor(query.service, query.version, now);
+    const auto excuses = excusesFor(query.service, query.versions, now);
     for (const auto& it : endpointsOf(query.service)) {
-        if (query.version && it->versionHash() != *query.version)
+        if (!query.versions.allows(it->versionHash(), it->hash()))
             continue;
         const bool isExcluded = excuses.failures ? it->isUnusable(now) : it->isSuspended(now);
         if (isLeaving(*it) || isExcluded || (!excuses.stalls && it->isStalled(now))
@@ -549,21 +549,40 @@
 }
 
 bool EndpointRegistry::hasCandidate(
-    const ServiceId& service, const std::vector<EndpointId>& tried, std::optional<uint64_t> version) const
+    const ServiceId& service, const std::vector<EndpointId>& tried, const VersionRule& versions) const
 {
     return std::ranges::any_of(endpointsOf(service), [&](const auto& it) {
-        return !isLeaving(*it) && (!version || it->versionHash() == *version)
+        return !isLeaving(*it) && versions.allows(it->versionHash(), it->hash())
             && std::ranges::find(tried, it->entry().id) == tried.end();
     });
 }
 
+const VersionRule& EndpointRegistry::usualVersions(const ServiceId& service) const
+{
+    static const VersionRule any;
+    const auto it = m_usualVersions.find(service);
+    return it == m_usualVersions.end() ? any : it->second;
+}
+
+std::set<uint64_t> EndpointRegistry::endpointsOfVersion(const ServiceId& service, uint64_t version) const
+{
+    std::set<uint64_t> out;
+    for (const auto& it : endpointsOf(service)) {
+        if (!isLeaving(*it) && it->versionHash() == version)
+            out.insert(it->hash());
+    }
+    return out;
+}
+
 EndpointRegistry::Occupancy EndpointRegistry::occupancy(const ServiceId& service, TimePoint now) const
 {
     Occupancy out;
-    const bool excusesFailures = excusesFor(service, std::nullopt, now).failures;
+    const auto& versions = usualVersions(service);
+    const bool excusesFailures = excusesFor(service, versions, now).failures;
     for (const auto& it : endpointsOf(service)) {
         const auto& entry = it->entry();
-        if (isLeaving(*it) || (excusesFailures ? it->isUnusable(now) : it->isSuspended(now)))
+        if (isLeaving(*it) || !versions.allows(it->versionHash(), it->hash())
+            || (excusesFailures ? it->isUnusable(now) : it->isSuspended(now)))
             continue;
         const double load = std::min<double>(entry.slots, it->load());
         out.slots += isAllowedBySignals(*it, now) ? entry.slots : load;
@@ -574,10 +593,14 @@
 
 ServiceLatency EndpointRegistry::latencyOf(const ServiceId& service, TimePoint now) const
 {
+    const auto& versions = usualVersions(service);
     const auto& endpoints = endpointsOf(service);
+    const auto isCounted = [&](const auto& it) { return versions.allows(it->versionHash(), it->hash()); };
     ServiceLatency out;
-    const auto n = static_cast<double>(endpoints.size());
+    const auto n = static_cast<double>(std::ranges::count_if(endpoints, isCounted));
     for (const auto& it : endpoints) {
+        if (!isCounted(it))
+            continue;
         const double answerTokenSeconds = it->m_secondsPerToken.mean() / n;
         const double promptTokenSeconds = it->secondsPerPromptToken() / n;
         out.nonStreamSeconds += it->m_nonStreamSeconds.mean() / n;
--- a/packages/Edge/lib/WaitingQueue.cpp
+++ b/packages/Edge/lib/WaitingQueue.cpp
@@ -71,7 +71,7 @@
     for (auto it = m_requests.begin(); it != m_requests.end();) {
         // Its caller can resume a stream that has begun, and learns that it must when this one ends it.
         const bool isOver = it->hasBegun
-            && !m_endpointRegistry.hasCandidate(it->query.service, it->query.tried, it->query.version);
+            && !m_endpointRegistry.hasCandidate(it->query.service, it->query.tried, it->query.versions);
         if (isOver || now + minUsefulTime >= it->expiresAt) {
             out.rejected.push_back({ .number = it->number, .retryAfter = Duration::zero() });
             it = m_requests.erase(it);
