--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -260,7 +260,10 @@
 
     void setHeadroom(Headroom headroom) { m_headroom = headroom; }
     /// Returns the endpoint to send the work to now, or nullptr if none has room.
-    std::shared_ptr<EndpointState> choose(const ChoiceQuery& query, TimePoint now);
+    std::shared_ptr<EndpointState> choose(const ChoiceQuery& query, TimePoint now)
+    {
+        return choose(query, query.versions, now);
+    }
     /// Records that an endpoint wants no requests from this daemon until then. Afterwards it gets one at a
     /// time until one succeeds.
     void pause(EndpointState& endpoint, const EndpointIncarnation& incarnation, TimePoint until);
@@ -273,8 +276,13 @@
     /// Sets the software versions that serve most requests of each service. Occupancy and latency are those
     /// of their endpoints; services that are not named have no such rule.
     void setUsualVersions(std::map<ServiceId, VersionRule> versions) { m_usualVersions = std::move(versions); }
-    /// hashOf() the ids of the service's endpoints of this software version that are not leaving.
-    std::set<uint64_t> endpointsOfVersion(const ServiceId& service, uint64_t version) const;
+    using Endpoints = std::vector<std::shared_ptr<EndpointState>>;
+    const Endpoints& endpointsOf(const ServiceId& service) const;
+    /// Whether the endpoint is leaving, according to its entry or to its own answers.
+    bool isLeaving(const EndpointState& endpoint) const
+    {
+        return endpoint.entry().isDraining || (!m_signals.empty() && m_signals.isLeaving(endpoint.hash()));
+    }
     /// The slots of the service's endpoints that accept work, and the requests in flight there.
     struct Occupancy {
         double slots = 0;
@@ -284,6 +292,8 @@
     ServiceLatency latencyOf(const ServiceId& service, TimePoint now) const;
 
 private:
+    std::shared_ptr<EndpointState> choose(
+        const ChoiceQuery& query, const VersionRule& versions, TimePoint now);
     /// Whether an endpoint with a free slot would complete the answer before the request expires.
     static bool finishesInTime(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now);
     /// Whether the first event would arrive in time without delaying the streams running on the endpoint
@@ -306,15 +316,8 @@
     const VersionRule& usualVersions(const ServiceId& service) const;
     /// Whether what the endpoint states about itself allows a send now.
     bool isAllowedBySignals(const EndpointState& endpoint, TimePoint now) const;
-    /// Whether the endpoint is leaving, according to its entry or to its own answers.
-    bool isLeaving(const EndpointState& endpoint) const
-    {
-        return endpoint.entry().isDraining || (!m_signals.empty() && m_signals.isLeaving(endpoint.hash()));
-    }
     /// Divides the slots of the endpoints that rejections make fail.
     void divideSlots(TimePoint now);
-    using Endpoints = std::vector<std::shared_ptr<EndpointState>>;
-    const Endpoints& endpointsOf(const ServiceId& service) const;
     void rebuildIndexes();
 
     struct PeerLoads {
--- a/packages/Edge/include/lentilbay/Edge/VersionRule.h
+++ b/packages/Edge/include/lentilbay/Edge/VersionRule.h
@@ -1,10 +1,11 @@
 // Which software versions of a service's endpoints may serve a request.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <set>
+#include <vector>
 
 namespace lentilbay::edge {
 
@@ -12,18 +13,22 @@
 struct VersionRule {
     /// The only version that may serve the request.
     std::optional<uint64_t> required = std::nullopt;
-    /// The version that must not.
-    std::optional<uint64_t> excluded = std::nullopt;
-    /// hashOf() the ids of the only endpoints that may; nullptr: any.
-    std::shared_ptr<const std::set<uint64_t>> endpoints = nullptr;
+    /// The versions that must not.
+    std::vector<uint64_t> excluded = {};
+    /// hashOf() the ids of the only endpoints that may; std::nullopt: any.
+    std::optional<std::vector<uint64_t>> endpoints = std::nullopt;
+    /// What applies where no endpoint that this rule allows has room.
+    std::shared_ptr<const VersionRule> otherwise = nullptr;
 
-    bool allowsVersion(uint64_t version) const
+    /// Leaves `otherwise` aside.
+    bool allows(uint64_t version, uint64_t endpoint) const
     {
-        return required.value_or(version) == version && excluded != version;
+        return required.value_or(version) == version && std::ranges::find(excluded, version) == excluded.end()
+            && (!endpoints || std::ranges::find(*endpoints, endpoint) != endpoints->end());
     }
-    bool allows(uint64_t version, uint64_t endpoint) const
+    bool allowsAny(uint64_t version, uint64_t endpoint) const
     {
-        return allowsVersion(version) && (!endpoints || endpoints->contains(endpoint));
+        return allows(version, endpoint) || (otherwise && otherwise->allowsAny(version, endpoint));
     }
 };
 
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -495,7 +495,8 @@
         <= query.gapObjective;
 }
 
-std::shared_ptr<EndpointState> EndpointRegistry::choose(const ChoiceQuery& query, TimePoint now)
+std::shared_ptr<EndpointState> EndpointRegistry::choose(
+    const ChoiceQuery& query, const VersionRule& versions, TimePoint now)
 {
     // How well an endpoint can serve the request, best first.
     enum Grade : uint8_t { InTime, Finishes, Any };
@@ -506,9 +507,9 @@
     std::array<Best, 3> best;
     // The best grade that any endpoint would reach if it were idle.
     Grade possible = Any;
-    const auto excuses = excusesFor(query.service, query.versions, now);
+    const auto excuses = excusesFor(query.service, versions, now);
     for (const auto& it : endpointsOf(query.service)) {
-        if (!query.versions.allows(it->versionHash(), it->hash()))
+        if (!versions.allows(it->versionHash(), it->hash()))
             continue;
         const bool isExcluded = excuses.failures ? it->isUnusable(now) : it->isSuspended(now);
         if (isLeaving(*it) || isExcluded || (!excuses.stalls && it->isStalled(now))
@@ -527,11 +528,11 @@
         if (!slot.endpoint || cost < slot.cost)
             slot = { .endpoint = it, .cost = cost };
     }
-    if (best[InTime].endpoint || (query.mayWait && possible == InTime))
-        return best[InTime].endpoint;
     // A long answer waits for an endpoint that is fast enough, if there is one, instead of being cut off at
     // its deadline by a slow one.
-    return possible == Any ? best[Any].endpoint : best[Finishes].endpoint;
+    const bool takesInTime = best[InTime].endpoint || (query.mayWait && possible == InTime);
+    const auto& out = takesInTime ? best[InTime] : possible == Any ? best[Any] : best[Finishes];
+    return out.endpoint || !versions.otherwise ? out.endpoint : choose(query, *versions.otherwise, now);
 }
 
 bool EndpointRegistry::acceptsRequests(const EndpointState& endpoint, TimePoint now) const
@@ -552,7 +553,7 @@
     const ServiceId& service, const std::vector<EndpointId>& tried, const VersionRule& versions) const
 {
     return std::ranges::any_of(endpointsOf(service), [&](const auto& it) {
-        return !isLeaving(*it) && versions.allows(it->versionHash(), it->hash())
+        return !isLeaving(*it) && versions.allowsAny(it->versionHash(), it->hash())
             && std::ranges::find(tried, it->entry().id) == tried.end();
     });
 }
@@ -564,16 +565,6 @@
     return it == m_usualVersions.end() ? any : it->second;
 }
 
-std::set<uint64_t> EndpointRegistry::endpointsOfVersion(const ServiceId& service, uint64_t version) const
-{
-    std::set<uint64_t> out;
-    for (const auto& it : endpointsOf(service)) {
-        if (!isLeaving(*it) && it->versionHash() == version)
-            out.insert(it->hash());
-    }
-    return out;
-}
-
 EndpointRegistry::Occupancy EndpointRegistry::occupancy(const ServiceId& service, TimePoint now) const
 {
     Occupancy out;
