--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -79,6 +79,11 @@
     void handleDatagram(std::string_view datagram, TimePoint now);
     /// Applies a message about a stream; answers a query to its sender.
     void handleStreamMessage(const StreamMessage& message, WireRevision sender, TimePoint now);
+    void connectRollouts();
+    /// Tells the controller of rollouts which of the other daemons are alive.
+    void updateRollouts(const std::vector<std::string>& daemons);
+    /// Applies a message about a rollout, and answers a report to its sender.
+    void handleRolloutMessage(std::string_view datagram, TimePoint now);
     /// Moves requests away from stalled endpoints.
     void checkStalledRequests(TimePoint now);
     PeerHeartbeat makeHeartbeat(TimePoint now);
--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -27,6 +27,7 @@
     /// As of the send; the endpoint may have been started again since.
     EndpointIncarnation incarnation;
     uint64_t version = 0;
+    RolloutSend rollout;
     std::shared_ptr<http::ClientConnection> connection;
     /// Bytes of the request may have reached the endpoint.
     bool isSent = false;
@@ -128,6 +129,13 @@
     bool mayResend(TimePoint now);
     /// How many endpoints may execute the request.
     int maxExecutions() const { return m_forwarded ? 1 : m_route->maxAttempts; }
+    /// The endpoints that may serve the request.
+    VersionRule versionRule() const
+    {
+        return m_version ? VersionRule { .required = m_version } : m_rollout.rule;
+    }
+    /// Whether the endpoint may get the request now.
+    bool isAcceptable(const EndpointState& endpoint, TimePoint now) const;
     /// Whether the request could be sent to another endpoint, or through another peer.
     bool hasAlternative() const;
     /// Sends the request through a peer. Returns false if there is none.
@@ -177,6 +185,8 @@
     void handleResponseBroken(http::FailurePoint at);
     void relay(std::string_view piece, TimePoint now);
     void relayEvents(const EventSplitter::Piece& events, TimePoint now);
+    /// The answer tokens in so many events of the service.
+    double tokensOf(size_t events) const;
     void recordAnswerBegun(TimePoint now);
     /// Records that the endpoint broke off its answer.
     void recordBrokenOff(ConnectionLoss loss, TimePoint now);
@@ -274,6 +284,7 @@
     bool m_isVersionUncertain = false;
     bool m_isOriginShared = false;
     bool m_isFindingOrigin = false;
+    RolloutTicket m_rollout;
     /// From arrival to the first event, or to the complete non-streamed answer.
     std::optional<Duration> m_timeToFirstEvent;
     TimePoint m_lastRelayedAt {};
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -9,6 +9,7 @@
 #include "lentilbay/Edge/LinkMonitor.h"
 #include "lentilbay/Edge/PeerForwarding.h"
 #include "lentilbay/Edge/PeerHeartbeat.h"
+#include "lentilbay/Edge/RolloutController.h"
 #include "lentilbay/Edge/StreamDirectory.h"
 #include "lentilbay/Edge/StreamOriginStore.h"
 #include "lentilbay/Edge/VersionHistory.h"
@@ -73,6 +74,9 @@
     StreamDirectory streams;
     StreamOriginStore streamOrigins;
     VersionHistory versions;
+    /// The calls of `rollouts` to the store.
+    StoreWriter rolloutCalls;
+    RolloutController rollouts;
     PeerTable peers;
     Random random;
     EdgeMetrics metrics;
--- a/packages/Edge/include/lentilbay/Edge/PeerWire.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerWire.h
@@ -7,6 +7,8 @@
 // - Heartbeats (PeerHeartbeat.cpp): a body whose layout no longer changes, then tagged sections. The content
 // of a section keeps its layout as well; what is to be added to it goes into another section.
 // - Stream messages (StreamDirectory.cpp): the same, without sections so far.
+// - Reports and permits of rollouts (RolloutMessages.cpp): each kind keeps its layout. Daemons whose build
+// lacks them are sent none, coordinate nothing and ignore the orders.
 // - Forwarded requests (PeerForwarding.cpp): HTTP header fields, of which unknown ones are ignored.
 // - The configuration read from a peer (ConfigurationCatchUp.cpp): the platform's own text.
 // - The list of endpoints read from a peer (EndpointCatchUp.cpp): a line of numbers, then rows in the
@@ -16,6 +18,7 @@
 // a
 //   kind keeps its form.
 // - Rows of the store's table "streams" (StreamOriginStore.cpp): a value that cannot be read is no origin.
+// - Rows of the store's table "rollouts" (RolloutMessages.cpp): a value that cannot be read is replaced.
 //
 // A new field of a heartbeat goes into a new section: daemons skip sections whose tag they do not know, and
 // older builds ignore what follows the body. Its default must be safe for a sender that cannot state it. The
@@ -40,13 +43,18 @@
     Summaries = 4,
     /// Heartbeats to restarted daemons state when the use of quotas was counted.
     WindowParts = 5,
+    /// Daemons report to the coordinator of a rollout and act by its permits.
+    Rollouts = 6,
 };
 
-constexpr WireRevision newestWireRevision = WireRevision::WindowParts;
+constexpr WireRevision newestWireRevision = WireRevision::Rollouts;
 
 /// Whether a daemon sends summaries and understands those of others.
 constexpr bool usesSummaries(WireRevision revision) { return revision >= WireRevision::Summaries; }
 
+/// Whether a daemon coordinates rollouts and answers reports on them.
+constexpr bool coordinatesRollouts(WireRevision revision) { return revision >= WireRevision::Rollouts; }
+
 /// Whether a daemon serves requests that a peer forwards.
 constexpr bool servesForwardedRequests(WireRevision revision)
 {
--- a/packages/Edge/include/lentilbay/Edge/RolloutController.h
+++ b/packages/Edge/include/lentilbay/Edge/RolloutController.h
@@ -12,6 +12,7 @@
 #include "lentilbay/Edge/ResponseTimes.h"
 #include "lentilbay/Edge/RolloutCoordinator.h"
 #include "lentilbay/Edge/RolloutMessages.h"
+#include "lentilbay/Support/SteadyClock.h"
 
 #include <deque>
 #include <functional>
@@ -55,6 +56,8 @@
         /// Of the store, for the header field of calls.
         std::string storeHost;
         RolloutLimits limits;
+        /// The time at which an answer of the store arrives.
+        std::function<TimePoint()> clock = bootNow;
     };
     using Sender = std::function<void(const std::string& daemon, const std::string& datagram)>;
     using Caller = std::function<void(std::string request, std::function<void(const StoreReply&)> done)>;
@@ -93,11 +96,16 @@
         const EndpointState& endpoint, const std::string& route, const Work& work, TimePoint now);
     /// Records the first event, or the complete response that is not a stream.
     void recordFirstEvent(RolloutSend& send, TimePoint now);
-    /// Records the end of a send. After a failure at the target version, the request goes elsewhere.
-    /// @param evidence of a failure against the endpoint; see FailureSources
-    /// @param answerTokens of a complete stream; 0 if they are not known
-    void recordEnd(const RolloutSend& send, RolloutTicket& ticket, SendOutcome outcome, double evidence,
-        double answerTokens, TimePoint now);
+    struct End {
+        SendOutcome outcome = SendOutcome::Neutral;
+        /// Of a failure against the endpoint; see FailureSources.
+        double evidence = 1;
+        /// What a stream has given; 0 if it is none.
+        double answerTokens = 0;
+    };
+    /// Records the end of a send that an endpoint may have executed. After a failure at the target version,
+    /// the request goes to a former one.
+    void recordEnd(const RolloutSend& send, RolloutTicket& ticket, const End& end, TimePoint now);
 
     /// The values for the metrics.
     std::vector<std::pair<std::string, double>> gauges(TimePoint now) const;
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -377,7 +377,8 @@
 
 void EdgeRequest::enqueue(TimePoint now)
 {
-    if (!m_state.endpointRegistry.hasCandidate(m_service, {}, m_version)) {
+    m_state.rollouts.assign(m_service, m_version, m_rollout, now);
+    if (!m_state.endpointRegistry.hasCandidate(m_service, {}, m_rollout.rule)) {
         refuse(ResultCode::NoEndpoint, defaultRetryAfter, now);
         return;
     }
@@ -385,7 +386,7 @@
     // Whether a connection to the endpoint is idle is known when one has been chosen.
     const auto path = m_state.sendPath(true);
     const bool hasEndpoint = m_state.endpointRegistry.hasSlotShare(m_service)
-        && m_state.endpointRegistry.hasCandidate(m_service, m_triedEndpoints, m_version);
+        && m_state.endpointRegistry.hasCandidate(m_service, m_triedEndpoints, m_rollout.rule);
     if (!m_forwarded && m_state.prefersPeers(now) && startThroughPeer(now))
         return;
     if (path == SendPath::Direct && hasEndpoint) {
@@ -399,9 +400,23 @@
     refuse(ResultCode::NoEndpoint, std::max(retryAfter, m_peerRetryAfter.value_or(Duration::zero())), now);
 }
 
-WaitingRequest EdgeRequest::waitingRequest() const
+bool EdgeRequest::isAcceptable(const EndpointState& endpoint, TimePoint now) const
+{
+    const auto version = endpoint.versionHash();
+    return m_state.endpointRegistry.acceptsRequests(endpoint, now)
+        && versionRule().allowsAny(version, endpoint.hash())
+        && m_state.rollouts.mayUse(m_service, version, now);
+}
+
+double EdgeRequest::tokensOf(size_t events) const
 {
     const auto* service = m_routes->findService(m_service);
+    const double tokensPerEvent = service && service->engine ? service->engine->tokensPerEvent : 1;
+    return tokensPerEvent * static_cast<double>(events);
+}
+
+WaitingRequest EdgeRequest::waitingRequest() const
+{
     return { .number = m_number,
         .rank = m_route->rank,
         .hasBegun = m_possibleExecutions > 0,
@@ -410,8 +425,8 @@
             .objectiveAt = m_arrivedAt + m_route->objective,
             .expiresAt = m_expiresAt,
             .gapObjective = m_route->isStream ? m_route->gapObjective : Duration::zero(),
-            .tokensPerEvent = service && service->engine ? service->engine->tokensPerEvent : 1.0,
-            .version = m_version,
+            .tokensPerEvent = tokensOf(1),
+            .versions = versionRule(),
             .tried = m_triedEndpoints },
         .arrivedAt = m_arrivedAt,
         .expiresAt = m_expiresAt };
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -71,15 +71,6 @@
     return (uint64_t { device() } << 32U) | device();
 }
 
-/// Returns the resident memory of the process, or -1 if it cannot be determined.
-double residentBytes()
-{
-    std::ifstream in("/proc/self/statm");
-    double all = 0;
-    double resident = 0;
-    return in >> all >> resident ? resident * static_cast<double>(sysconf(_SC_PAGESIZE)) : -1;
-}
-
 std::string_view nameOf(http::CloseReason reason)
 {
     switch (reason) {
@@ -165,6 +156,7 @@
     m_state.setStoreStatus([this] { return m_endpointFollower->isStoreUnreachable(); });
     m_state.streams.setSender(
         [this](const auto& daemon, const auto& message) { sendStreamMessage(daemon, message); });
+    connectRollouts();
     followStore();
     followSharedRows();
 }
@@ -214,6 +206,7 @@
     m_state.streams.poll(now);
     m_state.streamOrigins.poll(m_state.peers.knownDaemons(), now);
     updateLinks(now);
+    m_state.rollouts.poll(now);
     if (m_state.queue.size() > 0)
         m_state.dispatchWaiting(now);
 }
@@ -221,7 +214,7 @@
 bool EdgeDaemon::hasUrgentWork() const
 {
     return m_state.queue.size() > 0 || m_state.streams.hasQueries() || m_state.links.isUnsettled()
-        || m_endpointFollower->hasDelayedChanges();
+        || m_endpointFollower->hasDelayedChanges() || m_state.rollouts.isActive();
 }
 
 void EdgeDaemon::schedulePoll(Duration delay)
@@ -268,7 +261,8 @@
             .spacingWhilePassive = passiveSpacing(),
             .seed = randomSeed() },
         StoreFollower::Callbacks { .changed = [this](const auto& row) { applyConfigurationRow(row); },
-            .deleted = [](const auto&) {},
+            .deleted =
+                [this](const std::string& key) { m_state.rollouts.orderRowDeleted(key, bootNow()); },
             .confirmed =
                 [this](TimePoint at) {
                     if (m_state.routes)
@@ -338,6 +332,7 @@
     logEvent(Event::StoreEraChanged,
         { { "from", static_cast<int64_t>(former) }, { "to", static_cast<int64_t>(era) } });
     m_state.metrics.count("store_era_changes");
+    m_state.rollouts.storeEraChanged();
     m_roster.clear();
     announceAgain(now);
 }
@@ -544,57 +539,6 @@
             .malformed = {} });
 }
 
-EdgeDaemon::Gauges EdgeDaemon::gauges(TimePoint now) const
-{
-    const auto number = [](auto n) { return static_cast<double>(n); };
-    const auto age = m_state.routesAge(now);
-    const auto endpointsAt = m_endpointFollower->confirmedAt();
-    Gauges out { { "configuration_version", number(m_state.routes ? m_state.routes->version() : 0) },
-        { "configuration_age_seconds", age ? toSeconds(*age) : -1 },
-        { "endpoints", number(m_state.endpointRegistry.all().size()) },
-        { "endpoints_age_seconds", endpointsAt ? toSeconds(now - *endpointsAt) : -1 },
-        { "requests_open", number(m_state.requests.size()) },
-        { "requests_waiting", number(m_state.queue.size()) },
-        { "caller_connections", number(m_callerServer->connections()) },
-        { "endpoint_connections_opened", number(m_state.pools.opened()) },
-        { "peers", number(m_state.peers.peers().size()) },
-        { "peers_silent", number(m_state.peers.silentDaemons()) },
-        { "aggregator", number(m_summaries.isAggregator()) },
-        { "store_calls",
-            number(
-                m_configurationFollower->calls() + m_endpointFollower->calls() + m_daemonFollower->calls()) },
-        { "store_calls_failed",
-            number(m_configurationFollower->failures() + m_endpointFollower->failures()
-                + m_daemonFollower->failures()) },
-        { "stream_origin_store_calls", number(m_state.streamOrigins.calls()) },
-        { "stream_origin_store_calls_failed", number(m_state.streamOrigins.failures()) },
-        { "stream_origins_unwritten", number(m_state.streamOrigins.unwritten()) },
-        { "store_era", number(m_storeEra) }, { "event_loop_delay_seconds", toSeconds(m_loopWatch.delay()) },
-        { "request_memory_bytes", number(m_state.requestMemory->usedBytes()) },
-        { "requests_evicted", number(m_state.requestMemory->evictions()) },
-        { "answer_memory_bytes", number(m_state.answerMemory->usedBytes()) },
-        { "answers_evicted", number(m_state.answerMemory->evictions()) },
-        { "link_state", number(static_cast<int>(m_state.links.state())) },
-        { "relays", number(m_state.relays.size()) },
-        { "crash_triggers_blocked", number(m_state.crashes.blockedTriggers()) },
-        { "log_lines_dropped", number(droppedLogLines()) }, { "resident_bytes", residentBytes() } };
-    for (const auto& [revision, n] : m_state.peers.daemonsByRevision())
-        out.emplace_back(
-            fmt::format("peers_by_wire_revision{{revision=\"{}\"}}", static_cast<int>(revision)), number(n));
-    for (const auto& [source, sumAge] : m_summaries.ages(now))
-        out.emplace_back(fmt::format("summary_age_seconds{{source=\"{}\"}}", source), toSeconds(sumAge));
-    std::set<ServiceId> services;
-    for (const auto& [id, endpoint] : m_state.endpointRegistry.all())
-        services.insert(endpoint->entry().service);
-    for (const auto& it : services)
-        out.emplace_back(fmt::format("service_slots{{service=\"{}\"}}", it.text()),
-            m_state.endpointRegistry.occupancy(it, now).slots);
-    for (const auto& it : services)
-        out.emplace_back(fmt::format("service_load{{service=\"{}\"}}", it.text()),
-            m_state.endpointRegistry.occupancy(it, now).load);
-    return out;
-}
-
 void EdgeDaemon::awaitSignal()
 {
     m_signals.async_wait([this](std::error_code ec, int signal) {
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -71,6 +71,10 @@
 
 void EdgeDaemon::handleDatagram(std::string_view datagram, TimePoint now)
 {
+    if (isRolloutMessage(datagram)) {
+        handleRolloutMessage(datagram, now);
+        return;
+    }
     if (isStreamMessage(datagram)) {
         const auto decoded = outcomeOf<StreamMessage>([&] { return decodeStreamMessage(datagram); });
         if (const auto* message = std::get_if<StreamMessage>(&decoded)) {
@@ -368,6 +372,7 @@
     m_state.versions.update(m_state.endpointRegistry, now);
     const auto daemons = aliveDaemons();
     m_state.streams.setDaemons(m_state.settings.daemon.text(), daemons);
+    updateRollouts(daemons);
     updateCrashTriggers(daemons, now);
     const auto participants = m_state.peers.quotaParticipants(now);
     for (auto& [name, quota] : m_state.quotas())
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -168,11 +168,7 @@
         awaitCurrentEndpoints(now);
         return;
     }
-    const auto& target = *m_send->endpoint;
-    const bool isAcceptable = m_send->isThroughPeer
-        || (m_state.endpointRegistry.acceptsRequests(target, now)
-            && m_version.value_or(target.versionHash()) == target.versionHash());
-    if (isAcceptable)
+    if (m_send->isThroughPeer || isAcceptable(*m_send->endpoint, now))
         sendNow(now);
     else
         withdrawSend(now);
@@ -198,7 +194,8 @@
     logEvent(Event::SendWithdrawn,
         { { "id", m_metadata.id.text() }, { "endpoint", m_send->endpoint->entry().id.text() } });
     endSend(SendOutcome::Neutral, now);
-    if (m_state.endpointRegistry.hasCandidate(m_service, m_triedEndpoints, m_version))
+    m_state.rollouts.assign(m_service, m_version, m_rollout, now);
+    if (m_state.endpointRegistry.hasCandidate(m_service, m_triedEndpoints, m_rollout.rule))
         requeue(now);
     else
         refuse(ResultCode::NoEndpoint, defaultRetryAfter, now);
@@ -244,6 +241,8 @@
     m_send->incarnation = endpoint.incarnation();
     m_send->version = endpoint.versionHash();
     m_send->expectedTimeToFirstEvent = endpoint.expectedTimeToFirstEvent(m_work);
+    if (!m_send->isThroughPeer)
+        m_send->rollout = m_state.rollouts.recordSend(endpoint, m_route->name, m_work, now);
     logSend(now);
     m_events.beginAnswer();
     const auto self = shared_from_this();
@@ -455,10 +454,9 @@
         const auto error = now - m_send->sentAt - m_send->expectedTimeToFirstEvent;
         m_state.metrics.observe(Timing::FirstEventError, m_route->rank, std::max(error, -error));
         endpoint.recordFirstEvent(m_work, now - m_send->sentAt, now);
+        m_state.rollouts.recordFirstEvent(m_send->rollout, now);
     } else {
-        const auto* service = m_routes->findService(m_service);
-        const double tokens = service && service->engine ? service->engine->tokensPerEvent : 1;
-        endpoint.recordProgress(tokens * static_cast<double>(events.events), now - m_send->lastEventAt, now);
+        endpoint.recordProgress(tokensOf(events.events), now - m_send->lastEventAt, now);
     }
     m_send->lastEventAt = now;
     m_send->events += events.events;
@@ -706,8 +704,10 @@
         sendFailed(true, ResultCode::EndpointAnswerInvalid, now);
         return;
     }
-    if (isSuccess && !std::exchange(m_send->hadFirstEvent, true))
+    if (isSuccess && !std::exchange(m_send->hadFirstEvent, true)) {
         m_send->endpoint->recordFirstEvent(m_work, now - m_send->sentAt, now);
+        m_state.rollouts.recordFirstEvent(m_send->rollout, now);
+    }
     if (isSuccess)
         recordAnswerBegun(now);
     auto head = std::move(m_send->head);
@@ -826,6 +826,10 @@
         logSuspicion(*send.endpoint, outcome);
     if (send.isSent && !send.wasNotExecuted)
         ++m_possibleExecutions;
+    // While the links are lost, silence shows nothing.
+    if (!send.wasNotExecuted && (outcome != SendOutcome::Neutral || m_state.links.state() == LinkState::Up))
+        m_state.rollouts.recordEnd(send.rollout, m_rollout,
+            { .outcome = outcome, .evidence = evidence, .answerTokens = tokensOf(send.events) }, now);
     if (send.connection)
         m_state.pools.release(send.endpoint->entry(), std::move(send.connection));
 }
@@ -877,7 +881,7 @@
     if (!m_forwarded && m_state.links.state() != LinkState::Up
         && m_state.relays.choose(m_triedEndpoints, m_state.random))
         return true;
-    return m_state.endpointRegistry.hasCandidate(m_service, m_triedEndpoints, m_version);
+    return m_state.endpointRegistry.hasCandidate(m_service, m_triedEndpoints, versionRule());
 }
 
 void EdgeRequest::endAfterExecution(ResultCode reason, TimePoint now)
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -8,6 +8,7 @@
 #include "lentilbay/Support/SteadyClock.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace lentilbay::edge {
 namespace {
@@ -44,6 +45,18 @@
     return ec ? asio::ip::tcp::endpoint() : asio::ip::tcp::endpoint(host, store.port);
 }
 
+/// @param seed random, so that it tells this process from earlier ones of the daemon
+RolloutController::Options rolloutOptions(const platform::ProcessSettings& settings, uint64_t seed)
+{
+    const auto& bounds = settings.bounds;
+    return { .daemon = settings.daemon.text(),
+        .incarnation = seed,
+        .storeHost = fmt::format("{}:{}", settings.store.host, settings.store.port),
+        .limits = { .share = bounds.canaryShare,
+            .slackRequests = bounds.canarySlack,
+            .revert = bounds.rollback } };
+}
+
 } // namespace
 
 EdgeState::EdgeState(asio::io_context& context, platform::ProcessSettings given, uint64_t seed)
@@ -58,9 +71,16 @@
     , relays(topology)
     , streamOrigins(context, endpointOf(settings.store))
     , versions(settings.isFirstStart)
+    , rolloutCalls(context, endpointOf(settings.store))
+    , rollouts(rolloutOptions(settings, seed), endpointRegistry)
     , peers(settings.daemon.text())
     , random(seed + 1)
 {
+    rollouts.setServiceCheck(
+        [this](const ServiceId& service) { return routes && routes->findService(service) != nullptr; });
+    rollouts.setCaller([this](std::string request, std::function<void(const StoreReply&)> done) {
+        rolloutCalls.call(std::move(request), std::move(done));
+    });
     pools.setConnectObserver([this](const EndpointId& id, bool isConnected) {
         if (const auto endpoint = endpointRegistry.find(id))
             recordConnection(*endpoint, isConnected, bootNow());
--- a/packages/Edge/lib/RolloutController.cpp
+++ b/packages/Edge/lib/RolloutController.cpp
@@ -7,6 +7,7 @@
 #include "lentilbay/platform/Documents.h"
 
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
 
 namespace lentilbay::edge {
@@ -357,10 +358,11 @@
     if (m_isCalling || !m_call)
         return;
     if (auto request = coordinator.nextCall(now)) {
-        call(std::move(*request), [weak = std::weak_ptr(entry.coordinator), now](const StoreReply& reply) {
-            if (const auto it = weak.lock())
-                it->handleReply(reply, now, bootNow());
-        });
+        call(std::move(*request),
+            [this, weak = std::weak_ptr(entry.coordinator), now](const StoreReply& reply) {
+                if (const auto it = weak.lock())
+                    it->handleReply(reply, now, m_options.clock());
+            });
     }
 }
 
@@ -593,8 +595,8 @@
     send.isCounted = true;
 }
 
-void RolloutController::recordEnd(const RolloutSend& send, RolloutTicket& ticket, SendOutcome outcome,
-    double evidence, double answerTokens, TimePoint now)
+void RolloutController::recordEnd(
+    const RolloutSend& send, RolloutTicket& ticket, const End& end, TimePoint now)
 {
     if (send.route == 0)
         return;
@@ -602,9 +604,9 @@
     const bool isRunning = entry && !entry->hasEnded(now);
     const bool isTarget = isRunning && groupOf(*entry, send.version) == VersionGroup::Target;
     const auto elapsed = now - send.sentAt;
-    const bool isWhole = outcome == SendOutcome::Succeeded;
-    const bool isStream = send.work.isStream && answerTokens > 0;
-    const double wholeWork = workToFirstEvent(send.work) + answerTokens;
+    const bool isWhole = end.outcome == SendOutcome::Succeeded;
+    const bool isStream = send.work.isStream && end.answerTokens > 0;
+    const double wholeWork = workToFirstEvent(send.work) + end.answerTokens;
     bool isLate = isWhole && isStream && !wasStalledSince(send.sentAt, now)
         && m_times.isSlow(wholeStreamsOf(send.route), elapsed, wholeWork);
     if (isWhole && !isTarget && !wasStalledSince(send.sentAt, now)) {
@@ -616,12 +618,12 @@
     if (!isRunning)
         return;
     // Without an event, nobody knows how much later it would have come.
-    if (outcome == SendOutcome::Neutral)
+    if (end.outcome == SendOutcome::Neutral)
         isLate = !send.timeToFirstEvent && isSlow(send, elapsed, now);
     // In the phase Switching, similar requests fail elsewhere at endpoints of the same version.
-    const bool isBad = outcome == SendOutcome::Failed
-        && (evidence >= minEvidence || entry->gate.phase(now) != RolloutPhase::Canary);
-    if (outcome == SendOutcome::Failed && isTarget && ticket.order == entry->order().id)
+    const bool isBad = end.outcome == SendOutcome::Failed
+        && (end.evidence >= minEvidence || entry->gate.phase(now) != RolloutPhase::Canary);
+    if (end.outcome == SendOutcome::Failed && isTarget && ticket.order == entry->order().id)
         ticket.group = VersionGroup::Former;
     if (isBad || isLate || (isWhole && !send.isCounted))
         count(send, isBad, isLate && !send.isCounted, now);
