--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -82,6 +82,8 @@
     void connectRollouts();
     /// Tells the controller of rollouts which of the other daemons are alive.
     void updateRollouts(const std::vector<std::string>& daemons);
+    /// Does what is due for rollouts; requests that wait are queued again if they may go elsewhere now.
+    void pollRollouts(TimePoint now);
     /// Applies a message about a rollout, and answers a report to its sender.
     void handleRolloutMessage(std::string_view datagram, TimePoint now);
     /// Moves requests away from stalled endpoints.
--- a/packages/Edge/include/lentilbay/Edge/RolloutController.h
+++ b/packages/Edge/include/lentilbay/Edge/RolloutController.h
@@ -75,13 +75,16 @@
     /// Applies a row of the table with the operator's orders; rows of other kinds are ignored.
     void applyOrderRow(const platform::StoreRow& row, TimePoint now);
     void orderRowDeleted(const std::string& key, TimePoint now);
+    /// Records that all orders are known that had been written by then.
+    void confirmOrders(TimePoint at) { m_ordersConfirmedAt = std::max(m_ordersConfirmedAt, at); }
     /// The store came back from an older copy: what this daemon knows of the orders is written again.
     void storeEraChanged();
     /// Sets the other daemons that are alive and take part in rollouts, and whether this one does.
     void setDaemons(std::vector<std::string> others, bool takesPart, size_t fleetSize);
     /// Whether poll() must be called at short intervals.
     bool isActive() const;
-    void poll(TimePoint now);
+    /// Does what is due. Returns whether requests that wait may have to go to another version than before.
+    bool poll(TimePoint now);
     /// Applies a datagram of another daemon. Returns the answer to it, or an empty string.
     std::string receive(std::string_view datagram, TimePoint now);
 
@@ -143,6 +146,10 @@
         bool hasEnded(TimePoint now) const;
     };
 
+    /// The versions of the service that may be the subject of an order which is not known yet.
+    const std::vector<uint64_t>& unconfirmedVersions(const ServiceId& service, TimePoint now);
+    /// Notices versions that are listed beside others for the first time.
+    void noticeVersions(TimePoint now);
     Entry* find(const ServiceId& service);
     const Entry* find(const ServiceId& service) const;
     Entry* findByHash(uint64_t service);
@@ -183,8 +190,20 @@
     std::function<bool(const ServiceId&)> m_isKnownService;
     std::map<ServiceId, Entry> m_entries;
     std::vector<std::string> m_others;
+    struct ListedVersions {
+        std::vector<uint64_t> all;
+        std::vector<uint64_t> unconfirmed;
+        /// When the last of those was first seen.
+        TimePoint seenAt {};
+    };
+    std::map<ServiceId, ListedVersions> m_listed;
+    /// The state of the registry that `m_listed` describes.
+    uint64_t m_listedRevision = 0;
+    TimePoint m_ordersConfirmedAt {};
     bool m_takesPart = true;
     bool m_isCalling = false;
+    /// As of the last poll().
+    std::map<ServiceId, RolloutPhase> m_phases;
     Duration m_reportPeriod {};
     TimePoint m_startedAt {};
     TimePoint m_polledAt {};
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -206,7 +206,7 @@
     m_state.streams.poll(now);
     m_state.streamOrigins.poll(m_state.peers.knownDaemons(), now);
     updateLinks(now);
-    m_state.rollouts.poll(now);
+    pollRollouts(now);
     if (m_state.queue.size() > 0)
         m_state.dispatchWaiting(now);
 }
@@ -265,6 +265,7 @@
                 [this](const std::string& key) { m_state.rollouts.orderRowDeleted(key, bootNow()); },
             .confirmed =
                 [this](TimePoint at) {
+                    m_state.rollouts.confirmOrders(at);
                     if (m_state.routes)
                         m_state.routesConfirmedAt = std::max(at, m_state.routesConfirmedAt.value_or(at));
                     const auto now = bootNow();
--- a/packages/Edge/lib/EdgeLinks.cpp
+++ b/packages/Edge/lib/EdgeLinks.cpp
@@ -125,7 +125,7 @@
     // Iterates over a copy, because a request may end meanwhile.
     if (m_state.queue.size() > 0) {
         for (const auto requests = m_state.requests; const auto& [number, request] : requests)
-            request->forwardWaiting(now);
+            request->queueAgain(now);
     }
 }
 
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -123,7 +123,7 @@
     return true;
 }
 
-void EdgeRequest::forwardWaiting(TimePoint now)
+void EdgeRequest::queueAgain(TimePoint now)
 {
     if (m_isOver || m_send || m_isFindingOrigin || m_isConfirmingEnd)
         return;
--- a/packages/Edge/lib/EdgeRollouts.cpp
+++ b/packages/Edge/lib/EdgeRollouts.cpp
@@ -1,5 +1,6 @@
 // Connects the controller of rollouts to the other daemons and to the followed tables.
 #include "lentilbay/Edge/EdgeDaemon.h"
+#include "lentilbay/Edge/EdgeRequest.h"
 #include "lentilbay/Support/SteadyClock.h"
 
 namespace lentilbay::edge {
@@ -26,6 +27,16 @@
         std::move(others), !m_state.stopRequestedAt.has_value(), m_state.peers.knownDaemons());
 }
 
+void EdgeDaemon::pollRollouts(TimePoint now)
+{
+    if (!m_state.rollouts.poll(now) || m_state.queue.size() == 0)
+        return;
+    // Iterates over a copy, because a request may end.
+    const auto requests = m_state.requests;
+    for (const auto& [number, request] : requests)
+        request->queueAgain(now);
+}
+
 void EdgeDaemon::handleRolloutMessage(std::string_view datagram, TimePoint now)
 {
     const auto answer = m_state.rollouts.receive(datagram, now);
--- a/packages/Edge/lib/RolloutController.cpp
+++ b/packages/Edge/lib/RolloutController.cpp
@@ -33,6 +33,8 @@
 constexpr Duration maxOrderAge = std::chrono::hours(1);
 /// poll() is called more often than this while an order is running, unless the event loop stands still.
 constexpr Duration maxPollGap = std::chrono::milliseconds(300);
+/// A version is used this long after it was listed although the orders cannot be read.
+constexpr Duration maxConfirmation = std::chrono::seconds(3);
 /// A failure with less evidence against the endpoint is attributed to the request.
 constexpr double minEvidence = 0.5;
 constexpr size_t maxPastOrders = 4;
@@ -233,7 +235,7 @@
     });
 }
 
-void RolloutController::poll(TimePoint now)
+bool RolloutController::poll(TimePoint now)
 {
     if (m_startedAt == TimePoint {})
         m_startedAt = now;
@@ -241,6 +243,7 @@
         m_stalledUntil = now;
     m_polledAt = now;
     std::map<ServiceId, VersionRule> usual;
+    std::map<ServiceId, RolloutPhase> phases;
     for (auto& [service, entry] : m_entries) {
         updateVersions(entry, now);
         const auto coordinator = coordinatorOf(service);
@@ -256,8 +259,10 @@
             readState(entry, now);
         logPhase(entry, now);
         usual[service] = usualVersions(entry, now);
+        phases[service] = entry.gate.phase(now);
     }
     m_registry.setUsualVersions(std::move(usual));
+    return std::exchange(m_phases, phases) != phases;
 }
 
 void RolloutController::updateVersions(Entry& entry, TimePoint now)
@@ -509,6 +514,43 @@
             { "since_order_ms", millisecondsOf(now - entry.seenAt) } });
 }
 
+void RolloutController::noticeVersions(TimePoint now)
+{
+    if (m_listedRevision == m_registry.revision())
+        return;
+    m_listedRevision = m_registry.revision();
+    std::map<ServiceId, std::vector<uint64_t>> listed;
+    for (const auto& [id, it] : m_registry.all())
+        addTo(listed[it->entry().service], it->versionHash());
+    std::erase_if(m_listed, [&](const auto& it) { return !listed.contains(it.first); });
+    for (auto& [service, versions] : listed) {
+        const auto [it, isNew] = m_listed.try_emplace(service);
+        auto& known = it->second;
+        std::erase_if(known.unconfirmed,
+            [&](uint64_t version) { return std::ranges::find(versions, version) == versions.end(); });
+        for (const auto version : versions) {
+            if (isNew || std::ranges::find(known.all, version) != known.all.end())
+                continue;
+            addTo(known.unconfirmed, version);
+            known.seenAt = now;
+        }
+        known.all = std::move(versions);
+    }
+}
+
+const std::vector<uint64_t>& RolloutController::unconfirmedVersions(const ServiceId& service, TimePoint now)
+{
+    static const std::vector<uint64_t> none;
+    noticeVersions(now);
+    const auto it = m_listed.find(service);
+    if (it == m_listed.end())
+        return none;
+    auto& known = it->second;
+    if (m_ordersConfirmedAt >= known.seenAt || now - known.seenAt >= maxConfirmation)
+        known.unconfirmed.clear();
+    return known.unconfirmed;
+}
+
 void RolloutController::assign(
     const ServiceId& service, std::optional<uint64_t> version, RolloutTicket& ticket, TimePoint now)
 {
@@ -517,6 +559,12 @@
         ticket.rule = { .required = version };
         if (version && !mayUse(service, *version, now))
             ticket.rule.excluded = { *version };
+        if (version)
+            return;
+        // Engines may be listed before the order for them has been read.
+        ticket.rule.excluded = unconfirmedVersions(service, now);
+        if (!ticket.rule.excluded.empty() && !m_registry.hasCandidate(service, {}, ticket.rule))
+            ticket.rule.excluded.clear();
         return;
     }
     ticket.rule = usualVersions(*entry, now);
@@ -625,7 +673,8 @@
         && (end.evidence >= minEvidence || entry->gate.phase(now) != RolloutPhase::Canary);
     if (end.outcome == SendOutcome::Failed && isTarget && ticket.order == entry->order().id)
         ticket.group = VersionGroup::Former;
-    if (isBad || isLate || (isWhole && !send.isCounted))
+    // A late response that then fails counts as both.
+    if (isBad || (!send.isCounted && (isLate || isWhole)))
         count(send, isBad, isLate && !send.isCounted, now);
 }
 
--- a/packages/Edge/lib/RolloutMessages.cpp
+++ b/packages/Edge/lib/RolloutMessages.cpp
@@ -37,7 +37,7 @@
 template <class Archive> void serializePhase(Archive& archive, RolloutPhase& phase)
 {
     archive(phase);
-    if (phase > RolloutPhase::Reverted)
+    if (!Archive::is_saving::value && phase > RolloutPhase::Reverted)
         throw cereal::Exception("a rollout is in an unknown phase");
 }
 
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -2148,7 +2148,7 @@
     nearPeer.script({ .bytes = httpResponse(200, "near", signatureFields) });
     loseLinks(bootNow());
     for (const auto requests = state.requests; const auto& [number, request] : requests)
-        request->forwardWaiting(bootNow());
+        request->queueAgain(bootNow());
     runUntil([&] { return answer.hasEnded(); });
     EXPECT_EQ(answer.body, "near");
     connection->close();
@@ -2271,12 +2271,93 @@
     runUntil([&] { return !state.requests.empty(); });
     ASSERT_EQ(state.streams.openQueries(), 1U);
     for (const auto requests = state.requests; const auto& [number, request] : requests)
-        request->forwardWaiting(bootNow());
+        request->queueAgain(bootNow());
     context.run_for(20ms);
     context.restart();
     EXPECT_EQ(nearPeer.requests().size() + farPeer.requests().size(), 0U);
     connection->close();
 }
 
+// Guards against requests that reach a version which is being rolled out without a permit, that fail because a
+// bad version failed, or that reach the former version after the new one was adopted.
+TEST_F(EdgeRequestTest, RequestsGoToTheVersionsThatARolloutAllows)
+{
+    list("e1", first, "v1");
+    list("e2", second, "v2");
+    const auto respondWith = [](int status) {
+        return [status](const std::string&) {
+            return ScriptedResponse { .bytes = httpResponse(status, "x", signatureFields) };
+        };
+    };
+    first.setResponder(respondWith(200));
+    second.setResponder(respondWith(500));
+    state.rollouts.applyOrderRow({ .table = "op",
+                                     .key = "rollout/s",
+                                     .value = R"({"Service":"s","To":"v2","DurationS":60})",
+                                     .version = { .era = 1, .number = 5 } },
+        bootNow());
+    for (int i = 0; i < 5; ++i)
+        EXPECT_EQ(call("/safe/x").status, 200);
+    EXPECT_EQ(first.requests().size(), 5U);
+    EXPECT_TRUE(second.requests().empty());
+    const auto permit = [&](RolloutPhase phase) {
+        const auto now = bootNow();
+        state.rollouts.receive(
+            encodeRolloutMessage(RolloutPermitMessage { .service = hashOf("s"),
+                .incarnation = 1,
+                .sentMicroseconds = now.time_since_epoch().count(),
+                .permit = { .order = { .era = 1, .number = 5 }, .phase = phase, .share = 1 },
+                .formerVersions = { hashOf("v1") } }),
+            now);
+    };
+    permit(RolloutPhase::Canary);
+    EXPECT_EQ(call("/safe/x").status, 200);
+    EXPECT_EQ(second.requests().size(), 1U);
+    EXPECT_EQ(first.requests().size(), 6U) << "the request that failed there went to the former version";
+    second.setResponder(respondWith(200));
+    permit(RolloutPhase::Complete);
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(call("/safe/x").status, 200);
+    EXPECT_EQ(second.requests().size(), 4U);
+    EXPECT_EQ(first.requests().size(), 6U);
+    state.endpointRegistry.unlist(EndpointId("e2"));
+    EXPECT_EQ(call("/safe/x").status, 503);
+    EXPECT_EQ(first.requests().size(), 6U);
+}
+
+// Guards against a request that waits for an engine of the former version until its time is over, although the
+// new version was adopted meanwhile.
+TEST_F(EdgeRequestTest, WaitingRequestsGoToTheVersionThatWasAdopted)
+{
+    list("e1", first, "v1");
+    list("e2", second, "v2");
+    second.script({ .bytes = httpResponse(200, "x", signatureFields) });
+    const RolloutOrderId order { .era = 1, .number = 5 };
+    state.rollouts.applyOrderRow({ .table = "op",
+                                     .key = "rollout/s",
+                                     .value = R"({"Service":"s","To":"v2","DurationS":60})",
+                                     .version = { .era = order.era, .number = order.number } },
+        bootNow());
+    state.rollouts.poll(bootNow());
+    state.endpointRegistry.updatePeerLoads(
+        "peer", { { .endpoint = hashOf("e1"), .inFlight = 4 } }, bootNow());
+    CallerAnswer answer;
+    const auto connection = send("/safe/x", answer);
+    runUntil([&] { return state.queue.size() == 1; });
+    const auto now = bootNow();
+    state.rollouts.receive(
+        encodeRolloutMessage(RolloutPermitMessage { .service = hashOf("s"),
+            .incarnation = 1,
+            .sentMicroseconds = now.time_since_epoch().count(),
+            .permit = { .order = order, .phase = RolloutPhase::Complete } }),
+        now);
+    ASSERT_TRUE(state.rollouts.poll(now));
+    for (const auto requests = state.requests; const auto& [number, request] : requests)
+        request->queueAgain(now);
+    runUntil([&] { return answer.hasEnded(); });
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(first.requests().empty());
+}
+
 } // namespace
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/EndpointRegistryTest.cpp
+++ b/packages/Edge/unittests/EndpointRegistryTest.cpp
@@ -420,5 +420,38 @@
     EXPECT_EQ(capacity(), 8U);
 }
 
+// Guards against requests that go to a software version, or to an engine of it, that their rule excludes.
+TEST_F(EndpointRegistryTest, RulesOnVersionsAreKept)
+{
+    const auto now = TimePoint(1s);
+    for (const auto* id : { "new-1", "new-2" }) {
+        auto endpoint = endpointOf(id, "a", 4);
+        endpoint.softwareVersion = "v2";
+        endpointRegistry.list(endpoint);
+    }
+    const auto chosenBy = [&](const VersionRule& versions) {
+        const auto it = endpointRegistry.choose(
+            { .service = service, .work = shortStream, .objectiveAt = now + 800ms, .versions = versions }, now);
+        return it ? it->entry().id.text() : "none";
+    };
+    const VersionRule former { .excluded = { hashOf("v2") } };
+    const VersionRule target { .required = hashOf("v2"),
+        .endpoints = std::vector { hashOf("new-2") },
+        .otherwise = std::make_shared<const VersionRule>(former) };
+    EXPECT_EQ(chosenBy(former), "near");
+    EXPECT_EQ(chosenBy(target), "new-2");
+    setPeerLoad("new-2", 4, now);
+    EXPECT_EQ(chosenBy(target), "near") << "no room at the endpoints of the rule";
+    EXPECT_EQ(chosenBy({ .required = hashOf("v2"), .endpoints = std::vector { hashOf("new-2") } }), "none");
+    EXPECT_EQ(chosenBy({ .required = hashOf("v3") }), "none");
+    EXPECT_FALSE(endpointRegistry.hasCandidate(service, {}, { .required = hashOf("v3") }));
+    EXPECT_TRUE(endpointRegistry.hasCandidate(service, { EndpointId("new-2") }, target));
+    EXPECT_FALSE(endpointRegistry.hasCandidate(service, { EndpointId("near"), EndpointId("far") }, former));
+    // The queue reckons with the slots that most requests can use.
+    EXPECT_EQ(endpointRegistry.occupancy(service, now).slots, 12);
+    endpointRegistry.setUsualVersions({ { service, former } });
+    EXPECT_EQ(endpointRegistry.occupancy(service, now).slots, 4);
+}
+
 } // namespace
 } // namespace lentilbay::edge
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -14,14 +14,15 @@
 rejections that an endpoint writes twice, harm nobody; a daemon that the store turns away knows from others which endpoints
 have left; each request that comes while a daemon stops is answered; a request runs while its client waits, whatever its
 daemon was kept from doing; a stream ends as whole only after its last event,
-however its engine ends it; requests that fail at each endpoint take none from others.
+however its engine ends it; requests that fail at each endpoint take none from others; a new software version that is bad
+gets few requests and is reverted, and a good one is adopted in time.
 All of that holds also after the store came back from an older copy, and at daemons that start before the operator has
 written again what the store has lost.
 
     soak.py --daemon build/bin/lentilbayd [--seed N] [--seconds S] [--runs N] [--daemons N] [--endpoints N]
         [--applications N] [--clients N] [--streams N] [--leavers N] [--links] [--faults KIND,...]
         [--link-modes MODE,...] [--config-seconds S] [--work S] [--other-daemon BINARY] [--odd N] [--endings KIND,...]
-        [--events N] [--tail S]
+        [--events N] [--tail S] [--rollouts KIND,...]
 
 With --other-daemon, a build of an earlier commit, all daemons begin with that build, and the fault "upgrade" replaces one
 by the other of the two builds, in either direction. All checks hold meanwhile.
@@ -41,6 +42,7 @@
 
 from odd import OddTraffic
 from prompts import PromptTraffic
+from rollouts import CANARY_SHARE, CANARY_SLACK, ROLLBACK_SECONDS, Rollouts
 from standins import Endpoint, Link, NoAnswer, Proxy, Store, read_chunk
 
 REVOKE_SECONDS = 5.0
@@ -115,6 +117,8 @@
 # Kinds that need --streams: "prompt" sends requests with a part that crashes engines, "release" replaces engines by
 # ones of another software version.
 STREAM_FAULT_KINDS = ["prompt", "release"]
+# "rollout" lets the operator order a new software version of a service, which may be bad.
+ROLLOUT_FAULT_KINDS = ["rollout"]
 # Request kinds and the types of their routes.
 KINDS = {"once": "unsafe", "safe": "safe", "stream": "stream", "moved": "safe"}
 ROUTES = KINDS | {"long": "stream", "slow": "unsafe"}
@@ -196,6 +200,7 @@
         self.is_growing = False
         self.prompts = PromptTraffic(self)
         self.odd, self.odd_clients = OddTraffic(self), options.odd
+        self.rollouts, self.rollout_kinds = Rollouts(self), options.rollouts.split(",")
         self.endings, self.tail = options.endings.split(","), options.tail
         self.releases = 0
         self.is_rewinding = False
@@ -287,7 +292,8 @@
             "Bootstrap": first, "Limits": {"CpuQuota": 1, "MemoryMb": 256},
             "Bounds": {"RevokeMs": REVOKE_SECONDS * 1000, "DrainMs": DRAIN_SECONDS * 1000,
                        "ConfigDeadlineMs": self.config_seconds * 1000, "GraceS": GRACE_SECONDS, "RetryBudgetRatio": 0.2,
-                       "BudgetSlack": 50, "BudgetWindowS": 10, "QuotaWindowS": 8},
+                       "BudgetSlack": 50, "BudgetWindowS": 10, "QuotaWindowS": 8, "CanaryShare": CANARY_SHARE,
+                       "CanarySlack": CANARY_SLACK, "RollbackMs": ROLLBACK_SECONDS * 1000},
             "Platform": {"Addr": f"{self.network}.60:{7000 + i}"}}
         path = os.path.join(self.folder, f"edge-{i}.json")
         with open(path, "w", encoding="utf-8") as out:
@@ -514,6 +520,8 @@
             await self.prompts.repeat_crashing_request(self.rng.uniform(12, 20))
         elif kind == "release":
             await self.release()
+        elif kind == "rollout":
+            await self.rollouts.order(self.rng.choice(["app", "llm"]))
         elif kind == "drain":
             n = self.rng.randrange(len(self.endpoints))
             endpoint, address = self.endpoints[n], self.address_of(n)
@@ -1121,7 +1129,7 @@
     parser.add_argument("--runs", type=int, default=1, help="number of consecutive seeds to run")
     parser.add_argument("--faults", default=",".join(FAULT_KINDS),
                         help=f"kinds of faults, drawn with equal probability; also "
-                             f"{', '.join(CRASH_FAULT_KINDS + CONFIGURATION_FAULT_KINDS + LINK_FAULT_KINDS + LOAD_FAULT_KINDS + SCARCITY_FAULT_KINDS + WRITER_FAULT_KINDS + PEER_FAULT_KINDS + STREAM_FAULT_KINDS + BUILD_FAULT_KINDS)}")
+                             f"{', '.join(CRASH_FAULT_KINDS + CONFIGURATION_FAULT_KINDS + LINK_FAULT_KINDS + LOAD_FAULT_KINDS + ROLLOUT_FAULT_KINDS + SCARCITY_FAULT_KINDS + WRITER_FAULT_KINDS + PEER_FAULT_KINDS + STREAM_FAULT_KINDS + BUILD_FAULT_KINDS)}")
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--endpoints", type=int, default=5, help="applications and engines")
     parser.add_argument("--applications", type=int, default=2, help="how many of the endpoints are applications")
@@ -1136,6 +1144,7 @@
     parser.add_argument("--work", type=float, default=0.05, help="longest time in seconds of a short request")
     parser.add_argument("--config-seconds", type=float, default=CONFIG_SECONDS,
                         help="seconds within which a configuration has to be in force")
+    parser.add_argument("--rollouts", default="good,bad", help="the versions that are rolled out: good, bad or both")
     parser.add_argument("--links", action="store_true", help="give each daemon links of its own to the endpoints")
     parser.add_argument("--link-modes", default=",".join(LINK_MODES),
                         help="how links are lost; also \"all\", which lets those of all daemons hang")
--- a/tools/soak/standins.py
+++ b/tools/soak/standins.py
@@ -118,7 +118,7 @@
         # The number of calls by second and kind.
         self.calls: dict = {}
         self.rows: dict = {}
-        # For each version, oldest first: when it was written, the key, and the row before.
+        # For each row written, oldest first: the time, the key, the row before, and the version of the store.
         self.history: list = []
         self.changed = asyncio.Condition()
         # The addresses of endpoints as the daemon behind a port of the store sees them, by port and address.
@@ -127,10 +127,15 @@
     async def put(self, table: str, key: str, value: dict | str | None) -> None:
         """Writes a row; None deletes it."""
         text = value if isinstance(value, str) or value is None else json.dumps(value)
+        await self.write([((table, key), text)])
+
+    async def write(self, rows: list) -> None:
+        """Writes rows at once."""
         async with self.changed:
             self.version += 1
-            self.history.append((time.monotonic(), (table, key), self.rows.get((table, key))))
-            self.rows[(table, key)] = (self.version, text)
+            for key, text in rows:
+                self.history.append((time.monotonic(), key, self.rows.get(key), self.version))
+                self.rows[key] = (self.version, text)
             self.changed.notify_all()
 
     async def rewind(self, seconds: float) -> dict:
@@ -139,9 +144,9 @@
         since = time.monotonic() - seconds
         async with self.changed:
             while self.history and self.history[-1][0] > since:
-                _, key, before = self.history.pop()
+                _, key, before, version = self.history.pop()
                 lost.setdefault(key, self.rows[key][1])
-                self.version -= 1
+                self.version = version - 1
                 if before is None:
                     del self.rows[key]
                 else:
@@ -150,6 +155,16 @@
             self.changed.notify_all()
         return lost
 
+    @staticmethod
+    def now() -> int:
+        """The store's clock in milliseconds."""
+        return int(time.monotonic() * 1000)
+
+    def version_of(self, key: tuple) -> int:
+        """The version of a row; 0 if there is no such row."""
+        version, text = self.rows.get(key, (0, None))
+        return 0 if text is None else version
+
     def encode_rows(self, table: str, after: int, with_deleted: bool, view: dict) -> list:
         rows = []
         for (name, key), (version, text) in sorted(self.rows.items()):
@@ -161,7 +176,7 @@
             else:
                 for address, seen in view.items() if table == "servers" else ():
                     text = text.replace(f'"{address}"', f'"{seen}"')
-                row["Value"] = base64.b64encode(text.encode()).decode()
+                row["Value"] = base64.b64encode(text.encode("utf-8", "surrogateescape")).decode()
             rows.append(row)
         return rows
 
@@ -177,19 +192,23 @@
         view = self.views.get(writer.get_extra_info("sockname")[1], {})
         if url.path.endswith("rows-tx"):
             call = json.loads(body)
-            is_current = all(self.rows.get((row["Table"], row["Key"]), (0, None))[0] == row["Ver"]
-                             for row in call["ExpectedRev"])
-            for row in call["Write"] if is_current else ():
-                await self.put(row["Table"], row["Key"], base64.b64decode(row["Value"]).decode())
-            for row in call["Delete"] if is_current else ():
-                await self.put(row["Table"], row["Key"], None)
-            status = 200 if is_current else 412
-            result = {"Ver": self.version, "NowMs": 0}
+            expected = [((row["Table"], row["Key"]), row["Ver"]) for row in call["ExpectedRev"]]
+            if all(self.version_of(key) == version for key, version in expected):
+                # Values of the daemons' own tables are bytes.
+                rows = [((row["Table"], row["Key"]), base64.b64decode(row["Value"]).decode("utf-8", "surrogateescape"))
+                        for row in call["Write"]]
+                await self.write(rows + [((row["Table"], row["Key"]), None) for row in call["Delete"]])
+                result = {"Ver": self.version, "NowMs": self.now()}
+            else:
+                status = 412
+                current = [row for key, _ in expected if self.version_of(key)
+                           for row in self.encode_rows(key[0], 0, False, view) if row["Key"] == key[1]]
+                result = {"Rows": current, "Ver": self.version, "NowMs": self.now()}
         elif url.path.endswith("rows-get"):
             rows = [row for row in self.encode_rows(query["Table"], 0, False, view)
                     if query.get("From", "") <= row["Key"] and ("To" not in query or row["Key"] < query["To"])]
             n = int(query.get("Limit", len(rows)))
-            result = {"Rows": rows[:n], "HasMore": len(rows) > n, "Ver": self.version, "NowMs": 0}
+            result = {"Rows": rows[:n], "HasMore": len(rows) > n, "Ver": self.version, "NowMs": self.now()}
         else:
             after = int(query["After"])
             rows = self.encode_rows(query["Table"], after, True, view)
@@ -218,6 +237,8 @@
     PREFILL_SECONDS = 0.1
     # The time that a request on the route "slow" takes.
     SLOW_SECONDS = (5.0, 7.0)
+    # How much later a slow software version begins a response.
+    SLOW_VERSION_SECONDS = 0.4
     # Seconds between the begin of a request that crashes the endpoint and its end.
     CRASH_DELAY = 0.1
     # The fraction of requests that an endpoint rejects, and that it rejects while it states a limit.
@@ -245,6 +266,10 @@
         # whose answer stated a limit, as (time, request).
         self.limit: float | None = None
         self.leaving = False
+        # How a bad software version answers a fraction of the requests on a route (or on each), from when on, and the
+        # times of such answers.
+        self.bad_kind, self.bad_fraction, self.bad_from, self.bad_route = "", 0.0, 0.0, ""
+        self.bad: list = []
         # The longest time in seconds that it works on a request which is answered at once.
         self.work = 0.05
         # The requests that were meant for another endpoint.
@@ -350,6 +375,10 @@
         finally:
             self.admitted -= 1
 
+    def is_bad(self, target: str) -> bool:
+        return (self.bad_kind != "" and time.monotonic() >= self.bad_from and self.bad_route in target
+                and self.rng.random() < self.bad_fraction)
+
     async def fail(self, failure: str, request: str, own: dict, writer) -> None:
         if failure == "slow":
             await asyncio.sleep(SLOW_SECONDS)
@@ -377,6 +406,12 @@
         if failure := headers.get("x-odd"):
             await self.fail(failure, request, signature_headers, writer)
             return
+        if self.is_bad(target):
+            self.bad.append(time.monotonic())
+            if self.bad_kind == "error":
+                await self.fail("error", request, signature_headers, writer)
+                return
+            await asyncio.sleep(self.SLOW_VERSION_SECONDS)
         if "/stream/" not in target and "/long/" not in target:
             slow = self.rng.uniform(*self.SLOW_SECONDS) if "/slow/" in target else 0
             await asyncio.sleep(slow + self.rng.uniform(0.1, 1.0) * self.work)
