Decide on rollouts: exposure, phases and evidence

RolloutGate bounds what a daemon sends to the new version, RolloutJudge compares the versions by the reports of all daemons and decides when to switch, complete or revert.

--- a/packages/Policy/include/lentilbay/Policy/Rollout.h
+++ b/packages/Policy/include/lentilbay/Policy/Rollout.h
@@ -1,15 +1,15 @@
 // Decides how much of a service's load a new software version gets, and whether it is adopted or reverted.
 //
 // Each daemon has a RolloutGate. It sends at most a share of this daemon's own requests to the new (target)
-// version, counted from when it saw the order, and only under a permit that is valid for 1.5 s. So the sum over
-// the daemons keeps the share, whatever the daemons know of each other. One daemon coordinates the order: its
-// RolloutJudge applies the reports of all daemons, compares the versions, and issues the permits.
+// version, counted from when it saw the order, and only under a permit that is valid for 1.5 s. So the sum
+// over the daemons keeps the share, whatever the daemons know of each other. One daemon coordinates the
+// order: its RolloutJudge applies the reports of all daemons, compares the versions, and issues the permits.
 //
-// The target version is judged by the responses that are bad (a failure of the endpoint) or slow, on each route
-// and on all, in the last 10 s and since the order. It is reverted if their share exceeds that of the former
-// version by three standard deviations. An engine that crashes contributes many bad responses at one endpoint,
-// a bad version some at each: the bad responses of an endpoint count only up to twice what the median of the
-// endpoints has, plus two.
+// The target version is judged by the responses that are bad (a failure of the endpoint) or slow, on each
+// route and on all, in the last 10 s and since the order. It is reverted if their share exceeds that of the
+// former version by more than chance. An engine that crashes contributes many bad responses at one endpoint
+// at one time, a bad version some at each: the bad responses of an endpoint count only up to twice what the
+// median of the endpoints has, plus two, and while few endpoints have responded, the excess must last.
 //
 // The bound on the exposure covers the time up to the deadline, also after the version is adopted. Therefore
 // the new version gets all requests only shortly before the deadline.
@@ -177,6 +177,8 @@
     ExposureTooHigh,
     /// The deadline is near.
     DeadlineNear,
+    /// Most of the daemons are silent, so that another coordinator may know more.
+    TooFewReports,
     /// No daemon reports requests at former versions any more.
     FormerDrained,
     /// Requests at former versions cannot be waited for any longer.
@@ -187,6 +189,8 @@
     SlowResponsesOnRoute,
     /// The number of bad responses has reached its bound.
     BadResponseCount,
+    /// A daemon reports that an earlier coordinator decided so.
+    Reported,
     /// The store holds this phase.
     Committed,
 };
@@ -218,24 +222,27 @@
     /// The phase that should hold, and why. A decision for Reverted is in force for permits at once; the
     /// decision for Complete is so only after commit().
     RolloutDecision decide(TimePoint now);
-    /// The store has acknowledged this phase, or states that another daemon has written it.
+    /// How many endpoints of the target version are known, so that the only one can be judged alone.
+    void setTargetEndpoints(size_t count) { m_targetEndpoints = count; }
+    /// The store has acknowledged this phase, or states that another daemon has written it. Ignores phases
+    /// other than Complete and Reverted.
     void commit(RolloutPhase phase);
     /// Whether the store has acknowledged Complete or Reverted.
     bool isCommitted() const { return m_isCommitted; }
     RolloutPermit permit(TimePoint now) const;
+    /// The state to be written. Its phase is the one in force for permits, so that a caller which writes
+    /// Complete sets that itself.
     RolloutState state(TimePoint now) const;
 
 private:
     struct Counts {
         uint64_t requests = 0;
         uint64_t sentToTarget = 0;
-        std::unordered_map<uint64_t, RouteCounts> routes;
-        std::unordered_map<uint64_t, ResponseCounts> endpoints;
         ResponseCounts former;
         ResponseCounts target;
+        std::unordered_map<uint64_t, RouteCounts> routes;
+        std::unordered_map<uint64_t, ResponseCounts> endpoints;
 
-        /// Adds what `report` counts in addition to `earlier`.
-        void add(const RolloutReport& report, const RolloutReport& earlier);
         void add(const Counts& other);
     };
 
@@ -246,22 +253,47 @@
     };
 
     struct Daemon {
-        RolloutReport report;
+        /// Of its newest report.
+        uint64_t sequence = 0;
+        RolloutPhase phase = RolloutPhase::Canary;
+        uint32_t formerInFlight = 0;
         TimePoint reportedAt {};
+        Counts counts;
     };
 
-    void expire(TimePoint now);
+    /// A kind of response that speaks against a version.
+    using Kind = uint64_t ResponseCounts::*;
+
+    /// Updates the counts of a daemon and returns by how much they have increased.
+    static Counts increase(Counts& counts, const RolloutReport& report);
+    /// What was reported in the last 10 s.
+    Counts recent() const;
     /// The requests per second of all daemons, by what was reported last.
     double requestRate(TimePoint now) const;
     /// The share of the target version in the phase Canary apart from what the slack adds.
     double baseShare() const;
     /// How long before the deadline the phase Switching begins at the earliest.
     Duration switchingLead() const;
-    std::optional<RolloutReason> reasonToRevert() const;
-    std::optional<RolloutReason> reasonToRevert(const Counts& counts) const;
+    /// What has been counted since the order, with the restored state if all daemons were restarted since.
+    Counts totalsAt(TimePoint now) const;
+    std::optional<RolloutReason> reasonToRevert(TimePoint now) const;
+    /// By which factor the number of such responses is reduced, so that one endpoint that fails alone does
+    /// not decide; 0 if too few endpoints are affected.
+    double spreadFactor(const Counts& counts, Kind kind) const;
+    /// Where the target version exceeds the former one: on all routes, or on one.
+    enum class Excess : uint8_t { None, OnRoute, OnAll };
+    /// @param thresholdOnAll how many standard deviations count as an excess on all routes
+    Excess excessOf(const Counts& counts, Kind kind, double thresholdOnAll) const;
+    /// The greatest number of such responses of the target version that were reported within the time of a
+    /// crash, in the last 10 s.
+    uint64_t worstRun(Kind kind) const;
+    /// Whether the excess is due to more than the `worst` run.
+    bool isLasting(const Counts& counts, Kind kind, uint64_t worst) const;
     /// Whether the target version would get more than it may if it got all requests up to the deadline.
     bool exceedsExposure(TimePoint now) const;
     bool isFormerDrained(TimePoint now) const;
+    /// Whether at least half of the daemons that have ever reported have done so recently.
+    bool hearsMost(TimePoint now) const;
 
     RolloutOrder m_order;
     RolloutLimits m_limits;
@@ -269,12 +301,18 @@
     RolloutPhase m_phase = RolloutPhase::Canary;
     RolloutReason m_reason = RolloutReason::Running;
     bool m_isCommitted = false;
-    /// When the first report was applied, and whether the target version was switched to since.
+    size_t m_targetEndpoints = 2;
     std::optional<TimePoint> m_firstReportAt;
+    /// When the phase Switching began.
+    TimePoint m_switchedAt {};
     /// By daemon and incarnation, so that the totals of those that were restarted are kept.
     std::map<std::pair<std::string, uint64_t>, Daemon> m_daemons;
+    /// The state that the store had when this coordinator took over.
+    RolloutState m_restored;
     Counts m_totals;
     std::deque<Bucket> m_buckets;
+    /// The worst runs since the order.
+    ResponseCounts m_worstRun;
 };
 
 /// A daemon's part: decides for each request of the service which version it may go to.
@@ -283,7 +321,8 @@
     RolloutGate(std::string daemon, uint64_t incarnation);
 
     /// Begins an order, with counts at zero, unless it is the present one.
-    void setOrder(const RolloutOrder& order);
+    /// @param formerInFlight requests that former versions are processing for this daemon
+    void setOrder(const RolloutOrder& order, uint32_t formerInFlight = 0);
     /// Ends the order; all versions may be used.
     void clearOrder();
     const std::optional<RolloutOrder>& order() const { return m_order; }
