--- a/fuzz/PlatformFuzz.cpp
+++ b/fuzz/PlatformFuzz.cpp
@@ -31,6 +31,10 @@
         [&] { return platform::decodeConfiguration(text); }, ResultCode::PlatformDocumentInvalid);
     check<RoutedEndpoint>(
         [&] { return platform::decodeEndpoint(EndpointId("i"), text); }, ResultCode::PlatformDocumentInvalid);
+    check<platform::RolloutDocument>([&] { return platform::decodeRolloutOrder("rollout/llm", text); },
+        ResultCode::PlatformDocumentInvalid);
+    check<platform::RolloutStatusDocument>(
+        [&] { return platform::decodeRolloutStatus(text); }, ResultCode::PlatformDocumentInvalid);
     check<platform::StoreRows>(
         [&] { return platform::decodeRows(text, 0); }, ResultCode::PlatformAnswerInvalid);
     return 0;
