--- a/packages/Policy/include/lentilbay/Policy/Rollout.h
+++ b/packages/Policy/include/lentilbay/Policy/Rollout.h
@@ -1,15 +1,15 @@
 // Decides how much of a service's load a new software version gets, and whether it is adopted or reverted.
 //
 // Each daemon has a RolloutGate. It sends at most a share of this daemon's own requests to the new (target)
-// version, counted from when it saw the order, and only under a permit that is valid for 1.5 s. So the sum over
-// the daemons keeps the share, whatever the daemons know of each other. One daemon coordinates the order: its
-// RolloutJudge applies the reports of all daemons, compares the versions, and issues the permits.
+// version, counted from when it saw the order, and only under a permit that is valid for 1.5 s. So the sum
+// over the daemons keeps the share, whatever the daemons know of each other. One daemon coordinates the
+// order: its RolloutJudge applies the reports of all daemons, compares the versions, and issues the permits.
 //
-// The target version is judged by the responses that are bad (a failure of the endpoint) or slow, on each route
-// and on all, in the last 10 s and since the order. It is reverted if their share exceeds that of the former
-// version by three standard deviations. An engine that crashes contributes many bad responses at one endpoint,
-// a bad version some at each: the bad responses of an endpoint count only up to twice what the median of the
-// endpoints has, plus two.
+// The target version is judged by the responses that are bad (a failure of the endpoint) or slow, on each
+// route and on all, in the last 10 s and since the order. It is reverted if their share exceeds that of the
+// former version by more than chance. An engine that crashes contributes many bad responses at one endpoint
+// at one time, a bad version some at each: the bad responses of an endpoint count only up to twice what the
+// median of the endpoints has, plus two, and while few endpoints have responded, the excess must last.
 //
 // The bound on the exposure covers the time up to the deadline, also after the version is adopted. Therefore
 // the new version gets all requests only shortly before the deadline.
@@ -177,6 +177,8 @@
     ExposureTooHigh,
     /// The deadline is near.
     DeadlineNear,
+    /// Most of the daemons are silent, so that another coordinator may know more.
+    TooFewReports,
     /// No daemon reports requests at former versions any more.
     FormerDrained,
     /// Requests at former versions cannot be waited for any longer.
@@ -272,16 +274,26 @@
     double baseShare() const;
     /// How long before the deadline the phase Switching begins at the earliest.
     Duration switchingLead() const;
-    std::optional<RolloutReason> reasonToRevert() const;
-    /// By which factor the number of such responses is reduced, so that one endpoint that fails alone does not
-    /// decide; 0 if too few endpoints are affected.
+    /// What has been counted since the order, with the restored state if all daemons were restarted since.
+    Counts totalsAt(TimePoint now) const;
+    std::optional<RolloutReason> reasonToRevert(TimePoint now) const;
+    /// By which factor the number of such responses is reduced, so that one endpoint that fails alone does
+    /// not decide; 0 if too few endpoints are affected.
     double spreadFactor(const Counts& counts, Kind kind) const;
     /// Where the target version exceeds the former one: on all routes, or on one.
     enum class Excess : uint8_t { None, OnRoute, OnAll };
-    Excess excessOf(const Counts& counts, Kind kind) const;
+    /// @param thresholdOnAll how many standard deviations count as an excess on all routes
+    Excess excessOf(const Counts& counts, Kind kind, double thresholdOnAll) const;
+    /// The greatest number of such responses of the target version that were reported within the time of a
+    /// crash, in the last 10 s.
+    uint64_t worstRun(Kind kind) const;
+    /// Whether the excess is due to more than the `worst` run.
+    bool isLasting(const Counts& counts, Kind kind, uint64_t worst) const;
     /// Whether the target version would get more than it may if it got all requests up to the deadline.
     bool exceedsExposure(TimePoint now) const;
     bool isFormerDrained(TimePoint now) const;
+    /// Whether at least half of the daemons that have ever reported have done so recently.
+    bool hearsMost(TimePoint now) const;
 
     RolloutOrder m_order;
     RolloutLimits m_limits;
@@ -295,10 +307,12 @@
     TimePoint m_switchedAt {};
     /// By daemon and incarnation, so that the totals of those that were restarted are kept.
     std::map<std::pair<std::string, uint64_t>, Daemon> m_daemons;
-    /// What was counted before all daemons were restarted.
+    /// The state that the store had when this coordinator took over.
     RolloutState m_restored;
     Counts m_totals;
     std::deque<Bucket> m_buckets;
+    /// The worst runs since the order.
+    ResponseCounts m_worstRun;
 };
 
 /// A daemon's part: decides for each request of the service which version it may go to.
--- a/packages/Policy/lib/Rollout.cpp
+++ b/packages/Policy/lib/Rollout.cpp
@@ -18,9 +18,9 @@
 constexpr double switchingFraction = 0.05;
 /// The part of the bound on the exposure up to which the phase Switching may begin.
 constexpr double exposureMargin = 0.9;
-/// The part of the slack that raises the share where a service has few requests, and the part that may be used
-/// up when the phase Switching ends.
-constexpr double slackForCanary = 0.5;
+/// The part of the slack that raises the share where a service has few requests, and the part that may be
+/// used up when the phase Switching ends.
+constexpr double slackForCanary = 0.7;
 constexpr double slackForSwitching = 0.8;
 /// Complete is written at the latest this long before the deadline, in which two calls to the store fit.
 constexpr Duration writeLead = 800ms;
@@ -32,6 +32,9 @@
 constexpr Duration minSwitching = 1s;
 /// The fleet's counts are not known before each daemon has reported: with lost reports about one second.
 constexpr Duration firstReportsTime = 1s;
+/// A coordinator that does not hear most of the daemons leaves it to another one to complete the order, until
+/// this long after the deadline.
+constexpr Duration minorityDelay = 2s;
 /// Nobody completes an order before it has had the time for one report of each daemon.
 constexpr Duration minJudgement = 300ms;
 constexpr Duration bucketLength = 500ms;
@@ -39,12 +42,21 @@
 /// For the rate of requests, so that a rise is noticed soon.
 constexpr Duration rateWindow = 2s;
 
-/// An excess is more than chance if it exceeds this many standard deviations.
-constexpr double deviations = 3;
+/// An excess is more than chance if it exceeds this many standard deviations. Routes, windows and kinds of
+/// responses are tested with each report, some thousand times in an order: with three standard deviations, 12
+/// of 40 sound versions were reverted.
+constexpr double deviations = 4.5;
+/// The same for all routes together when the phase Switching is about to begin, and for bad responses in it.
+/// It is the last chance to revert, and a few tests only.
+constexpr double lastDeviations = 3.5;
 constexpr double minExcessResponses = 6;
-/// The target version's share must exceed the former one's by this factor, as the test is repeated with each
-/// report: with shares that are equal, three standard deviations are exceeded at some time in long orders.
-constexpr double minRatio = 1.5;
+/// While so few endpoints have responded, engines that crash at once look like a bad version. Therefore the
+/// rest must show an excess as well if the worst part of the time is left out. A crash is reported within two
+/// report intervals, and responses that stalled somewhat later.
+constexpr size_t fewEndpoints = 6;
+constexpr Duration crashTime = 1500ms;
+constexpr double lastingDeviations = 2;
+constexpr double minLastingResponses = 3;
 /// This many bad responses revert in any case if the former version has less than half of their share.
 /// Fewer than the 50 from which on the time to revert counts.
 constexpr double maxBadResponses = 40;
@@ -60,11 +72,18 @@
 constexpr Duration minRotation = 1s;
 constexpr Duration maxRotation = 10s;
 
+/// By how much the target version's share of the next requests may exceed the permitted one while a daemon
+/// uses what it could not use before.
+constexpr double catchUp = 4;
+
 /// Bounds of the memory of a gate; far more than a service has.
 constexpr size_t maxRoutes = 256;
 constexpr size_t maxEndpoints = 1024;
 
-bool isFinal(RolloutPhase phase) { return phase == RolloutPhase::Complete || phase == RolloutPhase::Reverted; }
+bool isFinal(RolloutPhase phase)
+{
+    return phase == RolloutPhase::Complete || phase == RolloutPhase::Reverted;
+}
 
 void add(ResponseCounts& sum, const ResponseCounts& counts)
 {
@@ -88,19 +107,29 @@
         .slow = raise(total.slow, reported.slow) };
 }
 
-/// Whether the share of the target version exceeds that of the former one by more than chance.
-bool exceeds(double failed, uint64_t responses, uint64_t formerFailed, uint64_t formerResponses)
+/// The part of a likelihood ratio that comes from `count` responses of a kind where `expected` were expected.
+double likelihoodPart(double count, double expected)
+{
+    return count > 0 && expected > 0 ? count * std::log(count / expected) : 0;
+}
+
+/// Whether the share of the target version exceeds that of the former one by more than chance. The root of
+/// the likelihood ratio is in standard deviations, also where few responses failed.
+bool exceeds(
+    double failed, uint64_t responses, uint64_t formerFailed, uint64_t formerResponses, double threshold)
 {
-    if (failed < minExcessResponses || responses == 0)
+    if (responses == 0)
         return false;
     const double count = std::max(static_cast<double>(responses), failed);
     const double formerCount = static_cast<double>(formerResponses) + priorResponses;
-    const double share = failed / count;
-    const double formerShare = (static_cast<double>(formerFailed) + priorFailures) / formerCount;
-    const double pooled
-        = (failed + static_cast<double>(formerFailed) + priorFailures) / (count + formerCount);
-    const double deviation = std::sqrt(pooled * (1 - pooled) * (1 / count + 1 / formerCount));
-    return share > minRatio * formerShare && share - formerShare > deviations * deviation;
+    const double former = std::min(static_cast<double>(formerFailed) + priorFailures, formerCount);
+    if (failed / count <= former / formerCount)
+        return false;
+    const double pooled = (failed + former) / (count + formerCount);
+    const double ratio = likelihoodPart(failed, pooled * count)
+        + likelihoodPart(count - failed, (1 - pooled) * count) + likelihoodPart(former, pooled * formerCount)
+        + likelihoodPart(formerCount - former, (1 - pooled) * formerCount);
+    return 2 * ratio > threshold * threshold;
 }
 
 } // namespace
@@ -134,6 +163,8 @@
         return "slow-responses-on-route";
     case RolloutReason::BadResponseCount:
         return "bad-response-count";
+    case RolloutReason::TooFewReports:
+        return "too-few-reports";
     case RolloutReason::Reported:
         return "reported";
     case RolloutReason::Committed:
@@ -218,6 +249,8 @@
         m_buckets.back().counts.add(difference);
         while (m_buckets.front().startedAt + recentWindow < startedAt)
             m_buckets.pop_front();
+        m_worstRun.bad = std::max(m_worstRun.bad, worstRun(&ResponseCounts::bad));
+        m_worstRun.slow = std::max(m_worstRun.slow, worstRun(&ResponseCounts::slow));
     }
     if (!m_isCommitted && isFinal(report.phase)) {
         // Daemons learn of Complete only after the store has acknowledged it, of Reverted at once.
@@ -268,50 +301,99 @@
     return counted / static_cast<double>(sum);
 }
 
-RolloutJudge::Excess RolloutJudge::excessOf(const Counts& counts, Kind kind) const
+RolloutJudge::Excess RolloutJudge::excessOf(const Counts& counts, Kind kind, double thresholdOnAll) const
 {
     const double factor = spreadFactor(counts, kind);
     if (factor <= 0)
         return Excess::None;
     const auto test = [&](const ResponseCounts& target, const ResponseCounts& former,
-                          const ResponseCounts& formerTotal) {
+                          const ResponseCounts& formerTotal, double threshold) {
         const double failed = factor * static_cast<double>(target.*kind);
-        // Where the former version has had few responses in this time, its total counts as well: it gets no
-        // more new requests in the phase Switching.
-        return exceeds(failed, target.responses, former.*kind, former.responses)
+        // Where the former version has had few responses in this time, its total counts as well: it
+        // gets no more new requests in the phase Switching.
+        return failed >= minExcessResponses
+            && exceeds(failed, target.responses, former.*kind, former.responses, threshold)
             && (former.responses >= target.responses
-                || exceeds(failed, target.responses, formerTotal.*kind, formerTotal.responses));
+                || exceeds(failed, target.responses, formerTotal.*kind, formerTotal.responses, threshold));
     };
-    if (test(counts.target, counts.former, m_totals.former))
+    if (test(counts.target, counts.former, m_totals.former, thresholdOnAll))
         return Excess::OnAll;
     for (const auto& [route, it] : counts.routes) {
         const auto total = m_totals.routes.find(route);
-        if (test(it.target, it.former, total != m_totals.routes.end() ? total->second.former : it.former))
+        if (test(it.target, it.former, total != m_totals.routes.end() ? total->second.former : it.former,
+                deviations))
             return Excess::OnRoute;
     }
     return Excess::None;
 }
 
-std::optional<RolloutReason> RolloutJudge::reasonToRevert() const
+uint64_t RolloutJudge::worstRun(Kind kind) const
+{
+    uint64_t worst = 0;
+    for (auto first = m_buckets.begin(); first != m_buckets.end(); ++first) {
+        uint64_t sum = 0;
+        for (auto it = first; it != m_buckets.end() && it->startedAt < first->startedAt + crashTime; ++it)
+            sum += it->counts.target.*kind;
+        worst = std::max(worst, sum);
+    }
+    return worst;
+}
+
+bool RolloutJudge::isLasting(const Counts& counts, Kind kind, uint64_t worst) const
 {
-    auto totals = m_totals;
-    totals.target.responses += m_restored.responses;
-    totals.target.bad += m_restored.badResponses;
-    totals.target.slow += m_restored.slowResponses;
-    totals.former.responses += m_restored.formerResponses;
-    totals.former.bad += m_restored.formerBadResponses;
-    totals.former.slow += m_restored.formerSlowResponses;
+    const auto judged = std::ranges::count_if(
+        counts.endpoints, [](const auto& it) { return it.second.responses >= minMedianResponses; });
+    // A short bound on the time to revert leaves no time to wait.
+    const bool mayWait = m_limits.revert >= crashTime + rolloutPermitLife + 2 * bucketLength;
+    if (!mayWait || static_cast<size_t>(judged) >= fewEndpoints)
+        return true;
+    const auto rest = counts.target.*kind - std::min(worst, counts.target.*kind);
+    return static_cast<double>(rest) >= minLastingResponses
+        && exceeds(static_cast<double>(rest), counts.target.responses, m_totals.former.*kind,
+            m_totals.former.responses, lastingDeviations);
+}
+
+RolloutJudge::Counts RolloutJudge::totalsAt(TimePoint now) const
+{
+    auto out = m_totals;
+    // After a restart of the coordinator alone, the daemons' reports include what the state counts.
+    if (!m_firstReportAt || now - *m_firstReportAt < firstReportsTime
+        || 2 * m_totals.requests >= m_restored.requests)
+        return out;
+    out.requests += m_restored.requests;
+    out.sentToTarget += m_restored.sentToTarget;
+    lentilbay::add(out.target,
+        { .responses = m_restored.responses,
+            .bad = m_restored.badResponses,
+            .slow = m_restored.slowResponses });
+    lentilbay::add(out.former,
+        { .responses = m_restored.formerResponses,
+            .bad = m_restored.formerBadResponses,
+            .slow = m_restored.formerSlowResponses });
+    return out;
+}
+
+std::optional<RolloutReason> RolloutJudge::reasonToRevert(TimePoint now) const
+{
+    const auto totals = totalsAt(now);
     const auto last = recent();
-    for (const auto* counts : { &last, &std::as_const(totals) }) {
-        const auto bad = excessOf(*counts, &ResponseCounts::bad);
-        if (bad != Excess::None)
+    const bool isSwitchNear = m_phase == RolloutPhase::Canary && now >= deadline() - switchingLead();
+    const double thresholdForSlow = isSwitchNear ? lastDeviations : deviations;
+    const double thresholdForBad = m_phase == RolloutPhase::Switching ? lastDeviations : thresholdForSlow;
+    for (const auto* counts : { &last, &totals }) {
+        const auto worstOf
+            = [&](Kind kind, uint64_t worstEver) { return counts == &last ? worstRun(kind) : worstEver; };
+        const auto bad = excessOf(*counts, &ResponseCounts::bad, thresholdForBad);
+        if (bad != Excess::None
+            && isLasting(*counts, &ResponseCounts::bad, worstOf(&ResponseCounts::bad, m_worstRun.bad)))
             return bad == Excess::OnAll ? RolloutReason::BadResponses : RolloutReason::BadResponsesOnRoute;
-        const auto slow = excessOf(*counts, &ResponseCounts::slow);
-        if (slow != Excess::None)
+        const auto slow = excessOf(*counts, &ResponseCounts::slow, thresholdForSlow);
+        if (slow != Excess::None
+            && isLasting(*counts, &ResponseCounts::slow, worstOf(&ResponseCounts::slow, m_worstRun.slow)))
             return slow == Excess::OnAll ? RolloutReason::SlowResponses : RolloutReason::SlowResponsesOnRoute;
     }
     const double bad = spreadFactor(totals, &ResponseCounts::bad) * static_cast<double>(totals.target.bad);
-    if (bad >= maxBadResponses
+    if (bad >= maxBadResponses && isLasting(totals, &ResponseCounts::bad, m_worstRun.bad)
         && 2 * static_cast<double>(totals.former.bad) * static_cast<double>(totals.target.responses)
             < bad * static_cast<double>(totals.former.responses))
         return RolloutReason::BadResponseCount;
@@ -350,10 +432,11 @@
 bool RolloutJudge::exceedsExposure(TimePoint now) const
 {
     const double remaining = requestRate(now) * toSeconds(std::max<Duration>(deadline() - now, {}));
-    const auto requests = static_cast<double>(m_totals.requests + m_restored.requests);
-    const auto sent = static_cast<double>(m_totals.sentToTarget + m_restored.sentToTarget);
+    const auto totals = totalsAt(now);
+    const auto requests = static_cast<double>(totals.requests);
+    const auto sent = static_cast<double>(totals.sentToTarget);
     return sent + remaining > exposureMargin * m_limits.share * (requests + remaining)
-            + slackForSwitching * m_limits.slackRequests;
+        + slackForSwitching * m_limits.slackRequests;
 }
 
 bool RolloutJudge::isFormerDrained(TimePoint now) const
@@ -369,12 +452,32 @@
     return isAnyRecent;
 }
 
+bool RolloutJudge::hearsMost(TimePoint now) const
+{
+    size_t known = 0;
+    size_t heard = 0;
+    const std::string* previous = nullptr;
+    bool isHeard = false;
+    for (const auto& [id, it] : m_daemons) {
+        if (!previous || *previous != id.first) {
+            ++known;
+            isHeard = false;
+            previous = &id.first;
+        }
+        if (!isHeard && now - it.reportedAt <= rolloutPermitLife) {
+            ++heard;
+            isHeard = true;
+        }
+    }
+    return 2 * heard >= known;
+}
+
 RolloutDecision RolloutJudge::decide(TimePoint now)
 {
     if (m_isCommitted)
         return { .phase = m_phase, .reason = RolloutReason::Committed };
     if (m_phase != RolloutPhase::Reverted) {
-        if (const auto reason = reasonToRevert()) {
+        if (const auto reason = reasonToRevert(now)) {
             m_phase = RolloutPhase::Reverted;
             m_reason = *reason;
         }
@@ -391,6 +494,8 @@
         m_phase = RolloutPhase::Switching;
         m_switchedAt = now;
     }
+    if (now < deadline() + minorityDelay && !hearsMost(now))
+        return { .phase = m_phase, .reason = RolloutReason::TooFewReports };
     if (mustEnd)
         return { .phase = RolloutPhase::Complete, .reason = RolloutReason::DeadlineReached };
     if (now - m_switchedAt >= minSwitching && isFormerDrained(now))
@@ -411,7 +516,7 @@
     RolloutPermit out { .order = m_order.id, .phase = m_phase, .share = baseShare(), .rotation = 0 };
     if (m_firstReportAt && now - *m_firstReportAt >= firstReportsTime) {
         // A service with few requests gets more of them judged, at the expense of the slack.
-        const double requests = static_cast<double>(m_totals.requests + m_restored.requests)
+        const double requests = static_cast<double>(totalsAt(now).requests)
             + requestRate(now) * toSeconds(std::max<Duration>(deadline() - now, {}));
         const double slack = slackForCanary * m_limits.slackRequests;
         out.share = std::min(1.0, out.share + slack / std::max({ requests, 2 * slack, 1.0 }));
@@ -425,17 +530,18 @@
 
 RolloutState RolloutJudge::state(TimePoint now) const
 {
+    const auto totals = totalsAt(now);
     return { .order = m_order.id,
         .phase = m_phase,
         .elapsedAtWrite = now - m_begunAt,
-        .requests = m_restored.requests + m_totals.requests,
-        .sentToTarget = m_restored.sentToTarget + m_totals.sentToTarget,
-        .responses = m_restored.responses + m_totals.target.responses,
-        .badResponses = m_restored.badResponses + m_totals.target.bad,
-        .slowResponses = m_restored.slowResponses + m_totals.target.slow,
-        .formerResponses = m_restored.formerResponses + m_totals.former.responses,
-        .formerBadResponses = m_restored.formerBadResponses + m_totals.former.bad,
-        .formerSlowResponses = m_restored.formerSlowResponses + m_totals.former.slow };
+        .requests = totals.requests,
+        .sentToTarget = totals.sentToTarget,
+        .responses = totals.target.responses,
+        .badResponses = totals.target.bad,
+        .slowResponses = totals.target.slow,
+        .formerResponses = totals.former.responses,
+        .formerBadResponses = totals.former.bad,
+        .formerSlowResponses = totals.former.slow };
 }
 
 RolloutGate::RolloutGate(std::string daemon, uint64_t incarnation)
@@ -507,9 +613,9 @@
     if (current == RolloutPhase::Canary) {
         const auto allowed = m_permit.share * static_cast<double>(m_requests) + m_offset;
         const auto used = static_cast<double>(std::max(m_chosenTarget, m_sentToTarget));
-        // What a daemon could not use, for instance while it had no permit, is not used at once. Chance decides
-        // so that the requests of a route which arrive at regular intervals are not always left out.
-        if (used + 1 > allowed || !m_random.chance(std::min(1.0, 2 * m_permit.share)))
+        // What a daemon could not use, for instance while it had no permit, is not used at once. Chance
+        // decides so that the requests of a route which arrive at regular intervals are not always left out.
+        if (used + 1 > allowed || !m_random.chance(std::min(1.0, catchUp * m_permit.share)))
             return VersionGroup::Former;
     }
     ++m_chosenTarget;
--- a/packages/Policy/unittests/RolloutTest.cpp
+++ b/packages/Policy/unittests/RolloutTest.cpp
@@ -150,6 +150,11 @@
     /// Sends to a former version after Complete was acknowledged to all daemons.
     int lateFormerSends() const { return m_lateFormerSends; }
 
+    Duration lastSendAfterFiftieth() const
+    {
+        return m_fiftiethBadAt && m_lastTargetSendAt ? *m_lastTargetSendAt - *m_fiftiethBadAt : Duration();
+    }
+
     void expectBounds() const
     {
         EXPECT_LE(m_exposed, m_limits.share * m_requests + m_limits.slackRequests)
@@ -332,9 +337,9 @@
     void sendRequest(size_t index)
     {
         auto& daemon = m_daemons[index];
-        RequestFacts facts { .group = daemon.gate.choose(m_now),
-            .route = m_random.below(routeCount),
-            .age = m_now - m_begunAt };
+        RequestFacts facts {
+            .group = daemon.gate.choose(m_now), .route = m_random.below(routeCount), .age = m_now - m_begunAt
+        };
         const bool isBeforeDeadline = facts.age <= m_order.duration;
         m_requests += isBeforeDeadline ? 1 : 0;
         EXPECT_TRUE(daemon.gate.mayUse(facts.group, m_now));
@@ -355,13 +360,12 @@
         auto outcome = m_options.behaviour(facts, m_random);
         const auto duration = Duration(200'000 + static_cast<int64_t>(m_random.below(600'000)));
         deliver(index, daemon.incarnation, outcome.isSlow ? 4 * duration : duration,
-            [this, facts, outcome, sentAt = m_now, id = m_order.id](Daemon& it) {
-                receive(it, facts, outcome, sentAt, id);
-            });
+            [this, facts, outcome, sentAt = m_now, id = m_order.id](
+                Daemon& it) { receive(it, facts, outcome, sentAt, id); });
     }
 
-    void receive(
-        Daemon& daemon, const RequestFacts& facts, Outcome outcome, TimePoint sentAt, const RolloutOrderId& id)
+    void receive(Daemon& daemon, const RequestFacts& facts, Outcome outcome, TimePoint sentAt,
+        const RolloutOrderId& id)
     {
         if (facts.group == VersionGroup::Former) {
             --daemon.inFlight;
@@ -427,7 +431,7 @@
     bad.expectReverted();
 }
 
-INSTANTIATE_TEST_SUITE_P(Seconds, RolloutDurations, testing::Values(12, 15, 20, 30, 60, 120));
+INSTANTIATE_TEST_SUITE_P(Seconds, RolloutDurations, testing::Values(10, 12, 15, 20, 30, 60, 120));
 
 // A version that is bad must be reverted within the bounds, from the start or later.
 struct BadVersion {
@@ -449,7 +453,8 @@
 
 INSTANTIATE_TEST_SUITE_P(FromEachTime, BadRollout,
     testing::Values(BadVersion { .since = 0s, .share = 1 }, BadVersion { .since = 0s, .share = 0.3 },
-        BadVersion { .since = 0s, .share = 0.05 }, BadVersion { .since = 0s, .share = 0.6, .requestsPerSecond = 2 },
+        BadVersion { .since = 0s, .share = 0.05 },
+        BadVersion { .since = 0s, .share = 0.6, .requestsPerSecond = 2 },
         BadVersion { .since = 0s, .share = 0.3, .requestsPerSecond = 3000 },
         BadVersion { .since = 25s, .share = 0.3 }, BadVersion { .since = 35s, .share = 0.3 },
         BadVersion { .since = 25s, .share = 0.3, .requestsPerSecond = 3000 }));
@@ -458,11 +463,27 @@
 TEST(Rollout, IsRevertedIfOneRouteFails)
 {
     RolloutFleet fleet({ .behaviour = [](const RequestFacts& it, Random& random) {
-        const double share = it.group == VersionGroup::Target && it.route == 3 ? 0.6 : 0.02;
+        const double share = it.group == VersionGroup::Target && it.route == 3 ? 0.3 : 0.03;
         return Outcome { .isBad = random.chance(share) };
     } });
     fleet.run(45s);
     fleet.expectReverted();
+    EXPECT_EQ(fleet.reason(), RolloutReason::BadResponsesOnRoute);
+}
+
+// The responses of a good start must not hide that a version has turned bad.
+TEST(Rollout, IsRevertedSoonAfterALongGoodStart)
+{
+    RolloutFleet fleet({ .behaviour =
+                             [](const RequestFacts& it, Random& random) {
+                                 const bool isBad = it.group == VersionGroup::Target && it.age >= 90s;
+                                 return Outcome { .isBad = random.chance(isBad ? 0.2 : 0.05) };
+                             },
+        .order = makeOrder(7, 120s) });
+    fleet.run(125s);
+    fleet.expectBounds();
+    EXPECT_EQ(fleet.status(), RolloutPhase::Reverted);
+    EXPECT_LT(fleet.endedAfter(), 100s);
 }
 
 // Responses that arrive several times later are as bad as failures.
@@ -475,8 +496,8 @@
     fleet.expectReverted();
 }
 
-// A version that fails only under full load gets all requests before that is noticed: only the lateness of the
-// switch keeps its share.
+// A version that fails only under full load gets all requests before that is noticed: only the lateness of
+// the switch keeps its share.
 TEST(Rollout, KeepsItsShareIfItFailsUnderFullLoad)
 {
     RolloutFleet fleet({ .behaviour = [](const RequestFacts& it, Random& random) {
@@ -501,10 +522,23 @@
     falling.expectComplete();
 }
 
+// With more daemons than requests in a second, most daemons must round their share down.
+TEST(Rollout, KeepsItsShareInALargeFleet)
+{
+    for (const double rate : { 2, 20, 200 }) {
+        RolloutFleet fleet({ .daemons = 300, .requestsPerSecond = rate });
+        fleet.run(45s);
+        fleet.expectComplete();
+        EXPECT_GT(fleet.exposed(), 0.06 * fleet.requests());
+    }
+}
+
 // Sound engines that crash fail the requests that they run, at either version.
-TEST(Rollout, IsNotRevertedForCrashes)
+class CrashesBesideARollout : public testing::TestWithParam<double> { };
+
+TEST_P(CrashesBesideARollout, DoNotRevertIt)
 {
-    RolloutFleet fleet({});
+    RolloutFleet fleet({ .requestsPerSecond = GetParam() });
     for (int i = 1; i <= 35; ++i) {
         fleet.run(std::chrono::seconds(i));
         fleet.crash(static_cast<uint64_t>(i % 20));
@@ -514,30 +548,35 @@
     fleet.expectComplete();
 }
 
-// Two engines that get all of the new version's requests crash at once: that alone is no evidence.
-TEST(Rollout, IsNotRevertedForTwoCrashesAtOnce)
+// The engines that get all of the new version's requests crash at once: that alone is no evidence.
+TEST_P(CrashesBesideARollout, DoNotRevertItIfTheyComeAtOnce)
 {
-    RolloutFleet fleet({});
-    fleet.run(15s);
-    for (const auto it : fleet.targetsInUse())
-        fleet.crash(it);
-    fleet.run(45s);
-    fleet.expectComplete();
+    for (const auto crashedAt : { 2s, 3s, 5s, 15s, 38s }) {
+        RolloutFleet fleet({ .requestsPerSecond = GetParam() });
+        fleet.run(crashedAt);
+        const auto used = fleet.targetsInUse();
+        for (size_t i = 0; i < std::min<size_t>(used.size(), 2); ++i)
+            fleet.crash(used[i]);
+        fleet.run(45s);
+        fleet.expectComplete();
+    }
 }
 
-// Requests that fail everywhere fail at the new version as well. The test is repeated with each report, so that
-// chance alone must not revert in any of many orders.
+INSTANTIATE_TEST_SUITE_P(AtEachRate, CrashesBesideARollout, testing::Values(40, 400, 3000));
+
+// Requests that fail everywhere fail at the new version as well. The test is repeated with each report, so
+// that chance alone must not revert in any of many orders.
 TEST(Rollout, IsNotRevertedForRequestsThatFailAtBothVersions)
 {
     int reverted = 0;
-    for (uint64_t seed = 1; seed <= 40; ++seed) {
-        RolloutFleet fleet({ .behaviour =
-                                 [seed](const RequestFacts& it, Random& random) {
-                                     const double share = it.route == 3 ? 0.3 : 0.005 * double(seed % 8);
-                                     return Outcome { .isBad = random.chance(share),
-                                         .isSlow = random.chance(0.04) };
-                                 },
-            .seed = seed });
+    for (uint64_t seed = 1; seed <= 60; ++seed) {
+        RolloutFleet fleet(
+            { .behaviour =
+                    [seed](const RequestFacts& it, Random& random) {
+                        const double share = it.route == 3 ? 0.3 : 0.005 * double(seed % 8);
+                        return Outcome { .isBad = random.chance(share), .isSlow = random.chance(0.04) };
+                    },
+                .seed = seed });
         fleet.run(45s);
         fleet.expectBounds();
         reverted += fleet.status() == RolloutPhase::Complete ? 0 : 1;
@@ -756,14 +795,36 @@
     EXPECT_EQ(judge.decide(TimePoint(6s)).phase, RolloutPhase::Canary);
 }
 
+// A late report of no requests at the former version must not complete the order while there are some.
+TEST(RolloutJudge, IgnoresAnOlderReport)
+{
+    RolloutJudge judge(makeOrder(), {}, TimePoint());
+    auto report = makeReport(5, 1000, 0);
+    judge.apply(report, TimePoint(37s));
+    EXPECT_EQ(judge.decide(TimePoint(38s)).phase, RolloutPhase::Switching);
+    report.phase = RolloutPhase::Switching;
+    report.sequence = 7;
+    report.formerInFlight = 3;
+    judge.apply(report, TimePoint(39s));
+    report.sequence = 6;
+    report.formerInFlight = 0;
+    judge.apply(report, TimePoint(39'050ms));
+    EXPECT_EQ(judge.decide(TimePoint(39'100ms)).reason, RolloutReason::DeadlineNear);
+    report.sequence = 8;
+    judge.apply(report, TimePoint(39'110ms));
+    EXPECT_EQ(judge.decide(TimePoint(39'120ms)).reason, RolloutReason::FormerDrained);
+}
+
 TEST(RolloutJudge, RevertsBeforeTheStoreAcknowledges)
 {
     RolloutJudge judge(makeOrder(), {}, TimePoint());
-    judge.apply(makeReport(1, 10, 0), TimePoint(1s));
-    judge.apply(makeReport(2, 30, 20), TimePoint(2s));
-    EXPECT_EQ(judge.decide(TimePoint(2s)),
+    for (const int second : { 1, 2, 3, 4 }) {
+        const auto count = static_cast<uint64_t>(second);
+        judge.apply(makeReport(count, 20 * count, 10 * count), TimePoint(std::chrono::seconds(second)));
+    }
+    EXPECT_EQ(judge.decide(TimePoint(4s)),
         (RolloutDecision { .phase = RolloutPhase::Reverted, .reason = RolloutReason::BadResponses }));
-    EXPECT_EQ(judge.permit(TimePoint(2s)).phase, RolloutPhase::Reverted);
+    EXPECT_EQ(judge.permit(TimePoint(4s)).phase, RolloutPhase::Reverted);
     EXPECT_FALSE(judge.isCommitted());
     // A coordinator that takes over learns of it from the daemons.
     RolloutJudge next(makeOrder(), {}, TimePoint());
@@ -789,16 +850,60 @@
     EXPECT_EQ(judge.decide(TimePoint(39'400ms)).reason, RolloutReason::Committed);
 }
 
+// A coordinator that has lost the other daemons does not know what they have seen since.
+TEST(RolloutJudge, DoesNotCompleteWithoutMostOfTheDaemons)
+{
+    RolloutJudge judge(makeOrder(), {}, TimePoint());
+    auto report = makeReport(1, 100, 0);
+    for (const auto* daemon : { "edge-1", "edge-2", "edge-3" }) {
+        report.daemon = daemon;
+        judge.apply(report, TimePoint(30s));
+    }
+    ++report.sequence;
+    judge.apply(report, TimePoint(39s));
+    EXPECT_EQ(judge.decide(TimePoint(39'500ms)),
+        (RolloutDecision { .phase = RolloutPhase::Switching, .reason = RolloutReason::TooFewReports }));
+    EXPECT_EQ(judge.decide(TimePoint(42s)).phase, RolloutPhase::Complete);
+}
+
+// The state is all that is left after a restart of all daemons; otherwise their reports include what it
+// counts.
+TEST(RolloutJudge, RestoresItsState)
+{
+    RolloutState state { .order = makeOrder().id,
+        .phase = RolloutPhase::Switching,
+        .elapsedAtWrite = 38s,
+        .requests = 10'000,
+        .sentToTarget = 400,
+        .responses = 400,
+        .badResponses = 5 };
+    for (const uint64_t reported : { 4U, 400U }) {
+        RolloutJudge judge(makeOrder(), {}, TimePoint(), state);
+        judge.apply(makeReport(1, reported, 0), TimePoint(38s));
+        EXPECT_EQ(judge.permit(TimePoint(39s)).phase, RolloutPhase::Switching);
+        EXPECT_EQ(judge.state(TimePoint(39s)).responses, reported < 400 ? 404U : 400U);
+        EXPECT_EQ(judge.state(TimePoint(39s)).badResponses, reported < 400 ? 5U : 0U);
+    }
+    state.phase = RolloutPhase::Reverted;
+    RolloutJudge reverted(makeOrder(), {}, TimePoint(), state);
+    EXPECT_TRUE(reverted.isCommitted());
+    EXPECT_EQ(reverted.permit(TimePoint(39s)).phase, RolloutPhase::Reverted);
+}
+
 // The only endpoint of a version can be judged by itself, one of several cannot.
 TEST(RolloutJudge, JudgesTheOnlyEndpoint)
 {
     for (const size_t endpoints : { 1U, 5U }) {
         RolloutJudge judge(makeOrder(), {}, TimePoint());
         judge.setTargetEndpoints(endpoints);
-        auto report = makeReport(1, 40, 20);
-        report.endpoints = { { .endpoint = 1, .counts = { .responses = 40, .bad = 20 } } };
-        judge.apply(report, TimePoint(500ms));
-        EXPECT_EQ(judge.decide(TimePoint(1s)).phase,
+        for (const int second : { 1, 2, 3, 4 }) {
+            const auto count = static_cast<uint64_t>(second);
+            auto report = makeReport(count, 20 * count, 10 * count);
+            report.endpoints
+                = { { .endpoint = 1, .counts = { .responses = 20 * count, .bad = 10 * count } } };
+            judge.apply(report, TimePoint(std::chrono::seconds(second)));
+        }
+        EXPECT_EQ(judge.decide(TimePoint(4s)).phase,
             endpoints == 1 ? RolloutPhase::Reverted : RolloutPhase::Canary);
     }
 }
