Judge a rollout whether the store answers or not

Cause: the coordinator decided only when a call to the store was due, so a version that turned bad while the store was away was not reverted.

--- a/packages/Edge/include/lentilbay/Edge/RolloutCoordinator.h
+++ b/packages/Edge/include/lentilbay/Edge/RolloutCoordinator.h
@@ -36,6 +36,8 @@
     /// @param begunAt when a daemon first saw the order
     RolloutCoordinator(RolloutOrder order, Options options, TimePoint begunAt);
 
+    /// Judges the version by what has been reported, whether the store answers or not.
+    void update(TimePoint now);
     /// The call that is due, if any. Nothing is returned while the answer to the last one is awaited.
     std::optional<std::string> nextCall(TimePoint now);
     void handleReply(const StoreReply& reply, TimePoint sentAt, TimePoint now);
@@ -64,7 +66,6 @@
     enum class Call : uint8_t { None, ReadState, ReadStatus, Write };
 
     std::string key() const;
-    RolloutDecision decide(TimePoint now);
     /// Whether the store lacks a later phase, or many bad responses.
     bool mustWrite(RolloutPhase phase, TimePoint now) const;
     std::string writeRequest(RolloutPhase phase, TimePoint now);
@@ -102,7 +103,8 @@
     /// The store's clock, and when it showed that.
     std::optional<uint64_t> m_clock;
     TimePoint m_clockAt {};
-    RolloutDecision m_logged;
+    RolloutDecision m_decision;
+    TimePoint m_nextDecisionAt {};
     uint64_t m_transactions = 0;
 };
 
--- a/packages/Edge/lib/RolloutController.cpp
+++ b/packages/Edge/lib/RolloutController.cpp
@@ -363,6 +363,7 @@
     // An end that this daemon knows must be in the store.
     if (entry.hasEnded(now) && now >= entry.nextReportAt)
         report(entry, m_options.daemon, now);
+    coordinator.update(now);
     if (m_isCalling || !m_call)
         return;
     if (auto request = coordinator.nextCall(now)) {
--- a/packages/Edge/lib/RolloutCoordinator.cpp
+++ b/packages/Edge/lib/RolloutCoordinator.cpp
@@ -147,13 +147,16 @@
     m_written.reset();
 }
 
-RolloutDecision RolloutCoordinator::decide(TimePoint now)
+void RolloutCoordinator::update(TimePoint now)
 {
+    if (!m_hasBegun || now < m_nextDecisionAt)
+        return;
+    m_nextDecisionAt = now + decisionSpacing;
     auto out = m_judge.decide(now);
     if (m_isWithdrawn && !m_judge.isCommitted())
         out = { .phase = RolloutPhase::Reverted, .reason = out.reason };
-    if (out == m_logged)
-        return out;
+    if (std::exchange(m_decision, out) == out)
+        return;
     const auto state = m_judge.state(now);
     logEvent(Event::RolloutDecided,
         { { "service", m_order.service.text() }, { "to", m_order.version }, { "phase", nameOf(out.phase) },
@@ -167,8 +170,6 @@
             { "former_responses", static_cast<int64_t>(state.formerResponses) },
             { "former_bad", static_cast<int64_t>(state.formerBadResponses) },
             { "former_slow", static_cast<int64_t>(state.formerSlowResponses) } });
-    m_logged = out;
-    return out;
 }
 
 bool RolloutCoordinator::mustWrite(RolloutPhase phase, TimePoint now) const
@@ -192,10 +193,9 @@
     case Step::Idle:
         break;
     }
-    m_nextCallAt = now + decisionSpacing;
     if (!m_hasBegun && (!m_isValid || m_isWithdrawn))
         return std::nullopt;
-    auto phase = decide(now).phase;
+    auto phase = m_decision.phase;
     if (m_written && rankOf(*m_written) > rankOf(phase))
         phase = *m_written;
     if (!mustWrite(phase, now))
--- a/packages/Edge/unittests/RolloutControllerTest.cpp
+++ b/packages/Edge/unittests/RolloutControllerTest.cpp
@@ -325,6 +325,21 @@
     EXPECT_EQ(store.status(), "reverted");
 }
 
+// Guards against a coordinator that judges nothing while a call to the store is in progress or has failed.
+TEST_F(RolloutControllerTest, VersionIsJudgedWhileCallsToTheStoreFail)
+{
+    order(toV2);
+    run(2s);
+    for (auto& [name, it] : daemons)
+        it->controller.storeEraChanged();
+    store.isAway = true;
+    run(2s);
+    badVersion = "v2";
+    run(12s);
+    EXPECT_LT(lastSentAt["v2"], now - 2s);
+    EXPECT_EQ(store.status(), "running");
+}
+
 // Guards against a coordinator that takes a lost answer for a failed write, or its own write for another's.
 TEST_F(RolloutControllerTest, TransactionsWhoseAnswersAreLostAreNotUndone)
 {
