--- a/packages/Edge/include/lentilbay/Edge/RolloutController.h
+++ b/packages/Edge/include/lentilbay/Edge/RolloutController.h
@@ -123,9 +123,10 @@
         RolloutGate gate;
         /// hashOf() the target version.
         uint64_t target;
-        /// When this daemon, and when any daemon that has reported, first saw the order.
+        /// When this daemon first saw the order.
         TimePoint seenAt;
-        TimePoint firstSeenAt;
+        /// The latest time at which a daemon knew that there was no such order yet.
+        std::optional<TimePoint> absentAt;
         /// The versions other than the target version that have been listed while the order ran.
         std::vector<uint64_t> formers;
         /// Versions that earlier orders have rejected or replaced.
--- a/packages/Edge/include/lentilbay/Edge/RolloutCoordinator.h
+++ b/packages/Edge/include/lentilbay/Edge/RolloutCoordinator.h
@@ -33,7 +33,7 @@
         RolloutLimits limits;
     };
 
-    /// @param begunAt when a daemon first saw the order
+    /// @param begunAt when the order was accepted, or earlier
     RolloutCoordinator(RolloutOrder order, Options options, TimePoint begunAt);
 
     /// Judges the version by what has been reported, whether the store answers or not.
@@ -54,6 +54,8 @@
     /// hashOf() the versions that served the service before the order.
     void addFormerVersions(const std::vector<uint64_t>& versions);
     const std::vector<uint64_t>& formerVersions() const { return m_formerVersions; }
+    /// States a later time at which the order cannot have been accepted yet.
+    void setBegun(TimePoint begunAt);
     /// The operator has taken the order back: it is reverted.
     void withdraw() { m_isWithdrawn = true; }
     /// The rows may have been lost: they are read again, and written if they are older than what is known.
--- a/packages/Edge/include/lentilbay/Edge/RolloutMessages.h
+++ b/packages/Edge/include/lentilbay/Edge/RolloutMessages.h
@@ -22,8 +22,9 @@
     uint64_t service = 0;
     /// When the report was sent, by the sender's clock.
     int64_t sentMicroseconds = 0;
-    /// How long before that the sender first saw the order.
-    int64_t orderAgeMicroseconds = 0;
+    /// How long before that the sender knew, when it first saw the order, that there was none before; -1 if
+    /// it does not know.
+    int64_t orderAgeMicroseconds = -1;
     /// orderContentOf() the order, which daemons may know by different versions of its row after the store
     /// came back from an older copy.
     uint64_t orderContent = 0;
--- a/packages/Edge/lib/RolloutController.cpp
+++ b/packages/Edge/lib/RolloutController.cpp
@@ -29,8 +29,8 @@
 constexpr int64_t readSpreadMilliseconds = 1000;
 /// Engines may be listed a little later than the order for them.
 constexpr Duration validityDelay = std::chrono::seconds(3);
-/// The daemon does not clearly know when it saw an order that is older.
-constexpr Duration maxOrderAge = std::chrono::hours(1);
+/// Within this time all daemons see an order, if the store answers.
+constexpr Duration maxOrderDelay = std::chrono::milliseconds(2500);
 /// poll() is called more often than this while an order is running, unless the event loop stands still.
 constexpr Duration maxPollGap = std::chrono::milliseconds(300);
 /// A version is used this long after it was listed although the orders cannot be read.
@@ -75,7 +75,6 @@
     : gate(std::move(given))
     , target(hashOf(order.version))
     , seenAt(now)
-    , firstSeenAt(now)
 {
     gate.setOrder(order);
 }
@@ -149,6 +148,10 @@
             order.service, order, RolloutGate(m_options.daemon, m_options.incarnation), now);
         known = &at.first->second;
     }
+    // The order was accepted between two reads of the table. The deadline must be kept, so it counts from the
+    // first of them, unless the table could not be read for long.
+    if (m_ordersConfirmedAt != TimePoint {} && now - m_ordersConfirmedAt <= maxOrderDelay)
+        known->absentAt = m_ordersConfirmedAt;
     const bool hasJustStarted = m_startedAt == TimePoint {} || now - m_startedAt < startTime;
     known->readDelay = minReadDelay;
     known->nextReadAt = now + (hasJustStarted ? firstReadDelay : minReadDelay);
@@ -343,11 +346,13 @@
     if (!entry.coordinator)
         entry.coordinator = std::make_shared<RolloutCoordinator>(entry.order(),
             RolloutCoordinator::Options { .storeHost = m_options.storeHost, .limits = m_options.limits },
-            entry.firstSeenAt);
+            entry.absentAt.value_or(entry.seenAt));
     auto& coordinator = *entry.coordinator;
     const auto permit = coordinator.permit(now);
     if (entry.isWithdrawn)
         coordinator.withdraw();
+    if (entry.absentAt)
+        coordinator.setBegun(*entry.absentAt);
     coordinator.setValid(permit || isValid(entry, now));
     coordinator.setTargetEndpoints(targetEndpoints(entry).size());
     // Before the store has been read, versions may be listed that came after the end of the order.
@@ -404,7 +409,7 @@
     m_send(coordinator,
         encodeRolloutMessage(RolloutReportMessage { .service = hashOf(entry.order().service.text()),
             .sentMicroseconds = now.time_since_epoch().count(),
-            .orderAgeMicroseconds = (now - entry.firstSeenAt).count(),
+            .orderAgeMicroseconds = entry.absentAt ? (now - *entry.absentAt).count() : -1,
             .orderContent = orderContentOf(entry.order()),
             .report = std::move(report) }));
 }
@@ -436,9 +441,10 @@
         return {};
     }
     message.report.order = entry->order().id;
-    const auto age = std::min<Duration>(Duration(message.orderAgeMicroseconds), maxOrderAge);
-    if (age > Duration::zero())
-        entry->firstSeenAt = std::min(entry->firstSeenAt, now - age);
+    if (message.orderAgeMicroseconds >= 0) {
+        const auto absentAt = now - Duration(message.orderAgeMicroseconds);
+        entry->absentAt = std::max(absentAt, entry->absentAt.value_or(absentAt));
+    }
     RolloutPermitMessage out { .service = message.service,
         .incarnation = message.report.incarnation,
         .sentMicroseconds = message.sentMicroseconds };
--- a/packages/Edge/lib/RolloutCoordinator.cpp
+++ b/packages/Edge/lib/RolloutCoordinator.cpp
@@ -141,6 +141,15 @@
     }
 }
 
+void RolloutCoordinator::setBegun(TimePoint begunAt)
+{
+    // From the first write on, the store has the time.
+    if (m_hasBegun || m_call == Call::Write || begunAt <= m_begunAt)
+        return;
+    m_begunAt = begunAt;
+    m_judge = RolloutJudge(m_order, m_options.limits, m_begunAt);
+}
+
 void RolloutCoordinator::readAgain()
 {
     m_step = Step::ReadState;
--- a/packages/Edge/lib/RolloutMessages.cpp
+++ b/packages/Edge/lib/RolloutMessages.cpp
@@ -90,7 +90,7 @@
 template <class Archive> void serialize(Archive& archive, RolloutReportMessage& it)
 {
     archive(it.service, it.sentMicroseconds, it.orderContent);
-    compact::integerAs(archive, it.orderAgeMicroseconds);
+    compact::age(archive, it.orderAgeMicroseconds);
     archive(it.report);
 }
 
--- a/packages/Edge/unittests/RolloutControllerTest.cpp
+++ b/packages/Edge/unittests/RolloutControllerTest.cpp
@@ -325,6 +325,21 @@
     EXPECT_EQ(store.status(), "reverted");
 }
 
+// Guards against a status that is final after the deadline, because the daemons saw the order late.
+TEST_F(RolloutControllerTest, DeadlineCountsFromWhenTheOrderMayHaveBeenWritten)
+{
+    run(100ms);
+    for (auto& [name, it] : daemons)
+        it->controller.confirmOrders(now);
+    const auto writtenAt = now;
+    now += 1500ms;
+    order(toV2);
+    while (store.status() != "complete" && now < writtenAt + 30s)
+        run(100ms);
+    EXPECT_LT(now, writtenAt + 20s);
+    EXPECT_GT(now, writtenAt + 17s);
+}
+
 // Guards against a coordinator that judges nothing while a call to the store is in progress or has failed.
 TEST_F(RolloutControllerTest, VersionIsJudgedWhileCallsToTheStoreFail)
 {
--- a/tools/soak/rollouts.py
+++ b/tools/soak/rollouts.py
@@ -19,6 +19,7 @@
 LATE_SECONDS = 5.0
 # A coordinator that is killed or stopped shortly before the deadline is replaced within this time.
 TAKEOVER_SECONDS = 2.5
+REWRITE_SECONDS = 6.0
 # Daemons learn of "complete" with their next permit, and a request takes some time to its engine.
 PERMIT_SECONDS = 0.6
 # The fraction of a bad version's responses that are bad.
@@ -107,6 +108,10 @@
             await asyncio.sleep(STOP_AFTER_SECONDS)
             await self.stop_engines(target)
         await asyncio.sleep(max(0.0, deadline - time.monotonic()))
+        # A store that came back from an older copy lacks the status until it is written again.
+        rewritten_by = time.monotonic() + (REWRITE_SECONDS if "rewind" in soak.fault_kinds else 0)
+        while not self.status(service) and time.monotonic() < rewritten_by:
+            await asyncio.sleep(0.05)
         if self.status(service) != {"State": final, "To": version}:
             soak.add_finding("ROLLOUT", f"the status of {version} was {final} and became {self.status(service)}")
         self.check(service, version, fault, (ordered_at, deadline), (final, ended_at), target)
