--- a/packages/Edge/include/lentilbay/Edge/RolloutCoordinator.h
+++ b/packages/Edge/include/lentilbay/Edge/RolloutCoordinator.h
@@ -54,8 +54,9 @@
     /// hashOf() the versions that served the service before the order.
     void addFormerVersions(const std::vector<uint64_t>& versions);
     const std::vector<uint64_t>& formerVersions() const { return m_formerVersions; }
-    /// States a later time at which the order cannot have been accepted yet.
-    void setBegun(TimePoint begunAt);
+    /// States a later time at which the order cannot have been accepted yet. Ignored once the daemons have
+    /// had the time to report theirs, or if the store states it.
+    void setBegun(TimePoint begunAt, TimePoint now);
     /// The operator has taken the order back: it is reverted.
     void withdraw() { m_isWithdrawn = true; }
     /// The rows may have been lost: they are read again, and written if they are older than what is known.
@@ -102,6 +103,7 @@
     /// The status row says something else than the state row.
     bool m_isStatusWrong = false;
     bool m_hasBegun = false;
+    bool m_isRestored = false;
     /// The store's clock, and when it showed that.
     std::optional<uint64_t> m_clock;
     TimePoint m_clockAt {};
--- a/packages/Edge/lib/RolloutController.cpp
+++ b/packages/Edge/lib/RolloutController.cpp
@@ -352,7 +352,7 @@
     if (entry.isWithdrawn)
         coordinator.withdraw();
     if (entry.absentAt)
-        coordinator.setBegun(*entry.absentAt);
+        coordinator.setBegun(*entry.absentAt, now);
     coordinator.setValid(permit || isValid(entry, now));
     coordinator.setTargetEndpoints(targetEndpoints(entry).size());
     // Before the store has been read, versions may be listed that came after the end of the order.
--- a/packages/Edge/lib/RolloutCoordinator.cpp
+++ b/packages/Edge/lib/RolloutCoordinator.cpp
@@ -18,6 +18,9 @@
 /// The state is also written when so many more bad responses are known, a quarter of the number at which a
 /// version is reverted in any case, so that a restart of all daemons forgets few of them.
 constexpr uint64_t badResponsesPerWrite = 10;
+/// Within this time all daemons have seen and reported an order.
+constexpr Duration maxBeginDelay = std::chrono::seconds(3);
+constexpr Duration minBeginChange = std::chrono::milliseconds(100);
 constexpr int httpOk = 200;
 
 /// Phases only rise within an order.
@@ -141,12 +144,12 @@
     }
 }
 
-void RolloutCoordinator::setBegun(TimePoint begunAt)
+void RolloutCoordinator::setBegun(TimePoint begunAt, TimePoint now)
 {
-    // From the first write on, the store has the time.
-    if (m_hasBegun || m_call == Call::Write || begunAt <= m_begunAt)
+    if (m_isRestored || now - m_begunAt > maxBeginDelay || begunAt < m_begunAt + minBeginChange)
         return;
     m_begunAt = begunAt;
+    // What was reported so far is part of the next reports.
     m_judge = RolloutJudge(m_order, m_options.limits, m_begunAt);
 }
 
@@ -336,6 +339,7 @@
         m_begunAt = std::min(m_begunAt, begunAt);
         auto restored = state->state;
         restored.order = m_order.id;
+        m_isRestored = true;
         m_judge = RolloutJudge(m_order, m_options.limits, m_begunAt, restored);
     }
     m_judge.commit(*m_written);
