--- a/packages/Edge/lib/RolloutController.cpp
+++ b/packages/Edge/lib/RolloutController.cpp
@@ -585,17 +585,18 @@
     ticket.order = order;
     if (entry->formers.empty())
         return;
-    const auto former = formerRule(*entry);
-    const auto targets = targetEndpoints(*entry);
-    const auto usable = entry->gate.usableTargets(targets, now);
-    ticket.rule = former;
-    if (ticket.group == VersionGroup::Former || usable.empty())
+    ticket.rule = formerRule(*entry);
+    if (ticket.group == VersionGroup::Former)
         return;
-    ticket.rule = { .required = entry->target };
+    const auto usable = entry->gate.usableTargets(targetEndpoints(*entry), now);
+    if (usable.empty())
+        return;
+    VersionRule target { .required = entry->target };
     if (entry->gate.phase(now) == RolloutPhase::Canary) {
-        ticket.rule.endpoints = usable;
-        ticket.rule.otherwise = std::make_shared<const VersionRule>(former);
+        target.endpoints = usable;
+        target.otherwise = std::make_shared<const VersionRule>(std::move(ticket.rule));
     }
+    ticket.rule = std::move(target);
 }
 
 bool RolloutController::mayUse(const ServiceId& service, uint64_t version, TimePoint now) const
