--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -80,6 +80,8 @@
     /// Applies a message about a stream; answers a query to its sender.
     void handleStreamMessage(const StreamMessage& message, WireRevision sender, TimePoint now);
     void connectRollouts();
+    /// Applies a row of the table with the configuration that is not the configuration.
+    void applyOrderRow(const platform::StoreRow& row);
     /// Tells the controller of rollouts which of the other daemons are alive.
     void updateRollouts(const std::vector<std::string>& daemons);
     /// Does what is due for rollouts; requests that wait are queued again if they may go elsewhere now.
--- a/packages/Edge/include/lentilbay/Edge/StoreFollower.h
+++ b/packages/Edge/include/lentilbay/Edge/StoreFollower.h
@@ -69,6 +69,9 @@
     /// How much of the table this daemon has seen, for its heartbeats; the caller adds the age.
     std::optional<StoreVersion> coveredVersion() const { return m_replica.covered(); }
     StoreVersion changedVersion() const { return m_replica.changed(); }
+    /// While changes are reported that the store has held a call for: when the call was sent, and the store
+    /// had no change.
+    std::optional<TimePoint> heldSince() const { return m_heldSince; }
     std::optional<TimePoint> confirmedAt() const { return m_confirmedAt; }
     /// Records that a peer's view was complete up to version `covered` no earlier than `at`, and contained no
     /// change after version `changed`. If this view contains all of that, it is confirmed as of `at`.
@@ -136,6 +139,7 @@
     /// The next call is made for readNow().
     bool m_mustRead = false;
     std::optional<TimePoint> m_confirmedAt;
+    std::optional<TimePoint> m_heldSince;
     /// Until then the store may lack changes of the former era that peers have seen and this daemon has not.
     TimePoint m_incompleteUntil {};
     bool m_isStoreUnreachable = false;
--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -21,7 +21,7 @@
     if (row.key == platform::configurationKey)
         applyConfiguration(row.value, fmt::format("store version {}", row.version.number));
     else
-        m_state.rollouts.applyOrderRow(row, bootNow());
+        applyOrderRow(row);
 }
 
 void EdgeDaemon::applyConfiguration(const std::string& document, const std::string& source)
--- a/packages/Edge/lib/EdgeRollouts.cpp
+++ b/packages/Edge/lib/EdgeRollouts.cpp
@@ -15,6 +15,13 @@
     m_state.rollouts.setOrderReader([this] { m_configurationFollower->readNow(bootNow()); });
 }
 
+void EdgeDaemon::applyOrderRow(const platform::StoreRow& row)
+{
+    if (const auto absentAt = m_configurationFollower->heldSince())
+        m_state.rollouts.confirmOrders(*absentAt);
+    m_state.rollouts.applyOrderRow(row, bootNow());
+}
+
 void EdgeDaemon::updateRollouts(const std::vector<std::string>& daemons)
 {
     std::vector<std::string> others;
--- a/packages/Edge/lib/StoreFollower.cpp
+++ b/packages/Edge/lib/StoreFollower.cpp
@@ -55,6 +55,8 @@
 {
     return fmt::format("{}:{}", address.address().to_string(), address.port());
 }
+/// An answer that takes longer than a response time was held until there was a change.
+constexpr Duration minHeldTime = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -269,7 +271,10 @@
     m_failuresInRow = 0;
     m_isBehind = false;
     endCalls(call);
+    if (m_replica.covered() && now - call->sentAt >= minHeldTime)
+        m_heldSince = call->sentAt;
     report(m_replica.apply(std::get<platform::StoreRows>(decoded), now));
+    m_heldSince.reset();
     const bool isComplete = m_replica.covered().has_value();
     if (isComplete)
         confirm(call->sentAt);
--- a/packages/Edge/unittests/StoreFollowerTest.cpp
+++ b/packages/Edge/unittests/StoreFollowerTest.cpp
@@ -43,8 +43,11 @@
                 .spacing = spacing,
                 .spacingWhilePassive = spacingWhilePassive,
                 .replica = { .deletionDelay = deletionDelay } },
-            StoreFollower::Callbacks { .changed
-                = [this](const auto& it) { seen += "+" + it.key + std::to_string(it.version.number); },
+            StoreFollower::Callbacks { .changed =
+                                           [this](const auto& it) {
+                                               seen += "+" + it.key + std::to_string(it.version.number);
+                                               held[it.key] = follower->heldSince();
+                                           },
                 .deleted = [this](const auto& key) { seen += "-" + key; },
                 .confirmed = [this](TimePoint at) { confirmedAt = at; },
                 .skipPollingFor =
@@ -72,6 +75,7 @@
     RawServer server { context };
     std::unique_ptr<StoreFollower> follower;
     std::string seen;
+    std::map<std::string, std::optional<TimePoint>> held;
     TimePoint confirmedAt {};
     Duration spacing = 1ms;
     uint64_t era = 0;
@@ -95,6 +99,25 @@
     EXPECT_GT(confirmedAt, TimePoint());
 }
 
+// Guards against a deadline that counts from too early, or from when there was already an order: a row that
+// the store held the call for was written after the call.
+TEST_F(StoreFollowerTest, KnowsWhenARowWasAbsent)
+{
+    server.script({ .bytes = answer(row("a", 3), 7), .delay = 150ms });
+    server.script({ .bytes = answer(row("b", 8), 8) });
+    server.script({ .bytes = answer(row("c", 9), 9), .delay = 150ms });
+    start();
+    runUntil([&] { return seen == "+a3+b8"; });
+    const auto before = confirmedAt;
+    runUntil([&] { return seen == "+a3+b8+c9"; });
+    EXPECT_FALSE(held["a"]) << "a snapshot";
+    EXPECT_FALSE(held["b"]) << "an answer at once";
+    ASSERT_TRUE(held["c"]);
+    EXPECT_GT(*held["c"], before) << "the call that follows the one for b";
+    EXPECT_LE(*held["c"], bootNow() - 100ms);
+    EXPECT_FALSE(follower->heldSince());
+}
+
 TEST_F(StoreFollowerTest, PollsBeforeTheNextCallIsDueWhenAsked)
 {
     server.script({ .bytes = answer(row("a", 3), 7) });
