--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -94,6 +94,15 @@
     void handleDatagram(std::string_view datagram, TimePoint now);
     /// Applies a message about a stream; answers a query to its sender.
     void handleStreamMessage(const StreamMessage& message, WireRevision sender, TimePoint now);
+    void connectRollouts();
+    /// Applies a row of the table with the configuration that is not the configuration.
+    void applyOrderRow(const platform::StoreRow& row);
+    /// Tells the controller of rollouts which of the other daemons are alive.
+    void updateRollouts(const std::vector<std::string>& daemons);
+    /// Does what is due for rollouts; requests that wait are queued again if they may go elsewhere now.
+    void pollRollouts(TimePoint now);
+    /// Applies a message about a rollout, and answers a report to its sender.
+    void handleRolloutMessage(std::string_view datagram, TimePoint now);
     /// Moves requests away from stalled endpoints.
     void checkStalledRequests(TimePoint now);
     PeerHeartbeat makeHeartbeat(TimePoint now);
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -119,7 +119,7 @@
     return true;
 }
 
-void EdgeRequest::forwardWaiting(TimePoint now)
+void EdgeRequest::queueAgain(TimePoint now)
 {
     if (m_isOver || m_send || m_isFindingOrigin || m_isConfirmingEnd)
         return;
@@ -166,11 +166,7 @@
         awaitCurrentEndpoints(now);
         return;
     }
-    const auto& target = *m_send->endpoint;
-    const bool isAcceptable = m_send->isThroughPeer
-        || (m_state.endpointRegistry.acceptsRequests(target, now)
-            && m_version.value_or(target.versionHash()) == target.versionHash());
-    if (isAcceptable)
+    if (m_send->isThroughPeer || isAcceptable(*m_send->endpoint, now))
         sendNow(now);
     else
         withdrawSend(now);
@@ -196,7 +192,8 @@
     logEvent(Event::SendWithdrawn,
         { { "id", m_metadata.id.text() }, { "endpoint", m_send->endpoint->entry().id.text() } });
     endSend(SendOutcome::Neutral, now);
-    if (m_state.endpointRegistry.hasCandidate(m_service, m_attempts.tried(), m_version))
+    m_state.rollouts.assign(m_service, m_version, m_rollout, now);
+    if (m_state.endpointRegistry.hasCandidate(m_service, m_attempts.tried(), m_rollout.rule))
         requeue(now);
     else
         refuse(ResultCode::NoEndpoint, defaultRetryAfter, now);
@@ -242,6 +239,8 @@
     m_send->incarnation = endpoint.incarnation();
     m_send->version = endpoint.versionHash();
     m_send->expectedTimeToFirstEvent = endpoint.expectedTimeToFirstEvent(m_work);
+    if (!m_send->isThroughPeer)
+        m_send->rollout = m_state.rollouts.recordSend(endpoint, m_route->name, m_work, now);
     logSend(now);
     m_events.beginAnswer();
     const auto self = shared_from_this();
@@ -457,10 +456,9 @@
         const auto error = now - m_send->sentAt - m_send->expectedTimeToFirstEvent;
         m_state.metrics.observe(Timing::FirstEventError, m_route->rank, std::max(error, -error));
         endpoint.recordFirstEvent(m_work, now - m_send->sentAt, now);
+        m_state.rollouts.recordFirstEvent(m_send->rollout, now);
     } else {
-        const auto* service = m_routes->findService(m_service);
-        const double tokens = service && service->engine ? service->engine->tokensPerEvent : 1;
-        endpoint.recordProgress(tokens * static_cast<double>(events.events), now - m_send->lastEventAt, now);
+        endpoint.recordProgress(tokensOf(events.events), now - m_send->lastEventAt, now);
     }
     m_send->lastEventAt = now;
     m_send->events += events.events;
@@ -712,8 +710,10 @@
         sendFailed(true, ResultCode::EndpointAnswerInvalid, now);
         return;
     }
-    if (isSuccess && !std::exchange(m_send->hadFirstEvent, true))
+    if (isSuccess && !std::exchange(m_send->hadFirstEvent, true)) {
         m_send->endpoint->recordFirstEvent(m_work, now - m_send->sentAt, now);
+        m_state.rollouts.recordFirstEvent(m_send->rollout, now);
+    }
     if (isSuccess)
         recordAnswerBegun(now);
     auto head = std::move(m_send->head);
@@ -842,6 +842,10 @@
         logSuspicion(*send.endpoint, outcome);
     if (send.isSent && !send.wasNotExecuted)
         m_attempts.recordPossibleExecution();
+    // While the links are lost, silence shows nothing.
+    if (!send.wasNotExecuted && (outcome != SendOutcome::Neutral || m_state.links.state() == LinkState::Up))
+        m_state.rollouts.recordEnd(send.rollout, m_rollout,
+            { .outcome = outcome, .evidence = evidence, .answerTokens = tokensOf(send.events) }, now);
     if (send.connection)
         m_state.pools.release(send.endpoint->entry(), std::move(send.connection));
 }
@@ -890,11 +894,11 @@
         && m_state.relays.choose(m_attempts.tried(), m_state.random))
         return true;
     const auto& registry = m_state.endpointRegistry;
-    if (registry.hasCandidate(m_service, m_attempts.tried(), m_version))
+    if (registry.hasCandidate(m_service, m_attempts.tried(), versionRule()))
         return true;
     // Endpoints that reject requests get room again, unless rejections make them fail.
     return !registry.isBrittle(m_service) && m_attempts.reconsiderRejections()
-        && registry.hasCandidate(m_service, m_attempts.tried(), m_version);
+        && registry.hasCandidate(m_service, m_attempts.tried(), versionRule());
 }
 
 void EdgeRequest::endAfterExecution(ResultCode reason, TimePoint now)
