--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -6,6 +6,7 @@
 
 #include "lentilbay/Edge/EndpointSignalTable.h"
 #include "lentilbay/Edge/EndpointState.h"
+#include "lentilbay/Edge/VersionRule.h"
 #include "lentilbay/Model/Topology.h"
 #include "lentilbay/Policy/EndpointFailureReports.h"
 #include "lentilbay/Policy/SlotAssignment.h"
@@ -45,8 +46,8 @@
     bool mayWait = false;
     /// Whether to leave fast endpoints to other requests if a slower one meets the objectives.
     bool avoidsFastEndpoints = false;
-    /// hashOf() the only software version that may answer the request; set if it resumes a stream.
-    std::optional<uint64_t> version = std::nullopt;
+    /// The software versions that may answer the request.
+    VersionRule versions = {};
     /// Endpoints that the request was already sent to.
     std::vector<EndpointId> tried;
 };
@@ -147,17 +148,32 @@
     size_t assignedSlots() const;
     void setHeadroom(Headroom headroom) { m_headroom = headroom; }
     /// Returns the endpoint to send the work to now, or nullptr if none has room.
-    std::shared_ptr<EndpointState> choose(const ChoiceQuery& query, TimePoint now);
+    std::shared_ptr<EndpointState> choose(const ChoiceQuery& query, TimePoint now)
+    {
+        return choose(query, query.versions, now);
+    }
     /// Records that an endpoint wants no requests from this daemon until then. Afterwards it gets one at a
     /// time until one succeeds.
     void pause(EndpointState& endpoint, const EndpointIncarnation& incarnation, TimePoint until);
     /// Whether the endpoint is listed, not leaving and not paused. To be asked again right before a send, as
     /// choose() may have returned the endpoint some time before.
     bool acceptsRequests(const EndpointState& endpoint, TimePoint now) const;
-    /// Whether the service has an endpoint that is not leaving, not in `tried` and of the software version,
-    /// if one is given.
+    /// Whether the service has an endpoint that is not leaving, not in `tried` and allowed by the rule.
     bool hasCandidate(const ServiceId& service, const std::vector<EndpointId>& tried = {},
-        std::optional<uint64_t> version = std::nullopt) const;
+        const VersionRule& versions = {}) const;
+    /// Sets the software versions that serve most requests of each service. Occupancy and latency are those
+    /// of their endpoints; services that are not named have no such rule.
+    void setUsualVersions(std::map<ServiceId, VersionRule> versions)
+    {
+        m_usualVersions = std::move(versions);
+    }
+    using Endpoints = std::vector<std::shared_ptr<EndpointState>>;
+    const Endpoints& endpointsOf(const ServiceId& service) const;
+    /// Whether the endpoint is leaving, according to its entry or to its own answers.
+    bool isLeaving(const EndpointState& endpoint) const
+    {
+        return endpoint.entry().isDraining || (!m_signals.empty() && m_signals.isLeaving(endpoint.hash()));
+    }
     /// The slots of the service's endpoints that accept work, and the requests in flight there.
     struct Occupancy {
         double slots = 0;
@@ -167,6 +183,8 @@
     ServiceLatency latencyOf(const ServiceId& service, TimePoint now) const;
 
 private:
+    std::shared_ptr<EndpointState> choose(
+        const ChoiceQuery& query, const VersionRule& versions, TimePoint now);
     /// Whether an endpoint with a free slot would complete the answer before the request expires.
     static bool finishesInTime(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now);
     /// Whether the first event would arrive in time without delaying the streams running on the endpoint
@@ -189,18 +207,12 @@
         bool reports = false;
     };
     bool isExcluded(const EndpointState& endpoint, const Excuses& excuses, TimePoint now) const;
-    Excuses excusesFor(const ServiceId& service, std::optional<uint64_t> version, TimePoint now) const;
+    Excuses excusesFor(const ServiceId& service, const VersionRule& versions, TimePoint now) const;
+    const VersionRule& usualVersions(const ServiceId& service) const;
     /// Whether what the endpoint states about itself allows a send now.
     bool isAllowedBySignals(const EndpointState& endpoint, TimePoint now) const;
-    /// Whether the endpoint is leaving, according to its entry or to its own answers.
-    bool isLeaving(const EndpointState& endpoint) const
-    {
-        return endpoint.entry().isDraining || (!m_signals.empty() && m_signals.isLeaving(endpoint.hash()));
-    }
     /// Divides the slots of the endpoints that rejections make fail.
     void divideSlots(TimePoint now);
-    using Endpoints = std::vector<std::shared_ptr<EndpointState>>;
-    const Endpoints& endpointsOf(const ServiceId& service) const;
     void rebuildIndexes();
 
     struct PeerLoads {
@@ -225,6 +237,7 @@
     EndpointSignalTable m_signals;
     EndpointFailureReports m_failureReports;
     std::set<ServiceId> m_brittleServices;
+    std::map<ServiceId, VersionRule> m_usualVersions;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/include/lentilbay/Edge/PeerWire.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerWire.h
@@ -7,6 +7,8 @@
 // - Heartbeats (PeerHeartbeat.cpp): a body whose layout no longer changes, then tagged sections. The content
 // of a section keeps its layout as well; what is to be added to it goes into another section.
 // - Stream messages (StreamDirectory.cpp): the same, without sections so far.
+// - Reports and permits of rollouts (RolloutMessages.cpp): each kind keeps its layout. Daemons whose build
+// lacks them are sent none, coordinate nothing and ignore the orders.
 // - Forwarded requests (PeerForwarding.cpp): HTTP header fields, of which unknown ones are ignored. The body
 // of a refusal is the result code, which the sender of an unverified request reads.
 // - The configuration read from a peer (ConfigurationCatchUp.cpp): the platform's own text. The peer's view
@@ -20,6 +22,7 @@
 // - Rows of the store's table "streams" (StreamOriginStore.cpp): a value that cannot be read is no origin.
 // - Rows of the store's table "quotas" (QuotaCheckpoints.cpp): a value starts with the number of its format,
 //   and one of another format is ignored.
+// - Rows of the store's table "rollouts" (RolloutMessages.cpp): a value that cannot be read is replaced.
 //
 // A new field of a heartbeat goes into a new section: daemons skip sections whose tag they do not know, and
 // older builds ignore what follows the body. Its default must be safe for a sender that cannot state it. The
@@ -49,13 +52,18 @@
     /// Daemons state their view of the store with their configuration, and verify the keys of requests for
     /// peers that cannot.
     ConfigurationViews = 7,
+    /// Daemons report to the coordinator of a rollout and act by its permits.
+    Rollouts = 8,
 };
 
-constexpr WireRevision newestWireRevision = WireRevision::ConfigurationViews;
+constexpr WireRevision newestWireRevision = WireRevision::Rollouts;
 
 /// Whether a daemon sends summaries and understands those of others.
 constexpr bool usesSummaries(WireRevision revision) { return revision >= WireRevision::Summaries; }
 
+/// Whether a daemon coordinates rollouts and answers reports on them.
+constexpr bool coordinatesRollouts(WireRevision revision) { return revision >= WireRevision::Rollouts; }
+
 /// Whether a daemon serves requests that a peer forwards.
 constexpr bool servesForwardedRequests(WireRevision revision)
 {
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -215,11 +215,11 @@
 }
 
 EndpointRegistry::Excuses EndpointRegistry::excusesFor(
-    const ServiceId& service, std::optional<uint64_t> version, TimePoint now) const
+    const ServiceId& service, const VersionRule& versions, TimePoint now) const
 {
     TimePoint succeededAt {};
     for (const auto& it : endpointsOf(service)) {
-        if (isLeaving(*it) || (version && it->versionHash() != *version))
+        if (isLeaving(*it) || !versions.allows(it->versionHash(), it->hash()))
             continue;
         if (!isExcluded(*it, {}, now) && !it->isStalled(now))
             return {};
@@ -337,7 +337,8 @@
         <= query.gapObjective;
 }
 
-std::shared_ptr<EndpointState> EndpointRegistry::choose(const ChoiceQuery& query, TimePoint now)
+std::shared_ptr<EndpointState> EndpointRegistry::choose(
+    const ChoiceQuery& query, const VersionRule& versions, TimePoint now)
 {
     // How well an endpoint can serve the request, best first.
     enum Grade : uint8_t { InTime, Finishes, Any };
@@ -348,9 +349,9 @@
     std::array<Best, 3> best;
     // The best grade that any endpoint would reach if it were idle.
     Grade possible = Any;
-    const auto excuses = excusesFor(query.service, query.version, now);
+    const auto excuses = excusesFor(query.service, versions, now);
     for (const auto& it : endpointsOf(query.service)) {
-        if (query.version && it->versionHash() != *query.version)
+        if (!versions.allows(it->versionHash(), it->hash()))
             continue;
         if (isLeaving(*it) || isExcluded(*it, excuses, now) || (!excuses.stalls && it->isStalled(now))
             || !isAllowedBySignals(*it, now))
@@ -370,11 +371,11 @@
         if (!slot.endpoint || cost < slot.cost)
             slot = { .endpoint = it, .cost = cost };
     }
-    if (best[InTime].endpoint || (query.mayWait && possible == InTime))
-        return best[InTime].endpoint;
     // A long answer waits for an endpoint that is fast enough, if there is one, instead of being cut off at
     // its deadline by a slow one.
-    return possible == Any ? best[Any].endpoint : best[Finishes].endpoint;
+    const bool takesInTime = best[InTime].endpoint || (query.mayWait && possible == InTime);
+    const auto& out = takesInTime ? best[InTime] : possible == Any ? best[Any] : best[Finishes];
+    return out.endpoint || !versions.otherwise ? out.endpoint : choose(query, *versions.otherwise, now);
 }
 
 bool EndpointRegistry::acceptsRequests(const EndpointState& endpoint, TimePoint now) const
@@ -392,21 +393,30 @@
 }
 
 bool EndpointRegistry::hasCandidate(
-    const ServiceId& service, const std::vector<EndpointId>& tried, std::optional<uint64_t> version) const
+    const ServiceId& service, const std::vector<EndpointId>& tried, const VersionRule& versions) const
 {
     return std::ranges::any_of(endpointsOf(service), [&](const auto& it) {
-        return !isLeaving(*it) && (!version || it->versionHash() == *version)
+        return !isLeaving(*it) && versions.allowsAny(it->versionHash(), it->hash())
             && std::ranges::find(tried, it->entry().id) == tried.end();
     });
 }
 
+const VersionRule& EndpointRegistry::usualVersions(const ServiceId& service) const
+{
+    static const VersionRule any;
+    const auto it = m_usualVersions.find(service);
+    return it == m_usualVersions.end() ? any : it->second;
+}
+
 EndpointRegistry::Occupancy EndpointRegistry::occupancy(const ServiceId& service, TimePoint now) const
 {
     Occupancy out;
-    const auto excuses = excusesFor(service, std::nullopt, now);
+    const auto& versions = usualVersions(service);
+    const auto excuses = excusesFor(service, versions, now);
     for (const auto& it : endpointsOf(service)) {
         const auto& entry = it->entry();
-        if (isLeaving(*it) || isExcluded(*it, excuses, now))
+        if (isLeaving(*it) || !versions.allows(it->versionHash(), it->hash())
+            || isExcluded(*it, excuses, now))
             continue;
         const double load = std::min<double>(entry.slots, it->load());
         out.slots += isAllowedBySignals(*it, now) ? entry.slots : load;
@@ -417,10 +427,14 @@
 
 ServiceLatency EndpointRegistry::latencyOf(const ServiceId& service, TimePoint now) const
 {
+    const auto& versions = usualVersions(service);
     const auto& endpoints = endpointsOf(service);
+    const auto isCounted = [&](const auto& it) { return versions.allows(it->versionHash(), it->hash()); };
     ServiceLatency out;
-    const auto n = static_cast<double>(endpoints.size());
+    const auto n = static_cast<double>(std::ranges::count_if(endpoints, isCounted));
     for (const auto& it : endpoints) {
+        if (!isCounted(it))
+            continue;
         const double answerTokenSeconds = it->m_secondsPerToken.mean() / n;
         const double promptTokenSeconds = it->secondsPerPromptToken() / n;
         out.nonStreamSeconds += it->m_nonStreamSeconds.mean() / n;
