--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -22,6 +22,8 @@
 {
     if (row.key == platform::configurationKey)
         applyConfiguration(row.value, fmt::format("store version {}", row.version.number), true);
+    else
+        applyOrderRow(row);
 }
 
 bool EdgeDaemon::applyConfiguration(
