Keep restored quotas from being replaced by peers that know less

Change: a restored daemon adopts a peer's state only if it contains three quarters of the checkpoint's use.

--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -222,6 +222,7 @@
     const bool isNew = isCounted && m_summarisedPeers.erase(heartbeat.daemon) == 0;
     const bool adopts
         = heartbeat.countsAllUse && !m_countsAllUse && heartbeat.levels.size() == heartbeat.quotas.size();
+    bool hasAdoptedAll = adopts;
     for (const auto& organisation : m_state.routes->organisations()) {
         if (!organisation.quota)
             continue;
@@ -230,10 +231,10 @@
             heartbeat.quotas, hashOf(organisation.name.text()), &PeerHeartbeat::QuotaUse::organisation);
         if (adopts) {
             const auto i = static_cast<size_t>(it - heartbeat.quotas.begin());
-            if (it == heartbeat.quotas.end())
-                quota.adopt(m_state.quotaLimits(*organisation.quota).burstTokens, {}, now);
-            else
-                quota.adopt(heartbeat.levels[i].level, windowPartsOf(heartbeat.levels[i]), now);
+            const bool hasAdopted = it == heartbeat.quotas.end()
+                ? quota.adopt(m_state.quotaLimits(*organisation.quota).burstTokens, {}, now)
+                : quota.adopt(heartbeat.levels[i].level, windowPartsOf(heartbeat.levels[i]), now);
+            hasAdoptedAll = hasAdoptedAll && hasAdopted;
         }
         if (it == heartbeat.quotas.end())
             continue;
@@ -246,7 +247,7 @@
         else
             quota.skipReport(heartbeat.daemon, report);
     }
-    m_countsAllUse = m_countsAllUse || adopts;
+    m_countsAllUse = m_countsAllUse || hasAdoptedAll;
 }
 
 Duration EdgeDaemon::skipPollingFor(const StoreFollower& follower, TimePoint now) const
--- a/packages/Policy/include/lentilbay/Policy/SharedQuota.h
+++ b/packages/Policy/include/lentilbay/Policy/SharedQuota.h
@@ -154,7 +154,9 @@
     WindowParts windowParts(TimePoint now) const;
     /// Adopts the state of a peer that has counted without interruption: raises the level to the peer's
     /// fleetLevel() if it is higher, and replaces what the window holds by the peer's windowParts().
-    void adopt(double level, const WindowParts& parts, TimePoint now);
+    /// @return false if the state was restored from a checkpoint that contains more than the peer knows; then
+    ///     nothing changes
+    bool adopt(double level, const WindowParts& parts, TimePoint now);
     /// Restores what a fleet of which no daemon is left had admitted. What it may have admitted after the
     /// checkpoint is bounded by the level stated there and what the bucket was refilled with since, and
     /// counts as admitted as late as possible. Keeps what was counted since this daemon started.
@@ -247,6 +249,8 @@
     bool m_hasAdopted = false;
     /// Up to when the use that was restored from a checkpoint is counted. All restarted daemons know of it.
     std::optional<TimePoint> m_restoredUntil;
+    /// What restore() has counted without knowing of it.
+    double m_restoredUnseen = 0;
     /// Tokens that this daemon has admitted ahead of what its bucket held.
     double m_advanced = 0;
     TimePoint m_startedAt;
--- a/packages/Policy/lib/SharedQuota.cpp
+++ b/packages/Policy/lib/SharedQuota.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cassert>
 #include <limits>
+#include <numeric>
 #include <utility>
 
 namespace lentilbay {
@@ -43,9 +44,11 @@
 /// The part of this tolerance that resumed streams may have before the bucket holds it. It is given in the
 /// rest of the time for which the tolerance is meant, so that nothing is added to it.
 constexpr double advancedFraction = 0.5;
-/// The part of the tolerance that is kept after a restore. Without it, two recorded days exceeded the bound by
-/// 0.2 and 1.2 in 100.
+/// The part of the tolerance that is kept after a restore. Without it, two recorded days exceeded the bound
+/// by 0.2 and 1.2 in 100.
 constexpr double restoredReserve = 0.5;
+/// A peer that states less than this part of what a checkpoint contains was partitioned when it was admitted.
+constexpr double minAdoptedFraction = 0.75;
 /// A process that was killed is not started again, and has not read the configuration, sooner than this.
 constexpr Duration minDowntime = std::chrono::milliseconds(500);
 /// The bucket holds the promised burst and what is promised in this time, so that uneven traffic passes.
@@ -318,8 +321,11 @@
     return out;
 }
 
-void SharedQuota::adopt(double level, const WindowParts& parts, TimePoint now)
+bool SharedQuota::adopt(double level, const WindowParts& parts, TimePoint now)
 {
+    const double stated = std::accumulate(parts.begin(), parts.end(), 0.0);
+    if (m_restoredUntil && stated < (admittedInWindow(now) - m_restoredUnseen) * minAdoptedFraction)
+        return false;
     raiseLevelTo(level * m_usableFraction, now);
     m_fleetBucket.settle(std::max(0.0, level - m_fleetBucket.level(now)), now);
     m_knowsFleetLevel = m_hasAdopted = true;
@@ -328,6 +334,7 @@
     const auto n = std::ssize(parts);
     for (std::ptrdiff_t i = 0; i < n; ++i)
         m_fleetAdmissions.add(parts[i], now - m_limits.window * (n - 1 - i) / n);
+    return true;
 }
 
 void SharedQuota::restore(
@@ -350,6 +357,7 @@
     const double fromBucket = std::min(level, m_limits.burstTokens) + refilled;
     const double unseen = std::max(0.0, std::min(fromBucket, m_limits.windowTokens - inWindow) + late);
     m_fleetAdmissions.addAt(unseen, endedAt);
+    m_restoredUnseen = unseen;
     m_restoredUntil = endedAt + minDowntime;
     // The bucket of the predecessors may have been empty at their end, and was refilled before the restart.
     const double initial = std::clamp(
--- a/packages/Policy/unittests/QuotaCheckpointTest.cpp
+++ b/packages/Policy/unittests/QuotaCheckpointTest.cpp
@@ -230,6 +230,26 @@
     }
 }
 
+TEST(QuotaCheckpoint, PeerThatHadBeenPartitionedReplacedTheRestoredUse)
+{
+    // Guards against a restarted daemon that forgets the checkpoint because a daemon that was not restarted,
+    // but had heard of little use, states its own (djspu-edit-grown, hunt-d511-3: 4.7 million tokens in the
+    // window at 13.6 s, 48,000 at 14.1 s).
+    const auto limits = limitsFor(promise);
+    const TimePoint now(13s);
+    const SharedQuota::WindowParts known { 50, 50, 50, 50, 50, 50, 50, 50 };
+    for (const double known8 : { 20.0, 50.0 }) {
+        SharedQuota quota(limits, false, { .known = 8 }, now);
+        quota.restore(0, known, now - 600ms, now, now);
+        const double restored = quota.admittedInWindow(now);
+        SharedQuota::WindowParts stated;
+        stated.fill(known8);
+        const bool isComplete = known8 == 50;
+        EXPECT_EQ(quota.adopt(limits.burstTokens, stated, now), isComplete);
+        EXPECT_NEAR(quota.admittedInWindow(now), isComplete ? 400 : restored, 1);
+    }
+}
+
 TEST(QuotaCheckpoint, IsWrittenAsOftenAsTheUseRequires)
 {
     for (const auto& [demand, perSecond] : { std::pair(0.0, 0.0), { 0.3, 0.5 }, { 0.9, 2.0 } }) {
