Read the tokens of the parts of a prompt

Cause: callers state the tokens of each part, which were not read, and the last part was left out altogether, although a session's request may come again. What is attributed to parts in crashes is unchanged. The fuzz target checks the bounds.

--- a/fuzz/PlatformFuzz.cpp
+++ b/fuzz/PlatformFuzz.cpp
@@ -1,4 +1,5 @@
 // Fuzzes the platform's decoders: any text yields a value or a failure with the decoder's result code.
+#include "lentilbay/platform/CallerHeaders.h"
 #include "lentilbay/platform/Documents.h"
 #include "lentilbay/platform/ProcessSettings.h"
 #include "lentilbay/platform/StoreCalls.h"
@@ -20,6 +21,22 @@
     }
 }
 
+void checkPromptParts(const std::string& text)
+{
+    http::HttpRequest request;
+    request.headers.add("X-Prefix-Hash", text);
+    const auto metadata = platform::decodeCallerMetadata(request);
+    bool isBounded = metadata.promptParts.size() <= platform::maxPromptParts;
+    for (const auto& it : metadata.promptParts)
+        isBounded = isBounded && it.tokens <= platform::maxPartTokens;
+    if (metadata.lastPromptPart)
+        isBounded = isBounded && metadata.lastPromptPart->tokens <= platform::maxPartTokens;
+    if (!isBounded) {
+        std::cerr << "the parts of a prompt exceed their bounds\n";
+        std::abort();
+    }
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
@@ -33,5 +50,6 @@
         [&] { return platform::decodeEndpoint(EndpointId("i"), text); }, ResultCode::PlatformDocumentInvalid);
     check<platform::StoreRows>(
         [&] { return platform::decodeRows(text, 0); }, ResultCode::PlatformAnswerInvalid);
+    checkPromptParts(text);
     return 0;
 }
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -177,8 +177,8 @@
     // Headers differ between the repetitions of a request, the parts of its prompt do not.
     auto fingerprint = hashOf(request.body, hashOf(request.target, hashOf(m_metadata.host, organisation)));
     for (const auto it : m_metadata.promptParts) {
-        m_attributed.triggers.push_back(triggerOfPart(it));
-        fingerprint = hashOf({ reinterpret_cast<const char*>(&it), sizeof it }, fingerprint);
+        m_attributed.triggers.push_back(triggerOfPart(it.id));
+        fingerprint = hashOf({ reinterpret_cast<const char*>(&it.id), sizeof it.id }, fingerprint);
     }
     m_attributed.triggers.push_back(triggerOfRequest(fingerprint));
     m_failureKeys = m_attributed.triggers;
