Choose endpoints by what their prompt caches save

Change: EndpointRegistry::choose() subtracts the time for the tokens that the endpoint is expected to have cached from its predicted times. Pending prompt tokens, the learned time to the first event and its prediction count without them. No request waits for an endpoint because of its cache.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -74,8 +74,9 @@
 
     /// Validates the request; afterwards it is waiting or has its final answer.
     void admit(TimePoint now);
-    /// Sends the request to an endpoint for which EndpointState::recordSend() has been called.
-    void start(std::shared_ptr<EndpointState> endpoint, TimePoint now);
+    /// Sends the request to an endpoint for which EndpointState::recordSend() has been called, with
+    /// `cachedTokens` in its work.
+    void start(std::shared_ptr<EndpointState> endpoint, double cachedTokens, TimePoint now);
     /// Called when no endpoint is expected to have room in time.
     void rejectWaiting(Duration retryAfter, TimePoint now);
     /// Moves the request elsewhere if its current endpoint or peer has stalled.
@@ -143,6 +144,8 @@
     void awaitCurrentEndpoints(TimePoint now);
     /// The request as bytes, for the endpoint or peer of m_send.
     std::string encodedRequest(TimePoint now) const;
+    /// Counts what the prompt cache of the endpoint is expected to gain and save.
+    void recordPromptSend();
     void logSend(TimePoint now) const;
     /// Judges a connection that was closed before the answer was complete.
     ConnectionLoss readLoss(http::FailurePoint at) const;
@@ -233,7 +236,9 @@
     /// request may have arrived later than `m_arrivedAt`.
     TimePoint m_endsAt {};
     ServiceId m_service;
+    /// Its `cachedTokens` are those of the endpoint of `m_send`.
     Work m_work;
+    std::shared_ptr<const std::vector<PromptPrefix>> m_prompt;
     double m_quotaTokens = 0;
     AttributedRequest m_attributed;
     /// Number of sends that an endpoint broke off before its answer had begun.
--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -8,9 +8,11 @@
 #include "lentilbay/Model/RoutedEndpoint.h"
 #include "lentilbay/Model/Topology.h"
 #include "lentilbay/Policy/Estimate.h"
+#include "lentilbay/Policy/PromptCacheEstimate.h"
 #include "lentilbay/Support/Random.h"
 #include "lentilbay/Support/Time.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,6 +30,10 @@
     double promptTokens = 0;
     /// The expected number, not the maximum.
     double answerTokens = 0;
+    /// Of the prompt's tokens, those that the endpoint is expected to have in its cache.
+    double cachedTokens = 0;
+
+    double tokensToProcess() const { return std::max(0.0, promptTokens - cachedTokens); }
 };
 
 /// The outcome of a send, classified by what it shows about the state of the endpoint.
@@ -58,6 +64,7 @@
             .startedAtMilliseconds = m_entry.startedAtMilliseconds,
             .dataCentre = m_entry.dataCentre };
     }
+    CacheOwner cacheOwner() const { return { m_hash, m_entry.startedAtMilliseconds }; }
     void updateEntry(RoutedEndpoint entry);
     /// hashOf() the endpoint's software version.
     uint64_t versionHash() const { return m_versionHash; }
@@ -178,6 +185,8 @@
     bool avoidsFastEndpoints = false;
     /// hashOf() the only software version that may answer the request; set if it resumes a stream.
     std::optional<uint64_t> version = std::nullopt;
+    /// The prefixes of the prompt that endpoints may have cached; nullptr if none are known.
+    std::shared_ptr<const std::vector<PromptPrefix>> prompt = nullptr;
     /// Endpoints that the request was already sent to.
     std::vector<EndpointId> tried;
 };
@@ -259,7 +268,13 @@
 
     void setHeadroom(Headroom headroom) { m_headroom = headroom; }
     /// Returns the endpoint to send the work to now, or nullptr if none has room.
-    std::shared_ptr<EndpointState> choose(const ChoiceQuery& query, TimePoint now);
+    std::shared_ptr<EndpointState> choose(ChoiceQuery query, TimePoint now);
+    PromptCacheEstimate& promptCache() { return m_promptCache; }
+    /// Records a send for which EndpointState::recordSend() has been called, to an endpoint whose cache has
+    /// room for `memory` tokens.
+    void recordPromptSend(const EndpointState& endpoint, const Work& work, double memory);
+    /// The tokens of the prompt that the endpoint is expected to have in its cache.
+    double cachedTokens(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now) const;
     /// Records that an endpoint wants no requests from this daemon until then. Afterwards it gets one at a
     /// time until one succeeds.
     void pause(EndpointState& endpoint, const EndpointIncarnation& incarnation, TimePoint until);
@@ -329,6 +344,7 @@
     uint64_t m_revision = 0;
     std::map<std::string, PeerLoads> m_peers;
     EndpointSignalTable m_signals;
+    PromptCacheEstimate m_promptCache;
     std::set<ServiceId> m_brittleServices;
 };
 
--- a/packages/Edge/include/lentilbay/Edge/WaitingQueue.h
+++ b/packages/Edge/include/lentilbay/Edge/WaitingQueue.h
@@ -39,6 +39,8 @@
 struct StartedRequest {
     uint64_t number = 0;
     std::shared_ptr<EndpointState> endpoint;
+    /// As in the Work that was recorded as sent there.
+    double cachedTokens = 0;
 };
 
 struct RejectedRequest {
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -166,6 +166,9 @@
         .answerTokens = m_metadata.expectedAnswerTokens
             ? std::min(maxTokens, static_cast<double>(*m_metadata.expectedAnswerTokens))
             : maxTokens * expectedAnswerFraction };
+    if (m_work.isStream && (!m_metadata.promptParts.empty() || m_metadata.lastPromptPart))
+        m_prompt = std::make_shared<const std::vector<PromptPrefix>>(
+            prefixesOf(m_metadata.promptParts, m_metadata.lastPromptPart));
     return authenticate(now) && checkTriggers(now) && (m_forwarded || checkQuota(now));
 }
 
@@ -412,6 +415,7 @@
             .gapObjective = m_route->isStream ? m_route->gapObjective : Duration::zero(),
             .tokensPerEvent = service && service->engine ? service->engine->tokensPerEvent : 1.0,
             .version = m_version,
+            .prompt = m_prompt,
             .tried = m_triedEndpoints },
         .arrivedAt = m_arrivedAt,
         .expiresAt = m_expiresAt };
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -96,15 +96,18 @@
         refuse(ResultCode::QueueShed, std::max(retryAfter, defaultRetryAfter), now);
 }
 
-void EdgeRequest::start(std::shared_ptr<EndpointState> endpoint, TimePoint now)
+void EdgeRequest::start(std::shared_ptr<EndpointState> endpoint, double cachedTokens, TimePoint now)
 {
+    auto work = m_work;
+    work.cachedTokens = cachedTokens;
     const bool hasConnection = m_state.pools.hasIdle(endpoint->entry(), maxIdleAge(), now);
     const bool prefersPeer
         = m_state.prefersPeers(now) || m_state.sendPath(hasConnection) == SendPath::ThroughPeer;
     if (!m_forwarded && prefersPeer && startThroughPeer(now)) {
-        endpoint->recordEnd(m_work, SendOutcome::Neutral, false, now);
+        endpoint->recordEnd(work, SendOutcome::Neutral, false, now);
         return;
     }
+    m_work = work;
     m_send.emplace();
     m_send->endpoint = std::move(endpoint);
     connect(now);
@@ -115,6 +118,7 @@
     auto peer = m_state.relays.choose(m_triedEndpoints, m_state.random);
     if (!peer)
         return false;
+    m_work.cachedTokens = 0;
     peer->recordSend(m_work, now);
     m_send.emplace();
     m_send->endpoint = std::move(peer);
@@ -244,6 +248,7 @@
     m_send->incarnation = endpoint.incarnation();
     m_send->version = endpoint.versionHash();
     m_send->expectedTimeToFirstEvent = endpoint.expectedTimeToFirstEvent(m_work);
+    recordPromptSend();
     logSend(now);
     m_events.beginAnswer();
     const auto self = shared_from_this();
@@ -255,6 +260,17 @@
             .failed = [self](http::FailurePoint at) { self->handleResponseBroken(at); } });
 }
 
+void EdgeRequest::recordPromptSend()
+{
+    const auto* service = m_routes->findService(m_service);
+    if (m_send->isThroughPeer || !m_work.isStream || !service || !service->engine)
+        return;
+    m_state.endpointRegistry.recordPromptSend(
+        *m_send->endpoint, m_work, static_cast<double>(service->engine->kvTokens));
+    m_state.metrics.count("prompt_tokens_sent", static_cast<uint64_t>(m_work.promptTokens));
+    m_state.metrics.count("prompt_tokens_expected_cached", static_cast<uint64_t>(m_work.cachedTokens));
+}
+
 void EdgeRequest::logSend(TimePoint now) const
 {
     const auto& endpoint = *m_send->endpoint;
@@ -273,7 +289,7 @@
             { "slots", static_cast<int64_t>(endpoint.entry().slots) },
             { "endpoints_age_ms", millisecondsOf(now - m_state.endpointsConfirmedAt.value_or(now)) },
             { "expected_first_ms", millisecondsOf(m_send->expectedTimeToFirstEvent) },
-            { "send", static_cast<int64_t>(m_sends) } });
+            { "cached_tokens", m_work.cachedTokens }, { "send", static_cast<int64_t>(m_sends) } });
 }
 
 std::string EdgeRequest::encodedRequest(TimePoint now) const
@@ -494,8 +510,12 @@
 
 void EdgeRequest::recordAnswerBegun(TimePoint now)
 {
-    if (!std::exchange(m_send->hasBegunAnswer, true))
-        m_state.crashes.recordAnswer(m_attributed, now);
+    if (std::exchange(m_send->hasBegunAnswer, true))
+        return;
+    m_state.crashes.recordAnswer(m_attributed, now);
+    if (m_prompt && !m_send->isThroughPeer)
+        m_state.endpointRegistry.promptCache().recordAnswer(
+            *m_prompt, { m_send->incarnation.endpoint, m_send->incarnation.startedAtMilliseconds }, now);
 }
 
 ConnectionLoss EdgeRequest::readLoss(http::FailurePoint at) const
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -235,7 +235,7 @@
         for (auto& it : decisions.started) {
             if (auto request = requests.find(it.number); request != requests.end()) {
                 const auto keep = request->second;
-                keep->start(std::move(it.endpoint), now);
+                keep->start(std::move(it.endpoint), it.cachedTokens, now);
             } else {
                 it.endpoint->recordEnd({}, SendOutcome::Neutral, false, now);
             }
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -101,19 +101,19 @@
         m_lastProgress = now;
     m_lastSendAt = now;
     ++m_ownInFlight;
-    m_pendingPromptTokens += work.promptTokens;
+    m_pendingPromptTokens += work.tokensToProcess();
 }
 
 void EndpointState::recordFirstEvent(const Work& work, Duration elapsed, TimePoint now)
 {
-    m_pendingPromptTokens = std::max(0.0, m_pendingPromptTokens - work.promptTokens);
+    m_pendingPromptTokens = std::max(0.0, m_pendingPromptTokens - work.tokensToProcess());
     m_lastProgress = now;
     if (!work.isStream) {
         m_nonStreamSeconds.observe(toSeconds(elapsed));
         return;
     }
-    const double expected
-        = (startupAnswerTokens + work.promptTokens / promptTokensPerAnswerToken) * m_secondsPerToken.mean();
+    const double expected = (startupAnswerTokens + work.tokensToProcess() / promptTokensPerAnswerToken)
+        * m_secondsPerToken.mean();
     // Limits the effect of a single stall on the average.
     constexpr double largestRatio = 20;
     m_firstEventRatio.observe(std::min(largestRatio, toSeconds(elapsed) / expected));
@@ -132,7 +132,7 @@
     if (m_ownInFlight > 0)
         --m_ownInFlight;
     if (!hadFirstEvent)
-        m_pendingPromptTokens = std::max(0.0, m_pendingPromptTokens - work.promptTokens);
+        m_pendingPromptTokens = std::max(0.0, m_pendingPromptTokens - work.tokensToProcess());
     switch (outcome) {
     case SendOutcome::Succeeded:
         m_failureRate.observe(0);
@@ -214,7 +214,7 @@
     if (!work.isStream)
         return fromSeconds(m_nonStreamSeconds.mean());
     const double tokens
-        = startupAnswerTokens * promptTokensPerAnswerToken + work.promptTokens + pendingTokens;
+        = startupAnswerTokens * promptTokensPerAnswerToken + work.tokensToProcess() + pendingTokens;
     return fromSeconds(tokens * secondsPerPromptToken());
 }
 
@@ -223,7 +223,7 @@
 {
     if (!work.isStream)
         return {};
-    return fromSeconds((work.promptTokens + pendingTokens) * secondsPerPromptToken()
+    return fromSeconds((work.tokensToProcess() + pendingTokens) * secondsPerPromptToken()
         + tokensPerEvent * m_secondsPerToken.mean());
 }
 
@@ -279,6 +279,7 @@
     if (it == m_endpoints.end())
         return false;
     m_signals.keepLastSend(it->second->hash(), it->second->m_lastSendAt);
+    m_promptCache.removeEndpoint(it->second->hash());
     m_endpoints.erase(it);
     rebuildIndexes();
     return true;
@@ -465,10 +466,15 @@
 double EndpointRegistry::costOf(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now)
 {
     const auto first = endpoint.expectedTimeToFirstEvent(query.work);
-    double cost = toSeconds(endpoint.expectedTotalTime(query.work));
-    cost *= 1 + costJitter * m_random.fraction();
+    const double total = toSeconds(endpoint.expectedTotalTime(query.work));
+    // Subtracted last, so that it is neither randomised nor inverted.
+    const double saved = query.work.isStream
+        ? (query.work.promptTokens - query.work.tokensToProcess()) * endpoint.secondsPerPromptToken()
+        : 0;
+    double cost = (total + saved) * (1 + costJitter * m_random.fraction());
     if (query.avoidsFastEndpoints)
         cost = invertedCostBaseSeconds - cost;
+    cost -= saved;
     const auto locality = localityOf(endpoint);
     if (locality != Locality::OwnDataCentre)
         cost += locality == Locality::OwnRegion ? remoteDataCentrePenaltySeconds : remoteRegionPenaltySeconds;
@@ -495,7 +501,7 @@
         <= query.gapObjective;
 }
 
-std::shared_ptr<EndpointState> EndpointRegistry::choose(const ChoiceQuery& query, TimePoint now)
+std::shared_ptr<EndpointState> EndpointRegistry::choose(ChoiceQuery query, TimePoint now)
 {
     // How well an endpoint can serve the request, best first.
     enum Grade : uint8_t { InTime, Finishes, Any };
@@ -507,6 +513,7 @@
     // The best grade that any endpoint would reach if it were idle.
     Grade possible = Any;
     const auto excuses = excusesFor(query.service, query.version, now);
+    const auto cached = query.prompt ? m_promptCache.find(*query.prompt, now) : std::vector<CachedPrefix> {};
     for (const auto& it : endpointsOf(query.service)) {
         if (query.version && it->versionHash() != *query.version)
             continue;
@@ -514,6 +521,8 @@
         if (isLeaving(*it) || isExcluded || (!excuses.stalls && it->isStalled(now))
             || !isAllowedBySignals(*it, now))
             continue;
+        // No request waits for an endpoint that meets its objectives only by its cache.
+        query.work.cachedTokens = 0;
         const auto gradeWith = [&, isFast = finishesInTime(*it, query, now)](double pendingTokens) {
             return !isFast ? Any : meetsLatencyObjectives(*it, query, pendingTokens, now) ? InTime : Finishes;
         };
@@ -522,6 +531,7 @@
             continue;
         if (std::ranges::find(query.tried, it->entry().id) != query.tried.end())
             continue;
+        query.work.cachedTokens = cachedTokensAt(cached, it->cacheOwner());
         auto& slot = best[gradeWith(it->pendingPromptTokens())];
         const double cost = costOf(*it, query, now);
         if (!slot.endpoint || cost < slot.cost)
@@ -534,6 +544,25 @@
     return possible == Any ? best[Any].endpoint : best[Finishes].endpoint;
 }
 
+double EndpointRegistry::cachedTokens(
+    const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now) const
+{
+    if (!query.prompt)
+        return 0;
+    const auto cached = cachedTokensAt(m_promptCache.find(*query.prompt, now), endpoint.cacheOwner());
+    return std::min(query.work.promptTokens, cached);
+}
+
+void EndpointRegistry::recordPromptSend(const EndpointState& endpoint, const Work& work, double memory)
+{
+    // The other daemons are assumed to send in proportion to their requests in flight. Counting only this
+    // daemon's tokens, 76 in 100 expected tokens were found by 8 daemons with 400,000 tokens of memory, and
+    // 54 with 60,000; so, 93 and 86 (PromptCacheFleetTest).
+    const double senders = endpoint.load() / std::max(1U, endpoint.ownInFlight());
+    m_promptCache.recordSend(
+        endpoint.cacheOwner(), std::max(1.0, senders) * (work.tokensToProcess() + work.answerTokens), memory);
+}
+
 bool EndpointRegistry::acceptsRequests(const EndpointState& endpoint, TimePoint now) const
 {
     return find(endpoint.entry().id).get() == &endpoint && !isLeaving(endpoint)
--- a/packages/Edge/lib/WaitingQueue.cpp
+++ b/packages/Edge/lib/WaitingQueue.cpp
@@ -78,8 +78,11 @@
             continue;
         }
         if (auto endpoint = m_endpointRegistry.choose(it->query, now)) {
-            endpoint->recordSend(it->query.work, now);
-            out.started.push_back({ .number = it->number, .endpoint = std::move(endpoint) });
+            auto& work = it->query.work;
+            work.cachedTokens = m_endpointRegistry.cachedTokens(*endpoint, it->query, now);
+            endpoint->recordSend(work, now);
+            out.started.push_back(
+                { .number = it->number, .endpoint = std::move(endpoint), .cachedTokens = work.cachedTokens });
             it = m_requests.erase(it);
             continue;
         }
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -67,8 +67,8 @@
         routeOf("/once/", ExecutionSemantics::AtMostOnce, 1, false),
         routeOf("/stream/", ExecutionSemantics::Idempotent, 2, true),
         routeOf("/streamonce/", ExecutionSemantics::AtMostOnce, 1, true) };
-    parts.services
-        = { { .name = ServiceId("s"), .engine = EngineTraits { .slots = 4, .tokensPerEvent = 6 } } };
+    parts.services = { { .name = ServiceId("s"),
+        .engine = EngineTraits { .slots = 4, .kvTokens = 100'000, .tokensPerEvent = 6 } } };
     parts.organisations
         = { { .name = OrganisationId("o"),
                 .quota = TokenQuota { .tokensPerSecond = 1000, .burstTokens = 2000, .defaultTokens = 200 } },
@@ -332,6 +332,31 @@
     EXPECT_EQ(call("/safe/x").status, 200) << "a small request still fits";
 }
 
+TEST_F(EdgeRequestTest, SharedPartsOfAPromptCountAsCachedWhereAResponseHasBegun)
+{
+    int answers = 0;
+    first.setResponder([&](const std::string&) {
+        return ScriptedResponse { .bytes
+            = ++answers == 1 ? httpResponse(503, "", signatureFields) : streamAnswer({ eventOf(1) }) };
+    });
+    const auto expectedTokens = [&](const std::string& last) {
+        call("/streamonce/x",
+            "Authorization: Token other-key\r\nX-Token-Usage: 1000,10\r\nX-Prefix-Hash: aa:500,bb:300," + last
+                + "\r\n");
+        const auto text = state.metrics.text({});
+        const std::string name = "\nlentilbay_prompt_tokens_expected_cached ";
+        const auto at = text.find(name);
+        return at == std::string::npos ? -1 : std::stoi(text.substr(at + name.size()));
+    };
+    EXPECT_EQ(expectedTokens("1:200"), 0);
+    EXPECT_EQ(expectedTokens("1:200"), 0) << "the first response was an error";
+    EXPECT_EQ(expectedTokens("2:200"), 800);
+    EXPECT_EQ(expectedTokens("2:200"), 1800) << "the same prompt again";
+    const auto endpoint = state.endpointRegistry.find(EndpointId("e1"));
+    EXPECT_EQ(endpoint->pendingPromptTokens(), 0) << "what is subtracted equals what was added";
+    EXPECT_EQ(endpoint->ownInFlight(), 0U);
+}
+
 TEST_F(EdgeRequestTest, StreamGoesOnOnlyAtTheSoftwareVersionThatBeganIt)
 {
     RawServer third(context);
