Test that no request waits for a cache with an endpoint that has room

Cause: the test passed when a cached prefix counted in whether an endpoint could meet the objectives, because the only holder had no free slot. Change: a second holder has room and is late because of its pending prompts. Result: fails without the reset of cachedTokens in choose(), and with the cached tokens counted there; passes as is.

--- a/packages/Edge/unittests/PromptCacheChoiceTest.cpp
+++ b/packages/Edge/unittests/PromptCacheChoiceTest.cpp
@@ -226,6 +226,10 @@
     list("e2");
     cache("e1", promptOf(1, 1));
     at("e1").recordSend({ .isStream = true }, start);
+    // Has room, holds the prefix, and would be too late because of what it processes before.
+    list("e0");
+    cache("e0", promptOf(1, 1));
+    at("e0").recordSend({ .isStream = true, .promptTokens = 20'000 }, start);
     auto query = queryOf(promptOf(1, 2));
     const auto cachedWork = Work { .isStream = true, .promptTokens = 6610, .cachedTokens = 5382 };
     query.objectiveAt = start + at("e1").expectedTimeToFirstEvent(cachedWork) + 1ms;
