--- a/fuzz/PlatformFuzz.cpp
+++ b/fuzz/PlatformFuzz.cpp
@@ -1,4 +1,5 @@
 // Fuzzes the platform's decoders: any text yields a value or a failure with the decoder's result code.
+#include "lentilbay/platform/CallerHeaders.h"
 #include "lentilbay/platform/ConfigurationCheck.h"
 #include "lentilbay/platform/Documents.h"
 #include "lentilbay/platform/ProcessSettings.h"
@@ -36,6 +37,22 @@
     }
 }
 
+void checkPromptParts(const std::string& text)
+{
+    http::HttpRequest request;
+    request.headers.add("X-Prefix-Hash", text);
+    const auto metadata = platform::decodeCallerMetadata(request);
+    bool isBounded = metadata.promptParts.size() <= platform::maxPromptParts;
+    for (const auto& it : metadata.promptParts)
+        isBounded = isBounded && it.tokens <= platform::maxPartTokens;
+    if (metadata.lastPromptPart)
+        isBounded = isBounded && metadata.lastPromptPart->tokens <= platform::maxPartTokens;
+    if (!isBounded) {
+        std::cerr << "the parts of a prompt exceed their bounds\n";
+        std::abort();
+    }
+}
+
 } // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
@@ -54,5 +71,6 @@
     check<platform::StoreRows>(
         [&] { return platform::decodeRows(text, 0); }, ResultCode::PlatformAnswerInvalid);
     checkFindings(text);
+    checkPromptParts(text);
     return 0;
 }
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -171,6 +171,9 @@
         .answerTokens = m_metadata.expectedAnswerTokens
             ? std::min(maxTokens, static_cast<double>(*m_metadata.expectedAnswerTokens))
             : maxTokens * expectedAnswerFraction };
+    if (m_work.isStream && (!m_metadata.promptParts.empty() || m_metadata.lastPromptPart))
+        m_prompt = std::make_shared<const std::vector<PromptPrefix>>(
+            prefixesOf(m_metadata.promptParts, m_metadata.lastPromptPart));
     return authenticate(now) && checkTriggers(now) && (!countsQuota() || checkQuota(now));
 }
 
@@ -182,8 +185,8 @@
     // Headers differ between the repetitions of a request, the parts of its prompt do not.
     auto fingerprint = hashOf(request.body, hashOf(request.target, hashOf(m_metadata.host, organisation)));
     for (const auto it : m_metadata.promptParts) {
-        m_attributed.triggers.push_back(triggerOfPart(it));
-        fingerprint = hashOf({ reinterpret_cast<const char*>(&it), sizeof it }, fingerprint);
+        m_attributed.triggers.push_back(triggerOfPart(it.id));
+        fingerprint = hashOf({ reinterpret_cast<const char*>(&it.id), sizeof it.id }, fingerprint);
     }
     m_attributed.triggers.push_back(triggerOfRequest(fingerprint));
     m_failureKeys = m_attributed.triggers;
@@ -460,6 +463,7 @@
             .gapObjective = m_route->isStream ? m_route->gapObjective : Duration::zero(),
             .tokensPerEvent = tokensOf(1),
             .versions = versionRule(),
+            .prompt = m_prompt,
             .tried = m_attempts.tried() },
         .arrivedAt = m_arrivedAt,
         .expiresAt = m_expiresAt };
