Keep requests of a canary from endpoints that no daemon can reach

While the rule on versions names few endpoints and others that apply otherwise, reports that exclude all of the few were ignored as if nothing else could serve the request, so that each daemon sent there again. They are ignored now only if the rule has no alternative. The new test fails without the change.

--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -207,7 +207,8 @@
     const bool hasSucceeded = succeededAt != TimePoint {};
     return { .failures = hasSucceeded && now - succeededAt < excuseOfFailures,
         .stalls = hasSucceeded && now - succeededAt < excuseOfStalls,
-        .reports = true };
+        // The endpoints that the rule names otherwise may be reachable.
+        .reports = !versions.otherwise };
 }
 
 bool EndpointRegistry::isAllowedBySignals(const EndpointState& endpoint, TimePoint now) const
--- a/packages/Edge/unittests/EndpointRegistryTest.cpp
+++ b/packages/Edge/unittests/EndpointRegistryTest.cpp
@@ -477,5 +477,38 @@
     EXPECT_EQ(endpointRegistry.occupancy(service, now).slots, 4);
 }
 
+// Guards against requests of a canary that go to an engine which no daemon can reach, because the reports
+// exclude all engines of the canary although others can serve the request.
+TEST_F(EndpointRegistryTest, ReportsExcludeTheEndpointsOfARuleThatHasAnAlternative)
+{
+    const auto now = TimePoint(10s);
+    auto endpoint = endpointOf("new", "a", 4);
+    endpoint.softwareVersion = "v2";
+    endpointRegistry.list(endpoint);
+    const auto hash = hashOf("new");
+    auto& reports = endpointRegistry.failureReports();
+    const std::vector<EndpointFailureReports::Daemon> daemons { { "d0", "a" }, { "d1", "a" }, { "d2", "a" } };
+    reports.setDaemons(daemons[0], daemons);
+    reports.recordFailure(hash, endpoint.startedAtMilliseconds, now);
+    for (const auto& it : { daemons[1], daemons[2] }) {
+        EndpointFailureReports other;
+        other.setDaemons(it, daemons);
+        other.recordFailure(hash, endpoint.startedAtMilliseconds, now);
+        reports.apply(it, ReportScope::Daemon, other.reports(ReportScope::Daemon, now), now);
+    }
+    ASSERT_EQ(endpointRegistry.useOf(*endpointRegistry.find(EndpointId("new")), now), EndpointUse::Excluded);
+    const VersionRule onlyTarget { .required = hashOf("v2") };
+    auto target = onlyTarget;
+    target.otherwise = std::make_shared<const VersionRule>(VersionRule { .excluded = { hashOf("v2") } });
+    const auto chosenBy = [&](const VersionRule& versions) {
+        const auto it = endpointRegistry.choose(
+            { .service = service, .work = shortStream, .objectiveAt = now + 800ms, .versions = versions },
+            now);
+        return it ? it->entry().id.text() : "none";
+    };
+    EXPECT_EQ(chosenBy(target), "near");
+    EXPECT_EQ(chosenBy(onlyTarget), "new") << "nothing else may serve the request";
+}
+
 } // namespace
 } // namespace lentilbay::edge
