Let another daemon coordinate a rollout if the store does not answer the first

Change: its answers to reports state that, and one of the next two daemons by rendezvous hashing coordinates for 15 s.

--- a/packages/Edge/include/lentilbay/Edge/RolloutController.h
+++ b/packages/Edge/include/lentilbay/Edge/RolloutController.h
@@ -69,6 +69,11 @@
     void setCaller(Caller caller) { m_call = std::move(caller); }
     /// Sets what is called when another daemon knows an order that this one does not.
     void setOrderReader(std::function<void()> reader) { m_readOrders = std::move(reader); }
+    /// Sets what says whether the store does not answer this daemon.
+    void setStoreStatus(std::function<bool()> isUnreachable)
+    {
+        m_isStoreUnreachable = std::move(isUnreachable);
+    }
     /// Sets whether the configuration has a service.
     void setServiceCheck(std::function<bool(const ServiceId&)> isKnown)
     {
@@ -166,7 +171,13 @@
     /// hashOf() the endpoints of the target version that are not leaving.
     std::vector<uint64_t> targetEndpoints(const Entry& entry) const;
     uint32_t formerInFlight(const Entry& entry) const;
-    std::string coordinatorOf(const ServiceId& service) const;
+    /// The daemon that coordinates the service's order: the first by rendezvous hashing, or one of the next
+    /// if the store does not answer it.
+    std::string coordinatorOf(const ServiceId& service, TimePoint now) const;
+    /// Whether this daemon is the first one for the service.
+    bool isFirst(const ServiceId& service) const;
+    /// Whether the store does not answer this daemon.
+    bool isStoreAway(TimePoint now) const;
     /// Whether the order can be begun; logs once if not.
     bool isValid(Entry& entry, TimePoint now);
     void logInvalid(const std::string& key, const std::string& detail);
@@ -194,6 +205,11 @@
     std::function<bool(const ServiceId&)> m_isKnownService;
     std::map<ServiceId, Entry> m_entries;
     std::vector<std::string> m_others;
+    std::function<bool()> m_isStoreUnreachable;
+    /// When the last call failed, if it did.
+    std::optional<TimePoint> m_callFailedAt;
+    /// When other daemons last stated that the store does not answer them.
+    std::map<std::string, TimePoint> m_storeAwayAt;
     struct ListedVersions {
         std::vector<uint64_t> all;
         std::vector<uint64_t> unconfirmed;
--- a/packages/Edge/include/lentilbay/Edge/RolloutMessages.h
+++ b/packages/Edge/include/lentilbay/Edge/RolloutMessages.h
@@ -39,6 +39,12 @@
     /// Those of the report.
     uint64_t incarnation = 0;
     int64_t sentMicroseconds = 0;
+    /// The sender of the answer.
+    std::string daemon;
+    /// The store does not answer the sender, so another daemon should coordinate the order.
+    bool isStoreAway = false;
+    /// Whether there is a permit.
+    bool hasPermit = true;
     RolloutPermit permit;
     /// hashOf() the versions that served the service before the order, as far as the coordinator knows them.
     std::vector<uint64_t> formerVersions;
--- a/packages/Edge/lib/EdgeRollouts.cpp
+++ b/packages/Edge/lib/EdgeRollouts.cpp
@@ -12,6 +12,7 @@
         if (it != m_state.peers.peers().end() && sendDatagram(it->second, datagram))
             m_state.metrics.count("rollout_bytes_sent", datagram.size());
     });
+    m_state.rollouts.setStoreStatus([this] { return m_configurationFollower->isStoreUnreachable(); });
     m_state.rollouts.setOrderReader([this] { m_configurationFollower->readNow(bootNow()); });
 }
 
--- a/packages/Edge/lib/RolloutController.cpp
+++ b/packages/Edge/lib/RolloutController.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
+#include <functional>
 
 namespace lentilbay::edge {
 namespace {
@@ -37,8 +38,15 @@
 constexpr Duration maxConfirmation = std::chrono::seconds(3);
 /// A failure with less evidence against the endpoint is attributed to the request.
 constexpr double minEvidence = 0.5;
+/// A call that was not answered shows for this time that the store does not answer.
+constexpr Duration storeAwayTime = std::chrono::seconds(3);
+/// The same for another daemon: longer, since whoever takes an order over has to hear all daemons first.
+constexpr Duration otherStoreAwayTime = std::chrono::seconds(15);
+/// The daemons that may coordinate an order in turn, if the store does not answer the first ones.
+constexpr size_t maxCandidates = 3;
 constexpr size_t maxPastOrders = 4;
 constexpr size_t maxRetiredVersions = 32;
+constexpr int httpOk = 200;
 /// The part of the time to the first event that does not depend on the prompt, and the prompt tokens that are
 /// processed in the time of one answer token; as in EndpointRegistry.
 constexpr double startupAnswerTokens = 10;
@@ -221,16 +229,47 @@
 {
     m_others = std::move(others);
     m_takesPart = takesPart;
+    std::erase_if(m_storeAwayAt,
+        [&](const auto& it) { return std::ranges::find(m_others, it.first) == m_others.end(); });
     m_reportPeriod = fleetSize > largeFleetSize ? reportPeriodInLargeFleet : reportPeriod;
 }
 
-std::string RolloutController::coordinatorOf(const ServiceId& service) const
+bool RolloutController::isStoreAway(TimePoint now) const
 {
-    std::vector<std::string_view> members(m_others.begin(), m_others.end());
+    return (m_callFailedAt && now - *m_callFailedAt < storeAwayTime)
+        || (m_isStoreUnreachable && m_isStoreUnreachable());
+}
+
+bool RolloutController::isFirst(const ServiceId& service) const
+{
+    const auto key = platform::rolloutKey(service);
+    const auto own = rendezvousWeight(key, m_options.daemon);
+    return m_takesPart
+        && std::ranges::all_of(m_others, [&](const auto& it) { return rendezvousWeight(key, it) < own; });
+}
+
+std::string RolloutController::coordinatorOf(const ServiceId& service, TimePoint now) const
+{
+    const auto key = platform::rolloutKey(service);
+    std::vector<std::pair<uint64_t, std::string_view>> order;
+    for (const auto& it : m_others)
+        order.emplace_back(rendezvousWeight(key, it), it);
     if (m_takesPart)
-        members.emplace_back(m_options.daemon);
-    const auto owner = rendezvousOwner(platform::rolloutKey(service), members);
-    return owner == members.size() ? std::string() : std::string(members[owner]);
+        order.emplace_back(rendezvousWeight(key, m_options.daemon), m_options.daemon);
+    std::ranges::sort(order, std::greater());
+    if (order.empty())
+        return {};
+    // If the store answers nobody, the first of them goes on.
+    for (size_t i = 0; i < std::min(order.size(), maxCandidates); ++i) {
+        std::string name(order[i].second);
+        const auto away = m_storeAwayAt.find(name);
+        const bool isAway = name == m_options.daemon
+            ? isStoreAway(now)
+            : away != m_storeAwayAt.end() && now - away->second < otherStoreAwayTime;
+        if (!isAway)
+            return name;
+    }
+    return std::string(order.front().second);
 }
 
 bool RolloutController::isActive() const
@@ -252,8 +291,9 @@
     std::map<ServiceId, RolloutPhase> phases;
     for (auto& [service, entry] : m_entries) {
         updateVersions(entry, now);
-        const auto coordinator = coordinatorOf(service);
-        if (coordinator != m_options.daemon) {
+        const auto coordinator = coordinatorOf(service, now);
+        // The first daemon goes on beside the one that stands in for it, which may reach the store no better.
+        if (coordinator != m_options.daemon && !isFirst(service)) {
             entry.coordinator.reset();
             entry.isSettled = false;
         } else if (!entry.isSettled) {
@@ -385,6 +425,8 @@
     m_isCalling = true;
     m_call(std::move(request), [this, done = std::move(done)](const StoreReply& reply) {
         m_isCalling = false;
+        const bool isAnswered = reply.status == httpOk || reply.status == platform::statusVersionMismatch;
+        m_callFailedAt = isAnswered ? std::nullopt : std::optional(m_options.clock());
         done(reply);
     });
 }
@@ -398,7 +440,7 @@
     // Those that were sent before the order was seen count as well.
     report.formerInFlight = formerInFlight(entry);
     ++m_reports;
-    if (entry.coordinator) {
+    if (entry.coordinator && coordinator == m_options.daemon) {
         entry.coordinator->apply(report, now);
         if (const auto permit = entry.coordinator->permit(now))
             applyPermit(entry, *permit, entry.coordinator->formerVersions(), now, now);
@@ -447,28 +489,32 @@
     }
     RolloutPermitMessage out { .service = message.service,
         .incarnation = message.report.incarnation,
-        .sentMicroseconds = message.sentMicroseconds };
+        .sentMicroseconds = message.sentMicroseconds,
+        .daemon = m_options.daemon,
+        .isStoreAway = isStoreAway(now) };
+    std::optional<RolloutPermit> permit;
     if (entry->coordinator) {
         entry->coordinator->apply(message.report, now);
-        const auto permit = entry->coordinator->permit(now);
-        if (!permit)
-            return {};
-        out.permit = *permit;
+        permit = entry->coordinator->permit(now);
         out.formerVersions = entry->coordinator->formerVersions();
     } else if (entry->hasEnded(now)) {
-        out.permit = { .phase = entry->gate.phase(now) };
+        permit = RolloutPermit { .phase = entry->gate.phase(now) };
         out.formerVersions = entry->formers;
-    } else {
-        return {};
     }
+    out.hasPermit = permit.has_value();
+    if (!out.hasPermit && !out.isStoreAway)
+        return {};
+    out.permit = permit.value_or(RolloutPermit());
     out.permit.order = senderOrder;
     return encodeRolloutMessage(out);
 }
 
 void RolloutController::receivePermit(const RolloutPermitMessage& message, TimePoint now)
 {
+    if (message.isStoreAway)
+        m_storeAwayAt[message.daemon] = now;
     auto* entry = findByHash(message.service);
-    if (entry && message.incarnation == m_options.incarnation)
+    if (entry && message.hasPermit && message.incarnation == m_options.incarnation)
         applyPermit(*entry, message.permit, message.formerVersions,
             TimePoint(Duration(message.sentMicroseconds)), now);
 }
--- a/packages/Edge/lib/RolloutMessages.cpp
+++ b/packages/Edge/lib/RolloutMessages.cpp
@@ -96,7 +96,10 @@
 
 template <class Archive> void serialize(Archive& archive, RolloutPermitMessage& it)
 {
-    archive(it.service, it.incarnation, it.sentMicroseconds, it.permit);
+    archive(it.service, it.incarnation, it.sentMicroseconds);
+    compact::text(archive, it.daemon);
+    compact::flags(archive, it.isStoreAway, it.hasPermit);
+    archive(it.permit);
     compact::list(archive, it.formerVersions, std::ref(archive));
 }
 
--- a/packages/Edge/unittests/RolloutControllerTest.cpp
+++ b/packages/Edge/unittests/RolloutControllerTest.cpp
@@ -156,9 +156,14 @@
         auto& it = daemons[name] = std::make_unique<Daemon>(name, ++incarnations, now);
         for (const auto& [id, version] : endpoints)
             it->list(id, version);
-        it->controller.setCaller([this](std::string request, std::function<void(const StoreReply&)> done) {
-            calls.emplace_back(std::move(request), std::move(done));
-        });
+        it->controller.setCaller(
+            [this, name](std::string request, std::function<void(const StoreReply&)> done) {
+                if (turnedAway.contains(name))
+                    lost.push_back({ now + 200ms, std::move(done) });
+                else
+                    calls.emplace_back(std::move(request), std::move(done));
+            });
+        it->controller.setStoreStatus([this, name] { return turnedAway.contains(name); });
         it->controller.setSender([this, name](const std::string& to, const std::string& datagram) {
             const auto target = daemons.find(to);
             if (target == daemons.end() || isCut(name, to))
@@ -206,6 +211,12 @@
                 it->controller.setDaemons(others, true, daemons.size());
                 it->controller.poll(now);
             }
+            for (auto waiting = std::exchange(lost, {}); auto& call : waiting) {
+                if (call.until <= now)
+                    call.done({});
+                else
+                    lost.push_back(std::move(call));
+            }
             while (!calls.empty()) {
                 const auto [request, done] = std::move(calls.front());
                 calls.pop_front();
@@ -247,6 +258,13 @@
         { "b2", "v2" }, { "b3", "v2" } };
     std::map<std::string, std::unique_ptr<Daemon>> daemons;
     std::deque<std::pair<std::string, std::function<void(const StoreReply&)>>> calls;
+    /// Daemons that the store does not answer, and their calls.
+    std::set<std::string> turnedAway;
+    struct LostCall {
+        TimePoint until;
+        std::function<void(const StoreReply&)> done;
+    };
+    std::vector<LostCall> lost;
     std::optional<std::string> orderValue;
     uint64_t orderVersion = 0;
     uint64_t incarnations = 0;
@@ -355,6 +373,25 @@
     EXPECT_EQ(store.status(), "running");
 }
 
+// Guards against an order that stands still because the store answers all daemons but its coordinator.
+TEST_F(RolloutControllerTest, DaemonThatReachesTheStoreTakesOver)
+{
+    const std::vector<std::string_view> names { "d0", "d1", "d2" };
+    order(toV2);
+    const auto orderedAt = now;
+    run(2s);
+    turnedAway.emplace(names[rendezvousOwner(key, names)]);
+    run(16s);
+    while (store.status() == "running" && now < orderedAt + 25s)
+        run(100ms);
+    EXPECT_EQ(store.status(), "complete");
+    EXPECT_LT(now, orderedAt + 20s);
+    run(1s);
+    const auto formerly = sent["v1"];
+    run(2s);
+    EXPECT_EQ(sent["v1"], formerly);
+}
+
 // Guards against a coordinator that takes a lost answer for a failed write, or its own write for another's.
 TEST_F(RolloutControllerTest, TransactionsWhoseAnswersAreLostAreNotUndone)
 {
--- a/packages/Edge/unittests/RolloutMessagesTest.cpp
+++ b/packages/Edge/unittests/RolloutMessagesTest.cpp
@@ -36,6 +36,9 @@
     return { .service = 11,
         .incarnation = 13,
         .sentMicroseconds = 1'000'000,
+        .daemon = "edge-2",
+        .isStoreAway = true,
+        .hasPermit = true,
         .permit = { .order = { .era = 2, .number = 400 },
             .phase = RolloutPhase::Canary,
             .share = 0.04,
@@ -99,7 +102,8 @@
 TEST(RolloutMessages, LayoutsAreThoseOfTheirRevision)
 {
     EXPECT_EQ(hexOf(encodeRolloutMessage(samplePermit())),
-        "010252424c0b000000000000000d0000000000000040420f000000000002900300bfc8ea8bfec8ab8a7b0602290000000000"
+        "010252424c0b000000000000000d0000000000000040420f000000000006656467652d320302900300bfc8ea8bfec8ab8a7b"
+        "0602290000000000"
         "0000"
         "2a00000000000000");
     EXPECT_EQ(hexOf(encodeRolloutMessage(sampleReport())),
--- a/tools/soak/rollouts.py
+++ b/tools/soak/rollouts.py
@@ -95,7 +95,9 @@
         if final == "complete":
             # The engines stop at once; what still reaches them is observed for a moment.
             await asyncio.sleep(1.0)
-            late = [at - ended_at for it in former for at, request in it.arrivals if at > ended_at + PERMIT_SECONDS]
+            daemons = {request: daemon for request, _, _, daemon, *_ in soak.requests}
+            late = [at - ended_at for it in former for at, request in it.arrivals if at > ended_at + PERMIT_SECONDS
+                    and request in daemons and soak.is_in_contact(daemons[request], ended_at, at)]
             if late:
                 soak.add_finding("ROLLOUT", f"{len(late)} requests reached the engines that {version} replaces up to "
                                  f"{max(late):.2f} s after it was complete")
