Learn the usual times of rollouts by the prompt tokens that were processed

Engines of the former version have parts of prompts in their caches, those of a new one have none. Where their usual time was divided by the whole prompt, a good version seemed slow: 2.8 times as late for a prompt of 6,610 tokens that the former engines had cached, while 2.5 counts as slow. Usual times are now learned by the tokens that remained to process; responses are judged by the whole prompt as before. The new test fails without the change.

--- a/packages/Edge/lib/RolloutController.cpp
+++ b/packages/Edge/lib/RolloutController.cpp
@@ -69,11 +69,19 @@
     return names.at(static_cast<size_t>(phase));
 }
 
+/// The work of a response whose endpoint has nothing of the prompt in its cache. Responses are judged by it.
 double workToFirstEvent(const Work& work)
 {
     return work.isStream ? startupAnswerTokens + work.promptTokens / promptTokensPerAnswerToken : 1;
 }
 
+/// The work without the part of the prompt that is expected in the cache. The usual times are learned from
+/// it: a new version begins with empty caches, and must not seem slow because of that.
+double workDoneToFirstEvent(const Work& work)
+{
+    return work.isStream ? startupAnswerTokens + work.tokensToProcess() / promptTokensPerAnswerToken : 1;
+}
+
 /// The times of whole streams are kept beside those of the first events.
 uint64_t wholeStreamsOf(uint64_t route) { return route ^ 1U; }
 
@@ -716,9 +724,10 @@
         && m_times.isSlow(wholeStreamsOf(send.route), elapsed, wholeWork);
     if (isWhole && !isTarget && !wasStalledSince(send.sentAt, now)) {
         if (send.timeToFirstEvent)
-            m_times.observe(send.route, *send.timeToFirstEvent, workToFirstEvent(send.work));
+            m_times.observe(send.route, *send.timeToFirstEvent, workDoneToFirstEvent(send.work));
         if (isStream)
-            m_times.observe(wholeStreamsOf(send.route), elapsed, wholeWork);
+            m_times.observe(
+                wholeStreamsOf(send.route), elapsed, workDoneToFirstEvent(send.work) + end.answerTokens);
     }
     if (!isRunning)
         return;
--- a/packages/Edge/unittests/RolloutControllerTest.cpp
+++ b/packages/Edge/unittests/RolloutControllerTest.cpp
@@ -608,5 +608,36 @@
     EXPECT_EQ(counted(50ms, { .outcome = SendOutcome::Neutral }, false), Counts(0, 0));
 }
 
+// Guards against a good version that seems slow because its engines process prompts which the former ones
+// have in their caches.
+TEST_F(RolloutControllerTest, EmptyPromptCachesDoNotMakeAVersionSlow)
+{
+    auto& daemon = *daemons["d0"];
+    auto& controller = daemon.controller;
+    const Work whole { .isStream = true, .promptTokens = 6610 };
+    const Work cached { .isStream = true, .promptTokens = 6610, .cachedTokens = 6610 };
+    const auto respond = [&](const char* endpoint, const Work& sent, Duration time) {
+        auto send = controller.recordSend(*daemon.registry.find(EndpointId(endpoint)), "r", sent, now);
+        RolloutTicket ticket;
+        run(time, 0);
+        controller.recordFirstEvent(send, now);
+        controller.recordEnd(send, ticket, { .outcome = SendOutcome::Succeeded, .answerTokens = 1 }, now);
+    };
+    for (int i = 0; i < 20; ++i)
+        respond("a1", cached, 100ms);
+    order(toV2);
+    run(2s, 0);
+    const auto slowResponses = [&] {
+        const auto all = controller.gauges(now);
+        return std::ranges::find(all, "rollout_slow_responses", &std::pair<std::string, double>::first)
+            ->second;
+    };
+    // 2.8 times the work.
+    respond("b1", whole, 300ms);
+    EXPECT_EQ(slowResponses(), 0);
+    respond("b1", whole, 1s);
+    EXPECT_EQ(slowResponses(), 1);
+}
+
 } // namespace
 } // namespace lentilbay::edge
