--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -9,6 +9,7 @@
 #include "lentilbay/Edge/VersionRule.h"
 #include "lentilbay/Model/Topology.h"
 #include "lentilbay/Policy/EndpointFailureReports.h"
+#include "lentilbay/Policy/PromptCacheEstimate.h"
 #include "lentilbay/Policy/SlotAssignment.h"
 #include "lentilbay/Support/Random.h"
 #include "lentilbay/Support/Time.h"
@@ -48,6 +49,8 @@
     bool avoidsFastEndpoints = false;
     /// The software versions that may answer the request.
     VersionRule versions = {};
+    /// The prefixes of the prompt that endpoints may have cached; nullptr if none are known.
+    std::shared_ptr<const std::vector<PromptPrefix>> prompt = nullptr;
     /// Endpoints that the request was already sent to.
     std::vector<EndpointId> tried;
 };
@@ -148,10 +151,16 @@
     size_t assignedSlots() const;
     void setHeadroom(Headroom headroom) { m_headroom = headroom; }
     /// Returns the endpoint to send the work to now, or nullptr if none has room.
-    std::shared_ptr<EndpointState> choose(const ChoiceQuery& query, TimePoint now)
+    std::shared_ptr<EndpointState> choose(ChoiceQuery query, TimePoint now)
     {
         return choose(query, query.versions, now);
     }
+    PromptCacheEstimate& promptCache() { return m_promptCache; }
+    /// Records a send for which EndpointState::recordSend() has been called, to an endpoint whose cache has
+    /// room for `memory` tokens.
+    void recordPromptSend(const EndpointState& endpoint, const Work& work, double memory);
+    /// The tokens of the prompt that the endpoint is expected to have in its cache.
+    double cachedTokens(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now) const;
     /// Records that an endpoint wants no requests from this daemon until then. Afterwards it gets one at a
     /// time until one succeeds.
     void pause(EndpointState& endpoint, const EndpointIncarnation& incarnation, TimePoint until);
@@ -183,8 +192,8 @@
     ServiceLatency latencyOf(const ServiceId& service, TimePoint now) const;
 
 private:
-    std::shared_ptr<EndpointState> choose(
-        const ChoiceQuery& query, const VersionRule& versions, TimePoint now);
+    /// Sets the cached tokens of the query's work to those of each endpoint in turn.
+    std::shared_ptr<EndpointState> choose(ChoiceQuery& query, const VersionRule& versions, TimePoint now);
     /// Whether an endpoint with a free slot would complete the answer before the request expires.
     static bool finishesInTime(const EndpointState& endpoint, const ChoiceQuery& query, TimePoint now);
     /// Whether the first event would arrive in time without delaying the streams running on the endpoint
@@ -236,6 +245,7 @@
     std::map<std::string, PeerLoads> m_peers;
     EndpointSignalTable m_signals;
     EndpointFailureReports m_failureReports;
+    PromptCacheEstimate m_promptCache;
     std::set<ServiceId> m_brittleServices;
     std::map<ServiceId, VersionRule> m_usualVersions;
 };
