--- a/packages/Edge/unittests/WaitingQueueTest.cpp
+++ b/packages/Edge/unittests/WaitingQueueTest.cpp
@@ -162,7 +162,7 @@
     push(1, 0, TimePoint(1s), 30s);
     for (TimePoint now(1s); now < TimePoint(3s); now += 100ms)
         EXPECT_TRUE(queue.decide(now).rejected.empty());
-    push(2, 0, TimePoint(3s), 4s);
+    push(2, 1, TimePoint(3s), 4s);
     EXPECT_EQ(numbersOf(queue.decide(TimePoint(3s)).rejected), (Numbers { 2 }));
     EXPECT_EQ(queue.size(), 1U);
 }
