Bound the memory of sums that are added to and not read

WindowSum removed old buckets only in within(). The demand of an organisation's lowest rank, the starts of a service whose queue never waits and the requests of a retry budget without retries are hardly ever read, so each kept a bucket of 16 bytes for each 100 ms with traffic.

--- a/packages/Policy/lib/WindowSum.cpp
+++ b/packages/Policy/lib/WindowSum.cpp
@@ -5,8 +5,16 @@
 
 namespace lentilbay {
 
+void WindowSum::evict(Duration window, TimePoint now)
+{
+    while (!m_buckets.empty() && expiry(m_buckets.front(), window) < now)
+        m_buckets.pop_front();
+}
+
 void WindowSum::add(double amount, TimePoint now)
 {
+    // Some sums are added to with each request and hardly ever read.
+    evict(std::max(m_longestWindow, minKept), now);
     if (!m_buckets.empty() && now - m_buckets.back().startedAt < bucketLength)
         m_buckets.back().amount += amount;
     else
@@ -23,8 +31,7 @@
 double WindowSum::within(Duration window, TimePoint now)
 {
     m_longestWindow = std::max(m_longestWindow, window);
-    while (!m_buckets.empty() && expiry(m_buckets.front(), m_longestWindow) < now)
-        m_buckets.pop_front();
+    evict(m_longestWindow, now);
     double sum = 0;
     for (auto it = m_buckets.rbegin(); it != m_buckets.rend() && expiry(*it, window) >= now; ++it)
         sum += it->amount;
