Keep handlers of a store call from using destroyed quota checkpoints

Closing a connection that is being established reports the failure from the event loop, after the destructor. The time of a checkpoint that does not fit into a Duration is rejected instead of overflowing.

--- a/packages/Edge/include/lentilbay/Edge/QuotaCheckpoints.h
+++ b/packages/Edge/include/lentilbay/Edge/QuotaCheckpoints.h
@@ -42,7 +42,7 @@
     bool isRestored() const { return m_isRestored; }
 
 private:
-    /// Calls back with the body of a successful response, or std::nullopt.
+    /// Called with the body of a successful response, or std::nullopt.
     using Done = std::function<void(std::optional<std::string> body)>;
 
     void send(std::string request, Done done);
@@ -75,6 +75,8 @@
     TimePoint m_lastWrittenAt {};
     std::shared_ptr<http::ClientConnection> m_call;
     Done m_done;
+    /// Expires with this object; handlers of a connection may run after it was destroyed.
+    std::shared_ptr<const bool> m_lifetime = std::make_shared<const bool>(true);
     asio::steady_timer m_timer;
     uint64_t m_calls = 0;
     uint64_t m_failures = 0;
--- a/packages/Edge/lib/QuotaCheckpoints.cpp
+++ b/packages/Edge/lib/QuotaCheckpoints.cpp
@@ -64,7 +64,9 @@
     std::string found;
     int64_t takenAt = 0;
     QuotaCheckpoint out;
-    if (!(in >> found >> takenAt >> out.incarnation) || found != format || takenAt < 0)
+    constexpr int64_t maxTakenAt = Duration::max() / std::chrono::milliseconds(1);
+    if (!(in >> found >> takenAt >> out.incarnation) || found != format || takenAt < 0
+        || takenAt > maxTakenAt)
         return std::nullopt;
     out.takenAt = std::chrono::milliseconds(takenAt);
     for (uint64_t organisation = 0; in >> organisation;) {
@@ -210,9 +212,12 @@
     m_call = call;
     m_done = std::move(done);
     const auto timeout = m_isRead ? writeTimeout : readTimeout;
-    // A handler of a call that has ended finds another call, or none.
-    const auto end = [this, call](std::optional<std::string> body) {
-        if (m_call == call)
+    // A handler of a call that has ended finds another call, or none, or runs after the destructor.
+    const auto isCurrent = [this, call, lifetime = std::weak_ptr(m_lifetime)] {
+        return !lifetime.expired() && m_call == call;
+    };
+    const Done end = [this, isCurrent](std::optional<std::string> body) {
+        if (isCurrent())
             finish(std::move(body));
     };
     m_timer.expires_after(timeout);
@@ -221,8 +226,8 @@
             end(std::nullopt);
     });
     call->connect(
-        m_store, timeout, [this, call, end, request = std::move(request)](bool isConnected) mutable {
-            if (!isConnected || m_call != call) {
+        m_store, timeout, [call, isCurrent, end, request = std::move(request)](bool isConnected) mutable {
+            if (!isConnected || !isCurrent()) {
                 end(std::nullopt);
                 return;
             }
--- a/packages/Edge/unittests/QuotaCheckpointsTest.cpp
+++ b/packages/Edge/unittests/QuotaCheckpointsTest.cpp
@@ -176,6 +176,20 @@
     EXPECT_EQ(unknowing.calls(), 1U) << "one read is enough if the store has no row";
 }
 
+TEST_F(QuotaCheckpointsTest, CallThatWasOutstandingAtTheEndChangesNothing)
+{
+    // Guards against a handler of the connection that uses the checkpoints after they were destroyed.
+    const auto state = makeState(false);
+    {
+        QuotaCheckpoints checkpoints(*state, 1, bootNow());
+        checkpoints.update(false, false, bootNow());
+        ASSERT_TRUE(checkpoints.isCalling());
+    }
+    context.restart();
+    context.run_for(100ms);
+    EXPECT_TRUE(state->awaitsQuotaHistory);
+}
+
 TEST_F(QuotaCheckpointsTest, PeerThatCountsAllUseReplacesTheCheckpoint)
 {
     const auto state = makeState(false);
@@ -195,7 +209,8 @@
     EXPECT_EQ(decodeQuotaCheckpoint(text), checkpoint);
     checkpoint.uses.clear();
     EXPECT_EQ(decodeQuotaCheckpoint(encodeQuotaCheckpoint(checkpoint)), checkpoint);
-    for (const auto* invalid : { "", "1", "2 5 5\n", "1 5 5\n7", "1 5 5\n7 1 1 1", "1 5 5\nx", "1 -5 5\n" })
+    for (const auto* invalid : { "", "1", "2 5 5\n", "1 5 5\n7", "1 5 5\n7 1 1 1", "1 5 5\nx", "1 -5 5\n",
+             "1 7fffffffffffffff 5\n" })
         EXPECT_EQ(decodeQuotaCheckpoint(invalid), std::nullopt) << invalid;
 }
 
