--- a/packages/Policy/lib/SharedQuota.cpp
+++ b/packages/Policy/lib/SharedQuota.cpp
@@ -43,8 +43,8 @@
 /// The part of this tolerance that resumed streams may have before the bucket holds it. It is given in the
 /// rest of the time for which the tolerance is meant, so that nothing is added to it.
 constexpr double advancedFraction = 0.5;
-/// The part of the tolerance that is kept after a restore. Without it, two recorded days exceeded the bound by
-/// 0.2 and 1.2 in 100.
+/// The part of the tolerance that is kept after a restore. Without it, two recorded days exceeded the bound
+/// by 0.2 and 1.2 in 100.
 constexpr double restoredReserve = 0.5;
 /// A process that was killed is not started again, and has not read the configuration, sooner than this.
 constexpr Duration minDowntime = std::chrono::milliseconds(500);
