Decide in Policy whether a checkpoint is restored

The daemon discards a checkpoint that was taken more than 3 s before its start. The model of the fault tests did not, so they restored older ones and showed nothing about the rule that the daemon applies.

--- a/packages/Edge/lib/QuotaCheckpoints.cpp
+++ b/packages/Edge/lib/QuotaCheckpoints.cpp
@@ -24,10 +24,6 @@
 constexpr Duration readTimeout = std::chrono::milliseconds(400);
 constexpr Duration writeTimeout = std::chrono::seconds(1);
 constexpr Duration retryPeriod = std::chrono::milliseconds(700);
-/// The use after a checkpoint is restored as the most that was possible. After a longer gap than the period
-/// of checkpoints and a restart explain, as during an outage of the store, that would refuse organisations
-/// far below their quota for a whole window.
-constexpr Duration maxGapAfterCheckpoint = std::chrono::seconds(3);
 /// 26 data centres with 220 organisations of at most 100 bytes each, in base64.
 constexpr size_t maxResponseBytes = 1 << 20;
 
@@ -146,7 +142,7 @@
     auto checkpoint
         = combineCheckpoints(std::move(checkpoints), *rows->storeTime, m_state.settings.bounds.quotaWindow);
     const auto age = checkpoint ? *rows->storeTime - checkpoint->takenAt : Duration(-1);
-    if (checkpoint && m_startedAt - (now - age) > maxGapAfterCheckpoint)
+    if (checkpoint && !isRestorable(m_startedAt - (now - age)))
         checkpoint.reset();
     logEvent(checkpoint ? Event::QuotasRestored : Event::QuotasWithoutHistory,
         { { "rows", static_cast<int64_t>(found) }, { "age_ms", millisecondsOf(age) },
--- a/packages/Policy/include/lentilbay/Policy/QuotaCheckpoint.h
+++ b/packages/Policy/include/lentilbay/Policy/QuotaCheckpoint.h
@@ -50,4 +50,8 @@
 std::optional<QuotaCheckpoint> combineCheckpoints(
     std::vector<QuotaCheckpoint> checkpoints, Duration storeTime, Duration window);
 
+/// Whether a daemon restores its quotas from a checkpoint.
+/// @param gap the time from the checkpoint to the start of the daemon's process
+bool isRestorable(Duration gap);
+
 } // namespace lentilbay
--- a/packages/Policy/lib/QuotaCheckpoint.cpp
+++ b/packages/Policy/lib/QuotaCheckpoint.cpp
@@ -15,6 +15,10 @@
 constexpr double nearQuota = 0.5;
 /// A checkpoint older than this many windows says nothing about the present one.
 constexpr int maxAgeWindows = 2;
+/// The use after a checkpoint is restored as the most that was possible. After a longer gap than the period
+/// of checkpoints and a restart explain, as during an outage of the store, that would refuse organisations
+/// far below their quota for a whole window.
+constexpr Duration maxGapAfterCheckpoint = std::chrono::seconds(3);
 
 /// Adds the use of an older checkpoint to that of one taken later by `difference`.
 void raiseTo(const QuotaUse& older, Duration difference, Duration window, QuotaUse& use)
@@ -57,4 +61,6 @@
     return out;
 }
 
+bool isRestorable(Duration gap) { return gap <= maxGapAfterCheckpoint; }
+
 } // namespace lentilbay
--- a/packages/Policy/unittests/FaultyFleet.h
+++ b/packages/Policy/unittests/FaultyFleet.h
@@ -213,7 +213,7 @@
                 newest.push_back(it.back());
         }
         const auto checkpoint = combineCheckpoints(newest, now - TimePoint(), window);
-        if (!checkpoint)
+        if (!checkpoint || !isRestorable(daemon.startedAt - TimePoint(checkpoint->takenAt)))
             return;
         const auto it = checkpoint->uses.find(1);
         const QuotaUse use = it == checkpoint->uses.end() ? QuotaUse() : it->second;
--- a/packages/Policy/unittests/QuotaCheckpointTest.cpp
+++ b/packages/Policy/unittests/QuotaCheckpointTest.cpp
@@ -257,6 +257,15 @@
     EXPECT_EQ(both->uses.at(8).parts, (SharedQuota::WindowParts { 0, 0, 0, 0, 0, 40, 0, 0 }));
 }
 
+TEST(QuotaCheckpoint, OneFromBeforeALongGapIsNotRestored)
+{
+    // Guards against counting the most that was possible during an outage of the store before the restart.
+    // The slowest period of checkpoints and the shortest restart are no such gap.
+    EXPECT_TRUE(isRestorable(*checkpointPeriod(0.1) + 1s));
+    EXPECT_FALSE(isRestorable(5s));
+    EXPECT_TRUE(isRestorable(-1s)) << "taken by a daemon that was restarted earlier";
+}
+
 TEST(QuotaCheckpoint, OldOnesAreNotUsed)
 {
     const QuotaCheckpoint old { .takenAt = 4s, .incarnation = 1, .uses = {} };
