--- a/packages/Edge/lib/QuotaCheckpoints.cpp
+++ b/packages/Edge/lib/QuotaCheckpoints.cpp
@@ -24,10 +24,6 @@
 constexpr Duration readTimeout = std::chrono::milliseconds(400);
 constexpr Duration writeTimeout = std::chrono::seconds(1);
 constexpr Duration retryPeriod = std::chrono::milliseconds(700);
-/// The use after a checkpoint is restored as the most that was possible. After a longer gap than the period
-/// of checkpoints and a restart explain, as during an outage of the store, that would refuse organisations
-/// far below their quota for a whole window.
-constexpr Duration maxGapAfterCheckpoint = std::chrono::seconds(3);
 /// 26 data centres with 220 organisations of at most 100 bytes each, in base64.
 constexpr size_t maxResponseBytes = 1 << 20;
 
@@ -64,7 +60,9 @@
     std::string found;
     int64_t takenAt = 0;
     QuotaCheckpoint out;
-    if (!(in >> found >> takenAt >> out.incarnation) || found != format || takenAt < 0)
+    constexpr int64_t maxTakenAt = Duration::max() / std::chrono::milliseconds(1);
+    if (!(in >> found >> takenAt >> out.incarnation) || found != format || takenAt < 0
+        || takenAt > maxTakenAt)
         return std::nullopt;
     out.takenAt = std::chrono::milliseconds(takenAt);
     for (uint64_t organisation = 0; in >> organisation;) {
@@ -144,7 +142,7 @@
     auto checkpoint
         = combineCheckpoints(std::move(checkpoints), *rows->storeTime, m_state.settings.bounds.quotaWindow);
     const auto age = checkpoint ? *rows->storeTime - checkpoint->takenAt : Duration(-1);
-    if (checkpoint && m_startedAt - (now - age) > maxGapAfterCheckpoint)
+    if (checkpoint && !isRestorable(m_startedAt - (now - age)))
         checkpoint.reset();
     logEvent(checkpoint ? Event::QuotasRestored : Event::QuotasWithoutHistory,
         { { "rows", static_cast<int64_t>(found) }, { "age_ms", millisecondsOf(age) },
@@ -210,9 +208,12 @@
     m_call = call;
     m_done = std::move(done);
     const auto timeout = m_isRead ? writeTimeout : readTimeout;
-    // A handler of a call that has ended finds another call, or none.
-    const auto end = [this, call](std::optional<std::string> body) {
-        if (m_call == call)
+    // A handler of a call that has ended finds another call, or none, or runs after the destructor.
+    const auto isCurrent = [this, call, lifetime = std::weak_ptr(m_lifetime)] {
+        return !lifetime.expired() && m_call == call;
+    };
+    const Done end = [this, isCurrent](std::optional<std::string> body) {
+        if (isCurrent())
             finish(std::move(body));
     };
     m_timer.expires_after(timeout);
@@ -221,8 +222,8 @@
             end(std::nullopt);
     });
     call->connect(
-        m_store, timeout, [this, call, end, request = std::move(request)](bool isConnected) mutable {
-            if (!isConnected || m_call != call) {
+        m_store, timeout, [call, isCurrent, end, request = std::move(request)](bool isConnected) mutable {
+            if (!isConnected || !isCurrent()) {
                 end(std::nullopt);
                 return;
             }
