Keep a late answer of the store from restoring a withdrawn key

Of two documents of the same version, the store's row replaced the one in force even if that had come with a newer view of a peer. Views in heartbeats then confirmed the earlier document: a withdrawn key was accepted until the end of the test, 7.8 s after its withdrawal.

--- a/packages/Edge/include/lentilbay/Edge/ConfigurationViews.h
+++ b/packages/Edge/include/lentilbay/Edge/ConfigurationViews.h
@@ -59,6 +59,9 @@
     /// Records a view that a peer has stated without its configuration, and that was complete at `at`.
     /// Returns whether the configuration in force contains all of its changes.
     bool recordView(StoreVersion covered, StoreVersion changed, TimePoint at);
+    /// Whether the configuration in force replaces a row that the store wrote with this version. The store's
+    /// answer may arrive after a peer's newer view.
+    bool isSuperseded(StoreVersion row) const { return m_covered && row < *m_covered; }
     /// The newest version that the configuration in force is known to contain; std::nullopt before the first
     /// answer.
     std::optional<StoreVersion> covered() const { return m_covered; }
--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -21,7 +21,8 @@
 void EdgeDaemon::applyConfigurationRow(const platform::StoreRow& row)
 {
     if (row.key == platform::configurationKey)
-        applyConfiguration(row.value, fmt::format("store version {}", row.version.number), true);
+        applyConfiguration(row.value, fmt::format("store version {}", row.version.number),
+            !m_configurationViews.isSuperseded(row.version));
     else
         applyOrderRow(row);
 }
--- a/packages/Edge/unittests/ConfigurationViewsTest.cpp
+++ b/packages/Edge/unittests/ConfigurationViewsTest.cpp
@@ -96,6 +96,21 @@
     EXPECT_EQ(views.covered(), at(2, 2));
 }
 
+TEST_F(ConfigurationViewsTest, LateAnswerOfTheStoreDoesNotReplaceWhatAPeerHasConfirmed)
+{
+    // Guards against a withdrawn key that is accepted again: of two documents of the same version, the
+    // earlier one came last, in a delayed answer of the store, and later views confirmed it as if it were the
+    // other.
+    EXPECT_FALSE(views.isSuperseded(at(4))) << "no peer's configuration was read";
+    views.recordAnswer({ .covered = at(8), .changed = at(6) }, start);
+    EXPECT_TRUE(views.isSuperseded(at(4)));
+    EXPECT_FALSE(views.isSuperseded(at(8))) << "the newest row itself";
+    EXPECT_FALSE(views.isSuperseded(at(9)));
+    EXPECT_FALSE(views.isSuperseded(at(2, 2))) << "a row of a later era";
+    EXPECT_TRUE(views.recordView(at(12), at(8), start));
+    EXPECT_TRUE(views.isSuperseded(at(9)));
+}
+
 TEST_F(ConfigurationViewsTest, DaemonWithARecentViewAsksNobody)
 {
     own.age = 1400ms;
--- a/packages/Edge/unittests/EdgeDaemonTest.cpp
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -714,6 +714,52 @@
     playWithdrawal();
 }
 
+TEST_F(KeysDuringACutTest, LateAnswerOfTheStoreRestoresNoWithdrawnKey)
+{
+    // Guards against an answer of the store from before a withdrawal that arrives after a peer's
+    // configuration, where both documents have the same version: views in heartbeats then confirmed the
+    // earlier one.
+    bool isHanging = false;
+    int late = 0;
+    otherStore.setResponder([&](const std::string& request) {
+        if (!isTurnedAway)
+            return storeResponse(request);
+        if (!isHanging)
+            return ScriptedResponse { .bytes = httpResponse(503, "") };
+        auto response = storeResponse(request);
+        const bool isFirst = request.find("rows-feed?Table=op") != std::string::npos && late++ == 0;
+        response.delay = isFirst ? 1900ms : 60s;
+        return response;
+    });
+    startAndMeet();
+    isTurnedAway = true;
+    runFor(1s);
+    putKeys({ "kept", "withdrawn", "added" });
+    runFor(1s);
+    isHanging = true;
+    for (int i = 0; i < maxTries && late == 0; ++i)
+        runFor(10ms);
+    ASSERT_GT(late, 0);
+    --configurationVersion;
+    putKeys({ "kept" });
+    const auto withdrawnAt = std::chrono::steady_clock::now();
+    const auto elapsed = [&] { return std::chrono::steady_clock::now() - withdrawnAt; };
+    bool isRead = false;
+    while (elapsed() < 1800ms) {
+        isRead = askWithKey(other, "withdrawn").find("401") != std::string::npos;
+        runFor(50ms);
+    }
+    EXPECT_TRUE(isRead) << "the peer's configuration arrives before the store's answer";
+    while (elapsed() < settings.bounds.keyRevocation)
+        runFor(100ms);
+    while (elapsed() < 8s) {
+        EXPECT_FALSE(accepts(other, "withdrawn")) << elapsed() / 1ms;
+        EXPECT_TRUE(accepts(other, "kept")) << elapsed() / 1ms;
+        runFor(250ms);
+    }
+    stopBoth();
+}
+
 TEST_F(KeysDuringACutTest, DaemonsThatAreAllCutOffAcceptNoWithdrawnKey)
 {
     // Guards against daemons that confirm outdated configurations for each other.
