--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -330,8 +330,9 @@
         rejectAnswer("answers_too_long", bootNow());
         return false;
     }
+    // Those of an endpoint would reach the peer that has forwarded the request as if this daemon stated them.
+    removeForwardingFields(m_send->head.headers);
     if (m_send->isThroughPeer) {
-        removeForwardingFields(m_send->head.headers);
         m_peerRetryAfter = metadata.retryAfter;
         return true;
     }
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -2405,6 +2405,16 @@
     EXPECT_TRUE(answer.headers.contains("Lentilbay-Not-Executed"));
 }
 
+TEST_F(ForwardedRequestTest, EndpointCannotStateForThisDaemonThatNothingRan)
+{
+    // Guards against a peer that sends a request again which an endpoint has run.
+    first.script({ .bytes
+        = httpResponse(200, "hello", std::string(signatureFields) + "Lentilbay-Not-Executed: 1\r\n") });
+    const auto answer = call("/safe/x", "Authorization: Token k\r\n");
+    EXPECT_EQ(answer.body, "hello");
+    EXPECT_FALSE(answer.headers.contains("Lentilbay-Not-Executed"));
+}
+
 TEST_F(ForwardedRequestTest, QuotaIsCountedByThePeer)
 {
     first.setResponder([](const std::string&) {
