--- a/packages/Policy/lib/SharedQuota.cpp
+++ b/packages/Policy/lib/SharedQuota.cpp
@@ -44,8 +44,8 @@
 /// The part of this tolerance that resumed streams may have before the bucket holds it. It is given in the
 /// rest of the time for which the tolerance is meant, so that nothing is added to it.
 constexpr double advancedFraction = 0.5;
-/// The part of the tolerance that is kept after a restore. Without it, two recorded days exceeded the bound
-/// by 0.2 and 1.2 in 100.
+/// The part of the tolerance that counts as used after a restore: reports are late again then, while all
+/// callers return at once.
 constexpr double restoredReserve = 0.5;
 /// A peer that states less than this part of what a checkpoint contains was partitioned when it was admitted.
 constexpr double minAdoptedFraction = 0.75;
@@ -351,7 +351,6 @@
     }
     const double refilled = m_limits.tokensPerSecond * toSeconds(endedAt - checkpointAt);
     // While reports were late, the predecessors may have exceeded bucket and window by their recent use.
-    // Reports of the restarted daemons are late as well, while all callers return at once.
     const double late
         = std::min(parts.back(), m_limits.toleranceTokens) + m_limits.toleranceTokens * restoredReserve;
     const double fromBucket = std::min(level, m_limits.burstTokens) + refilled;
