Take a refusal that ends in order during the upload for whole

Cause: a response without a length was taken for broken off if the endpoint ended the connection before the whole request had been sent, since a write may have taken the error of a reset. Endpoints refuse requests that way (401, 413), and their callers got 502, or the request was sent again.

Change: a write that fails by a reset is remembered; the error of a reset that follows the end of the peer's output is "broken pipe". A response with a status of 400 to 499 that ends in order is whole. Other statuses count as broken off as before, as the end may be that of a process that has crashed.

Result: RefusalThatEndsInOrderDuringTheRequestIsWhole fails without the change for 401 and 413. ResetDuringTheRequestCompletesNoResponse, which now plays 401 and 413 as well, passes before and after.

--- a/packages/Http/include/lentilbay/Http/ClientConnection.h
+++ b/packages/Http/include/lentilbay/Http/ClientConnection.h
@@ -95,6 +95,10 @@
     bool m_isWriting = false;
     bool m_isPaused = false;
     bool m_keepsAlive = true;
+    /// A write has found the connection reset before the end of the peer's output.
+    bool m_isReset = false;
+    /// The response is one that an endpoint may give before it has read the request.
+    bool m_isRefusal = false;
     /// Whether the current exchange has sent or received any byte.
     bool m_hasSentBytes = false;
     bool m_hasReceivedBytes = false;
--- a/packages/Http/lib/ClientConnection.cpp
+++ b/packages/Http/lib/ClientConnection.cpp
@@ -19,6 +19,8 @@
 /// TCP_USER_TIMEOUT: closes a connection whose bytes stay unacknowledged, because a host that lost power
 /// sends no reset.
 constexpr unsigned userTimeoutMilliseconds = 3'000;
+constexpr int firstClientError = 400;
+constexpr int firstServerError = 500;
 
 /// The "timeout=N" parameter of a Keep-Alive header, in whole seconds.
 std::optional<Duration> keepAliveOf(const Headers& headers)
@@ -121,8 +123,10 @@
     m_sent += n;
     m_hasSentBytes = m_hasSentBytes || n > 0;
     if (ec && ec != asio::error::would_block && ec != asio::error::try_again) {
-        // A response may have arrived before the reset; reading shows whether it did.
+        // A response may have arrived before the reset; reading shows whether it did. The error of a reset
+        // that follows the end of the peer's output is "broken pipe".
         m_keepsAlive = false;
+        m_isReset = m_isReset || ec != asio::error::broken_pipe;
         asio::post(m_socket.get_executor(), [self = shared_from_this()] {
             if (self->m_isOpen && self->m_hasSentBytes)
                 self->readSome();
@@ -224,6 +228,7 @@
 void ClientConnection::handleHead(HttpResponseHead head)
 {
     const auto observer = m_observer;
+    m_isRefusal = head.status >= firstClientError && head.status < firstServerError;
     m_isExpectedResponse = observer && observer->head(head);
     if (!head.keepsAlive)
         m_keepsAlive = false;
@@ -236,9 +241,11 @@
 void ClientConnection::handleEndOfStream()
 {
     m_keepsAlive = false;
-    // Before the request is sent, the end may be that of a reset: a write that failed has taken its error.
+    // Before the request is sent, the end may be that of a reset, whose error a write has taken, or of an
+    // endpoint that has crashed. Only a refusal in order of a request that was not read to its end is whole.
     const bool isRequestSent = m_sent == m_out.size();
-    if (m_observer && isRequestSent && m_parser.finishAtEof() && m_isComplete) {
+    const bool mayBeWhole = isRequestSent || (m_isRefusal && !m_isReset);
+    if (m_observer && mayBeWhole && m_parser.finishAtEof() && m_isComplete) {
         auto observer = std::exchange(m_observer, nullptr);
         close();
         observer->complete();
--- a/packages/Http/unittests/ClientConnectionTest.cpp
+++ b/packages/Http/unittests/ClientConnectionTest.cpp
@@ -6,6 +6,7 @@
 
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -282,14 +283,15 @@
     constexpr size_t large = 64U << 20U;
     const auto request
         = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 67108864\r\n\r\n" + std::string(large, 'a');
-    for (const auto* framing : { "\r\n", "Content-Length: 900\r\n\r\n" }) {
+    for (const auto* framing : { "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n",
+             "HTTP/1.1 401 X\r\n\r\n", "HTTP/1.1 413 X\r\n\r\n" }) {
         for (const auto wait : { 0ms, 1ms, 20ms }) {
             asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
             asio::ip::tcp::socket peer(context);
             asio::steady_timer timer(context);
             acceptor.async_accept(peer, [&](std::error_code) {
                 peer.async_wait(asio::ip::tcp::socket::wait_read, [&](std::error_code) {
-                    asio::write(peer, asio::buffer(std::string("HTTP/1.1 200 OK\r\n") + framing + "part"));
+                    asio::write(peer, asio::buffer(std::string(framing) + "part"));
                     timer.expires_after(wait);
                     timer.async_wait([&](std::error_code) {
                         peer.set_option(asio::socket_base::linger(true, 0));
@@ -311,6 +313,47 @@
     }
 }
 
+TEST_F(ClientConnectionTest, RefusalThatEndsInOrderDuringTheRequestIsWhole)
+{
+    // Guards against a refusal without a length that counts as broken off, because the endpoint has ended its
+    // output before it had read the request; a request is then sent again, or its caller gets 502. With other
+    // statuses, the end may be that of a process that has crashed.
+    constexpr size_t large = 64U << 20U;
+    const auto request
+        = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 67108864\r\n\r\n" + std::string(large, 'a');
+    for (const auto status : { 200, 401, 413, 500 }) {
+        // The endpoint closes the connection so long after the end of its output; negative: not.
+        for (const auto wait : { 0ms, 1ms, 20ms, -1ms }) {
+            asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+            asio::ip::tcp::socket peer(context);
+            asio::steady_timer timer(context);
+            acceptor.async_accept(peer, [&](std::error_code) {
+                peer.async_wait(asio::ip::tcp::socket::wait_read, [&](std::error_code) {
+                    asio::write(peer, asio::buffer(fmt::format("HTTP/1.1 {} X\r\n\r\nrefused", status)));
+                    peer.shutdown(asio::ip::tcp::socket::shutdown_send);
+                    timer.expires_after(std::max(wait, 0ms));
+                    timer.async_wait([&](std::error_code) {
+                        if (wait >= 0ms)
+                            peer.close();
+                    });
+                });
+            });
+            connection = std::make_shared<ClientConnection>(context);
+            std::optional<bool> connected;
+            connection->connect(acceptor.local_endpoint(), 5s, [&](bool it) { connected = it; });
+            runUntil([&] { return connected.has_value(); });
+            isComplete = false;
+            brokenAt.reset();
+            body.clear();
+            send(request);
+            runUntil([&] { return hasEnded(); });
+            EXPECT_EQ(isComplete, status == 401 || status == 413) << status << " " << wait.count();
+            EXPECT_EQ(body, "refused") << status << " " << wait.count();
+            EXPECT_FALSE(connection->isReusable());
+        }
+    }
+}
+
 TEST_F(ClientConnectionTest, ReportsNothingSentOnAClosedConnection)
 {
     server.script({ .bytes = httpResponse(200, "own") + "stray" });
