Ignore endpoint reports of former daemons and of former endpoints

Cause: a daemon that had failed at the former incarnation of an endpoint, and had heard of the later one from a peer, reported its failure as one of the later one. A request to the former incarnation that failed late replaced what was known of the later one. A delayed heartbeat of the former incarnation of a daemon replaced the reports of the present one.

Change: what concerns an earlier start of an endpoint than the known one is ignored, in reports and in own observations. EndpointFailureReports keeps the newest incarnation of each sender: incarnations are random numbers, but a later one echoes later heartbeats of the receiver. What a former one had reported ends with the first heartbeat of the next.

--- a/packages/Edge/lib/EndpointReportExchange.cpp
+++ b/packages/Edge/lib/EndpointReportExchange.cpp
@@ -27,13 +27,18 @@
 void EndpointReportExchange::apply(const PeerHeartbeat& heartbeat, uint64_t incarnation, TimePoint now)
 {
     const TimePoint echoed { Duration(heartbeat.echoedMicroseconds) };
-    const bool isRecent
-        = heartbeat.echoedIncarnation == incarnation && echoed <= now && now - echoed <= maxDelay;
+    const bool echoesOwn = heartbeat.echoedIncarnation == incarnation && echoed <= now;
+    const bool isRecent = echoesOwn && now - echoed <= maxDelay;
+    auto& reports = m_state.endpointRegistry.failureReports();
+    if (!reports.recordSender(
+            heartbeat.daemon, heartbeat.incarnation, echoesOwn ? std::optional(echoed) : std::nullopt, now)) {
+        m_state.metrics.count("endpoint_reports_of_former_daemons");
+        return;
+    }
     const auto scope = !heartbeat.hasSummary                         ? ReportScope::Daemon
         : heartbeat.dataCentre == m_state.settings.dataCentre.text() ? ReportScope::Fleet
                                                                      : ReportScope::DataCentre;
-    m_state.endpointRegistry.failureReports().apply(
-        { .name = heartbeat.daemon, .dataCentre = heartbeat.dataCentre }, scope,
+    reports.apply({ .name = heartbeat.daemon, .dataCentre = heartbeat.dataCentre }, scope,
         isRecent ? heartbeat.failures : std::vector<EndpointFailureReport> {}, now);
     if (heartbeat.failures.empty())
         return;
--- a/packages/Policy/include/lentilbay/Policy/EndpointFailureReports.h
+++ b/packages/Policy/include/lentilbay/Policy/EndpointFailureReports.h
@@ -95,6 +95,12 @@
     void recordHeard(uint64_t endpoint, uint64_t startedAtMilliseconds, TimePoint now);
     /// Forgets this daemon's failures since then, which its own links have caused.
     void forgetFailuresSince(TimePoint since);
+    /// Records which incarnation of a daemon has written a heartbeat. Returns whether its reports count: not
+    /// if a later incarnation is known, whose reports they would replace.
+    /// @param echoedAt when this daemon sent the newest message that the other had received; std::nullopt if
+    /// it had received none
+    bool recordSender(
+        const std::string& daemon, uint64_t incarnation, std::optional<TimePoint> echoedAt, TimePoint now);
     /// Replaces what a daemon reported before. `at` is when it wrote the reports.
     void apply(const Daemon& source, ReportScope scope, const std::vector<EndpointFailureReport>& reports,
         TimePoint at);
@@ -143,6 +149,13 @@
         TimePoint at {};
         std::unordered_map<uint64_t, Reported> reports;
     };
+    /// The newest incarnation of another daemon. Incarnations are random numbers; a later one has received
+    /// later messages of this daemon.
+    struct Sender {
+        uint64_t incarnation = 0;
+        std::optional<TimePoint> echoedAt;
+        TimePoint heardAt {};
+    };
     /// All that is known of an incarnation.
     struct View {
         Evidence nearby;
@@ -154,11 +167,14 @@
     /// Whether this daemon has recorded anything of the endpoint, or another one reports it. Most endpoints
     /// are not known, and a request considers all of those of its service.
     bool isKnown(uint64_t endpoint) const;
+    void forgetSource(const std::string& daemon);
     /// Removes the reports of a source from m_sourcesOf.
     void uncount(const std::unordered_map<uint64_t, Reported>& reports);
     /// Notes whether other daemons fail, too.
     void confirm(uint64_t endpoint, Own& own, TimePoint now) const;
-    Own& ownOf(uint64_t endpoint, uint64_t startedAtMilliseconds);
+    /// What this daemon has recorded of an incarnation; nullptr if a later one is known. A request to the
+    /// former one may fail long after the endpoint was started again.
+    Own* ownOf(uint64_t endpoint, uint64_t startedAtMilliseconds);
     View viewOf(uint64_t endpoint, uint64_t startedAtMilliseconds, TimePoint now) const;
     /// The endpoints of which anything is known, with their newest incarnation.
     std::unordered_map<uint64_t, uint64_t> known() const;
@@ -175,6 +191,7 @@
     std::vector<std::string> m_nearby;
     std::unordered_map<uint64_t, Own> m_own;
     std::unordered_map<std::string, Source> m_sources;
+    std::unordered_map<std::string, Sender> m_senders;
     /// The number of sources that report an endpoint.
     std::unordered_map<uint64_t, size_t> m_sourcesOf;
     bool m_hasOwnNews = false;
--- a/packages/Policy/lib/EndpointFailureReports.cpp
+++ b/packages/Policy/lib/EndpointFailureReports.cpp
@@ -19,6 +19,8 @@
 /// Two daemons of a data centre exclude an endpoint for it: a single one may have lost its own link.
 constexpr uint32_t daemonsToExclude = 2;
 constexpr uint32_t dataCentresToExclude = 2;
+/// No message of an earlier incarnation of a daemon arrives later than this.
+constexpr Duration senderLifetime = std::chrono::seconds(30);
 /// An endpoint that is back is found within this time, and reported with the next heartbeats.
 constexpr Duration probePeriod = std::chrono::milliseconds(400);
 /// Two confirm each other, and one is left if the other is lost.
@@ -61,34 +63,39 @@
     }
 }
 
-EndpointFailureReports::Own& EndpointFailureReports::ownOf(uint64_t endpoint, uint64_t startedAtMilliseconds)
+EndpointFailureReports::Own* EndpointFailureReports::ownOf(uint64_t endpoint, uint64_t startedAtMilliseconds)
 {
     auto& out = m_own[endpoint];
+    if (startedAtMilliseconds < out.startedAtMilliseconds)
+        return nullptr;
     if (out.startedAtMilliseconds != startedAtMilliseconds)
         out = { .startedAtMilliseconds = startedAtMilliseconds };
     m_uses.erase(endpoint);
-    return out;
+    return &out;
 }
 
 void EndpointFailureReports::recordFailure(uint64_t endpoint, uint64_t startedAtMilliseconds, TimePoint now)
 {
-    auto& own = ownOf(endpoint, startedAtMilliseconds);
-    auto& evidence = own.evidence;
+    auto* own = ownOf(endpoint, startedAtMilliseconds);
+    if (!own)
+        return;
+    auto& evidence = own->evidence;
     // A daemon that has lost only its own link does not begin anew whenever others contradict it.
     if (evidence.daemons == 0 || !isRecent(evidence.failedAt, now)) {
         evidence.streakFrom = now;
-        own.isConfirmed = false;
+        own->isConfirmed = false;
         m_hasOwnNews = true;
     }
     evidence.daemons = evidence.dataCentres = 1;
     evidence.failedAt = now;
-    confirm(endpoint, own, now);
+    confirm(endpoint, *own, now);
 }
 
 void EndpointFailureReports::recordBadAnswers(
     uint64_t endpoint, uint64_t startedAtMilliseconds, TimePoint now)
 {
-    ownOf(endpoint, startedAtMilliseconds).evidence.badAnswerAt = now;
+    if (auto* own = ownOf(endpoint, startedAtMilliseconds))
+        own->evidence.badAnswerAt = now;
 }
 
 void EndpointFailureReports::forgetBadAnswers()
@@ -101,12 +108,15 @@
 {
     if (!isKnown(endpoint))
         return;
-    auto& own = m_own[endpoint];
+    const auto known = m_own.find(endpoint);
     // An endpoint that answers is heard for each of its events.
-    if (own.startedAtMilliseconds == startedAtMilliseconds && own.evidence.daemons == 0
-        && now - own.evidence.heardAt < contradictionMargin)
+    if (known != m_own.end() && known->second.startedAtMilliseconds == startedAtMilliseconds
+        && known->second.evidence.daemons == 0 && now - known->second.evidence.heardAt < contradictionMargin)
         return;
-    auto& evidence = ownOf(endpoint, startedAtMilliseconds).evidence;
+    auto* own = ownOf(endpoint, startedAtMilliseconds);
+    if (!own)
+        return;
+    auto& evidence = own->evidence;
     m_hasOwnNews = m_hasOwnNews || evidence.daemons > 0;
     evidence.heardAt = now;
     evidence.daemons = evidence.dataCentres = 0;
@@ -134,15 +144,35 @@
     }
 }
 
+void EndpointFailureReports::forgetSource(const std::string& daemon)
+{
+    const auto it = m_sources.find(daemon);
+    if (it == m_sources.end())
+        return;
+    uncount(it->second.reports);
+    m_sources.erase(it);
+    m_uses.clear();
+}
+
+bool EndpointFailureReports::recordSender(
+    const std::string& daemon, uint64_t incarnation, std::optional<TimePoint> echoedAt, TimePoint now)
+{
+    auto& known = m_senders[daemon];
+    // A daemon that starts has received nothing from this one at first.
+    if (known.incarnation != 0 && incarnation != known.incarnation) {
+        if (echoedAt && echoedAt <= known.echoedAt)
+            return false;
+        forgetSource(daemon);
+    }
+    known = { .incarnation = incarnation, .echoedAt = std::max(known.echoedAt, echoedAt), .heardAt = now };
+    return true;
+}
+
 void EndpointFailureReports::apply(
     const Daemon& source, ReportScope scope, const std::vector<EndpointFailureReport>& reports, TimePoint at)
 {
     if (reports.empty()) {
-        if (const auto it = m_sources.find(source.name); it != m_sources.end()) {
-            uncount(it->second.reports);
-            m_sources.erase(it);
-            m_uses.clear();
-        }
+        forgetSource(source.name);
         return;
     }
     auto& known = m_sources[source.name];
@@ -160,12 +190,16 @@
     for (const auto& it : reports) {
         if (known.reports.size() >= maxReports)
             break;
+        const auto own = m_own.find(it.endpoint);
+        if (own != m_own.end() && it.startedAtMilliseconds < own->second.startedAtMilliseconds)
+            continue;
         known.reports[it.endpoint] = { .startedAtMilliseconds = it.startedAtMilliseconds,
             .nearby = evidenceOf(it.nearby),
             .elsewhere = evidenceOf(it.elsewhere) };
         const auto before = former.find(it.endpoint);
-        m_hasReportedNews = m_hasReportedNews
-            || (it.nearby.daemons > 0) != (before != former.end() && before->second.nearby.daemons > 0);
+        const bool failedBefore = before != former.end() && before->second.nearby.daemons > 0
+            && before->second.startedAtMilliseconds == it.startedAtMilliseconds;
+        m_hasReportedNews = m_hasReportedNews || (it.nearby.daemons > 0) != failedBefore;
     }
     for (const auto& [endpoint, it] : known.reports)
         ++m_sourcesOf[endpoint];
@@ -204,6 +238,7 @@
             uncount(it.second.reports);
         return isOld;
     });
+    std::erase_if(m_senders, [&](const auto& it) { return now - it.second.heardAt > senderLifetime; });
     m_uses.clear();
 }
 
@@ -341,10 +376,10 @@
         if (!isFailing(view.nearby, view.nearby.heardAt, now)
             && !isFailing(view.elsewhere, view.heardAt(), now))
             continue;
-        auto& own = ownOf(endpoint, startedAtMilliseconds);
-        if (now < own.nextProbeAt)
+        auto* own = ownOf(endpoint, startedAtMilliseconds);
+        if (!own || now < own->nextProbeAt)
             continue;
-        own.nextProbeAt = now + probePeriod;
+        own->nextProbeAt = now + probePeriod;
         out.push_back(endpoint);
     }
     return out;
@@ -365,7 +400,8 @@
         View view;
         if (scope != ReportScope::Daemon)
             view = viewOf(endpoint, startedAtMilliseconds, now);
-        else if (const auto own = m_own.find(endpoint); own != m_own.end())
+        else if (const auto own = m_own.find(endpoint);
+                 own != m_own.end() && own->second.startedAtMilliseconds == startedAtMilliseconds)
             view.nearby = own->second.evidence;
         if (scope != ReportScope::Fleet)
             view.elsewhere = {};
--- a/packages/Policy/unittests/EndpointFailureReportsTest.cpp
+++ b/packages/Policy/unittests/EndpointFailureReportsTest.cpp
@@ -327,5 +327,63 @@
     EXPECT_EQ(useOf(reported), EndpointUse::Usable);
 }
 
+TEST_F(EndpointFailureReportsTest, FailureOfAFormerIncarnationIsNotReportedOfTheLaterOne)
+{
+    // Guards against an endpoint that is excluded right after it was started again: a daemon that had failed
+    // at the former incarnation, and had heard of the later one from another daemon, reported its failure as
+    // one of the later one.
+    fail("x1");
+    fail("x2");
+    now += 20ms;
+    daemons["y1"].recordFailure(endpoint, started + 1, now);
+    for (const auto* it : { "x1", "x2" })
+        daemons[it].apply(all[4], ReportScope::Daemon, daemons["y1"].reports(ReportScope::Daemon, now), now);
+    for (const auto* it : { "x1", "x2" }) {
+        for (const auto& report : daemons[it].reports(ReportScope::Daemon, now))
+            EXPECT_EQ(report.nearby.daemons, 0U) << report.startedAtMilliseconds;
+    }
+}
+
+TEST_F(EndpointFailureReportsTest, LateFailureOfAFormerIncarnationChangesNothing)
+{
+    // Guards against a request to the former incarnation that ends late, and replaces what is known of the
+    // later one.
+    auto& own = daemons["x1"];
+    own.recordFailure(endpoint, started + 1, now);
+    ASSERT_EQ(own.use(endpoint, started + 1, now), EndpointUse::ProbeOnly);
+    now += 30ms;
+    fail("x1");
+    own.recordBadAnswers(endpoint, started, now);
+    own.recordHeard(endpoint, started, now);
+    EXPECT_EQ(own.use(endpoint, started + 1, now), EndpointUse::ProbeOnly);
+    EXPECT_EQ(own.use(endpoint, started, now), EndpointUse::Usable);
+    fail("x2");
+    (void)own.takeNews(true);
+    own.apply(all[1], ReportScope::Daemon, daemons["x2"].reports(ReportScope::Daemon, now), now);
+    EXPECT_FALSE(own.takeNews(true)) << "nothing to pass on";
+}
+
+TEST_F(EndpointFailureReportsTest, LateReportOfAFormerDaemonIsIgnored)
+{
+    // Guards against a datagram of the former incarnation of a daemon that is delayed beyond its restart, and
+    // replaces what the later one reports.
+    auto& own = daemons["x1"];
+    const auto from = [&](uint64_t incarnation, std::optional<Duration> echoed) {
+        return own.recordSender("x2", incarnation, echoed ? std::optional(now + *echoed) : std::nullopt, now);
+    };
+    EXPECT_TRUE(from(91, std::nullopt));
+    EXPECT_TRUE(from(91, 10ms));
+    fail("x2");
+    own.apply(all[1], ReportScope::Daemon, daemons["x2"].reports(ReportScope::Daemon, now), now);
+    ASSERT_EQ(own.use(endpoint, started, now), EndpointUse::ProbeOnly);
+    EXPECT_TRUE(from(17, std::nullopt)) << "it has started again, and received nothing yet";
+    EXPECT_EQ(own.use(endpoint, started, now), EndpointUse::Usable) << "the former one's reports have ended";
+    EXPECT_FALSE(from(91, 10ms));
+    EXPECT_TRUE(from(17, 20ms));
+    EXPECT_FALSE(from(91, 15ms));
+    EXPECT_TRUE(from(17, 15ms)) << "of the same incarnation; heartbeats have numbers";
+    EXPECT_TRUE(from(44, 30ms));
+}
+
 } // namespace
 } // namespace lentilbay
