Write checkpoints of the quotas conditionally, and delete abandoned ones

Cause: the rows were written unconditionally, so that a daemon that continued after a suspension replaced a newer row of the present writer. Rows of removed data centres were read for ever. QuotaCheckpoints::send() and StoreWriter::call() were two copies of one function, of which one could call its owner after that was destroyed.

Change: a writer states the version that the row must have. QuotaCheckpoints calls the store through StoreWriter, which takes the limits of a call, and whose handlers do nothing after it was destroyed.

Result: DaemonThatWasSuspendedReplacesNoNewerRow, WriteWhoseAnswerIsLostIsFollowedByARead and RowsOfRemovedDataCentresAreDeleted fail without the change.

--- a/packages/Edge/include/lentilbay/Edge/QuotaCheckpoints.h
+++ b/packages/Edge/include/lentilbay/Edge/QuotaCheckpoints.h
@@ -6,10 +6,14 @@
 // daemon that starts reads all rows once before it admits requests by their quotas. If the store does not
 // answer it in time, it admits without a history and reads the rows when the store answers. What it hears
 // from a peer that counts all use replaces what it has read. See Policy/QuotaCheckpoint.h.
+//
+// A row is written only if it has the version that the writer knows. A daemon that was suspended, or no
+// longer is the writer, therefore learns of a newer row instead of replacing it. Rows that nobody has written
+// for long, as those of removed data centres, are deleted by a writer that has read them.
 #pragma once
 
 #include "lentilbay/Edge/EdgeState.h"
-#include "lentilbay/Http/ClientConnection.h"
+#include "lentilbay/Edge/StoreWriter.h"
 #include "lentilbay/Policy/QuotaCheckpoint.h"
 
 namespace lentilbay::edge {
@@ -23,11 +27,6 @@
 public:
     /// @param startedAt when this process started
     QuotaCheckpoints(EdgeState& state, uint64_t incarnation, TimePoint startedAt);
-    ~QuotaCheckpoints();
-    QuotaCheckpoints(const QuotaCheckpoints&) = delete;
-    QuotaCheckpoints& operator=(const QuotaCheckpoints&) = delete;
-    QuotaCheckpoints(QuotaCheckpoints&&) = delete;
-    QuotaCheckpoints& operator=(QuotaCheckpoints&&) = delete;
 
     /// Begins the next call if one is due; called with each round of heartbeats, and at the start.
     /// @param countsAllUse see PeerHeartbeat::countsAllUse
@@ -36,20 +35,25 @@
 
     /// Whether the quotas account for what was admitted before this process started.
     bool hasHistory() const { return m_countsAllUse || m_isRestored; }
-    bool isCalling() const { return m_call != nullptr; }
+    bool isCalling() const { return m_store.isBusy(); }
     uint64_t calls() const { return m_calls; }
     uint64_t failures() const { return m_failures; }
+    /// Writes that were refused because another daemon had written the row.
+    uint64_t conflicts() const { return m_conflicts; }
     bool isRestored() const { return m_isRestored; }
 
 private:
-    /// Called with the body of a successful response, or std::nullopt.
-    using Done = std::function<void(std::optional<std::string> body)>;
+    /// Called with the rows of the answer, also of one that has refused a write, or std::nullopt.
+    using Done = std::function<void(const std::optional<platform::StoreRows>& rows, bool isRefused)>;
 
-    void send(std::string request, Done done);
-    void finish(std::optional<std::string> body);
+    /// @param isChange whether the call writes or deletes a row
+    void send(std::string request, bool isChange, Done done);
     void read();
-    void applyRows(const std::string& body);
+    void applyRows(const platform::StoreRows& rows);
     void writeIfDue(TimePoint now);
+    /// Records the version of the own row, which an answer has shown.
+    void recordOwnRow(const platform::StoreRows& rows);
+    void deleteAbandonedRow();
     /// Admits requests from now on, whether or not something was restored.
     void endWaiting() { m_state.awaitsQuotaHistory = false; }
     std::optional<Duration> storeTime(TimePoint now) const;
@@ -64,8 +68,9 @@
     EdgeState& m_state;
     uint64_t m_incarnation;
     TimePoint m_startedAt;
-    asio::ip::tcp::endpoint m_store;
+    StoreWriter m_store;
     std::string m_host;
+    std::string m_key;
     bool m_countsAllUse;
     bool m_isRestored = false;
     /// Whether the rows have been read, or need not be.
@@ -73,13 +78,14 @@
     std::optional<StoreClock> m_storeClock;
     TimePoint m_nextReadAt {};
     TimePoint m_lastWrittenAt {};
-    std::shared_ptr<http::ClientConnection> m_call;
-    Done m_done;
-    /// Expires with this object; handlers of a connection may run after it was destroyed.
-    std::shared_ptr<const bool> m_lifetime = std::make_shared<const bool>(true);
-    asio::steady_timer m_timer;
+    /// The version of the own row in the store, 0 if there is none; std::nullopt if it is not known, as after
+    /// a write without an answer.
+    std::optional<uint64_t> m_ownVersion;
+    /// Rows that nobody writes any more.
+    std::vector<platform::StoreRow> m_abandoned;
     uint64_t m_calls = 0;
     uint64_t m_failures = 0;
+    uint64_t m_conflicts = 0;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/QuotaCheckpoints.cpp
+++ b/packages/Edge/lib/QuotaCheckpoints.cpp
@@ -21,11 +21,14 @@
 /// Stated at the begin of a value; a build ignores rows of a format that it does not know.
 constexpr std::string_view format = "1";
 /// Many times the usual response time of the store. Callers are refused until the first read has ended.
-constexpr Duration readTimeout = std::chrono::milliseconds(400);
-constexpr Duration writeTimeout = std::chrono::seconds(1);
+constexpr Duration firstReadTimeout = std::chrono::milliseconds(400);
 constexpr Duration retryPeriod = std::chrono::milliseconds(700);
 /// 26 data centres with 220 organisations of at most 100 bytes each, in base64.
-constexpr size_t maxResponseBytes = 1 << 20;
+constexpr size_t maxReplyBytes = 1 << 20;
+/// A row that was written longer ago belongs to a data centre that was removed, or has had no use for as long
+/// and writes it again when it has some.
+constexpr Duration abandonedAge = std::chrono::hours(1);
+constexpr int httpOk = 200;
 
 std::string keyOf(const DataCentreId& dataCentre) { return fmt::format("{}{}", useKind, dataCentre.text()); }
 
@@ -38,6 +41,20 @@
     return ec ? asio::ip::tcp::endpoint() : asio::ip::tcp::endpoint(host, store.port);
 }
 
+/// What an answer says about rows; std::nullopt if there is none, or it cannot be read.
+std::optional<platform::StoreRows> rowsOf(const StoreReply& reply, bool isChange)
+{
+    const bool isRefused = isChange && reply.status == platform::statusVersionMismatch;
+    if (reply.status != httpOk && !isRefused)
+        return std::nullopt;
+    const auto decoded = outcomeOf<platform::StoreRows>([&] {
+        return isChange && !isRefused ? platform::decodeAcknowledgement(reply.body, reply.era)
+                                      : platform::decodeRows(reply.body, reply.era);
+    });
+    const auto* rows = std::get_if<platform::StoreRows>(&decoded);
+    return rows ? std::optional(*rows) : std::nullopt;
+}
+
 } // namespace
 
 std::string encodeQuotaCheckpoint(const QuotaCheckpoint& checkpoint)
@@ -84,21 +101,15 @@
     : m_state(state)
     , m_incarnation(incarnation)
     , m_startedAt(startedAt)
-    , m_store(endpointOf(state.settings.store))
+    , m_store(state.context, endpointOf(state.settings.store))
     , m_host(fmt::format("{}:{}", state.settings.store.host, state.settings.store.port))
+    , m_key(keyOf(state.settings.dataCentre))
     , m_countsAllUse(state.settings.isFirstStart)
     , m_isRead(m_countsAllUse)
-    , m_timer(state.context)
 {
     m_state.awaitsQuotaHistory = !m_isRead;
 }
 
-QuotaCheckpoints::~QuotaCheckpoints()
-{
-    if (m_call)
-        m_call->close();
-}
-
 void QuotaCheckpoints::update(bool countsAllUse, bool isWriter, TimePoint now)
 {
     m_countsAllUse = m_countsAllUse || countsAllUse;
@@ -106,42 +117,46 @@
         m_isRead = true;
         endWaiting();
     }
-    if (m_call)
+    if (isCalling())
         return;
     if (!m_isRead && now >= m_nextReadAt)
         read();
     else if (isWriter && hasHistory())
         writeIfDue(now);
+    if (isWriter && !isCalling() && !m_abandoned.empty())
+        deleteAbandonedRow();
 }
 
 void QuotaCheckpoints::read()
 {
     m_nextReadAt = bootNow() + retryPeriod;
-    send(platform::readRowsRequest(m_host, table, useKind), [this](const auto& body) {
-        if (body)
-            applyRows(*body);
+    send(platform::readRowsRequest(m_host, table, useKind), false, [this](const auto& rows, bool) {
+        if (rows)
+            applyRows(*rows);
         endWaiting();
     });
 }
 
-void QuotaCheckpoints::applyRows(const std::string& body)
+void QuotaCheckpoints::applyRows(const platform::StoreRows& rows)
 {
-    // The age of a row is judged by its content, so the era does not matter.
-    const auto decoded = outcomeOf<platform::StoreRows>([&] { return platform::decodeRows(body, 0); });
-    const auto* rows = std::get_if<platform::StoreRows>(&decoded);
-    if (!rows || !rows->storeTime || m_isRead)
+    if (!rows.storeTime || m_isRead)
         return;
     m_isRead = true;
     const auto now = bootNow();
     std::vector<QuotaCheckpoint> checkpoints;
-    for (const auto& it : rows->rows) {
-        if (auto checkpoint = it.key.starts_with(useKind) ? decodeQuotaCheckpoint(it.value) : std::nullopt)
-            checkpoints.push_back(std::move(*checkpoint));
+    for (const auto& it : rows.rows) {
+        auto checkpoint = it.key.starts_with(useKind) ? decodeQuotaCheckpoint(it.value) : std::nullopt;
+        if (!checkpoint)
+            continue;
+        if (it.key != m_key && *rows.storeTime - checkpoint->takenAt > abandonedAge)
+            m_abandoned.push_back(it);
+        checkpoints.push_back(std::move(*checkpoint));
     }
+    recordOwnRow(rows);
     const auto found = checkpoints.size();
     auto checkpoint
-        = combineCheckpoints(std::move(checkpoints), *rows->storeTime, m_state.settings.bounds.quotaWindow);
-    const auto age = checkpoint ? *rows->storeTime - checkpoint->takenAt : Duration(-1);
+        = combineCheckpoints(std::move(checkpoints), *rows.storeTime, m_state.settings.bounds.quotaWindow);
+    const auto age = checkpoint ? *rows.storeTime - checkpoint->takenAt : Duration(-1);
     if (checkpoint && !isRestorable(m_startedAt - (now - age)))
         checkpoint.reset();
     logEvent(checkpoint ? Event::QuotasRestored : Event::QuotasWithoutHistory,
@@ -191,71 +206,74 @@
     if (!period || now - m_lastWrittenAt < *period)
         return;
     m_lastWrittenAt = now;
-    if (!takenAt) {
-        // A response states the store's time.
-        send(platform::readRowRequest(m_host, table, keyOf(m_state.settings.dataCentre)), [](const auto&) {});
+    if (!takenAt || !m_ownVersion) {
+        // The answer states the store's time and the version of the row.
+        send(platform::readRowRequest(m_host, table, m_key), false, [this](const auto& rows, bool) {
+            if (!rows)
+                return;
+            recordOwnRow(*rows);
+            m_lastWrittenAt = {};
+        });
         return;
     }
-    send(platform::writeRowRequest(
-             m_host, table, keyOf(m_state.settings.dataCentre), encodeQuotaCheckpoint(taken)),
-        [](const auto&) {});
+    const auto expected = *std::exchange(m_ownVersion, std::nullopt);
+    send(platform::conditionalWriteRequest(m_host,
+             { { .table = std::string(table),
+                 .key = m_key,
+                 .value = encodeQuotaCheckpoint(taken),
+                 .expectedVersion = expected } }),
+        true, [this, expected](const auto& rows, bool isRefused) {
+            if (!rows)
+                return;
+            if (!isRefused) {
+                m_ownVersion = rows->version.number;
+                return;
+            }
+            // Another daemon has written the row since. It is replaced after a period, if this daemon then
+            // still is the writer, with what it has heard by then.
+            ++m_conflicts;
+            recordOwnRow(*rows);
+            logEvent(Event::QuotaCheckpointConflict,
+                { { "expected", static_cast<int64_t>(expected) },
+                    { "found", static_cast<int64_t>(*m_ownVersion) } });
+        });
 }
 
-void QuotaCheckpoints::send(std::string request, Done done)
+void QuotaCheckpoints::recordOwnRow(const platform::StoreRows& rows)
 {
-    ++m_calls;
-    auto call = std::make_shared<http::ClientConnection>(m_state.context);
-    m_call = call;
-    m_done = std::move(done);
-    const auto timeout = m_isRead ? writeTimeout : readTimeout;
-    // A handler of a call that has ended finds another call, or none, or runs after the destructor.
-    const auto isCurrent = [this, call, lifetime = std::weak_ptr(m_lifetime)] {
-        return !lifetime.expired() && m_call == call;
-    };
-    const Done end = [this, isCurrent](std::optional<std::string> body) {
-        if (isCurrent())
-            finish(std::move(body));
-    };
-    m_timer.expires_after(timeout);
-    m_timer.async_wait([end](std::error_code ec) {
-        if (!ec)
-            end(std::nullopt);
-    });
-    call->connect(
-        m_store, timeout, [call, isCurrent, end, request = std::move(request)](bool isConnected) mutable {
-            if (!isConnected || !isCurrent()) {
-                end(std::nullopt);
-                return;
-            }
-            const auto body = std::make_shared<std::string>();
-            const auto isAnswered = std::make_shared<bool>(false);
-            call->exchange(std::move(request), false,
-                { .head =
-                        [isAnswered](const http::HttpResponseHead& head) {
-                            constexpr int ok = 200;
-                            *isAnswered = head.status == ok;
-                            return true;
-                        },
-                    .body =
-                        [body](std::string_view piece) {
-                            if (body->size() + piece.size() <= maxResponseBytes)
-                                body->append(piece);
-                        },
-                    .complete
-                    = [end, body, isAnswered] { end(*isAnswered ? std::optional(*body) : std::nullopt); },
-                    .failed = [end](http::FailurePoint) { end(std::nullopt); } });
+    const auto own = std::ranges::find(rows.rows, m_key, &platform::StoreRow::key);
+    m_ownVersion = own == rows.rows.end() || own->isDeleted ? 0 : own->version.number;
+}
+
+void QuotaCheckpoints::deleteAbandonedRow()
+{
+    const auto row = std::move(m_abandoned.back());
+    m_abandoned.pop_back();
+    // A row that was written again has another version.
+    send(platform::deleteRowRequest(m_host, table, row.key, row.version.number), true,
+        [row](const auto& rows, bool isRefused) {
+            logEvent(Event::QuotaCheckpointDeleted,
+                { { "key", row.key }, { "acknowledged", static_cast<int64_t>(rows && !isRefused) } });
         });
 }
 
-void QuotaCheckpoints::finish(std::optional<std::string> body)
+void QuotaCheckpoints::send(std::string request, bool isChange, Done done)
 {
-    m_timer.cancel();
-    std::exchange(m_call, nullptr)->close();
-    if (!body)
-        ++m_failures;
-    else if (const auto time = platform::decodeStoreTime(*body))
-        m_storeClock = { .time = *time, .at = bootNow() };
-    std::exchange(m_done, nullptr)(std::move(body));
+    ++m_calls;
+    StoreCallLimits limits { .maxReplyBytes = maxReplyBytes };
+    if (!m_isRead)
+        limits.timeout = firstReadTimeout;
+    m_store.call(
+        std::move(request),
+        [this, isChange, done = std::move(done)](const StoreReply& reply) {
+            const auto rows = rowsOf(reply, isChange);
+            if (!rows)
+                ++m_failures;
+            else if (rows->storeTime)
+                m_storeClock = { .time = *rows->storeTime, .at = bootNow() };
+            done(rows, reply.status == platform::statusVersionMismatch);
+        },
+        limits);
 }
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/StoreWriter.cpp
+++ b/packages/Edge/lib/StoreWriter.cpp
@@ -9,10 +9,6 @@
 namespace lentilbay::edge {
 namespace {
 
-/// Many times the usual response time of the store; bounds connecting and the call.
-constexpr Duration callTimeout = std::chrono::seconds(1);
-/// Many times the size of the few rows that such calls read.
-constexpr size_t maxReplyBytes = 65'536;
 constexpr int httpOk = 200;
 
 } // namespace
@@ -23,48 +19,62 @@
         [done = std::move(done)](const StoreReply& reply) { done(reply.status == httpOk); });
 }
 
-void StoreWriter::call(std::string request, std::function<void(const StoreReply&)> done)
+StoreWriter::~StoreWriter()
+{
+    if (m_connection)
+        m_connection->close();
+}
+
+void StoreWriter::call(
+    std::string request, std::function<void(const StoreReply&)> done, const StoreCallLimits& limits)
 {
     assert(!isBusy() && "one call at a time");
     auto call = std::make_shared<http::ClientConnection>(m_context);
     m_connection = call;
     m_done = std::move(done);
-    m_timer.expires_after(callTimeout);
-    m_timer.async_wait([this, call](std::error_code ec) {
-        if (!ec)
-            finish(call, {});
-    });
-    call->connect(m_store, callTimeout, [this, call, request = std::move(request)](bool connected) mutable {
-        if (!connected || m_connection != call) {
-            finish(call, {});
+    // A handler of a call that has ended finds another call, or none, or runs after the destructor.
+    const Finish finish = [this, call, lifetime = std::weak_ptr(m_lifetime)](const StoreReply& reply) {
+        if (lifetime.expired() || m_connection != call)
             return;
-        }
-        const auto reply = std::make_shared<StoreReply>();
-        call->exchange(std::move(request), false,
-            { .head =
-                    [reply](const http::HttpResponseHead& head) {
-                        reply->status = head.status;
-                        reply->era = platform::decodeStoreEra(head.headers).value_or(0);
-                        return true;
-                    },
-                .body =
-                    [reply](std::string_view piece) {
-                        if (reply->body.size() + piece.size() <= maxReplyBytes)
-                            reply->body += piece;
-                    },
-                .complete = [this, call, reply] { finish(call, *reply); },
-                .failed = [this, call](http::FailurePoint) { finish(call, {}); } });
+        m_timer.cancel();
+        m_connection.reset();
+        call->close();
+        std::exchange(m_done, nullptr)(reply);
+    };
+    m_timer.expires_after(limits.timeout);
+    m_timer.async_wait([finish](std::error_code ec) {
+        if (!ec)
+            finish({});
     });
+    call->connect(m_store, limits.timeout,
+        [call, finish, request = std::move(request), maxReplyBytes = limits.maxReplyBytes](
+            bool isConnected) mutable {
+            // The connection of a call that has ended is closed.
+            if (isConnected && call->isOpen())
+                sendRequest(*call, std::move(request), maxReplyBytes, finish);
+            else
+                finish({});
+        });
 }
 
-void StoreWriter::finish(const std::shared_ptr<http::ClientConnection>& call, const StoreReply& reply)
+void StoreWriter::sendRequest(
+    http::ClientConnection& call, std::string request, size_t maxReplyBytes, const Finish& finish)
 {
-    if (m_connection != call)
-        return;
-    m_timer.cancel();
-    m_connection.reset();
-    call->close();
-    std::exchange(m_done, nullptr)(reply);
+    const auto reply = std::make_shared<StoreReply>();
+    call.exchange(std::move(request), false,
+        { .head =
+                [reply](const http::HttpResponseHead& head) {
+                    reply->status = head.status;
+                    reply->era = platform::decodeStoreEra(head.headers).value_or(0);
+                    return true;
+                },
+            .body =
+                [reply, maxReplyBytes](std::string_view piece) {
+                    if (reply->body.size() + piece.size() <= maxReplyBytes)
+                        reply->body += piece;
+                },
+            .complete = [finish, reply] { finish(*reply); },
+            .failed = [finish](http::FailurePoint) { finish({}); } });
 }
 
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/QuotaCheckpointsTest.cpp
+++ b/packages/Edge/unittests/QuotaCheckpointsTest.cpp
@@ -43,17 +43,58 @@
         // Days ahead of the daemons' clocks.
         const auto nowMs = (bootNow() - TimePoint()) / 1ms + 1'000'000'000;
         if (request.starts_with("POST")) {
+            const auto key = fieldAfter(request, "Key");
+            if (expectedVersion(request) != versionOf(key)) {
+                ++refused;
+                return { .bytes = rowsAnswer(412, nowMs, key) };
+            }
             ++writes;
-            rows[fieldAfter(request, "Key")] = fieldAfter(request, "Value");
-            return { .bytes = httpAnswer(200, fmt::format(R"({{"Ver":1,"NowMs":{}}})", nowMs)) };
+            if (request.find("\"Write\":[]") == std::string::npos)
+                put(key, fieldAfter(request, "Value"));
+            else
+                rows.erase(key);
+            if (losesNextAnswer) {
+                losesNextAnswer = false;
+                return { .bytes = "", .then = ScriptedResponse::Then::Reset };
+            }
+            return { .bytes = httpAnswer(200, fmt::format(R"({{"Ver":{},"NowMs":{}}})", version, nowMs)) };
         }
+        ++reads;
+        return { .bytes = rowsAnswer(200, nowMs, "") };
+    }
+
+    void put(const std::string& key, const std::string& value) { rows[key] = { value, ++version }; }
+    uint64_t versionOf(const std::string& key) const
+    {
+        const auto it = rows.find(key);
+        return it == rows.end() ? 0 : it->second.version;
+    }
+    /// std::nullopt for a write without a condition.
+    static std::optional<uint64_t> expectedVersion(const std::string& request)
+    {
+        const auto begin = request.find("\"Ver\":");
+        return begin == std::string::npos ? std::nullopt
+                                          : std::optional<uint64_t>(std::stoull(request.substr(begin + 6)));
+    }
+    /// @param onlyKey the rows to answer; empty: all
+    std::string rowsAnswer(int status, int64_t nowMs, const std::string& onlyKey) const
+    {
         std::string list;
-        for (const auto& [key, value] : rows)
-            list += fmt::format(R"({}{{"Table":"quotas","part":"","Key":"{}","Value":"{}","Ver":1}})",
-                list.empty() ? "" : ",", key, value);
-        return { .bytes
-            = httpAnswer(200, fmt::format(R"({{"Rows":[{}],"Ver":1,"NowMs":{}}})", list, nowMs)) };
+        for (const auto& [key, row] : rows) {
+            if (onlyKey.empty() || key == onlyKey)
+                list += fmt::format(R"({}{{"Table":"quotas","part":"","Key":"{}","Value":"{}","Ver":{}}})",
+                    list.empty() ? "" : ",", key, row.value, row.version);
+        }
+        return httpAnswer(
+            status, fmt::format(R"({{"Rows":[{}],"Ver":{},"NowMs":{}}})", list, version, nowMs));
+    }
+    /// The base64 form of a checkpoint, as in a row.
+    static std::string encoded(const QuotaCheckpoint& checkpoint)
+    {
+        return fieldAfter(
+            platform::writeRowRequest("s", "t", "k", encodeQuotaCheckpoint(checkpoint)), "Value");
     }
+    static Duration storeTime() { return bootNow() - TimePoint() + 1'000'000s; }
 
     std::unique_ptr<EdgeState> makeState(bool isFirstStart)
     {
@@ -92,8 +133,18 @@
 
     asio::io_context context;
     RawServer server { context };
-    std::map<std::string, std::string> rows;
+    struct Row {
+        std::string value;
+        uint64_t version = 0;
+    };
+    std::map<std::string, Row> rows;
+    uint64_t version = 0;
+    size_t reads = 0;
+    /// Applied, and refused because of the row's version.
     size_t writes = 0;
+    size_t refused = 0;
+    /// The store applies the next write and its answer is lost.
+    bool losesNextAnswer = false;
     bool isAway = false;
 };
 
@@ -176,6 +227,69 @@
     EXPECT_EQ(unknowing.calls(), 1U) << "one read is enough if the store has no row";
 }
 
+TEST_F(QuotaCheckpointsTest, DaemonThatWasSuspendedReplacesNoNewerRow)
+{
+    // Guards against a checkpoint of before a suspension, or of a daemon that no longer is the writer, that
+    // replaces the one of the present writer.
+    const auto state = makeState(true);
+    QuotaCheckpoints checkpoints(*state, 1, bootNow());
+    EXPECT_TRUE(admit(*state, 2500));
+    run(checkpoints, 1s, true);
+    ASSERT_TRUE(rows.contains("use/a"));
+    EXPECT_EQ(refused, 0U);
+    const auto newer = encoded({ .takenAt = storeTime(), .incarnation = 2 });
+    put("use/a", newer);
+    for (int i = 0; i < 40 && refused == 0; ++i)
+        run(checkpoints, 100ms, true);
+    EXPECT_EQ(refused, 1U);
+    EXPECT_EQ(rows["use/a"].value, newer);
+    run(checkpoints, 300ms, true);
+    EXPECT_EQ(checkpoints.conflicts(), 1U);
+    EXPECT_EQ(rows["use/a"].value, newer) << "not before the next period";
+    run(checkpoints, 2500ms, true);
+    EXPECT_NE(rows["use/a"].value, newer) << "a daemon that still is the writer goes on";
+}
+
+TEST_F(QuotaCheckpointsTest, WriteWhoseAnswerIsLostIsFollowedByARead)
+{
+    // Guards against a writer that takes its own row for that of another daemon, and writes nothing for a
+    // period.
+    const auto state = makeState(true);
+    QuotaCheckpoints checkpoints(*state, 1, bootNow());
+    EXPECT_TRUE(admit(*state, 2500));
+    losesNextAnswer = true;
+    run(checkpoints, 1s, true);
+    EXPECT_EQ(writes, 1U);
+    EXPECT_EQ(reads, 1U);
+    run(checkpoints, 3s, true);
+    EXPECT_GE(writes, 2U);
+    EXPECT_EQ(reads, 2U);
+    EXPECT_EQ(refused, 0U);
+    EXPECT_EQ(checkpoints.failures(), 1U);
+}
+
+TEST_F(QuotaCheckpointsTest, RowsOfRemovedDataCentresAreDeleted)
+{
+    // Guards against rows that each daemon which starts reads for ever.
+    const auto old = encoded({ .takenAt = storeTime() - 2h, .incarnation = 9 });
+    const auto recent = encoded({ .takenAt = storeTime() - 10min, .incarnation = 9 });
+    put("use/a", old);
+    put("use/removed", old);
+    put("use/removed2", old);
+    put("use/idle", recent);
+    const auto state = makeState(false);
+    QuotaCheckpoints checkpoints(*state, 1, bootNow());
+    run(checkpoints, 300ms, false, false);
+    EXPECT_EQ(rows.size(), 4U) << "by a daemon that is not the writer";
+    put("use/removed2", recent);
+    run(checkpoints, 500ms);
+    EXPECT_FALSE(rows.contains("use/removed"));
+    EXPECT_TRUE(rows.contains("use/a")) << "its own row";
+    EXPECT_TRUE(rows.contains("use/idle"));
+    EXPECT_TRUE(rows.contains("use/removed2")) << "written again since it was read";
+    EXPECT_EQ(refused, 1U);
+}
+
 TEST_F(QuotaCheckpointsTest, CallThatWasOutstandingAtTheEndChangesNothing)
 {
     // Guards against a handler of the connection that uses the checkpoints after they were destroyed.
