Assign slots incrementally when the daemons change

Cause: each change of the daemons dropped all assignments, and the next request compared all daemons for all slots: about 10 ms on a whole core for 300 daemons and 240 endpoints of 8 slots, on hosts with 0.084 of a core.

Change: the daemon and the score of each slot are kept. One that comes is compared with them; after one has gone, all others are compared for its slots only. Endpoints that were not used during 100 changes are forgotten. A slot count or a data centre of an endpoint that changes is taken into account.

The first assignment costs the same as before. ChangesLeadToTheAssignmentOfADaemonThatHasJustStarted compares 60 random changes with new assignments.

--- a/packages/Policy/include/lentilbay/Policy/SlotAssignment.h
+++ b/packages/Policy/include/lentilbay/Policy/SlotAssignment.h
@@ -8,6 +8,10 @@
 // be free otherwise are lent: for a short time, each daemon may use a selection of the endpoints, so large
 // that about as many daemons select an endpoint as it has slots to lend. An endpoint of the own data centre
 // that is nearly idle is used by all.
+//
+// When a daemon comes, it is compared with the present daemon of each slot; when one goes, all others are
+// compared for its slots only. A comparison of all daemons for all slots of 240 endpoints takes 9.2 ms in a
+// fleet of 300, on a whole core.
 #pragma once
 
 #include "lentilbay/Model/Topology.h"
@@ -49,18 +53,39 @@
     /// @param own this daemon's requests in flight there
     /// @param load those of all daemons, as far as known
     bool mayTake(const Endpoint& endpoint, uint32_t own, double load, TimePoint now) const;
+    /// How often a daemon was compared with the others for a slot, which is what an assignment costs.
+    uint64_t comparisons() const { return m_comparisons; }
 
 private:
+    struct Slot {
+        /// Of the daemon to which it is assigned.
+        double score = 0;
+        uint64_t daemon = 0;
+    };
+    struct Assigned {
+        DataCentreId dataCentre;
+        std::vector<Slot> slots;
+        /// The number of slots of this daemon.
+        uint32_t own = 0;
+        /// m_changes when it was last used.
+        uint64_t usedAt = 0;
+    };
+    /// Assigns those of the slots to the daemon for which it has a higher score than the present one.
+    void offer(
+        uint64_t endpoint, Assigned& assigned, const std::vector<size_t>& slots, const Daemon& daemon) const;
+    void countOwn(Assigned& assigned) const;
+    /// Changes the assignments that daemons which have gone or come have or get.
+    void update(const std::vector<Daemon>& gone, const std::vector<Daemon>& come);
+
     Topology m_topology;
     std::string m_self;
     uint64_t m_selfHash = 0;
     std::vector<Daemon> m_daemons;
-    struct Assigned {
-        uint32_t slots = 0;
-        uint32_t own = 0;
-    };
-    /// By endpoint, as far as computed since the daemons changed.
+    /// By endpoint, for those that have been used.
     mutable std::unordered_map<uint64_t, Assigned> m_assigned;
+    /// How often the daemons have changed.
+    uint64_t m_changes = 0;
+    mutable uint64_t m_comparisons = 0;
 };
 
 } // namespace lentilbay
--- a/packages/Policy/lib/SlotAssignment.cpp
+++ b/packages/Policy/lib/SlotAssignment.cpp
@@ -7,7 +7,9 @@
 #include <array>
 #include <bit>
 #include <cmath>
+#include <iterator>
 #include <string_view>
+#include <unordered_set>
 #include <utility>
 
 namespace lentilbay {
@@ -33,6 +35,9 @@
 /// An endpoint with so many requests or fewer is nearly idle.
 constexpr double nearlyIdleLoad = 1;
 
+/// An endpoint that was not used during so many changes of the daemons may be gone, and is forgotten.
+constexpr uint64_t maxUnusedChanges = 100;
+
 /// A number in (0, 1) that is the same on all hosts.
 double fractionOf(uint64_t first, uint64_t second, uint64_t seed)
 {
@@ -61,35 +66,83 @@
     std::ranges::sort(daemons);
     if (m_self == self && m_daemons == daemons)
         return;
+    if (m_self != self || m_topology != topology || daemons.empty())
+        m_assigned.clear();
+    std::vector<Daemon> gone;
+    std::vector<Daemon> come;
+    std::ranges::set_difference(m_daemons, daemons, std::back_inserter(gone));
+    std::ranges::set_difference(daemons, m_daemons, std::back_inserter(come));
     m_topology = topology;
     m_self = self;
     m_selfHash = hashOf(self);
     m_daemons = std::move(daemons);
-    m_assigned.clear();
+    update(gone, come);
 }
 
-uint32_t SlotAssignment::assigned(const Endpoint& endpoint) const
+void SlotAssignment::update(const std::vector<Daemon>& gone, const std::vector<Daemon>& come)
 {
-    auto [it, isNew] = m_assigned.try_emplace(endpoint.hash);
-    if (!isNew && it->second.slots == endpoint.slots)
-        return it->second.own;
-    it->second = { .slots = endpoint.slots };
-    struct Best {
-        double score = 0;
-        bool isSelf = false;
-    };
-    std::vector<Best> best(endpoint.slots);
-    for (const auto& daemon : m_daemons) {
-        const double weight = nearnessOf(m_topology, daemon.dataCentre, endpoint.dataCentre).weight;
-        const auto hash = hashOf(daemon.name);
-        for (uint64_t slot = 0; slot < endpoint.slots; ++slot) {
-            const double score = -weight / std::log(fractionOf(endpoint.hash, slot, hash));
-            if (score > best[slot].score)
-                best[slot] = { .score = score, .isSelf = daemon.name == m_self };
+    ++m_changes;
+    std::erase_if(
+        m_assigned, [&](const auto& it) { return m_changes - it.second.usedAt > maxUnusedChanges; });
+    std::unordered_set<uint64_t> lost;
+    for (const auto& it : gone)
+        lost.insert(hashOf(it.name));
+    for (auto& [endpoint, assigned] : m_assigned) {
+        std::vector<size_t> kept;
+        std::vector<size_t> free;
+        for (size_t slot = 0; slot < assigned.slots.size(); ++slot) {
+            const bool isFree = lost.contains(assigned.slots[slot].daemon);
+            if (isFree)
+                assigned.slots[slot] = {};
+            (isFree ? free : kept).push_back(slot);
         }
+        for (const auto& daemon : come)
+            offer(endpoint, assigned, kept, daemon);
+        if (!free.empty()) {
+            for (const auto& daemon : m_daemons)
+                offer(endpoint, assigned, free, daemon);
+        }
+        countOwn(assigned);
+    }
+}
+
+void SlotAssignment::offer(
+    uint64_t endpoint, Assigned& assigned, const std::vector<size_t>& slots, const Daemon& daemon) const
+{
+    const double weight = nearnessOf(m_topology, daemon.dataCentre, assigned.dataCentre).weight;
+    const auto hash = hashOf(daemon.name);
+    m_comparisons += slots.size();
+    for (const auto slot : slots) {
+        const double score = -weight / std::log(fractionOf(endpoint, slot, hash));
+        if (score > assigned.slots[slot].score)
+            assigned.slots[slot] = { .score = score, .daemon = hash };
     }
-    it->second.own = static_cast<uint32_t>(std::ranges::count(best, true, &Best::isSelf));
-    return it->second.own;
+}
+
+uint32_t SlotAssignment::assigned(const Endpoint& endpoint) const
+{
+    auto& out = m_assigned[endpoint.hash];
+    out.usedAt = m_changes;
+    if (out.slots.size() == endpoint.slots && out.dataCentre == endpoint.dataCentre)
+        return out.own;
+    if (out.dataCentre != endpoint.dataCentre)
+        out.slots.clear();
+    out.dataCentre = endpoint.dataCentre;
+    std::vector<size_t> added;
+    for (size_t slot = out.slots.size(); slot < endpoint.slots; ++slot)
+        added.push_back(slot);
+    out.slots.resize(endpoint.slots);
+    if (!added.empty()) {
+        for (const auto& daemon : m_daemons)
+            offer(endpoint.hash, out, added, daemon);
+    }
+    countOwn(out);
+    return out.own;
+}
+
+void SlotAssignment::countOwn(Assigned& assigned) const
+{
+    assigned.own = static_cast<uint32_t>(std::ranges::count(assigned.slots, m_selfHash, &Slot::daemon));
 }
 
 bool SlotAssignment::mayTake(const Endpoint& endpoint, uint32_t own, double load, TimePoint now) const
--- a/packages/Policy/unittests/SlotAssignmentTest.cpp
+++ b/packages/Policy/unittests/SlotAssignmentTest.cpp
@@ -2,6 +2,7 @@
 #include "lentilbay/Policy/SlotAssignment.h"
 
 #include "lentilbay/Support/Hash.h"
+#include "lentilbay/Support/Random.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -142,5 +143,62 @@
     }
 }
 
+TEST_F(SlotAssignmentTest, ChangeOfOneDaemonComparesOnlyWhatItMayChange)
+{
+    // Guards against 9.2 ms on a whole core after each change in a fleet of 300 daemons, in the first request
+    // that considers 240 endpoints.
+    constexpr size_t fleet = 300;
+    constexpr size_t endpoints = 240;
+    daemons.clear();
+    for (size_t i = 0; i < fleet; ++i)
+        daemons.push_back({ .name = "edge-" + std::to_string(i), .dataCentre = dataCentreOf(i) });
+    topology.ownDataCentre = daemons[0].dataCentre;
+    SlotAssignment assignment;
+    const auto comparisonsOf = [&](std::vector<SlotAssignment::Daemon> members) {
+        const auto before = assignment.comparisons();
+        assignment.setDaemons(topology, daemons[0].name, std::move(members));
+        for (size_t i = 0; i < endpoints; ++i)
+            (void)assignment.assigned(endpointOf(i));
+        return assignment.comparisons() - before;
+    };
+    EXPECT_EQ(comparisonsOf(daemons), fleet * endpoints * slots);
+    auto members = daemons;
+    members.pop_back();
+    EXPECT_LE(comparisonsOf(members), fleet * endpoints * slots / 100) << "some slots of each daemon";
+    EXPECT_EQ(comparisonsOf(daemons), endpoints * slots);
+    EXPECT_EQ(comparisonsOf(daemons), 0U);
+}
+
+TEST_F(SlotAssignmentTest, ChangesLeadToTheAssignmentOfADaemonThatHasJustStarted)
+{
+    // Guards against daemons that assign a slot to two daemons or to none, because they have seen the fleet
+    // change in different ways.
+    constexpr size_t endpoints = 30;
+    SlotAssignment changed;
+    topology.ownDataCentre = daemons[0].dataCentre;
+    Random random(1);
+    for (int round = 0; round < 60; ++round) {
+        std::vector<SlotAssignment::Daemon> members { daemons[0] };
+        const double share = random.fraction();
+        for (size_t i = 1; i < daemonCount; ++i) {
+            if (random.fraction() < share)
+                members.push_back(
+                    { .name = daemons[i].name, .dataCentre = dataCentreOf(random.below(20) == 0 ? 0 : i) });
+        }
+        changed.setDaemons(topology, daemons[0].name, members);
+        SlotAssignment started;
+        started.setDaemons(topology, daemons[0].name, members);
+        for (size_t i = 0; i < endpoints; ++i) {
+            auto endpoint = endpointOf(i);
+            endpoint.slots = static_cast<uint32_t>(1 + random.below(12));
+            if (random.below(20) == 0)
+                endpoint.dataCentre = dataCentreOf(i + 1);
+            if (random.fraction() < 0.8) {
+                EXPECT_EQ(changed.assigned(endpoint), started.assigned(endpoint)) << round;
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace lentilbay
