Let reservations for retries follow a reduced rate, and drop withdrawn ones

Cause: what was assigned to retries was kept as a time, computed with the rate of that moment. When the operator or other daemons reduced what the quota admits here, callers were told to return while it still admitted what was assigned before. What was assigned for organisations that were withdrawn was kept as long as the process.

Change: RetryReservations keeps tokens, which are admitted at the present rate. EdgeState drops the reservations of organisations that a new configuration does not have, or that have no quota in it (lentilbay_retry_reservations_organisations).

--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -110,6 +110,9 @@
     {
         return m_retryReservations[organisation];
     }
+    /// Drops what was assigned to retries of organisations that the configuration no longer has.
+    void dropWithdrawnReservations();
+    size_t organisationsWithReservations() const { return m_retryReservations.size(); }
     /// What a checkpoint states of the quotas, by the time of this process.
     struct QuotaHistory {
         std::unordered_map<uint64_t, QuotaUse> uses;
--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -48,6 +48,7 @@
                 { "in_force", static_cast<int64_t>(m_state.routes->version()) }, { "source", source } });
     } else if (outcome == Outcome::InForce) {
         m_state.routes = std::make_shared<const RouteTable>(std::move(*table));
+        m_state.dropWithdrawnReservations();
         logEvent(Event::ConfigurationInForce,
             { { "version", static_cast<int64_t>(m_state.routes->version()) },
                 { "routes", static_cast<int64_t>(m_state.routes->routes().size()) }, { "source", source } });
--- a/packages/Edge/lib/EdgeGauges.cpp
+++ b/packages/Edge/lib/EdgeGauges.cpp
@@ -51,6 +51,7 @@
         { "quota_checkpoint_store_calls", number(m_quotaCheckpoints.calls()) },
         { "quota_checkpoint_store_calls_failed", number(m_quotaCheckpoints.failures()) },
         { "quota_checkpoint_conflicts", number(m_quotaCheckpoints.conflicts()) },
+        { "retry_reservations_organisations", number(m_state.organisationsWithReservations()) },
         { "quotas_restored", number(m_quotaCheckpoints.isRestored()) }, { "store_era", number(m_storeEra) },
         { "event_loop_delay_seconds", toSeconds(m_loopWatch.delay()) },
         { "request_memory_bytes", number(m_state.requestMemory->usedBytes()) },
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -244,6 +244,14 @@
     return out;
 }
 
+void EdgeState::dropWithdrawnReservations()
+{
+    std::erase_if(m_retryReservations, [this](const auto& it) {
+        return std::ranges::none_of(routes->organisations(),
+            [&](const auto& organisation) { return organisation.quota && organisation.name == it.first; });
+    });
+}
+
 void EdgeState::restoreQuotas(QuotaHistory history, TimePoint now)
 {
     m_quotaHistory = std::move(history);
--- a/packages/Edge/unittests/EdgeDaemonTest.cpp
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -618,6 +618,41 @@
     stopBoth();
 }
 
+TEST_F(TurnedAwayDaemonTest, ReservationsOfAWithdrawnOrganisationWereKept)
+{
+    // Guards against a daemon that keeps what it has assigned to retries of each organisation that it ever
+    // had.
+    auto putOrganisation = [&, number = 1](const std::string& name) mutable {
+        put("op", "config",
+            fmt::format(R"({{"Version":{},"Routes":[{{"Name":"r","Host":"h","Prefix":"/a/","Type":"safe",)"
+                        R"("TimeoutMs":2000,"Service":"s"}}],"Services":[{{"Name":"s"}}],)"
+                        R"("Tenants":[{{"Name":"{}","ApiKeys":["{}"],"RatePerS":10,"Burst":10,)"
+                        R"("Unit":"tokens","DefaultTokens":9}}]}})",
+                ++number, name, name));
+    };
+    putOrganisation("o");
+    settings.isFirstStart = true;
+    start();
+    const auto awaitText = [&](const std::string& text, const auto& read) {
+        std::string received;
+        for (int i = 0; i < maxTries && received.find(text) == std::string::npos; ++i) {
+            runFor(10ms);
+            received = read();
+        }
+        EXPECT_NE(received.find(text), std::string::npos) << text;
+    };
+    const auto reservations = [&] { return ask(settings.metrics.port, "GET /metrics HTTP/1.1\r\n" + tail); };
+    awaitText(" 429 ", [&] {
+        return ask(settings.callers.port,
+            "GET /a/x HTTP/1.1\r\nAuthorization: Token o\r\nX-Token-Usage: 200000,1000\r\n" + tail);
+    });
+    awaitText("\nlentilbay_retry_reservations_organisations 1\n", reservations);
+    putOrganisation("p");
+    awaitText("\nlentilbay_retry_reservations_organisations 0\n", reservations);
+    kill(getpid(), SIGTERM);
+    awaitStop();
+}
+
 /// Two daemons of which the store turns one or both away, while keys are withdrawn.
 class KeysDuringACutTest : public TurnedAwayDaemonTest {
 protected:
--- a/packages/Policy/include/lentilbay/Policy/RetryReservations.h
+++ b/packages/Policy/include/lentilbay/Policy/RetryReservations.h
@@ -5,6 +5,9 @@
 // for this daemon's callers, one after the other, by rank: requests of a rank line up behind those of their
 // own and of higher ranks. A caller that will not wait for its part returns when it wants to, and none is
 // kept for it. Callers retry at other daemons; the parts of all daemons together are what the quota admits.
+//
+// What is assigned is kept in tokens, so that it takes longer when the quota admits less than before, and
+// callers that are refused then line up behind all of it.
 #pragma once
 
 #include "lentilbay/Support/Time.h"
@@ -39,8 +42,16 @@
     Duration reserve(const RefusedTokens& refused, TimePoint now);
 
 private:
-    /// Until when what will be admitted is assigned, by rank.
-    std::map<int, TimePoint> m_assignedUntil;
+    struct Assigned {
+        /// When the quota begins to admit the tokens.
+        TimePoint from {};
+        double tokens = 0;
+    };
+    /// What has been assigned and not been admitted yet, by rank.
+    std::map<int, Assigned> m_assigned;
+    /// At which the quota has admitted what was assigned since the last call.
+    double m_assignedPerSecond = 0;
+    TimePoint m_updatedAt {};
 };
 
 } // namespace lentilbay
--- a/packages/Policy/unittests/RetryReservationsTest.cpp
+++ b/packages/Policy/unittests/RetryReservationsTest.cpp
@@ -45,6 +45,31 @@
     EXPECT_EQ(reservations.reserve(refused, TimePoint()), 1s);
 }
 
+TEST(RetryReservations, AssignmentsFollowAReducedRate)
+{
+    // Guards against callers that are told to return while the quota still admits what was assigned before:
+    // the operator had reduced it, or other daemons had got a part of it.
+    RetryReservations reservations;
+    RefusedTokens refused { .tokens = 400, .tokensPerSecond = rate, .maxWait = 9s };
+    reservations.reserve(refused, TimePoint());
+    EXPECT_EQ(reservations.reserve(refused, TimePoint()), 400ms);
+    EXPECT_EQ(reservations.reserve(refused, TimePoint()), 800ms);
+    refused.tokensPerSecond = rate / 4;
+    EXPECT_EQ(reservations.reserve(refused, TimePoint(200ms)), 4s) << "1000 tokens are left, 250 a second";
+    refused.tokensPerSecond = rate;
+    EXPECT_EQ(reservations.reserve(refused, TimePoint(1200ms)), 1150ms) << "1150 of 1400 tokens are left";
+}
+
+TEST(RetryReservations, LowerRankLinesUpBehindAHigherOneAtAReducedRate)
+{
+    RetryReservations reservations;
+    RefusedTokens refused { .tokens = 500, .rank = 0, .tokensPerSecond = rate, .maxWait = 9s };
+    reservations.reserve(refused, TimePoint());
+    refused.rank = 1;
+    refused.tokensPerSecond = rate / 2;
+    EXPECT_EQ(reservations.reserve(refused, TimePoint()), 1s);
+}
+
 TEST(RetryReservations, StatesAtLeastTheShortestTime)
 {
     RetryReservations reservations;
