Keep no quota for higher ranks because of a restart

Two causes: the refusals of the first moment, when the daemons do not hear each other, were counted as demand of their ranks as soon as a checkpoint had been restored; and the demand of this daemon was extrapolated by the restored use of the whole fleet, divided by its own use since the restart, a factor in the thousands.

Refusals do not count until the bucket could have filled, as without a checkpoint, and the factor compares what has been counted since the use was taken over.

--- a/packages/Policy/include/lentilbay/Policy/SharedQuota.h
+++ b/packages/Policy/include/lentilbay/Policy/SharedQuota.h
@@ -207,12 +207,16 @@
     bool isAmple(double tokens, double left, const QuotaParticipants& participants, TimePoint now);
     /// Whether a request that resumes a stream may be admitted ahead of what the bucket will hold.
     bool mayAdvance(double tokens, const QuotaParticipants& participants, TimePoint now) const;
+    /// By how much the fleet's demand exceeds that of this daemon, as far as both have been counted.
+    double fleetDemandFactor(TimePoint now);
     /// The part of the quota that is kept for requests of higher ranks.
     double reserveAbove(int rank, TimePoint now);
     /// What may have been admitted at once before a restart of the whole fleet and count after it.
     double burstBeforeRestart() const;
     /// The same unless a checkpoint accounts for it.
     double unknownBurst() const;
+    /// Whether the whole fleet was restarted less long ago than its bucket takes to fill.
+    bool hasJustRestarted(TimePoint now) const;
     /// Whether a burst that was admitted before a restart of the whole fleet may still be in the window.
     bool hasUnknownBurst(TimePoint now) const;
     /// The options of the fleet's bucket.
@@ -249,6 +253,9 @@
     bool m_hasAdopted = false;
     /// Up to when the use that was restored from a checkpoint is counted. All restarted daemons know of it.
     std::optional<TimePoint> m_restoredUntil;
+    /// Up to when the fleet's use was taken from a peer or a checkpoint, so that this daemon's part is
+    /// unknown.
+    TimePoint m_useTakenUntil {};
     /// What restore() has counted without knowing of it.
     double m_restoredUnseen = 0;
     /// Tokens that this daemon has admitted ahead of what its bucket held.
--- a/packages/Policy/lib/SharedQuota.cpp
+++ b/packages/Policy/lib/SharedQuota.cpp
@@ -119,6 +119,11 @@
     return std::max(0.0, m_limits.burstTokens - m_limits.tokensPerSecond * toSeconds(minDowntime));
 }
 
+bool SharedQuota::hasJustRestarted(TimePoint now) const
+{
+    return toSeconds(now - m_startedAt) * m_limits.tokensPerSecond < burstBeforeRestart();
+}
+
 bool SharedQuota::hasUnknownBurst(TimePoint now) const
 {
     return toSeconds(now - m_startedAt) * m_limits.tokensPerSecond < unknownBurst();
@@ -171,7 +176,7 @@
     refresh(participants, now);
     auto& ownRank = m_ownRanks[rank];
     // After a restart much is refused, which says nothing about the ranks.
-    if (!hasUnknownBurst(now) || rank == resumingRank)
+    if (!hasJustRestarted(now) || rank == resumingRank)
         ownRank.demanded.add(tokens, now);
     const double inWindow = windowLeft(participants, now);
     const double left = std::min(m_bucket.level(now), inWindow);
@@ -253,10 +258,18 @@
         <= usual * usualVariation + tokens * usualClump;
 }
 
+double SharedQuota::fleetDemandFactor(TimePoint now)
+{
+    const auto sinceTaken = [&](WindowSum& sum) {
+        return sum.within(m_limits.window, now) - sum.withinUntil(m_useTakenUntil, m_limits.window, now);
+    };
+    const double own = sinceTaken(m_ownAdmissions);
+    return own > 0 ? std::max(1.0, sinceTaken(m_fleetAdmissions) / own) : 1;
+}
+
 double SharedQuota::reserveAbove(int rank, TimePoint now)
 {
-    const double ownTokens = m_ownAdmissions.within(m_limits.window, now);
-    const double fleetFactor = ownTokens > 0 ? std::max(1.0, admittedInWindow(now) / ownTokens) : 1;
+    const double fleetFactor = fleetDemandFactor(now);
     const double windowsReserved = toSeconds(reservedDemand) / toSeconds(m_limits.window);
     double reserve = 0;
     double refused = 0;
@@ -329,6 +342,7 @@
     raiseLevelTo(level * m_usableFraction, now);
     m_fleetBucket.settle(std::max(0.0, level - m_fleetBucket.level(now)), now);
     m_knowsFleetLevel = m_hasAdopted = true;
+    m_useTakenUntil = now;
     m_fleetAdmissions = {};
     // Each part counts as if it had been admitted at its end.
     const auto n = std::ssize(parts);
@@ -358,6 +372,7 @@
     m_fleetAdmissions.addAt(unseen, endedAt);
     m_restoredUnseen = unseen;
     m_restoredUntil = endedAt + minDowntime;
+    m_useTakenUntil = std::max(m_useTakenUntil, *m_restoredUntil);
     // The bucket of the predecessors may have been empty at their end, and was refilled before the restart.
     const double initial = std::clamp(
         m_limits.tokensPerSecond * toSeconds(minDowntime) - admittedSince, 0.0, m_limits.burstTokens);
--- a/packages/Policy/unittests/QuotaCheckpointTest.cpp
+++ b/packages/Policy/unittests/QuotaCheckpointTest.cpp
@@ -213,6 +213,64 @@
     EXPECT_TRUE(quota.admit(7'000, limits, alone, now, SharedQuota::resumingRank));
 }
 
+/// One of many daemons whose fleet was restarted at 14 s. The peers use what the bucket is refilled with, so
+/// it holds no more than at the start.
+class RestartedDaemon {
+public:
+    RestartedDaemon()
+    {
+        SharedQuota::WindowParts parts {};
+        parts.fill(promise.tokensPerSecond * 0.2);
+        m_quota.restore(m_limits.burstTokens, parts, TimePoint(12500ms), m_now, m_now);
+    }
+
+    double refillPerStep() const { return m_limits.tokensPerSecond * toSeconds(step); }
+    bool admit(double tokens, int rank) { return m_quota.admit(tokens, m_limits, m_all, m_now, rank); }
+    void usePeers(double tokens) { m_quota.applyUse(tokens, m_now); }
+    /// Counts refusals of small requests of a low rank in the next steps.
+    int refusals(int steps)
+    {
+        int out = 0;
+        for (int i = 0; i < steps; ++i, m_now += step) {
+            usePeers(refillPerStep());
+            out += admit(20, 2) ? 0 : 1;
+        }
+        return out;
+    }
+    void wait() { m_now += step; }
+
+    static constexpr size_t daemons = 85;
+
+private:
+    QuotaLimits m_limits = limitsFor(promise);
+    QuotaParticipants m_all { .known = daemons };
+    TimePoint m_now { 14s };
+    SharedQuota m_quota { m_limits, false, m_all, m_now };
+};
+
+TEST(QuotaCheckpoint, RefusalsRightAfterARestartAreNotKeptForHigherRanks)
+{
+    // Guards against refusals of lower ranks for a whole window: much is refused while the daemons hear each
+    // other again, which says nothing about the ranks.
+    RestartedDaemon daemon;
+    EXPECT_FALSE(daemon.admit(limitsFor(promise).windowTokens, 0));
+    EXPECT_EQ(daemon.refusals(20), 0);
+}
+
+TEST(QuotaCheckpoint, RestoredUseRaisedWhatIsKeptForHigherRanks)
+{
+    // Guards against comparing the fleet's use before a restart with this daemon's since then, by which the
+    // demand of higher ranks seemed to be several times what it was.
+    RestartedDaemon daemon;
+    const double own = daemon.refillPerStep() / RestartedDaemon::daemons;
+    for (int i = 0; i < 40; ++i, daemon.wait()) {
+        daemon.usePeers(daemon.refillPerStep() - own);
+        EXPECT_TRUE(daemon.admit(own, i % 2 == 0 ? 0 : 2)) << i;
+    }
+    daemon.usePeers(270'000);
+    EXPECT_EQ(daemon.refusals(10), 0);
+}
+
 TEST(QuotaCheckpoint, ThePromiseIsAdmittedOverALongRun)
 {
     for (const size_t size : { 8, 85 }) {
