--- a/packages/Edge/unittests/EdgeDaemonTest.cpp
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -528,8 +528,9 @@
                     out.empty() ? "" : ",", it.table, it.key, it.version, encoded(it.document));
         }
         const bool waits = request.find("rows-feed") != std::string::npos && out.empty();
-        return { .bytes = httpResponse(
-                     200, fmt::format(R"({{"Rows":[{}],"HasMore":false,"Ver":{},"NowMs":1}})", out, version)),
+        return { .bytes = httpResponse(200,
+                     fmt::format(R"({{"Rows":[{}],"HasMore":false,"Ver":{},"NowMs":1}})", out, version),
+                     fmt::format("Store-Era: {}\r\n", era)),
             .delay = waits ? 100ms : 0ms };
     }
 
@@ -568,6 +569,7 @@
     RawServer secondEndpoint { context };
     std::vector<Row> rows;
     int version = 0;
+    int era = 1;
     bool isTurnedAway = false;
     std::thread otherThread;
 };
@@ -616,6 +618,41 @@
     stopBoth();
 }
 
+TEST_F(TurnedAwayDaemonTest, ReservationsOfAWithdrawnOrganisationWereKept)
+{
+    // Guards against a daemon that keeps what it has assigned to retries of each organisation that it ever
+    // had.
+    auto putOrganisation = [&, number = 1](const std::string& name) mutable {
+        put("op", "config",
+            fmt::format(R"({{"Version":{},"Routes":[{{"Name":"r","Host":"h","Prefix":"/a/","Type":"safe",)"
+                        R"("TimeoutMs":2000,"Service":"s"}}],"Services":[{{"Name":"s"}}],)"
+                        R"("Tenants":[{{"Name":"{}","ApiKeys":["{}"],"RatePerS":10,"Burst":10,)"
+                        R"("Unit":"tokens","DefaultTokens":9}}]}})",
+                ++number, name, name));
+    };
+    putOrganisation("o");
+    settings.isFirstStart = true;
+    start();
+    const auto awaitText = [&](const std::string& text, const auto& read) {
+        std::string received;
+        for (int i = 0; i < maxTries && received.find(text) == std::string::npos; ++i) {
+            runFor(10ms);
+            received = read();
+        }
+        EXPECT_NE(received.find(text), std::string::npos) << text;
+    };
+    const auto reservations = [&] { return ask(settings.metrics.port, "GET /metrics HTTP/1.1\r\n" + tail); };
+    awaitText(" 429 ", [&] {
+        return ask(settings.callers.port,
+            "GET /a/x HTTP/1.1\r\nAuthorization: Token o\r\nX-Token-Usage: 200000,1000\r\n" + tail);
+    });
+    awaitText("\nlentilbay_retry_reservations_organisations 1\n", reservations);
+    putOrganisation("p");
+    awaitText("\nlentilbay_retry_reservations_organisations 0\n", reservations);
+    kill(getpid(), SIGTERM);
+    awaitStop();
+}
+
 /// Two daemons of which the store turns one or both away, while keys are withdrawn.
 class KeysDuringACutTest : public TurnedAwayDaemonTest {
 protected:
@@ -787,6 +824,62 @@
     stopBoth();
 }
 
+TEST_F(KeysDuringACutTest, OlderCopyOfTheStoreRestoresNoWithdrawnKey)
+{
+    // Guards against a row of an older copy that replaces a later document of the same version: both daemons
+    // accepted the key again, for as long as the store lacked its withdrawal.
+    startAndMeet();
+    const auto copy = rows;
+    const auto copiedVersion = version;
+    --configurationVersion;
+    putKeys({ "kept" });
+    const auto withdrawn = rows;
+    for (int i = 0; i < maxTries && (accepts(other, "withdrawn") || accepts(settings, "withdrawn")); ++i)
+        runFor(20ms);
+    ++era;
+    rows = copy;
+    version = copiedVersion;
+    const auto end = std::chrono::steady_clock::now() + 7s;
+    while (std::chrono::steady_clock::now() < end) {
+        EXPECT_FALSE(accepts(other, "withdrawn"));
+        EXPECT_FALSE(accepts(settings, "withdrawn"));
+        runFor(250ms);
+    }
+    // The operator writes it again.
+    putKeys({ "kept" });
+    rows.back().document = withdrawn.back().document;
+    bool isKeptAccepted = false;
+    for (int i = 0; i < maxTries && !isKeptAccepted; ++i) {
+        runFor(20ms);
+        isKeptAccepted = accepts(other, "kept") && accepts(settings, "kept");
+    }
+    EXPECT_TRUE(isKeptAccepted);
+    EXPECT_FALSE(accepts(other, "withdrawn"));
+    EXPECT_FALSE(accepts(settings, "withdrawn"));
+    stopBoth();
+}
+
+TEST_F(KeysDuringACutTest, DaemonThatCannotDecodeARowStatedAViewOfIt)
+{
+    // Guards against a peer that takes its configuration for the newest because this daemon has read further.
+    startAndMeet();
+    const auto answer = [&] { return ask(settings.firstPeerPort, "GET /configuration HTTP/1.1\r\n" + tail); };
+    EXPECT_NE(answer().find("Lentilbay-Configuration-View"), std::string::npos);
+    put("op", "config", "{");
+    runFor(2s);
+    EXPECT_TRUE(answer().starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(answer().find("Lentilbay-Configuration-View"), std::string::npos);
+    EXPECT_TRUE(accepts(settings, "kept")) << "the previous configuration stays in force";
+    putKeys({ "kept" });
+    std::string received;
+    for (int i = 0; i < maxTries && received.find("Lentilbay-Configuration-View") == std::string::npos; ++i) {
+        runFor(20ms);
+        received = answer();
+    }
+    EXPECT_NE(received.find("Lentilbay-Configuration-View"), std::string::npos);
+    stopBoth();
+}
+
 /// Two daemons that start at the same time with a store that keeps their rows.
 class AnnouncementTest : public TurnedAwayDaemonTest {
 protected:
