Let streams that are resumed go on as often as new ones begin

- Daemons that lose their links together meet each other as relays first.
Short requests failed in the same way.
A peer now states Lentilbay-Not-Sent, and up to four such refusals of a request take no retry.
Without the field, as from older builds, a refusal counts as before.
- A resumed stream, which only few endpoints may go on with, was shed by the predicted start in a queue of new ones.
It is now queued as a request that has begun.

Each new unit test fails without its change.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -10,6 +10,7 @@
 #include "lentilbay/Edge/EventSplitter.h"
 #include "lentilbay/Edge/PeerForwarding.h"
 #include "lentilbay/Edge/StreamEnd.h"
+#include "lentilbay/Edge/StreamOriginLookup.h"
 #include "lentilbay/Http/Server.h"
 #include "lentilbay/Policy/RequestAttempts.h"
 #include "lentilbay/platform/CallerHeaders.h"
@@ -115,14 +116,8 @@
     Duration longestWait(TimePoint now) const;
     /// Queues the request, after its stream's origin has been looked up if it resumes one.
     void enqueueOrFindOrigin(TimePoint now);
-    /// Looks up where the resumed stream began; `isListCurrent` is whether each endpoint is known that may
-    /// have begun it.
-    void findOrigin(bool isListCurrent, TimePoint now);
-    /// Where each stream of the route began, if its services have one software version according to a current
-    /// list of endpoints.
-    std::optional<StreamOrigin> soleOrigin(bool isListCurrent, TimePoint now) const;
-    /// Waits for a list of endpoints that has not come in time, before the request is refused without it.
-    void awaitList(TimePoint now);
+    /// Whether the caller, or the daemon that forwarded the request, has the begin of the stream.
+    bool isResumedStream() const { return m_route->isResumable && m_metadata.lastEvent && m_version; }
     /// Called with where the resumed stream began.
     void originFound(const std::optional<StreamOrigin>& origin, std::string_view source, TimePoint now);
     /// Sets service and software version if the stream began at a service of this request's route.
@@ -146,7 +141,7 @@
     /// Whether the endpoint may get the request now.
     bool isAcceptable(const EndpointState& endpoint, TimePoint now) const;
     /// Whether the request could be sent to another endpoint, or through another peer.
-    bool hasAlternative();
+    bool hasAlternative(TimePoint now);
     /// Sends the request through a peer. Returns false if there is none.
     bool startThroughPeer(TimePoint now);
     /// Connects to the endpoint or peer of m_send.
@@ -296,7 +291,8 @@
     /// The engine that began the stream was replaced under its id, so its version is not known.
     bool m_isVersionUncertain = false;
     bool m_isOriginShared = false;
-    bool m_isFindingOrigin = false;
+    /// Set while the origin of the stream, or an endpoint of its version, is being looked up.
+    std::shared_ptr<StreamOriginLookup> m_originLookup;
     RolloutTicket m_rollout;
     /// From arrival to the first event, or to the complete non-streamed answer.
     std::optional<Duration> m_timeToFirstEvent;
--- a/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerForwarding.h
@@ -34,6 +34,8 @@
 struct ForwardedAnswer {
     /// No endpoint has executed the request, and the peer will not send it to any.
     bool wasNotExecuted = false;
+    /// No endpoint has even received it. Not stated by older builds.
+    bool wasNotSent = false;
     /// The endpoint that answered; empty if none did.
     std::string endpoint;
     /// hashOf() that endpoint's software version, if it is known.
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -13,9 +13,6 @@
 /// A request is refused for an unknown route or key only if the configuration is at most this old: a newer
 /// one may contain it.
 constexpr Duration maxAgeForDenial = std::chrono::milliseconds(2200);
-/// How long a resumed stream whose origin nobody knows waits for a late answer of the store, if there seems
-/// to be one software version only: less than the time after which a refused caller returns.
-constexpr Duration lateListTimeout = std::chrono::milliseconds(500);
 /// The least Retry-After while no endpoint can be reached; spread over twice that, as all callers are
 /// refused.
 constexpr Duration unreachableRetryAfter = std::chrono::seconds(1);
@@ -74,7 +71,7 @@
             { "prompt_tokens", m_work.promptTokens },
             { "deadline_ms", millisecondsOf(m_expiresAt - m_arrivedAt) } });
     enqueueOrFindOrigin(now);
-    if (m_isOver || m_send || m_isFindingOrigin)
+    if (m_isOver || m_send || m_originLookup)
         return;
     const auto occupancy = m_state.endpointRegistry.occupancy(m_service, now);
     logEvent(Event::RequestWaits,
@@ -297,107 +294,41 @@
 void EdgeRequest::enqueueOrFindOrigin(TimePoint now)
 {
     // The peer that verifies the key looks up the origin.
-    if (!m_route->isResumable || !m_metadata.lastEvent || (m_forwarded && m_version) || m_isUnverified) {
+    if (!m_route->isResumable || !m_metadata.lastEvent || m_isUnverified) {
         enqueue(now);
         m_state.dispatchWaiting(now);
         return;
     }
-    if (m_metadata.resumedRequest) {
-        if (const auto origin = m_state.streams.known(streamHash(*m_metadata.resumedRequest))) {
-            originFound(origin, "own", now);
-            return;
-        }
-    }
-    const bool knowsOneVersion = std::ranges::all_of(m_route->targets,
-        [&](const auto& it) { return m_state.versions.soleVersion(it.service, now).has_value(); });
-    if (!knowsOneVersion) {
-        findOrigin(false, now);
-        return;
-    }
-    m_isFindingOrigin = true;
-    // Another daemon may have begun the stream at an endpoint of a version that this daemon has not read yet.
-    m_state.awaitEndpoints(
-        m_arrivedAt, [self = shared_from_this()](bool isCurrent) { self->findOrigin(isCurrent, bootNow()); },
-        now);
-}
-
-void EdgeRequest::findOrigin(bool isListCurrent, TimePoint now)
-{
-    m_isFindingOrigin = false;
-    if (m_isOver)
-        return;
-    if (const auto origin = soleOrigin(isListCurrent, now)) {
-        originFound(origin, "sole", now);
-        return;
-    }
-    if (!m_metadata.resumedRequest) {
-        originFound(std::nullopt, {}, now);
-        return;
-    }
-    m_isFindingOrigin = true;
-    const auto found
-        = [self = shared_from_this(), isListCurrent](const auto& origin, std::string_view source) {
-              self->m_isFindingOrigin = false;
-              if (self->m_isOver)
-                  return;
-              if (origin || isListCurrent)
-                  self->originFound(origin, source, bootNow());
-              else
-                  self->awaitList(bootNow());
-          };
-    const auto stream = streamHash(*m_metadata.resumedRequest);
-    m_state.streams.find(
-        stream, hashOf(m_service.text()),
-        [self = shared_from_this(), stream, found](const auto& origin) {
-            if (origin || self->m_isOver)
-                found(origin, "peer");
-            else
-                self->m_state.streamOrigins.find(
-                    stream, [found](const auto& stored) { found(stored, "store"); }, bootNow());
-        },
-        now);
-}
-
-std::optional<StreamOrigin> EdgeRequest::soleOrigin(bool isListCurrent, TimePoint now) const
-{
-    const bool hasSoleVersion = isListCurrent && std::ranges::all_of(m_route->targets, [&](const auto& it) {
-        return m_state.soleVersion(it.service, now).has_value();
-    });
-    if (!hasSoleVersion)
-        return std::nullopt;
-    return StreamOrigin { .service = hashOf(m_service.text()),
-        .version = *m_state.soleVersion(m_service, now) };
-}
-
-void EdgeRequest::awaitList(TimePoint now)
-{
-    const bool mayBeSole = std::ranges::all_of(m_route->targets,
-        [&](const auto& it) { return m_state.versions.soleVersion(it.service, now).has_value(); });
-    if (!mayBeSole) {
-        originFound(std::nullopt, {}, now);
-        return;
-    }
-    m_isFindingOrigin = true;
-    m_state.awaitEndpoints(
-        m_arrivedAt,
-        [self = shared_from_this()](bool isCurrent) {
-            self->m_isFindingOrigin = false;
-            if (!self->m_isOver)
-                self->originFound(self->soleOrigin(isCurrent, bootNow()), "sole", bootNow());
-        },
-        now, lateListTimeout);
+    StreamOriginLookup::Query query { .service = m_service, .arrivedAt = m_arrivedAt };
+    for (const auto& it : m_route->targets)
+        query.services.push_back(it.service);
+    if (m_metadata.resumedRequest)
+        query.stream = streamHash(*m_metadata.resumedRequest);
+    const auto lookup = std::make_shared<StreamOriginLookup>(m_state, std::move(query),
+        [this](const auto& origin, std::string_view source) { originFound(origin, source, bootNow()); });
+    m_originLookup = lookup;
+    if (m_forwarded && m_version)
+        lookup->found(
+            StreamOrigin { .service = hashOf(m_service.text()), .version = *m_version }, "forwarder", now);
+    else
+        lookup->start(now);
 }
 
 void EdgeRequest::originFound(
     const std::optional<StreamOrigin>& origin, std::string_view source, TimePoint now)
 {
+    const auto self = shared_from_this();
+    m_originLookup.reset();
+    const bool isStated = m_version.has_value();
     const bool isKnown = origin && applyOrigin(*origin);
-    m_state.metrics.count(isKnown ? "stream_origins_found" : "stream_origins_unknown");
-    logEvent(Event::StreamOriginFound,
-        { { "id", m_metadata.id.text() },
-            { "resumed", m_metadata.resumedRequest ? m_metadata.resumedRequest->text() : std::string() },
-            { "source", isKnown ? std::string(source) : std::string() },
-            { "waited_ms", millisecondsOf(now - m_arrivedAt) } });
+    if (!isStated) {
+        m_state.metrics.count(isKnown ? "stream_origins_found" : "stream_origins_unknown");
+        logEvent(Event::StreamOriginFound,
+            { { "id", m_metadata.id.text() },
+                { "resumed", m_metadata.resumedRequest ? m_metadata.resumedRequest->text() : std::string() },
+                { "source", isKnown ? std::string(source) : std::string() },
+                { "waited_ms", millisecondsOf(now - m_arrivedAt) } });
+    }
     if (!isKnown) {
         refuse(ResultCode::StreamOriginUnknown, defaultRetryAfter, now);
         return;
@@ -455,7 +386,7 @@
 {
     return { .number = m_number,
         .rank = m_route->rank,
-        .hasBegun = m_attempts.possibleExecutions() > 0,
+        .hasBegun = m_attempts.possibleExecutions() > 0 || isResumedStream(),
         .query = { .service = m_service,
             .work = m_work,
             .objectiveAt = m_arrivedAt + m_route->objective,
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -125,7 +125,7 @@
 
 void EdgeRequest::queueAgain(TimePoint now)
 {
-    if (m_isOver || m_send || m_isFindingOrigin || m_isConfirmingEnd)
+    if (m_isOver || m_send || m_originLookup || m_isConfirmingEnd)
         return;
     m_state.queue.remove(m_number);
     requeue(now);
@@ -609,6 +609,8 @@
     if (m_send->wasNotExecuted) {
         if (!m_send->isMisdirected && !m_send->lacksWeights && !m_send->isThroughPeer)
             m_attempts.recordRejection();
+        if (m_send->peerAnswer.wasNotSent)
+            m_attempts.recordRefusalByPeer();
         const auto keyRefusal = m_isUnverified ? keyRefusalOf(m_send->body) : std::nullopt;
         m_isUnverifiedByPeer = keyRefusal == ResultCode::KeysUnverifiable;
         endSend(m_send->isMisdirected  ? SendOutcome::Misdirected
@@ -668,7 +670,7 @@
     logFailedSend(true, ResultCode::EndpointAnswerInvalid);
     // Where such requests give no events anyway, another endpoint would be asked in vain.
     if (isFirst && m_failureEvidence >= RequestAttempts::minEvidenceToAskAgain && now < m_expiresAt
-        && hasAlternative() && mayResend(now)) {
+        && hasAlternative(now) && mayResend(now)) {
         m_emptyAnswer = std::move(head);
         requeue(now);
         return;
@@ -895,7 +897,7 @@
 void EdgeRequest::sendFailed(bool mayHaveExecuted, ResultCode reason, TimePoint now)
 {
     logFailedSend(mayHaveExecuted, reason);
-    if (now < m_expiresAt && hasAlternative() && mayResend(now)) {
+    if (now < m_expiresAt && hasAlternative(now) && mayResend(now)) {
         requeue(now);
         return;
     }
@@ -908,12 +910,14 @@
             std::max(defaultRetryAfter, m_peerRetryAfter.value_or(Duration::zero())), now);
 }
 
-bool EdgeRequest::hasAlternative()
+bool EdgeRequest::hasAlternative(TimePoint now)
 {
     if (m_isUnverified)
         return m_state.relays.choose(m_attempts.tried(), m_state.random, true) != nullptr;
-    if (!m_forwarded && m_state.links.state() != LinkState::Up
-        && m_state.relays.choose(m_attempts.tried(), m_state.random))
+    // While it is not known whether the links are lost, one peer is asked.
+    const bool mayAskPeer = m_state.links.state() != LinkState::Up
+        || (m_attempts.refusalsByPeers() == 0 && m_state.links.isSuspicious(now));
+    if (!m_forwarded && mayAskPeer && m_state.relays.choose(m_attempts.tried(), m_state.random))
         return true;
     const auto& registry = m_state.endpointRegistry;
     if (registry.hasCandidate(m_service, m_attempts.tried(), versionRule()))
@@ -1059,7 +1063,8 @@
         m_state.metrics.observe(Timing::PromisedReturn, m_route ? m_route->rank : -1, *retryAfter);
     }
     if (m_forwarded)
-        addForwardingFields(headers, ForwardedAnswer { .wasNotExecuted = true });
+        addForwardingFields(
+            headers, ForwardedAnswer { .wasNotExecuted = true, .wasNotSent = m_attempts.arrivals() == 0 });
     m_exchange->respond(status, http::reasonPhrase(status), headers, refusalBody(code));
     finish(code, now);
 }
@@ -1070,6 +1075,7 @@
         return;
     const auto self = shared_from_this();
     m_timer.cancel();
+    m_originLookup.reset();
     m_state.queue.remove(m_number);
     if (!m_exchange->isDone()) {
         const int status = rowOf(code).httpStatus;
--- a/packages/Edge/lib/PeerForwarding.cpp
+++ b/packages/Edge/lib/PeerForwarding.cpp
@@ -14,10 +14,11 @@
 constexpr std::string_view serviceName = "Lentilbay-Service";
 constexpr std::string_view versionName = "Lentilbay-Software-Version";
 constexpr std::string_view notExecutedName = "Lentilbay-Not-Executed";
+constexpr std::string_view notSentName = "Lentilbay-Not-Sent";
 constexpr std::string_view endpointName = "Lentilbay-Endpoint";
 constexpr std::string_view unverifiedName = "Lentilbay-Unverified";
-constexpr std::array<std::string_view, 6> names { daemonName, serviceName, versionName, notExecutedName,
-    endpointName, unverifiedName };
+constexpr std::array<std::string_view, 7> names { daemonName, serviceName, versionName, notExecutedName,
+    notSentName, endpointName, unverifiedName };
 constexpr int hexadecimal = 16;
 /// The requests in flight that make up for the distance to a peer.
 constexpr double otherDataCentreCost = 2;
@@ -65,6 +66,8 @@
 {
     if (answer.wasNotExecuted)
         headers.add(notExecutedName, "1");
+    if (answer.wasNotSent)
+        headers.add(notSentName, "1");
     if (!answer.endpoint.empty())
         headers.add(endpointName, answer.endpoint);
     addVersion(headers, answer.version);
@@ -83,6 +86,7 @@
 ForwardedAnswer forwardedAnswerOf(const http::Headers& headers)
 {
     return { .wasNotExecuted = headers.contains(notExecutedName),
+        .wasNotSent = headers.contains(notExecutedName) && headers.contains(notSentName),
         .endpoint = textOf(headers, endpointName),
         .version = versionOf(headers) };
 }
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -438,6 +438,65 @@
     EXPECT_EQ(receivedRequests(), 1U);
 }
 
+TEST_F(EdgeRequestTest, ResumedStreamWasRefusedByAListThatLackedTheEndpointsOfItsVersion)
+{
+    // Guards against refusing a stream whose version another daemon knows endpoints of: this one has not read
+    // yet that they joined (SoakSecondAnswers).
+    const auto stream = hashOf("6", hashOf("o"));
+    state.streams.record(stream, { .service = hashOf("s"), .version = hashOf("v2") }, false, bootNow());
+    const std::string resume = "Authorization: Token k\r\nLast-Event-Id: 1\r\nResumes: 6\r\n";
+    second.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = streamAnswer({ eventOf(2), eventOf(3) }) };
+    });
+    int reads = 0;
+    state.setEndpointReader([&](TimePoint) {
+        ++reads;
+        asio::post(context, [this] {
+            list("e2", second, "v2");
+            state.confirmEndpoints(bootNow(), bootNow());
+        });
+    });
+    state.endpointsConfirmedAt = bootNow();
+    EXPECT_TRUE(call("/stream/x", resume).body.starts_with("LB-3007"));
+    EXPECT_EQ(reads, 0) << "a recent list is not read again while a version leaves";
+    state.endpointsConfirmedAt = bootNow() - 1s;
+    EXPECT_TRUE(call("/stream/x", resume).isWhole);
+    EXPECT_EQ(reads, 1);
+    EXPECT_EQ(second.requests().size(), 1U);
+}
+
+TEST_F(EdgeRequestTest, ResumedStreamWasRefusedBehindNewOnes)
+{
+    // Guards against refusing streams by the predicted start of a queue of new ones, which may begin at any
+    // version (SoakSecondAnswers): a resumed one has few endpoints, and its caller has waited for its begin.
+    const auto stream = hashOf("6", hashOf("other"));
+    state.streams.record(stream, { .service = hashOf("s"), .version = hashOf("") }, false, bootNow());
+    const auto setLoad = [&](uint16_t n) {
+        state.endpointRegistry.updatePeerLoads(
+            "peer", { { .endpoint = hashOf("e1"), .inFlight = n } }, bootNow());
+    };
+    setLoad(4);
+    const std::string fields = "Authorization: Token other-key\r\nX-Token-Usage: 100,1000\r\n";
+    std::array<CallerAnswer, 4> begun;
+    std::vector<std::shared_ptr<http::ClientConnection>> connections;
+    for (auto& it : begun)
+        connections.push_back(send("/stream/x", it, fields));
+    runUntil([&] { return std::ranges::any_of(begun, &CallerAnswer::hasEnded); });
+    CallerAnswer resumed;
+    connections.push_back(send("/stream/x", resumed, fields + "Last-Event-Id: 1\r\nResumes: 6\r\n"));
+    first.setResponder(
+        [](const std::string&) { return ScriptedResponse { .bytes = streamAnswer({ eventOf(2) }) }; });
+    runUntil(
+        [&] { return resumed.hasEnded() || std::ranges::count_if(begun, &CallerAnswer::hasEnded) == 2; });
+    ASSERT_FALSE(resumed.hasEnded()) << resumed.body;
+    setLoad(3);
+    state.dispatchWaiting(bootNow());
+    runUntil([&] { return !first.requests().empty(); });
+    EXPECT_NE(first.requests()[0].find("Last-Event-Id: 1\r\n"), std::string::npos);
+    for (const auto& it : connections)
+        it->close();
+}
+
 TEST_F(EdgeRequestTest, StreamWasRefusedAlthoughTheListCameALittleLate)
 {
     // Guards against refusing resumed streams while the store answers slowly: nobody else knows where they
@@ -2299,6 +2358,50 @@
     EXPECT_EQ(call("/once/x").body, "far");
 }
 
+TEST_F(PartitionedDaemonTest, RefusalOfAPeerThatSentNothingTookTheRetriesOfOthers)
+{
+    // Guards against refusing requests while another peer could be used: those that met peers without links
+    // had taken all retries (SoakPartitionedDaemons).
+    state.settings.bounds.retryRatio = 0;
+    state.settings.bounds.retrySlack = 0;
+    const std::string refusal = "Lentilbay-Not-Executed: 1\r\n";
+    for (int i = 0; i < 3; ++i) {
+        nearPeer.script({ .bytes = httpResponse(503, "", refusal + "Lentilbay-Not-Sent: 1\r\n") });
+        farPeer.script({ .bytes = httpResponse(200, "far", signatureFields) });
+        EXPECT_EQ(call("/once/x").body, "far") << i;
+    }
+    // An endpoint may have received it, which counts as a retry.
+    nearPeer.script({ .bytes = httpResponse(503, "", refusal) });
+    EXPECT_EQ(call("/once/x").status, 503);
+    EXPECT_EQ(farPeer.requests().size(), 3U);
+}
+
+TEST_F(PartitionedDaemonTest, RequestWasRefusedBeforeTheLinksWereKnownToBeLost)
+{
+    // Guards against refusing a stream because none of the endpoints of its version can be connected to,
+    // while an established connection to another one hides that the links are lost (SoakSecondAnswers).
+    RawServer heard(context);
+    list("e3", heard, "v2");
+    const auto now = bootNow();
+    state.links.setEndpoints({ hashOf("e1"), hashOf("e2"), hashOf("e3") });
+    state.links.recordConnected(hashOf("e1"), now);
+    ASSERT_EQ(state.links.update(now), LinkState::Up);
+    state.links.recordHeard(hashOf("e3"), now);
+    state.streams.record(
+        hashOf("6", hashOf("o")), { .service = hashOf("s"), .version = hashOf("") }, false, now);
+    const std::string resume = "Authorization: Token k\r\nLast-Event-Id: 1\r\nResumes: 6\r\n";
+    nearPeer.script({ .bytes = streamAnswer({ eventOf(2) }) });
+    EXPECT_EQ(call("/stream/x", resume).body, eventOf(2));
+    EXPECT_EQ(state.links.state(), LinkState::Up);
+    // The endpoints may also be gone: then a second peer would do no better.
+    for (const auto* it : { "e1", "e2" })
+        state.endpointRegistry.find(EndpointId(it))->forgetFailures();
+    nearPeer.script(
+        { .bytes = httpResponse(503, "", "Lentilbay-Not-Executed: 1\r\nLentilbay-Not-Sent: 1\r\n") });
+    EXPECT_EQ(call("/stream/x", resume).status, 503);
+    EXPECT_EQ(farPeer.requests().size(), 0U);
+}
+
 TEST_F(PartitionedDaemonTest, RequestThatNoPeerExecutedIsRefusedAsNotRun)
 {
     for (auto* it : { &nearPeer, &farPeer })
@@ -2430,6 +2533,17 @@
     EXPECT_TRUE(answer.headers.contains("Lentilbay-Not-Executed"));
 }
 
+TEST_F(ForwardedRequestTest, RefusalStatesWhetherAnEndpointReceivedTheRequest)
+{
+    EXPECT_TRUE(call("/safe/x", "Authorization: Token unknown\r\n").headers.contains("Lentilbay-Not-Sent"));
+    first.script({ .bytes = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: 7\r\n") });
+    const auto answer = call("/safe/x", "Authorization: Token k\r\n");
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_TRUE(answer.headers.contains("Lentilbay-Not-Executed"));
+    EXPECT_FALSE(answer.headers.contains("Lentilbay-Not-Sent"));
+    EXPECT_EQ(receivedRequests(), 1U);
+}
+
 TEST_F(ForwardedRequestTest, EndpointCannotStateForThisDaemonThatNothingRan)
 {
     // Guards against a peer that sends a request again which an endpoint has run.
--- a/packages/Edge/unittests/PeerForwardingTest.cpp
+++ b/packages/Edge/unittests/PeerForwardingTest.cpp
@@ -25,6 +25,7 @@
 TEST(PeerForwarding, FieldsOfAnAnswerSurvive)
 {
     for (const auto& answer : { ForwardedAnswer {}, ForwardedAnswer { .wasNotExecuted = true },
+             ForwardedAnswer { .wasNotExecuted = true, .wasNotSent = true },
              ForwardedAnswer { .endpoint = "i-1", .version = 7 } }) {
         http::Headers headers;
         addForwardingFields(headers, answer);
--- a/packages/Policy/include/lentilbay/Policy/RequestAttempts.h
+++ b/packages/Policy/include/lentilbay/Policy/RequestAttempts.h
@@ -28,6 +28,8 @@
     bool recordClosedUnsent();
     /// The endpoint rejected the request for lack of room, and did not run it.
     void recordRejection();
+    /// A peer refused the request without having sent it to an endpoint.
+    void recordRefusalByPeer();
     void recordPossibleExecution() { ++m_possibleExecutions; }
     /// The endpoint broke off before it had begun an answer.
     void recordBroken() { ++m_broken; }
@@ -40,6 +42,8 @@
     int arrivals() const { return m_arrivals; }
     /// The number of those that the endpoint may have executed.
     int possibleExecutions() const { return m_possibleExecutions; }
+    /// The number of peers that refused the request without having sent it.
+    int refusalsByPeers() const { return m_refusalsByPeers; }
     /// Whether idle connections to the endpoint are not to be used.
     bool needsNewConnection(const EndpointId& endpoint) const;
     /// Allows the endpoints that rejected the request to be chosen again, if none has run it. Returns false
@@ -67,6 +71,7 @@
     int m_arrivals = 0;
     int m_possibleExecutions = 0;
     int m_broken = 0;
+    int m_refusalsByPeers = 0;
     /// A retry has been taken from the budget and no endpoint reached with it.
     bool m_hasRetry = false;
 };
--- a/packages/Policy/lib/RequestAttempts.cpp
+++ b/packages/Policy/lib/RequestAttempts.cpp
@@ -12,6 +12,10 @@
 constexpr int maxBroken = 2;
 /// So many endpoints without room show that the service is busy, which passes.
 constexpr size_t rejectionsToWait = 2;
+/// So many refusals by peers that sent the request nowhere take no retry: when several daemons lose their
+/// links at once, a request meets those of which this daemon does not know it yet. With more of them the
+/// fleet is overloaded, and asking each daemon would add to it.
+constexpr int maxFreeRefusalsByPeers = 4;
 /// The share of the retry budget for requests that fail at other endpoints as well, so that they leave some
 /// of it to the others.
 constexpr double shareOfFailingRequests = 0.5;
@@ -42,6 +46,14 @@
     return false;
 }
 
+void RequestAttempts::recordRefusalByPeer()
+{
+    if (++m_refusalsByPeers > maxFreeRefusalsByPeers)
+        return;
+    --m_arrivals;
+    m_hasRetry = m_arrivals > 0;
+}
+
 void RequestAttempts::recordRejection() { m_rejecting.push_back(m_last); }
 
 bool RequestAttempts::needsNewConnection(const EndpointId& endpoint) const
--- a/packages/Policy/unittests/RequestAttemptsTest.cpp
+++ b/packages/Policy/unittests/RequestAttemptsTest.cpp
@@ -51,6 +51,37 @@
     EXPECT_FALSE(maySendAgain());
 }
 
+TEST_F(RequestAttemptsTest, RefusalsByPeersThatSentNothingTookFromTheRetryBudget)
+{
+    // Guards against a daemon without links that has no retries left for ten seconds, because its first
+    // requests met peers which had lost their links as well (SoakPartitionedDaemons).
+    limits.budget.slack = 0;
+    for (int i = 0; i < 4; ++i) {
+        attempts.begin(EndpointId("p" + std::to_string(i)));
+        attempts.recordArrival();
+        attempts.recordRefusalByPeer();
+        EXPECT_TRUE(maySendAgain()) << i;
+    }
+    EXPECT_EQ(attempts.refusalsByPeers(), 4);
+    attempts.begin(EndpointId("p4"));
+    attempts.recordArrival();
+    attempts.recordRefusalByPeer();
+    EXPECT_FALSE(maySendAgain()) << "a request does not go through the whole of an overloaded fleet";
+}
+
+TEST_F(RequestAttemptsTest, RetryThatNoEndpointReceivedServesTheNextSend)
+{
+    limits.budget.slack = 1;
+    reject(first);
+    EXPECT_TRUE(maySendAgain());
+    attempts.begin(EndpointId("p"));
+    attempts.recordArrival();
+    attempts.recordRefusalByPeer();
+    EXPECT_TRUE(maySendAgain()) << "the only retry has not reached an endpoint";
+    attempts.recordArrival();
+    EXPECT_FALSE(maySendAgain());
+}
+
 TEST_F(RequestAttemptsTest, FourRejectionsEndedTheRequest)
 {
     limits.budget.slack = 10;
--- a/tools/soak/prompts.py
+++ b/tools/soak/prompts.py
@@ -81,8 +81,9 @@
         self.crashed_by_part.discard(n)
 
     def serving_engines(self, version: str) -> int:
+        """The engines of the version that accept requests: neither gone nor drained, by their entry or their answers."""
         return sum(it.service == "llm" and it.version == version and n not in self.soak.crashed and not it.leaving
-                   for n, it in enumerate(self.soak.endpoints))
+                   and not self.soak.is_drained(it) for n, it in enumerate(self.soak.endpoints))
 
     def most_engines_serve(self) -> bool:
         """Whether other faults leave more than half of the engines; those that a part has crashed count as left."""
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -525,7 +525,7 @@
         elif kind == "drain":
             n = self.rng.randrange(len(self.endpoints))
             endpoint, address = self.endpoints[n], self.address_of(n)
-            if any(end == float("inf") for _, end in self.drained.get(endpoint.name, [])):
+            if self.is_drained(endpoint):
                 return
             # Some endpoints leave without announcing it: their entry is removed.
             row = None if self.rng.random() < 0.4 else endpoint.row(address, "draining")
@@ -544,7 +544,7 @@
         elif kind == "leave":
             # The endpoint states that it leaves, which the store does not show, and is started again later.
             endpoint = self.rng.choice(self.endpoints)
-            if endpoint.leaving or any(end == float("inf") for _, end in self.drained.get(endpoint.name, [])):
+            if endpoint.leaving or self.is_drained(endpoint):
                 return
             endpoint.leaving = True
             period = [time.monotonic(), float("inf"), endpoint]
@@ -609,6 +609,10 @@
         elif kind == "revoke" and self.keys["key-revoked"]:
             await self.revoke("key-revoked")
 
+    def is_drained(self, endpoint: Endpoint) -> bool:
+        """Whether the endpoint's entry states that it leaves, or has been removed, and has not been written again."""
+        return any(end == float("inf") for _, end in self.drained.get(endpoint.name, []))
+
     async def turn_away(self, mode: str, seconds: float) -> None:
         """Lets the store answer up to half of the daemons no more."""
         daemons = self.rng.sample(range(self.daemons), self.rng.randint(1, max(1, self.daemons // 2)))
@@ -822,7 +826,7 @@
         endpoint = self.endpoints[n]
         if n in self.crashed or endpoint.leaving:
             return
-        if any(end == float("inf") for _, end in self.drained.get(endpoint.name, [])):
+        if self.is_drained(endpoint):
             return
         self.crashed.add(n)
         await self.store.put("servers", endpoint.name, endpoint.row(self.address_of(n), "draining"))
