Suspend no endpoints for connections that fail with the links

Its peers sent requests through it, which may not be sent on.

- While the links are not up, a failed connection or a failed check of an endpoint does not suspend it.
- An endpoint that is heard after a failure to connect counts like a failed probe.
Where requests had tried most of the endpoints before any probe, too few were left to be probed, and the loss was found after two seconds or more, in which the daemon suspected one endpoint after the other.

Links that go up and down still lead to refusals until each loss is found. Both new unit tests fail without their change.

--- a/packages/Edge/include/lentilbay/Edge/LinkMonitor.h
+++ b/packages/Edge/include/lentilbay/Edge/LinkMonitor.h
@@ -8,7 +8,8 @@
 //
 // Where endpoints are still heard, failures to connect alone show nothing: when many endpoints crash at once,
 // the daemon opens new connections mostly to them, as its connections to the others live on. Only failed
-// probes count then, which are sent to endpoints that have not failed.
+// probes count then, which are sent to endpoints that have not failed, and failures to connect to endpoints
+// that are heard afterwards.
 //
 // Requests are then sent through peers. New connections are tried at intervals until one is established.
 #pragma once
@@ -53,7 +54,7 @@
     size_t endpoints = 0;
     /// Those that could not be connected to since a connection was established to any endpoint.
     size_t unconnectable = 0;
-    /// Of these, the ones that had not failed when they were probed.
+    /// Of these, the ones that had not failed when they were probed, or that have been heard since.
     size_t failedProbes = 0;
     /// Those that broke off a connection, do not answer, or cannot be connected to, and have not been heard
     /// since.
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -812,7 +812,10 @@
 {
     const auto endpoint = m_send->endpoint;
     if (failure == SendFailure::Unreachable || m_send->isThroughPeer) {
-        endSend(SendOutcome::Unreachable, now);
+        // While the links are lost, this shows nothing about the endpoint, which may still answer on
+        // established connections.
+        const bool areLinksUp = m_state.links.state() == LinkState::Up;
+        endSend(areLinksUp ? SendOutcome::Unreachable : SendOutcome::Neutral, now);
         return;
     }
     const auto former = std::ranges::find_if(m_failedSends, [&](const auto& it) {
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -100,6 +100,9 @@
         recordConnection(endpoint, true, now);
         return;
     }
+    // The check needs a new connection, which fails at every endpoint while the links are lost.
+    if (links.state() != LinkState::Up)
+        return;
     const bool wasSuspended = endpoint.isSuspended(now);
     endpoint.recordLost(now);
     failureSources.recordLost(endpoint.hash());
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -479,6 +479,7 @@
     const std::string fields = "Authorization: Token other-key\r\nX-Token-Usage: 100,1000\r\n";
     std::array<CallerAnswer, 4> begun;
     std::vector<std::shared_ptr<http::ClientConnection>> connections;
+    connections.reserve(begun.size() + 1);
     for (auto& it : begun)
         connections.push_back(send("/stream/x", it, fields));
     runUntil([&] { return std::ranges::any_of(begun, &CallerAnswer::hasEnded); });
@@ -2544,6 +2545,30 @@
     EXPECT_EQ(receivedRequests(), 1U);
 }
 
+TEST_F(ForwardedRequestTest, RequestsOfPeersTookAllEndpointsFromADaemonWithoutNewConnections)
+{
+    // Guards against suspending endpoints that answer on established connections, because requests of peers
+    // need new ones: the daemon's own requests then waited for an endpoint until they were shed
+    // (SoakPartitionedDaemons).
+    first.stopListening();
+    const std::vector<uint64_t> endpoints { hashOf("e1"), 2, 3, 4 };
+    state.links.setEndpoints(endpoints);
+    state.links.setPeers(1);
+    const auto now = bootNow();
+    for (const auto it : endpoints) {
+        state.links.recordConnectFailed(it, now - 2ms);
+        state.links.recordHeard(it, now - 1ms);
+    }
+    ASSERT_EQ(state.links.update(now), LinkState::NoNewConnections);
+    EXPECT_EQ(call("/once/x").status, 503);
+    const auto endpoint = state.endpointRegistry.find(EndpointId("e1"));
+    bool isChecked = false;
+    state.pools.checkAlive(endpoint->entry(), [&](bool) { isChecked = true; });
+    runUntil([&] { return isChecked; });
+    ASSERT_EQ(state.links.state(), LinkState::NoNewConnections);
+    EXPECT_FALSE(endpoint->isSuspended(bootNow()));
+}
+
 TEST_F(ForwardedRequestTest, EndpointCannotStateForThisDaemonThatNothingRan)
 {
     // Guards against a peer that sends a request again which an endpoint has run.
--- a/packages/Edge/unittests/LinkMonitorTest.cpp
+++ b/packages/Edge/unittests/LinkMonitorTest.cpp
@@ -145,6 +145,21 @@
     EXPECT_EQ(links.update(start + 200ms), LinkState::Partitioned);
 }
 
+TEST_F(LinkMonitorTest, EndpointsThatAnswerAfterARefusedConnectionWereTakenForCrashed)
+{
+    // Guards against a daemon that suspects one endpoint after the other for seconds: its requests have
+    // failed to connect to most of them before any could be probed (SoakPartitionedDaemons).
+    for (uint64_t id = 1; id <= 8; ++id)
+        links.recordConnectFailed(id, start + 100ms);
+    for (const auto it : { 1, 2, 3 })
+        links.recordHeard(it, start + 150ms);
+    EXPECT_EQ(links.update(start + 150ms), LinkState::Up) << "three may stop in order at once";
+    links.recordHeard(4, start + 160ms);
+    EXPECT_EQ(links.update(start + 160ms), LinkState::NoNewConnections);
+    links.recordConnected(1, start + 300ms);
+    EXPECT_EQ(links.update(start + 300ms), LinkState::Up);
+}
+
 // Guards against a daemon that takes its links for lost because it opens new connections mostly to endpoints
 // that have crashed: 17 of 96 at once, while the others answer on connections that exist.
 TEST_F(LinkMonitorTest, ManyEndpointsThatCrashAtOnceAreNoPartition)
