--- a/packages/Edge/lib/RolloutMessages.cpp
+++ b/packages/Edge/lib/RolloutMessages.cpp
@@ -33,6 +33,27 @@
     archive(it.endpoint, it.counts);
 }
 
+/// The longest time that an order may last, as in its document (platform/Documents). Longer ones stand in
+/// damaged bytes: an order would seem to be over, or a sum of times would overflow.
+constexpr Duration maxTime = std::chrono::seconds(1'000'000'000);
+
+/// Throws if a time that was read is negative or longer than `maxTime`.
+inline void checkTime(Duration time)
+{
+    if (time < Duration() || time > maxTime)
+        throw cereal::Exception("a time of a rollout is out of its range");
+}
+
+/// Throws if the time read is out of its range.
+template <class Archive> void serializeTime(Archive& archive, Duration& time)
+{
+    auto microseconds = time.count();
+    edge::compact::integerAs(archive, microseconds);
+    time = Duration(microseconds);
+    if (!Archive::is_saving::value)
+        checkTime(time);
+}
+
 /// Throws if the value read is no phase.
 template <class Archive> void serializePhase(Archive& archive, RolloutPhase& phase)
 {
@@ -59,6 +80,9 @@
     archive(it.order);
     serializePhase(archive, it.phase);
     edge::compact::number(archive, it.share);
+    // Also of a value that is no number.
+    if (!Archive::is_saving::value && !(it.share >= 0 && it.share <= 1))
+        throw cereal::Exception("the share of a permit is out of its range");
     edge::compact::integerAs(archive, it.rotation);
 }
 
@@ -66,9 +90,7 @@
 {
     archive(it.order);
     serializePhase(archive, it.phase);
-    auto elapsed = it.elapsedAtWrite.count();
-    edge::compact::integerAs(archive, elapsed);
-    it.elapsedAtWrite = Duration(elapsed);
+    serializeTime(archive, it.elapsedAtWrite);
     for (auto* count : { &it.requests, &it.sentToTarget, &it.responses, &it.badResponses, &it.slowResponses,
              &it.formerResponses, &it.formerBadResponses, &it.formerSlowResponses })
         edge::compact::integer(archive, *count);
@@ -91,6 +113,8 @@
 {
     archive(it.service, it.sentMicroseconds, it.orderContent);
     compact::age(archive, it.orderAgeMicroseconds);
+    if (!Archive::is_saving::value && it.orderAgeMicroseconds != -1)
+        checkTime(Duration(it.orderAgeMicroseconds));
     archive(it.report);
 }
 
@@ -105,10 +129,8 @@
 
 template <class Archive> void serialize(Archive& archive, RolloutRow& it)
 {
-    auto duration = it.order.duration.count();
     compact::text(archive, it.order.version);
-    compact::integerAs(archive, duration);
-    it.order.duration = Duration(duration);
+    serializeTime(archive, it.order.duration);
     archive(it.state);
     compact::integer(archive, it.begunMilliseconds);
     compact::list(archive, it.formerVersions, std::ref(archive));
--- a/packages/Edge/unittests/RolloutMessagesTest.cpp
+++ b/packages/Edge/unittests/RolloutMessagesTest.cpp
@@ -4,6 +4,7 @@
 #include "lentilbay/Edge/PeerHeartbeat.h"
 #include "lentilbay/Edge/StreamDirectory.h"
 
+#include <cmath>
 #include <gtest/gtest.h>
 
 namespace lentilbay::edge {
@@ -149,5 +150,33 @@
     EXPECT_FALSE(decodedAs<RolloutPermitMessage>(encodeRolloutMessage(permit))) << "an unknown phase";
 }
 
+// Guards against an order that seems to be over, times that overflow, and a version that gets all requests,
+// because of a value that nobody can have sent.
+TEST(RolloutMessages, ValuesOutOfTheirRangeAreRefused)
+{
+    constexpr int64_t longest = 1'000'000'000'000'000;
+    for (const int64_t age : { longest + 1, INT64_MAX, INT64_MIN, int64_t(-2) }) {
+        auto report = sampleReport();
+        report.orderAgeMicroseconds = age;
+        EXPECT_FALSE(decodedAs<RolloutReportMessage>(encodeRolloutMessage(report))) << age;
+        auto row = sampleRow();
+        row.state.elapsedAtWrite = Duration(age);
+        EXPECT_FALSE(decodedRow(encodeRolloutRow(row))) << age;
+        row = sampleRow();
+        row.order.duration = Duration(age);
+        EXPECT_FALSE(decodedRow(encodeRolloutRow(row))) << age;
+    }
+    for (const int64_t age : { int64_t(-1), int64_t(0), longest }) {
+        auto report = sampleReport();
+        report.orderAgeMicroseconds = age;
+        EXPECT_EQ(decodedAs<RolloutReportMessage>(encodeRolloutMessage(report)), report);
+    }
+    for (const double share : { -0.01, 1.01, std::nan(""), HUGE_VAL }) {
+        auto permit = samplePermit();
+        permit.permit.share = share;
+        EXPECT_FALSE(decodedAs<RolloutPermitMessage>(encodeRolloutMessage(permit))) << share;
+    }
+}
+
 } // namespace
 } // namespace lentilbay::edge
