Revert bad versions in short orders with kills

Cause: the counts of a daemon that is killed were in the coordinator's memory only, and lost when it was killed as well. A request that was to go to the new version and found no room there used up its share. All bad responses of a short order often come within 1.5 s, which was taken for a crash.

Change: in fleets of up to 16 daemons, reports also go to the daemon that would coordinate the order next, and the two tell each other what daemons that have ended had reported (RolloutReportLog). The canary's share is that of all daemons: what one that ended has not used is left for the others; 0.8 instead of 0.7 of the slack raises it, up to half of the requests. A request that goes to the former version returns its part of the share. An excess that remains without the two worst endpoints is no crash. The last tests need 5 bad responses instead of 6. A coordinator that has just taken over reckons with the mean rate of the order.

Further: an endpoint of the canary that is suspended gets no requests, and the next one of the order is used; reads for an unknown order are at least 1 s apart; the first coordinator judges its own reports also while another daemon stands in for it; a batch of requests that are queued again is dispatched once, after all of them are queued; a permit that answers a report of the future or of a negative time is ignored.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -83,8 +83,7 @@
     void rejectWaiting(Duration retryAfter, TimePoint now);
     /// Moves the request elsewhere if its current endpoint or peer has stalled.
     void checkProgress(TimePoint now);
-    /// Decides anew how a waiting request is sent: the links, or the versions that may serve it, have
-    /// changed.
+    /// Decides anew how a waiting request is sent; see EdgeState::queueAllAgain(), which then dispatches.
     void queueAgain(TimePoint now);
     /// Called when the daemon begins to stop. The request ends before the process does, and is refused now if
     /// that cannot be ensured any more once it has been sent.
--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -150,6 +150,9 @@
     /// Starts waiting requests that an endpoint can take and rejects those that cannot start in time, by
     /// calling their EdgeRequests.
     void dispatchWaiting(TimePoint now);
+    /// Queues all waiting requests again, because the links, or the versions that may serve them, have
+    /// changed, and starts those that an endpoint can take once all of them are queued.
+    void queueAllAgain(TimePoint now);
     /// Divides the slots of the endpoints among the daemons of a large fleet; to be called regularly.
     void assignSlots(TimePoint now);
     /// Records that the list of endpoints is complete as of a time.
--- a/packages/Edge/include/lentilbay/Edge/RolloutController.h
+++ b/packages/Edge/include/lentilbay/Edge/RolloutController.h
@@ -102,9 +102,10 @@
         const ServiceId& service, std::optional<uint64_t> version, RolloutTicket& ticket, TimePoint now);
     /// Whether anything may be sent to endpoints of the version now. To be asked right before a send.
     bool mayUse(const ServiceId& service, uint64_t version, TimePoint now) const;
-    /// Records that a request is sent to an endpoint.
-    RolloutSend recordSend(
-        const EndpointState& endpoint, const std::string& route, const Work& work, TimePoint now);
+    /// Records that a request is sent to an endpoint. One that was to go to the target version and went to a
+    /// former one, as no endpoint of the target version had room, does not count as sent there.
+    RolloutSend recordSend(const EndpointState& endpoint, const std::string& route, const Work& work,
+        RolloutTicket& ticket, TimePoint now);
     /// Records the first event, or the complete response that is not a stream.
     void recordFirstEvent(RolloutSend& send, TimePoint now);
     struct End {
@@ -142,6 +143,9 @@
         bool isInvalidLogged = false;
         /// Where this daemon coordinates the order.
         std::shared_ptr<RolloutCoordinator> coordinator;
+        /// What other daemons have reported to this one, which coordinates the order or may do so next.
+        std::shared_ptr<RolloutReportLog> reports = std::make_shared<RolloutReportLog>();
+        TimePoint nextForwardAt {};
         /// This daemon, as the coordinator, has found the end of the order in the store.
         bool isSettled = false;
         /// When the newest report that was answered had been sent.
@@ -170,6 +174,8 @@
     VersionRule formerRule(const Entry& entry) const;
     /// hashOf() the endpoints of the target version that are not leaving.
     std::vector<uint64_t> targetEndpoints(const Entry& entry) const;
+    /// hashOf() those that fail, by this daemon's sends or by the reports of the others.
+    std::vector<uint64_t> excludedTargets(const Entry& entry, TimePoint now) const;
     uint32_t formerInFlight(const Entry& entry) const;
     /// The daemon that coordinates the service's order: the first by rendezvous hashing, or one of the next
     /// if the store does not answer it.
@@ -183,6 +189,11 @@
     void logInvalid(const std::string& key, const std::string& detail);
     void coordinate(Entry& entry, TimePoint now);
     void report(Entry& entry, const std::string& coordinator, TimePoint now);
+    /// The daemon that would coordinate the order next, and is told the same; empty in a large fleet, in
+    /// which no daemon has a large part of the counts.
+    std::string standbyOf(const ServiceId& service, const std::string& coordinator) const;
+    /// Sends a report, also that of a daemon which has ended.
+    void sendReport(const Entry& entry, const std::string& to, RolloutReport report, TimePoint now);
     void applyPermit(Entry& entry, const RolloutPermit& permit, const std::vector<uint64_t>& formers,
         TimePoint sentAt, TimePoint now);
     /// Reads the state of an order for which no coordinator has answered.
@@ -220,11 +231,14 @@
     /// The state of the registry that `m_listed` describes.
     uint64_t m_listedRevision = 0;
     TimePoint m_ordersConfirmedAt {};
+    /// When the orders were last read because another daemon knows one that this daemon does not.
+    std::optional<TimePoint> m_ordersReadAt;
     bool m_takesPart = true;
     bool m_isCalling = false;
     /// As of the last poll().
     std::map<ServiceId, RolloutPhase> m_phases;
     Duration m_reportPeriod {};
+    bool m_isLargeFleet = false;
     TimePoint m_startedAt {};
     TimePoint m_polledAt {};
     /// When the event loop last went on after it had stood still.
--- a/packages/Edge/include/lentilbay/Edge/RolloutCoordinator.h
+++ b/packages/Edge/include/lentilbay/Edge/RolloutCoordinator.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "lentilbay/Edge/RolloutMessages.h"
+#include "lentilbay/Edge/RolloutReportLog.h"
 #include "lentilbay/Edge/StoreWriter.h"
 #include "lentilbay/Policy/Rollout.h"
 #include "lentilbay/platform/StoreCalls.h"
@@ -31,6 +32,8 @@
         /// Of the store, for the header field of the calls.
         std::string storeHost;
         RolloutLimits limits;
+        /// What this daemon has heard of the order before it became the coordinator.
+        std::shared_ptr<const RolloutReportLog> reports;
     };
 
     /// @param begunAt when the order was accepted, or earlier
@@ -69,6 +72,8 @@
     enum class Call : uint8_t { None, ReadState, ReadStatus, Write };
 
     std::string key() const;
+    /// Judges anew, by what is known of the order: its begin has become known.
+    void resetJudge(const std::optional<RolloutState>& restored = std::nullopt);
     /// Whether the store lacks a later phase, or many bad responses.
     bool mustWrite(RolloutPhase phase, TimePoint now) const;
     std::string writeRequest(RolloutPhase phase, TimePoint now);
--- a/packages/Edge/lib/EdgeLinks.cpp
+++ b/packages/Edge/lib/EdgeLinks.cpp
@@ -123,11 +123,7 @@
     if (state != former)
         m_state.pools.closeIdle(
             [this](const EndpointId& id) { return m_state.endpointRegistry.find(id) != nullptr; });
-    // Iterates over a copy, because a request may end meanwhile.
-    if (m_state.queue.size() > 0) {
-        for (const auto requests = m_state.requests; const auto& [number, request] : requests)
-            request->queueAgain(now);
-    }
+    m_state.queueAllAgain(now);
 }
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -128,7 +128,7 @@
     if (m_isOver || m_send || m_isFindingOrigin || m_isConfirmingEnd)
         return;
     m_state.queue.remove(m_number);
-    requeue(now);
+    enqueue(now);
 }
 
 Duration EdgeRequest::maxIdleAge(const EndpointId& endpoint) const
@@ -244,7 +244,7 @@
     m_send->version = endpoint.versionHash();
     m_send->expectedTimeToFirstEvent = endpoint.expectedTimeToFirstEvent(m_work);
     if (!m_send->isThroughPeer)
-        m_send->rollout = m_state.rollouts.recordSend(endpoint, m_route->name, m_work, now);
+        m_send->rollout = m_state.rollouts.recordSend(endpoint, m_route->name, m_work, m_rollout, now);
     recordPromptSend();
     logSend(now);
     m_events.beginAnswer();
--- a/packages/Edge/lib/EdgeRollouts.cpp
+++ b/packages/Edge/lib/EdgeRollouts.cpp
@@ -37,12 +37,8 @@
 
 void EdgeDaemon::pollRollouts(TimePoint now)
 {
-    if (!m_state.rollouts.poll(now) || m_state.queue.size() == 0)
-        return;
-    // Iterates over a copy, because a request may end.
-    const auto requests = m_state.requests;
-    for (const auto& [number, request] : requests)
-        request->queueAgain(now);
+    if (m_state.rollouts.poll(now))
+        m_state.queueAllAgain(now);
 }
 
 void EdgeDaemon::handleRolloutMessage(std::string_view datagram, TimePoint now)
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -307,6 +307,16 @@
     endpointRegistry.assignSlots(settings.daemon.text(), std::move(daemons));
 }
 
+void EdgeState::queueAllAgain(TimePoint now)
+{
+    if (queue.size() == 0)
+        return;
+    // Iterates over a copy, because a request may end.
+    for (const auto waiting = requests; const auto& [number, request] : waiting)
+        request->queueAgain(now);
+    dispatchWaiting(now);
+}
+
 void EdgeState::dispatchWaiting(TimePoint now)
 {
     // Starting a request may end it immediately and call this function again.
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -226,10 +226,10 @@
             return {};
         succeededAt = std::max(succeededAt, it->succeededAt());
     }
-    const bool hasSucceeded = succeededAt != TimePoint {};
+    // Requests need no excluded endpoint if the rule names others otherwise.
+    const bool hasSucceeded = !versions.otherwise && succeededAt != TimePoint {};
     return { .failures = hasSucceeded && now - succeededAt < excuseOfFailures,
         .stalls = hasSucceeded && now - succeededAt < excuseOfStalls,
-        // The endpoints that the rule names otherwise may be reachable.
         .reports = !versions.otherwise };
 }
 
--- a/packages/Edge/lib/RolloutController.cpp
+++ b/packages/Edge/lib/RolloutController.cpp
@@ -32,6 +32,12 @@
 constexpr Duration validityDelay = std::chrono::seconds(3);
 /// Within this time all daemons see an order, if the store answers.
 constexpr Duration maxOrderDelay = std::chrono::milliseconds(2500);
+/// The coordinator and the daemon that would be the next one tell each other this often what they know of
+/// daemons that have ended.
+constexpr Duration forwardPeriod = std::chrono::seconds(1);
+/// Reports of an order that this daemon does not know cause reads of the orders at most this often: each of
+/// the other daemons sends four of them a second.
+constexpr Duration orderReadSpacing = std::chrono::seconds(1);
 /// poll() is called more often than this while an order is running, unless the event loop stands still.
 constexpr Duration maxPollGap = std::chrono::milliseconds(300);
 /// A version is used this long after it was listed although the orders cannot be read.
@@ -239,6 +245,7 @@
     m_takesPart = takesPart;
     std::erase_if(m_storeAwayAt,
         [&](const auto& it) { return std::ranges::find(m_others, it.first) == m_others.end(); });
+    m_isLargeFleet = fleetSize > smallFleetSize;
     m_reportPeriod = fleetSize > largeFleetSize ? reportPeriodInLargeFleet : reportPeriod;
 }
 
@@ -280,6 +287,27 @@
     return std::string(order.front().second);
 }
 
+std::string RolloutController::standbyOf(const ServiceId& service, const std::string& coordinator) const
+{
+    if (m_isLargeFleet)
+        return {};
+    const auto key = platform::rolloutKey(service);
+    std::string out;
+    uint64_t most = 0;
+    const auto consider = [&](const std::string& daemon) {
+        const auto weight = rendezvousWeight(key, daemon);
+        if (daemon == coordinator || (!out.empty() && weight <= most))
+            return;
+        out = daemon;
+        most = weight;
+    };
+    for (const auto& it : m_others)
+        consider(it);
+    if (m_takesPart)
+        consider(m_options.daemon);
+    return out;
+}
+
 bool RolloutController::isActive() const
 {
     return std::ranges::any_of(m_entries, [&](const auto& it) {
@@ -341,6 +369,17 @@
     return out;
 }
 
+std::vector<uint64_t> RolloutController::excludedTargets(const Entry& entry, TimePoint now) const
+{
+    std::vector<uint64_t> out;
+    for (const auto& it : m_registry.endpointsOf(entry.order().service)) {
+        const bool isExcluded = it->isSuspended(now) || m_registry.useOf(*it, now) == EndpointUse::Excluded;
+        if (isExcluded && it->versionHash() == entry.target)
+            out.push_back(it->hash());
+    }
+    return out;
+}
+
 uint32_t RolloutController::formerInFlight(const Entry& entry) const
 {
     uint32_t out = 0;
@@ -393,7 +432,8 @@
 {
     if (!entry.coordinator)
         entry.coordinator = std::make_shared<RolloutCoordinator>(entry.order(),
-            RolloutCoordinator::Options { .storeHost = m_options.storeHost, .limits = m_options.limits },
+            RolloutCoordinator::Options {
+                .storeHost = m_options.storeHost, .limits = m_options.limits, .reports = entry.reports },
             entry.absentAt.value_or(entry.seenAt));
     auto& coordinator = *entry.coordinator;
     const auto permit = coordinator.permit(now);
@@ -448,15 +488,29 @@
     // Those that were sent before the order was seen count as well.
     report.formerInFlight = formerInFlight(entry);
     ++m_reports;
-    if (entry.coordinator && coordinator == m_options.daemon) {
+    if (entry.coordinator) {
+        // Where another daemon stands in for this one, both judge what this daemon has observed.
         entry.coordinator->apply(report, now);
-        if (const auto permit = entry.coordinator->permit(now))
+        const auto permit = entry.coordinator->permit(now);
+        if (permit && (coordinator == m_options.daemon || isFinal(permit->phase)))
             applyPermit(entry, *permit, entry.coordinator->formerVersions(), now, now);
-        return;
     }
-    if (!m_send || coordinator == m_options.daemon)
+    const auto standby = standbyOf(entry.order().service, coordinator);
+    for (const auto& to : { coordinator, standby })
+        sendReport(entry, to, report, now);
+    if (now < entry.nextForwardAt)
+        return;
+    entry.nextForwardAt = now + forwardPeriod;
+    for (auto& it : entry.reports->ofSilent(now))
+        sendReport(entry, coordinator == m_options.daemon ? standby : coordinator, std::move(it), now);
+}
+
+void RolloutController::sendReport(
+    const Entry& entry, const std::string& to, RolloutReport report, TimePoint now)
+{
+    if (!m_send || to.empty() || to == m_options.daemon)
         return;
-    m_send(coordinator,
+    m_send(to,
         encodeRolloutMessage(RolloutReportMessage { .service = hashOf(entry.order().service.text()),
             .sentMicroseconds = now.time_since_epoch().count(),
             .orderAgeMicroseconds = entry.absentAt ? (now - *entry.absentAt).count() : -1,
@@ -486,11 +540,14 @@
                 && message.orderContent == orderContentOf(entry->order())));
     if (!isSame) {
         const bool isUnknown = !entry || senderOrder > entry->order().id;
-        if (isUnknown && m_readOrders)
+        if (isUnknown && m_readOrders && (!m_ordersReadAt || now - *m_ordersReadAt >= orderReadSpacing)) {
+            m_ordersReadAt = now;
             m_readOrders();
+        }
         return {};
     }
     message.report.order = entry->order().id;
+    entry->reports->add(message.report, now);
     if (message.orderAgeMicroseconds >= 0) {
         const auto absentAt = now - Duration(message.orderAgeMicroseconds);
         entry->absentAt = std::max(absentAt, entry->absentAt.value_or(absentAt));
@@ -522,9 +579,18 @@
     if (message.isStoreAway)
         m_storeAwayAt[message.daemon] = now;
     auto* entry = findByHash(message.service);
-    if (entry && message.hasPermit && message.incarnation == m_options.incarnation)
-        applyPermit(*entry, message.permit, message.formerVersions,
-            TimePoint(Duration(message.sentMicroseconds)), now);
+    // A report was sent by this daemon's clock, so that another time is that of a damaged datagram.
+    const bool isPossible
+        = message.sentMicroseconds >= 0 && message.sentMicroseconds <= now.time_since_epoch().count();
+    if (!entry || !message.hasPermit || !isPossible || message.incarnation != m_options.incarnation)
+        return;
+    // The daemon that would coordinate the order next may coordinate it already, by what few daemons know.
+    const auto& service = entry->order().service;
+    if (!isFinal(message.permit.phase) && !message.daemon.empty()
+        && message.daemon == standbyOf(service, coordinatorOf(service, now)))
+        return;
+    applyPermit(
+        *entry, message.permit, message.formerVersions, TimePoint(Duration(message.sentMicroseconds)), now);
 }
 
 void RolloutController::applyPermit(Entry& entry, const RolloutPermit& permit,
@@ -642,7 +708,7 @@
     ticket.rule = formerRule(*entry);
     if (ticket.group == VersionGroup::Former)
         return;
-    const auto usable = entry->gate.usableTargets(targetEndpoints(*entry), now);
+    const auto usable = entry->gate.usableTargets(targetEndpoints(*entry), excludedTargets(*entry, now), now);
     if (usable.empty())
         return;
     VersionRule target { .required = entry->target };
@@ -665,8 +731,8 @@
     return !isRetired && entry->gate.mayUse(group, now);
 }
 
-RolloutSend RolloutController::recordSend(
-    const EndpointState& endpoint, const std::string& route, const Work& work, TimePoint now)
+RolloutSend RolloutController::recordSend(const EndpointState& endpoint, const std::string& route,
+    const Work& work, RolloutTicket& ticket, TimePoint now)
 {
     const auto& service = endpoint.entry().service;
     RolloutSend out { .service = service,
@@ -679,6 +745,11 @@
     if (!entry || entry->hasEnded(now))
         return out;
     const auto group = groupOf(*entry, out.version);
+    if (group == VersionGroup::Former && ticket.group == VersionGroup::Target
+        && ticket.order == entry->order().id) {
+        ticket.group = VersionGroup::Former;
+        entry->gate.returnChoice();
+    }
     entry->gate.recordSend(group, now);
     m_sentToTarget += group == VersionGroup::Target ? 1 : 0;
     return out;
--- a/packages/Edge/lib/RolloutCoordinator.cpp
+++ b/packages/Edge/lib/RolloutCoordinator.cpp
@@ -113,6 +113,16 @@
     , m_begunAt(begunAt)
     , m_judge(m_order, m_options.limits, begunAt)
 {
+    resetJudge();
+}
+
+void RolloutCoordinator::resetJudge(const std::optional<RolloutState>& restored)
+{
+    m_judge = RolloutJudge(m_order, m_options.limits, m_begunAt, restored);
+    if (!m_options.reports)
+        return;
+    for (const auto& it : m_options.reports->all())
+        m_judge.applyEarlier(it.report, it.receivedAt);
 }
 
 std::string RolloutCoordinator::key() const { return platform::rolloutKey(m_order.service); }
@@ -150,7 +160,7 @@
         return;
     m_begunAt = begunAt;
     // What was reported so far is part of the next reports.
-    m_judge = RolloutJudge(m_order, m_options.limits, m_begunAt);
+    resetJudge();
 }
 
 void RolloutCoordinator::readAgain()
@@ -340,7 +350,7 @@
         auto restored = state->state;
         restored.order = m_order.id;
         m_isRestored = true;
-        m_judge = RolloutJudge(m_order, m_options.limits, m_begunAt, restored);
+        resetJudge(restored);
     }
     m_judge.commit(*m_written);
 }
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -2368,8 +2368,7 @@
     runUntil([&] { return state.queue.size() > 0; });
     nearPeer.script({ .bytes = httpResponse(200, "near", signatureFields) });
     loseLinks(bootNow());
-    for (const auto requests = state.requests; const auto& [number, request] : requests)
-        request->queueAgain(bootNow());
+    state.queueAllAgain(bootNow());
     runUntil([&] { return answer.hasEnded(); });
     EXPECT_EQ(answer.body, "near");
     connection->close();
@@ -2639,8 +2638,7 @@
         = send("/stream/x", answer, "Authorization: Token k\r\nLast-Event-Id: 4\r\nResumes: 6\r\n");
     runUntil([&] { return !state.requests.empty(); });
     ASSERT_EQ(state.streams.openQueries(), 1U);
-    for (const auto requests = state.requests; const auto& [number, request] : requests)
-        request->queueAgain(bootNow());
+    state.queueAllAgain(bootNow());
     context.run_for(20ms);
     context.restart();
     EXPECT_EQ(nearPeer.requests().size() + farPeer.requests().size(), 0U);
@@ -2720,12 +2718,54 @@
                                .permit = { .order = order, .phase = RolloutPhase::Complete } }),
         now);
     ASSERT_TRUE(state.rollouts.poll(now));
-    for (const auto requests = state.requests; const auto& [number, request] : requests)
-        request->queueAgain(now);
+    state.queueAllAgain(now);
     runUntil([&] { return answer.hasEnded(); });
     EXPECT_EQ(answer.status, 200);
     EXPECT_TRUE(first.requests().empty());
 }
 
+// Guards against a less urgent request that takes the only free slot of the new version, because the waiting
+// requests are dispatched while more urgent ones are not queued again yet.
+TEST_F(EdgeRequestTest, RequestsThatAreQueuedAgainAreDispatchedTogether)
+{
+    auto parts = routes();
+    parts.routes[0].rank = 3;
+    state.routes = std::make_shared<const RouteTable>(std::move(parts));
+    list("e1", first, "v1");
+    list("e2", second, "v2");
+    second.setResponder([](const std::string&) {
+        return ScriptedResponse { .bytes = httpResponse(200, "x", signatureFields) };
+    });
+    const RolloutOrderId order { .era = 1, .number = 5 };
+    state.rollouts.applyOrderRow({ .table = "op",
+                                     .key = "rollout/s",
+                                     .value = R"({"Service":"s","To":"v2","DurationS":60})",
+                                     .version = { .era = order.era, .number = order.number } },
+        bootNow());
+    state.rollouts.poll(bootNow());
+    state.endpointRegistry.updatePeerLoads("peer",
+        { { .endpoint = hashOf("e1"), .inFlight = 4 }, { .endpoint = hashOf("e2"), .inFlight = 3 } },
+        bootNow());
+    CallerAnswer lessUrgent;
+    const auto firstConnection = send("/safe/x", lessUrgent);
+    runUntil([&] { return state.queue.size() == 1; });
+    CallerAnswer urgent;
+    const auto secondConnection = send("/once/x", urgent);
+    runUntil([&] { return state.queue.size() == 2; });
+    const auto now = bootNow();
+    state.rollouts.receive(encodeRolloutMessage(RolloutPermitMessage { .service = hashOf("s"),
+                               .incarnation = 1,
+                               .sentMicroseconds = now.time_since_epoch().count(),
+                               .permit = { .order = order, .phase = RolloutPhase::Complete } }),
+        now);
+    state.rollouts.poll(now);
+    state.queueAllAgain(now);
+    runUntil([&] { return lessUrgent.hasEnded() && urgent.hasEnded(); });
+    EXPECT_EQ(lessUrgent.status, 200);
+    EXPECT_EQ(urgent.status, 200);
+    ASSERT_EQ(second.requests().size(), 2U);
+    EXPECT_NE(second.requests().front().find("/once/x"), std::string::npos);
+}
+
 } // namespace
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/EndpointRegistryTest.cpp
+++ b/packages/Edge/unittests/EndpointRegistryTest.cpp
@@ -510,5 +510,31 @@
     EXPECT_EQ(chosenBy(onlyTarget), "new") << "nothing else may serve the request";
 }
 
+// Guards against requests of a canary that go to an engine which is suspended, because a success was seen
+// there shortly before, although others can serve the request.
+TEST_F(EndpointRegistryTest, SuspendedEndpointsOfARuleThatHasAnAlternativeGetNoRequests)
+{
+    const auto now = TimePoint(10s);
+    auto endpoint = endpointOf("new", "a", 4);
+    endpoint.softwareVersion = "v2";
+    endpointRegistry.list(endpoint);
+    for (const auto outcome : { SendOutcome::Succeeded, SendOutcome::Failed, SendOutcome::Failed }) {
+        at("new").recordSend(shortStream, now);
+        at("new").recordEnd(shortStream, outcome, true, now);
+    }
+    ASSERT_TRUE(at("new").isSuspended(now));
+    const VersionRule onlyTarget { .required = hashOf("v2") };
+    auto target = onlyTarget;
+    target.otherwise = std::make_shared<const VersionRule>(VersionRule { .excluded = { hashOf("v2") } });
+    const auto chosenBy = [&](const VersionRule& versions) {
+        const auto it = endpointRegistry.choose(
+            { .service = service, .work = shortStream, .objectiveAt = now + 800ms, .versions = versions },
+            now);
+        return it ? it->entry().id.text() : "none";
+    };
+    EXPECT_EQ(chosenBy(target), "near");
+    EXPECT_EQ(chosenBy(onlyTarget), "new") << "nothing else may serve the request";
+}
+
 } // namespace
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/RolloutControllerTest.cpp
+++ b/packages/Edge/unittests/RolloutControllerTest.cpp
@@ -115,11 +115,12 @@
 
 /// One daemon: its list of endpoints and its controller.
 struct Daemon {
-    Daemon(const std::string& name, uint64_t incarnation, TimePoint& now)
+    Daemon(const std::string& name, uint64_t incarnation, const RolloutLimits& limits, TimePoint& now)
         : name(name)
         , controller({ .daemon = name,
                          .incarnation = incarnation,
                          .storeHost = "s:1",
+                         .limits = limits,
                          .clock = [&now] { return now; } },
               registry)
     {
@@ -153,7 +154,7 @@
 
     void start(const std::string& name)
     {
-        auto& it = daemons[name] = std::make_unique<Daemon>(name, ++incarnations, now);
+        auto& it = daemons[name] = std::make_unique<Daemon>(name, ++incarnations, limits, now);
         for (const auto& [id, version] : endpoints)
             it->list(id, version);
         it->controller.setCaller(
@@ -243,9 +244,10 @@
         }
         const auto version = endpoint->entry().softwareVersion;
         ++sent[version];
+        ++sentTo[endpoint->entry().id.text()];
         lastSentAt[version] = now;
         endpoint->recordSend(work, now);
-        auto record = controller.recordSend(*endpoint, "r", work, now);
+        auto record = controller.recordSend(*endpoint, "r", work, ticket, now);
         const bool isBad = version == badVersion && ++badCount % 2 == 0;
         endpoint->recordEnd(work, SendOutcome::Succeeded, true, now);
         controller.recordEnd(
@@ -275,6 +277,9 @@
     size_t requestCount = 0;
     int refused = 0;
     std::map<std::string, int> sent;
+    /// The same by endpoint.
+    std::map<std::string, int> sentTo;
+    RolloutLimits limits;
     std::map<std::string, TimePoint> lastSentAt;
 };
 
@@ -392,6 +397,134 @@
     EXPECT_EQ(sent["v1"], formerly);
 }
 
+// Guards against reads of the store that grow with the number of daemons, while one lacks an order that the
+// others report to it.
+TEST_F(RolloutControllerTest, UnknownOrderIsReadOncePerSecond)
+{
+    const std::vector<std::string_view> names { "d0", "d1", "d2" };
+    const std::string first(names[rendezvousOwner(key, names)]);
+    int reads = 0;
+    daemons[first]->controller.setOrderReader([&] { ++reads; });
+    orderVersion = ++store.version;
+    orderValue = toV2;
+    for (auto& [name, it] : daemons) {
+        if (name != first)
+            it->controller.applyOrderRow(orderRow(), now);
+    }
+    run(5s);
+    EXPECT_GE(reads, 4);
+    EXPECT_LE(reads, 5);
+}
+
+// Guards against a coordinator that does not judge what it has observed itself, while another daemon that
+// does not answer stands in for it.
+TEST_F(RolloutControllerTest, FirstCoordinatorJudgesItsOwnResponses)
+{
+    limits.revert = 2s;
+    for (const auto* name : { "d0", "d1", "d2" })
+        start(name);
+    order(toV2);
+    run(2s, 6);
+    ASSERT_EQ(store.status(), "running");
+    const std::vector<std::string_view> names { "d0", "d1", "d2" };
+    const std::string first(names[rendezvousOwner(key, names)]);
+    turnedAway.emplace(first);
+    daemons[first]->controller.setSender([](const std::string&, const std::string&) {});
+    badVersion = "v2";
+    const auto phase = [&] {
+        const auto all = daemons[first]->controller.gauges(now);
+        return std::ranges::find(all, "rollout_phase{service=\"s\"}", &std::pair<std::string, double>::first)
+            ->second;
+    };
+    run(400ms, 0);
+    ASSERT_EQ(phase(), 0);
+    for (int i = 0; i < 100; ++i) {
+        run(10ms, 0);
+        for (int n = 0; n < 6; ++n)
+            send(*daemons[first]);
+    }
+    run(300ms, 0);
+    EXPECT_EQ(phase(), 3);
+}
+
+// Guards against a bad version that seems good because the counts of daemons are forgotten when they and the
+// coordinator are killed.
+TEST_F(RolloutControllerTest, CountsOfKilledDaemonsAreKept)
+{
+    limits.revert = 2s;
+    for (const auto* name : { "d0", "d1", "d2" })
+        start(name);
+    const std::vector<std::string_view> names { "d0", "d1", "d2" };
+    const std::string first(names[rendezvousOwner(key, names)]);
+    std::string last;
+    for (const auto it : names) {
+        if (it != first)
+            last = it;
+    }
+    const auto fail = [&](const std::string& daemon, const char* endpoint) {
+        auto& it = *daemons.at(daemon);
+        RolloutTicket ticket;
+        const auto send
+            = it.controller.recordSend(*it.registry.find(EndpointId(endpoint)), "r", work, ticket, now);
+        it.controller.recordEnd(send, ticket, { .outcome = SendOutcome::Failed }, now);
+    };
+    order(R"({"Service":"s","To":"v2","DurationS":60})");
+    run(2s, 1);
+    for (const auto* endpoint : { "b1", "b2", "b1", "b2" })
+        fail(first, endpoint);
+    run(1s, 1);
+    ASSERT_EQ(store.status(), "running");
+    daemons.erase(first);
+    run(3s, 1);
+    // It coordinates the order again, and learns from the others what it had observed itself.
+    start(first);
+    run(3s, 1);
+    ASSERT_EQ(store.status(), "running");
+    for (const auto* endpoint : { "b1", "b2", "b3" })
+        fail(last, endpoint);
+    run(1s, 1);
+    EXPECT_EQ(store.status(), "reverted");
+}
+
+// Guards against a canary that sends to an engine which is suspended, and against one that gets less than its
+// share because its engines had no room for a while.
+TEST_F(RolloutControllerTest, CanaryAvoidsSuspendedEndpointsAndCatchesUp)
+{
+    order(toV2);
+    run(1s);
+    for (auto& [name, it] : daemons) {
+        for (const auto* id : { "b1", "b2" }) {
+            const auto endpoint = it->registry.find(EndpointId(id));
+            for (int i = 0; i < 8; ++i) {
+                endpoint->recordSend(work, now);
+                endpoint->recordEnd(work, SendOutcome::Failed, false, now);
+            }
+            ASSERT_TRUE(endpoint->isSuspended(now + 1s));
+        }
+    }
+    const auto before = sent["v2"];
+    sentTo.clear();
+    run(1s);
+    EXPECT_EQ(sentTo["b1"] + sentTo["b2"], 0);
+    EXPECT_GT(sentTo["b3"], 0);
+    EXPECT_EQ(sentTo["b3"], sent["v2"] - before);
+    // Without room at the target version, the former one serves, and the share is used later.
+    for (auto& [name, it] : daemons)
+        it->registry.updatePeerLoads("other",
+            { { .endpoint = hashOf("b1"), .inFlight = 1000 }, { .endpoint = hashOf("b2"), .inFlight = 1000 },
+                { .endpoint = hashOf("b3"), .inFlight = 1000 } },
+            now);
+    const auto share = sent["v2"] / double(sent["v1"] + sent["v2"]);
+    const auto full = sent["v2"];
+    run(5s);
+    ASSERT_EQ(sent["v2"], full);
+    for (auto& [name, it] : daemons)
+        it->registry.updatePeerLoads("other", {}, now);
+    run(5s);
+    EXPECT_GT(sent["v2"], 0.8 * share * (sent["v1"] + sent["v2"]));
+    EXPECT_EQ(refused, 0);
+}
+
 // Guards against a coordinator that takes a lost answer for a failed write, or its own write for another's.
 TEST_F(RolloutControllerTest, TransactionsWhoseAnswersAreLostAreNotUndone)
 {
@@ -570,8 +703,8 @@
     const auto endpoint = daemon.registry.find(EndpointId("b1"));
     const auto former = daemon.registry.find(EndpointId("a1"));
     for (int i = 0; i < 20; ++i) {
-        auto send = controller.recordSend(*former, "r", work, now);
         RolloutTicket ticket;
+        auto send = controller.recordSend(*former, "r", work, ticket, now);
         now += 50ms;
         controller.poll(now);
         controller.recordFirstEvent(send, now);
@@ -588,7 +721,7 @@
         const auto slow = valueOf("rollout_slow_responses");
         RolloutTicket ticket;
         controller.assign(service, std::nullopt, ticket, now);
-        auto send = controller.recordSend(*endpoint, "r", work, now);
+        auto send = controller.recordSend(*endpoint, "r", work, ticket, now);
         run(time, 0);
         if (hasEvent)
             controller.recordFirstEvent(send, now);
@@ -617,8 +750,9 @@
     const Work whole { .isStream = true, .promptTokens = 6610 };
     const Work cached { .isStream = true, .promptTokens = 6610, .cachedTokens = 6610 };
     const auto respond = [&](const char* endpoint, const Work& sent, Duration time) {
-        auto send = controller.recordSend(*daemon.registry.find(EndpointId(endpoint)), "r", sent, now);
         RolloutTicket ticket;
+        auto send
+            = controller.recordSend(*daemon.registry.find(EndpointId(endpoint)), "r", sent, ticket, now);
         run(time, 0);
         controller.recordFirstEvent(send, now);
         controller.recordEnd(send, ticket, { .outcome = SendOutcome::Succeeded, .answerTokens = 1 }, now);
--- a/packages/Policy/include/lentilbay/Policy/Rollout.h
+++ b/packages/Policy/include/lentilbay/Policy/Rollout.h
@@ -219,6 +219,9 @@
     /// Applies the totals of a daemon. Idempotent; reports may be lost, repeated or out of order. Returns
     /// false if the report is of another order.
     bool apply(const RolloutReport& report, TimePoint now);
+    /// Applies what another daemon has received earlier, for instance from a daemon that has ended. It counts
+    /// for the whole order, but not as recent.
+    void applyEarlier(const RolloutReport& report, TimePoint receivedAt);
     /// The phase that should hold, and why. A decision for Reverted is in force for permits at once; the
     /// decision for Complete is so only after commit().
     RolloutDecision decide(TimePoint now);
@@ -264,6 +267,12 @@
     /// A kind of response that speaks against a version.
     using Kind = uint64_t ResponseCounts::*;
 
+    /// What a report adds to what is known; std::nullopt if it is not newer than the last one of its sender.
+    struct Addition {
+        Counts counts;
+        bool isFirst = false;
+    };
+    std::optional<Addition> record(const RolloutReport& report, TimePoint receivedAt);
     /// Updates the counts of a daemon and returns by how much they have increased.
     static Counts increase(Counts& counts, const RolloutReport& report);
     /// What was reported in the last 10 s.
@@ -272,6 +281,8 @@
     double requestRate(TimePoint now) const;
     /// The share of the target version in the phase Canary apart from what the slack adds.
     double baseShare() const;
+    /// The same with the slack, for services with few requests.
+    double canaryShareAt(TimePoint now) const;
     /// How long before the deadline the phase Switching begins at the earliest.
     Duration switchingLead() const;
     /// What has been counted since the order, with the restored state if all daemons were restarted since.
@@ -283,10 +294,13 @@
     /// Where the target version exceeds the former one: on all routes, or on one.
     enum class Excess : uint8_t { None, OnRoute, OnAll };
     /// @param thresholdOnAll how many standard deviations count as an excess on all routes
-    Excess excessOf(const Counts& counts, Kind kind, double thresholdOnAll) const;
+    /// @param minResponses how many of them are needed
+    Excess excessOf(const Counts& counts, Kind kind, double thresholdOnAll, double minResponses) const;
     /// The greatest number of such responses of the target version that were reported within the time of a
     /// crash, in the last 10 s.
     uint64_t worstRun(Kind kind) const;
+    /// Whether the target version exceeds the former one without the endpoints that are worst.
+    bool isSpread(const Counts& counts, Kind kind) const;
     /// Whether the excess is due to more than the `worst` run.
     bool isLasting(const Counts& counts, Kind kind, uint64_t worst) const;
     /// Whether the target version would get more than it may if it got all requests up to the deadline.
@@ -339,12 +353,16 @@
     VersionGroup choose(TimePoint now);
     /// Decides again for a request that has waited since choose() and has not been sent.
     VersionGroup chooseAgain(VersionGroup chosen, TimePoint now);
+    /// A request for which the target version was chosen is sent to a former one.
+    void returnChoice() { m_chosenTarget -= m_chosenTarget > 0 ? 1 : 0; }
     /// Whether anything may be sent to endpoints of the group, for instance a request that resumes a stream
     /// which began there.
     bool mayUse(VersionGroup group, TimePoint now) const;
     /// The endpoints of the target version that may be used now, in the order of their hashes' weights.
     /// @param endpoints hashes of all endpoints of the target version
-    std::vector<uint64_t> usableTargets(std::span<const uint64_t> endpoints, TimePoint now) const;
+    /// @param excluded those of them that fail: in the phase Canary the next ones are used in their place
+    std::vector<uint64_t> usableTargets(
+        std::span<const uint64_t> endpoints, std::span<const uint64_t> excluded, TimePoint now) const;
 
     void recordSend(VersionGroup group, TimePoint now);
     /// A response to a send; not called for responses that say nothing on the version, such as rejections for
--- a/packages/Policy/lib/Rollout.cpp
+++ b/packages/Policy/lib/Rollout.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 
 namespace lentilbay {
 namespace {
@@ -18,10 +19,12 @@
 constexpr double switchingFraction = 0.05;
 /// The part of the bound on the exposure up to which the phase Switching may begin.
 constexpr double exposureMargin = 0.9;
-/// The part of the slack that raises the share where a service has few requests, and the part that may be
-/// used up when the phase Switching ends.
-constexpr double slackForCanary = 0.7;
-constexpr double slackForSwitching = 0.8;
+/// The part of the slack that raises the share where a service has few requests, and that may be used up when
+/// the phase Switching ends. Of 0.7, orders of 8 to 12 s completed a bad version more often (RolloutTest).
+constexpr double usableSlack = 0.8;
+/// At most this share of the requests shows what the versions do, as many responses of the former version are
+/// needed for comparison.
+constexpr double maxJudgedShare = 0.5;
 /// Complete is written at the latest this long before the deadline, in which two calls to the store fit.
 constexpr Duration writeLead = 800ms;
 /// At least this long before the deadline, the phase Switching begins, so that the permits of all daemons are
@@ -50,10 +53,15 @@
 /// It is the last chance to revert, and a few tests only.
 constexpr double lastDeviations = 3.5;
 constexpr double minExcessResponses = 6;
+/// The same for the last tests. Of two engines that crash at once, up to `loneResponses` each count.
+constexpr double lastMinExcessResponses = 5;
 /// While so few endpoints have responded, engines that crash at once look like a bad version. Therefore the
 /// rest must show an excess as well if the worst part of the time is left out. A crash is reported within two
 /// report intervals, and responses that stalled somewhat later.
 constexpr size_t fewEndpoints = 6;
+/// More engines than these rarely crash at once: what the others show is no crash.
+constexpr std::ptrdiff_t crashesAtOnce = 2;
+constexpr uint64_t minSpreadResponses = 2;
 constexpr Duration crashTime = 1500ms;
 constexpr double lastingDeviations = 2;
 constexpr double minLastingResponses = 3;
@@ -229,29 +237,43 @@
 {
     if (report.order != m_order.id)
         return false;
-    const auto [it, isNew] = m_daemons.try_emplace({ report.daemon, report.incarnation });
-    auto& daemon = it->second;
-    if (!isNew && report.sequence <= daemon.sequence)
+    const auto addition = record(report, now);
+    if (!addition)
         return true;
     if (!m_firstReportAt)
         m_firstReportAt = now;
-    daemon.sequence = report.sequence;
-    daemon.phase = report.phase;
-    daemon.formerInFlight = report.formerInFlight;
-    daemon.reportedAt = now;
-    const auto difference = increase(daemon.counts, report);
-    m_totals.add(difference);
     // The first report of a daemon states totals since the order, so they are not known to be recent.
-    if (!isNew || now - m_begunAt < firstReportsTime) {
+    if (!addition->isFirst || now - m_begunAt < firstReportsTime) {
         const TimePoint startedAt { now.time_since_epoch() / bucketLength * bucketLength };
         if (m_buckets.empty() || m_buckets.back().startedAt < startedAt)
             m_buckets.push_back({ .startedAt = startedAt, .counts = {} });
-        m_buckets.back().counts.add(difference);
+        m_buckets.back().counts.add(addition->counts);
         while (m_buckets.front().startedAt + recentWindow < startedAt)
             m_buckets.pop_front();
         m_worstRun.bad = std::max(m_worstRun.bad, worstRun(&ResponseCounts::bad));
         m_worstRun.slow = std::max(m_worstRun.slow, worstRun(&ResponseCounts::slow));
     }
+    return true;
+}
+
+void RolloutJudge::applyEarlier(const RolloutReport& report, TimePoint receivedAt)
+{
+    if (report.order == m_order.id)
+        record(report, receivedAt);
+}
+
+std::optional<RolloutJudge::Addition> RolloutJudge::record(const RolloutReport& report, TimePoint receivedAt)
+{
+    const auto [it, isFirst] = m_daemons.try_emplace({ report.daemon, report.incarnation });
+    auto& daemon = it->second;
+    if (!isFirst && report.sequence <= daemon.sequence)
+        return std::nullopt;
+    daemon.sequence = report.sequence;
+    daemon.phase = report.phase;
+    daemon.formerInFlight = report.formerInFlight;
+    daemon.reportedAt = receivedAt;
+    Addition out { .counts = increase(daemon.counts, report), .isFirst = isFirst };
+    m_totals.add(out.counts);
     if (!m_isCommitted && isFinal(report.phase)) {
         // Daemons learn of Complete only after the store has acknowledged it, of Reverted at once.
         if (report.phase == RolloutPhase::Complete) {
@@ -261,7 +283,7 @@
             m_reason = RolloutReason::Reported;
         }
     }
-    return true;
+    return out;
 }
 
 RolloutJudge::Counts RolloutJudge::recent() const
@@ -301,7 +323,8 @@
     return counted / static_cast<double>(sum);
 }
 
-RolloutJudge::Excess RolloutJudge::excessOf(const Counts& counts, Kind kind, double thresholdOnAll) const
+RolloutJudge::Excess RolloutJudge::excessOf(
+    const Counts& counts, Kind kind, double thresholdOnAll, double minResponses) const
 {
     const double factor = spreadFactor(counts, kind);
     if (factor <= 0)
@@ -311,7 +334,7 @@
         const double failed = factor * static_cast<double>(target.*kind);
         // Where the former version has had few responses in this time, its total counts as well: it
         // gets no more new requests in the phase Switching.
-        return failed >= minExcessResponses
+        return failed >= minResponses
             && exceeds(failed, target.responses, former.*kind, former.responses, threshold)
             && (former.responses >= target.responses
                 || exceeds(failed, target.responses, formerTotal.*kind, formerTotal.responses, threshold));
@@ -339,6 +362,20 @@
     return worst;
 }
 
+bool RolloutJudge::isSpread(const Counts& counts, Kind kind) const
+{
+    std::vector<ResponseCounts> endpoints;
+    for (const auto& [endpoint, it] : counts.endpoints)
+        endpoints.push_back(it);
+    std::ranges::sort(endpoints, [&](const auto& a, const auto& b) { return a.*kind > b.*kind; });
+    ResponseCounts rest;
+    for (const auto& it : endpoints | std::views::drop(crashesAtOnce))
+        lentilbay::add(rest, it);
+    return rest.*kind >= minSpreadResponses
+        && exceeds(static_cast<double>(rest.*kind), rest.responses, m_totals.former.*kind,
+            m_totals.former.responses, lastingDeviations);
+}
+
 bool RolloutJudge::isLasting(const Counts& counts, Kind kind, uint64_t worst) const
 {
     const auto judged = std::ranges::count_if(
@@ -347,6 +384,8 @@
     const bool mayWait = m_limits.revert >= crashTime + rolloutPermitLife + 2 * bucketLength;
     if (!mayWait || static_cast<size_t>(judged) >= fewEndpoints)
         return true;
+    if (isSpread(counts, kind))
+        return true;
     const auto rest = counts.target.*kind - std::min(worst, counts.target.*kind);
     return static_cast<double>(rest) >= minLastingResponses
         && exceeds(static_cast<double>(rest), counts.target.responses, m_totals.former.*kind,
@@ -379,15 +418,18 @@
     const auto last = recent();
     const bool isSwitchNear = m_phase == RolloutPhase::Canary && now >= deadline() - switchingLead();
     const double thresholdForSlow = isSwitchNear ? lastDeviations : deviations;
-    const double thresholdForBad = m_phase == RolloutPhase::Switching ? lastDeviations : thresholdForSlow;
+    const bool isLast = isSwitchNear || m_phase == RolloutPhase::Switching;
+    const double thresholdForBad = isLast ? lastDeviations : deviations;
     for (const auto* counts : { &last, &totals }) {
         const auto worstOf
             = [&](Kind kind, uint64_t worstEver) { return counts == &last ? worstRun(kind) : worstEver; };
-        const auto bad = excessOf(*counts, &ResponseCounts::bad, thresholdForBad);
+        const auto bad = excessOf(*counts, &ResponseCounts::bad, thresholdForBad,
+            isLast ? lastMinExcessResponses : minExcessResponses);
         if (bad != Excess::None
             && isLasting(*counts, &ResponseCounts::bad, worstOf(&ResponseCounts::bad, m_worstRun.bad)))
             return bad == Excess::OnAll ? RolloutReason::BadResponses : RolloutReason::BadResponsesOnRoute;
-        const auto slow = excessOf(*counts, &ResponseCounts::slow, thresholdForSlow);
+        const auto slow = excessOf(*counts, &ResponseCounts::slow, thresholdForSlow,
+            isSwitchNear ? lastMinExcessResponses : minExcessResponses);
         if (slow != Excess::None
             && isLasting(*counts, &ResponseCounts::slow, worstOf(&ResponseCounts::slow, m_worstRun.slow)))
             return slow == Excess::OnAll ? RolloutReason::SlowResponses : RolloutReason::SlowResponsesOnRoute;
@@ -411,7 +453,11 @@
         return static_cast<double>(requests)
             / toSeconds(std::clamp<Duration>(now - *m_firstReportAt, firstReportsTime, window));
     };
-    return std::max(rateOver(rateWindow), rateOver(recentWindow));
+    const double rate = std::max(rateOver(rateWindow), rateOver(recentWindow));
+    if (now - *m_firstReportAt >= rateWindow)
+        return rate;
+    // This coordinator has just taken over and knows little more than the totals since the order.
+    return std::max(rate, static_cast<double>(m_totals.requests) / std::max(toSeconds(now - m_begunAt), 1.0));
 }
 
 Duration RolloutJudge::switchingLead() const
@@ -429,14 +475,39 @@
     return std::clamp(left / std::max(1 - switching, 1e-6), most / 4, most);
 }
 
+double RolloutJudge::canaryShareAt(TimePoint now) const
+{
+    const double rate = requestRate(now);
+    const auto left = std::max<Duration>(deadline() - now, {});
+    const double switching = rate * toSeconds(std::min(left, switchingLead()));
+    const double coming = rate * toSeconds(left) - switching;
+    const auto totals = totalsAt(now);
+    const double requests = static_cast<double>(totals.requests) + coming;
+    // A service with few requests gets more of them judged, at the expense of the slack and of the time for
+    // the switch.
+    const double slack = usableSlack * m_limits.slackRequests;
+    const double share = std::min(maxJudgedShare, baseShare() + slack / std::max(requests + switching, 1.0));
+    // A daemon that was restarted counts from zero. What its predecessor has not used is left for the others.
+    double own = 0;
+    double sent = 0;
+    for (const auto& [id, it] : m_daemons) {
+        if (now - it.reportedAt > rolloutPermitLife)
+            continue;
+        own += static_cast<double>(it.counts.requests);
+        sent += static_cast<double>(it.counts.sentToTarget);
+    }
+    const double sentByOthers = std::max(0.0, static_cast<double>(totals.sentToTarget) - sent);
+    return std::clamp((share * requests - sentByOthers) / std::max(own + coming, 1.0), 0.0, maxJudgedShare);
+}
+
 bool RolloutJudge::exceedsExposure(TimePoint now) const
 {
     const double remaining = requestRate(now) * toSeconds(std::max<Duration>(deadline() - now, {}));
     const auto totals = totalsAt(now);
     const auto requests = static_cast<double>(totals.requests);
     const auto sent = static_cast<double>(totals.sentToTarget);
-    return sent + remaining > exposureMargin * m_limits.share * (requests + remaining)
-        + slackForSwitching * m_limits.slackRequests;
+    return sent + remaining
+        > exposureMargin * m_limits.share * (requests + remaining) + usableSlack * m_limits.slackRequests;
 }
 
 bool RolloutJudge::isFormerDrained(TimePoint now) const
@@ -515,11 +586,7 @@
 {
     RolloutPermit out { .order = m_order.id, .phase = m_phase, .share = baseShare(), .rotation = 0 };
     if (m_firstReportAt && now - *m_firstReportAt >= firstReportsTime) {
-        // A service with few requests gets more of them judged, at the expense of the slack.
-        const double requests = static_cast<double>(totalsAt(now).requests)
-            + requestRate(now) * toSeconds(std::max<Duration>(deadline() - now, {}));
-        const double slack = slackForCanary * m_limits.slackRequests;
-        out.share = std::min(1.0, out.share + slack / std::max({ requests, 2 * slack, 1.0 }));
+        out.share = canaryShareAt(now);
     }
     // All endpoints are used within the order if it lasts long enough.
     const auto interval = std::clamp(
@@ -633,7 +700,7 @@
         return VersionGroup::Target;
     }
     if (chosen == VersionGroup::Target && !mayUse(VersionGroup::Target, now)) {
-        m_chosenTarget -= m_chosenTarget > 0 ? 1 : 0;
+        returnChoice();
         return VersionGroup::Former;
     }
     return chosen;
@@ -648,7 +715,8 @@
     return group == VersionGroup::Former || hasPermit(now);
 }
 
-std::vector<uint64_t> RolloutGate::usableTargets(std::span<const uint64_t> endpoints, TimePoint now) const
+std::vector<uint64_t> RolloutGate::usableTargets(
+    std::span<const uint64_t> endpoints, std::span<const uint64_t> excluded, TimePoint now) const
 {
     if (!mayUse(VersionGroup::Target, now))
         return {};
@@ -665,8 +733,11 @@
             2, static_cast<size_t>(std::ceil(m_permit.share * static_cast<double>(endpoints.size())))));
     std::vector<uint64_t> out;
     out.reserve(count);
-    for (size_t i = 0; i < count; ++i)
-        out.push_back(weights[(m_permit.rotation * count + i) % weights.size()].second);
+    for (size_t i = 0; i < weights.size() && out.size() < count; ++i) {
+        const auto endpoint = weights[(m_permit.rotation * count + i) % weights.size()].second;
+        if (std::ranges::find(excluded, endpoint) == excluded.end())
+            out.push_back(endpoint);
+    }
     return out;
 }
 
