Test both ways in which counts of killed daemons are kept, and the dispatch of a batch

Cause: the two tests passed without what they guard: the other way restored the counts, and the less urgent request was queued again last.

--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -2752,6 +2752,10 @@
     CallerAnswer urgent;
     const auto secondConnection = send("/once/x", urgent);
     runUntil([&] { return state.queue.size() == 2; });
+    // In whichever order the requests are queued again, the urgent one is not the first.
+    CallerAnswer alsoLessUrgent;
+    const auto thirdConnection = send("/safe/y", alsoLessUrgent);
+    runUntil([&] { return state.queue.size() == 3; });
     const auto now = bootNow();
     state.rollouts.receive(encodeRolloutMessage(RolloutPermitMessage { .service = hashOf("s"),
                                .incarnation = 1,
@@ -2760,10 +2764,10 @@
         now);
     state.rollouts.poll(now);
     state.queueAllAgain(now);
-    runUntil([&] { return lessUrgent.hasEnded() && urgent.hasEnded(); });
+    runUntil([&] { return lessUrgent.hasEnded() && urgent.hasEnded() && alsoLessUrgent.hasEnded(); });
     EXPECT_EQ(lessUrgent.status, 200);
     EXPECT_EQ(urgent.status, 200);
-    ASSERT_EQ(second.requests().size(), 2U);
+    ASSERT_EQ(second.requests().size(), 3U);
     EXPECT_NE(second.requests().front().find("/once/x"), std::string::npos);
 }
 
--- a/packages/Edge/unittests/RolloutControllerTest.cpp
+++ b/packages/Edge/unittests/RolloutControllerTest.cpp
@@ -448,12 +448,10 @@
 }
 
 // Guards against a bad version that seems good because the counts of daemons are forgotten when they and the
-// coordinator are killed.
+// coordinator are killed: by the daemon that takes over, or by the first one when it is back.
 TEST_F(RolloutControllerTest, CountsOfKilledDaemonsAreKept)
 {
     limits.revert = 2s;
-    for (const auto* name : { "d0", "d1", "d2" })
-        start(name);
     const std::vector<std::string_view> names { "d0", "d1", "d2" };
     const std::string first(names[rendezvousOwner(key, names)]);
     std::string last;
@@ -468,22 +466,27 @@
             = it.controller.recordSend(*it.registry.find(EndpointId(endpoint)), "r", work, ticket, now);
         it.controller.recordEnd(send, ticket, { .outcome = SendOutcome::Failed }, now);
     };
-    order(R"({"Service":"s","To":"v2","DurationS":60})");
-    run(2s, 1);
-    for (const auto* endpoint : { "b1", "b2", "b1", "b2" })
-        fail(first, endpoint);
-    run(1s, 1);
-    ASSERT_EQ(store.status(), "running");
-    daemons.erase(first);
-    run(3s, 1);
-    // It coordinates the order again, and learns from the others what it had observed itself.
-    start(first);
-    run(3s, 1);
-    ASSERT_EQ(store.status(), "running");
-    for (const auto* endpoint : { "b1", "b2", "b3" })
-        fail(last, endpoint);
-    run(1s, 1);
-    EXPECT_EQ(store.status(), "reverted");
+    for (const bool isBack : { false, true }) {
+        for (const auto it : names)
+            start(std::string(it));
+        order(R"({"Service":"s","To":"v2","DurationS":60})");
+        run(2s, 1);
+        for (const auto* endpoint : { "b1", "b2", "b1", "b2" })
+            fail(first, endpoint);
+        run(1s, 1);
+        ASSERT_EQ(store.status(), "running");
+        daemons.erase(first);
+        run(3s, 1);
+        if (isBack) {
+            start(first);
+            run(3s, 1);
+        }
+        ASSERT_EQ(store.status(), "running");
+        for (const auto* endpoint : { "b1", "b2", "b3" })
+            fail(last, endpoint);
+        run(1s, 1);
+        EXPECT_EQ(store.status(), "reverted") << isBack;
+    }
 }
 
 // Guards against a canary that sends to an engine which is suspended, and against one that gets less than its
