Write the end of an order again although its engines have left

Cause: after the store came back from a copy without the order, a coordinator began it anew only if an engine of the version was listed. Where they were listed, the status became running before it became reverted again.

Change: an order that has ended needs no engines, and the coordinator is told the end before its first write.

--- a/packages/Edge/lib/RolloutController.cpp
+++ b/packages/Edge/lib/RolloutController.cpp
@@ -430,18 +430,22 @@
 
 void RolloutController::coordinate(Entry& entry, TimePoint now)
 {
-    if (!entry.coordinator)
+    if (!entry.coordinator) {
+        // An end that is known is the first thing that the coordinator is told.
+        entry.nextReportAt = std::min(entry.nextReportAt, now);
         entry.coordinator = std::make_shared<RolloutCoordinator>(entry.order(),
             RolloutCoordinator::Options {
                 .storeHost = m_options.storeHost, .limits = m_options.limits, .reports = entry.reports },
             entry.absentAt.value_or(entry.seenAt));
+    }
     auto& coordinator = *entry.coordinator;
     const auto permit = coordinator.permit(now);
     if (entry.isWithdrawn)
         coordinator.withdraw();
     if (entry.absentAt)
         coordinator.setBegun(*entry.absentAt, now);
-    coordinator.setValid(permit || isValid(entry, now));
+    // The engines of a version that was rejected have left when the store comes back from an older copy.
+    coordinator.setValid(permit || entry.hasEnded(now) || isValid(entry, now));
     coordinator.setTargetEndpoints(targetEndpoints(entry).size());
     // Before the store has been read, versions may be listed that came after the end of the order.
     if (permit && !isFinal(permit->phase))
--- a/packages/Edge/lib/RolloutCoordinator.cpp
+++ b/packages/Edge/lib/RolloutCoordinator.cpp
@@ -217,7 +217,9 @@
     }
     if (!m_hasBegun && (!m_isValid || m_isWithdrawn))
         return std::nullopt;
-    auto phase = m_decision.phase;
+    // What an earlier coordinator decided is not preceded by another phase.
+    const auto inForce = m_judge.state(now).phase;
+    auto phase = isFinal(inForce) ? inForce : m_decision.phase;
     if (m_written && rankOf(*m_written) > rankOf(phase))
         phase = *m_written;
     if (!mustWrite(phase, now))
--- a/packages/Edge/unittests/RolloutControllerTest.cpp
+++ b/packages/Edge/unittests/RolloutControllerTest.cpp
@@ -619,6 +619,33 @@
     EXPECT_EQ(sent["v2"], before);
 }
 
+// Guards against a status that is lost or goes back, because the engines of the version that was rejected
+// have left when the store comes back from a copy without the order.
+TEST_F(RolloutControllerTest, EndIsWrittenAgainAfterEnginesHaveLeft)
+{
+    badVersion = "v2";
+    order(toV2);
+    run(10s);
+    ASSERT_EQ(store.status(), "reverted");
+    for (auto& [name, it] : daemons) {
+        for (const auto* id : { "b1", "b2", "b3" })
+            it->registry.unlist(EndpointId(id));
+    }
+    store.rows.clear();
+    ++store.era;
+    for (auto& [name, it] : daemons)
+        it->controller.storeEraChanged();
+    order(toV2);
+    std::set<std::string> states;
+    for (int i = 0; i < 50; ++i) {
+        run(50ms);
+        states.insert(store.status());
+    }
+    states.erase("none");
+    EXPECT_EQ(states, std::set<std::string> { "reverted" });
+    EXPECT_EQ(refused, 0);
+}
+
 // Guards against orders that cannot be carried out and stop a service, or are begun.
 TEST_F(RolloutControllerTest, InvalidOrdersAffectNothing)
 {
