--- a/packages/Policy/lib/Rollout.cpp
+++ b/packages/Policy/lib/Rollout.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 
 namespace lentilbay {
 namespace {
@@ -60,7 +59,7 @@
 /// report intervals, and responses that stalled somewhat later.
 constexpr size_t fewEndpoints = 6;
 /// More engines than these rarely crash at once: what the others show is no crash.
-constexpr std::ptrdiff_t crashesAtOnce = 2;
+constexpr size_t crashesAtOnce = 2;
 constexpr uint64_t minSpreadResponses = 2;
 constexpr Duration crashTime = 1500ms;
 constexpr double lastingDeviations = 2;
@@ -369,8 +368,8 @@
         endpoints.push_back(it);
     std::ranges::sort(endpoints, [&](const auto& a, const auto& b) { return a.*kind > b.*kind; });
     ResponseCounts rest;
-    for (const auto& it : endpoints | std::views::drop(crashesAtOnce))
-        lentilbay::add(rest, it);
+    for (size_t i = crashesAtOnce; i < endpoints.size(); ++i)
+        lentilbay::add(rest, endpoints[i]);
     return rest.*kind >= minSpreadResponses
         && exceeds(static_cast<double>(rest.*kind), rest.responses, m_totals.former.*kind,
             m_totals.former.responses, lastingDeviations);
