Move the decision about another send out of EdgeRequest

ResendDecision now decides: whether a failure is the endpoint's or the request's, whether a stalled or lost send is left, and whether another endpoint or peer may be asked within attempts and budget. EndpointSend and SendFailure have their own header. The behaviour does not change.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -7,8 +7,10 @@
 
 #include "lentilbay/Edge/ConnectionLoss.h"
 #include "lentilbay/Edge/EdgeState.h"
+#include "lentilbay/Edge/EndpointSend.h"
 #include "lentilbay/Edge/EventSplitter.h"
 #include "lentilbay/Edge/PeerForwarding.h"
+#include "lentilbay/Edge/ResendDecision.h"
 #include "lentilbay/Edge/StreamEnd.h"
 #include "lentilbay/Http/Server.h"
 #include "lentilbay/Policy/RequestAttempts.h"
@@ -18,56 +20,6 @@
 
 namespace lentilbay::edge {
 
-/// The state of one send to an endpoint.
-struct EndpointSend {
-    /// The endpoint, or the peer if the request is sent through one.
-    std::shared_ptr<EndpointState> endpoint;
-    bool isThroughPeer = false;
-    /// What the peer states about its answer.
-    ForwardedAnswer peerAnswer;
-    /// As of the send; the endpoint may have been started again since.
-    EndpointIncarnation incarnation;
-    uint64_t version = 0;
-    RolloutSend rollout;
-    std::shared_ptr<http::ClientConnection> connection;
-    /// Bytes of the request may have reached the endpoint.
-    bool isSent = false;
-    TimePoint sentAt {};
-    TimePoint lastEventAt {};
-    /// Measured from the send, as estimated at that time.
-    Duration expectedTimeToFirstEvent {};
-    bool hadFirstEvent = false;
-    /// The endpoint has written enough of the answer to show that the request does not crash it.
-    bool hasBegunAnswer = false;
-    size_t events = 0;
-    /// Events other than comments.
-    bool hadEvents = false;
-    bool wasNotExecuted = false;
-    bool isMisdirected = false;
-    bool lacksWeights = false;
-    bool isEventStream = false;
-    http::HttpResponseHead head;
-    bool isGenuine = false;
-    /// What the header fields of the answer cost in memory.
-    size_t headBytes = 0;
-    std::string body;
-};
-
-/// How an endpoint failed a request. Requests that fail alike at two endpoints are the cause themselves.
-enum class SendFailure : uint8_t {
-    /// No connection was established.
-    Unreachable,
-    /// The connection ended in the answer, or before it.
-    BrokenOff,
-    /// The bytes received are no answer, or no whole one within the bounds of this daemon.
-    Invalid,
-    Unsigned,
-    ServerError,
-    /// A whole stream without an event.
-    Empty,
-    Stalled,
-};
-
 class EdgeRequest : public std::enable_shared_from_this<EdgeRequest> {
 public:
     /// `forwarded` is set if a peer sends the request through this daemon.
@@ -135,9 +87,8 @@
     void shareOrigin(TimePoint now);
     void enqueue(TimePoint now);
     WaitingRequest waitingRequest() const;
-    bool mayResend(TimePoint now);
-    /// How many endpoints may execute the request.
-    int maxExecutions() const { return m_forwarded ? 1 : m_route->maxAttempts; }
+    /// What decides about another send, as of now.
+    ResendContext resendContext() const;
     /// The endpoints that may serve the request.
     VersionRule versionRule() const
     {
@@ -145,8 +96,6 @@
     }
     /// Whether the endpoint may get the request now.
     bool isAcceptable(const EndpointState& endpoint, TimePoint now) const;
-    /// Whether the request could be sent to another endpoint, or through another peer.
-    bool hasAlternative();
     /// Sends the request through a peer. Returns false if there is none.
     bool startThroughPeer(TimePoint now);
     /// Connects to the endpoint or peer of m_send.
@@ -209,8 +158,6 @@
     http::Headers answerHeaders(http::Headers headers) const;
     /// Ends the current send as failed, and decides whether the endpoint or the request is the cause.
     void failSend(SendFailure failure, TimePoint now);
-    /// Records that an endpoint has failed after its send had ended.
-    static void recordLateFailure(EndpointState& endpoint, TimePoint now);
     /// Ends the current send and records its outcome for the endpoint.
     /// @param evidence of a failure against the endpoint
     void endSend(SendOutcome outcome, TimePoint now, double evidence = 1);
@@ -266,18 +213,8 @@
     std::shared_ptr<const std::vector<PromptPrefix>> m_prompt;
     double m_quotaTokens = 0;
     AttributedRequest m_attributed;
-    /// What the request has in common with others that may fail as it does.
-    std::vector<uint64_t> m_failureKeys;
-    struct FailedSend {
-        std::shared_ptr<EndpointState> endpoint;
-        SendFailure failure = SendFailure::Unreachable;
-        double evidence = 1;
-        TimePoint at {};
-    };
-    std::vector<FailedSend> m_failedSends;
-    /// Of the last failure against its endpoint.
-    double m_failureEvidence = 1;
     RequestAttempts m_attempts;
+    ResendDecision m_resend;
     /// The return that a peer has planned for the caller.
     std::optional<Duration> m_peerRetryAfter;
     std::optional<EndpointSend> m_send;
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -189,8 +189,9 @@
         fingerprint = hashOf({ reinterpret_cast<const char*>(&it.id), sizeof it.id }, fingerprint);
     }
     m_attributed.triggers.push_back(triggerOfRequest(fingerprint));
-    m_failureKeys = m_attributed.triggers;
-    m_failureKeys.push_back(hashOf(m_route->name, organisation));
+    auto failureKeys = m_attributed.triggers;
+    failureKeys.push_back(hashOf(m_route->name, organisation));
+    m_resend.setFailureKeys(std::move(failureKeys));
     m_state.crashes.recordRequest(m_attributed);
     if (m_state.crashes.judge(m_attributed, now) != CrashAttribution::Verdict::Blocked)
         return true;
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -16,15 +16,6 @@
 /// at-most-once request does not take that risk.
 constexpr Duration maxIdleAgeForAtMostOnce = std::chrono::milliseconds(700);
 constexpr Duration maxIdleAgeForOthers = std::chrono::seconds(60);
-/// Before its first event, an idempotent request is moved to another endpoint after a silence of this
-/// fraction of the objective.
-constexpr double stallObjectiveFraction = 0.6;
-/// A sound endpoint may be silent for a second and go on, so no request is moved away sooner.
-constexpr Duration minSilenceToMove = std::chrono::milliseconds(1500);
-/// A connection without a sign of life for this long is given up once the links to the endpoints are lost.
-constexpr Duration maxSilenceOfLostLink = std::chrono::milliseconds(300);
-/// After its first event, an idempotent request is moved after a pause of this many times the gap objective.
-constexpr double stallGapFactor = 2;
 /// An endpoint that has written this many events has begun its answer. One that crashes may have written a
 /// first one.
 constexpr size_t eventsOfBegunAnswer = 2;
@@ -44,13 +35,6 @@
     return headers;
 }
 
-void logSuspicion(const EndpointState& endpoint, SendOutcome outcome)
-{
-    logEvent(Event::EndpointSuspected,
-        { { "endpoint", endpoint.entry().id.text() },
-            { "misdirected", static_cast<int64_t>(outcome == SendOutcome::Misdirected) } });
-}
-
 /// Callers that are refused together don't all retry at the same time.
 constexpr double retryJitter = 0.1;
 
@@ -64,6 +48,7 @@
     , m_metadata(platform::decodeCallerMetadata(m_exchange->request()))
     , m_routes(state.routes)
     , m_arrivedAt(m_exchange->arrival().earliest)
+    , m_resend(state, m_attempts)
     , m_answerCharge(state.answerMemory,
           [this] {
               m_fallback.reset();
@@ -483,7 +468,7 @@
     m_send->hadEvents = m_send->hadEvents || events.events > events.comments;
     // The endpoint that ended the stream before left events out.
     if (m_send->hadEvents && m_unconfirmedEndpoint)
-        recordLateFailure(*std::exchange(m_unconfirmedEndpoint, nullptr), now);
+        ResendDecision::recordLateFailure(*std::exchange(m_unconfirmedEndpoint, nullptr), now);
     if (!m_send->isThroughPeer)
         m_state.recordHeard(m_send->incarnation, m_send->sentAt, now);
     if (m_send->events >= eventsOfBegunAnswer)
@@ -667,8 +652,8 @@
     failSend(SendFailure::Empty, now);
     logFailedSend(true, ResultCode::EndpointAnswerInvalid);
     // Where such requests give no events anyway, another endpoint would be asked in vain.
-    if (isFirst && m_failureEvidence >= RequestAttempts::minEvidenceToAskAgain && now < m_expiresAt
-        && hasAlternative() && mayResend(now)) {
+    if (isFirst && m_resend.mayOthersDoBetter() && now < m_expiresAt
+        && m_resend.maySendElsewhere(resendContext(), now)) {
         m_emptyAnswer = std::move(head);
         requeue(now);
         return;
@@ -808,42 +793,12 @@
 
 void EdgeRequest::failSend(SendFailure failure, TimePoint now)
 {
-    const auto endpoint = m_send->endpoint;
     if (failure == SendFailure::Unreachable || m_send->isThroughPeer) {
         endSend(SendOutcome::Unreachable, now);
         return;
     }
-    const auto former = std::ranges::find_if(m_failedSends, [&](const auto& it) {
-        return it.failure == failure && it.endpoint != endpoint && !it.endpoint->isUnusable(now);
-    });
-    if (former != m_failedSends.end() && !endpoint->isSuspect()) {
-        logEvent(Event::FailureFollowsRequest,
-            { { "id", m_metadata.id.text() }, { "endpoint", endpoint->entry().id.text() },
-                { "former", former->endpoint->entry().id.text() } });
-        m_state.metrics.count("failures_of_requests");
-        m_state.failureSources.recordFailureAtBoth(
-            former->endpoint->hash(), endpoint->hash(), m_failureKeys, now);
-        former->endpoint->retractFailure(former->evidence, former->at);
-        m_failureEvidence = 0;
-        endSend(SendOutcome::Neutral, now);
-        return;
-    }
-    m_failureEvidence = m_state.failureSources.weightAgainst(endpoint->hash(), m_failureKeys, now);
-    m_state.failureSources.recordFailure(endpoint->hash(), m_failureKeys, now);
-    m_failedSends.push_back(
-        { .endpoint = endpoint, .failure = failure, .evidence = m_failureEvidence, .at = now });
-    // A signed answer that similar requests get elsewhere, too, is no failure.
-    const bool isUsual
-        = failure == SendFailure::Empty && m_failureEvidence < RequestAttempts::minEvidenceToAskAgain;
-    endSend(isUsual ? SendOutcome::Neutral : SendOutcome::Failed, now, m_failureEvidence);
-}
-
-void EdgeRequest::recordLateFailure(EndpointState& endpoint, TimePoint now)
-{
-    const bool wasSuspended = endpoint.isSuspended(now);
-    endpoint.recordFailure(now);
-    if (!wasSuspended && endpoint.isSuspended(now))
-        logSuspicion(endpoint, SendOutcome::Failed);
+    const auto [outcome, evidence] = m_resend.judgeFailure(m_metadata.id, m_send->endpoint, failure, now);
+    endSend(outcome, now, evidence);
 }
 
 void EdgeRequest::endSend(SendOutcome outcome, TimePoint now, double evidence)
@@ -857,7 +812,7 @@
     const bool wasSuspended = send.endpoint->isSuspended(now);
     send.endpoint->recordEnd(m_work, outcome, send.hadFirstEvent, now, evidence);
     if (outcome == SendOutcome::Succeeded)
-        m_state.failureSources.recordSuccess(send.endpoint->hash(), m_failureKeys, now);
+        m_resend.recordSuccess(*send.endpoint, now);
     const bool isSuspect = outcome == SendOutcome::Failed || outcome == SendOutcome::Unreachable
         || outcome == SendOutcome::Misdirected;
     if (isSuspect && !wasSuspended && send.endpoint->isSuspended(now))
@@ -872,16 +827,14 @@
         m_state.pools.release(send.endpoint->entry(), std::move(send.connection));
 }
 
-bool EdgeRequest::mayResend(TimePoint now)
+ResendContext EdgeRequest::resendContext() const
 {
-    if (m_eventsRelayed > 0 && m_isVersionUncertain)
-        return false;
-    return m_attempts.maySendAgain(
-        { .maxExecutions = maxExecutions(),
-            .isAtMostOnce = m_route->executionSemantics == ExecutionSemantics::AtMostOnce,
-            .failureEvidence = m_failureEvidence,
-            .budget = m_state.retryLimits() },
-        m_state.retryBudget(m_service), now);
+    return { .service = m_service,
+        .route = *m_route,
+        .versions = versionRule(),
+        .isForwarded = m_forwarded.has_value(),
+        .isUnverified = m_isUnverified,
+        .isVersionUnknown = m_eventsRelayed > 0 && m_isVersionUncertain };
 }
 
 void EdgeRequest::logFailedSend(bool mayHaveExecuted, ResultCode reason) const
@@ -895,7 +848,7 @@
 void EdgeRequest::sendFailed(bool mayHaveExecuted, ResultCode reason, TimePoint now)
 {
     logFailedSend(mayHaveExecuted, reason);
-    if (now < m_expiresAt && hasAlternative() && mayResend(now)) {
+    if (now < m_expiresAt && m_resend.maySendElsewhere(resendContext(), now)) {
         requeue(now);
         return;
     }
@@ -908,21 +861,6 @@
             std::max(defaultRetryAfter, m_peerRetryAfter.value_or(Duration::zero())), now);
 }
 
-bool EdgeRequest::hasAlternative()
-{
-    if (m_isUnverified)
-        return m_state.relays.choose(m_attempts.tried(), m_state.random, true) != nullptr;
-    if (!m_forwarded && m_state.links.state() != LinkState::Up
-        && m_state.relays.choose(m_attempts.tried(), m_state.random))
-        return true;
-    const auto& registry = m_state.endpointRegistry;
-    if (registry.hasCandidate(m_service, m_attempts.tried(), versionRule()))
-        return true;
-    // Endpoints that reject requests get room again, unless rejections make them fail.
-    return !registry.isBrittle(m_service) && m_attempts.reconsiderRejections()
-        && registry.hasCandidate(m_service, m_attempts.tried(), versionRule());
-}
-
 void EdgeRequest::endAfterExecution(ResultCode reason, TimePoint now)
 {
     if (m_fallback && m_eventsRelayed == 0) {
@@ -960,18 +898,11 @@
         leaveLostLinks(now);
         return;
     }
-    if (!m_send->endpoint->isStalled(now) || m_attempts.possibleExecutions() + 1 >= maxExecutions())
-        return;
-    const auto silence = now - m_send->lastEventAt;
-    const auto expected = m_send->hadFirstEvent
-        ? fromSeconds(toSeconds(m_route->gapObjective) * stallGapFactor)
-        : std::max(fromSeconds(toSeconds(m_route->objective) * stallObjectiveFraction),
-            2 * m_send->endpoint->expectedTimeToFirstEvent({ .isStream = m_work.isStream }));
-    const auto tolerated = std::max<Duration>(minSilenceToMove, expected);
     // A stall alone does not end a send: the endpoint may recover, and a retry helps only if another endpoint
     // has room.
-    if (silence < tolerated || !m_state.endpointRegistry.choose(waitingRequest().query, now)
-        || !mayResend(now))
+    if (!m_resend.hasStalled(resendContext(), *m_send, m_work.isStream, now)
+        || !m_state.endpointRegistry.choose(waitingRequest().query, now)
+        || !m_resend.takeSend(resendContext(), now))
         return;
     logFailedSend(true, ResultCode::EndpointStalled);
     failSend(SendFailure::Stalled, now);
@@ -980,10 +911,7 @@
 
 void EdgeRequest::leaveLostLinks(TimePoint now)
 {
-    const bool isLost = m_send->isThroughPeer ? !m_state.relays.isAlive(m_send->endpoint->entry().id)
-                                              : now - m_send->lastEventAt >= maxSilenceOfLostLink;
-    if (!isLost || m_attempts.possibleExecutions() + 1 >= maxExecutions()
-        || !m_state.relays.choose(m_attempts.tried(), m_state.random, m_isUnverified) || !mayResend(now))
+    if (!m_resend.mayLeaveLostLink(resendContext(), *m_send, now) || !m_resend.takeSend(resendContext(), now))
         return;
     logFailedSend(true, ResultCode::EndpointStalled);
     endSend(SendOutcome::Neutral, now);
