Order the waiting requests of the edge plane by their deadlines

Policy/DeadlineQueue orders a rank by the latest start that is in time, defers by Moore's rule and by size what cannot be in time together, gives late requests a tenth, and refuses early by the expected start; Edge/WaitingQueue carries this out. RequestQueue shares the key and Moore's rule, which no longer defers others for a request that would be late in front of them. Late and, for an eighth of their objective, lower-rank requests leave slots that are not assigned to the daemon to others: in a fleet most of what the highest rank lost were sends that endpoints rejected. ServiceLatency has its own file.

--- a/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
+++ b/packages/Edge/include/lentilbay/Edge/EndpointRegistry.h
@@ -6,6 +6,7 @@
 
 #include "lentilbay/Edge/EndpointSignalTable.h"
 #include "lentilbay/Edge/EndpointState.h"
+#include "lentilbay/Edge/ServiceLatency.h"
 #include "lentilbay/Edge/VersionRule.h"
 #include "lentilbay/Model/Topology.h"
 #include "lentilbay/Policy/EndpointFailureReports.h"
@@ -47,6 +48,9 @@
     bool mayWait = false;
     /// Whether to leave fast endpoints to other requests if a slower one meets the objectives.
     bool avoidsFastEndpoints = false;
+    /// Whether to leave to other requests the slots that are not assigned to this daemon, if slots are
+    /// divided.
+    bool yieldsLentSlots = false;
     /// The software versions that may answer the request.
     VersionRule versions = {};
     /// The prefixes of the prompt that endpoints may have cached; nullptr if none are known.
@@ -64,21 +68,6 @@
     auto operator<=>(const PeerLoad&) const = default;
 };
 
-/// Average processing times at the endpoints of one service.
-struct ServiceLatency {
-    double nonStreamSeconds = 0;
-    double firstEventSeconds = 0;
-    double secondsPerPromptToken = 0;
-    double secondsPerAnswerToken = 0;
-    /// Whether most slots are taken.
-    bool isContended = false;
-
-    /// The time to the first event from the send on.
-    Duration timeToFirstEvent(const Work& work) const;
-    /// The time that the work occupies a slot.
-    Duration totalTime(const Work& work) const;
-};
-
 class EndpointRegistry {
 public:
     EndpointRegistry(Topology topology, uint64_t seed);
@@ -155,6 +144,8 @@
     {
         return choose(query, query.versions, now);
     }
+    /// Whether choose() can return an endpoint for any request.
+    bool hasRoom(const ServiceId& service, TimePoint now) const;
     PromptCacheEstimate& promptCache() { return m_promptCache; }
     /// Records a send for which EndpointState::recordSend() has been called, to an endpoint whose cache has
     /// room for `memory` tokens.
--- a/packages/Edge/include/lentilbay/Edge/WaitingQueue.h
+++ b/packages/Edge/include/lentilbay/Edge/WaitingQueue.h
@@ -1,15 +1,16 @@
-// The queue of requests that wait for an endpoint; decides which start, wait or are rejected.
+// The queue of requests that wait for an endpoint: carries out the decisions of Policy/DeadlineQueue.
 //
-// Handles bursts in which requests arrive faster than the endpoints complete them. A request that cannot
-// start in time is rejected at arrival with the time at which room is expected; one that waits can start in
-// time at the current service rate. Requests of a service are ordered by rank, then by whether they can still
-// meet their objective, then by their objective time.
+// Handles bursts in which requests arrive faster than the endpoints complete them. Each service has a
+// DeadlineQueue, which decides on the order and on refusals; EndpointRegistry decides which endpoint a
+// request gets and whether one has room. A request that is refused learns when its start was expected.
 #pragma once
 
 #include "lentilbay/Edge/EndpointRegistry.h"
-#include "lentilbay/Policy/WindowSum.h"
+#include "lentilbay/Policy/DeadlineQueue.h"
 
-#include <list>
+#include <map>
+#include <optional>
+#include <unordered_map>
 
 namespace lentilbay::edge {
 
@@ -23,18 +24,12 @@
     TimePoint arrivedAt {};
     /// The caller's deadline or the route's timeout, whichever is earlier.
     TimePoint expiresAt {};
-    /// Whether its first event would miss the objective even if it started now; set by the queue.
-    bool isLate = false;
 };
 
 struct WaitingQueueOptions {
-    /// Limit on queued work, in seconds that all slots of the service need for it. Requests that wait longer
-    /// miss most objectives and delay those behind them.
-    double maxQueuedSeconds = 2.0;
+    DeadlineQueueOptions order = {};
     /// The fraction of the slots that this daemon's requests can expect to get.
     double slotShare = 1.0;
-    /// Upper bound of `retryAfter`.
-    Duration maxRetryAfter = std::chrono::seconds(10);
 };
 
 struct StartedRequest {
@@ -46,6 +41,8 @@
 
 struct RejectedRequest {
     uint64_t number = 0;
+    /// std::nullopt if no endpoint may continue the request, or it has no time left.
+    std::optional<RefusalCause> cause;
     /// Time until room is expected.
     Duration retryAfter {};
 };
@@ -75,24 +72,27 @@
     size_t sizeOf(const ServiceId& service) const;
 
 private:
-    void shed(const ServiceId& service, const ServiceLatency& latency, TimePoint now, Decisions& out);
-    /// At which rate the service's requests have been started, in seconds of a slot's work per second.
-    double serviceRate(const ServiceId& service, double slots, TimePoint now);
+    struct Service {
+        DeadlineQueue queue;
+        /// Mean prompt tokens of the requests.
+        Estimate prompts { 0, promptWeight };
+        /// When the queue was last contended.
+        std::optional<TimePoint> contendedAt;
+    };
+
+    void decideFor(const ServiceId& id, Service& service, TimePoint now, Decisions& out);
+    /// Rejects requests that no endpoint may continue or that have no time left.
+    void rejectHopeless(const ServiceId& id, Service& service, TimePoint now, Decisions& out);
+    bool start(const DeadlineRequest& request, TimePoint now, Decisions& out);
 
-    double meanPrompt(const ServiceId& service) const;
+    /// The weight of the newest prompt in the mean: a few hundred requests are a second or more of a daemon's
+    /// traffic.
+    static constexpr double promptWeight = 0.01;
 
     EndpointRegistry& m_endpointRegistry;
     WaitingQueueOptions m_options;
-    /// Mean prompt tokens of the requests, by service.
-    std::map<ServiceId, Estimate> m_prompts;
-    std::list<WaitingRequest> m_requests;
-    struct Service {
-        /// The work of the requests that were started, in seconds of a slot.
-        WindowSum started;
-        /// Since when requests have waited without interruption.
-        std::optional<TimePoint> waitingSince;
-    };
     std::map<ServiceId, Service> m_services;
+    std::unordered_map<uint64_t, WaitingRequest> m_requests;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -40,6 +40,22 @@
             : static_cast<size_t>(static_cast<double>(limitBytes) * fraction));
 }
 
+/// The counter of requests that the queue rejects for this cause.
+std::string_view counterOf(std::optional<RefusalCause> cause)
+{
+    if (!cause)
+        return "queue_refusals_without_time";
+    switch (*cause) {
+    case RefusalCause::Objective:
+        return "queue_refusals_by_objective";
+    case RefusalCause::Expiry:
+        return "queue_refusals_by_expiry";
+    case RefusalCause::QueueLength:
+        break;
+    }
+    return "queue_refusals_by_length";
+}
+
 /// An endpoint that refuses connections if the address cannot be read.
 asio::ip::tcp::endpoint endpointOf(const platform::Address& store)
 {
@@ -316,8 +332,8 @@
     const bool isLarge = peers.knownDaemons() > smallFleetSize;
     endpointRegistry.setHeadroom(isLarge ? staleLoadHeadroom : Headroom {});
     const auto sending = peers.knownDaemons() - peers.partitionedDaemons();
-    queue.setOptions(
-        { .slotShare = 1.0 / static_cast<double>(sending), .maxRetryAfter = settings.bounds.maxRetryAfter });
+    queue.setOptions({ .order = { .maxRetryAfter = settings.bounds.maxRetryAfter },
+        .slotShare = 1.0 / static_cast<double>(sending) });
     for (bool again = true; again;) {
         auto decisions = queue.decide(now);
         again = false;
@@ -330,6 +346,7 @@
             }
         }
         for (const auto& it : decisions.rejected) {
+            metrics.count(counterOf(it.cause));
             if (auto request = requests.find(it.number); request != requests.end()) {
                 const auto keep = request->second;
                 keep->rejectWaiting(it.retryAfter, now);
--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -185,6 +185,12 @@
     return endpoint.load() + 1 + headroom <= endpoint.entry().slots;
 }
 
+bool EndpointRegistry::hasRoom(const ServiceId& service, TimePoint now) const
+{
+    return std::ranges::any_of(
+        endpointsOf(service), [&](const auto& it) { return hasRoom(*it, false, now); });
+}
+
 SlotAssignment::Endpoint EndpointRegistry::assignable(const EndpointState& endpoint, TimePoint now)
 {
     const auto& entry = endpoint.entry();
@@ -358,6 +364,7 @@
     Grade possible = Any;
     const auto excuses = excusesFor(query.service, versions, now);
     const auto cached = query.prompt ? m_promptCache.find(*query.prompt, now) : std::vector<CachedPrefix> {};
+    const bool yields = query.yieldsLentSlots && areSlotsDivided(query.service);
     for (const auto& it : endpointsOf(query.service)) {
         if (!versions.allows(it->versionHash(), it->hash()))
             continue;
@@ -372,7 +379,8 @@
         possible = std::min(possible, gradeWith(0));
         const bool isLimitedToOne
             = !excuses.failures && (it->isOnProbation() || useOf(*it, now) == EndpointUse::ProbeOnly);
-        if (!hasRoom(*it, isLimitedToOne, now))
+        if (!hasRoom(*it, isLimitedToOne, now)
+            || (yields && it->ownInFlight() >= m_assignment.assigned(assignable(*it, now))))
             continue;
         if (std::ranges::find(query.tried, it->entry().id) != query.tried.end())
             continue;
@@ -478,16 +486,4 @@
     return out;
 }
 
-Duration ServiceLatency::timeToFirstEvent(const Work& work) const
-{
-    if (!work.isStream)
-        return fromSeconds(nonStreamSeconds);
-    return fromSeconds(firstEventSeconds + work.promptTokens * secondsPerPromptToken);
-}
-
-Duration ServiceLatency::totalTime(const Work& work) const
-{
-    return timeToFirstEvent(work) + fromSeconds(work.answerTokens * secondsPerAnswerToken);
-}
-
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/WaitingQueueTest.cpp
+++ b/packages/Edge/unittests/WaitingQueueTest.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <map>
 
 namespace lentilbay::edge {
 namespace {
@@ -221,6 +222,60 @@
     EXPECT_NE(chosenFor(4, 6000), "slow");
 }
 
+TEST_F(WaitingQueueTest, RefusesEarlyUnderLastingOverload)
+{
+    // Guards against requests that are held for longer than an eighth of their objective and refused then:
+    // ten requests a second can be started, and twenty arrive.
+    std::map<uint64_t, TimePoint> arrivals;
+    const auto endpoint = endpointRegistry.find(EndpointId("e"));
+    uint64_t number = 0;
+    size_t refusals = 0;
+    size_t heldLong = 0;
+    for (TimePoint now(1s); now < TimePoint(9s); now += 50ms) {
+        const bool isSlotFree = endpoint->ownInFlight() > 0 && now.time_since_epoch() % 100ms == 0ms;
+        if (isSlotFree)
+            endpoint->recordEnd(edit, SendOutcome::Neutral, false, now);
+        push(++number, 0, now, 20s);
+        arrivals[number] = now;
+        for (const auto& it : queue.decide(now).rejected) {
+            ++refusals;
+            EXPECT_TRUE(it.cause.has_value());
+            heldLong += arrivals[it.number] > TimePoint(4s) && now - arrivals[it.number] > 100ms ? 1 : 0;
+        }
+    }
+    EXPECT_GT(refusals, 50U);
+    EXPECT_LE(heldLong, 5U);
+}
+
+TEST_F(WaitingQueueTest, LowerRanksLeaveLentSlotsToOtherDaemons)
+{
+    // Guards against a lower rank that takes, by an old report, a slot which is assigned to another daemon:
+    // the endpoint then rejects that daemon's requests of the highest rank.
+    std::vector<SlotAssignment::Daemon> daemons;
+    for (int i = 0; i < 20; ++i)
+        daemons.push_back({ .name = "d" + std::to_string(i), .dataCentre = DataCentreId("b") });
+    daemons.push_back({ .name = "self", .dataCentre = DataCentreId("a") });
+    for (int i = 0; i < 100; ++i)
+        endpointRegistry.list({ .id = EndpointId("far-" + std::to_string(i)),
+            .service = service,
+            .host = "10.0.0.1",
+            .port = 80,
+            .dataCentre = DataCentreId("b"),
+            .slots = 8 });
+    endpointRegistry.assignSlots("self", daemons);
+    ASSERT_TRUE(endpointRegistry.areSlotsDivided(service));
+    const auto assigned = endpointRegistry.assignedSlots();
+    for (uint64_t i = 1; i <= 100; ++i)
+        push(i, 1, TimePoint(1s));
+    push(200, 0, TimePoint(1s));
+    auto decisions = queue.decide(TimePoint(1s));
+    EXPECT_EQ(numbersOf(decisions.started).front(), 200U);
+    EXPECT_LE(decisions.started.size(), assigned + 1);
+    push(201, 0, TimePoint(1s));
+    EXPECT_EQ(numbersOf(queue.decide(TimePoint(1s)).started), (Numbers { 201 }))
+        << "the highest rank uses slots that are lent";
+}
+
 TEST_F(WaitingQueueTest, RemovedRequestIsNotStarted)
 {
     push(1, 0, TimePoint(1s));
--- a/packages/Policy/include/lentilbay/Policy/RequestQueue.h
+++ b/packages/Policy/include/lentilbay/Policy/RequestQueue.h
@@ -3,10 +3,12 @@
 //
 // Each organisation has a virtual time per tier: the work served divided by its weight. Only organisations
 // whose virtual time is within `fairnessSlack` of the minimum compete, and among these the earliest deadline
-// wins. Hence no backlogged organisation falls further behind another than the slack plus one request.
+// wins; the order within an organisation is that of DeadlineQueue.h. Hence no backlogged organisation falls
+// further behind another than the slack plus one request.
 #pragma once
 
 #include "lentilbay/Model/Configuration.h"
+#include "lentilbay/Policy/DeadlineQueue.h"
 #include "lentilbay/Support/Time.h"
 
 #include <array>
@@ -102,23 +104,15 @@
     double virtualTime(int rank, uint32_t organisation) const;
 
 private:
-    struct Key {
-        bool deferred = false;
-        TimePoint orderBy {};
-        uint64_t sequence = 0;
-
-        auto operator<=>(const Key&) const = default;
-    };
-
     /// An organisation with waiting requests. Kept small because front() scans all entries of a tier.
     struct Backlog {
         double virtualTime = 0;
-        Key head;
+        DeadlineKey head;
         uint32_t organisation = 0;
     };
 
     struct OrganisationQueue {
-        std::set<Key> keys;
+        std::set<DeadlineKey> keys;
         double virtualTime = 0;
     };
 
@@ -134,7 +128,7 @@
         bool isOverloaded = false;
     };
 
-    Key keyOf(const QueuedRequest& request) const;
+    DeadlineKey keyOf(const QueuedRequest& request) const;
     static void refreshBacklog(RankQueue& rank, uint32_t organisation);
     void erase(const QueuedRequest& request);
 
@@ -143,10 +137,7 @@
     std::unordered_map<uint64_t, QueuedRequest> m_requests;
 };
 
-/// Minimises the number of late requests on `slots` slots: goes through the requests in the order of their
-/// deadlines and, whenever one would be late, defers the longest one kept so far.
-///
-/// Source: Moore, "An n job, one machine sequencing algorithm for minimizing the number of late jobs", 1968.
+/// Sorts the requests by their deadlines and defers those that cannot all meet theirs on `slots` slots.
 void deferLate(std::vector<QueuedRequest*>& requests, double slots, TimePoint now);
 
 } // namespace lentilbay
--- a/packages/Policy/lib/RequestQueue.cpp
+++ b/packages/Policy/lib/RequestQueue.cpp
@@ -3,17 +3,18 @@
 
 #include <algorithm>
 #include <cassert>
-#include <queue>
 
 namespace lentilbay {
 
-RequestQueue::Key RequestQueue::keyOf(const QueuedRequest& request) const
+DeadlineKey RequestQueue::keyOf(const QueuedRequest& request) const
 {
     const bool orderByWork = m_ranks[request.rank].isOverloaded && request.deadline;
     const auto orderBy = orderByWork
         ? request.arrivedAt + fromSeconds(request.work * m_options.orderDelayPerWorkSecond)
         : request.orderBy;
-    return { .deferred = request.deferred, .orderBy = orderBy, .sequence = request.sequence };
+    return {
+        .isDeferred = request.deferred, .orderBy = orderBy, .work = request.work, .number = request.sequence
+    };
 }
 
 void RequestQueue::refreshBacklog(RankQueue& rank, uint32_t organisation)
@@ -84,7 +85,7 @@
             if (it.virtualTime <= least + m_options.fairnessSlack && (!best || it.head < best->head))
                 best = &it;
         }
-        return &m_requests.at(best->head.sequence);
+        return &m_requests.at(best->head.number);
     }
     return nullptr;
 }
@@ -108,14 +109,14 @@
 const QueuedRequest* RequestQueue::last() const
 {
     for (auto rank = m_ranks.rbegin(); rank != m_ranks.rend(); ++rank) {
-        const Key* greatest = nullptr;
+        const DeadlineKey* greatest = nullptr;
         for (const auto& it : rank->backlogs) {
             const auto& key = *rank->organisations.at(it.organisation).keys.rbegin();
             if (!greatest || *greatest < key)
                 greatest = &key;
         }
         if (greatest)
-            return &m_requests.at(greatest->sequence);
+            return &m_requests.at(greatest->number);
     }
     return nullptr;
 }
@@ -147,7 +148,7 @@
         if (request.rank == rank)
             requests.push_back(&request);
     }
-    std::vector<std::pair<QueuedRequest*, Key>> before;
+    std::vector<std::pair<QueuedRequest*, DeadlineKey>> before;
     before.reserve(requests.size());
     for (auto* it : requests)
         before.emplace_back(it, keyOf(*it));
@@ -174,30 +175,18 @@
     std::sort(requests.begin(), requests.end(), [](const QueuedRequest* a, const QueuedRequest* b) {
         return std::tie(a->orderBy, a->sequence) < std::tie(b->orderBy, b->sequence);
     });
-    const auto shorter = [](const QueuedRequest* a, const QueuedRequest* b) {
-        return std::tie(a->work, a->sequence) < std::tie(b->work, b->sequence);
-    };
-    std::priority_queue<QueuedRequest*, std::vector<QueuedRequest*>, decltype(shorter)> kept(shorter);
-    const double rate = std::max(slots, 1e-3);
-    double work = 0;
-    for (auto* it : requests) {
-        it->deferred = false;
-        if (!it->deadline)
-            continue;
-        kept.push(it);
-        work += it->work;
-        // It starts once the kept work before it, spread over all slots, is done.
-        const auto isLate = [&] {
-            const double start = std::max(0.0, work - it->work) / rate;
-            return now + fromSeconds(start + it->work) > *it->deadline;
-        };
-        while (isLate() && !it->deferred && !kept.empty()) {
-            auto* longest = kept.top();
-            kept.pop();
-            longest->deferred = true;
-            work -= longest->work;
-        }
+    std::vector<PlannedRequest> planned;
+    planned.reserve(requests.size());
+    for (const auto* it : requests) {
+        PlannedRequest each { .work = it->work, .number = it->sequence };
+        // Its deadline is that of the whole answer.
+        if (it->deadline)
+            each.latestStart = *it->deadline - fromSeconds(it->work);
+        planned.push_back(each);
     }
+    deferLate(planned, std::max(slots, 1e-3), now);
+    for (size_t i = 0; i < planned.size(); ++i)
+        requests[i]->deferred = planned[i].isDeferred;
 }
 
 } // namespace lentilbay
