Bound what DeadlineQueue keeps of past work

The sums of arrived and started work kept up to a minute of buckets for each rank and class of sizes that is not read. They are cut to the longest window with each addition now.

--- a/packages/Policy/lib/DeadlineQueue.cpp
+++ b/packages/Policy/lib/DeadlineQueue.cpp
@@ -63,6 +63,13 @@
 
 TimePoint decisionDueAt(const DeadlineRequest& request) { return freeHoldEndsAt(request) - decisionPeriod; }
 
+/// Adds to a sum and drops what is older than any window here, as the sum may not be read for long.
+void addBounded(WindowSum& sum, double work, TimePoint now)
+{
+    sum.add(work, now);
+    sum.within(std::max(arrivalTime, measuredTime), now);
+}
+
 int sizeClassOf(double work)
 {
     constexpr double leastWork = 1e-3;
@@ -162,7 +169,7 @@
         it.request.isLate = now > it.request.latestStart();
         it.isDeferred = false;
         if (!std::exchange(it.isCounted, true) && !it.request.hasBegun)
-            m_arrived[it.request.rank][sizeClassOf(it.request.work)].add(it.request.work, now);
+            addBounded(m_arrived[it.request.rank][sizeClassOf(it.request.work)], it.request.work, now);
         auto& line = lines[lineOf(it.request)];
         (it.request.isLate ? line.late : line.inTime).push_back(&it);
     }
@@ -211,7 +218,7 @@
 
 void DeadlineQueue::recordStart(const DeadlineRequest& request, int highestWaiting, TimePoint now)
 {
-    m_started[lineOf(request)].add(request.work, now);
+    addBounded(m_started[lineOf(request)], request.work, now);
     if (request.hasBegun)
         return;
     for (auto& [rank, period] : m_contended) {
