--- a/packages/Edge/lib/EndpointRegistry.cpp
+++ b/packages/Edge/lib/EndpointRegistry.cpp
@@ -218,6 +218,12 @@
     return endpoint.load() + 1 + headroom <= endpoint.entry().slots;
 }
 
+bool EndpointRegistry::hasRoom(const ServiceId& service, TimePoint now) const
+{
+    return std::ranges::any_of(
+        endpointsOf(service), [&](const auto& it) { return hasRoom(*it, false, now); });
+}
+
 const std::optional<SlotAssignment::Share>& EndpointRegistry::shareOf(EndpointState& endpoint) const
 {
     const auto revision = m_assignment.revision() + m_divisionRevision;
@@ -232,6 +238,12 @@
     return endpoint.m_assignedShare;
 }
 
+bool EndpointRegistry::hasAssignedSlot(EndpointState& endpoint) const
+{
+    const auto& share = shareOf(endpoint);
+    return !share || endpoint.ownInFlight() < share->assigned;
+}
+
 void EndpointRegistry::recordReadmitted(const EndpointId& id, TimePoint now)
 {
     if (const auto endpoint = find(id))
@@ -405,7 +417,7 @@
         possible = std::min(possible, gradeWith(0));
         const bool isLimitedToOne
             = !excuses.failures && (it->isOnProbation() || useOf(*it, now) == EndpointUse::ProbeOnly);
-        if (!hasRoom(*it, isLimitedToOne, now))
+        if (!hasRoom(*it, isLimitedToOne, now) || (query.yieldsLentSlots && !hasAssignedSlot(*it)))
             continue;
         if (std::ranges::find(query.tried, it->entry().id) != query.tried.end())
             continue;
@@ -511,16 +523,4 @@
     return out;
 }
 
-Duration ServiceLatency::timeToFirstEvent(const Work& work) const
-{
-    if (!work.isStream)
-        return fromSeconds(nonStreamSeconds);
-    return fromSeconds(firstEventSeconds + work.promptTokens * secondsPerPromptToken);
-}
-
-Duration ServiceLatency::totalTime(const Work& work) const
-{
-    return timeToFirstEvent(work) + fromSeconds(work.answerTokens * secondsPerAnswerToken);
-}
-
 } // namespace lentilbay::edge
