Estimate the use of quotas that overdue sums do not state

Cause: when a part of a large fleet is killed, daemons of a data centre without its aggregators counted nothing of what others admitted for some 2.5 s. Restarted daemons adopted an empty window and a full bucket from a summary that was meant for the former process. Daemons that started a little later restored what another one had restored, and added the most that may have been admitted unseen once more, so that organisations at half of their quota were refused.

Change: PeerSummaries continues an overdue sum by its rate in the second before, up to 5 s, and corrects it by the next sum of the same aggregator. A heartbeat states the use only to the process whose incarnation it echoes. A daemon that has restored its quotas writes checkpoints from 0.7 s after its start on. After a restore, the use of the last part counts once more up to three times the tolerance, as the additions of late starters no longer cover it.

--- a/packages/Edge/include/lentilbay/Edge/EdgeState.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeState.h
@@ -26,6 +26,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <unordered_map>
 
 namespace lentilbay::edge {
@@ -116,6 +117,8 @@
         TimePoint takenAt {};
         TimePoint restartedAt {};
     };
+    /// Counts what other daemons have admitted, by hashOf() the organisation's name.
+    void applyUse(std::span<const std::pair<uint64_t, double>> use, TimePoint now);
     /// Restores the quotas, also those that are used for the first time later.
     void restoreQuotas(QuotaHistory history, TimePoint now);
     WindowedRetryBudget& retryBudget(const ServiceId& service) { return m_retryBudgets[service]; }
--- a/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerHeartbeat.h
@@ -147,6 +147,14 @@
     /// Endpoints that fail; empty for most of the time. Of the daemons in the summary, if there is one.
     std::vector<EndpointFailureReport> failures;
 
+    /// Whether a restarted daemon with this incarnation adopts the use of quotas that the sender states. A
+    /// sender that does not know of the restart yet leaves the levels out, and in a summary also the uses,
+    /// which would read as no use at all.
+    bool statesUseTo(uint64_t receiverIncarnation) const
+    {
+        return countsAllUse && echoedIncarnation == receiverIncarnation && levels.size() == quotas.size();
+    }
+
     auto operator<=>(const PeerHeartbeat&) const = default;
 };
 
--- a/packages/Edge/include/lentilbay/Edge/PeerSummaries.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerSummaries.h
@@ -12,6 +12,10 @@
 // - Quota use is a running total in the aggregator's own count. A receiver counts by one source at a time and
 //   knows for the others by how much their counts differ, so it can go on with another one: nothing is
 //   counted twice, and what was admitted meanwhile is not lost.
+// - While a sum is overdue, its receivers estimate by the rate of the second before what they are not told.
+// The next
+//   sum of the same aggregator corrects the estimate. If all aggregators of a data centre were lost at once,
+//   nobody knows what was admitted until the first sum of the next one, and the estimate remains.
 // - Both aggregators send to each daemon, one of them often and the other rarely. If one is lost, the other
 //   takes over after a few missing heartbeats.
 //
@@ -61,9 +65,12 @@
         auto operator<=>(const Route&) const = default;
     };
 
+    /// Tokens by hashOf() the organisation's name.
+    using Use = std::vector<std::pair<uint64_t, double>>;
+
     /// Chooses the aggregators. Returns the sources whose loads no longer apply, because this daemon has
     /// become an aggregator or is one no more.
-    std::vector<std::string> update(const PeerTable& peers, bool isStopping);
+    std::vector<std::string> update(const PeerTable& peers, bool isStopping, TimePoint now);
     /// Whether the fleet is large enough for summaries.
     bool isActive() const { return m_isActive; }
     bool isAggregator() const { return m_isAggregator; }
@@ -76,12 +83,15 @@
     std::optional<Route> routeTo(const std::string& daemon, const PeerTable::Peer& peer) const;
 
     /// Remembers what this daemon states in the heartbeats with this sequence.
-    void recordOwn(const PeerHeartbeat& own);
+    void recordOwn(const PeerHeartbeat& own, TimePoint now);
     /// Records a heartbeat in which a daemon states its own loads and use.
     /// @param wasKnown whether this daemon had heard of the sender's process before
     void recordPeer(const PeerHeartbeat& heartbeat, bool wasKnown, TimePoint now);
     /// Records what was admitted according to a heartbeat in which a daemon states its own use.
-    void recordUse(const PeerHeartbeat& heartbeat, uint64_t organisation, double tokens);
+    void recordUse(const PeerHeartbeat& heartbeat, uint64_t organisation, double tokens, TimePoint now);
+    /// Returns, once, what the other daemons are estimated to have admitted while this daemon received no sum
+    /// of theirs, if it was not returned by applySummary().
+    Use takeEstimatedUse() { return std::exchange(m_estimatedUse, {}); }
     /// Whether the loads and the use that a daemon states of itself are part of a sum that this daemon
     /// receives.
     bool isSummarised(const PeerHeartbeat& heartbeat, TimePoint now) const;
@@ -90,8 +100,8 @@
         /// The name under which the loads replace earlier ones.
         std::string source;
         std::vector<PeerLoad> loads;
-        /// What was admitted since the last update, by hashOf() the organisation's name. May be negative.
-        std::vector<std::pair<uint64_t, double>> use;
+        /// What was admitted since the last update. May be negative.
+        Use use;
         /// Until now, the daemons in the sum were counted by their own heartbeats.
         bool isFirst = false;
     };
@@ -123,6 +133,17 @@
         Totals totals;
     };
 
+    /// Tokens per second, averaged over about a second.
+    struct RecentRate {
+        double perSecond = 0;
+        TimePoint updatedAt {};
+
+        void add(double tokens, TimePoint now);
+        double at(TimePoint now) const;
+    };
+
+    using Rates = std::unordered_map<uint64_t, RecentRate>;
+
     /// A sum that this daemon receives from one of several aggregators.
     struct Group {
         /// The aggregator that is counted by.
@@ -131,6 +152,12 @@
         Duration period {};
         /// What has been counted; in the fleet's sum, also what was counted in other ways.
         Totals counted;
+        /// The rate at which that has grown in the last second.
+        Rates rates;
+        /// The rate at which this daemon itself admitted when it received the last sum.
+        Rates ownRates;
+        /// Until when the use that no sum has stated is estimated.
+        TimePoint estimatedUntil {};
         struct Source {
             uint64_t incarnation = 0;
             uint64_t count = 0;
@@ -149,10 +176,23 @@
         /// The sender of a summary.
         Source& sourceOf(const PeerHeartbeat& heartbeat, TimePoint now);
         /// Counts the totals of a source and returns what is new.
-        std::vector<std::pair<uint64_t, double>> apply(
-            Source& source, const Totals& totals, bool isAuthority, TimePoint now);
+        Use apply(
+            Source& source, const Totals& totals, bool isAuthority, const Rates& ownRates, TimePoint now);
+        void count(uint64_t organisation, double tokens, TimePoint now);
+        /// Counts what is estimated to have been admitted since the last sum or the last estimate, and until
+        /// `until`.
+        /// @param ownRates at which this daemon itself admits now
+        Use estimateUntil(TimePoint until, const Rates& ownRates, TimePoint now);
+        /// By what factor an own rate has grown since the last sum.
+        double growth(const Rates& before, const Rates& after, uint64_t organisation, TimePoint now) const;
+        /// Whether a sum is missing.
+        bool isOverdue(TimePoint now) const;
+        /// Begins to count by a source that was not compared with the former one.
+        Use beginAfterGap(Source& source, const Totals& totals, const Rates& ownRates, TimePoint now);
     };
 
+    /// Estimates what overdue sums would state.
+    void estimateOverdue(TimePoint now);
     /// The name of the sum that a heartbeat's summary updates.
     std::string groupOf(const PeerHeartbeat& heartbeat) const;
     bool isPrimaryFor(const std::string& daemon) const;
@@ -174,7 +214,10 @@
     uint64_t m_count = 0;
     /// What this daemon stated last, the oldest first.
     std::deque<PeerHeartbeat> m_own;
+    /// The rate at which this daemon itself admits.
+    Rates m_ownRates;
     std::map<std::string, Group> m_groups;
+    Use m_estimatedUse;
 };
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/EdgePeers.cpp
+++ b/packages/Edge/lib/EdgePeers.cpp
@@ -220,8 +220,7 @@
         return;
     // The first total after a time in which the daemon's use was part of a sum includes what the sum counted.
     const bool isNew = isCounted && m_summarisedPeers.erase(heartbeat.daemon) == 0;
-    const bool adopts
-        = heartbeat.countsAllUse && !m_countsAllUse && heartbeat.levels.size() == heartbeat.quotas.size();
+    const bool adopts = !m_countsAllUse && heartbeat.statesUseTo(m_incarnation);
     bool hasAdoptedAll = adopts;
     for (const auto& organisation : m_state.routes->organisations()) {
         if (!organisation.quota)
@@ -243,7 +242,7 @@
             .countsAllUse = heartbeat.countsAllUse };
         if (isNew)
             m_summaries.recordUse(
-                heartbeat, it->organisation, quota.applyReport(heartbeat.daemon, report, now));
+                heartbeat, it->organisation, quota.applyReport(heartbeat.daemon, report, now), now);
         else
             quota.skipReport(heartbeat.daemon, report);
     }
@@ -410,7 +409,7 @@
     ++m_sequence;
     const auto own = makeHeartbeat(now);
     m_quotaCheckpoints.update(m_countsAllUse, writesCheckpoints(), now);
-    m_summaries.recordOwn(own);
+    m_summaries.recordOwn(own, now);
     const auto triggers = m_state.crashes.reports(now);
     std::erase_if(
         m_nextHeartbeatAt, [&](const auto& it) { return !m_state.peers.peers().contains(it.first); });
--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -244,6 +244,21 @@
     return out;
 }
 
+void EdgeState::applyUse(std::span<const std::pair<uint64_t, double>> use, TimePoint now)
+{
+    if (!routes || use.empty())
+        return;
+    for (const auto& organisation : routes->organisations()) {
+        if (!organisation.quota)
+            continue;
+        const auto hash = hashOf(organisation.name.text());
+        for (const auto& it : use) {
+            if (it.first == hash)
+                quota(organisation, now).applyUse(it.second, now);
+        }
+    }
+}
+
 void EdgeState::restoreQuotas(QuotaHistory history, TimePoint now)
 {
     m_quotaHistory = std::move(history);
--- a/packages/Edge/lib/EdgeSummaries.cpp
+++ b/packages/Edge/lib/EdgeSummaries.cpp
@@ -21,12 +21,16 @@
 {
     m_awaitsReader = m_awaitsReader && now - m_startedAt < readerDiscoveryTime;
     const bool wasAggregator = m_summaries.isAggregator();
-    const auto outdated = m_summaries.update(m_state.peers, m_state.stopRequestedAt.has_value());
+    const auto outdated = m_summaries.update(m_state.peers, m_state.stopRequestedAt.has_value(), now);
     for (const auto& it : outdated)
         m_state.endpointRegistry.updatePeerLoads(it, {}, now);
     m_state.assignSlots(now);
     for (auto* it : { m_configurationFollower.get(), m_endpointFollower.get() })
         it->setWait(longPollWait());
+    const auto estimated = m_summaries.takeEstimatedUse();
+    m_state.applyUse(estimated, now);
+    for (const auto& it : estimated)
+        m_state.metrics.count("quota_tokens_estimated", static_cast<uint64_t>(it.second));
     if (wasAggregator != m_summaries.isAggregator())
         logEvent(Event::AggregatorChanged,
             { { "is_aggregator", static_cast<int64_t>(m_summaries.isAggregator()) },
@@ -89,14 +93,7 @@
         }
     }
     m_state.endpointRegistry.updatePeerLoads(update->source, update->loads, now);
-    if (!m_state.routes)
-        return;
-    for (const auto& organisation : m_state.routes->organisations()) {
-        const auto it = std::ranges::find(
-            update->use, hashOf(organisation.name.text()), &std::pair<uint64_t, double>::first);
-        if (organisation.quota && it != update->use.end())
-            m_state.quota(organisation, now).applyUse(it->second, now);
-    }
+    m_state.applyUse(update->use, now);
 }
 
 } // namespace lentilbay::edge
--- a/packages/Edge/lib/PeerSummaries.cpp
+++ b/packages/Edge/lib/PeerSummaries.cpp
@@ -5,6 +5,7 @@
 #include "lentilbay/Support/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <limits>
 #include <tuple>
@@ -36,6 +37,26 @@
 /// After this time, all daemons of its data centre send to a new aggregator. Before, its totals lack use.
 constexpr Duration settlingTime = std::chrono::seconds(5);
 
+/// The time over which the rate of use is averaged: a surge must show in it before its daemons may be lost.
+constexpr Duration rateAveraging = std::chrono::seconds(1);
+/// A new aggregator receives the first sums of all other data centres, and heartbeats of all daemons of its
+/// own, within this time; a daemon receives the first complete sum of a new aggregator within the period of
+/// data centres.
+constexpr Duration firstSumsTime = std::chrono::seconds(1);
+/// A gap in the sums is estimated up to this length. A longer one is a partition, in which shares are
+/// reserved.
+constexpr Duration maxEstimatedGap = std::chrono::seconds(5);
+/// A sum is overdue, and use is estimated, after this many periods: one lost heartbeat is no reason.
+constexpr double overdueAfterPeriods = 2.5;
+
+/// A surge that begins just before the sums end shows only in this daemon's own rate. The others' is taken to
+/// have grown as much, up to this factor. Callers of daemons that were killed let the own rate grow as well,
+/// so that with a factor of 5 an organisation at half of its quota lost up to 9% of its demand after a
+/// restart.
+constexpr double maxGrowth = 2.5;
+/// For this long, in which there are new aggregators if daemons were killed.
+constexpr Duration growthTime = std::chrono::seconds(2);
+
 constexpr const char* fleetGroup = "fleet";
 
 template <class Totals> std::vector<PeerHeartbeat::QuotaUse> useOf(const Totals& totals)
@@ -91,7 +112,70 @@
 {
 }
 
-std::vector<std::string> PeerSummaries::update(const PeerTable& peers, bool isStopping)
+void PeerSummaries::RecentRate::add(double tokens, TimePoint now)
+{
+    perSecond = at(now) + std::max(0.0, tokens) / toSeconds(rateAveraging);
+    updatedAt = now;
+}
+
+double PeerSummaries::RecentRate::at(TimePoint now) const
+{
+    return perSecond * std::exp(-toSeconds(now - updatedAt) / toSeconds(rateAveraging));
+}
+
+void PeerSummaries::Group::count(uint64_t organisation, double tokens, TimePoint now)
+{
+    counted[organisation] += tokens;
+    rates[organisation].add(tokens, now);
+}
+
+double PeerSummaries::Group::growth(
+    const Rates& before, const Rates& after, uint64_t organisation, TimePoint now) const
+{
+    const auto from = before.find(organisation);
+    const auto to = after.find(organisation);
+    if (from == before.end() || to == after.end())
+        return 1;
+    const double former = from->second.at(std::max(heardAt, from->second.updatedAt));
+    return former > 0 ? std::clamp(to->second.at(now) / former, 1.0, maxGrowth) : 1;
+}
+
+bool PeerSummaries::Group::isOverdue(TimePoint now) const
+{
+    return heardAt != TimePoint() && now - heardAt > fromSeconds(toSeconds(period) * overdueAfterPeriods);
+}
+
+PeerSummaries::Use PeerSummaries::Group::estimateUntil(
+    TimePoint until, const Rates& currentOwnRates, TimePoint now)
+{
+    Use out;
+    const auto from = std::max(estimatedUntil, heardAt);
+    const auto seconds = toSeconds(std::min(until, heardAt + maxEstimatedGap) - from);
+    if (seconds <= 0)
+        return out;
+    estimatedUntil = until;
+    const bool mayGrow = from < heardAt + growthTime;
+    for (const auto& [organisation, rate] : rates) {
+        const double tokens = rate.at(std::max(heardAt, rate.updatedAt)) * seconds
+            * (mayGrow ? growth(ownRates, currentOwnRates, organisation, now) : 1);
+        if (tokens < 1)
+            continue;
+        counted[organisation] += tokens;
+        out.emplace_back(organisation, tokens);
+    }
+    return out;
+}
+
+PeerSummaries::Use PeerSummaries::Group::beginAfterGap(
+    Source& source, const Totals& totals, const Rates& currentOwnRates, TimePoint now)
+{
+    auto out = estimateUntil(now + dataCentrePeriod, currentOwnRates, now);
+    for (const auto& [organisation, total] : totals)
+        source.offsets[organisation] = counted[organisation] - total;
+    return out;
+}
+
+std::vector<std::string> PeerSummaries::update(const PeerTable& peers, bool isStopping, TimePoint now)
 {
     const bool wasActive = std::exchange(m_isActive, peers.knownDaemons() > smallFleetSize);
     const bool wasAggregator = std::exchange(m_isAggregator, false);
@@ -119,9 +203,18 @@
             aggregators.push_back({ .daemon = std::get<std::string>(it), .isAlive = !std::get<bool>(it) });
         }
     }
-    if (wasActive == m_isActive && wasAggregator == m_isAggregator)
+    if (wasActive == m_isActive && wasAggregator == m_isAggregator) {
+        estimateOverdue(now);
         return {};
+    }
     // Under the other role, everything is counted in another way.
+    if (auto& fleet = m_groups[fleetGroup]; wasActive && m_isActive) {
+        // While another aggregator goes on, its sums show soon what this daemon lacks.
+        if (m_isAggregator && !fleet.isFresh(now))
+            m_estimatedUse = fleet.estimateUntil(now + firstSumsTime, m_ownRates, now);
+        fleet.heardAt = now;
+        fleet.ownRates = m_ownRates;
+    }
     m_contributions.clear();
     m_dataCentreTotals.clear();
     ++m_count;
@@ -135,6 +228,16 @@
     return out;
 }
 
+void PeerSummaries::estimateOverdue(TimePoint now)
+{
+    for (auto& [name, group] : m_groups) {
+        // An aggregator adds up the fleet by itself.
+        if ((m_isAggregator && name == fleetGroup) || !group.isOverdue(now))
+            continue;
+        std::ranges::copy(group.estimateUntil(now, m_ownRates, now), std::back_inserter(m_estimatedUse));
+    }
+}
+
 std::vector<std::string> PeerSummaries::aggregatorsOf(const std::string& dataCentre) const
 {
     std::vector<std::string> out;
@@ -200,8 +303,16 @@
         .period = isPrimaryFor(daemon) ? heartbeatPeriod : standbyPeriod };
 }
 
-void PeerSummaries::recordOwn(const PeerHeartbeat& own)
+void PeerSummaries::recordOwn(const PeerHeartbeat& own, TimePoint now)
 {
+    for (const auto& it : own.quotas) {
+        const auto* last = m_own.empty() ? nullptr : &m_own.back().quotas;
+        const auto former = last
+            ? std::ranges::find(*last, it.organisation, &PeerHeartbeat::QuotaUse::organisation)
+            : own.quotas.end();
+        if (last && former != last->end())
+            m_ownRates[it.organisation].add(it.admittedTotal - former->admittedTotal, now);
+    }
     m_own.push_back({ .incarnation = own.incarnation,
         .sequence = own.sequence,
         .loads = own.loads,
@@ -234,11 +345,12 @@
     }
 }
 
-void PeerSummaries::recordUse(const PeerHeartbeat& heartbeat, uint64_t organisation, double tokens)
+void PeerSummaries::recordUse(
+    const PeerHeartbeat& heartbeat, uint64_t organisation, double tokens, TimePoint now)
 {
     // The use of older builds is in no sum.
     if (m_isActive && usesSummaries(heartbeat.revision))
-        m_groups[fleetGroup].counted[organisation] += tokens;
+        m_groups[fleetGroup].count(organisation, tokens, now);
 }
 
 bool PeerSummaries::isSummarised(const PeerHeartbeat& heartbeat, TimePoint now) const
@@ -274,11 +386,14 @@
 
 bool PeerSummaries::Group::Source::isSettled(TimePoint now) const { return now - knownSince >= settlingTime; }
 
-std::vector<std::pair<uint64_t, double>> PeerSummaries::Group::apply(
-    Source& source, const Totals& totals, bool isAuthority, TimePoint now)
+PeerSummaries::Use PeerSummaries::Group::apply(
+    Source& source, const Totals& totals, bool isAuthority, const Rates& currentOwnRates, TimePoint now)
 {
     const bool isNew = source.offsets.empty();
-    std::vector<std::pair<uint64_t, double>> out;
+    Use out;
+    // A source that was not compared with the former one begins to count now.
+    if (isNew && isAuthority && heardAt != TimePoint() && !totals.empty())
+        return beginAfterGap(source, totals, currentOwnRates, now);
     for (const auto& [organisation, total] : totals) {
         auto& all = counted[organisation];
         // The authority has counted an organisation that it names for the first time from zero on.
@@ -290,7 +405,7 @@
             continue;
         }
         const double delta = total + offset->second - all;
-        all += delta;
+        count(organisation, delta, now);
         if (delta != 0)
             out.emplace_back(organisation, delta);
     }
@@ -328,14 +443,15 @@
     const bool isAuthority = group.authority == heartbeat.daemon;
     // Without this daemon's own part, the totals cannot be compared with later ones.
     const bool isComparable = !isOwnDataCentre || heartbeat.includedSequence != 0;
-    auto use = isComparable ? group.apply(source, totals, isAuthority, now) : decltype(Update::use) {};
+    auto use = isComparable ? group.apply(source, totals, isAuthority, m_ownRates, now) : Use {};
     if (!isAuthority)
         return std::nullopt;
     if (m_isAggregator) {
         for (const auto& [organisation, tokens] : use)
-            recordUse(heartbeat, organisation, tokens);
+            recordUse(heartbeat, organisation, tokens, now);
     }
     group.heardAt = now;
+    group.ownRates = m_ownRates;
     group.period = period;
     group.loads = loads.loads();
     return Update {
--- a/packages/Edge/lib/QuotaCheckpoints.cpp
+++ b/packages/Edge/lib/QuotaCheckpoints.cpp
@@ -110,7 +110,7 @@
         return;
     if (!m_isRead && now >= m_nextReadAt)
         read();
-    else if (isWriter && hasHistory())
+    else if (isWriter && hasHistory() && (m_countsAllUse || now - m_startedAt >= writeDelayAfterRestore))
         writeIfDue(now);
 }
 
--- a/packages/Edge/unittests/PeerHeartbeatTest.cpp
+++ b/packages/Edge/unittests/PeerHeartbeatTest.cpp
@@ -410,5 +410,25 @@
     EXPECT_EQ(peers.knownDaemons(), 2U);
 }
 
+TEST(PeerHeartbeat, SenderThatDoesNotKnowOfARestartDoesNotStateThatNothingWasUsed)
+{
+    // Guards against a restarted daemon that adopted a full bucket and an empty window from an aggregator
+    // which took it for its predecessor, and told its peers so.
+    constexpr uint64_t former = 5;
+    constexpr uint64_t own = 6;
+    PeerHeartbeat heartbeat {
+        .daemon = "a", .echoedIncarnation = former, .countsAllUse = true, .hasSummary = true
+    };
+    EXPECT_FALSE(heartbeat.statesUseTo(own));
+    heartbeat.echoedIncarnation = own;
+    EXPECT_TRUE(heartbeat.statesUseTo(own)) << "no organisation has been used";
+    heartbeat.quotas = { { .organisation = 7, .admittedTotal = 1 } };
+    EXPECT_FALSE(heartbeat.statesUseTo(own)) << "the levels are missing";
+    heartbeat.levels = { { .level = 2, .inWindow = 1, .inParts = {} } };
+    EXPECT_TRUE(heartbeat.statesUseTo(own));
+    heartbeat.countsAllUse = false;
+    EXPECT_FALSE(heartbeat.statesUseTo(own));
+}
+
 } // namespace
 } // namespace lentilbay::edge
--- a/packages/Edge/unittests/PeerSummariesTest.cpp
+++ b/packages/Edge/unittests/PeerSummariesTest.cpp
@@ -204,8 +204,10 @@
         std::erase_if(daemon.peerLoads, [&](const auto& it) { return m_now - it.second.first >= 1500ms; });
         const bool usesSums = usesSummaries(daemon.revision);
         if (usesSums) {
-            for (const auto& it : daemon.summaries.update(daemon.peers, false))
+            for (const auto& it : daemon.summaries.update(daemon.peers, false, m_now))
                 daemon.peerLoads.erase(it);
+            for (const auto& [hash, tokens] : daemon.summaries.takeEstimatedUse())
+                daemon.quota.applyUse(tokens, m_now);
         }
         PeerHeartbeat own { .daemon = daemon.name,
             .incarnation = daemon.incarnation,
@@ -217,7 +219,7 @@
             .countsAllUse = true,
             .revision = daemon.revision,
             .capacity = daemon.summaries.capacity() };
-        daemon.summaries.recordOwn(own);
+        daemon.summaries.recordOwn(own, m_now);
         for (const auto& [name, peer] : daemon.peers.peers()) {
             const auto route
                 = usesSums ? daemon.summaries.routeTo(name, peer) : PeerSummaries::Route { .period = 600ms };
@@ -294,7 +296,7 @@
             .countsAllUse = true };
         if (!isSummarised && daemon.summarised.erase(heartbeat.daemon) == 0)
             summaries.recordUse(
-                heartbeat, organisation, daemon.quota.applyReport(heartbeat.daemon, report, m_now));
+                heartbeat, organisation, daemon.quota.applyReport(heartbeat.daemon, report, m_now), m_now);
         else
             daemon.quota.skipReport(heartbeat.daemon, report);
     }
@@ -418,6 +420,39 @@
     }
 }
 
+TEST(PeerSummaries, LossOfAllAggregatorsOfADataCentreIsBridgedByAnEstimate)
+{
+    // Guards against daemons that count nothing of what others admit until there are new aggregators: they
+    // missed up to 2.5 s of use, some 6800 tokens here.
+    Fleet fleet({});
+    fleet.run(7s);
+    runBusy(fleet, 3s);
+    for (size_t i = 0; i < 100; ++i) {
+        auto* it = fleet.find(i);
+        if (it->dataCentre == "dc-1" && it->summaries.isAggregator())
+            fleet.kill(i);
+    }
+    constexpr double perSecond = 2750;
+    const auto expectCounted = [&](double missing, double excess) {
+        for (size_t i = 0; i < 100; ++i) {
+            auto* it = fleet.find(i);
+            if (!it)
+                continue;
+            const double counted = it->quota.admittedInWindow(fleet.now());
+            EXPECT_GE(counted, fleet.admitted() - missing * perSecond) << it->name;
+            EXPECT_LE(counted, fleet.admitted() + excess * perSecond) << it->name;
+        }
+    };
+    fleet.setBusy(true);
+    for (int k = 0; k < 18; ++k) {
+        fleet.run(500ms);
+        expectCounted(1.5, 1.5);
+    }
+    fleet.setBusy(false);
+    fleet.run(settling);
+    expectCounted(0.5, 1.5);
+}
+
 TEST(PeerSummaries, RestartedAggregatorCountsNothingTwice)
 {
     Fleet fleet({});
--- a/packages/Edge/unittests/QuotaCheckpointsTest.cpp
+++ b/packages/Edge/unittests/QuotaCheckpointsTest.cpp
@@ -118,6 +118,27 @@
     EXPECT_GE(quotaOf(*after).admittedInWindow(bootNow()), 2500) << "also for a quota first used later";
 }
 
+TEST_F(QuotaCheckpointsTest, DaemonsOfTheSameRestartRestoreTheSame)
+{
+    // Guards against a daemon that writes what it has restored before the others of its restart have read the
+    // row: each of them would add the most that may have been admitted unseen once more.
+    {
+        const auto before = makeState(true);
+        QuotaCheckpoints checkpoints(*before, 1, bootNow());
+        EXPECT_TRUE(admit(*before, 2500));
+        run(checkpoints, 3s, true);
+    }
+    const auto written = writes;
+    const auto after = makeState(false);
+    QuotaCheckpoints checkpoints(*after, 2, bootNow());
+    quotaOf(*after);
+    run(checkpoints, 500ms);
+    EXPECT_TRUE(checkpoints.isRestored());
+    EXPECT_EQ(writes, written);
+    run(checkpoints, 2500ms);
+    EXPECT_GT(writes, written);
+}
+
 TEST_F(QuotaCheckpointsTest, CheckpointFromBeforeAnOutageRefusedAllUseForAWindow)
 {
     // Guards against a fleet that counts 5 s of the greatest possible use, because the store was away before
--- a/packages/Policy/include/lentilbay/Policy/QuotaCheckpoint.h
+++ b/packages/Policy/include/lentilbay/Policy/QuotaCheckpoint.h
@@ -38,6 +38,12 @@
     bool operator==(const QuotaCheckpoint&) const = default;
 };
 
+/// A daemon that has restored its quotas writes no checkpoint for this long after its start. Daemons of the
+/// same restart that start a little later then restore the same. If they restored what it has restored, the
+/// most that may have been admitted unseen would count once more with each of them, and an organisation at
+/// half of its quota be refused.
+constexpr Duration writeDelayAfterRestore = std::chrono::milliseconds(700);
+
 /// The interval at which checkpoints are written.
 /// @param greatestUse the greatest fraction of its window that any organisation has used
 /// @return std::nullopt if none needs to be written
--- a/packages/Policy/lib/SharedQuota.cpp
+++ b/packages/Policy/lib/SharedQuota.cpp
@@ -47,6 +47,10 @@
 /// The part of the tolerance that counts as used after a restore: reports are late again then, while all
 /// callers return at once.
 constexpr double restoredReserve = 0.5;
+/// The use of the last part of a checkpoint counts once more after a restore, up to this many times the
+/// tolerance: in a surge, reports that are 1 s old let the predecessors exceed their bucket by as much. At
+/// half of the quota, that use is less than the tolerance.
+constexpr double maxRestoredLate = 3;
 /// A peer that states less than this part of what a checkpoint contains was partitioned when it was admitted.
 constexpr double minAdoptedFraction = 0.75;
 /// A process that was killed is not started again, and has not read the configuration, sooner than this.
@@ -351,8 +355,8 @@
     }
     const double refilled = m_limits.tokensPerSecond * toSeconds(endedAt - checkpointAt);
     // While reports were late, the predecessors may have exceeded bucket and window by their recent use.
-    const double late
-        = std::min(parts.back(), m_limits.toleranceTokens) + m_limits.toleranceTokens * restoredReserve;
+    const double late = std::min(parts.back(), m_limits.toleranceTokens * maxRestoredLate)
+        + m_limits.toleranceTokens * restoredReserve;
     const double fromBucket = std::min(level, m_limits.burstTokens) + refilled;
     const double unseen = std::max(0.0, std::min(fromBucket, m_limits.windowTokens - inWindow) + late);
     m_fleetAdmissions.addAt(unseen, endedAt);
--- a/packages/Policy/unittests/FaultyFleet.h
+++ b/packages/Policy/unittests/FaultyFleet.h
@@ -65,10 +65,12 @@
         }
     }
     /// The daemon that writes the checkpoints of a data centre.
-    std::optional<size_t> writerOf(size_t dataCentre) const
+    std::optional<size_t> writerOf(size_t dataCentre, TimePoint now) const
     {
         for (size_t i = dataCentre; i < m_daemons.size(); i += m_rows.size()) {
-            if (m_daemons[i].quota && m_daemons[i].hasHistory)
+            const auto& daemon = m_daemons[i];
+            if (daemon.quota && daemon.hasHistory
+                && (daemon.countsAllUse || now - daemon.startedAt >= writeDelayAfterRestore))
                 return i;
         }
         return std::nullopt;
@@ -183,7 +185,7 @@
     void writeCheckpoints(TimePoint now)
     {
         for (size_t dataCentre = 0; dataCentre < m_rows.size(); ++dataCentre) {
-            const auto writer = writerOf(dataCentre);
+            const auto writer = writerOf(dataCentre, now);
             if (!writer)
                 continue;
             auto& quota = *m_daemons[*writer].quota;
--- a/packages/Policy/unittests/QuotaCheckpointTest.cpp
+++ b/packages/Policy/unittests/QuotaCheckpointTest.cpp
@@ -193,6 +193,32 @@
     }
 }
 
+TEST(QuotaCheckpoint, OrganisationBelowItsQuotaIsServedWhenDaemonsStartOneAfterTheOther)
+{
+    // Guards against daemons that restore what a daemon restored just before and add the most that may have
+    // been admitted unseen once more.
+    for (const size_t size : { 8, 85 }) {
+        Random random(size);
+        FaultyFleet fleet(size, promise, 2000);
+        fleet.useCheckpoints(3);
+        fleet.setReportDelay(size > 16 ? usualDelay : smallFleetDelay);
+        spreadUnevenly(fleet, size, random);
+        for (TimePoint now {}; now < TimePoint(26s); now += step) {
+            if (now == TimePoint(13s))
+                fleet.killAll();
+            for (size_t i = 0; i < size; ++i) {
+                if (now == TimePoint(14s) + step * static_cast<int64_t>(i % 10))
+                    fleet.restart(i, now);
+            }
+            if (now == TimePoint(14s + 700ms))
+                fleet.startCounting();
+            fleet.run(usualDemand, now);
+        }
+        EXPECT_LE(fleet.refusedByAll(), 0.01 * fleet.admittedByAll()) << size;
+        EXPECT_GT(fleet.admittedByAll(), 0) << size;
+    }
+}
+
 TEST(QuotaCheckpoint, ResumedStreamIsServedRightAfterARestart)
 {
     // Guards against a bucket that is empty after a restart and holds nothing for streams that were cut off.
