--- a/packages/Edge/lib/PeerSummaries.cpp
+++ b/packages/Edge/lib/PeerSummaries.cpp
@@ -51,7 +51,7 @@
 
 /// A surge that begins just before the sums end shows only in this daemon's own rate. The others' is taken to
 /// have grown as much, up to this factor. Callers of daemons that were killed let the own rate grow as well,
-/// so that with a factor of 5 an organisation at half of its quota lost up to 9% of its demand after a
+/// so that with a factor of 5 an organisation at half of its quota lost up to 9.5% of its demand after a
 /// restart.
 constexpr double maxGrowth = 2.5;
 /// For this long, in which there are new aggregators if daemons were killed.
