--- a/packages/Edge/lib/EdgeState.cpp
+++ b/packages/Edge/lib/EdgeState.cpp
@@ -271,6 +271,21 @@
     });
 }
 
+void EdgeState::applyUse(std::span<const std::pair<uint64_t, double>> use, TimePoint now)
+{
+    if (!routes || use.empty())
+        return;
+    for (const auto& organisation : routes->organisations()) {
+        if (!organisation.quota)
+            continue;
+        const auto hash = hashOf(organisation.name.text());
+        for (const auto& it : use) {
+            if (it.first == hash)
+                quota(organisation, now).applyUse(it.second, now);
+        }
+    }
+}
+
 void EdgeState::restoreQuotas(QuotaHistory history, TimePoint now)
 {
     m_quotaHistory = std::move(history);
@@ -283,8 +298,9 @@
     if (!m_quotaHistory)
         return;
     const auto it = m_quotaHistory->uses.find(hashOf(organisation.text()));
-    const auto use = it == m_quotaHistory->uses.end() ? QuotaUse() : it->second;
-    quota.restore(use.level, use.parts, m_quotaHistory->takenAt, m_quotaHistory->restartedAt, now);
+    if (it != m_quotaHistory->uses.end() && isRestorable(it->second, quota.limits()))
+        quota.restore(
+            it->second.level, it->second.parts, m_quotaHistory->takenAt, m_quotaHistory->restartedAt, now);
 }
 
 QuotaLimits EdgeState::quotaLimits(const TokenQuota& quota) const
--- a/packages/Policy/include/lentilbay/Policy/QuotaCheckpoint.h
+++ b/packages/Policy/include/lentilbay/Policy/QuotaCheckpoint.h
@@ -38,6 +38,12 @@
     bool operator==(const QuotaCheckpoint&) const = default;
 };
 
+/// A daemon that has restored its quotas writes no checkpoint for this long after its start. Daemons of the
+/// same restart that start a little later then restore the same. If they restored what it has restored, the
+/// most that may have been admitted unseen would count once more with each of them, and an organisation at
+/// half of its quota be refused.
+constexpr Duration writeDelayAfterRestore = std::chrono::milliseconds(700);
+
 /// The interval at which checkpoints are written.
 /// @param greatestUse the greatest fraction of its window that any organisation has used
 /// @return std::nullopt if none needs to be written
@@ -54,4 +60,8 @@
 /// @param gap the time from the checkpoint to the start of the daemon's process
 bool isRestorable(Duration gap);
 
+/// Whether an organisation's use is restored. Far below its quota, the most that may have been admitted since
+/// the checkpoint would refuse it for a whole window; its quota then begins as without a checkpoint.
+bool isRestorable(const QuotaUse& use, const QuotaLimits& limits);
+
 } // namespace lentilbay
--- a/packages/Policy/include/lentilbay/Policy/SharedQuota.h
+++ b/packages/Policy/include/lentilbay/Policy/SharedQuota.h
@@ -139,6 +139,7 @@
     double ownTokensPerSecond(const QuotaParticipants& participants, TimePoint now);
     /// The level, in tokens, of the bucket from which this daemon may take.
     double level(TimePoint now) { return m_bucket.level(now); }
+    const QuotaLimits& limits() const { return m_limits; }
     /// The level of the bucket of all daemons, as far as known to this one.
     double fleetLevel(TimePoint now) { return m_fleetBucket.level(now); }
     /// Tokens admitted by all daemons in the last window, as far as known to this one.
@@ -233,6 +234,8 @@
     double m_usableFraction = 1;
     /// Admissions of all daemons.
     WindowSum m_fleetAdmissions;
+    /// Those of them that were counted one by one, not taken from a peer or a checkpoint.
+    WindowSum m_countedAdmissions;
     /// Admissions of this daemon.
     WindowSum m_ownAdmissions;
     /// Tokens demanded of this daemon and admitted by it, by rank.
@@ -253,9 +256,6 @@
     bool m_hasAdopted = false;
     /// Up to when the use that was restored from a checkpoint is counted. All restarted daemons know of it.
     std::optional<TimePoint> m_restoredUntil;
-    /// Up to when the fleet's use was taken from a peer or a checkpoint, so that this daemon's part is
-    /// unknown.
-    TimePoint m_useTakenUntil {};
     /// What restore() has counted without knowing of it.
     double m_restoredUnseen = 0;
     /// Tokens that this daemon has admitted ahead of what its bucket held.
--- a/packages/Policy/lib/QuotaCheckpoint.cpp
+++ b/packages/Policy/lib/QuotaCheckpoint.cpp
@@ -13,6 +13,9 @@
 constexpr Duration usualPeriod = std::chrono::seconds(2);
 /// The fraction of its window from which an organisation is near its quota.
 constexpr double nearQuota = 0.5;
+/// The use of an organisation is restored from this fraction of its window on. Below, the most that may have
+/// been admitted since the checkpoint is several times what was.
+constexpr double minRestored = 0.2;
 /// A checkpoint older than this many windows says nothing about the present one.
 constexpr int maxAgeWindows = 2;
 /// The use after a checkpoint is restored as the most that was possible. After a longer gap than the period
@@ -63,4 +66,9 @@
 
 bool isRestorable(Duration gap) { return gap <= maxGapAfterCheckpoint; }
 
+bool isRestorable(const QuotaUse& use, const QuotaLimits& limits)
+{
+    return use.inWindow() > minRestored * limits.windowTokens;
+}
+
 } // namespace lentilbay
--- a/packages/Policy/lib/SharedQuota.cpp
+++ b/packages/Policy/lib/SharedQuota.cpp
@@ -47,6 +47,10 @@
 /// The part of the tolerance that counts as used after a restore: reports are late again then, while all
 /// callers return at once.
 constexpr double restoredReserve = 0.5;
+/// The use of the last part of a checkpoint counts once more after a restore, up to this many times the
+/// tolerance: in a surge, reports that are 1 s old let the predecessors exceed their bucket by as much. At
+/// half of the quota, that use is less than the tolerance.
+constexpr double maxRestoredLate = 3;
 /// A peer that states less than this part of what a checkpoint contains was partitioned when it was admitted.
 constexpr double minAdoptedFraction = 0.75;
 /// A process that was killed is not started again, and has not read the configuration, sooner than this.
@@ -176,7 +180,8 @@
     refresh(participants, now);
     auto& ownRank = m_ownRanks[rank];
     // After a restart much is refused, which says nothing about the ranks.
-    if (!hasJustRestarted(now) || rank == resumingRank)
+    const bool countsRefusal = !hasJustRestarted(now) || rank == resumingRank;
+    if (countsRefusal)
         ownRank.demanded.add(tokens, now);
     const double inWindow = windowLeft(participants, now);
     const double left = std::min(m_bucket.level(now), inWindow);
@@ -201,8 +206,11 @@
     m_allowance -= tokens;
     m_lastAdmittedAt = now;
     m_fleetAdmissions.add(tokens, now);
+    m_countedAdmissions.add(tokens, now);
     m_ownAdmissions.add(tokens, now);
     ownRank.admitted.add(tokens, now);
+    if (!countsRefusal)
+        ownRank.demanded.add(tokens, now);
     return true;
 }
 
@@ -260,11 +268,8 @@
 
 double SharedQuota::fleetDemandFactor(TimePoint now)
 {
-    const auto sinceTaken = [&](WindowSum& sum) {
-        return sum.within(m_limits.window, now) - sum.withinUntil(m_useTakenUntil, m_limits.window, now);
-    };
-    const double own = sinceTaken(m_ownAdmissions);
-    return own > 0 ? std::max(1.0, sinceTaken(m_fleetAdmissions) / own) : 1;
+    const double own = m_ownAdmissions.within(m_limits.window, now);
+    return own > 0 ? std::max(1.0, m_countedAdmissions.within(m_limits.window, now) / own) : 1;
 }
 
 double SharedQuota::reserveAbove(int rank, TimePoint now)
@@ -342,7 +347,6 @@
     raiseLevelTo(level * m_usableFraction, now);
     m_fleetBucket.settle(std::max(0.0, level - m_fleetBucket.level(now)), now);
     m_knowsFleetLevel = m_hasAdopted = true;
-    m_useTakenUntil = now;
     m_fleetAdmissions = {};
     // Each part counts as if it had been admitted at its end.
     const auto n = std::ssize(parts);
@@ -365,14 +369,13 @@
     }
     const double refilled = m_limits.tokensPerSecond * toSeconds(endedAt - checkpointAt);
     // While reports were late, the predecessors may have exceeded bucket and window by their recent use.
-    const double late
-        = std::min(parts.back(), m_limits.toleranceTokens) + m_limits.toleranceTokens * restoredReserve;
+    const double late = std::min(parts.back(), m_limits.toleranceTokens * maxRestoredLate)
+        + m_limits.toleranceTokens * restoredReserve;
     const double fromBucket = std::min(level, m_limits.burstTokens) + refilled;
     const double unseen = std::max(0.0, std::min(fromBucket, m_limits.windowTokens - inWindow) + late);
     m_fleetAdmissions.addAt(unseen, endedAt);
     m_restoredUnseen = unseen;
     m_restoredUntil = endedAt + minDowntime;
-    m_useTakenUntil = std::max(m_useTakenUntil, *m_restoredUntil);
     // The bucket of the predecessors may have been empty at their end, and was refilled before the restart.
     const double initial = std::clamp(
         m_limits.tokensPerSecond * toSeconds(minDowntime) - admittedSince, 0.0, m_limits.burstTokens);
@@ -396,6 +399,7 @@
 {
     settle(tokens, now);
     m_fleetAdmissions.add(-tokens, now);
+    m_countedAdmissions.add(-tokens, now);
     m_admittedTotal -= tokens;
 }
 
@@ -421,6 +425,7 @@
     // Tokens beyond the bucket's capacity were admitted while at least as many flowed in.
     settle(-std::clamp(tokens, 0.0, m_limits.burstTokens), now);
     m_fleetAdmissions.add(tokens, now);
+    m_countedAdmissions.add(tokens, now);
 }
 
 } // namespace lentilbay
