Find abandoned rows of quotas also after a peer was heard

Cause: applyRows() returned before it collected rows of removed data centres if a peer that counts all use had been heard during the call.

Change: they are collected before that return. A daemon that hears such a peer before its first call still makes none.

--- a/packages/Edge/lib/QuotaCheckpoints.cpp
+++ b/packages/Edge/lib/QuotaCheckpoints.cpp
@@ -139,9 +139,8 @@
 
 void QuotaCheckpoints::applyRows(const platform::StoreRows& rows)
 {
-    if (!rows.storeTime || m_isRead)
+    if (!rows.storeTime)
         return;
-    m_isRead = true;
     const auto now = bootNow();
     std::vector<QuotaCheckpoint> checkpoints;
     for (const auto& it : rows.rows) {
@@ -152,6 +151,9 @@
             m_abandoned.push_back(it);
         checkpoints.push_back(std::move(*checkpoint));
     }
+    // A peer that counts all use may have been heard during the call.
+    if (std::exchange(m_isRead, true))
+        return;
     recordOwnRow(rows);
     const auto found = checkpoints.size();
     auto checkpoint
--- a/packages/Edge/unittests/QuotaCheckpointsTest.cpp
+++ b/packages/Edge/unittests/QuotaCheckpointsTest.cpp
@@ -311,6 +311,20 @@
     EXPECT_EQ(refused, 1U);
 }
 
+TEST_F(QuotaCheckpointsTest, RowsOfRemovedDataCentresAreDeletedByADaemonThatHearsAPeerFirst)
+{
+    // Guards against abandoned rows that stay because daemons hear a peer before the store has answered them.
+    put("use/removed", encoded({ .takenAt = storeTime() - 2h, .incarnation = 9 }));
+    const auto state = makeState(false);
+    QuotaCheckpoints checkpoints(*state, 1, bootNow());
+    checkpoints.update(false, true, bootNow());
+    ASSERT_TRUE(checkpoints.isCalling());
+    run(checkpoints, 500ms, true);
+    EXPECT_FALSE(rows.contains("use/removed"));
+    EXPECT_FALSE(checkpoints.isRestored());
+    EXPECT_EQ(reads, 1U);
+}
+
 TEST_F(QuotaCheckpointsTest, CallThatWasOutstandingAtTheEndChangesNothing)
 {
     // Guards against a handler of the connection that uses the checkpoints after they were destroyed.
