--- a/packages/Edge/include/lentilbay/Edge/ActiveConfiguration.h
+++ b/packages/Edge/include/lentilbay/Edge/ActiveConfiguration.h
@@ -30,9 +30,10 @@
         InForce,
     };
 
-    /// Applies a document that was read; `version` is std::nullopt if it cannot be decoded.
+    /// A document that was read.
     struct Document {
         std::string text;
+        /// std::nullopt if the document cannot be decoded.
         std::optional<uint64_t> version;
     };
     struct Row {
--- a/packages/Edge/unittests/ActiveConfigurationTest.cpp
+++ b/packages/Edge/unittests/ActiveConfigurationTest.cpp
@@ -29,6 +29,7 @@
 
 TEST_F(ActiveConfigurationTest, NewestVersionIsInForce)
 {
+    // Guards against an older document, or an answer that is late, which replaces the newest configuration.
     EXPECT_EQ(applyRow("a", 6, at(3)), Outcome::InForce);
     EXPECT_EQ(applyRow("b", 5, at(4)), Outcome::Older);
     EXPECT_EQ(applyRow("a", 6, at(5)), Outcome::Same);
@@ -110,6 +111,8 @@
 
 TEST_F(ActiveConfigurationTest, PeersDocumentOfTheSameVersionReplacesByANewerViewOfTheSameEraOnly)
 {
+    // Guards against a peer that has read less, or an older copy, and whose document restores a withdrawn
+    // key.
     applyRow("a", 6, at(8));
     const auto apply = [&](std::optional<ConfigurationView> view, StoreVersion own) {
         return configuration.applyPeerDocument({ "b", 6 }, view, own);
@@ -123,6 +126,8 @@
 
 TEST_F(ActiveConfigurationTest, PeerThatHasReadFurtherDecidesOnACopiedRow)
 {
+    // Guards against a peer that has read only the copy and confirms the configuration in force, and against
+    // a daemon that confirms nothing although a peer has found the same document written again.
     applyRow("a", 6, at(9));
     applySnapshot("b", 6, at(8, 2));
     EXPECT_EQ(configuration.applySameDocument(configuration.hash(),
@@ -137,6 +142,8 @@
 
 TEST_F(ActiveConfigurationTest, CopiedRowOfTheSameVersionDoesNotConfirmAPeersDocument)
 {
+    // Guards against a row of the copy that is skipped as unchanged, so that the document read from a peer is
+    // confirmed although the row may have been written later.
     applyRow("a", 6, at(8));
     EXPECT_EQ(configuration.applyPeerDocument(
                   { "b", 6 }, ConfigurationView { .covered = at(18), .changed = at(18) }, at(8)),
--- a/packages/Edge/unittests/EndpointRegistryTest.cpp
+++ b/packages/Edge/unittests/EndpointRegistryTest.cpp
@@ -235,6 +235,8 @@
 
 TEST_F(EndpointRegistryTest, EntryThatNamesAnotherServiceIsChosenForThatOneOnly)
 {
+    // Guards against requests of the former service that are sent to an endpoint which now serves another
+    // one.
     auto moved = endpointOf("near", "a");
     moved.service = ServiceId("t");
     endpointRegistry.list(moved);
--- a/packages/Policy/include/lentilbay/Policy/SlotAssignment.h
+++ b/packages/Policy/include/lentilbay/Policy/SlotAssignment.h
@@ -95,7 +95,7 @@
         /// Index into the vectors of m_weights.
         size_t dataCentre = 0;
     };
-    /// Assigns those of the slots to the daemon for which it has a higher score than the present one.
+    /// Assigns those of the slots to the daemon to which it has a lesser distance than the present one.
     void offer(uint64_t endpoint, Assigned& assigned, const std::vector<size_t>& slots,
         const Candidate& daemon, const std::vector<double>& weights) const;
     /// How often daemons of each data centre are assigned a slot of an endpoint there.
