--- a/packages/Edge/include/lentilbay/Edge/ActiveConfiguration.h
+++ b/packages/Edge/include/lentilbay/Edge/ActiveConfiguration.h
@@ -30,9 +30,10 @@
         InForce,
     };
 
-    /// Applies a document that was read; `version` is std::nullopt if it cannot be decoded.
+    /// A document that was read.
     struct Document {
         std::string text;
+        /// std::nullopt if the document cannot be decoded.
         std::optional<uint64_t> version;
     };
     struct Row {
@@ -52,7 +53,8 @@
     /// was in force here when the call began.
     Outcome applySameDocument(
         uint64_t askedHash, const std::optional<ConfigurationView>& view, std::optional<StoreVersion> own);
-    /// Records that the store has come back from an older copy of itself.
+    /// Records that the store has come back from an older copy of itself; at a start in a later era than the
+    /// first one, that it may just have.
     void enterEra(TimePoint now);
 
     /// Whether the configuration in force may be confirmed as of `at`. Not while a peer is known to have a
@@ -68,14 +70,14 @@
     uint64_t hash() const { return m_hash; }
 
 private:
-    Outcome replace(const Document& document, StoreVersion row);
+    Outcome replace(const Document& document, uint64_t rowEra);
     Outcome confirmedByPeer(const std::optional<ConfigurationView>& view, std::optional<StoreVersion> own);
 
     std::string m_text;
     uint64_t m_hash = 0;
     std::optional<uint64_t> m_version;
-    /// The version of the row with the configuration in force; at least that of the row if it is not known.
-    StoreVersion m_row;
+    /// The era of the row with the configuration in force, as far as known.
+    uint64_t m_rowEra = 0;
     /// The newest row that was read of the store.
     StoreVersion m_newestRow;
     bool m_isRowInvalid = false;
