Keep what the queue knows of requests that wait again

Its entry now says that it has waited before.

Also from the review: an endpoint that is heard after a refused connection and then breaks off no longer counts as alive, so that crashed endpoints are not taken for lost links; a daemon that becomes an aggregator before it has heard a sum estimates nothing; the list of endpoints that a resumed stream waits for is dated by the time of the question, not by the request's arrival. The tests of the first two fail without the change; the other two have none.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -226,6 +226,7 @@
     std::optional<uint64_t> m_version;
     /// The engine that began the stream was replaced under its id, so its version is not known.
     bool m_isVersionUncertain = false;
+    bool m_hasWaited = false;
     bool m_isOriginShared = false;
     /// Set while the origin of the stream, or an endpoint of its version, is being looked up.
     std::shared_ptr<StreamOriginLookup> m_originLookup;
--- a/packages/Edge/include/lentilbay/Edge/WaitingQueue.h
+++ b/packages/Edge/include/lentilbay/Edge/WaitingQueue.h
@@ -20,6 +20,8 @@
     int rank = 0;
     /// An endpoint has worked on it. It is never rejected while it can still be answered.
     bool hasBegun = false;
+    /// See DeadlineRequest.
+    bool isRequeued = false;
     ChoiceQuery query;
     TimePoint arrivedAt {};
     /// The caller's deadline or the route's timeout, whichever is earlier.
--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -358,7 +358,9 @@
     if (!m_forwarded && m_state.prefersPeers(now) && startThroughPeer(now))
         return;
     if (path == SendPath::Direct && hasEndpoint) {
-        m_state.queue.push(waitingRequest());
+        auto waiting = waitingRequest();
+        waiting.isRequeued = std::exchange(m_hasWaited, true);
+        m_state.queue.push(std::move(waiting));
         return;
     }
     if (path != SendPath::None && !m_forwarded && startThroughPeer(now))
--- a/packages/Edge/lib/LinkMonitor.cpp
+++ b/packages/Edge/lib/LinkMonitor.cpp
@@ -138,11 +138,12 @@
         const bool isUnconnectable = it.connectFailedAt && now - *it.connectFailedAt <= evidenceLifetime
             && *it.connectFailedAt > m_connectedAt;
         out.unconnectable += isUnconnectable ? 1 : 0;
-        // An endpoint that is heard later has not crashed, so its failure counts as one of a probe. Where
-        // most endpoints have refused a connection before any is probed, too few are left to be probed.
-        const bool hasFailedAlive
-            = isUnconnectable && (it.hasFailedProbe || it.heardAt > *it.connectFailedAt);
-        out.failedProbes += hasFailedAlive ? 1 : 0;
+        // An endpoint that is heard later, and does not break off, has not crashed, so its failure counts as
+        // one of a probe. Where most endpoints have refused a connection before any is probed, too few are
+        // left to be probed.
+        const bool wasAlive
+            = isUnconnectable && (it.hasFailedProbe || (!isLost && it.heardAt > *it.connectFailedAt));
+        out.failedProbes += wasAlive ? 1 : 0;
     }
     return out;
 }
--- a/packages/Edge/lib/PeerSummaries.cpp
+++ b/packages/Edge/lib/PeerSummaries.cpp
@@ -210,7 +210,7 @@
     // Under the other role, everything is counted in another way.
     if (auto& fleet = m_groups[fleetGroup]; wasActive && m_isActive) {
         // While another aggregator goes on, its sums show soon what this daemon lacks.
-        if (m_isAggregator && !fleet.isFresh(now))
+        if (m_isAggregator && fleet.heardAt != TimePoint() && !fleet.isFresh(now))
             m_estimatedUse = fleet.estimateUntil(now + firstSumsTime, m_ownRates, now);
         fleet.heardAt = now;
         fleet.ownRates = m_ownRates;
--- a/packages/Edge/lib/StreamOriginLookup.cpp
+++ b/packages/Edge/lib/StreamOriginLookup.cpp
@@ -130,7 +130,7 @@
         m_done(origin, source);
         return;
     }
-    awaitList(m_query.arrivedAt - maxListAgeToResume, lateListTimeout, now,
+    awaitList(now - maxListAgeToResume, lateListTimeout, now,
         [this, origin, source](bool) { m_done(origin, source); });
 }
 
--- a/packages/Edge/lib/WaitingQueue.cpp
+++ b/packages/Edge/lib/WaitingQueue.cpp
@@ -28,6 +28,7 @@
     service.queue.push({ .number = request.number,
         .rank = request.rank,
         .hasBegun = request.hasBegun,
+        .isRequeued = request.isRequeued,
         .arrivedAt = request.arrivedAt,
         .objectiveAt = request.query.objectiveAt,
         .expiresAt = request.expiresAt });
--- a/packages/Edge/unittests/LinkMonitorTest.cpp
+++ b/packages/Edge/unittests/LinkMonitorTest.cpp
@@ -160,6 +160,23 @@
     EXPECT_EQ(links.update(start + 300ms), LinkState::Up);
 }
 
+TEST_F(LinkMonitorTest, EndpointsThatBreakOffAfterARefusedConnectionAreTakenForCrashed)
+{
+    // Guards against a daemon that forgets the failures of crashed endpoints, because it has read what they
+    // had sent before only after a connection to them was refused.
+    ids.resize(96);
+    std::iota(ids.begin(), ids.end(), 1);
+    links.setEndpoints(ids);
+    for (uint64_t id = 1; id <= 17; ++id) {
+        links.recordConnectFailed(id, start + 100ms);
+        links.recordHeard(id, start + 150ms);
+        links.recordBroken(id, start + 150ms);
+    }
+    for (uint64_t id = 18; id <= 96; ++id)
+        links.recordHeard(id, start + 160ms);
+    EXPECT_EQ(links.update(start + 160ms), LinkState::Up);
+}
+
 // Guards against a daemon that takes its links for lost because it opens new connections mostly to endpoints
 // that have crashed: 17 of 96 at once, while the others answer on connections that exist.
 TEST_F(LinkMonitorTest, ManyEndpointsThatCrashAtOnceAreNoPartition)
--- a/packages/Policy/include/lentilbay/Policy/DeadlineQueue.h
+++ b/packages/Policy/include/lentilbay/Policy/DeadlineQueue.h
@@ -61,6 +61,8 @@
     int rank = 0;
     /// An endpoint has worked on it. It starts before all others and is never refused.
     bool hasBegun = false;
+    /// Has waited before, and was sent in vain or is queued under another rule.
+    bool isRequeued = false;
     TimePoint arrivedAt {};
     /// When the first event should arrive.
     TimePoint objectiveAt {};
--- a/packages/Policy/lib/DeadlineQueue.cpp
+++ b/packages/Policy/lib/DeadlineQueue.cpp
@@ -167,8 +167,12 @@
     for (auto& it : m_entries) {
         it.request.isLate = now > it.request.latestStart();
         it.isDeferred = false;
-        if (!std::exchange(it.isCounted, true) && !it.request.hasBegun)
-            addBounded(m_arrived[it.request.rank][sizeClassOf(it.request.work)], it.request.work, now);
+        if (!std::exchange(it.isCounted, true)) {
+            if (it.request.isRequeued)
+                it.isCommitted = now >= decisionDueAt(it.request);
+            else if (!it.request.hasBegun)
+                addBounded(m_arrived[it.request.rank][sizeClassOf(it.request.work)], it.request.work, now);
+        }
         auto& line = lines[lineOf(it.request)];
         (it.request.isLate ? line.late : line.inTime).push_back(&it);
     }
--- a/packages/Policy/unittests/DeadlineQueueTest.cpp
+++ b/packages/Policy/unittests/DeadlineQueueTest.cpp
@@ -256,6 +256,39 @@
     EXPECT_FALSE(refused.empty());
 }
 
+TEST_F(DeadlineQueueTest, RequestThatIsQueuedAgainIsStillKept)
+{
+    // Guards against refusing long requests that had been kept or sent, when an endpoint has rejected them or
+    // all requests are queued again.
+    TimePoint nextAt = startAt;
+    std::array<std::vector<uint64_t>, 2> longOnes;
+    run(startAt + 8s, 0ms, [&] {
+        if (now < nextAt)
+            return;
+        nextAt += 100ms;
+        for (const auto work : { 0.02, 0.02, 0.1 })
+            push({ .objective = 800ms, .work = work });
+        const bool isRequeued = (nextAt - startAt) / 100ms % 10 == 0;
+        const auto number = push({ .objective = 800ms, .work = 0.4 });
+        queue.remove(number);
+        queue.push({ .number = number,
+            .isRequeued = isRequeued,
+            .arrivedAt = now - 150ms,
+            .objectiveAt = now + 650ms,
+            .expiresAt = now + 20s,
+            .timeToFirstEvent = 100ms,
+            .work = 0.4 });
+        if (now > startAt + 3s && now < startAt + 7s)
+            longOnes.at(isRequeued ? 1 : 0).push_back(number);
+    });
+    const auto refusedOf = [&](const auto& those) {
+        return std::ranges::count_if(those, [&](auto it) { return isRefused(it); });
+    };
+    EXPECT_GT(refusedOf(longOnes[0]), 30);
+    EXPECT_EQ(longOnes[1].size(), 4U);
+    EXPECT_LE(refusedOf(longOnes[1]), 1) << "what becomes late may be refused";
+}
+
 TEST_F(DeadlineQueueTest, UnderLastingOverloadTheLongestAreRefused)
 {
     // Guards against long requests that are kept because they fit when they arrive, and then take the time of
