Name refusals and constants by what they are

Names and comments only, from the review: rejectWithoutTime() instead of rejectHopeless(), a test by the required behaviour, and sentences that were hard to parse.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -67,7 +67,7 @@
     Duration longestWait(TimePoint now) const;
     /// Queues the request, after its stream's origin has been looked up if it resumes one.
     void enqueueOrFindOrigin(TimePoint now);
-    /// Whether the caller, or the daemon that forwarded the request, has the begin of the stream.
+    /// Whether the caller, or the daemon that forwarded the request, has the beginning of the stream.
     bool isResumedStream() const { return m_route->isResumable && m_metadata.lastEvent && m_version; }
     /// Called with where the resumed stream began.
     void originFound(const std::optional<StreamOrigin>& origin, std::string_view source, TimePoint now);
--- a/packages/Edge/include/lentilbay/Edge/PeerSummaries.h
+++ b/packages/Edge/include/lentilbay/Edge/PeerSummaries.h
@@ -13,9 +13,9 @@
 //   knows for the others by how much their counts differ, so it can go on with another one: nothing is
 //   counted twice, and what was admitted meanwhile is not lost.
 // - While a sum is overdue, its receivers estimate by the rate of the second before what they are not told.
-// The next
-//   sum of the same aggregator corrects the estimate. If all aggregators of a data centre were lost at once,
-//   nobody knows what was admitted until the first sum of the next one, and the estimate remains.
+//   The next sum of the same aggregator corrects the estimate in the window. If all aggregators of a data
+//   centre were lost at once, nobody knows what was admitted until the first sum of the next one, and the
+//   estimate remains.
 // - Both aggregators send to each daemon, one of them often and the other rarely. If one is lost, the other
 //   takes over after a few missing heartbeats.
 //
--- a/packages/Edge/include/lentilbay/Edge/WaitingQueue.h
+++ b/packages/Edge/include/lentilbay/Edge/WaitingQueue.h
@@ -84,7 +84,7 @@
 
     void decideFor(const ServiceId& id, Service& service, TimePoint now, Decisions& out);
     /// Rejects requests that no endpoint may continue or that have no time left.
-    void rejectHopeless(const ServiceId& id, Service& service, TimePoint now, Decisions& out);
+    void rejectWithoutTime(const ServiceId& id, Service& service, TimePoint now, Decisions& out);
     bool start(const DeadlineRequest& request, TimePoint now, Decisions& out);
 
     /// The weight of the newest prompt in the mean: a few hundred requests are a second or more of a daemon's
--- a/packages/Edge/lib/PeerSummaries.cpp
+++ b/packages/Edge/lib/PeerSummaries.cpp
@@ -54,7 +54,7 @@
 /// so that with a factor of 5 an organisation at half of its quota lost up to 9.5% of its demand after a
 /// restart.
 constexpr double maxGrowth = 2.5;
-/// For this long, in which there are new aggregators if daemons were killed.
+/// The factor applies for this long after the last sum; then there are new aggregators.
 constexpr Duration growthTime = std::chrono::seconds(2);
 
 constexpr const char* fleetGroup = "fleet";
--- a/packages/Edge/lib/WaitingQueue.cpp
+++ b/packages/Edge/lib/WaitingQueue.cpp
@@ -64,7 +64,7 @@
 void WaitingQueue::decideFor(const ServiceId& id, Service& service, TimePoint now, Decisions& out)
 {
     const auto latency = m_endpointRegistry.latencyOf(id, now);
-    rejectHopeless(id, service, now, out);
+    rejectWithoutTime(id, service, now, out);
     service.queue.update([&](DeadlineRequest& it) {
         auto& query = m_requests.at(it.number).query;
         query.mayWait
@@ -97,7 +97,7 @@
     service.contendedAt = now;
 }
 
-void WaitingQueue::rejectHopeless(const ServiceId& id, Service& service, TimePoint now, Decisions& out)
+void WaitingQueue::rejectWithoutTime(const ServiceId& id, Service& service, TimePoint now, Decisions& out)
 {
     std::vector<uint64_t> numbers;
     service.queue.update([&](const DeadlineRequest& it) {
--- a/packages/Policy/include/lentilbay/Policy/DeadlineQueue.h
+++ b/packages/Policy/include/lentilbay/Policy/DeadlineQueue.h
@@ -3,10 +3,10 @@
 //
 // Ranks are strict. Within a rank, requests that can still meet their objective go before late ones, by their
 // latest start that is in time; late ones get a tenth of the starts while others wait, oldest first. Where
-// not all can be in time, Moore's rule defers the longest ones, and under lasting overload those that are
-// longer than what can be served smallest first. Once requests have waited for a second, what is deferred is
-// refused before its caller has waited for an eighth of its objective. A request that has been kept until
-// then is not displaced by later ones.
+// not all can be in time, Moore's rule defers the longest ones; under lasting overload, size classes are
+// served from the smallest on as far as the rate suffices, and longer requests are deferred. Once requests
+// have waited for a second, what is deferred is refused before its caller has waited for an eighth of its
+// objective. A request that has been kept until then is not displaced by later ones.
 #pragma once
 
 #include "lentilbay/Policy/WindowSum.h"
--- a/packages/Policy/lib/DeadlineQueue.cpp
+++ b/packages/Policy/lib/DeadlineQueue.cpp
@@ -40,7 +40,8 @@
 /// The least that is taken for the service rate, as a fraction of the slots: endpoints that were silent for a
 /// while serve again.
 constexpr double minRateFraction = 0.1;
-/// The same for what the ranks before leave.
+/// The least that is taken for the rate of one rank, after what the ranks before it take, as a fraction of
+/// the slots.
 constexpr double minLineRateFraction = 0.01;
 /// The queue is filled up to what can be in time, so that half of the requests would be late if the measured
 /// rate were taken as it is.
@@ -91,10 +92,10 @@
         if (!it.latestStart)
             continue;
         // To defer others would not help a request that would be late in front of all of them.
-        const bool isHopeless = freeAt > *it.latestStart;
-        it.isDeferred = isHopeless && it.isDeferrable;
+        const bool isTooLate = freeAt > *it.latestStart;
+        it.isDeferred = isTooLate && it.isDeferrable;
         work += it.isDeferred ? 0 : it.work;
-        if (isHopeless)
+        if (isTooLate)
             continue;
         if (it.isDeferrable)
             kept.push(&it);
--- a/packages/Policy/lib/Rollout.cpp
+++ b/packages/Policy/lib/Rollout.cpp
@@ -19,7 +19,7 @@
 /// The part of the bound on the exposure up to which the phase Switching may begin.
 constexpr double exposureMargin = 0.9;
 /// The part of the slack that raises the share where a service has few requests, and that may be used up when
-/// the phase Switching ends. Of 0.7, orders of 8 to 12 s completed a bad version more often (RolloutTest).
+/// the phase Switching ends. With 0.7, orders of 8 to 12 s completed a bad version more often (RolloutTest).
 constexpr double usableSlack = 0.8;
 /// At most this share of the requests shows what the versions do, as many responses of the former version are
 /// needed for comparison.
--- a/packages/Policy/unittests/QuotaCheckpointTest.cpp
+++ b/packages/Policy/unittests/QuotaCheckpointTest.cpp
@@ -291,7 +291,7 @@
     EXPECT_EQ(daemon.refusals(20), 0);
 }
 
-TEST(QuotaCheckpoint, TakenUseRaisedWhatIsKeptForHigherRanks)
+TEST(QuotaCheckpoint, AdoptedUseDoesNotRaiseTheReserveOfHigherRanks)
 {
     // Guards against comparing the fleet's use before a restart with this daemon's since then, by which the
     // demand of higher ranks seemed to be several times what it was.
