--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,18 +11,19 @@
 from deployment import KEY, Deployment, Server, build_response, read_answer, run_case  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SECONDS = float(os.environ.get("SECONDS_OF_CASE", "60"))
-DAEMONS, SERVICES, ENGINES, CLIENTS = 6, 6, 2, 6
-SLOTS, QUEUE, WORK = 1, 1, 0.06
-PERIOD = 0.25
-# garble: at most this share of a server's answers is followed by a second one, at this share of the servers.
-EXTRA, EXTRA_SHARE = 0.03, 0.6
+SECONDS = float(os.environ.get("SECONDS_OF_CASE", "105"))
+DAEMONS, SERVICES, ENGINES, CLIENTS = 6, 2, 2, 6
+SLOTS, QUEUE, WORK = 1, 1, 0.02
+PERIOD = 0.08
+# garble, extra late: for so many seconds, at most this share of a server's answers is followed by a second one, at this
+# share of a service's servers. One service at a time.
+EXTRA_SECONDS, EXTRA, EXTRA_SHARE = 5.0, 0.03, 0.6
 
 
 class Engine(Server):
     """Runs SLOTS requests at once, lets QUEUE more wait, and rejects the others as full, without running them."""
 
-    def __init__(self, name: str, service: str, deployment: Deployment, runs: dict, rng: random.Random, garbles: bool) -> None:
+    def __init__(self, name: str, service: str, deployment: Deployment, runs: dict, rng: random.Random, garbles) -> None:
         super().__init__()
         self.service = service
         self.name, self.record, self.runs, self.rng, self.garbles = name, deployment.record, runs, rng, garbles
@@ -41,7 +42,7 @@
             self.record.write(f"{self.name}: late extra answer: {extra[1]}")
             writer.write(extra[0])
         writer.write(answer)
-        if self.garbles and self.rng.random() < EXTRA:
+        if self.garbles() and self.rng.random() < EXTRA:
             self.extra[writer] = (answer, what)
 
     async def respond(self, method, target, headers, body, writer) -> None:
@@ -72,6 +73,12 @@
             self.held -= 1
 
 
+def is_garbled(service: int, engine: int, deployment: Deployment) -> bool:
+    """Whether it is this engine's turn to write second answers."""
+    period = int((time.monotonic() - deployment.record.began_at) / EXTRA_SECONDS)
+    return TROUBLE and period % SERVICES == service and engine < int(EXTRA_SHARE * ENGINES)
+
+
 async def client(number: int, service: str, deployment: Deployment, answers: dict, end: float, rng: random.Random) -> None:
     connection = None
     while time.monotonic() < end:
@@ -111,7 +118,7 @@
         for service in services:
             for n in range(ENGINES):
                 engine = Engine(f"{service}-i-{n}", service, deployment, runs, rng,
-                                TROUBLE and n < round(EXTRA_SHARE * ENGINES))
+                                lambda i=services.index(service), n=n: is_garbled(i, n, deployment))
                 host = f"{deployment.network}.{20 + len(engines)}"
                 await engine.listen(host, 0)
                 port = engine.server.sockets[0].getsockname()[1]
