--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,8 +13,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SECONDS = float(os.environ.get("SECONDS_OF_CASE", "105"))
 DAEMONS, SERVICES, ENGINES, CLIENTS = 6, 2, 2, 6
-SLOTS, QUEUE, WORK = 1, 1, 0.02
-PERIOD = 0.08
+SLOTS, QUEUE, WORK = 1, 1, 0.006
+PERIOD = 0.03
 # garble, extra late: for so many seconds, at most this share of a server's answers is followed by a second one, at this
 # share of a service's servers. One service at a time.
 EXTRA_SECONDS, EXTRA, EXTRA_SHARE = 5.0, 0.03, 0.6
@@ -83,7 +83,7 @@
     connection = None
     while time.monotonic() < end:
         # All clients press at the same moments, as in a burst.
-        await asyncio.sleep(PERIOD - (time.monotonic() % PERIOD) + rng.uniform(0, 0.01))
+        await asyncio.sleep(PERIOD - (time.monotonic() % PERIOD) + rng.uniform(0, 0.002))
         request = uuid.UUID(int=rng.getrandbits(128)).hex[:16]
         daemon = number % DAEMONS
         try:
