Send a request again on a connection that owes nothing of it

An endpoint may write a second copy of an answer where the next answer on its connection is expected. The id in it tells the copy from the answer to any other request, but not from that to another send of the same one. RequestAttempts lets a request return to endpoints that rejected it, and EndpointPools gave it the connection that was used last: the one with the rejection. The copy was read as a second rejection while the endpoint ran the request, which went on to another endpoint or was refused. Of one request, the daemon logged five sends, of which four were rejected, the third and fourth within 0.1 ms; the endpoints recorded two rejections, a second copy of each, and three runs.

A connection now knows the request that it carried last, and the pool withholds it from that request until it has carried another one. The connection is the place that knows this: two requests of the same id that peers forward share nothing else. Where only a withheld connection is idle, the request is left to other endpoints for 60 ms and then gets another connection, once it is clear that the endpoint keeps it. One that is not kept is no failure of the endpoint. The spare connection is used now and then for 10 s, so that it does not become too old for requests that run once at most.

RejectingEndpointsTest failed before: each request ran three times in place of once, and one that came from two peers was refused and ran. Its other tests hold the opposite: other requests use the connection, repeated sends share one spare, and nobody is refused because no further connection is accepted. The price remains where a daemon has one request at a time for a service: nothing else uses the connection meanwhile.

The calls of EdgeRequestTest had one id for all requests, which no caller does. Each has its own now, and RawServer answers with it. AnswerWithTheRequestIdKeepsTheConnection is unchanged otherwise: the second request is another one, as its name and its counterpart say.

--- a/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeRequest.h
@@ -96,8 +96,12 @@
     void connect(TimePoint now);
     /// How long a connection to the endpoint that is used may have been idle.
     Duration maxIdleAge(const EndpointId& endpoint) const;
+    LeaseQuery leaseQuery(const RoutedEndpoint& endpoint) const;
     /// Called with the connection to the endpoint or peer of m_send, or with nullptr if there is none.
     void connected(std::shared_ptr<http::ClientConnection> connection, TimePoint now);
+    /// Leaves the request to other endpoints for a while, because the only idle connection to the endpoint is
+    /// withheld from it, or no other one could be opened.
+    void awaitConnection(TimePoint now);
     /// Puts off the send until the list of endpoints has been read again, or the store is found not to
     /// answer.
     void awaitCurrentEndpoints(TimePoint now);
@@ -184,6 +188,8 @@
     /// Set if a peer sends the request through this daemon.
     std::optional<ForwardedRequest> m_forwarded;
     platform::CallerMetadata m_metadata;
+    /// hashOf() its id.
+    uint64_t m_requestHash = 0;
     std::shared_ptr<const RouteTable> m_routes;
     const Route* m_route = nullptr;
     const RoutedOrganisation* m_organisation = nullptr;
@@ -222,6 +228,10 @@
     std::shared_ptr<EndpointState> m_unconfirmedEndpoint;
     /// Whether it is being checked that the endpoint which confirmed an end has not failed itself.
     bool m_isConfirmingEnd = false;
+    /// There is no other endpoint meanwhile, so the request is neither queued nor sent.
+    bool m_isAwaitingConnection = false;
+    /// An idle connection has been withheld from the request before, so another one may be opened.
+    bool m_mayOpenSpare = false;
     /// hashOf() the software version that began the stream; only that version may go on with it.
     std::optional<uint64_t> m_version;
     /// The engine that began the stream was replaced under its id, so its version is not known.
--- a/packages/Edge/lib/EdgeGauges.cpp
+++ b/packages/Edge/lib/EdgeGauges.cpp
@@ -36,6 +36,7 @@
         { "requests_waiting", number(m_state.queue.size()) },
         { "caller_connections", number(m_callerServer->connections()) },
         { "endpoint_connections_opened", number(m_state.pools.opened()) },
+        { "endpoint_connections_withheld", number(m_state.pools.withheld()) },
         { "peers", number(m_state.peers.peers().size()) },
         { "peers_silent", number(m_state.peers.silentDaemons()) },
         { "aggregator", number(m_summaries.isAggregator()) },
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -35,6 +35,9 @@
     return headers;
 }
 
+/// Until a request for which an endpoint has no connection is sent to it. Meanwhile the idle connection that
+/// was withheld may carry another request.
+constexpr Duration connectionRetryGap = std::chrono::milliseconds(60);
 /// Callers that are refused together don't all retry at the same time.
 constexpr double retryJitter = 0.1;
 
@@ -46,6 +49,7 @@
     , m_exchange(std::move(exchange))
     , m_forwarded(std::move(forwarded))
     , m_metadata(platform::decodeCallerMetadata(m_exchange->request()))
+    , m_requestHash(hashOf(m_metadata.id.text()))
     , m_routes(state.routes)
     , m_arrivedAt(m_exchange->arrival().earliest)
     , m_resend(state, m_attempts)
@@ -80,8 +84,7 @@
 {
     auto work = m_work;
     work.cachedTokens = cachedTokens;
-    const bool hasConnection
-        = m_state.pools.hasIdle(endpoint->entry(), maxIdleAge(endpoint->entry().id), now);
+    const bool hasConnection = m_state.pools.hasIdle(leaseQuery(endpoint->entry()), now);
     const bool prefersPeer
         = m_state.prefersPeers(now) || m_state.sendPath(hasConnection) == SendPath::ThroughPeer;
     if (!m_forwarded && prefersPeer && startThroughPeer(now)) {
@@ -110,7 +113,7 @@
 
 void EdgeRequest::queueAgain(TimePoint now)
 {
-    if (m_isOver || m_send || m_originLookup || m_isConfirmingEnd)
+    if (m_isOver || m_send || m_originLookup || m_isConfirmingEnd || m_isAwaitingConnection)
         return;
     m_state.queue.remove(m_number);
     enqueue(now);
@@ -124,6 +127,15 @@
                                                                          : maxIdleAgeForOthers;
 }
 
+LeaseQuery EdgeRequest::leaseQuery(const RoutedEndpoint& endpoint) const
+{
+    // A peer writes each answer once.
+    const bool isToPeer = m_send && m_send->isThroughPeer;
+    return { .endpoint = endpoint,
+        .maxIdleAge = maxIdleAge(endpoint.id),
+        .requestHash = isToPeer ? 0 : m_requestHash };
+}
+
 void EdgeRequest::connect(TimePoint now)
 {
     m_exchange->detectDisconnect(now);
@@ -132,9 +144,18 @@
     m_state.metrics.observe(Timing::Wait, m_route->rank, now - m_arrivedAt);
     const auto& target = m_send->endpoint;
     m_attempts.begin(target->entry().id);
+    const auto query = leaseQuery(target->entry());
     // The queue's decisions are still being processed, so the request is sent in the callback.
-    m_state.pools.lease({ .endpoint = target->entry(), .maxIdleAge = maxIdleAge(target->entry().id) },
-        [self = shared_from_this(), target](std::shared_ptr<http::ClientConnection> connection) {
+    if (!m_mayOpenSpare && m_state.pools.withholds(query, now)) {
+        asio::post(m_state.context, [self = shared_from_this(), target] {
+            if (!self->m_isOver && self->m_send && self->m_send->endpoint == target
+                && !self->m_send->connection)
+                self->awaitConnection(bootNow());
+        });
+        return;
+    }
+    m_state.pools.lease(
+        query, [self = shared_from_this(), target](std::shared_ptr<http::ClientConnection> connection) {
             if (!self->m_isOver && self->m_send && self->m_send->endpoint == target
                 && !self->m_send->connection)
                 self->connected(std::move(connection), bootNow());
@@ -146,6 +167,10 @@
 void EdgeRequest::connected(std::shared_ptr<http::ClientConnection> connection, TimePoint now)
 {
     if (!connection) {
+        if (m_state.pools.withholds(leaseQuery(m_send->endpoint->entry()), now)) {
+            awaitConnection(now);
+            return;
+        }
         failSend(SendFailure::Unreachable, now);
         sendFailed(false, ResultCode::EndpointUnreachable, now);
         return;
@@ -161,6 +186,29 @@
         withdrawSend(now);
 }
 
+void EdgeRequest::awaitConnection(TimePoint now)
+{
+    logEvent(Event::SendAwaitsConnection,
+        { { "id", m_metadata.id.text() }, { "endpoint", m_send->endpoint->entry().id.text() },
+            { "connect_failed", static_cast<int64_t>(m_mayOpenSpare) } });
+    m_state.metrics.count("sends_awaiting_connection");
+    m_attempts.recordNoConnection();
+    m_mayOpenSpare = true;
+    m_send->wasNotExecuted = true;
+    endSend(SendOutcome::Neutral, now);
+    auto timer = std::make_shared<asio::steady_timer>(m_state.context, connectionRetryGap);
+    timer->async_wait([self = shared_from_this(), timer](std::error_code) {
+        self->m_isAwaitingConnection = false;
+        self->m_attempts.retryRejecting();
+        self->queueAgain(bootNow());
+        self->m_state.dispatchWaiting(bootNow());
+    });
+    m_isAwaitingConnection
+        = !m_state.endpointRegistry.hasCandidate(m_service, m_attempts.tried(), versionRule());
+    if (!m_isAwaitingConnection)
+        requeue(now);
+}
+
 void EdgeRequest::awaitCurrentEndpoints(TimePoint now)
 {
     m_state.metrics.count("sends_awaiting_endpoints");
@@ -239,7 +287,8 @@
         { .head = [self](const http::HttpResponseHead& head) { return self->handleResponseHead(head); },
             .body = [self](std::string_view piece) { self->handleResponseBody(piece); },
             .complete = [self] { self->handleResponseComplete(); },
-            .failed = [self](http::FailurePoint at) { self->handleResponseBroken(at); } });
+            .failed = [self](http::FailurePoint at) { self->handleResponseBroken(at); } },
+        m_requestHash);
 }
 
 void EdgeRequest::recordPromptSend()
--- a/packages/Edge/lib/EndpointPools.cpp
+++ b/packages/Edge/lib/EndpointPools.cpp
@@ -18,6 +18,10 @@
 constexpr Duration keepAliveMargin = std::chrono::milliseconds(900);
 /// A proxy accepts connections for an endpoint that has failed, and closes them at once.
 constexpr Duration aliveCheckDuration = std::chrono::milliseconds(50);
+/// An endpoint that gets requests a second time keeps a spare connection for this long.
+constexpr Duration spareLifetime = std::chrono::seconds(10);
+/// A spare connection that has been idle for so long is used next, before it is too old for some requests.
+constexpr Duration spareRefreshAge = std::chrono::milliseconds(150);
 
 Duration maxIdleTimeOf(const http::ClientConnection& connection)
 {
@@ -25,24 +29,58 @@
         std::chrono::milliseconds(100), connection.keepAlive().value_or(defaultKeepAlive) - keepAliveMargin);
 }
 
+bool isUsable(const http::ClientConnection& connection, const LeaseQuery& query, TimePoint now)
+{
+    const auto age = now - connection.idleSince();
+    return connection.isReusable() && age < maxIdleTimeOf(connection) && age < query.maxIdleAge;
+}
+
 } // namespace
 
 void EndpointPools::lease(
     const LeaseQuery& query, std::function<void(std::shared_ptr<http::ClientConnection>)> done)
 {
     const auto now = bootNow();
-    auto& idle = m_idle[query.endpoint.id];
-    while (!idle.empty()) {
-        auto connection = idle.back();
-        idle.pop_back();
-        const auto age = now - connection->idleSince();
-        if (connection->isReusable() && age < maxIdleTimeOf(*connection) && age < query.maxIdleAge) {
-            done(std::move(connection));
-            return;
+    auto& pool = m_pools[query.endpoint.id];
+    refreshSpare(pool, now);
+    bool isWithheld = false;
+    for (auto i = pool.idle.size(); i-- > 0;) {
+        if (isUsable(*pool.idle[i], query, now) && pool.idle[i]->mayRepeatResponseTo(query.requestHash)) {
+            isWithheld = true;
+            continue;
         }
-        connection->close();
+        auto connection = std::move(pool.idle[i]);
+        pool.idle.erase(pool.idle.begin() + static_cast<std::ptrdiff_t>(i));
+        if (!isUsable(*connection, query, now)) {
+            connection->close();
+            continue;
+        }
+        if (isWithheld)
+            noteWithheld(pool, now);
+        done(std::move(connection));
+        return;
+    }
+    if (!isWithheld) {
+        connect(query.endpoint, std::move(done));
+        return;
     }
-    connect(query.endpoint, std::move(done));
+    noteWithheld(pool, now);
+    openLasting(query.endpoint, std::move(done));
+}
+
+void EndpointPools::noteWithheld(Pool& pool, TimePoint now)
+{
+    ++m_withheld;
+    pool.keepsSpareUntil = now + spareLifetime;
+}
+
+void EndpointPools::refreshSpare(Pool& pool, TimePoint now)
+{
+    if (pool.idle.size() < 2 || now >= pool.keepsSpareUntil)
+        return;
+    const auto spare = pool.idle.end() - 2;
+    if (now - (*spare)->idleSince() >= spareRefreshAge)
+        std::iter_swap(spare, spare + 1);
 }
 
 void EndpointPools::connect(
@@ -72,15 +110,35 @@
         [connection, done = std::move(done)](bool isConnected) { done(isConnected ? connection : nullptr); });
 }
 
-bool EndpointPools::hasIdle(const RoutedEndpoint& endpoint, Duration maxIdleAge, TimePoint now) const
+void EndpointPools::openLasting(
+    const RoutedEndpoint& endpoint, std::function<void(std::shared_ptr<http::ClientConnection>)> done)
+{
+    open(endpoint, [this, done = std::move(done)](const std::shared_ptr<http::ClientConnection>& connection) {
+        if (!connection) {
+            done(nullptr);
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(m_context, aliveCheckDuration);
+        timer->async_wait([done, connection, timer](
+                              std::error_code) { done(connection->isOpen() ? connection : nullptr); });
+    });
+}
+
+bool EndpointPools::hasIdle(const LeaseQuery& query, TimePoint now) const
 {
-    const auto it = m_idle.find(endpoint.id);
-    return it != m_idle.end() && std::ranges::any_of(it->second, [&](const auto& connection) {
-        const auto age = now - connection->idleSince();
-        return connection->isReusable() && age < maxIdleTimeOf(*connection) && age < maxIdleAge;
+    const auto it = m_pools.find(query.endpoint.id);
+    return it != m_pools.end() && std::ranges::any_of(it->second.idle, [&](const auto& connection) {
+        return isUsable(*connection, query, now) && !connection->mayRepeatResponseTo(query.requestHash);
     });
 }
 
+bool EndpointPools::withholds(const LeaseQuery& query, TimePoint now) const
+{
+    auto any = query;
+    any.requestHash = 0;
+    return !hasIdle(query, now) && hasIdle(any, now);
+}
+
 void EndpointPools::probe(const RoutedEndpoint& endpoint)
 {
     connect(endpoint, [this, endpoint](std::shared_ptr<http::ClientConnection> connection) {
@@ -96,20 +154,12 @@
             m_aliveObserver(id, isAlive);
         done(isAlive);
     };
-    const auto connected
-        = [this, endpoint, finished](const std::shared_ptr<http::ClientConnection>& connection) {
-              if (!connection) {
-                  finished(false);
-                  return;
-              }
-              auto timer = std::make_shared<asio::steady_timer>(m_context, aliveCheckDuration);
-              timer->async_wait([this, endpoint, finished, connection, timer](std::error_code) {
-                  const bool isAlive = connection->isOpen();
-                  release(endpoint, connection);
-                  finished(isAlive);
-              });
-          };
-    open(endpoint, connected);
+    openLasting(endpoint, [this, endpoint, finished](std::shared_ptr<http::ClientConnection> connection) {
+        const bool isAlive = connection != nullptr;
+        if (connection)
+            release(endpoint, std::move(connection));
+        finished(isAlive);
+    });
 }
 
 void EndpointPools::checkAlive(const RoutedEndpoint& endpoint)
@@ -120,10 +170,10 @@
 
 void EndpointPools::closeIdle(const std::function<bool(const EndpointId&)>& isClosed)
 {
-    for (auto& [id, idle] : m_idle) {
+    for (auto& [id, pool] : m_pools) {
         if (!isClosed(id))
             continue;
-        for (const auto& it : std::exchange(idle, {}))
+        for (const auto& it : std::exchange(pool.idle, {}))
             it->close();
     }
 }
@@ -135,29 +185,29 @@
         connection->close();
         return;
     }
-    m_idle[endpoint.id].push_back(std::move(connection));
+    m_pools[endpoint.id].idle.push_back(std::move(connection));
 }
 
 void EndpointPools::closeExpired(TimePoint now, const std::function<bool(const EndpointId&)>& isListed)
 {
-    for (auto it = m_idle.begin(); it != m_idle.end();) {
+    for (auto it = m_pools.begin(); it != m_pools.end();) {
         const bool stays = isListed(it->first);
-        std::erase_if(it->second, [&](const auto& connection) {
+        std::erase_if(it->second.idle, [&](const auto& connection) {
             if (stays && connection->isReusable()
                 && now - connection->idleSince() < maxIdleTimeOf(*connection))
                 return false;
             connection->close();
             return true;
         });
-        it = stays || !it->second.empty() ? std::next(it) : m_idle.erase(it);
+        it = stays || !it->second.idle.empty() ? std::next(it) : m_pools.erase(it);
     }
 }
 
 size_t EndpointPools::idleConnections() const
 {
     size_t n = 0;
-    for (const auto& [id, idle] : m_idle)
-        n += idle.size();
+    for (const auto& [id, pool] : m_pools)
+        n += pool.idle.size();
     return n;
 }
 
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -11,7 +11,9 @@
 #include <asio/write.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <map>
 #include <openssl/evp.h>
+#include <set>
 #include <thread>
 
 namespace lentilbay::edge {
@@ -19,7 +21,7 @@
 
 using namespace std::chrono_literals;
 
-const std::string signatureFields = "X-Request-Id: 7\r\nX-Served-By-Sig: s\r\n";
+const std::string signatureFields = "X-Request-Id: {id}\r\nX-Served-By-Sig: s\r\n";
 
 std::string eventOf(int id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
 
@@ -118,7 +120,10 @@
                 .limits = [] { return http::ServerLimits {}; },
                 .handler =
                     [this](std::shared_ptr<http::Exchange> exchange) {
-                        std::make_shared<EdgeRequest>(state, std::move(exchange))->admit(bootNow());
+                        auto forwarded = acceptsForwarded ? forwardedRequestOf(exchange->request().headers)
+                                                          : std::nullopt;
+                        std::make_shared<EdgeRequest>(state, std::move(exchange), std::move(forwarded))
+                            ->admit(bootNow());
                         if (afterAdmission)
                             afterAdmission();
                     },
@@ -164,11 +169,13 @@
         const std::string& fields = "Authorization: Token k\r\n")
     {
         auto connection = std::make_shared<http::ClientConnection>(context);
+        const auto id = requestId.empty() ? std::to_string(nextRequestId++) : requestId;
         connection->connect({ asio::ip::make_address("127.0.0.1"), front->port() }, 5s,
-            [this, &answer, connection, path, fields](bool connected) {
+            [this, &answer, connection, path, fields, id](bool connected) {
                 ASSERT_TRUE(connected);
-                connection->exchange("POST " + path + " HTTP/1.1\r\nHost: h\r\nX-Request-Id: 7\r\n" + fields
-                        + fmt::format("Content-Length: {}\r\n\r\n{}", requestBody.size(), requestBody),
+                connection->exchange(fmt::format("POST {} HTTP/1.1\r\nHost: h\r\nX-Request-Id: {}\r\n{}"
+                                                 "Content-Length: {}\r\n\r\n{}",
+                                         path, id, fields, requestBody.size(), requestBody),
                     false,
                     { .head =
                             [&](const http::HttpResponseHead& head) {
@@ -201,7 +208,12 @@
 
     size_t receivedRequests() const { return first.requests().size() + second.requests().size(); }
 
+    /// Of the next calls; each gets its own one if this is empty.
+    std::string requestId;
+    int nextRequestId = 7;
     std::string requestBody = "ok";
+    /// Whether requests may come from peers.
+    bool acceptsForwarded = false;
     platform::ProcessSettings settingsWithStore() const
     {
         auto out = settings();
@@ -989,7 +1001,7 @@
         it->setResponder([this](const std::string&) {
             return receivedRequests() <= 5
                 ? ScriptedResponse { .bytes
-                      = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: 7\r\n") }
+                      = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: {id}\r\n") }
                 : ScriptedResponse { .bytes = httpResponse(200, "ran", signatureFields) };
         });
     CallerAnswer answer;
@@ -1011,7 +1023,7 @@
     for (auto* it : { &first, &second })
         it->setResponder([](const std::string&) {
             return ScriptedResponse { .bytes
-                = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: 7\r\n") };
+                = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: {id}\r\n") };
         });
     CallerAnswer answer;
     const auto connection = send("/once/x", answer);
@@ -1050,7 +1062,7 @@
     const std::string small = "Authorization: Token k\r\nX-Token-Usage: 10,10\r\n";
     first.script({ .bytes = httpResponse(200, "a", signatureFields + "Server-Limit: 1000\r\n") });
     for (int i = 0; i < 3; ++i)
-        first.script({ .bytes = httpResponse(503, "", "X-Request-Id: 7\r\nX-Not-Executed: 1\r\n") });
+        first.script({ .bytes = httpResponse(503, "", "X-Request-Id: {id}\r\nX-Not-Executed: 1\r\n") });
     for (int i = 0; i < 4; ++i) {
         call("/safe/x", small);
         // An endpoint that has rejected a request gets the next one a little later.
@@ -1164,8 +1176,9 @@
     for (auto* it : { &first, &second })
         it->setResponder([](const std::string& request) {
             const bool expectsWeights = request.find("X-Expect-Version: 9\r\n") != std::string::npos;
-            return ScriptedResponse { .bytes = expectsWeights ? httpResponse(421, "", "X-Request-Id: 7\r\n")
-                                                              : httpResponse(200, "a", signatureFields) };
+            return ScriptedResponse { .bytes = expectsWeights
+                    ? httpResponse(421, "", "X-Request-Id: {id}\r\n")
+                    : httpResponse(200, "a", signatureFields) };
         });
     const std::string key = "Authorization: Token other-key\r\n";
     for (int i = 0; i < 3; ++i) {
@@ -1200,9 +1213,218 @@
     }
 }
 
+/// An endpoint that rejects each request once, unless it has been told to serve, and counts those that it
+/// runs.
+class RejectingEndpoint {
+public:
+    RejectingEndpoint(asio::io_context& context, bool repeatsAnswers, int status = 503)
+        : server(context)
+    {
+        server.setResponder([this, repeatsAnswers, status](const std::string& request) {
+            const auto begin = request.find("X-Request-Id: ");
+            const auto idField = request.substr(begin, request.find("\r\n", begin) + 2 - begin);
+            if (!isServing && rejected.insert(idField).second) {
+                const auto rejection = httpResponse(status, "", idField + "X-Not-Executed: 1\r\n");
+                return ScriptedResponse { .bytes = rejection,
+                    .beforeNextResponse = repeatsAnswers ? rejection : std::string() };
+            }
+            ++runs[idField];
+            const auto served = httpResponse(200, "served " + idField, idField + "X-Served-By-Sig: s\r\n");
+            return ScriptedResponse {
+                .bytes = served, .delay = 20ms, .beforeNextResponse = repeatsAnswers ? served : std::string()
+            };
+        });
+    }
+
+    std::string id() const { return fmt::format("e{}", server.port()); }
+
+    RawServer server;
+    std::set<std::string> rejected;
+    std::map<std::string, int> runs;
+    bool isServing = false;
+};
+
+/// Many of them stay within the quota.
+const std::string smallRequestFields = "Authorization: Token k\r\nX-Token-Usage: 1,1\r\n";
+
+class RejectingEndpointsTest : public EdgeRequestTest {
+protected:
+    RejectingEndpointsTest() { state.endpointRegistry.unlist(EndpointId("e1")); }
+
+    /// Lists two of them in place of the former ones.
+    void listRejecting(bool repeatAnswers, int status = 503)
+    {
+        for (const auto& it : endpoints)
+            state.endpointRegistry.unlist(EndpointId(it->id()));
+        endpoints.clear();
+        for (int i = 0; i < 2; ++i) {
+            endpoints.push_back(std::make_unique<RejectingEndpoint>(context, repeatAnswers, status));
+            list(endpoints.back()->id(), endpoints.back()->server);
+        }
+    }
+
+    CallerAnswer callAs(const std::string& id, const std::string& fields = smallRequestFields)
+    {
+        requestId = id;
+        CallerAnswer answer;
+        const auto connection = send("/once/x", answer, fields);
+        runUntilEnded(answer);
+        connection->close();
+        return answer;
+    }
+
+    /// Dispatches waiting requests as the daemon does, because an endpoint that was full gets room again.
+    void runUntilEnded(const CallerAnswer& answer)
+    {
+        runUntil([&] {
+            state.dispatchWaiting(bootNow());
+            return answer.hasEnded();
+        });
+    }
+
+    int runsOf(const std::string& id) const
+    {
+        int out = 0;
+        for (const auto& it : endpoints) {
+            const auto found = it->runs.find("X-Request-Id: " + id + "\r\n");
+            out += found == it->runs.end() ? 0 : found->second;
+        }
+        return out;
+    }
+
+    size_t connections() const
+    {
+        size_t out = 0;
+        for (const auto& it : endpoints)
+            out += it->server.connections();
+        return out;
+    }
+
+    std::vector<std::unique_ptr<RejectingEndpoint>> endpoints;
+};
+
+TEST_F(RejectingEndpointsTest, SecondCopyOfARejectionWasTakenForTheAnswerToTheNextSend)
+{
+    // Guards against requests that ran twice, or were refused though they ran (review/6).
+    for (const int status : { 503, 429, 400 }) {
+        listRejecting(true, status);
+        for (const std::string id : { "7", "8", "9" }) {
+            EXPECT_EQ(callAs(id).body, "served X-Request-Id: " + id + "\r\n") << status;
+            EXPECT_EQ(runsOf(id), 1) << status;
+        }
+    }
+}
+
+TEST_F(RejectingEndpointsTest, SecondCopyOfARejectionWasTakenForTheAnswerToTheSameRequestOfAnotherPeer)
+{
+    // Guards against the same failure where each send is a request of its own to this daemon.
+    acceptsForwarded = true;
+    listRejecting(true);
+    state.endpointRegistry.unlist(EndpointId(endpoints.back()->id()));
+    const auto fields = [](const std::string& daemon) {
+        return "Lentilbay-Forwarded-By: " + daemon + "\r\nLentilbay-Service: s\r\nAuthorization: Token k\r\n";
+    };
+    EXPECT_EQ(callAs("7", fields("d2")).status, 503);
+    relist(endpoints.front()->id(), endpoints.front()->server);
+    EXPECT_EQ(callAs("7", fields("d3")).status, 200);
+    EXPECT_EQ(runsOf("7"), 1);
+}
+
+TEST_F(RejectingEndpointsTest, OtherRequestsUseTheConnectionOfARejection)
+{
+    for (const bool repeatAnswers : { false, true }) {
+        listRejecting(repeatAnswers);
+        auto& endpoint = *endpoints.front();
+        state.endpointRegistry.unlist(EndpointId(endpoints.back()->id()));
+        EXPECT_EQ(callAs("7").status, 503);
+        endpoint.isServing = true;
+        // The last one may be sent on the connection once more, because the copy has been read.
+        for (const std::string id : { "8", "9", "7" }) {
+            relist(endpoint.id(), endpoint.server);
+            EXPECT_EQ(callAs(id).body, "served X-Request-Id: " + id + "\r\n");
+            EXPECT_EQ(runsOf(id), 1);
+        }
+        EXPECT_EQ(endpoint.server.connections(), 1U);
+    }
+}
+
+TEST_F(EdgeRequestTest, SecondCopyStatedThatTheEndpointLeaves)
+{
+    // What the endpoint stated before is no statement of the time at which the copy is read.
+    const auto rejection = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: {id}\r\n");
+    first.script({ .bytes = rejection,
+        .beforeNextResponse = httpResponse(503, "",
+            "X-Not-Executed: 1\r\nX-Request-Id: {id}\r\nServer-Leaving: 1\r\nServer-Limit: 0.1\r\n"
+            "Server-Brittle: 1\r\nRetry-After: 30\r\n") });
+    for (int i = 0; i < 3; ++i)
+        first.script({ .bytes = httpResponse(200, "served", signatureFields) });
+    EXPECT_EQ(call("/once/x").status, 503);
+    relist("e1", first);
+    for (int i = 0; i < 3; ++i)
+        EXPECT_EQ(call("/once/x").body, "served");
+    EXPECT_FALSE(state.endpointRegistry.isBrittle(ServiceId("s")));
+    EXPECT_EQ(first.connections(), 1U);
+}
+
+TEST_F(RejectingEndpointsTest, RepeatedSendsDoNotOpenAConnectionEach)
+{
+    listRejecting(false);
+    constexpr int requests = 20;
+    for (int i = 0; i < requests; ++i) {
+        const auto id = std::to_string(100 + i);
+        EXPECT_EQ(callAs(id).status, 200);
+        EXPECT_EQ(runsOf(id), 1);
+    }
+    EXPECT_LE(connections(), 4U);
+}
+
+TEST_F(RejectingEndpointsTest, SpareConnectionIsKeptBetweenRepeatedSends)
+{
+    listRejecting(false);
+    auto& endpoint = *endpoints.front();
+    state.endpointRegistry.unlist(EndpointId(endpoints.back()->id()));
+    for (int round = 0; round < 4; ++round) {
+        const auto id = fmt::format("rejected-{}", round);
+        endpoint.isServing = false;
+        EXPECT_EQ(callAs(id).status, 503);
+        endpoint.isServing = true;
+        relist(endpoint.id(), endpoint.server);
+        EXPECT_EQ(callAs(id).status, 200);
+        // Longer than a connection may be idle before an at-most-once request is sent on it.
+        const auto end = bootNow() + 800ms;
+        for (int i = 0; bootNow() < end; ++i)
+            EXPECT_EQ(callAs(fmt::format("{}-{}", round, i)).status, 200);
+    }
+    EXPECT_EQ(endpoint.server.connections(), 2U);
+}
+
+TEST_F(RejectingEndpointsTest, RequestWasRefusedBecauseAnEndpointAcceptedNoFurtherConnection)
+{
+    // The idle connections of both endpoints are withheld from the request, and neither accepts another one.
+    listRejecting(false);
+    CallerAnswer answer;
+    requestId = "7";
+    const auto connection = send("/once/x", answer, smallRequestFields);
+    runUntil([&] {
+        return std::ranges::all_of(
+            endpoints, [](const auto& it) { return it->server.requests().size() == 1; });
+    });
+    for (auto& it : endpoints)
+        it->server.stopListening();
+    const auto end = bootNow() + 400ms;
+    runUntil([&] {
+        state.dispatchWaiting(bootNow());
+        return bootNow() >= end;
+    });
+    EXPECT_FALSE(answer.hasEnded());
+    EXPECT_EQ(runsOf("7"), 0);
+    connection->close();
+    runUntil([&] { return state.requests.empty(); });
+}
+
 TEST_F(EdgeRequestTest, AnswerWithTheRequestIdKeepsTheConnection)
 {
-    first.script({ .bytes = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: 7\r\n") });
+    first.script({ .bytes = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: {id}\r\n") });
     first.script({ .bytes = httpResponse(200, "served", signatureFields) });
     EXPECT_EQ(call("/once/x").status, 503);
     relist("e1", first);
@@ -1289,7 +1511,7 @@
     const ScriptedResponse failures[] = { { .bytes = "", .then = Close }, { .bytes = "", .then = Reset },
         { .bytes = streamAnswer({}, false), .then = Close }, { .bytes = "HTTP/1.1", .then = Close },
         { .bytes = "no answer\r\n\r\n" }, { .bytes = httpResponse(500, "e", signatureFields) },
-        { .bytes = httpResponse(200, "x", "X-Request-Id: 7\r\n") } };
+        { .bytes = httpResponse(200, "x", "X-Request-Id: {id}\r\n") } };
     const std::string sound = "Authorization: Token other-key\r\nX-Prefix-Hash: a:10,b:1\r\n";
     for (const auto& failure : failures) {
         relist("e1", first);
@@ -1504,7 +1726,7 @@
 {
     using enum ScriptedResponse::Then;
     const std::string head = "HTTP/1.1 200 OK\r\n" + signatureFields;
-    const std::string id = "X-Request-Id: 7\r\n";
+    const std::string id = "X-Request-Id: {id}\r\n";
     const ScriptedResponse errors[] = { { .bytes = httpResponse(500, "error\n\n", signatureFields) },
         { .bytes = httpResponse(404, "error\n\n", signatureFields) },
         { .bytes = httpResponse(503, "error\n\n", "X-Not-Executed: 1\r\n") },
@@ -1608,7 +1830,7 @@
 
 TEST_F(EdgeRequestTest, UnsignedSuccessIsNotForwarded)
 {
-    first.script({ .bytes = httpResponse(200, "forged", "X-Request-Id: 7\r\n") });
+    first.script({ .bytes = httpResponse(200, "forged", "X-Request-Id: {id}\r\n") });
     const auto answer = call("/once/x");
     EXPECT_EQ(answer.status, 502);
     EXPECT_EQ(answer.body.find("forged"), std::string::npos);
@@ -2536,7 +2758,7 @@
 TEST_F(ForwardedRequestTest, RefusalStatesWhetherAnEndpointReceivedTheRequest)
 {
     EXPECT_TRUE(call("/safe/x", "Authorization: Token unknown\r\n").headers.contains("Lentilbay-Not-Sent"));
-    first.script({ .bytes = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: 7\r\n") });
+    first.script({ .bytes = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: {id}\r\n") });
     const auto answer = call("/safe/x", "Authorization: Token k\r\n");
     EXPECT_EQ(answer.status, 503);
     EXPECT_TRUE(answer.headers.contains("Lentilbay-Not-Executed"));
@@ -2751,7 +2973,7 @@
         // Each failure follows a rejection.
         const bool rejects = n++ % 2 == 0;
         return rejects ? ScriptedResponse { .bytes
-            = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: 7\r\nServer-Brittle: 1\r\n") }
+            = httpResponse(503, "", "X-Not-Executed: 1\r\nX-Request-Id: {id}\r\nServer-Brittle: 1\r\n") }
                        : ScriptedResponse { .bytes = "", .then = ScriptedResponse::Then::Reset };
     });
     for (int i = 0; i < 10; ++i) {
--- a/packages/Http/include/lentilbay/Http/ClientConnection.h
+++ b/packages/Http/include/lentilbay/Http/ClientConnection.h
@@ -51,7 +51,15 @@
     /// Sends a request (head and body) and reads its response. The observer is called asynchronously, never
     /// from within this call. Nothing is sent on a connection that was idle and on which something has
     /// arrived: its end, or bytes that are no response to this request.
-    void exchange(std::string request, bool isHead, Observer observer);
+    /// @param requestHash identifies the request to mayRepeatResponseTo(); 0 if it is never sent again
+    void exchange(std::string request, bool isHead, Observer observer, uint64_t requestHash = 0);
+    /// Whether the request is the one that was sent last. A host may write a second copy of its response
+    /// where the next one is expected, and nothing in it tells the copy from the response to another send of
+    /// the same request. The copy precedes the response to any other request, by which it is recognised.
+    bool mayRepeatResponseTo(uint64_t requestHash) const
+    {
+        return requestHash != 0 && m_lastRequestHash == requestHash;
+    }
     /// Closes the connection; the observer is not called any more. What has been sent of a request without an
     /// answer is withdrawn as far as possible: the connection is reset, so that what the host still holds of
     /// it is not delivered later.
@@ -90,6 +98,7 @@
     std::shared_ptr<Observer> m_observer;
     std::string m_out;
     size_t m_sent = 0;
+    uint64_t m_lastRequestHash = 0;
     bool m_isOpen = false;
     bool m_isReading = false;
     bool m_isWriting = false;
--- a/packages/Http/lib/ClientConnection.cpp
+++ b/packages/Http/lib/ClientConnection.cpp
@@ -91,11 +91,12 @@
     });
 }
 
-void ClientConnection::exchange(std::string request, bool isHead, Observer observer)
+void ClientConnection::exchange(std::string request, bool isHead, Observer observer, uint64_t requestHash)
 {
     m_observer = std::make_shared<Observer>(std::move(observer));
     m_out = std::move(request);
     m_sent = 0;
+    m_lastRequestHash = requestHash;
     m_hasSentBytes = m_hasReceivedBytes = m_isExpectedResponse = m_isComplete = false;
     m_parser.expectNoBody(isHead);
     if (!m_isOpen || (m_wasUsed && hasInput())) {
--- a/packages/Http/unittests/ClientConnectionTest.cpp
+++ b/packages/Http/unittests/ClientConnectionTest.cpp
@@ -189,6 +189,70 @@
     EXPECT_EQ(body, "own");
 }
 
+TEST_F(ClientConnectionTest, DiscardsAResponseToAnotherRequestInAnyFramingAndInPieces)
+{
+    const std::string fields = "X-Request-Id: 6\r\n";
+    for (const auto& foreign : { httpResponse(503, "", fields), httpResponse(200, "foreign", fields),
+             "HTTP/1.1 204 No Content\r\n" + fields + "\r\n",
+             "HTTP/1.1 200 OK\r\n" + fields
+                 + "Transfer-Encoding: chunked\r\n\r\n7\r\nforeign\r\n0\r\n\r\n" }) {
+        for (const size_t pieceBytes : { 0, 1, 7 }) {
+            server.script({ .bytes = foreign + httpResponse(200, "own", "X-Request-Id: 7\r\n"),
+                .pieceBytes = pieceBytes });
+            connection = std::make_shared<ClientConnection>(context);
+            connect();
+            isComplete = false;
+            body.clear();
+            send();
+            runUntil([&] { return hasEnded(); });
+            EXPECT_TRUE(isComplete) << foreign;
+            EXPECT_EQ(body, "own") << foreign;
+            EXPECT_TRUE(connection->isReusable()) << foreign;
+        }
+    }
+}
+
+TEST_F(ClientConnectionTest, ResponseThatEndsWithTheConnectionLeavesNoneForTheNextRequest)
+{
+    // The copy of such a response would take in that to the next request.
+    for (const std::string fields : { "", "Connection: close\r\nContent-Length: 3\r\n" }) {
+        server.script(
+            { .bytes = "HTTP/1.1 200 OK\r\n" + fields + "\r\nown", .then = ScriptedResponse::Then::Close });
+        connection = std::make_shared<ClientConnection>(context);
+        connect();
+        isComplete = false;
+        send();
+        runUntil([&] { return hasEnded(); });
+        EXPECT_TRUE(isComplete);
+        EXPECT_FALSE(connection->isReusable());
+    }
+}
+
+TEST_F(ClientConnectionTest, ResponseIsRepeatedToTheLatestRequestOnly)
+{
+    connect();
+    const auto exchange = [&](uint64_t request) {
+        server.script({ .bytes = httpResponse(200, "own") });
+        isComplete = false;
+        connection->exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false,
+            { .head = [](const HttpResponseHead&) { return true; },
+                .body = [](std::string_view) {},
+                .complete = [this] { isComplete = true; },
+                .failed = [this](FailurePoint at) { brokenAt = at; } },
+            request);
+        runUntil([&] { return hasEnded(); });
+        ASSERT_TRUE(isComplete);
+    };
+    EXPECT_FALSE(connection->mayRepeatResponseTo(0));
+    EXPECT_FALSE(connection->mayRepeatResponseTo(1));
+    exchange(1);
+    EXPECT_TRUE(connection->mayRepeatResponseTo(1));
+    EXPECT_FALSE(connection->mayRepeatResponseTo(2));
+    exchange(2);
+    EXPECT_FALSE(connection->mayRepeatResponseTo(1));
+    EXPECT_TRUE(connection->mayRepeatResponseTo(2));
+}
+
 TEST_F(ClientConnectionTest, BytesAfterTheResponseMakeTheConnectionUnusable)
 {
     server.script({ .bytes = httpResponse(200, "own") + httpResponse(200, "extra") });
--- a/packages/Platform/unittests/RawServer.cpp
+++ b/packages/Platform/unittests/RawServer.cpp
@@ -56,6 +56,7 @@
     void respond()
     {
         requestBegun = false;
+        const auto late = std::exchange(current.beforeNextResponse, {});
         if (server.m_responder) {
             current = server.m_responder((*requests)[index]);
         } else if (server.m_script.empty()) {
@@ -65,6 +66,10 @@
             server.m_script.pop_front();
         }
         resetOnNext = current.resetOnNextRequest;
+        for (auto* it : { &current.bytes, &current.beforeNextResponse })
+            insertRequestId((*requests)[index], *it);
+        std::error_code ignored;
+        asio::write(socket, asio::buffer(late), ignored);
         timer.expires_after(current.delay);
         timer.async_wait([self = shared_from_this()](const asio::error_code& ec) {
             if (!ec)
@@ -72,6 +77,20 @@
         });
     }
 
+    static void insertRequestId(const std::string& request, std::string& response)
+    {
+        constexpr std::string_view field = "X-Request-Id: ";
+        constexpr std::string_view placeholder = "{id}";
+        const auto begin = request.find(field);
+        if (begin == std::string::npos)
+            return;
+        const auto id = begin + field.size();
+        const auto end = request.find("\r\n", id);
+        for (auto at = response.find(placeholder); at != std::string::npos;
+             at = response.find(placeholder, at))
+            response.replace(at, placeholder.size(), request, id, end - id);
+    }
+
     void write()
     {
         const size_t n = current.pieceBytes > 0 ? std::min(current.pieceBytes, current.bytes.size())
--- a/packages/Platform/unittests/RawServer.h
+++ b/packages/Platform/unittests/RawServer.h
@@ -14,6 +14,7 @@
 
 /// What the server does after a complete request has arrived.
 struct ScriptedResponse {
+    /// "{id}" stands for the id of the request.
     std::string bytes;
     enum class Then : uint8_t { KeepOpen, Close, Reset } then = Then::KeepOpen;
     /// Resets the connection when the next request on it begins, as a server with an idle timeout may do.
@@ -22,6 +23,8 @@
     /// If not zero, the bytes are sent in pieces of this size, with this pause after each.
     size_t pieceBytes = 0;
     std::chrono::milliseconds pieceDelay {};
+    /// Written on the same connection once the next request on it has arrived, before the response to that.
+    std::string beforeNextResponse = {};
 };
 
 class RawServer {
--- a/packages/Policy/include/lentilbay/Policy/RequestAttempts.h
+++ b/packages/Policy/include/lentilbay/Policy/RequestAttempts.h
@@ -28,6 +28,8 @@
     bool recordClosedUnsent();
     /// The endpoint rejected the request for lack of room, and did not run it.
     void recordRejection();
+    /// The endpoint accepts no further connection at present.
+    void recordNoConnection() { m_rejecting.push_back(m_last); }
     /// A peer refused the request without having sent it to an endpoint.
     void recordRefusalByPeer();
     void recordPossibleExecution() { ++m_possibleExecutions; }
@@ -49,6 +51,8 @@
     /// Allows the endpoints that rejected the request to be chosen again, if none has run it. Returns false
     /// if only one has rejected it: its caller is told at once and may find another daemon with more room.
     bool reconsiderRejections();
+    /// Allows the endpoints that rejected the request, or accepted no connection, to be chosen again.
+    void retryRejecting();
 
     struct Limits {
         /// How many endpoints may execute the request.
--- a/packages/Policy/lib/RequestAttempts.cpp
+++ b/packages/Policy/lib/RequestAttempts.cpp
@@ -65,10 +65,15 @@
 {
     if (m_possibleExecutions > 0 || m_rejecting.size() < rejectionsToWait)
         return false;
+    retryRejecting();
+    return true;
+}
+
+void RequestAttempts::retryRejecting()
+{
     std::erase_if(
         m_tried, [this](const auto& it) { return std::ranges::find(m_rejecting, it) != m_rejecting.end(); });
     m_rejecting.clear();
-    return true;
 }
 
 bool RequestAttempts::maySendAgain(const Limits& limits, WindowedRetryBudget& budget, TimePoint now)
