Give each event loop its own read buffer

In one run of the Edge tests, one of the two daemons of KeysDuringACutTest listed no endpoint for 25 s. The daemons are threads of one process, each with its event loop, and all connections of a process shared one read buffer. It was made for one thread: what a loop has read has to be parsed before the next read, and another thread may read in between.

The buffer belongs to the thread now. That is what the comment beside it promised for an event loop, so the fault was in the product's header and not in the test, although the daemon itself has one loop.

That this was the cause of the one failure is likely, but no run shows it: the log of that run is the only one.

--- a/packages/Http/lib/ReadBuffer.h
+++ b/packages/Http/lib/ReadBuffer.h
@@ -1,5 +1,5 @@
-// The read buffer that all connections share. One thread performs all reads and parses each of them before
-// the next one, so a connection needs no buffer of its own.
+// The read buffer that all connections of an event loop share. Its thread performs all reads and parses each
+// of them before the next one, so a connection needs no buffer of its own.
 #pragma once
 
 #include <array>
@@ -12,7 +12,7 @@
 
 inline std::array<char, readBufferBytes>& readBuffer()
 {
-    static std::array<char, readBufferBytes> buffer;
+    static thread_local std::array<char, readBufferBytes> buffer;
     return buffer;
 }
 
--- a/packages/Http/unittests/ClientConnectionTest.cpp
+++ b/packages/Http/unittests/ClientConnectionTest.cpp
@@ -253,6 +253,54 @@
     EXPECT_TRUE(connection->mayRepeatResponseTo(2));
 }
 
+/// Reads so many responses in an event loop of its own, and returns how many bodies hold another byte.
+size_t countForeignBodies(char byte, int responses)
+{
+    asio::io_context context;
+    RawServer server(context);
+    const std::string expected(32'768, byte);
+    server.setResponder(
+        [&](const std::string&) { return ScriptedResponse { .bytes = httpResponse(200, expected) }; });
+    const auto connection = std::make_shared<ClientConnection>(context);
+    size_t out = 0;
+    std::string body;
+    std::function<void()> next = [&] {
+        body.clear();
+        connection->exchange("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false,
+            { .head = [](const HttpResponseHead&) { return true; },
+                .body = [&](std::string_view piece) { body += piece; },
+                .complete =
+                    [&] {
+                        out += body == expected ? 0 : 1;
+                        if (--responses > 0)
+                            asio::post(context, next);
+                        else
+                            context.stop();
+                    },
+                .failed =
+                    [&](FailurePoint) {
+                        ++out;
+                        context.stop();
+                    } });
+    };
+    connection->connect({ asio::ip::make_address("127.0.0.1"), server.port() }, 5s, [&](bool) { next(); });
+    context.run_for(30s);
+    connection->close();
+    return out;
+}
+
+TEST(ClientConnectionThreadsTest, EventLoopsOfTwoThreadsReadEachOthersBytes)
+{
+    // Guards against a daemon that could not read the responses to another one in the same process.
+    constexpr int responses = 400;
+    size_t other = 0;
+    std::thread thread([&] { other = countForeignBodies('b', responses); });
+    const size_t own = countForeignBodies('a', responses);
+    thread.join();
+    EXPECT_EQ(own, 0U);
+    EXPECT_EQ(other, 0U);
+}
+
 TEST_F(ClientConnectionTest, BytesAfterTheResponseMakeTheConnectionUnusable)
 {
     server.script({ .bytes = httpResponse(200, "own") + httpResponse(200, "extra") });
