Ask once whether the caller was answered in a test of the grace period

The predicate reads the caller's socket. The loop's last call had read the answer, and the assertion's call, with nothing left to read and the end of the connection not there yet, took that for no answer.

The result of the last call is kept and asserted; what is asked of the daemon is the same.

--- a/packages/Edge/unittests/EdgeDaemonTest.cpp
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -224,11 +224,14 @@
         readiness = ask(settings.readiness.port, "GET /lentilbay/readyz HTTP/1.1\r\n" + tail);
     const auto serve = [&](auto isDone) {
         const auto end = std::chrono::steady_clock::now() + 8s;
-        while (!isDone() && std::chrono::steady_clock::now() < end) {
+        // Asked once after each step, because it may read the bytes that it looks for.
+        bool hasEnded = isDone();
+        while (!hasEnded && std::chrono::steady_clock::now() < end) {
             context.run_for(5ms);
             context.restart();
+            hasEnded = isDone();
         }
-        EXPECT_TRUE(isDone());
+        EXPECT_TRUE(hasEnded);
     };
     asio::ip::tcp::socket caller(context);
     caller.connect({ asio::ip::make_address("127.0.0.1"), settings.callers.port });
