Log when connections are closed and what was dropped meanwhile

Whether a request was dropped because it crossed the close, because the event loop did something long after the decision, or because the limit of idle connections was an old one cannot be told from it.

--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -69,6 +69,7 @@
             { "version", static_cast<int64_t>(m_routes->version()) },
             { "organisation", m_organisation ? m_organisation->name.text() : std::string() },
             { "prompt_tokens", m_work.promptTokens },
+            { "arrival_range_ms", millisecondsOf(arrival.latest - arrival.earliest) },
             { "deadline_ms", millisecondsOf(m_expiresAt - m_arrivedAt) } });
     enqueueOrFindOrigin(now);
     if (m_isOver || m_send || m_originLookup)
--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -34,7 +34,9 @@
 bool EdgeDaemon::applyConfiguration(
     const std::string& text, const std::string& source, const ApplyDocument& apply)
 {
+    const auto begin = bootNow();
     auto decoded = outcomeOf<RouteTable>([&] { return platform::decodeConfiguration(text); });
+    const auto decodeTime = bootNow() - begin;
     const auto* failure = std::get_if<Failure>(&decoded);
     auto* table = std::get_if<RouteTable>(&decoded);
     const auto outcome = apply({ text, table ? std::optional(table->version()) : std::nullopt });
@@ -51,7 +53,8 @@
         m_state.dropWithdrawnReservations();
         logEvent(Event::ConfigurationInForce,
             { { "version", static_cast<int64_t>(m_state.routes->version()) },
-                { "routes", static_cast<int64_t>(m_state.routes->routes().size()) }, { "source", source } });
+                { "routes", static_cast<int64_t>(m_state.routes->routes().size()) },
+                { "decode_ms", millisecondsOf(decodeTime) }, { "source", source } });
     }
     return outcome != Outcome::Invalid && outcome != Outcome::Kept;
 }
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -523,7 +523,9 @@
             { "unanswered_bytes", static_cast<int64_t>(end.unansweredBytes) },
             { "unsent_bytes", static_cast<int64_t>(end.unsentBytes) },
             { "open_request", static_cast<int64_t>(end.hadOpenRequest) },
-            { "loop_delay_ms", millisecondsOf(m_loopWatch.delay()) } });
+            { "closing_ms", millisecondsOf(end.closingFor) },
+            { "dropped_after_ms", end.droppedAfter ? millisecondsOf(*end.droppedAfter) : -1 },
+            { "longest_loop_delay_ms", millisecondsOf(m_loopWatch.expectedDelay()) } });
 }
 
 bool EdgeDaemon::isReady(TimePoint now) const
--- a/packages/Edge/lib/EdgeRequest.cpp
+++ b/packages/Edge/lib/EdgeRequest.cpp
@@ -1074,6 +1074,8 @@
             { "events", static_cast<int64_t>(m_eventsRelayed) },
             { "first_ms", m_timeToFirstEvent ? millisecondsOf(*m_timeToFirstEvent) : -1 },
             { "longest_pause_ms", millisecondsOf(m_longestPause) },
+            { "deadline_ms", m_route ? millisecondsOf(m_expiresAt - m_arrivedAt) : -1 },
+            { "arrival_range_ms", millisecondsOf(m_exchange->arrival().latest - m_arrivedAt) },
             { "total_ms", millisecondsOf(now - m_arrivedAt) } });
     m_state.requests.erase(m_number);
     // A slot may be free now. Deferred, because a caller of this function may still use the request.
--- a/packages/Http/include/lentilbay/Http/Server.h
+++ b/packages/Http/include/lentilbay/Http/Server.h
@@ -12,6 +12,7 @@
 #include <asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -116,6 +117,10 @@
     size_t unsentBytes = 0;
     /// The response to a request was not complete.
     bool hadOpenRequest = false;
+    /// From the decision to close it until it was closed.
+    Duration closingFor {};
+    /// From that decision until bytes of the client were first read and dropped; not set if there were none.
+    std::optional<Duration> droppedAfter;
 };
 
 /// The bound of the age of input if nothing is known about the event loop.
--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -212,6 +212,7 @@
         }
         if (m_isClosing) {
             m_droppedBytes += n;
+            m_droppedAt = m_droppedAt.value_or(now);
             continue;
         }
         m_received = arrival;
@@ -568,6 +569,7 @@
         return;
     if (!m_closeReason)
         m_closeReason = reason;
+    m_closingSince = m_closingSince.value_or(bootNow());
     m_isClosing = true;
     m_isClientUncertain = false;
     m_droppedBytes += m_unparsed.size();
@@ -681,12 +683,17 @@
     m_isClosed = true;
     const auto self = shared_from_this();
     const auto leftBytes = m_droppedBytes + m_parser.heldBytes() + m_unparsed.size() + unreadBytes();
-    if (m_server->m_options.closed)
+    if (m_server->m_options.closed) {
+        const auto now = bootNow();
+        const auto closingSince = m_closingSince.value_or(now);
         m_server->m_options.closed({ .reason = m_closeReason.value_or(reason),
             .requests = m_requests,
             .unansweredBytes = m_isRefused ? 0 : leftBytes,
             .unsentBytes = unsentBytes(),
-            .hadOpenRequest = m_exchange != nullptr });
+            .hadOpenRequest = m_exchange != nullptr,
+            .closingFor = now - closingSince,
+            .droppedAfter = m_droppedAt ? std::optional(*m_droppedAt - closingSince) : std::nullopt });
+    }
     std::error_code ec;
     m_requestCharge.release();
     m_responseCharge.release();
--- a/packages/Http/lib/ServerConnection.h
+++ b/packages/Http/lib/ServerConnection.h
@@ -120,6 +120,9 @@
     bool m_isRefused = false;
     /// Set once the connection is closing.
     std::optional<CloseReason> m_closeReason;
+    std::optional<TimePoint> m_closingSince;
+    /// When bytes of the client were first dropped because the connection was closing.
+    std::optional<TimePoint> m_droppedAt;
     size_t m_requests = 0;
     /// Requests handled since the server began to stop.
     size_t m_requestsSinceStop = 0;
