Close idle connections when nothing else is left to do in the turn

Callers saw a connection end without an answer or a refusal, beside a change of the configuration, up to 0.4 s after they had sent a request on it. Cause: a connection is looked at and its close is sent by a timer; the same turn of the event loop then decodes a configuration for 0.2 to 0.4 s on a host of 0.084 cores. A request that arrives meanwhile is read by a connection that is closing already, and dropped.

EventLoop runs tasks once no handler is ready. Idle connections are closed, requests that take too long to arrive are refused, and a stop is checked by such a task: what it finds on a socket is recent, and the loop looks at its sockets again right after it. A loop that is never idle runs it after 0.3 s; the last check of a stop does not wait.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -10,9 +10,11 @@
 #include "lentilbay/Edge/PeerDocument.h"
 #include "lentilbay/Edge/PeerSummaries.h"
 #include "lentilbay/Edge/QuotaCheckpoints.h"
+#include "lentilbay/Edge/StopSchedule.h"
 #include "lentilbay/Edge/StoreFollower.h"
 #include "lentilbay/Edge/StoreWriter.h"
 #include "lentilbay/Edge/TransferBudget.h"
+#include "lentilbay/Http/EventLoop.h"
 #include "lentilbay/Http/Server.h"
 #include "lentilbay/Support/EventLoopWatch.h"
 #include "lentilbay/Support/SignalTime.h"
@@ -177,12 +179,17 @@
     void schedulePeriodic(asio::steady_timer& timer, Duration period, std::function<void()> action);
     void awaitSignal();
     void stop(TimePoint now);
+    /// Checks now if the grace period is about to end, otherwise once the event loop is idle: a check closes
+    /// connections, and what follows it in the same turn may take long.
+    void scheduleStopCheck(TimePoint now);
     /// Ends the process if nothing is left to answer, or if the grace period is about to end.
     void checkStop(TimePoint now);
+    StopSchedule stopSchedule() const;
     /// Ends all requests.
     void endRequests(TimePoint now);
 
-    asio::io_context m_context { 1 };
+    http::EventLoop m_loop;
+    asio::io_context& m_context { m_loop.context() };
     EdgeState m_state;
     std::function<void()> m_reload;
     uint64_t m_incarnation;
@@ -210,6 +217,7 @@
     asio::steady_timer m_heartbeatTimer;
     asio::steady_timer m_maintenanceTimer;
     asio::steady_timer m_stopTimer;
+    bool m_isStopCheckPending = false;
     asio::ip::udp::socket m_peerSocket;
     std::array<char, 65'536> m_datagram {};
     asio::ip::udp::endpoint m_sender;
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -3,7 +3,6 @@
 
 #include "EdgeTimes.h"
 #include "lentilbay/Edge/EdgeRequest.h"
-#include "lentilbay/Edge/StopSchedule.h"
 #include "lentilbay/Support/Hash.h"
 #include "lentilbay/Support/Log.h"
 #include "lentilbay/Support/SteadyClock.h"
@@ -149,7 +148,8 @@
             .repeated = [this](const auto& request, int status) { recordSecondResponse(request, status); },
             .closed = [this](const auto& end) { recordConnectionEnd(end, "client"); },
             .requestMemory = m_state.requestMemory,
-            .responseMemory = m_state.answerMemory });
+            .responseMemory = m_state.answerMemory,
+            .whenIdle = [this](auto task) { m_loop.whenIdle(std::move(task), bootNow()); } });
     serveReadiness();
     serveMetrics();
     m_peerSocket.open(ip::udp::v4());
@@ -196,7 +196,7 @@
     m_sharedRowFollower->start();
     m_quotaCheckpoints.update(m_countsAllUse, false, bootNow());
     announce(bootNow());
-    m_context.run();
+    m_loop.run();
     const auto graceLeft
         = m_state.graceEndsAt ? millisecondsOf(*m_state.graceEndsAt - bootNow()) : int64_t { -1 };
     logEvent(Event::DaemonStopped,
@@ -594,17 +594,37 @@
     // Iterates over a copy, because a request may end.
     for (const auto requests = m_state.requests; const auto& [number, request] : requests)
         request->handleStop(now);
-    schedulePeriodic(m_stopTimer, stopCheckPeriod, [this] { checkStop(bootNow()); });
-    checkStop(now);
+    schedulePeriodic(m_stopTimer, stopCheckPeriod, [this] { scheduleStopCheck(bootNow()); });
+    scheduleStopCheck(now);
 }
 
-void EdgeDaemon::checkStop(TimePoint now)
+StopSchedule EdgeDaemon::stopSchedule() const
 {
-    const auto elapsed = now - *m_state.stopRequestedAt;
-    const StopSchedule schedule { .grace = m_state.settings.bounds.stopGrace,
+    return { .grace = m_state.settings.bounds.stopGrace,
         .graceEndsAt = *m_state.graceEndsAt,
         .expectedDelay = m_loopWatch.expectedDelay() };
-    const bool isLast = schedule.isLastCheck(now);
+}
+
+void EdgeDaemon::scheduleStopCheck(TimePoint now)
+{
+    if (stopSchedule().isLastCheck(now)) {
+        checkStop(now);
+        return;
+    }
+    if (std::exchange(m_isStopCheckPending, true))
+        return;
+    m_loop.whenIdle(
+        [this] {
+            m_isStopCheckPending = false;
+            checkStop(bootNow());
+        },
+        now);
+}
+
+void EdgeDaemon::checkStop(TimePoint now)
+{
+    const auto elapsed = now - *m_state.stopRequestedAt;
+    const bool isLast = stopSchedule().isLastCheck(now);
     // Callers then open their next connection to another daemon instead of being refused here.
     const std::array servers { m_callerServer.get(), m_peerServer.get() };
     if (elapsed >= closeIdleAfterStop) {
@@ -631,7 +651,7 @@
         return;
     if (isLast)
         endRequests(now);
-    m_context.stop();
+    m_loop.stop();
 }
 
 void EdgeDaemon::endRequests(TimePoint now)
--- a/packages/Edge/lib/EdgeLinks.cpp
+++ b/packages/Edge/lib/EdgeLinks.cpp
@@ -69,7 +69,8 @@
             .repeated = [this](const auto& request, int status) { recordSecondResponse(request, status); },
             .closed = [this](const auto& end) { recordConnectionEnd(end, "daemon"); },
             .requestMemory = m_state.requestMemory,
-            .responseMemory = m_state.answerMemory });
+            .responseMemory = m_state.answerMemory,
+            .whenIdle = [this](auto task) { m_loop.whenIdle(std::move(task), bootNow()); } });
 }
 
 void EdgeDaemon::observeLinks(TimePoint now)
--- a/packages/Http/include/lentilbay/Http/Server.h
+++ b/packages/Http/include/lentilbay/Http/Server.h
@@ -146,6 +146,9 @@
     std::shared_ptr<MemoryBudget> requestMemory;
     /// Bounds what clients have not read of their responses; the connection of one that is evicted is closed.
     std::shared_ptr<MemoryBudget> responseMemory;
+    /// Calls a function once the event loop has handled everything that was ready, as EventLoop::whenIdle()
+    /// does. If it is not set, functions are called without waiting for that.
+    std::function<void(std::function<void()>)> whenIdle;
 };
 
 class HttpServer {
--- /dev/null
+++ b/packages/Http/lib/EventLoop.cpp
@@ -0,0 +1,46 @@
+// Runs handlers of Asio and idle tasks by turns.
+#include "lentilbay/Http/EventLoop.h"
+
+#include "lentilbay/Support/SteadyClock.h"
+
+namespace lentilbay::http {
+
+void EventLoop::run()
+{
+    while (!m_isStopped) {
+        // Returns when a task has been added, or if nothing is left to wait for.
+        m_context.restart();
+        if (m_context.run() == 0 && m_tasks.empty())
+            return;
+        while (!m_isStopped && runOne(bootNow())) { }
+    }
+}
+
+void EventLoop::stop()
+{
+    m_isStopped = true;
+    m_context.stop();
+}
+
+void EventLoop::whenIdle(Task task, TimePoint now)
+{
+    m_tasks.push_back({ .task = std::move(task), .notAfter = now + maxTaskDelay });
+    m_context.stop();
+}
+
+bool EventLoop::runOne(TimePoint now)
+{
+    if (m_tasks.empty())
+        return false;
+    const bool isOverdue = now >= m_tasks.front().notAfter;
+    // The context is stopped whenever a task is added.
+    m_context.restart();
+    if (!isOverdue && m_context.poll_one() > 0)
+        return true;
+    const auto entry = std::move(m_tasks.front());
+    m_tasks.pop_front();
+    entry.task();
+    return !m_tasks.empty();
+}
+
+} // namespace lentilbay::http
--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -628,6 +628,20 @@
 }
 
 void ServerConnection::handleTimeout(TimePoint now)
+{
+    if (!m_server->m_options.whenIdle) {
+        endWait(now);
+        return;
+    }
+    // What this turn of the event loop still has to do may take long, and requests that arrive meanwhile
+    // would cross the close.
+    m_server->m_options.whenIdle([self = shared_from_this(), setting = m_timerSettings] {
+        if (!self->m_isClosed && setting == self->m_timerSettings)
+            self->endWait(bootNow());
+    });
+}
+
+void ServerConnection::endWait(TimePoint now)
 {
     // A late event loop comes to the timer before it comes to what has arrived meanwhile.
     if (m_exchange || m_requestCharge.isEvicted() || takeArrived(now))
--- a/packages/Http/lib/ServerConnection.h
+++ b/packages/Http/lib/ServerConnection.h
@@ -77,6 +77,8 @@
     Duration waitTimeout() const;
     /// Called when it has waited for so long.
     void handleTimeout(TimePoint now);
+    /// Ends the wait of a client whose time is over, unless something has arrived or the limits have changed.
+    void endWait(TimePoint now);
     /// Calls `expired` after a time, unless the timer is set again or cancelled meanwhile. (A handler that is
     /// already queued cannot be cancelled by the timer itself.)
     void setTimer(Duration delay, std::function<void()> expired);
