Keep idle connections until a newer limit would be in force

By reading: callers reuse connections by the newest idle limit, while a daemon that has not put it in force yet closes them by the former one, so that a raised limit makes both happen at the same time.

An idle connection of a caller is now kept for the limit in force and, in addition, for the time within which a new configuration is in force everywhere; the limit is looked at again before the close, as before. Connections of daemons have a timeout of their own.

RequestOfAClientThatWentByANewerIdleLimitCrossedTheClose and ConnectionOfADaemonWasClosedByTheIdleLimitOfCallers failed without the change (once each), and passed in three runs with it. The first one also shows that idle connections are still closed.

--- a/packages/Edge/lib/EdgeLinks.cpp
+++ b/packages/Edge/lib/EdgeLinks.cpp
@@ -16,6 +16,8 @@
 constexpr Duration lossDetectionTime = std::chrono::seconds(2);
 /// Header bytes that forwarding adds to a request.
 constexpr size_t forwardingHeaderBytes = 4096;
+/// Daemons keep idle connections to each other for a shorter time, which no limit of the callers changes.
+constexpr Duration peerIdleTimeout = std::chrono::seconds(30);
 
 std::string_view printed(LinkState state)
 {
@@ -37,9 +39,11 @@
 http::ServerLimits EdgeDaemon::callerLimits() const
 {
     const auto limits = m_state.routes ? m_state.routes->limits() : CallerLimits {};
+    // Until a new configuration is in force everywhere, callers may go by it or by the one that this daemon
+    // has. A connection that is closed sooner is closed while a caller sends its next request on it.
     return { .parser = { .headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes },
         .headerTimeout = limits.headerTimeout,
-        .idleTimeout = limits.idleTimeout };
+        .idleTimeout = limits.idleTimeout + m_state.settings.bounds.configurationAge };
 }
 
 void EdgeDaemon::servePeers()
@@ -51,6 +55,7 @@
                 [this] {
                     auto limits = callerLimits();
                     limits.parser.headerBytes += forwardingHeaderBytes;
+                    limits.idleTimeout = peerIdleTimeout;
                     return limits;
                 },
             .maxInputAge = [this](TimePoint now) { return m_loopWatch.maxInputAge(now); },
--- a/packages/Edge/unittests/EdgeDaemonTest.cpp
+++ b/packages/Edge/unittests/EdgeDaemonTest.cpp
@@ -253,6 +253,81 @@
     awaitStop();
 }
 
+/// The daemon has a configuration with an idle timeout of 300 ms, which is in force everywhere after 1 s.
+class IdleLimitTest : public EdgeDaemonTest {
+protected:
+    IdleLimitTest()
+    {
+        settings.bounds.configurationAge = 1s;
+        store.setResponder([this, entry = entryOfEndpoint()](const std::string& request) {
+            if (request.find("rows-get?Table=op") != std::string::npos)
+                return ScriptedResponse { .bytes
+                    = rowsAnswer(
+                        R"({"Table":"op","Key":"config","Ver":1,"Value":")" + configuration + "\"}") };
+            const bool waits = request.find("rows-feed") != std::string::npos;
+            return ScriptedResponse { .bytes = storeAnswer(request, entry), .delay = waits ? 50ms : 0ms };
+        });
+        endpoint.setResponder([](const std::string&) {
+            return ScriptedResponse { .bytes
+                = httpResponse(200, "served", "X-Request-Id: 7\r\nX-Served-By-Sig: s\r\n") };
+        });
+        start();
+        std::string received;
+        for (int i = 0; i < maxTries && received.find("served") == std::string::npos; ++i)
+            received = ask(settings.callers.port, "GET /a/x HTTP/1.1\r\n" + tail);
+        EXPECT_NE(received.find("served"), std::string::npos);
+    }
+
+    ~IdleLimitTest() override
+    {
+        kill(getpid(), SIGTERM);
+        awaitStop();
+    }
+
+    /// Connects and sends a request, and another one after the connection has been idle for some time.
+    /// Returns whether both were answered.
+    bool isAnsweredAfter(uint16_t port, Duration idleTime)
+    {
+        asio::ip::tcp::socket socket(context);
+        socket.connect({ asio::ip::make_address("127.0.0.1"), port });
+        socket.non_blocking(true);
+        const auto isAnswered = [&] {
+            std::error_code ec;
+            asio::write(socket,
+                asio::buffer(std::string("GET /a/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: 7\r\n\r\n")), ec);
+            std::array<char, 4096> buf {};
+            size_t n = 0;
+            for (int i = 0; i < 200 && !n && (!ec || ec == asio::error::would_block); ++i) {
+                context.run_for(5ms);
+                context.restart();
+                n = socket.read_some(asio::buffer(buf), ec);
+            }
+            return n > 0;
+        };
+        if (!isAnswered())
+            return false;
+        context.run_for(idleTime);
+        context.restart();
+        return isAnswered();
+    }
+
+    const std::string configuration
+        = encoded(R"({"Version":1,"Routes":[{"Name":"r","Host":"h","Prefix":"/a/","Type":"safe",)"
+                  R"("TimeoutMs":2000,"Service":"s","Public":true}],"Services":[{"Name":"s"}],)"
+                  R"("Limits":{"IdleTimeoutMs":300}})");
+};
+
+TEST_F(IdleLimitTest, RequestOfAClientThatWentByANewerIdleLimitCrossedTheClose)
+{
+    EXPECT_TRUE(isAnsweredAfter(settings.callers.port, 900ms));
+    EXPECT_FALSE(isAnsweredAfter(settings.callers.port, 1800ms)) << "idle connections are closed";
+}
+
+TEST_F(IdleLimitTest, ConnectionOfADaemonWasClosedByTheIdleLimitOfCallers)
+{
+    EXPECT_TRUE(isAnsweredAfter(settings.firstPeerPort, 1800ms));
+}
+
 TEST_F(EdgeDaemonTest, IdleDaemonPollsRarelyAndRejectsAWaitingRequestInTime)
 {
     // Each daemon of an idle fleet looked at its empty queue 25 times a second.
