--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -523,7 +523,7 @@
             { "unanswered_bytes", static_cast<int64_t>(end.unansweredBytes) },
             { "unsent_bytes", static_cast<int64_t>(end.unsentBytes) },
             { "open_request", static_cast<int64_t>(end.hadOpenRequest) },
-            { "closing_ms", millisecondsOf(end.closingFor) },
+            { "waited_ms", millisecondsOf(end.waitedFor) }, { "closing_ms", millisecondsOf(end.closingFor) },
             { "dropped_after_ms", end.droppedAfter ? millisecondsOf(*end.droppedAfter) : -1 },
             { "longest_loop_delay_ms", millisecondsOf(m_loopWatch.expectedDelay()) } });
 }
--- a/packages/Http/include/lentilbay/Http/Server.h
+++ b/packages/Http/include/lentilbay/Http/Server.h
@@ -117,6 +117,8 @@
     size_t unsentBytes = 0;
     /// The response to a request was not complete.
     bool hadOpenRequest = false;
+    /// How long it had waited for the client when that was decided; zero if it had not.
+    Duration waitedFor {};
     /// From the decision to close it until it was closed.
     Duration closingFor {};
     /// From that decision until bytes of the client were first read and dropped; not set if there were none.
--- a/packages/Http/lib/Server.cpp
+++ b/packages/Http/lib/Server.cpp
@@ -652,6 +652,7 @@
         setTimer(left, [this] { handleTimeout(bootNow()); });
         return;
     }
+    m_waitedFor = now - m_waitsSince;
     if (!m_parser.isMidRequest()) {
         closeGracefully(CloseReason::IdleTimeout);
         return;
@@ -705,6 +706,7 @@
             .unansweredBytes = m_isRefused ? 0 : leftBytes,
             .unsentBytes = unsentBytes(),
             .hadOpenRequest = m_exchange != nullptr,
+            .waitedFor = m_waitedFor,
             .closingFor = now - closingSince,
             .droppedAfter = m_droppedAt ? std::optional(*m_droppedAt - closingSince) : std::nullopt });
     }
--- a/packages/Http/lib/ServerConnection.h
+++ b/packages/Http/lib/ServerConnection.h
@@ -123,6 +123,7 @@
     /// Set once the connection is closing.
     std::optional<CloseReason> m_closeReason;
     std::optional<TimePoint> m_closingSince;
+    Duration m_waitedFor {};
     /// When bytes of the client were first dropped because the connection was closing.
     std::optional<TimePoint> m_droppedAt;
     size_t m_requests = 0;
