Wait before connections are closed, so that what has arrived is seen

Cause: SIGTERM of edge-sa-uno-16 at 11.000 s, requests sent to it at 12.672 and 12.677 s, their connections closed at 13.006 s. A process that has used up its processor time does not see what has arrived until it waits.

An idle task now comes after a wait of 1 ms in which nothing became ready, also if it is overdue.

--- a/packages/Http/include/lentilbay/Http/EventLoop.h
+++ b/packages/Http/include/lentilbay/Http/EventLoop.h
@@ -1,8 +1,9 @@
-// An event loop with tasks that run once everything that was ready has been handled.
+// An event loop with tasks that run once it has waited and nothing was ready.
 //
-// What a handler finds on a socket may be out of date when its turn of the loop ends: other handlers of the
-// same turn may take long. A task that looks at a socket and then does what cannot be undone, such as closing
-// it, is followed by no other handler before the loop looks at its sockets again.
+// What a handler finds on a socket may be out of date: other handlers of the same turn may take long, and
+// where the process has used up its processor time, what has arrived meanwhile becomes readable only when it
+// waits. A task that looks at a socket and then does what cannot be undone, such as closing it, comes right
+// after a wait and is followed by no other handler before the loop looks at its sockets again.
 #pragma once
 
 #include "lentilbay/Support/Time.h"
@@ -22,13 +23,13 @@
     void run();
     /// Called by a handler or a task; those that are ready and have not run are dropped.
     void stop();
-    /// Runs the task once no handler is ready, or after `maxTaskDelay` if the loop is never idle. Called by a
-    /// handler or a task.
+    /// Runs the task once the loop has waited for `idleWait` and no handler was ready, or after
+    /// `maxTaskDelay` and such a wait if the loop is never idle. Called by a handler or a task.
     void whenIdle(Task task, TimePoint now);
-    /// Runs the next task if no handler is ready or the task has waited for `maxTaskDelay`, otherwise a
-    /// handler. Returns whether tasks are left.
+    /// Runs the next task if it is time to, otherwise a handler. Returns whether tasks are left.
     bool runOne(TimePoint now);
 
+    static constexpr Duration idleWait = std::chrono::milliseconds(1);
     static constexpr Duration maxTaskDelay = std::chrono::milliseconds(300);
 
 private:
--- a/packages/Http/lib/EventLoop.cpp
+++ b/packages/Http/lib/EventLoop.cpp
@@ -3,6 +3,8 @@
 
 #include "lentilbay/Support/SteadyClock.h"
 
+#include <poll.h>
+
 namespace lentilbay::http {
 
 void EventLoop::run()
@@ -32,10 +34,11 @@
 {
     if (m_tasks.empty())
         return false;
-    const bool isOverdue = now >= m_tasks.front().notAfter;
     // The context is stopped whenever a task is added.
     m_context.restart();
-    if (!isOverdue && m_context.poll_one() > 0)
+    if (now >= m_tasks.front().notAfter)
+        poll(nullptr, 0, idleWait / std::chrono::milliseconds(1));
+    else if (m_context.run_one_for(idleWait) > 0 || m_context.poll_one() > 0)
         return true;
     const auto entry = std::move(m_tasks.front());
     m_tasks.pop_front();
