Decode only the routes of a configuration that have changed

Connections, deadlines and heartbeats waited for that long, and the arrival of requests was known in bounds of up to 1 s only.

The text is split at its routes. Those whose text was in the version in force are taken from it, the others are parsed one by one; if anything in that fails, the whole text is decoded as before, which decides whether it is valid and states the place of an error. A text that is in force already is not decoded at all.

--- a/fuzz/PlatformFuzz.cpp
+++ b/fuzz/PlatformFuzz.cpp
@@ -37,6 +37,24 @@
     }
 }
 
+/// A configuration is decoded in the same way whether or not its former version is known.
+void checkNextConfiguration(const std::string& text)
+{
+    const auto whole = outcomeOf<RouteTable>([&] { return platform::decodeConfiguration(text); });
+    const auto next = outcomeOf<platform::DecodedConfiguration>(
+        [&] { return platform::decodeNextConfiguration(text, nullptr, {}); });
+    const auto* expected = std::get_if<RouteTable>(&whole);
+    const auto* found = std::get_if<platform::DecodedConfiguration>(&next);
+    const bool isAlike = !expected == !found
+        && (!expected
+            || (found->table.version() == expected->version() && found->table.routes() == expected->routes()
+                && found->table.limits() == expected->limits()));
+    if (!isAlike) {
+        std::cerr << "a configuration is decoded in different ways\n";
+        std::abort();
+    }
+}
+
 void checkPromptParts(const std::string& text)
 {
     http::HttpRequest request;
@@ -71,6 +89,7 @@
     check<platform::StoreRows>(
         [&] { return platform::decodeRows(text, 0); }, ResultCode::PlatformAnswerInvalid);
     checkFindings(text);
+    checkNextConfiguration(text);
     checkPromptParts(text);
     return 0;
 }
--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -18,6 +18,7 @@
 #include "lentilbay/Http/Server.h"
 #include "lentilbay/Support/EventLoopWatch.h"
 #include "lentilbay/Support/SignalTime.h"
+#include "lentilbay/platform/Documents.h"
 
 #include <array>
 #include <asio/ip/udp.hpp>
@@ -236,6 +237,8 @@
     /// Whether endpoints stated something about themselves when that was last divided among the daemons.
     bool m_hadSignals = false;
     ActiveConfiguration m_activeConfiguration;
+    /// Those of the routes in force.
+    std::vector<platform::TextHash> m_routeTexts;
     ConfigurationCatchUp m_catchUp;
     ConfigurationViews m_configurationViews;
     /// The calls to peers for their configuration and their list of endpoints.
--- a/packages/Edge/lib/EdgeConfiguration.cpp
+++ b/packages/Edge/lib/EdgeConfiguration.cpp
@@ -34,13 +34,19 @@
 bool EdgeDaemon::applyConfiguration(
     const std::string& text, const std::string& source, const ApplyDocument& apply)
 {
+    using Outcome = ActiveConfiguration::Outcome;
+    if (m_state.routes && text == m_activeConfiguration.text()) {
+        const auto outcome = apply({ text, m_state.routes->version() });
+        return outcome != Outcome::Invalid && outcome != Outcome::Kept;
+    }
     const auto begin = bootNow();
-    auto decoded = outcomeOf<RouteTable>([&] { return platform::decodeConfiguration(text); });
+    auto decoded = outcomeOf<platform::DecodedConfiguration>(
+        [&] { return platform::decodeNextConfiguration(text, m_state.routes.get(), m_routeTexts); });
     const auto decodeTime = bootNow() - begin;
     const auto* failure = std::get_if<Failure>(&decoded);
-    auto* table = std::get_if<RouteTable>(&decoded);
+    auto* configuration = std::get_if<platform::DecodedConfiguration>(&decoded);
+    auto* table = configuration ? &configuration->table : nullptr;
     const auto outcome = apply({ text, table ? std::optional(table->version()) : std::nullopt });
-    using Outcome = ActiveConfiguration::Outcome;
     if (failure) {
         logEvent(Event::ConfigurationInvalid,
             { { "code", printed(failure->code) }, { "detail", failure->detail }, { "source", source } });
@@ -50,10 +56,12 @@
                 { "in_force", static_cast<int64_t>(m_state.routes->version()) }, { "source", source } });
     } else if (outcome == Outcome::InForce) {
         m_state.routes = std::make_shared<const RouteTable>(std::move(*table));
+        m_routeTexts = std::move(configuration->routeTexts);
         m_state.dropWithdrawnReservations();
         logEvent(Event::ConfigurationInForce,
             { { "version", static_cast<int64_t>(m_state.routes->version()) },
                 { "routes", static_cast<int64_t>(m_state.routes->routes().size()) },
+                { "idle_timeout_ms", millisecondsOf(m_state.routes->limits().idleTimeout) },
                 { "decode_ms", millisecondsOf(decodeTime) }, { "source", source } });
     }
     return outcome != Outcome::Invalid && outcome != Outcome::Kept;
