Wait before the last check of a stop as well

By reading: the last check of a stop looked at connections right after whatever the same turn had done, and closed those on which it found nothing. It is an idle task now that is due at once, so that it comes after a wait of 1 ms and before all other handlers. Tasks run in the order of the times by which they must have run.

--- a/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
+++ b/packages/Edge/include/lentilbay/Edge/EdgeDaemon.h
@@ -180,8 +180,7 @@
     void schedulePeriodic(asio::steady_timer& timer, Duration period, std::function<void()> action);
     void awaitSignal();
     void stop(TimePoint now);
-    /// Checks now if the grace period is about to end, otherwise once the event loop is idle: a check closes
-    /// connections, and what follows it in the same turn may take long.
+    /// Checks at once if the grace period is about to end, otherwise when the event loop is idle.
     void scheduleStopCheck(TimePoint now);
     /// Ends the process if nothing is left to answer, or if the grace period is about to end.
     void checkStop(TimePoint now);
--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -149,7 +149,7 @@
             .closed = [this](const auto& end) { recordConnectionEnd(end, "client"); },
             .requestMemory = m_state.requestMemory,
             .responseMemory = m_state.answerMemory,
-            .whenIdle = [this](auto task) { m_loop.whenIdle(std::move(task), bootNow()); } });
+            .whenIdle = [this](auto task) { m_loop.whenIdle(std::move(task), bootNow() + maxCloseDelay); } });
     serveReadiness();
     serveMetrics();
     m_peerSocket.open(ip::udp::v4());
@@ -607,18 +607,15 @@
 
 void EdgeDaemon::scheduleStopCheck(TimePoint now)
 {
-    if (stopSchedule().isLastCheck(now)) {
-        checkStop(now);
-        return;
-    }
-    if (std::exchange(m_isStopCheckPending, true))
+    const bool isLast = stopSchedule().isLastCheck(now);
+    if (std::exchange(m_isStopCheckPending, true) && !isLast)
         return;
     m_loop.whenIdle(
         [this] {
             m_isStopCheckPending = false;
             checkStop(bootNow());
         },
-        now);
+        isLast ? now : now + maxCloseDelay);
 }
 
 void EdgeDaemon::checkStop(TimePoint now)
--- a/packages/Edge/lib/EdgeLinks.cpp
+++ b/packages/Edge/lib/EdgeLinks.cpp
@@ -75,7 +75,7 @@
             .closed = [this](const auto& end) { recordConnectionEnd(end, "daemon"); },
             .requestMemory = m_state.requestMemory,
             .responseMemory = m_state.answerMemory,
-            .whenIdle = [this](auto task) { m_loop.whenIdle(std::move(task), bootNow()); } });
+            .whenIdle = [this](auto task) { m_loop.whenIdle(std::move(task), bootNow() + maxCloseDelay); } });
 }
 
 void EdgeDaemon::observeLinks(TimePoint now)
--- a/packages/Edge/lib/EdgeTimes.h
+++ b/packages/Edge/lib/EdgeTimes.h
@@ -29,6 +29,8 @@
 /// The part of the grace period after SIGTERM that is left when the last requests have ended, for their
 /// answers to be sent.
 constexpr Duration stopMargin = std::chrono::milliseconds(700);
+/// How long closing a connection may wait for the event loop to be idle.
+constexpr Duration maxCloseDelay = std::chrono::milliseconds(300);
 /// Retry-After while this daemon is draining: other daemons can serve the caller immediately.
 constexpr Duration drainingRetryAfter = std::chrono::milliseconds(20);
 /// Retry-After of a refusal that is not caused by load.
--- a/packages/Http/include/lentilbay/Http/EventLoop.h
+++ b/packages/Http/include/lentilbay/Http/EventLoop.h
@@ -23,23 +23,22 @@
     void run();
     /// Called by a handler or a task; those that are ready and have not run are dropped.
     void stop();
-    /// Runs the task once the loop has waited for `idleWait` and no handler was ready, or after
-    /// `maxTaskDelay` and such a wait if the loop is never idle. Called by a handler or a task.
-    void whenIdle(Task task, TimePoint now);
+    /// Runs the task once the loop has waited for `idleWait` and no handler was ready, or at `latest` after
+    /// such a wait if the loop is never idle. Called by a handler or a task.
+    void whenIdle(Task task, TimePoint latest);
     /// Runs the next task if it is time to, otherwise a handler. Returns whether tasks are left.
     bool runOne(TimePoint now);
 
     static constexpr Duration idleWait = std::chrono::milliseconds(1);
-    static constexpr Duration maxTaskDelay = std::chrono::milliseconds(300);
 
 private:
     struct Entry {
         Task task;
-        TimePoint notAfter {};
+        TimePoint latest {};
     };
 
     asio::io_context m_context { 1 };
-    /// In the order in which they run.
+    /// By `latest`, which is the order in which they run.
     std::deque<Entry> m_tasks;
     bool m_isStopped = false;
 };
--- a/packages/Http/lib/EventLoop.cpp
+++ b/packages/Http/lib/EventLoop.cpp
@@ -3,6 +3,7 @@
 
 #include "lentilbay/Support/SteadyClock.h"
 
+#include <algorithm>
 #include <poll.h>
 
 namespace lentilbay::http {
@@ -24,9 +25,10 @@
     m_context.stop();
 }
 
-void EventLoop::whenIdle(Task task, TimePoint now)
+void EventLoop::whenIdle(Task task, TimePoint latest)
 {
-    m_tasks.push_back({ .task = std::move(task), .notAfter = now + maxTaskDelay });
+    const auto it = std::ranges::upper_bound(m_tasks, latest, {}, &Entry::latest);
+    m_tasks.insert(it, { .task = std::move(task), .latest = latest });
     m_context.stop();
 }
 
@@ -36,7 +38,7 @@
         return false;
     // The context is stopped whenever a task is added.
     m_context.restart();
-    if (now >= m_tasks.front().notAfter)
+    if (now >= m_tasks.front().latest)
         poll(nullptr, 0, idleWait / std::chrono::milliseconds(1));
     else if (m_context.run_one_for(idleWait) > 0 || m_context.poll_one() > 0)
         return true;
--- a/packages/Http/unittests/EventLoopTest.cpp
+++ b/packages/Http/unittests/EventLoopTest.cpp
@@ -17,18 +17,21 @@
 
 using namespace std::chrono_literals;
 
+/// How long tasks may wait for the loop to be idle.
+constexpr Duration delay = 300ms;
+
 TEST(EventLoopTest, TasksRunAfterAllHandlersThatAreReadyAndInOrder)
 {
     EventLoop loop;
     std::vector<int> order;
     asio::post(loop.context(), [&] {
-        loop.whenIdle([&] { order.push_back(4); }, bootNow());
+        loop.whenIdle([&] { order.push_back(4); }, bootNow() + delay);
         loop.whenIdle(
             [&] {
                 order.push_back(5);
                 loop.stop();
             },
-            bootNow());
+            bootNow() + delay);
         asio::post(loop.context(), [&] { order.push_back(3); });
         order.push_back(1);
     });
@@ -47,13 +50,13 @@
                 order.push_back(1);
                 asio::post(loop.context(), [&] { order.push_back(2); });
             },
-            bootNow());
+            bootNow() + delay);
         loop.whenIdle(
             [&] {
                 order.push_back(3);
                 loop.stop();
             },
-            bootNow());
+            bootNow() + delay);
     });
     loop.run();
     EXPECT_EQ(order, (std::vector { 1, 2, 3 }));
@@ -65,20 +68,36 @@
     std::function<void()> postAgain = [&] { asio::post(loop.context(), [&] { postAgain(); }); };
     const auto begin = bootNow();
     asio::post(loop.context(), [&] {
-        loop.whenIdle([&] { loop.stop(); }, bootNow());
+        loop.whenIdle([&] { loop.stop(); }, bootNow() + delay);
         postAgain();
     });
     loop.run();
     const auto waited = bootNow() - begin;
-    EXPECT_GE(waited, EventLoop::maxTaskDelay);
-    EXPECT_LT(waited, 2 * EventLoop::maxTaskDelay);
+    EXPECT_GE(waited, delay);
+    EXPECT_LT(waited, 2 * delay);
+}
+
+TEST(EventLoopTest, TaskThatIsDueAtOnceRunsBeforeHandlersThatAreReady)
+{
+    EventLoop loop;
+    std::vector<int> order;
+    asio::post(loop.context(), [&] {
+        loop.whenIdle([&] { order.push_back(3); }, bootNow() + delay);
+        loop.whenIdle([&] { order.push_back(1); }, bootNow());
+        asio::post(loop.context(), [&] {
+            order.push_back(2);
+            loop.whenIdle([&] { loop.stop(); }, bootNow() + delay);
+        });
+    });
+    loop.run();
+    EXPECT_EQ(order, (std::vector { 1, 2, 3 }));
 }
 
 TEST(EventLoopTest, LoopWithoutAnythingToWaitForEnds)
 {
     EventLoop loop;
     bool hasRun = false;
-    asio::post(loop.context(), [&] { loop.whenIdle([&] { hasRun = true; }, bootNow()); });
+    asio::post(loop.context(), [&] { loop.whenIdle([&] { hasRun = true; }, bootNow() + delay); });
     loop.run();
     EXPECT_TRUE(hasRun);
 }
@@ -88,7 +107,7 @@
     EventLoop loop;
     asio::steady_timer timer(loop.context(), 50ms);
     int runs = 0;
-    asio::post(loop.context(), [&] { loop.whenIdle([&] { ++runs; }, bootNow()); });
+    asio::post(loop.context(), [&] { loop.whenIdle([&] { ++runs; }, bootNow() + delay); });
     timer.async_wait([&](std::error_code) { loop.stop(); });
     loop.run();
     EXPECT_EQ(runs, 1);
@@ -104,7 +123,7 @@
                 .handler = [](const std::shared_ptr<Exchange>& it) { it->respond(200, "OK", {}, "answer"); },
                 .malformed = {},
                 .closed = [this](const ConnectionEnd& it) { ends.push_back(it); },
-                .whenIdle = [this](auto task) { loop.whenIdle(std::move(task), bootNow()); } })
+                .whenIdle = [this](auto task) { loop.whenIdle(std::move(task), bootNow() + delay); } })
         , client(loop.context())
     {
         client.connect({ asio::ip::make_address("127.0.0.1"), server.port() });
@@ -186,7 +205,7 @@
 {
     std::function<void()> postAgain = [&] { asio::post(loop.context(), [&] { postAgain(); }); };
     postAgain();
-    runFor(limits.idleTimeout + EventLoop::maxTaskDelay + 100ms);
+    runFor(limits.idleTimeout + delay + 100ms);
     EXPECT_EQ(takeAnswers(), 0U);
     EXPECT_EQ(end, asio::error::eof);
     // Ends the posted handlers before what they refer to.
