--- a/packages/Http/include/lentilbay/Http/EventLoop.h
+++ b/packages/Http/include/lentilbay/Http/EventLoop.h
@@ -1,9 +1,9 @@
 // An event loop with tasks that run once it has waited and nothing was ready.
 //
-// What a handler finds on a socket may be out of date: other handlers of the same turn may take long, and
-// where the process has used up its processor time, what has arrived meanwhile becomes readable only when it
-// waits. A task that looks at a socket and then does what cannot be undone, such as closing it, comes right
-// after a wait and is followed by no other handler before the loop looks at its sockets again.
+// What a handler finds on a socket may be out of date: other handlers of the same turn may take long, and on
+// some systems what arrives while a process computes becomes readable only when it waits. A task that looks
+// at a socket and then does what cannot be undone, such as closing it, comes right after a wait and is
+// followed by no other handler before the loop looks at its sockets again.
 #pragma once
 
 #include "lentilbay/Support/Time.h"
