Let a begun stream go on until its caller's deadline at a timeout that is no shorter

Cause: the timeout of a route is counted from the earliest time at which the request may have arrived, plus 0.4 s at most, also for a begun stream.

A caller whose deadline is no longer than the timeout leaves by itself at its deadline, so the timeout need not end its stream: it goes on until the latest possible deadline, as it did where the timeout is much longer. One that would wait for longer is still ended by the timeout.

BegunStreamWasCutByATimeoutThatEndsNoSoonerThanItsDeadline failed without the change (cut after 2.2 s of 3 s), and passed twice with it. It shows the opposite, too.

--- a/packages/Edge/lib/EdgeAdmission.cpp
+++ b/packages/Edge/lib/EdgeAdmission.cpp
@@ -45,9 +45,8 @@
     const auto uncertainty = arrival.latest - arrival.earliest;
     const auto endDelay = std::min(uncertainty, maxEndDelay);
     // A caller leaves by itself at its own deadline, but does not know the timeout of the route.
-    const bool isBounded = !m_route->isStream || !m_metadata.deadline;
-    m_endsAt = m_arrivedAt
-        + std::min(m_route->timeout + endDelay, deadline + (isBounded ? endDelay : uncertainty));
+    const bool isBounded = !m_route->isStream || !m_metadata.deadline || deadline > m_route->timeout;
+    m_endsAt = m_arrivedAt + std::min(m_route->timeout, deadline) + (isBounded ? endDelay : uncertainty);
     if (now >= m_expiresAt) {
         refuse(ResultCode::DeadlinePassedWaiting, Duration::zero(), now);
         return;
--- a/packages/Edge/unittests/EdgeRequestTest.cpp
+++ b/packages/Edge/unittests/EdgeRequestTest.cpp
@@ -2150,6 +2150,34 @@
     EXPECT_GT(std::stoi(sent.substr(at + std::string("X-Deadline-Ms: ").size())), 700);
 }
 
+TEST_F(EdgeRequestTest, BegunStreamWasCutByATimeoutThatEndsNoSoonerThanItsDeadline)
+{
+    const auto bytes = streamAnswer({ eventOf(1), eventOf(2) });
+    first.setResponder([&](const std::string&) {
+        return ScriptedResponse {
+            .bytes = bytes, .pieceBytes = bytes.size() - eventOf(2).size(), .pieceDelay = 2500ms
+        };
+    });
+    // The timeout of the route is 3 s.
+    const auto timeOf = [&](const std::string& deadline) {
+        http::HttpRequest request { .method = "POST", .target = "/stream/x" };
+        request.headers.add("Host", "h");
+        request.headers.add("X-Request-Id", "7");
+        request.headers.add("Authorization", "Token k");
+        request.headers.add("X-Deadline-Ms", deadline);
+        const auto begin = bootNow();
+        const auto exchange = std::make_shared<http::Exchange>(
+            nullptr, std::move(request), http::ArrivalTime { .earliest = begin - 1200ms, .latest = begin });
+        std::make_shared<EdgeRequest>(state, exchange)->admit(bootNow());
+        runUntil([&] { return exchange->isDone(); });
+        return bootNow() - begin;
+    };
+    EXPECT_GT(timeOf("3000"), 2450ms);
+    EXPECT_NE(state.metrics.text({}).find(printed(ResultCode::Ok)), std::string::npos);
+    // The opposite: a caller that would wait for longer than the timeout is not kept.
+    EXPECT_LT(timeOf("9000"), 2350ms);
+}
+
 TEST_F(EdgeRequestTest, BegunStreamWasCutBeforeItsDeadlineAsItsArrivalWasHardlyKnown)
 {
     const auto bytes = streamAnswer({ eventOf(1), eventOf(2) });
