Run handlers between tasks of the event loop that are overdue

After a task that was overdue, up to 64 handlers that are ready run before the next one. The last check of a stop comes before all other tasks. TasksThatWereOverdueTogetherHeldHandlersUp plays 200 such tasks beside a timer.

--- a/packages/Edge/lib/EdgeDaemon.cpp
+++ b/packages/Edge/lib/EdgeDaemon.cpp
@@ -615,7 +615,8 @@
             m_isStopCheckPending = false;
             checkStop(bootNow());
         },
-        isLast ? now : now + maxCloseDelay);
+        // The last check comes before all other tasks.
+        isLast ? TimePoint::min() : now + maxCloseDelay);
 }
 
 void EdgeDaemon::checkStop(TimePoint now)
--- a/packages/Http/include/lentilbay/Http/EventLoop.h
+++ b/packages/Http/include/lentilbay/Http/EventLoop.h
@@ -19,7 +19,7 @@
     using Task = std::function<void()>;
 
     asio::io_context& context() { return m_context; }
-    /// Runs handlers and tasks until stop() is called.
+    /// Runs handlers and tasks until stop() is called or nothing is left to wait for.
     void run();
     /// Called by a handler or a task; those that are ready and have not run are dropped.
     void stop();
@@ -41,6 +41,8 @@
     /// By `latest`, which is the order in which they run.
     std::deque<Entry> m_tasks;
     bool m_isStopped = false;
+    /// The last step was an overdue task, so that handlers come next.
+    bool m_hasRunOverdueTask = false;
 };
 
 } // namespace lentilbay::http
--- a/packages/Http/lib/EventLoop.cpp
+++ b/packages/Http/lib/EventLoop.cpp
@@ -5,8 +5,15 @@
 
 #include <algorithm>
 #include <poll.h>
+#include <utility>
 
 namespace lentilbay::http {
+namespace {
+
+/// Handlers that run between two overdue tasks if they are ready.
+constexpr int maxHandlersBetweenTasks = 64;
+
+} // namespace
 
 void EventLoop::run()
 {
@@ -38,7 +45,14 @@
         return false;
     // The context is stopped whenever a task is added.
     m_context.restart();
-    if (now >= m_tasks.front().latest)
+    if (std::exchange(m_hasRunOverdueTask, false)) {
+        // Otherwise many tasks that are overdue together would hold everything else up.
+        for (int i = 0; i < maxHandlersBetweenTasks && !m_isStopped && m_context.poll_one() > 0; ++i)
+            m_context.restart();
+        return true;
+    }
+    m_hasRunOverdueTask = now >= m_tasks.front().latest;
+    if (m_hasRunOverdueTask)
         poll(nullptr, 0, idleWait / std::chrono::milliseconds(1));
     else if (m_context.run_one_for(idleWait) > 0 || m_context.poll_one() > 0)
         return true;
--- a/packages/Http/unittests/EventLoopTest.cpp
+++ b/packages/Http/unittests/EventLoopTest.cpp
@@ -93,6 +93,29 @@
     EXPECT_EQ(order, (std::vector { 1, 2, 3 }));
 }
 
+TEST(EventLoopTest, TasksThatWereOverdueTogetherHeldHandlersUp)
+{
+    EventLoop loop;
+    constexpr int tasks = 200;
+    int runs = 0;
+    int runsBeforeTimer = -1;
+    asio::steady_timer timer(loop.context(), 5ms);
+    timer.async_wait([&](std::error_code) { runsBeforeTimer = runs; });
+    asio::post(loop.context(), [&] {
+        for (int i = 0; i < tasks; ++i)
+            loop.whenIdle(
+                [&] {
+                    if (++runs == tasks)
+                        loop.stop();
+                },
+                bootNow());
+    });
+    loop.run();
+    EXPECT_EQ(runs, tasks);
+    EXPECT_GE(runsBeforeTimer, 0);
+    EXPECT_LT(runsBeforeTimer, tasks / 2);
+}
+
 TEST(EventLoopTest, LoopWithoutAnythingToWaitForEnds)
 {
     EventLoop loop;
